Meta: Serve a request over the whole thin path

Two daemons' roles (entry, agent), the operators' tool and small stand-ins for the platform run as separate processes on loopback. A caller gets addresses, a streamed answer, a call that may not be repeated under a claim key, a status lookup; an operator's edit comes in force on all eight processes.

--- /dev/null
+++ b/Kernel/Digest.cc
@@ -0,0 +1,65 @@
+#include "Kernel/Digest.h"
+
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+#include <openssl/rand.h>
+#include <openssl/sha.h>
+
+#include <array>
+
+namespace bramleyspan {
+
+namespace {
+
+constexpr size_t kAuthenticationBytes = 16;
+
+std::string ToHex(const unsigned char* bytes, size_t count) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  text.reserve(count * 2);
+  for (size_t i = 0; i < count; ++i) {
+    text += kDigits[bytes[i] >> 4];
+    text += kDigits[bytes[i] & 0xF];
+  }
+  return text;
+}
+
+}  // namespace
+
+std::string Sha256Hex(std::string_view bytes) {
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
+  SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+         digest.data());
+  return ToHex(digest.data(), digest.size());
+}
+
+std::string AuthenticationCode(std::string_view secret,
+                               std::string_view bytes) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int length = 0;
+  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
+       reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
+       digest.data(), &length);
+  return ToHex(digest.data(), kAuthenticationBytes);
+}
+
+bool is_equal_in_constant_time(std::string_view left, std::string_view right) {
+  return left.size() == right.size() &&
+         CRYPTO_memcmp(left.data(), right.data(), left.size()) == 0;
+}
+
+std::string RandomHex(size_t count) {
+  std::string bytes(count, '\0');
+  RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()),
+             static_cast<int>(count));
+  return ToHex(reinterpret_cast<const unsigned char*>(bytes.data()), count);
+}
+
+uint64_t RandomBits() {
+  uint64_t bits = 0;
+  RAND_bytes(reinterpret_cast<unsigned char*>(&bits), sizeof bits);
+  return bits;
+}
+
+}  // namespace bramleyspan
--- /dev/null
+++ b/Kernel/Listener.cc
@@ -0,0 +1,61 @@
+#include "Kernel/Listener.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstring>
+
+namespace bramleyspan {
+
+namespace {
+
+constexpr int kBacklog = 1024;
+
+}  // namespace
+
+Result<std::unique_ptr<Listener>> Listener::Listen(EventLoop& loop,
+                                                   const Address& address,
+                                                   OnAccept on_accept) {
+  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int enabled = 1;
+  setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+  const sockaddr_in bound = ToSocketAddress(address);
+  if (bind(descriptor, reinterpret_cast<const sockaddr*>(&bound),
+           sizeof bound) != 0 ||
+      listen(descriptor, kBacklog) != 0) {
+    const std::string reason = std::strerror(errno);
+    close(descriptor);
+    return Fail(ErrorCode::kConnectionFailed, Format(address), reason);
+  }
+  std::unique_ptr<Listener> listener(new Listener);
+  listener->on_accept = std::move(on_accept);
+  listener->socket = h2o_evloop_socket_create(loop.raw(), descriptor,
+                                              H2O_SOCKET_FLAG_DONT_READ);
+  listener->socket->data = listener.get();
+  h2o_socket_read_start(
+      listener->socket, [](h2o_socket_t* source, const char* failure) {
+        if (failure != nullptr) {
+          return;
+        }
+        h2o_socket_t* accepted = h2o_evloop_socket_accept(source);
+        if (accepted == nullptr) {
+          return;
+        }
+        const int no_delay = 1;
+        setsockopt(h2o_socket_get_fd(accepted), IPPROTO_TCP, TCP_NODELAY,
+                   &no_delay, sizeof no_delay);
+        static_cast<Listener*>(source->data)->on_accept(accepted);
+      });
+  return listener;
+}
+
+Listener::~Listener() {
+  if (this->socket != nullptr) {
+    h2o_socket_read_stop(this->socket);
+    h2o_socket_close(this->socket);
+  }
+}
+
+}  // namespace bramleyspan
--- /dev/null
+++ b/Libraries/LibCatalogue/Commit.h
@@ -0,0 +1,69 @@
+// The commit of a change set as a state machine: read the head, write the new
+// shards, swap the head. The swap of the head is the commit.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "LibCatalogue/Shards.h"
+
+namespace bramleyspan::catalogue {
+
+// A change set: the whole catalogue that is to follow `base_revision`.
+struct ChangeSet {
+  std::string id;
+  uint64_t base_revision = 0;
+  Catalogue catalogue;
+};
+
+// The head document as the key-value service holds it; version 0 and no text
+// if there is none yet.
+struct StoredHead {
+  uint64_t version = 0;
+  std::string text;
+};
+
+// Effects that the caller performs; each is answered by one event.
+struct ReadHead {};
+struct WriteShard {
+  std::string digest;
+  std::string document;
+};
+struct SwapHead {
+  uint64_t expected_version = 0;
+  std::string text;
+};
+// The change is decided: the accepted revision, or kConflict, or
+// kOutcomeUnknown, or kUnavailable when surely nothing was changed.
+struct FinishCommit {
+  Result<uint64_t> outcome;
+};
+using CommitEffect = std::variant<ReadHead, WriteShard, SwapHead, FinishCommit>;
+
+struct Commit {
+  ChangeSet change;
+  Snapshot next;
+  uint64_t head_version = 0;
+  std::vector<std::pair<std::string, std::string>> unwritten;
+  uint32_t reads_left = 0;
+  // A swap was sent whose outcome was never learnt.
+  bool is_swap_in_doubt = false;
+};
+
+// Starts a commit; the first effect is always to read the head.
+CommitEffect StartCommit(Commit& commit, ChangeSet change);
+
+// The head was read, or the read failed.
+CommitEffect HandleHeadRead(Commit& commit, const Result<StoredHead>& stored);
+
+// A shard was written (or stood there already), or the write failed.
+CommitEffect HandleShardWritten(Commit& commit, const Result<void>& written);
+
+// The swap was answered: true if it took place, false if the version differed.
+// A failure means that it may have taken place.
+CommitEffect HandleHeadSwapped(Commit& commit, const Result<bool>& swapped);
+
+}  // namespace bramleyspan::catalogue
--- /dev/null
+++ b/Libraries/LibHTTP/Server.cc
@@ -0,0 +1,248 @@
+#include "LibHTTP/Server.h"
+
+#include <memory>
+#include <new>
+#include <utility>
+
+namespace bramleyspan::http {
+
+namespace {
+
+// Lives in the request's memory pool and keeps the exchange until h2o has
+// freed the request.
+struct Generator {
+  h2o_generator_t super;
+  std::shared_ptr<Exchange>* exchange;
+};
+
+// h2o's handler with a way back to the server that made it.
+struct HandlerSlot {
+  h2o_handler_t super;
+  void* server;
+};
+
+const char* ReasonOf(int status) {
+  switch (status) {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 401:
+      return "Unauthorized";
+    case 403:
+      return "Forbidden";
+    case 404:
+      return "Not Found";
+    case 409:
+      return "Conflict";
+    case 429:
+      return "Too Many Requests";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
+  }
+}
+
+std::string ToString(const h2o_iovec_t& bytes) {
+  return {bytes.base, bytes.len};
+}
+
+Request ToRequest(const h2o_req_t& source) {
+  Request request;
+  request.method = ToString(source.method);
+  const std::string full_path = ToString(source.path);
+  const size_t question = full_path.find('?');
+  request.path = full_path.substr(0, question);
+  if (question != std::string::npos) {
+    request.query = full_path.substr(question + 1);
+  }
+  for (size_t i = 0; i < source.headers.size; ++i) {
+    const h2o_header_t& header = source.headers.entries[i];
+    request.headers.emplace_back(ToString(*header.name),
+                                 ToString(header.value));
+  }
+  request.body = ToString(source.entity);
+  return request;
+}
+
+}  // namespace
+
+void Exchange::Respond(const Response& response) {
+  if (this->is_closed()) {
+    return;
+  }
+  this->SetHead(response.status, response.headers);
+  this->request->res.content_length = response.body.size();
+  this->StartGenerator();
+  this->pending = response.body;
+  this->Finish();
+}
+
+void Exchange::StartStream(int status, const HeaderList& headers) {
+  if (this->is_closed()) {
+    return;
+  }
+  this->SetHead(status, headers);
+  this->StartGenerator();
+}
+
+void Exchange::Write(std::string_view bytes) {
+  if (this->is_closed() || bytes.empty()) {
+    return;
+  }
+  this->pending.append(bytes);
+  this->Flush();
+}
+
+void Exchange::Finish() {
+  this->end = End::kWhole;
+  this->Flush();
+}
+
+void Exchange::Abort() {
+  this->end = End::kTruncated;
+  this->Flush();
+}
+
+void Exchange::OnGone(std::function<void()> callback) {
+  this->gone_callback = std::move(callback);
+}
+
+void Exchange::SetHead(int status, const HeaderList& headers) {
+  this->request->res.status = status;
+  this->request->res.reason = ReasonOf(status);
+  for (const auto& [name, value] : headers) {
+    const h2o_iovec_t name_copy =
+        h2o_strdup(&this->request->pool, name.data(), name.size());
+    const h2o_iovec_t value_copy =
+        h2o_strdup(&this->request->pool, value.data(), value.size());
+    h2o_add_header_by_str(&this->request->pool, &this->request->res.headers,
+                          name_copy.base, name_copy.len, 1, nullptr,
+                          value_copy.base, value_copy.len);
+  }
+}
+
+void Exchange::StartGenerator() {
+  auto* generator = static_cast<Generator*>(
+      h2o_mem_alloc_pool(&this->request->pool, sizeof(Generator)));
+  generator->super.proceed = [](h2o_generator_t* self, h2o_req_t*) {
+    (*reinterpret_cast<Generator*>(self)->exchange)->HandleProceed();
+  };
+  generator->super.stop = nullptr;
+  generator->exchange = new (h2o_mem_alloc_shared(
+      &this->request->pool, sizeof(std::shared_ptr<Exchange>),
+      [](void* memory) {
+        std::destroy_at(static_cast<std::shared_ptr<Exchange>*>(memory));
+      })) std::shared_ptr<Exchange>(this->shared_from_this());
+  h2o_start_response(this->request, &generator->super);
+}
+
+void Exchange::Flush() {
+  if (this->is_closed() || this->is_sending) {
+    return;
+  }
+  if (this->pending.empty() && this->end == End::kNone) {
+    return;
+  }
+  this->in_flight = std::exchange(this->pending, {});
+  this->is_sending = true;
+  h2o_iovec_t buffer =
+      h2o_iovec_init(this->in_flight.data(), this->in_flight.size());
+  h2o_req_t* sent_on = this->request;
+  h2o_send_state_t state = H2O_SEND_STATE_IN_PROGRESS;
+  if (this->end != End::kNone) {
+    state =
+        this->end == End::kWhole ? H2O_SEND_STATE_FINAL : H2O_SEND_STATE_ERROR;
+    this->request = nullptr;
+    this->gone_callback = nullptr;
+  }
+  h2o_send(sent_on, &buffer, this->in_flight.empty() ? 0 : 1, state);
+}
+
+void Exchange::HandleProceed() {
+  this->is_sending = false;
+  this->Flush();
+}
+
+void Exchange::HandleDisposal() {
+  this->request = nullptr;
+  if (this->gone_callback) {
+    std::exchange(this->gone_callback, nullptr)();
+  }
+}
+
+struct Server::Internals {
+  h2o_globalconf_t config{};
+  h2o_context_t context{};
+  h2o_accept_ctx_t accept_context{};
+  std::unique_ptr<Listener> listener;
+  Handler handler;
+  size_t open_exchanges = 0;
+
+  int HandleRequest(h2o_req_t* request) {
+    struct Watch {
+      std::shared_ptr<Exchange> exchange;
+      Internals* internals;
+    };
+    auto exchange = std::make_shared<Exchange>(request);
+    // h2o tells nobody when a connection closes before the answer has begun;
+    // the disposal of the request's pool is the one event that always comes.
+    new (h2o_mem_alloc_shared(&request->pool, sizeof(Watch), [](void* memory) {
+      auto* watch = static_cast<Watch*>(memory);
+      --watch->internals->open_exchanges;
+      watch->exchange->HandleDisposal();
+      std::destroy_at(watch);
+    })) Watch{exchange, this};
+    ++this->open_exchanges;
+    this->handler(ToRequest(*request), exchange);
+    return 0;
+  }
+};
+
+Server::Server(std::unique_ptr<Internals> internals)
+    : internals(std::move(internals)) {}
+
+Result<std::unique_ptr<Server>> Server::Listen(EventLoop& loop,
+                                               const Address& address,
+                                               const ServerLimits& limits,
+                                               Handler handler) {
+  auto internals = std::make_unique<Internals>();
+  Internals* state = internals.get();
+  state->handler = std::move(handler);
+  h2o_config_init(&state->config);
+  state->config.max_request_entity_size = limits.largest_body;
+  state->config.http1.req_timeout =
+      static_cast<uint64_t>(limits.request_timeout.count());
+  h2o_hostconf_t* host = h2o_config_register_host(
+      &state->config, h2o_iovec_init(H2O_STRLIT("default")), 65535);
+  h2o_pathconf_t* path = h2o_config_register_path(host, "/", 0);
+  auto* slot = reinterpret_cast<HandlerSlot*>(
+      h2o_create_handler(path, sizeof(HandlerSlot)));
+  slot->server = state;
+  slot->super.on_req = [](h2o_handler_t* self, h2o_req_t* request) {
+    void* server = reinterpret_cast<HandlerSlot*>(self)->server;
+    return static_cast<Internals*>(server)->HandleRequest(request);
+  };
+  h2o_context_init(&state->context, loop.raw(), &state->config);
+  state->accept_context.ctx = &state->context;
+  state->accept_context.hosts = state->config.hosts;
+  state->listener =
+      TRY(Listener::Listen(loop, address, [state](h2o_socket_t* accepted) {
+        h2o_accept(&state->accept_context, accepted);
+      }));
+  return std::unique_ptr<Server>(new Server(std::move(internals)));
+}
+
+Server::~Server() = default;
+
+void Server::Drain() {
+  this->internals->listener = nullptr;
+  h2o_context_request_shutdown(&this->internals->context);
+}
+
+size_t Server::open_exchanges() const {
+  return this->internals->open_exchanges;
+}
+
+}  // namespace bramleyspan::http
--- /dev/null
+++ b/Libraries/LibHTTP/Server.h
@@ -0,0 +1,99 @@
+// An HTTP/1 and cleartext HTTP/2 server over h2o.
+#pragma once
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "Kernel/Address.h"
+#include "Kernel/EventLoop.h"
+#include "Kernel/Listener.h"
+#include "Kernel/Result.h"
+#include "LibHTTP/Message.h"
+
+namespace bramleyspan::http {
+
+// One request with the way to answer it. It outlives its connection, so that
+// a late answer meets a closed exchange instead of freed memory.
+class Exchange : public std::enable_shared_from_this<Exchange> {
+ public:
+  explicit Exchange(h2o_req_t* request) : request(request) {}
+
+  // Sends the whole answer.
+  void Respond(const Response& response);
+
+  // Sends the head of a streamed answer.
+  void StartStream(int status, const HeaderList& headers);
+
+  // Sends a part of a streamed answer.
+  void Write(std::string_view bytes);
+
+  // Ends a streamed answer as whole.
+  void Finish();
+
+  // Ends a streamed answer so that the caller sees it as truncated.
+  void Abort();
+
+  // Calls `callback` if the caller leaves before the answer has ended.
+  void OnGone(std::function<void()> callback);
+
+  // Whether nothing more can reach the caller.
+  bool is_closed() const { return this->request == nullptr; }
+
+  // Bytes that wait because the caller reads slowly.
+  size_t pending_bytes() const { return this->pending.size(); }
+
+ private:
+  friend class Server;
+  enum class End { kNone, kWhole, kTruncated };
+
+  void SetHead(int status, const HeaderList& headers);
+  void StartGenerator();
+  void Flush();
+  void HandleProceed();
+  void HandleDisposal();
+
+  h2o_req_t* request;
+  std::string pending;
+  std::string in_flight;
+  std::function<void()> gone_callback;
+  End end = End::kNone;
+  bool is_sending = false;
+};
+
+// Bounds of what a server takes from callers.
+struct ServerLimits {
+  size_t largest_body = 1 << 20;
+  std::chrono::milliseconds request_timeout{10'000};
+};
+
+// Serves every path of one address through one handler.
+class Server {
+ public:
+  using Handler =
+      std::function<void(Request, const std::shared_ptr<Exchange>&)>;
+
+  // Listens at `address`. Fails with kConnectionFailed.
+  static Result<std::unique_ptr<Server>> Listen(EventLoop& loop,
+                                                const Address& address,
+                                                const ServerLimits& limits,
+                                                Handler handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  // Takes no new connection and closes each kept one after its answer.
+  void Drain();
+
+  // Requests whose answer has not ended.
+  size_t open_exchanges() const;
+
+ private:
+  struct Internals;
+  explicit Server(std::unique_ptr<Internals> internals);
+
+  std::unique_ptr<Internals> internals;
+};
+
+}  // namespace bramleyspan::http
--- /dev/null
+++ b/Libraries/LibTelemetry/Log.cc
@@ -0,0 +1,72 @@
+#include "LibTelemetry/Log.h"
+
+#include <easylogging++.h>
+
+#include <array>
+#include <chrono>
+#include <nlohmann/json.hpp>
+
+INITIALIZE_EASYLOGGINGPP
+
+namespace bramleyspan::telemetry {
+
+namespace {
+
+constexpr std::array<std::string_view, 4> kLevelNames{"debug", "info",
+                                                      "warning", "error"};
+
+struct LogState {
+  std::string process;
+  LogLevel lowest = LogLevel::kInfo;
+};
+
+LogState& State() {
+  static LogState state;
+  return state;
+}
+
+}  // namespace
+
+void StartLog(std::string_view process, LogLevel lowest) {
+  State() = {std::string(process), lowest};
+  el::Configurations configuration;
+  configuration.setToDefault();
+  configuration.setGlobally(el::ConfigurationType::Format, "%msg");
+  configuration.setGlobally(el::ConfigurationType::ToFile, "false");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  el::Loggers::setDefaultConfigurations(configuration, true);
+}
+
+Result<LogLevel> ParseLogLevel(const std::string& word) {
+  for (size_t i = 0; i < kLevelNames.size(); ++i) {
+    if (kLevelNames[i] == word) {
+      return static_cast<LogLevel>(i);
+    }
+  }
+  return Fail(ErrorCode::kInvalidSetting, word,
+              "allowed are: debug, info, warning, error");
+}
+
+void Log(LogLevel level,
+         std::string_view module,
+         std::string_view event,
+         std::initializer_list<LogField> fields) {
+  if (level < State().lowest) {
+    return;
+  }
+  const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now());
+  nlohmann::ordered_json record = {
+      {"time_ms", now.time_since_epoch().count()},
+      {"level", kLevelNames[static_cast<size_t>(level)]},
+      {"process", State().process},
+      {"module", module},
+      {"event", event}};
+  for (const LogField& field : fields) {
+    record[std::string(field.name)] = field.value;
+  }
+  LOG(INFO) << record.dump(-1, ' ', false,
+                           nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace bramleyspan::telemetry
--- /dev/null
+++ b/Meta/CMake/Helpers.cmake
@@ -0,0 +1,16 @@
+# Adds a static library of the workspace from every source file of its folder.
+function(bramleyspan_library name)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
+  add_library(${name} STATIC ${sources})
+  target_link_libraries(${name} PUBLIC ${ARG_LINK})
+endfunction()
+
+# Adds the one test program of a library, from every source file of its folder.
+function(bramleyspan_test name)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cc)
+  add_executable(${name} ${sources} ${CMAKE_SOURCE_DIR}/Tests/Main.cc)
+  target_link_libraries(${name} PRIVATE ${ARG_LINK})
+  add_test(NAME ${name} COMMAND ${name})
+endfunction()
--- /dev/null
+++ b/Meta/fleet.sh
@@ -0,0 +1,124 @@
+# Functions that start and stop a small fleet on the loopback network. Each VM
+# has an IP number of its own in 127.0.0.0/8. Sourced by Meta/demo and by the
+# process tests; the caller sets BIN (the build folder) and LOGS (a folder).
+
+OPERATOR_KEY=demo-operator-key
+OPERATOR_KEY_SHA256=$(printf %s "$OPERATOR_KEY" | sha256sum | cut -d' ' -f1)
+PLATFORM_IP=127.0.0.10
+KEY_VALUE=$PLATFORM_IP:8500
+VM_LIST=$PLATFORM_IP:8600
+WEIGHT_STORE=$PLATFORM_IP:8700
+declare -A PIDS=()
+
+fail() {
+  echo "FAILED: $*" >&2
+  exit 1
+}
+
+# spawn NAME COMMAND...: starts a process whose output goes to LOGS/NAME.log.
+spawn() {
+  local name=$1
+  shift
+  "$@" >>"$LOGS/$name.log" 2>&1 &
+  PIDS[$name]=$!
+}
+
+# wait_for WHAT COMMAND...: repeats a command until it succeeds, 20 s at most.
+wait_for() {
+  local what=$1
+  shift
+  for _ in $(seq 400); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.05
+  done
+  fail "waited in vain for $what"
+}
+
+http_ok() { curl -sf -m 2 -o /dev/null "$1"; }
+
+start_platform() {
+  spawn key-value "$BIN/StandInKeyValueService" --address="$KEY_VALUE"
+  spawn vm-list "$BIN/StandInVmList" --address="$VM_LIST" --lag_milliseconds=200
+  spawn weight-store "$BIN/StandInWeightStore" --address="$WEIGHT_STORE"
+  wait_for "the VM list" http_ok "http://$VM_LIST/v1/vms"
+}
+
+# list_vm NAME IP ZONE KIND STATE: files a VM in the VM list.
+list_vm() {
+  curl -sf -X PUT "http://$VM_LIST/v1/vms/$1" -o /dev/null \
+    -d "{\"name\":\"$1\",\"ip\":\"$2\",\"zone\":\"$3\",\"kind\":\"$4\",\"state\":\"$5\"}"
+}
+
+daemon() {
+  local role=$1 name=$2 ip=$3 zone=$4
+  shift 4
+  spawn "$name" "$BIN/bramleyspand" --role="$role" \
+    --name="$name" --ip="$ip" --zone="$zone" --key_value_service="$KEY_VALUE" \
+    --vm_list="$VM_LIST" --operator_key_sha256="$OPERATOR_KEY_SHA256" "$@"
+}
+
+# start_entry N ZONE: an entry VM's process at 127.0.1.N.
+start_entry() {
+  daemon entry "entry-$1" "127.0.1.$1" "$2"
+  list_vm "entry-$1" "127.0.1.$1" "$2" entry live
+}
+
+# start_agent N ZONE: the agent in the slot of the target VM at 127.0.2.N.
+start_agent() {
+  daemon agent "target-$1" "127.0.2.$1" "$2" --target="127.0.2.$1:8000"
+  list_vm "target-$1" "127.0.2.$1" "$2" target live
+}
+
+start_engine() { spawn "engine-$1" "$BIN/StandInModelEngine" --address="127.0.2.$1:8000"; }
+start_service() { spawn "service-$1" "$BIN/StandInPlainService" --address="127.0.2.$1:8000"; }
+
+start_fleet() {
+  start_platform
+  local zones=(wien-nord wien-sued st-poelten)
+  for n in 1 2 3 4; do
+    start_engine "$n"
+    start_agent "$n" "${zones[$(((n - 1) % 3))]}"
+  done
+  start_service 5
+  start_agent 5 st-poelten
+  for n in 1 2 3; do start_entry "$n" "${zones[$((n - 1))]}"; done
+  for n in 1 2 3; do wait_for "entry-$n" http_ok "http://127.0.1.$n:8080/readyz"; done
+}
+
+control() {
+  BRAMLEYSPAN_OPERATOR_KEY=$OPERATOR_KEY \
+    BRAMLEYSPAN_ENTRIES=127.0.1.1:8080,127.0.1.2:8080,127.0.1.3:8080 \
+    "$BIN/bramleyspanctl" "$@"
+}
+
+# in_force REVISION COUNT: whether every entry sees COUNT processes, itself
+# included, that have REVISION in force.
+in_force() {
+  local n
+  for n in 1 2 3; do
+    [ "$(BRAMLEYSPAN_ENTRIES=127.0.1.$n:8080 BRAMLEYSPAN_OPERATOR_KEY=$OPERATOR_KEY \
+      "$BIN/bramleyspanctl" status |
+      grep -c "revision $1")" -eq "$2" ] || return 1
+  done
+}
+
+# stop NAME: asks a process to stop and waits until it has; prints its status.
+stop() {
+  local pid=${PIDS[$1]}
+  unset "PIDS[$1]"
+  kill -TERM "$pid" 2>/dev/null || true
+  wait "$pid"
+}
+
+stop_fleet() {
+  local name
+  for name in "${!PIDS[@]}"; do kill -TERM "${PIDS[$name]}" 2>/dev/null || true; done
+  for name in "${!PIDS[@]}"; do wait "${PIDS[$name]}" 2>/dev/null || true; done
+  PIDS=()
+}
+
+# Nothing that was started here outlives the script, whatever ends it.
+kill_fleet() {
+  local name
+  for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
+}
--- /dev/null
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -0,0 +1,150 @@
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "Kernel/Digest.h"
+#include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Agent/AgentState.h"
+#include "Services/bramleyspand/Answers.h"
+#include "Services/bramleyspand/Role.h"
+
+namespace bramleyspan::agent {
+
+namespace {
+
+constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kEpochCheckInterval = std::chrono::seconds(10);
+constexpr size_t kSecretBytes = 32;
+
+nlohmann::json DumpOf(const AgentState& state) {
+  size_t remembered = 0;
+  for (const auto& [epoch, records] : state.claims.records) {
+    remembered += records.size();
+  }
+  return {{"process", state.settings.name},
+          {"role", "agent"},
+          {"zone", state.settings.zone},
+          {"revision", state.feed.revision()},
+          {"incarnation", state.claims.incarnation},
+          {"is_leaving", state.is_leaving},
+          {"entries_linked", state.connections.size()},
+          {"in_flight", state.forwarded.size()},
+          {"remembered_claims", remembered}};
+}
+
+class AgentRole : public Role {
+ public:
+  AgentRole(EventLoop& loop, const Settings& settings)
+      : state(loop, settings) {}
+
+  Result<void> Start() {
+    const Settings& settings = this->state.settings;
+    claims::ClaimRegistry& claims = this->state.claims;
+    claims.agent = settings.name;
+    claims.incarnation = RandomBits();
+    claims.secret = RandomHex(kSecretBytes);
+    claims.started = EventLoop::Now();
+    this->server = TRY(http::Server::Listen(
+        this->state.loop, {settings.ip, settings.caller_port}, {},
+        [this](const http::Request& request,
+               const std::shared_ptr<http::Exchange>& exchange) {
+          this->HandleRequest(request, exchange);
+        }));
+    this->listener = TRY(Listener::Listen(
+        this->state.loop, {settings.ip, settings.link_port},
+        [this](h2o_socket_t* socket) { this->AcceptEntry(socket); }));
+    this->state.feed.on_in_force = [this] { this->TellRevision(); };
+    this->ForgetEpochsForever();
+    return Succeed();
+  }
+
+  void StartDrain() override {
+    if (std::exchange(this->state.is_leaving, true)) {
+      return;
+    }
+    for (const auto& connection : this->state.connections) {
+      wire::LeavingT leaving;
+      leaving.reason = "planned stop";
+      connection->Send(wire::Encode(std::move(leaving)));
+    }
+    this->StopWhenIdle();
+  }
+
+ private:
+  void AcceptEntry(h2o_socket_t* socket) {
+    wire::ConnectionEvents events;
+    events.on_frame = [this](wire::Connection& connection,
+                             const wire::FrameT& frame) {
+      HandleEntryFrame(this->state, connection, frame);
+    };
+    events.on_closed = [this](wire::Connection& connection, const Error&) {
+      HandleLostEntry(this->state, connection);
+      this->state.connections.erase(connection.shared_from_this());
+    };
+    auto connection = wire::Connection::Accept(socket, std::move(events));
+    wire::HelloT hello;
+    hello.process = this->state.settings.name;
+    hello.role = this->state.settings.role;
+    hello.zone = this->state.settings.zone;
+    hello.incarnation = this->state.claims.incarnation;
+    hello.revision = this->state.feed.revision();
+    connection->Send(wire::Encode(std::move(hello)));
+    this->state.connections.insert(std::move(connection));
+  }
+
+  void TellRevision() {
+    for (const auto& connection : this->state.connections) {
+      wire::InForceT in_force;
+      in_force.revision = this->state.feed.revision();
+      connection->Send(wire::Encode(in_force));
+    }
+  }
+
+  void HandleRequest(const http::Request& request,
+                     const std::shared_ptr<http::Exchange>& exchange) {
+    if (request.path == "/healthz") {
+      exchange->Respond({.status = 200, .body = "ok\n"});
+    } else if (request.path == "/readyz") {
+      const bool is_ready =
+          this->state.feed.revision() > 0 && !this->state.is_leaving;
+      exchange->Respond({.status = is_ready ? 200 : 503,
+                         .body = is_ready ? "ready\n" : "not ready\n"});
+    } else if (request.path == "/v1/operator/dump") {
+      exchange->Respond(JsonResponse(200, DumpOf(this->state)));
+    } else {
+      exchange->Respond(ToResponse(
+          {.error = {ErrorCode::kNotFound, request.path, "no such path"}}));
+    }
+  }
+
+  void ForgetEpochsForever() {
+    claims::ForgetOldEpochs(this->state.claims, EventLoop::Now());
+    this->state.loop.RunAfter(kEpochCheckInterval,
+                              [this] { this->ForgetEpochsForever(); });
+  }
+
+  void StopWhenIdle() {
+    if (this->state.forwarded.empty()) {
+      this->state.loop.Stop();
+      return;
+    }
+    this->state.loop.RunAfter(kDrainCheckInterval,
+                              [this] { this->StopWhenIdle(); });
+  }
+
+  AgentState state;
+  std::unique_ptr<http::Server> server;
+  std::unique_ptr<Listener> listener;
+};
+
+Result<std::unique_ptr<Role>> StartAgent(EventLoop& loop,
+                                         const Settings& settings) {
+  auto role = std::make_unique<AgentRole>(loop, settings);
+  TRY(role->Start());
+  return std::unique_ptr<Role>(std::move(role));
+}
+
+const PluginRegistration<StartRole> kRegistration("agent", StartAgent);
+
+}  // namespace
+
+}  // namespace bramleyspan::agent
--- /dev/null
+++ b/Services/bramleyspand/Entry/EntryRole.cc
@@ -0,0 +1,88 @@
+#include <utility>
+
+#include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Entry/EntryState.h"
+#include "Services/bramleyspand/Role.h"
+
+namespace bramleyspan::entry {
+
+namespace {
+
+constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
+
+class EntryRole : public Role {
+ public:
+  EntryRole(EventLoop& loop, const Settings& settings)
+      : state(loop, settings) {}
+
+  Result<void> Start() {
+    const Settings& settings = this->state.settings;
+    this->server = TRY(http::Server::Listen(
+        this->state.loop, {settings.ip, settings.caller_port}, {},
+        [this](const http::Request& request,
+               const std::shared_ptr<http::Exchange>& exchange) {
+          this->HandleRequest(request, exchange);
+        }));
+    this->listener = TRY(Listener::Listen(
+        this->state.loop, {settings.ip, settings.link_port},
+        [this](h2o_socket_t* socket) { AcceptLink(this->state, socket); }));
+    StartCatalogueSource(this->state);
+    StartLinks(this->state);
+    return Succeed();
+  }
+
+  void StartDrain() override {
+    if (std::exchange(this->state.is_leaving, true)) {
+      return;
+    }
+    AnnounceLeaving(this->state);
+    // Callers keep the addresses that they were told for a while and may still
+    // connect here: serve on until all kept answers have run out.
+    this->state.loop.RunAfter(kAddressLifetime, [this] {
+      this->server->Drain();
+      this->StopWhenIdle();
+    });
+  }
+
+ private:
+  void HandleRequest(const http::Request& request,
+                     const std::shared_ptr<http::Exchange>& exchange) {
+    if (request.path == "/healthz") {
+      exchange->Respond({.status = 200, .body = "ok\n"});
+    } else if (request.path == "/readyz") {
+      const bool is_serving = this->state.is_ready && !this->state.is_leaving;
+      exchange->Respond({.status = is_serving ? 200 : 503,
+                         .body = is_serving ? "ready\n" : "not ready\n"});
+    } else if (request.path.starts_with("/v1/operator/")) {
+      HandleOperatorRequest(this->state, request, exchange);
+    } else {
+      HandleCallerRequest(this->state, request, exchange);
+    }
+  }
+
+  void StopWhenIdle() {
+    if (this->server->open_exchanges() == 0) {
+      this->state.loop.Stop();
+      return;
+    }
+    this->state.loop.RunAfter(kDrainCheckInterval,
+                              [this] { this->StopWhenIdle(); });
+  }
+
+  EntryState state;
+  std::unique_ptr<http::Server> server;
+  std::unique_ptr<Listener> listener;
+};
+
+Result<std::unique_ptr<Role>> StartEntry(EventLoop& loop,
+                                         const Settings& settings) {
+  auto role = std::make_unique<EntryRole>(loop, settings);
+  TRY(role->Start());
+  return std::unique_ptr<Role>(std::move(role));
+}
+
+const PluginRegistration<StartRole> kRegistration("entry", StartEntry);
+
+}  // namespace
+
+}  // namespace bramleyspan::entry
--- /dev/null
+++ b/Services/bramleyspand/Entry/EntryState.h
@@ -0,0 +1,94 @@
+// What an entry process holds; its parts are free functions over this.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "LibHTTP/Client.h"
+#include "LibHTTP/Server.h"
+#include "LibPlatform/KeyValueClient.h"
+#include "LibPlatform/VmList.h"
+#include "LibRouting/Routing.h"
+#include "Services/bramleyspand/Answers.h"
+#include "Services/bramleyspand/CatalogueFeed.h"
+#include "Services/bramleyspand/Link.h"
+#include "Services/bramleyspand/Settings.h"
+
+namespace bramleyspan::entry {
+
+// A caller's request between its arrival and the end of its answer.
+struct OpenCall {
+  std::shared_ptr<http::Exchange> exchange;
+  wire::CallT call;
+  Duration deadline{};
+  // The VM whose agent has the call; empty before it is sent.
+  std::string target;
+  bool has_head = false;
+};
+
+// A probe round whose answers are still coming in.
+struct ProbeRound {
+  uint64_t call = 0;
+  std::map<uint64_t, routing::Candidate> outstanding;
+  std::vector<routing::ProbeAnswer> answers;
+  TimerId timer = 0;
+};
+
+// A request for claim keys that an agent has not answered yet.
+struct OpenClaimRequest {
+  std::shared_ptr<http::Exchange> exchange;
+  std::string target;
+};
+
+struct EntryState {
+  EntryState(EventLoop& loop, const Settings& settings)
+      : loop(loop),
+        settings(settings),
+        client(loop),
+        key_value(client, {.address = settings.key_value_service}) {}
+
+  EventLoop& loop;
+  Settings settings;
+  http::Client client;
+  platform::KeyValueClient key_value;
+  CatalogueFeed feed;
+  std::vector<platform::Vm> vms;
+  LinkMap links;
+  std::map<uint64_t, OpenCall> calls;
+  std::map<uint64_t, ProbeRound> rounds;
+  std::map<uint64_t, uint64_t> round_of_probe;
+  std::map<uint64_t, OpenClaimRequest> claim_requests;
+  uint64_t last_id = 0;
+  bool is_leaving = false;
+  // Whether the key-value service or a peer has told the catalogue once.
+  bool is_ready = false;
+};
+
+// How long a caller may keep the addresses that it was told.
+inline constexpr Duration kAddressLifetime = std::chrono::seconds(5);
+
+// Links (Links.cc): keeps links to all agents and peers of the VM list.
+void StartLinks(EntryState& state);
+void AcceptLink(EntryState& state, h2o_socket_t* socket);
+void AnnounceCatalogue(EntryState& state);
+void AnnounceLeaving(EntryState& state);
+
+// The catalogue (CatalogueSource.cc): follows the key-value service.
+void StartCatalogueSource(EntryState& state);
+
+// Calls (Calls.cc): routes callers' requests to agents.
+void HandleCallerRequest(EntryState& state,
+                         const http::Request& request,
+                         const std::shared_ptr<http::Exchange>& exchange);
+void HandleAgentFrame(EntryState& state, const wire::FrameT& frame);
+void HandleLostAgent(EntryState& state, const std::string& target);
+
+// Operators (OperatorApi.cc).
+void HandleOperatorRequest(EntryState& state,
+                           const http::Request& request,
+                           const std::shared_ptr<http::Exchange>& exchange);
+
+}  // namespace bramleyspan::entry
--- /dev/null
+++ b/Services/bramleyspand/Link.h
@@ -0,0 +1,37 @@
+// Links between the system's processes.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "LibWire/Connection.h"
+
+namespace bramleyspan {
+
+// A connection to a peer with what the peer told of itself.
+struct Link {
+  std::shared_ptr<wire::Connection> connection;
+  std::string process;
+  std::string role;
+  std::string zone;
+  uint64_t incarnation = 0;
+  uint64_t revision = 0;
+  bool is_leaving = false;
+};
+
+// Links by the name of the peer's VM.
+using LinkMap = std::map<std::string, Link>;
+
+// The link to a VM that takes new work, if any.
+inline const Link* FindUsableLink(const LinkMap& links,
+                                  const std::string& name) {
+  const auto found = links.find(name);
+  if (found == links.end() || found->second.is_leaving ||
+      !found->second.connection->is_open()) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+}  // namespace bramleyspan
--- /dev/null
+++ b/Services/bramleyspand/Role.h
@@ -0,0 +1,26 @@
+// What a process is: each role registers itself with the kernel.
+#pragma once
+
+#include <memory>
+
+#include "Kernel/EventLoop.h"
+#include "Kernel/Plugin.h"
+#include "Services/bramleyspand/Settings.h"
+
+namespace bramleyspan {
+
+// A started role; destroying it ends its work.
+class Role {
+ public:
+  virtual ~Role() = default;
+
+  // Starts a planned stop: nothing new is taken, what is in flight ends, then
+  // the loop is stopped.
+  virtual void StartDrain() = 0;
+};
+
+// Starts a role on the loop. Fails if an address cannot be bound.
+using StartRole = Result<std::unique_ptr<Role>> (*)(EventLoop& loop,
+                                                    const Settings& settings);
+
+}  // namespace bramleyspan
--- /dev/null
+++ b/Services/bramleyspand/Settings.cc
@@ -0,0 +1,90 @@
+#include "Services/bramleyspand/Settings.h"
+
+#include <charconv>
+
+namespace bramleyspan {
+
+namespace {
+
+auto FailFor(const std::string& name,
+             const SettingText& given,
+             const std::string& allowed) {
+  return Fail(
+      ErrorCode::kInvalidSetting, name,
+      "'" + given.text + "' from " + given.source + "; allowed: " + allowed);
+}
+
+Result<std::string> RequireText(const SettingLookup& lookup,
+                                const std::string& name) {
+  const SettingText given = lookup(name);
+  if (given.text.empty()) {
+    return FailFor(name, given, "any text that is not empty");
+  }
+  return given.text;
+}
+
+Result<uint16_t> RequirePort(const SettingLookup& lookup,
+                             const std::string& name) {
+  const SettingText given = lookup(name);
+  const char* end = given.text.data() + given.text.size();
+  uint16_t port = 0;
+  const auto [stop, failure] = std::from_chars(given.text.data(), end, port);
+  if (failure != std::errc{} || stop != end || port == 0) {
+    return FailFor(name, given, "a port from 1 to 65535");
+  }
+  return port;
+}
+
+Result<Address> RequireAddress(const SettingLookup& lookup,
+                               const std::string& name) {
+  const SettingText given = lookup(name);
+  auto address = ParseAddress(given.text);
+  if (address.has_error()) {
+    return FailFor(name, given, "IP:PORT");
+  }
+  return address;
+}
+
+Result<std::string> RequireName(const SettingLookup& lookup) {
+  const SettingText given = lookup("name");
+  // Claim keys carry the name between dots.
+  if (given.text.empty() || given.text.find('.') != std::string::npos) {
+    return FailFor("name", given, "a VM's name without dots");
+  }
+  return given.text;
+}
+
+}  // namespace
+
+Result<Settings> ParseSettings(const SettingLookup& lookup) {
+  Settings settings;
+  settings.role = TRY(RequireText(lookup, "role"));
+  settings.name = TRY(RequireName(lookup));
+  settings.zone = TRY(RequireText(lookup, "zone"));
+  settings.ip = TRY(RequireText(lookup, "ip"));
+  settings.caller_port = TRY(RequirePort(lookup, "caller-port"));
+  settings.link_port = TRY(RequirePort(lookup, "link-port"));
+  const SettingText own_ip = lookup("ip");
+  if (ParseAddress(settings.ip + ":1").has_error()) {
+    return FailFor("ip", own_ip, "an IPv4 number");
+  }
+  settings.key_value_service = TRY(RequireAddress(lookup, "key-value-service"));
+  settings.vm_list = TRY(RequireAddress(lookup, "vm-list"));
+  if (!lookup("target").text.empty()) {
+    settings.target = TRY(RequireAddress(lookup, "target"));
+  }
+  if (settings.role == "agent" && !settings.target) {
+    return FailFor("target", lookup("target"), "IP:PORT of the back end");
+  }
+  settings.operator_key_sha256 =
+      TRY(RequireText(lookup, "operator-key-sha256"));
+  const SettingText level = lookup("log-level");
+  auto parsed_level = telemetry::ParseLogLevel(level.text);
+  if (parsed_level.has_error()) {
+    return FailFor("log-level", level, "debug, info, warning, error");
+  }
+  settings.log_level = parsed_level.value();
+  return settings;
+}
+
+}  // namespace bramleyspan
--- /dev/null
+++ b/StandIns/Common.h
@@ -0,0 +1,45 @@
+// What all stand-ins share: their flags and how they start.
+#pragma once
+
+#include <absl/flags/declare.h>
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <iostream>
+#include <memory>
+#include <string>
+
+#include "LibHTTP/Server.h"
+
+namespace bramleyspan::standins {
+
+// Serves `handler` at `address` until SIGTERM; returns the exit status.
+inline int Serve(EventLoop& loop,
+                 const std::string& address_text,
+                 http::Server::Handler handler) {
+  const auto address = ParseAddress(address_text);
+  if (address.has_error()) {
+    std::cerr << Describe(address.error()) << "\n";
+    return 2;
+  }
+  http::ServerLimits limits;
+  limits.largest_body = 8 << 20;
+  auto guarded = [handler = std::move(handler)](const auto& request,
+                                                const auto& exchange) {
+    try {
+      handler(request, exchange);
+    } catch (const std::exception& failure) {
+      exchange->Respond({.status = 400, .body = failure.what()});
+    }
+  };
+  auto server = http::Server::Listen(loop, address.value(), limits, guarded);
+  if (server.has_error()) {
+    std::cerr << Describe(server.error()) << "\n";
+    return 1;
+  }
+  loop.OnStopSignal([&loop] { loop.Stop(); });
+  loop.Run();
+  return 0;
+}
+
+}  // namespace bramleyspan::standins
--- /dev/null
+++ b/StandIns/PlainService.cc
@@ -0,0 +1,66 @@
+// Stand-in for a plain service: POST /issue runs each time it is called and
+// counts how often each body ran; GET /status/ID may repeat freely.
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "StandIns/Common.h"
+
+ABSL_FLAG(std::string, address, "127.0.0.1:8000", "IP:PORT to listen on");
+ABSL_FLAG(int, work_milliseconds, 5, "how long a call takes");
+
+namespace bramleyspan::standins {
+
+namespace {
+
+using nlohmann::json;
+using ExchangePointer = std::shared_ptr<http::Exchange>;
+
+struct State {
+  EventLoop& loop;
+  Duration work;
+  std::map<std::string, int> runs;
+};
+
+void Handle(State& state,
+            const http::Request& request,
+            const ExchangePointer& exchange) {
+  constexpr std::string_view kStatus = "/status/";
+  if (request.path == "/issue" && request.method == "POST") {
+    const int run = ++state.runs[request.body];
+    const std::string body =
+        json{{"issued", request.body}, {"run", run}}.dump();
+    state.loop.RunAfter(state.work, [exchange, body] {
+      exchange->Respond(
+          {.headers = {{"content-type", "application/json"}}, .body = body});
+    });
+  } else if (request.path.starts_with(kStatus)) {
+    const std::string id = request.path.substr(kStatus.size());
+    const auto found = state.runs.find(id);
+    const int runs = found == state.runs.end() ? 0 : found->second;
+    exchange->Respond({.headers = {{"content-type", "application/json"}},
+                       .body = json{{"id", id}, {"runs", runs}}.dump()});
+  } else if (request.path == "/runs") {
+    exchange->Respond({.body = json(state.runs).dump()});
+  } else {
+    exchange->Respond({.status = 404});
+  }
+}
+
+}  // namespace
+
+}  // namespace bramleyspan::standins
+
+int main(int argument_count, char** arguments) {
+  absl::ParseCommandLine(argument_count, arguments);
+  bramleyspan::EventLoop loop;
+  bramleyspan::standins::State state{
+      loop,
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_work_milliseconds)),
+      {}};
+  return bramleyspan::standins::Serve(
+      loop, absl::GetFlag(FLAGS_address),
+      [&](const auto& request, const auto& exchange) {
+        bramleyspan::standins::Handle(state, request, exchange);
+      });
+}
--- /dev/null
+++ b/StandIns/VmList.cc
@@ -0,0 +1,73 @@
+// Stand-in for the platform's VM list. Changes show after a lag.
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "StandIns/Common.h"
+
+ABSL_FLAG(std::string, address, "127.0.0.1:8600", "IP:PORT to listen on");
+ABSL_FLAG(int, lag_milliseconds, 500, "how late a change shows");
+
+namespace bramleyspan::standins {
+
+namespace {
+
+using nlohmann::json;
+
+struct State {
+  EventLoop& loop;
+  Duration lag;
+  std::map<std::string, json> vms;
+};
+
+// PUT /v1/vms/NAME files or changes a VM, DELETE removes it; both late.
+void Handle(State& state,
+            const http::Request& request,
+            const std::shared_ptr<http::Exchange>& exchange) {
+  constexpr std::string_view kPrefix = "/v1/vms/";
+  if (request.path == "/v1/vms") {
+    json list = json::array();
+    for (const auto& [name, vm] : state.vms) {
+      list.push_back(vm);
+    }
+    exchange->Respond({.body = json{{"vms", list}}.dump()});
+    return;
+  }
+  if (!request.path.starts_with(kPrefix)) {
+    exchange->Respond({.status = 404});
+    return;
+  }
+  const std::string name = request.path.substr(kPrefix.size());
+  const json vm = json::parse(request.body, nullptr, false);
+  const bool is_removal = request.method == "DELETE";
+  if (!is_removal && !vm.is_object()) {
+    exchange->Respond({.status = 400});
+    return;
+  }
+  state.loop.RunAfter(state.lag, [&state, name, vm, is_removal] {
+    if (is_removal) {
+      state.vms.erase(name);
+    } else {
+      state.vms[name] = vm;
+    }
+  });
+  exchange->Respond({.body = "true"});
+}
+
+}  // namespace
+
+}  // namespace bramleyspan::standins
+
+int main(int argument_count, char** arguments) {
+  absl::ParseCommandLine(argument_count, arguments);
+  bramleyspan::EventLoop loop;
+  bramleyspan::standins::State state{
+      loop,
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_lag_milliseconds)),
+      {}};
+  return bramleyspan::standins::Serve(
+      loop, absl::GetFlag(FLAGS_address),
+      [&](const auto& request, const auto& exchange) {
+        bramleyspan::standins::Handle(state, request, exchange);
+      });
+}
--- /dev/null
+++ b/Utilities/bramleyspanctl/OperatorClient.cc
@@ -0,0 +1,72 @@
+#include "Utilities/bramleyspanctl/OperatorClient.h"
+
+#include "Kernel/EventLoop.h"
+#include "LibHTTP/Client.h"
+
+namespace bramleyspan {
+
+namespace {
+
+// A commit may wait for a key-value service that is down.
+constexpr Duration kTimeout = std::chrono::seconds(30);
+
+Result<http::Response> AskOne(const OperatorClient& client,
+                              const Address& entry,
+                              const std::string& method,
+                              const std::string& path,
+                              const std::string& body) {
+  EventLoop loop;
+  http::Client http_client(loop);
+  http::ClientRequest request{
+      .target = entry,
+      .method = method,
+      .path = path,
+      .headers = {{"authorization", "Bearer " + client.key},
+                  {"content-type", "application/json"}},
+      .body = body,
+      .timeout = kTimeout,
+      .connection_use = http::ConnectionUse::kFresh};
+  Result<http::Response> answer =
+      Fail(ErrorCode::kUnavailable, Format(entry), "no answer");
+  http_client.Fetch(std::move(request), [&](Result<http::Response> response) {
+    answer = std::move(response);
+    loop.Stop();
+  });
+  loop.Run();
+  return answer;
+}
+
+}  // namespace
+
+Result<std::vector<Address>> ParseEntries(const std::string& text) {
+  std::vector<Address> entries;
+  size_t start = 0;
+  while (start <= text.size()) {
+    const size_t comma = std::min(text.find(',', start), text.size());
+    auto entry = ParseAddress(text.substr(start, comma - start));
+    if (entry.has_error()) {
+      return Fail(ErrorCode::kInvalidSetting, "entries",
+                  "'" + text + "'; allowed: IP:PORT,IP:PORT");
+    }
+    entries.push_back(std::move(entry).assume_value());
+    start = comma + 1;
+  }
+  return entries;
+}
+
+Result<http::Response> Ask(const OperatorClient& client,
+                           const std::string& method,
+                           const std::string& path,
+                           const std::string& body) {
+  Result<http::Response> answer =
+      Fail(ErrorCode::kInvalidSetting, "entries", "none given");
+  for (const Address& entry : client.entries) {
+    answer = AskOne(client, entry, method, path, body);
+    if (answer.has_value()) {
+      return answer;
+    }
+  }
+  return answer;
+}
+
+}  // namespace bramleyspan
