--- a/Libraries/LibWire/Generated/Frames_generated.h
+++ b/Libraries/LibWire/Generated/Frames_generated.h
@@ -119,28 +119,29 @@
 enum class Body : uint8_t {
   NONE = 0,
   Hello = 1,
-  Probe = 2,
-  Estimate = 3,
-  Call = 4,
-  CallHead = 5,
-  CallChunk = 6,
-  CallEnd = 7,
-  CallCancel = 8,
-  ClaimRequest = 9,
-  ClaimReply = 10,
-  HeadAnnouncement = 11,
-  ShardRequest = 12,
-  Shard = 13,
-  InForce = 14,
-  Leaving = 15,
+  Leaving = 2,
+  Probe = 3,
+  Estimate = 4,
+  Call = 5,
+  CallHead = 6,
+  CallChunk = 7,
+  CallEnd = 8,
+  CallCancel = 9,
+  ClaimRequest = 10,
+  ClaimReply = 11,
+  HeadAnnouncement = 12,
+  ShardRequest = 13,
+  Shard = 14,
+  InForce = 15,
   MIN = NONE,
-  MAX = Leaving
+  MAX = InForce
 };
 
 inline const Body (&EnumValuesBody())[16] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
+    Body::Leaving,
     Body::Probe,
     Body::Estimate,
     Body::Call,
@@ -153,8 +154,7 @@
     Body::HeadAnnouncement,
     Body::ShardRequest,
     Body::Shard,
-    Body::InForce,
-    Body::Leaving
+    Body::InForce
   };
   return values;
 }
@@ -163,6 +163,7 @@
   static const char * const names[17] = {
     "NONE",
     "Hello",
+    "Leaving",
     "Probe",
     "Estimate",
     "Call",
@@ -176,14 +177,13 @@
     "ShardRequest",
     "Shard",
     "InForce",
-    "Leaving",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Leaving)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::InForce)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -196,6 +196,10 @@
   static const Body enum_value = Body::Hello;
 };
 
+template<> struct BodyTraits<bramleyspan::wire::Leaving> {
+  static const Body enum_value = Body::Leaving;
+};
+
 template<> struct BodyTraits<bramleyspan::wire::Probe> {
   static const Body enum_value = Body::Probe;
 };
@@ -248,10 +252,6 @@
   static const Body enum_value = Body::InForce;
 };
 
-template<> struct BodyTraits<bramleyspan::wire::Leaving> {
-  static const Body enum_value = Body::Leaving;
-};
-
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -260,6 +260,10 @@
   static const Body enum_value = Body::Hello;
 };
 
+template<> struct BodyUnionTraits<bramleyspan::wire::LeavingT> {
+  static const Body enum_value = Body::Leaving;
+};
+
 template<> struct BodyUnionTraits<bramleyspan::wire::ProbeT> {
   static const Body enum_value = Body::Probe;
 };
@@ -312,10 +316,6 @@
   static const Body enum_value = Body::InForce;
 };
 
-template<> struct BodyUnionTraits<bramleyspan::wire::LeavingT> {
-  static const Body enum_value = Body::Leaving;
-};
-
 struct BodyUnion {
   Body type;
   void *value;
@@ -354,6 +354,14 @@
     return type == Body::Hello ?
       reinterpret_cast<const bramleyspan::wire::HelloT *>(value) : nullptr;
   }
+  bramleyspan::wire::LeavingT *AsLeaving() {
+    return type == Body::Leaving ?
+      reinterpret_cast<bramleyspan::wire::LeavingT *>(value) : nullptr;
+  }
+  const bramleyspan::wire::LeavingT *AsLeaving() const {
+    return type == Body::Leaving ?
+      reinterpret_cast<const bramleyspan::wire::LeavingT *>(value) : nullptr;
+  }
   bramleyspan::wire::ProbeT *AsProbe() {
     return type == Body::Probe ?
       reinterpret_cast<bramleyspan::wire::ProbeT *>(value) : nullptr;
@@ -458,14 +466,6 @@
     return type == Body::InForce ?
       reinterpret_cast<const bramleyspan::wire::InForceT *>(value) : nullptr;
   }
-  bramleyspan::wire::LeavingT *AsLeaving() {
-    return type == Body::Leaving ?
-      reinterpret_cast<bramleyspan::wire::LeavingT *>(value) : nullptr;
-  }
-  const bramleyspan::wire::LeavingT *AsLeaving() const {
-    return type == Body::Leaving ?
-      reinterpret_cast<const bramleyspan::wire::LeavingT *>(value) : nullptr;
-  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -2008,6 +2008,9 @@
   const bramleyspan::wire::Hello *body_as_Hello() const {
     return body_type() == bramleyspan::wire::Body::Hello ? static_cast<const bramleyspan::wire::Hello *>(body()) : nullptr;
   }
+  const bramleyspan::wire::Leaving *body_as_Leaving() const {
+    return body_type() == bramleyspan::wire::Body::Leaving ? static_cast<const bramleyspan::wire::Leaving *>(body()) : nullptr;
+  }
   const bramleyspan::wire::Probe *body_as_Probe() const {
     return body_type() == bramleyspan::wire::Body::Probe ? static_cast<const bramleyspan::wire::Probe *>(body()) : nullptr;
   }
@@ -2047,9 +2050,6 @@
   const bramleyspan::wire::InForce *body_as_InForce() const {
     return body_type() == bramleyspan::wire::Body::InForce ? static_cast<const bramleyspan::wire::InForce *>(body()) : nullptr;
   }
-  const bramleyspan::wire::Leaving *body_as_Leaving() const {
-    return body_type() == bramleyspan::wire::Body::Leaving ? static_cast<const bramleyspan::wire::Leaving *>(body()) : nullptr;
-  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2066,6 +2066,10 @@
   return body_as_Hello();
 }
 
+template<> inline const bramleyspan::wire::Leaving *Frame::body_as<bramleyspan::wire::Leaving>() const {
+  return body_as_Leaving();
+}
+
 template<> inline const bramleyspan::wire::Probe *Frame::body_as<bramleyspan::wire::Probe>() const {
   return body_as_Probe();
 }
@@ -2118,10 +2122,6 @@
   return body_as_InForce();
 }
 
-template<> inline const bramleyspan::wire::Leaving *Frame::body_as<bramleyspan::wire::Leaving>() const {
-  return body_as_Leaving();
-}
-
 struct FrameBuilder {
   typedef Frame Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2708,6 +2708,10 @@
       auto ptr = reinterpret_cast<const bramleyspan::wire::Hello *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Leaving: {
+      auto ptr = reinterpret_cast<const bramleyspan::wire::Leaving *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body::Probe: {
       auto ptr = reinterpret_cast<const bramleyspan::wire::Probe *>(obj);
       return verifier.VerifyTable(ptr);
@@ -2760,10 +2764,6 @@
       auto ptr = reinterpret_cast<const bramleyspan::wire::InForce *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Body::Leaving: {
-      auto ptr = reinterpret_cast<const bramleyspan::wire::Leaving *>(obj);
-      return verifier.VerifyTable(ptr);
-    }
     default: return true;
   }
 }
@@ -2787,6 +2787,10 @@
       auto ptr = reinterpret_cast<const bramleyspan::wire::Hello *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Leaving: {
+      auto ptr = reinterpret_cast<const bramleyspan::wire::Leaving *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Body::Probe: {
       auto ptr = reinterpret_cast<const bramleyspan::wire::Probe *>(obj);
       return ptr->UnPack(resolver);
@@ -2839,10 +2843,6 @@
       auto ptr = reinterpret_cast<const bramleyspan::wire::InForce *>(obj);
       return ptr->UnPack(resolver);
     }
-    case Body::Leaving: {
-      auto ptr = reinterpret_cast<const bramleyspan::wire::Leaving *>(obj);
-      return ptr->UnPack(resolver);
-    }
     default: return nullptr;
   }
 }
@@ -2854,6 +2854,10 @@
       auto ptr = reinterpret_cast<const bramleyspan::wire::HelloT *>(value);
       return CreateHello(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Leaving: {
+      auto ptr = reinterpret_cast<const bramleyspan::wire::LeavingT *>(value);
+      return CreateLeaving(_fbb, ptr, _rehasher).Union();
+    }
     case Body::Probe: {
       auto ptr = reinterpret_cast<const bramleyspan::wire::ProbeT *>(value);
       return CreateProbe(_fbb, ptr, _rehasher).Union();
@@ -2906,10 +2910,6 @@
       auto ptr = reinterpret_cast<const bramleyspan::wire::InForceT *>(value);
       return CreateInForce(_fbb, ptr, _rehasher).Union();
     }
-    case Body::Leaving: {
-      auto ptr = reinterpret_cast<const bramleyspan::wire::LeavingT *>(value);
-      return CreateLeaving(_fbb, ptr, _rehasher).Union();
-    }
     default: return 0;
   }
 }
@@ -2920,6 +2920,10 @@
       value = new bramleyspan::wire::HelloT(*reinterpret_cast<bramleyspan::wire::HelloT *>(u.value));
       break;
     }
+    case Body::Leaving: {
+      value = new bramleyspan::wire::LeavingT(*reinterpret_cast<bramleyspan::wire::LeavingT *>(u.value));
+      break;
+    }
     case Body::Probe: {
       value = new bramleyspan::wire::ProbeT(*reinterpret_cast<bramleyspan::wire::ProbeT *>(u.value));
       break;
@@ -2972,10 +2976,6 @@
       value = new bramleyspan::wire::InForceT(*reinterpret_cast<bramleyspan::wire::InForceT *>(u.value));
       break;
     }
-    case Body::Leaving: {
-      value = new bramleyspan::wire::LeavingT(*reinterpret_cast<bramleyspan::wire::LeavingT *>(u.value));
-      break;
-    }
     default:
       break;
   }
@@ -2988,6 +2988,11 @@
       delete ptr;
       break;
     }
+    case Body::Leaving: {
+      auto ptr = reinterpret_cast<bramleyspan::wire::LeavingT *>(value);
+      delete ptr;
+      break;
+    }
     case Body::Probe: {
       auto ptr = reinterpret_cast<bramleyspan::wire::ProbeT *>(value);
       delete ptr;
@@ -3053,11 +3058,6 @@
       delete ptr;
       break;
     }
-    case Body::Leaving: {
-      auto ptr = reinterpret_cast<bramleyspan::wire::LeavingT *>(value);
-      delete ptr;
-      break;
-    }
     default: break;
   }
   value = nullptr;
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -1,10 +1,12 @@
 # Functions that start and stop a small fleet on the loopback network. Each VM
 # has an IP number of its own in 127.0.0.0/8. Sourced by Meta/demo and by the
-# process tests; the caller sets BIN (the build folder) and LOGS (a folder).
+# process tests; the caller sets BIN (the folder of the binaries) and LOGS.
+# BRAMLEYSPAN_TEST_NET (0 to 255) keeps fleets that run side by side apart.
 
 OPERATOR_KEY=demo-operator-key
 OPERATOR_KEY_SHA256=$(printf %s "$OPERATOR_KEY" | sha256sum | cut -d' ' -f1)
-PLATFORM_IP=127.0.0.10
+NET=127.${BRAMLEYSPAN_TEST_NET:-0}
+PLATFORM_IP=$NET.0.10
 KEY_VALUE=$PLATFORM_IP:8500
 VM_LIST=$PLATFORM_IP:8600
 WEIGHT_STORE=$PLATFORM_IP:8700
@@ -57,20 +59,20 @@
     --vm_list="$VM_LIST" --operator_key_sha256="$OPERATOR_KEY_SHA256" "$@"
 }
 
-# start_entry N ZONE: an entry VM's process at 127.0.1.N.
+# start_entry N ZONE: an entry VM's process at $NET.1.N.
 start_entry() {
-  daemon entry "entry-$1" "127.0.1.$1" "$2"
-  list_vm "entry-$1" "127.0.1.$1" "$2" entry live
+  daemon entry "entry-$1" "$NET.1.$1" "$2"
+  list_vm "entry-$1" "$NET.1.$1" "$2" entry live
 }
 
-# start_agent N ZONE: the agent in the slot of the target VM at 127.0.2.N.
+# start_agent N ZONE: the agent in the slot of the target VM at $NET.2.N.
 start_agent() {
-  daemon agent "target-$1" "127.0.2.$1" "$2" --target="127.0.2.$1:8000"
-  list_vm "target-$1" "127.0.2.$1" "$2" target live
+  daemon agent "target-$1" "$NET.2.$1" "$2" --target="$NET.2.$1:8000"
+  list_vm "target-$1" "$NET.2.$1" "$2" target live
 }
 
-start_engine() { spawn "engine-$1" "$BIN/StandInModelEngine" --address="127.0.2.$1:8000"; }
-start_service() { spawn "service-$1" "$BIN/StandInPlainService" --address="127.0.2.$1:8000"; }
+start_engine() { spawn "engine-$1" "$BIN/StandInModelEngine" --address="$NET.2.$1:8000"; }
+start_service() { spawn "service-$1" "$BIN/StandInPlainService" --address="$NET.2.$1:8000"; }
 
 start_fleet() {
   start_platform
@@ -82,12 +84,12 @@
   start_service 5
   start_agent 5 st-poelten
   for n in 1 2 3; do start_entry "$n" "${zones[$((n - 1))]}"; done
-  for n in 1 2 3; do wait_for "entry-$n" http_ok "http://127.0.1.$n:8080/readyz"; done
+  for n in 1 2 3; do wait_for "entry-$n" http_ok "http://$NET.1.$n:8080/readyz"; done
 }
 
 control() {
   BRAMLEYSPAN_OPERATOR_KEY=$OPERATOR_KEY \
-    BRAMLEYSPAN_ENTRIES=127.0.1.1:8080,127.0.1.2:8080,127.0.1.3:8080 \
+    BRAMLEYSPAN_ENTRIES=$NET.1.1:8080,$NET.1.2:8080,$NET.1.3:8080 \
     "$BIN/bramleyspanctl" "$@"
 }
 
@@ -96,7 +98,7 @@
 in_force() {
   local n
   for n in 1 2 3; do
-    [ "$(BRAMLEYSPAN_ENTRIES=127.0.1.$n:8080 BRAMLEYSPAN_OPERATOR_KEY=$OPERATOR_KEY \
+    [ "$(BRAMLEYSPAN_ENTRIES=$NET.1.$n:8080 BRAMLEYSPAN_OPERATOR_KEY=$OPERATOR_KEY \
       "$BIN/bramleyspanctl" status |
       grep -c "revision $1")" -eq "$2" ] || return 1
   done
--- /dev/null
+++ b/Services/bramleyspand/Entry/CallerApi.cc
@@ -0,0 +1,80 @@
+#include "Services/bramleyspand/Entry/Calls.h"
+
+namespace bramleyspan::entry {
+
+namespace {
+
+constexpr std::string_view kChatPath = "/v1/chat/completions";
+constexpr std::string_view kServicePrefix = "/v1/services/";
+
+void HandleChat(EntryState& state,
+                const http::Request& request,
+                const ExchangePointer& exchange) {
+  const auto entry = FindEntry(state, request);
+  if (entry.has_error()) {
+    exchange->Respond(ToResponse({.error = entry.error()}));
+    return;
+  }
+  if (entry.value()->kind != catalogue::BackEndKind::kModel) {
+    Refuse(exchange, ErrorCode::kMalformedRequest, entry.value()->name,
+           "this entry is served by a plain service");
+    return;
+  }
+  const uint64_t id = OpenNewCall(state, *entry.value(), request, exchange);
+  RouteByProbes(state, *entry.value(), id);
+}
+
+void HandleService(EntryState& state,
+                   const http::Request& request,
+                   const ExchangePointer& exchange) {
+  const auto found = FindEntry(state, request);
+  if (found.has_error()) {
+    exchange->Respond(ToResponse({.error = found.error()}));
+    return;
+  }
+  const catalogue::Entry& entry = *found.value();
+  const std::string prefix = std::string(kServicePrefix) + entry.back_end + "/";
+  if (entry.kind != catalogue::BackEndKind::kService ||
+      !request.path.starts_with(prefix)) {
+    Refuse(exchange, ErrorCode::kForbidden, entry.name,
+           "the path is not this entry's service");
+    return;
+  }
+  const std::string claim(
+      http::FindHeader(request.headers, "bramleyspan-claim"));
+  const bool is_at_most_once =
+      entry.repetition == catalogue::Repetition::kAtMostOnce;
+  if (is_at_most_once != !claim.empty()) {
+    Refuse(exchange, ErrorCode::kMalformedRequest, entry.name,
+           is_at_most_once ? "needs a key in the header Bramleyspan-Claim"
+                           : "takes no claim key: it is repeatable");
+    return;
+  }
+  const uint64_t id = OpenNewCall(state, entry, request, exchange);
+  state.calls.at(id).call.path = request.path.substr(prefix.size() - 1);
+  if (is_at_most_once) {
+    RouteByClaim(state, claim, id);
+    return;
+  }
+  RouteByProbes(state, entry, id);
+}
+
+}  // namespace
+
+void HandleCallerRequest(EntryState& state,
+                         const http::Request& request,
+                         const ExchangePointer& exchange) {
+  if (request.path == "/v1/addresses") {
+    HandleAddresses(state, exchange);
+  } else if (request.path == "/v1/claims" && request.method == "POST") {
+    HandleClaims(state, request, exchange);
+  } else if (request.path == kChatPath && request.method == "POST") {
+    HandleChat(state, request, exchange);
+  } else if (request.path.starts_with(kServicePrefix)) {
+    HandleService(state, request, exchange);
+  } else {
+    Refuse(exchange, ErrorCode::kNotFound, request.path, "no such path");
+  }
+}
+
+}  // namespace bramleyspan::entry
--- /dev/null
+++ b/Tests/Process/Prelude.sh
@@ -0,0 +1,20 @@
+# What every process test starts with: sourced, not run.
+set -euo pipefail
+cd "$(dirname "${BASH_SOURCE[0]}")/../.."
+BIN=$PWD/Build/Binaries
+LOGS=$(mktemp -d)
+source Meta/fleet.sh
+trap kill_fleet EXIT
+
+# apply_catalogue BASE: applies the demo's catalogue on top of revision BASE.
+apply_catalogue() {
+  control catalogue apply --base_revision="$1" Meta/demo-files/catalogue.toml
+}
+
+# ask ENTRY CURL-ARGUMENTS...: calls as the owner studio-huber.
+ask() {
+  local entry=$1
+  shift
+  curl -sS -m 20 -H "Authorization: Bearer studio-huber-key" \
+    -H "Bramleyspan-Entry: $entry" "$@"
+}
