LibHTTP: Notice callers that leave or read too slowly

Cause: h2o reads nothing from a connection whose answer is pending, so a caller that left was seen at the next write only, and bytes for a slow reader piled up without bound. Ruled out: h2o's generator `stop`, which comes only with a failed write. Connections are polled for a hang-up four times a second, and an answer with over 4 MiB waiting is cut.

Found while testing: Finish after such a cut turned the end back into "whole", so a truncated answer would have shown as whole; the first end stands now.

--- a/Kernel/EventLoop.cc
+++ b/Kernel/EventLoop.cc
@@ -60,6 +60,7 @@
 }
 
 void EventLoop::Run() {
+  this->is_stopped = false;
   while (!this->is_stopped) {
     h2o_evloop_run(this->loop, this->MillisecondsToNextTimer());
     this->RunDueTimers();
--- a/Kernel/Listener.cc
+++ b/Kernel/Listener.cc
@@ -51,6 +51,14 @@
   return listener;
 }
 
+uint16_t Listener::port() const {
+  sockaddr_in bound{};
+  socklen_t length = sizeof bound;
+  getsockname(h2o_socket_get_fd(this->socket),
+              reinterpret_cast<sockaddr*>(&bound), &length);
+  return ntohs(bound.sin_port);
+}
+
 Listener::~Listener() {
   if (this->socket != nullptr) {
     h2o_socket_read_stop(this->socket);
--- a/Kernel/Listener.h
+++ b/Kernel/Listener.h
@@ -22,6 +22,9 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
+  // The port bound, which the system chose if port 0 was asked for.
+  uint16_t port() const;
+
  private:
   Listener() = default;
 
--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -1,13 +1,19 @@
 #include "LibHTTP/Server.h"
 
+#include <poll.h>
+
 #include <memory>
 #include <new>
+#include <set>
 #include <utility>
 
 namespace bramleyspan::http {
 
 namespace {
 
+// The status that logs of other servers give a caller who closed early.
+constexpr int kCallerClosedRequest = 499;
+
 // Lives in the request's memory pool and keeps the exchange until h2o has
 // freed the request.
 struct Generator {
@@ -85,23 +91,39 @@
   }
   this->SetHead(status, headers);
   this->StartGenerator();
+  // The head goes out at once: its arrival tells the caller that the request
+  // was taken, long before a slow back end writes its first byte.
+  this->is_sending = true;
+  h2o_send(this->request, nullptr, 0, H2O_SEND_STATE_IN_PROGRESS);
 }
 
 void Exchange::Write(std::string_view bytes) {
-  if (this->is_closed() || bytes.empty()) {
+  if (this->is_closed() || this->end != End::kNone || bytes.empty()) {
     return;
   }
   this->pending.append(bytes);
   this->Flush();
+  // A caller that reads slower than the engine writes would otherwise fill
+  // the memory of the process; its own answer is cut instead.
+  if (this->pending.size() > this->most_pending_bytes) {
+    this->Abandon();
+  }
 }
 
 void Exchange::Finish() {
-  this->end = End::kWhole;
-  this->Flush();
+  this->EndAs(End::kWhole);
 }
 
 void Exchange::Abort() {
-  this->end = End::kTruncated;
+  this->EndAs(End::kTruncated);
+}
+
+void Exchange::EndAs(End kind) {
+  // The first end stands: a stream that was cut off for a slow caller while
+  // bytes were on their way must not be finished as whole by its source.
+  if (this->end == End::kNone) {
+    this->end = kind;
+  }
   this->Flush();
 }
 
@@ -172,29 +194,83 @@
   }
 }
 
+bool Exchange::has_caller_left() const {
+  if (this->is_closed()) {
+    return false;
+  }
+  h2o_conn_t* connection = this->request->conn;
+  h2o_socket_t* socket = connection->callbacks->get_socket(connection);
+  if (socket == nullptr) {
+    return false;
+  }
+  pollfd entry{
+      .fd = h2o_socket_get_fd(socket), .events = POLLRDHUP, .revents = 0};
+  return poll(&entry, 1, 0) == 1 &&
+         (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+void Exchange::Abandon() {
+  auto keep_until_return = this->shared_from_this();
+  auto callback = std::exchange(this->gone_callback, nullptr);
+  this->pending.clear();
+  if (!this->is_closed() && this->request->_generator == nullptr) {
+    this->Respond({.status = kCallerClosedRequest, .headers = {}, .body = ""});
+  } else {
+    this->Abort();
+  }
+  if (callback) {
+    callback();
+  }
+}
+
 struct Server::Internals {
   h2o_globalconf_t config{};
   h2o_context_t context{};
   h2o_accept_ctx_t accept_context{};
   std::unique_ptr<Listener> listener;
   Handler handler;
-  size_t open_exchanges = 0;
+  ServerLimits limits;
+  EventLoop* loop = nullptr;
+  std::set<std::shared_ptr<Exchange>> exchanges;
+
+  void Disown() {
+    this->loop->Cancel(this->departure_timer);
+    this->listener = nullptr;
+  }
+
+  // h2o does not read from a connection while its answer is pending, so that
+  // a caller who leaves is not seen before the next write. Without this check
+  // the engine would work on for callers that are gone.
+  void CheckForDepartures() {
+    const auto open = this->exchanges;
+    for (const auto& exchange : open) {
+      if (exchange->has_caller_left()) {
+        exchange->Abandon();
+      }
+    }
+    this->departure_timer =
+        this->loop->RunAfter(this->limits.departure_check_interval,
+                             [this] { this->CheckForDepartures(); });
+  }
+
+  TimerId departure_timer = 0;
 
   int HandleRequest(h2o_req_t* request) {
     struct Watch {
       std::shared_ptr<Exchange> exchange;
       Internals* internals;
     };
-    auto exchange = std::make_shared<Exchange>(request);
+    auto exchange =
+        std::make_shared<Exchange>(request, this->limits.most_pending_bytes);
     // h2o tells nobody when a connection closes before the answer has begun;
     // the disposal of the request's pool is the one event that always comes.
     new (h2o_mem_alloc_shared(&request->pool, sizeof(Watch), [](void* memory) {
       auto* watch = static_cast<Watch*>(memory);
-      --watch->internals->open_exchanges;
+      watch->internals->exchanges.erase(watch->exchange);
       watch->exchange->HandleDisposal();
       std::destroy_at(watch);
     })) Watch{exchange, this};
-    ++this->open_exchanges;
+    this->exchanges.insert(exchange);
     this->handler(ToRequest(*request), exchange);
     return 0;
   }
@@ -210,6 +286,8 @@
   auto internals = std::make_unique<Internals>();
   Internals* state = internals.get();
   state->handler = std::move(handler);
+  state->limits = limits;
+  state->loop = &loop;
   h2o_config_init(&state->config);
   state->config.max_request_entity_size = limits.largest_body;
   state->config.http1.req_timeout =
@@ -231,18 +309,28 @@
       TRY(Listener::Listen(loop, address, [state](h2o_socket_t* accepted) {
         h2o_accept(&state->accept_context, accepted);
       }));
+  state->CheckForDepartures();
   return std::unique_ptr<Server>(new Server(std::move(internals)));
 }
 
-Server::~Server() = default;
+Server::~Server() {
+  this->internals->Disown();
+  // h2o's connections and timers refer to the context until the loop itself
+  // is gone, so that its memory is left to the loop.
+  static_cast<void>(this->internals.release());
+}
 
 void Server::Drain() {
   this->internals->listener = nullptr;
   h2o_context_request_shutdown(&this->internals->context);
 }
 
+uint16_t Server::port() const {
+  return this->internals->listener->port();
+}
+
 size_t Server::open_exchanges() const {
-  return this->internals->open_exchanges;
+  return this->internals->exchanges.size();
 }
 
 }  // namespace bramleyspan::http
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -18,7 +18,8 @@
 // a late answer meets a closed exchange instead of freed memory.
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  explicit Exchange(h2o_req_t* request) : request(request) {}
+  Exchange(h2o_req_t* request, size_t most_pending_bytes)
+      : request(request), most_pending_bytes(most_pending_bytes) {}
 
   // Sends the whole answer.
   void Respond(const Response& response);
@@ -48,13 +49,17 @@
   friend class Server;
   enum class End { kNone, kWhole, kTruncated };
 
+  void EndAs(End kind);
   void SetHead(int status, const HeaderList& headers);
   void StartGenerator();
   void Flush();
   void HandleProceed();
   void HandleDisposal();
+  bool has_caller_left() const;
+  void Abandon();
 
   h2o_req_t* request;
+  size_t most_pending_bytes;
   std::string pending;
   std::string in_flight;
   std::function<void()> gone_callback;
@@ -66,6 +71,10 @@
 struct ServerLimits {
   size_t largest_body = 1 << 20;
   std::chrono::milliseconds request_timeout{10'000};
+  // Bytes of an answer that may wait for a caller that reads slowly.
+  size_t most_pending_bytes = 4 << 20;
+  // How often connections are checked for callers that have left.
+  std::chrono::milliseconds departure_check_interval{250};
 };
 
 // Serves every path of one address through one handler.
@@ -86,6 +95,9 @@
   // Takes no new connection and closes each kept one after its answer.
   void Drain();
 
+  // The port bound, which the system chose if port 0 was asked for.
+  uint16_t port() const;
+
   // Requests whose answer has not ended.
   size_t open_exchanges() const;
 
--- /dev/null
+++ b/Tests/LibHTTP/Fixture.h
@@ -0,0 +1,93 @@
+// A server and what the tests need to speak to it on one loop.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+
+#include "LibHTTP/Client.h"
+#include "LibHTTP/Server.h"
+
+namespace bramleyspan::http {
+
+// A server on a port of the system's choice.
+struct Fixture {
+  EventLoop loop;
+  Client client{loop};
+  std::unique_ptr<Server> server;
+
+  void Serve(Server::Handler handler, const ServerLimits& limits = {}) {
+    auto listening = Server::Listen(this->loop, {"127.0.0.1", 0}, limits,
+                                    std::move(handler));
+    REQUIRE(listening.has_value());
+    this->server = std::move(listening).assume_value();
+  }
+
+  Address address() const { return {"127.0.0.1", this->server->port()}; }
+
+  // Fetches and runs the loop until the outcome is there.
+  Result<Response> Fetch(ClientRequest request) {
+    request.target = this->address();
+    Result<Response> outcome = Fail(ErrorCode::kUnavailable, "test");
+    bool is_done = false;
+    this->client.Fetch(std::move(request), [&](Result<Response> response) {
+      outcome = std::move(response);
+      is_done = true;
+      this->loop.Stop();
+    });
+    while (!is_done) {
+      this->loop.Run();
+    }
+    return outcome;
+  }
+};
+
+// A socket that sends raw bytes and hears until the server closes.
+class RawCaller {
+ public:
+  RawCaller(EventLoop& loop, const Address& address, std::string bytes)
+      : loop(loop), bytes(std::move(bytes)) {
+    sockaddr_in target = ToSocketAddress(address);
+    this->socket = h2o_socket_connect(
+        loop.raw(), reinterpret_cast<sockaddr*>(&target), sizeof target,
+        [](h2o_socket_t* opened, const char*) {
+          static_cast<RawCaller*>(opened->data)->Send();
+        });
+    this->socket->data = this;
+  }
+
+  ~RawCaller() { this->Close(); }
+
+  void Close() {
+    if (this->socket != nullptr) {
+      h2o_socket_close(std::exchange(this->socket, nullptr));
+    }
+  }
+
+  std::string received;
+
+ private:
+  void Send() {
+    h2o_iovec_t buffer = h2o_iovec_init(this->bytes.data(), this->bytes.size());
+    h2o_socket_write(this->socket, &buffer, 1,
+                     [](h2o_socket_t*, const char*) {});
+    h2o_socket_read_start(
+        this->socket, [](h2o_socket_t* source, const char* failure) {
+          auto* self = static_cast<RawCaller*>(source->data);
+          self->received.append(source->input->bytes, source->input->size);
+          h2o_buffer_consume(&source->input, source->input->size);
+          if (failure != nullptr) {
+            self->Close();
+            self->loop.Stop();
+          }
+        });
+  }
+
+  EventLoop& loop;
+  std::string bytes;
+  h2o_socket_t* socket = nullptr;
+};
+
+}  // namespace bramleyspan::http
--- /dev/null
+++ b/Tests/LibHTTP/TestServer.cc
@@ -0,0 +1,111 @@
+#include <random>
+
+#include "Tests/LibHTTP/Fixture.h"
+
+namespace bramleyspan::http {
+
+TEST_CASE("a request and its answer arrive whole") {
+  Fixture fixture;
+  fixture.Serve([](const Request& request, const auto& exchange) {
+    exchange->Respond({.status = 200,
+                       .headers = {{"x-query", request.query}},
+                       .body = request.method + request.path + request.body});
+  });
+  const auto answer = fixture.Fetch(
+      {.method = "POST", .path = "/a?b=c", .body = std::string(100'000, 'x')});
+  REQUIRE(answer.has_value());
+  CHECK(answer.value().body == "POST/a" + std::string(100'000, 'x'));
+  CHECK(FindHeader(answer.value().headers, "x-query") == "b=c");
+}
+
+// A lecturer reads half a notice as if it were whole: the answer broke off
+// behind the entry and the end looked like an ordinary one.
+TEST_CASE("an aborted stream shows as truncated") {
+  Fixture fixture;
+  fixture.Serve([](const Request&, const auto& exchange) {
+    exchange->StartStream(200, {});
+    exchange->Write("half of ");
+    exchange->Abort();
+  });
+  const auto answer = fixture.Fetch({});
+  REQUIRE(answer.has_error());
+  CHECK(answer.error().code == ErrorCode::kTruncated);
+}
+
+// The engine works on for callers that have closed their connection, and
+// those who wait are served late: a closed connection is not seen before the
+// next write, and a queued request writes nothing.
+TEST_CASE("a caller that leaves before its answer has begun is noticed") {
+  Fixture fixture;
+  std::unique_ptr<RawCaller> caller;
+  std::shared_ptr<Exchange> held;
+  bool is_gone = false;
+  fixture.Serve(
+      [&](const Request&, const auto& exchange) {
+        held = exchange;
+        exchange->OnGone([&] {
+          is_gone = true;
+          fixture.loop.Stop();
+        });
+        caller->Close();
+      },
+      {.departure_check_interval = std::chrono::milliseconds(5)});
+  caller = std::make_unique<RawCaller>(fixture.loop, fixture.address(),
+                                       "GET / HTTP/1.1\r\nhost: a\r\n\r\n");
+  fixture.loop.RunAfter(std::chrono::seconds(20), [&] { fixture.loop.Stop(); });
+  fixture.loop.Run();
+  CHECK(is_gone);
+  CHECK(held->is_closed());
+}
+
+// One caller reads nothing while its stream goes on, and the process grows
+// until the machine kills it together with everybody else's answers.
+TEST_CASE("a caller that reads too slowly is cut off") {
+  Fixture fixture;
+  bool is_gone = false;
+  fixture.Serve(
+      [&](const Request&, const auto& exchange) {
+        exchange->OnGone([&] { is_gone = true; });
+        exchange->StartStream(200, {});
+        for (int i = 0; i < 100 && !exchange->is_closed(); ++i) {
+          exchange->Write(std::string(1 << 16, 'x'));
+        }
+        CHECK(exchange->pending_bytes() <= (1U << 20));
+        exchange->Finish();
+      },
+      {.most_pending_bytes = 1 << 20});
+  const auto answer = fixture.Fetch({});
+  CHECK(answer.has_error());
+  CHECK(is_gone);
+}
+
+TEST_CASE("a body over the bound is refused with its status") {
+  Fixture fixture;
+  fixture.Serve(
+      [](const Request&, const auto& exchange) { exchange->Respond({}); },
+      {.largest_body = 1000});
+  const auto answer =
+      fixture.Fetch({.method = "POST", .body = std::string(2000, 'x')});
+  REQUIRE(answer.has_value());
+  CHECK(answer.value().status == 413);
+}
+
+TEST_CASE("seeded random bytes close the connection and hurt nobody else") {
+  Fixture fixture;
+  fixture.Serve([](const Request&, const auto& exchange) {
+    exchange->Respond({.body = "fine"});
+  });
+  std::mt19937 random(20261203);
+  for (int round = 0; round < 50; ++round) {
+    std::string bytes = round % 2 == 0 ? "GET / HTTP/1.1\r\n" : "";
+    for (int i = 0; i < 300; ++i) {
+      bytes += static_cast<char>(random());
+    }
+    RawCaller caller(fixture.loop, fixture.address(), bytes + "\r\n\r\n");
+    const auto answer = fixture.Fetch({});
+    REQUIRE(answer.has_value());
+    CHECK(answer.value().body == "fine");
+  }
+}
+
+}  // namespace bramleyspan::http
