LibWire: Give up a peer that reads nothing

Frames for a frozen peer piled up without bound. At 32 MiB the connection is given up now; the end is heard through the loop because senders walk over their connections while they send.

--- a/Libraries/LibWire/Connection.cc
+++ b/Libraries/LibWire/Connection.cc
@@ -82,6 +82,12 @@
   this->sent_bytes += frame.size();
   this->pending += frame;
   this->Flush();
+  // A frozen peer reads nothing, and what waits for it would fill the memory
+  // of this process. The end is heard through the loop, not inside Send, since
+  // senders walk over their connections while they send.
+  if (this->is_connected && this->pending.size() > kMostPendingBytes) {
+    ::shutdown(h2o_socket_get_fd(this->socket), SHUT_RDWR);
+  }
 }
 
 void Connection::Close() {
--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -13,6 +13,9 @@
 
 class Connection;
 
+// Bytes that may wait for a peer before the connection is given up.
+inline constexpr size_t kMostPendingBytes = 32 << 20;
+
 // What a connection's owner hears. `on_closed` comes once, last.
 struct ConnectionEvents {
   std::function<void(Connection&)> on_open;
