bramleyspand: Serve metrics, log by module, refuse unknown variables

/metrics serves Prometheus' text over h2o on entries and agents: calls by entry and verdict, times, links and their bytes, key-value calls, processor time and memory. Levels can be set by module. A BRAMLEYSPAN_ variable that is no setting stops the start; a misspelt one silently kept its default before (seen with BRAMLEYSPAN_ROL). The agent's dump asks for the operators' key, which it did not.

--- a/Libraries/LibTelemetry/Log.cc
+++ b/Libraries/LibTelemetry/Log.cc
@@ -5,6 +5,8 @@
 #include <array>
 #include <chrono>
 #include <nlohmann/json.hpp>
+#include <sstream>
+#include <utility>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -17,7 +19,7 @@
 
 struct LogState {
   std::string process;
-  LogLevel lowest = LogLevel::kInfo;
+  LogFilter filter;
 };
 
 LogState& State() {
@@ -25,10 +27,20 @@
   return state;
 }
 
+Result<LogLevel> ParseLogLevel(const std::string& word) {
+  for (size_t i = 0; i < kLevelNames.size(); ++i) {
+    if (kLevelNames[i] == word) {
+      return static_cast<LogLevel>(i);
+    }
+  }
+  return Fail(ErrorCode::kInvalidSetting, word,
+              "allowed are: debug, info, warning, error");
+}
+
 }  // namespace
 
-void StartLog(std::string_view process, LogLevel lowest) {
-  State() = {std::string(process), lowest};
+void StartLog(std::string_view process, LogFilter filter) {
+  State() = {std::string(process), std::move(filter)};
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
@@ -37,21 +49,34 @@
   el::Loggers::setDefaultConfigurations(configuration, true);
 }
 
-Result<LogLevel> ParseLogLevel(const std::string& word) {
-  for (size_t i = 0; i < kLevelNames.size(); ++i) {
-    if (kLevelNames[i] == word) {
-      return static_cast<LogLevel>(i);
+Result<LogFilter> ParseLogFilter(const std::string& text) {
+  LogFilter filter;
+  std::istringstream words(text);
+  for (std::string word; std::getline(words, word, ',');) {
+    const size_t equals = word.find('=');
+    if (equals == std::string::npos) {
+      filter.lowest = TRY(ParseLogLevel(word));
+      continue;
     }
+    filter.modules[word.substr(0, equals)] =
+        TRY(ParseLogLevel(word.substr(equals + 1)));
   }
-  return Fail(ErrorCode::kInvalidSetting, word,
-              "allowed are: debug, info, warning, error");
+  return filter;
+}
+
+bool is_logged(const LogFilter& filter,
+               LogLevel level,
+               std::string_view module) {
+  const auto named = filter.modules.find(module);
+  return level >=
+         (named == filter.modules.end() ? filter.lowest : named->second);
 }
 
 void Log(LogLevel level,
          std::string_view module,
          std::string_view event,
          std::initializer_list<LogField> fields) {
-  if (level < State().lowest) {
+  if (!is_logged(State().filter, level, module)) {
     return;
   }
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
--- a/Libraries/LibTelemetry/Log.h
+++ b/Libraries/LibTelemetry/Log.h
@@ -1,7 +1,9 @@
 // Structured logs: each record is one line of JSON on standard output.
 #pragma once
 
+#include <functional>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -17,11 +19,23 @@
   std::string value;
 };
 
-// Prepares the log of this process and sets the lowest level written.
-void StartLog(std::string_view process, LogLevel lowest);
+// The lowest level that is written, for all modules but those named.
+struct LogFilter {
+  LogLevel lowest = LogLevel::kInfo;
+  std::map<std::string, LogLevel, std::less<>> modules;
+};
+
+// Prepares the log of this process.
+void StartLog(std::string_view process, LogFilter filter);
+
+// Parses "info" or "warning,links=debug,calls=info". The levels are debug,
+// info, warning and error. Fails with kInvalidSetting.
+Result<LogFilter> ParseLogFilter(const std::string& text);
 
-// Parses "debug", "info", "warning" or "error". Fails with kInvalidSetting.
-Result<LogLevel> ParseLogLevel(const std::string& word);
+// Whether a record of a module and level is written.
+bool is_logged(const LogFilter& filter,
+               LogLevel level,
+               std::string_view module);
 
 // Writes one record.
 void Log(LogLevel level,
--- a/Libraries/LibWire/Connection.cc
+++ b/Libraries/LibWire/Connection.cc
@@ -9,6 +9,11 @@
 
 namespace {
 
+ByteTotals& MutableTotalBytes() {
+  static ByteTotals totals;
+  return totals;
+}
+
 std::shared_ptr<Connection> OwnerOf(h2o_socket_t* socket) {
   return static_cast<Connection*>(socket->data)->shared_from_this();
 }
@@ -24,6 +29,10 @@
 
 }  // namespace
 
+const ByteTotals& TotalBytes() {
+  return MutableTotalBytes();
+}
+
 std::shared_ptr<Connection> Connection::Accept(h2o_socket_t* socket,
                                                ConnectionEvents events) {
   auto connection = std::make_shared<Connection>();
@@ -79,7 +88,7 @@
   if (this->socket == nullptr) {
     return;
   }
-  this->sent_bytes += frame.size();
+  MutableTotalBytes().sent += frame.size();
   this->pending += frame;
   this->Flush();
   // A frozen peer reads nothing, and what waits for it would fill the memory
@@ -127,7 +136,7 @@
     // The verifier needs aligned memory, which a slice of the input is not.
     const std::string bytes((*input)->bytes + kLengthBytes, length);
     h2o_buffer_consume(input, kLengthBytes + length);
-    this->received_bytes += kLengthBytes + length;
+    MutableTotalBytes().received += kLengthBytes + length;
     auto frame = Decode(bytes);
     if (frame.has_error()) {
       this->CloseWith(frame.error());
--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -13,6 +13,14 @@
 
 class Connection;
 
+// Bytes of all frames that this process has sent and received, for the budget
+// of each node.
+struct ByteTotals {
+  uint64_t sent = 0;
+  uint64_t received = 0;
+};
+const ByteTotals& TotalBytes();
+
 // Bytes that may wait for a peer before the connection is given up.
 inline constexpr size_t kMostPendingBytes = 32 << 20;
 
@@ -50,10 +58,6 @@
     return this->pending.size() + this->in_flight.size();
   }
 
-  // Bytes of all frames sent and received, for the budget per node.
-  uint64_t sent_bytes = 0;
-  uint64_t received_bytes = 0;
-
  private:
   void StartReading();
   void HandleInput();
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -54,7 +54,8 @@
 daemon() {
   local role=$1 name=$2 ip=$3 zone=$4
   shift 4
-  spawn "$name" "$BIN/bramleyspand" --role="$role" \
+  # The daemon refuses variables with its prefix that are no settings.
+  spawn "$name" env -u BRAMLEYSPAN_TEST_NET "$BIN/bramleyspand" --role="$role" \
     --name="$name" --ip="$ip" --zone="$zone" --key_value_service="$KEY_VALUE" \
     --vm_list="$VM_LIST" --operator_key_sha256="$OPERATOR_KEY_SHA256" "$@"
 }
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -5,6 +5,8 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Agent/AgentState.h"
 #include "Services/bramleyspand/Answers.h"
+#include "Services/bramleyspand/MetricsPage.h"
+#include "Services/bramleyspand/OperatorKey.h"
 #include "Services/bramleyspand/Role.h"
 
 namespace bramleyspan::agent {
@@ -101,8 +103,18 @@
 
   void HandleRequest(const http::Request& request,
                      const std::shared_ptr<http::Exchange>& exchange) {
+    if (request.path.starts_with("/v1/operator/") &&
+        !is_from_operator(this->state.settings, request)) {
+      exchange->Respond(
+          ToResponse({.error = {ErrorCode::kUnauthenticated, "operator",
+                                "show a valid key"}}));
+      return;
+    }
     if (request.path == "/healthz") {
       exchange->Respond({.status = 200, .body = "ok\n"});
+    } else if (request.path == "/metrics") {
+      this->UpdateGauges();
+      exchange->Respond(MetricsResponse());
     } else if (request.path == "/readyz") {
       const bool is_ready =
           this->state.feed.revision() > 0 && !this->state.is_leaving;
@@ -116,6 +128,21 @@
     }
   }
 
+  void UpdateGauges() {
+    using namespace metric_names;
+    const AgentState& now = this->state;
+    size_t remembered = 0;
+    for (const auto& [epoch, records] : now.claims.records) {
+      remembered += records.size();
+    }
+    telemetry::SetGauge(kOpenCalls, {},
+                        static_cast<double>(now.forwarded.size()));
+    telemetry::SetGauge(kLinks, {},
+                        static_cast<double>(now.connections.size()));
+    telemetry::SetGauge(kRememberedClaims, {}, static_cast<double>(remembered));
+    UpdateSharedGauges(now.feed);
+  }
+
   void ForgetEpochsForever() {
     claims::ForgetOldEpochs(this->state.claims, EventLoop::Now());
     this->state.loop.RunAfter(kEpochCheckInterval,
--- a/Services/bramleyspand/Entry/Calls.cc
+++ b/Services/bramleyspand/Entry/Calls.cc
@@ -2,6 +2,7 @@
 #include "Kernel/Digest.h"
 #include "LibClaims/Claims.h"
 #include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/MetricNames.h"
 
 namespace bramleyspan::entry {
 
@@ -17,6 +18,12 @@
   const OpenCall open = std::move(found->second);
   state.calls.erase(found);
   const bool is_whole = end.verdict == wire::Verdict::Whole;
+  telemetry::Count(metric_names::kCalls,
+                   {{"catalogue_entry", open.call.catalogue_entry},
+                    {"verdict", wire::EnumNameVerdict(end.verdict)},
+                    {"error", end.error}});
+  telemetry::Observe(metric_names::kCallTime, {},
+                     EventLoop::Now() - open.arrived);
   telemetry::Log(
       is_whole ? telemetry::LogLevel::kInfo : telemetry::LogLevel::kWarning,
       "calls", "call_ended",
@@ -48,6 +55,8 @@
     return;
   }
   found->second.has_head = true;
+  telemetry::Observe(metric_names::kFirstByteTime, {},
+                     EventLoop::Now() - found->second.arrived);
   found->second.exchange->StartStream(
       head.status, {{"content-type", head.content_type},
                     {"bramleyspan-request", found->second.call.request}});
@@ -71,6 +80,10 @@
                 ErrorCode code,
                 const std::string& detail) {
   const auto found = state.calls.find(id);
+  telemetry::Count(metric_names::kCalls,
+                   {{"catalogue_entry", found->second.call.catalogue_entry},
+                    {"verdict", wire::EnumNameVerdict(wire::Verdict::NotRun)},
+                    {"error", std::string(StableCodeOf(code))}});
   Refuse(found->second.exchange, code, found->second.call.catalogue_entry,
          detail, kRetryAfter);
   state.calls.erase(found);
--- a/Services/bramleyspand/Entry/EntryRole.cc
+++ b/Services/bramleyspand/Entry/EntryRole.cc
@@ -2,6 +2,7 @@
 
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Entry/EntryState.h"
+#include "Services/bramleyspand/MetricsPage.h"
 #include "Services/bramleyspand/Role.h"
 
 namespace bramleyspan::entry {
@@ -49,6 +50,9 @@
                      const std::shared_ptr<http::Exchange>& exchange) {
     if (request.path == "/healthz") {
       exchange->Respond({.status = 200, .body = "ok\n"});
+    } else if (request.path == "/metrics") {
+      this->UpdateGauges();
+      exchange->Respond(MetricsResponse());
     } else if (request.path == "/readyz") {
       const bool is_serving = this->state.is_ready && !this->state.is_leaving;
       exchange->Respond({.status = is_serving ? 200 : 503,
@@ -60,6 +64,16 @@
     }
   }
 
+  void UpdateGauges() {
+    using namespace metric_names;
+    const EntryState& now = this->state;
+    telemetry::SetGauge(kOpenCalls, {}, static_cast<double>(now.calls.size()));
+    telemetry::SetGauge(kLinks, {}, static_cast<double>(now.links.size()));
+    telemetry::SetGauge(kKeyValueCalls, {},
+                        static_cast<double>(now.key_value.calls));
+    UpdateSharedGauges(now.feed);
+  }
+
   void StopWhenIdle() {
     if (this->server->open_exchanges() == 0) {
       this->state.loop.Stop();
--- a/Services/bramleyspand/Entry/EntryState.h
+++ b/Services/bramleyspand/Entry/EntryState.h
@@ -27,6 +27,7 @@
   // The VM whose agent has the call; empty before it is sent.
   std::string target;
   bool has_head = false;
+  TimePoint arrived = EventLoop::Now();
 };
 
 // A probe round whose answers are still coming in.
--- a/Services/bramleyspand/Entry/OperatorApi.cc
+++ b/Services/bramleyspand/Entry/OperatorApi.cc
@@ -1,10 +1,10 @@
 #include <nlohmann/json.hpp>
 
-#include "Kernel/Digest.h"
 #include "LibCatalogue/Commit.h"
 #include "LibCatalogue/Document.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Entry/EntryState.h"
+#include "Services/bramleyspand/OperatorKey.h"
 
 namespace bramleyspan::entry {
 
@@ -169,12 +169,7 @@
 void HandleOperatorRequest(EntryState& state,
                            const http::Request& request,
                            const ExchangePointer& exchange) {
-  const auto authorization = http::FindHeader(request.headers, "authorization");
-  constexpr std::string_view kScheme = "Bearer ";
-  if (!authorization.starts_with(kScheme) ||
-      !is_equal_in_constant_time(
-          Sha256Hex(authorization.substr(kScheme.size())),
-          state.settings.operator_key_sha256)) {
+  if (!is_from_operator(state.settings, request)) {
     exchange->Respond(ToResponse({.error = {ErrorCode::kUnauthenticated,
                                             "operator", "show a valid key"}}));
     return;
--- /dev/null
+++ b/Services/bramleyspand/Flags.cc
@@ -0,0 +1,139 @@
+#include "Services/bramleyspand/Flags.h"
+
+#include <absl/flags/flag.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cctype>
+#include <cstdlib>
+#include <string_view>
+
+ABSL_FLAG(std::string, role, "", "what this process is: entry or agent");
+ABSL_FLAG(std::string, name, "", "name of this VM in the VM list");
+ABSL_FLAG(std::string, zone, "", "availability zone of this VM");
+ABSL_FLAG(std::string, ip, "", "IP number that this process listens on");
+ABSL_FLAG(std::string,
+          caller_port,
+          "",
+          "port for callers, operators and metrics; the same on all VMs");
+ABSL_FLAG(std::string,
+          link_port,
+          "",
+          "port for the system's own processes; the same on all VMs");
+ABSL_FLAG(std::string,
+          key_value_service,
+          "",
+          "IP:PORT of the platform's key-value service");
+ABSL_FLAG(std::string, vm_list, "", "IP:PORT of the platform's VM list");
+ABSL_FLAG(std::string, target, "", "IP:PORT of the back end beside an agent");
+ABSL_FLAG(std::string,
+          operator_key_sha256,
+          "",
+          "SHA-256 in hexadecimal of the key that operators show");
+ABSL_FLAG(std::string,
+          log_level,
+          "",
+          "lowest level logged, for all or by module: info,links=debug");
+namespace bramleyspan {
+
+namespace {
+
+constexpr std::string_view kVariablePrefix = "BRAMLEYSPAN_";
+
+// A setting with its flag and the value that holds if none is given.
+struct SettingRow {
+  std::string name;
+  absl::Flag<std::string>* flag;
+  std::string fallback;
+};
+
+const auto& SettingRows() {
+  static const std::array rows{
+      SettingRow{"role", &FLAGS_role, ""},
+      SettingRow{"name", &FLAGS_name, ""},
+      SettingRow{"zone", &FLAGS_zone, ""},
+      SettingRow{"ip", &FLAGS_ip, ""},
+      SettingRow{"caller-port", &FLAGS_caller_port, "8080"},
+      SettingRow{"link-port", &FLAGS_link_port, "8081"},
+      SettingRow{"key-value-service", &FLAGS_key_value_service, ""},
+      SettingRow{"vm-list", &FLAGS_vm_list, ""},
+      SettingRow{"target", &FLAGS_target, ""},
+      SettingRow{"operator-key-sha256", &FLAGS_operator_key_sha256, ""},
+      SettingRow{"log-level", &FLAGS_log_level, "info"},
+  };
+  return rows;
+}
+
+std::string VariableOf(const std::string& name) {
+  std::string variable(kVariablePrefix);
+  for (const char letter : name) {
+    variable += letter == '-' ? '_' : static_cast<char>(std::toupper(letter));
+  }
+  return variable;
+}
+
+// Variables of bramleyspanctl, which an operator's shell may hold.
+constexpr std::array<std::string_view, 2> kToolVariables{
+    "BRAMLEYSPAN_ENTRIES", "BRAMLEYSPAN_OPERATOR_KEY"};
+
+bool is_known_variable(std::string_view variable) {
+  if (std::find(kToolVariables.begin(), kToolVariables.end(), variable) !=
+      kToolVariables.end()) {
+    return true;
+  }
+  return std::any_of(
+      SettingRows().begin(), SettingRows().end(),
+      [&](const SettingRow& row) { return VariableOf(row.name) == variable; });
+}
+
+}  // namespace
+
+SettingText LookupFlagOrEnvironment(const std::string& name) {
+  for (const SettingRow& row : SettingRows()) {
+    if (row.name != name) {
+      continue;
+    }
+    const std::string flag = absl::GetFlag(*row.flag);
+    if (!flag.empty()) {
+      return {flag, "flag --" + name};
+    }
+    const std::string variable = VariableOf(name);
+    if (const char* value = std::getenv(variable.c_str())) {
+      return {value, "environment variable " + variable};
+    }
+    return {row.fallback, "the default"};
+  }
+  return {"", "nowhere"};
+}
+
+Result<void> RefuseUnknownVariables() {
+  for (char** item = environ; *item != nullptr; ++item) {
+    const std::string_view assignment(*item);
+    const std::string_view variable =
+        assignment.substr(0, assignment.find('='));
+    if (variable.starts_with(kVariablePrefix) && !is_known_variable(variable)) {
+      return Fail(ErrorCode::kInvalidSetting, std::string(variable),
+                  "this environment variable is no setting; see --help");
+    }
+  }
+  return Succeed();
+}
+
+std::string UsageMessage() {
+  std::string text =
+      "bramleyspand: the daemon of bramleyspan.\n"
+      "Every setting is a flag or an environment variable; the flag goes "
+      "first.\n\nsettings (default):\n";
+  for (const SettingRow& row : SettingRows()) {
+    std::string flag = row.name;
+    std::replace(flag.begin(), flag.end(), '-', '_');
+    text.append("  --").append(flag).append("  ");
+    text.append(VariableOf(row.name));
+    text.append(row.fallback.empty() ? "" : "  (" + row.fallback + ")");
+    text.append("  ").append(row.flag->Help()).append("\n");
+  }
+  return text;
+}
+
+}  // namespace bramleyspan
--- a/Services/bramleyspand/Main.cc
+++ b/Services/bramleyspand/Main.cc
@@ -2,38 +2,11 @@
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
 
-#include <array>
-#include <cstdlib>
 #include <iostream>
 
+#include "Services/bramleyspand/Flags.h"
 #include "Services/bramleyspand/Role.h"
 
-ABSL_FLAG(std::string, role, "", "what this process is: entry or agent");
-ABSL_FLAG(std::string, name, "", "name of this VM in the VM list");
-ABSL_FLAG(std::string, zone, "", "availability zone of this VM");
-ABSL_FLAG(std::string, ip, "", "IP number that this process listens on");
-ABSL_FLAG(std::string,
-          caller_port,
-          "",
-          "port for callers, operators and metrics; the same on all VMs");
-ABSL_FLAG(std::string,
-          link_port,
-          "",
-          "port for the system's own processes; the same on all VMs");
-ABSL_FLAG(std::string,
-          key_value_service,
-          "",
-          "IP:PORT of the platform's key-value service");
-ABSL_FLAG(std::string, vm_list, "", "IP:PORT of the platform's VM list");
-ABSL_FLAG(std::string, target, "", "IP:PORT of the back end beside an agent");
-ABSL_FLAG(std::string,
-          operator_key_sha256,
-          "",
-          "SHA-256 in hexadecimal of the key that operators show");
-ABSL_FLAG(std::string,
-          log_level,
-          "",
-          "lowest level logged: debug, info, warning or error");
 ABSL_FLAG(bool,
           check_settings,
           false,
@@ -46,55 +19,16 @@
 constexpr int kExitBadSettings = 2;
 constexpr int kExitFailedStart = 1;
 
-struct FlagRow {
-  const char* name;
-  absl::Flag<std::string>* flag;
-  const char* fallback;
-};
-
-const std::array<FlagRow, 10>& FlagRows() {
-  static const std::array<FlagRow, 10> rows{{
-      {"role", &FLAGS_role, ""},
-      {"name", &FLAGS_name, ""},
-      {"zone", &FLAGS_zone, ""},
-      {"ip", &FLAGS_ip, ""},
-      {"caller-port", &FLAGS_caller_port, "8080"},
-      {"link-port", &FLAGS_link_port, "8081"},
-      {"key-value-service", &FLAGS_key_value_service, ""},
-      {"vm-list", &FLAGS_vm_list, ""},
-      {"target", &FLAGS_target, ""},
-      {"operator-key-sha256", &FLAGS_operator_key_sha256, ""},
-  }};
-  return rows;
-}
-
-std::string EnvironmentNameOf(const std::string& name) {
-  std::string variable = "BRAMLEYSPAN_";
-  for (const char letter : name) {
-    variable += letter == '-' ? '_' : static_cast<char>(std::toupper(letter));
-  }
-  return variable;
-}
-
-SettingText LookupRow(const FlagRow& row) {
-  const std::string flag = absl::GetFlag(*row.flag);
-  if (!flag.empty()) {
-    return {flag, "flag --" + std::string(row.name)};
-  }
-  const std::string variable = EnvironmentNameOf(row.name);
-  if (const char* value = std::getenv(variable.c_str())) {
-    return {value, "environment variable " + variable};
-  }
-  return {row.fallback, "the default"};
+Result<Settings> ReadSettings() {
+  TRY(RefuseUnknownVariables());
+  Settings settings = TRY(ParseSettings(LookupFlagOrEnvironment));
+  TRY(PluginRegistry<StartRole>::Instance().Find(settings.role));
+  return settings;
 }
 
 int Run(const Settings& settings) {
   const auto start = PluginRegistry<StartRole>::Instance().Find(settings.role);
-  if (start.has_error()) {
-    std::cerr << Describe(start.error()) << "\n";
-    return kExitBadSettings;
-  }
-  telemetry::StartLog(settings.name, settings.log_level);
+  telemetry::StartLog(settings.name, settings.log_filter);
   EventLoop loop;
   auto role = start.value()(loop, settings);
   if (role.has_error()) {
@@ -111,27 +45,12 @@
 
 }  // namespace
 
-SettingText LookupFlagOrEnvironment(const std::string& name) {
-  if (name == "log-level") {
-    return LookupRow({"log-level", &FLAGS_log_level, "info"});
-  }
-  for (const FlagRow& row : FlagRows()) {
-    if (row.name == name) {
-      return LookupRow(row);
-    }
-  }
-  return {"", "nowhere"};
-}
-
 }  // namespace bramleyspan
 
 int main(int argument_count, char** arguments) {
-  absl::SetProgramUsageMessage(
-      "bramleyspand: the daemon of bramleyspan. Each flag can be given as an "
-      "environment variable instead: --link-port as BRAMLEYSPAN_LINK_PORT.");
+  absl::SetProgramUsageMessage(bramleyspan::UsageMessage());
   absl::ParseCommandLine(argument_count, arguments);
-  const auto settings =
-      bramleyspan::ParseSettings(bramleyspan::LookupFlagOrEnvironment);
+  const auto settings = bramleyspan::ReadSettings();
   if (settings.has_error()) {
     std::cerr << bramleyspan::Describe(settings.error()) << "\n";
     return bramleyspan::kExitBadSettings;
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -79,11 +79,13 @@
   settings.operator_key_sha256 =
       TRY(RequireText(lookup, "operator-key-sha256"));
   const SettingText level = lookup("log-level");
-  auto parsed_level = telemetry::ParseLogLevel(level.text);
-  if (parsed_level.has_error()) {
-    return FailFor("log-level", level, "debug, info, warning, error");
+  auto filter = telemetry::ParseLogFilter(level.text);
+  if (filter.has_error()) {
+    return FailFor("log-level", level,
+                   "debug, info, warning or error, then MODULE=LEVEL, all "
+                   "separated by commas");
   }
-  settings.log_level = parsed_level.value();
+  settings.log_filter = std::move(filter).assume_value();
   return settings;
 }
 
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -25,7 +25,7 @@
   std::optional<Address> target;
   // The digest of the key that operators show.
   std::string operator_key_sha256;
-  telemetry::LogLevel log_level = telemetry::LogLevel::kInfo;
+  telemetry::LogFilter log_filter;
 };
 
 // The raw text of a setting and where it came from.
@@ -41,7 +41,4 @@
 // source, its value and what is allowed.
 Result<Settings> ParseSettings(const SettingLookup& lookup);
 
-// Reads flags, then BRAMLEYSPAN_ environment variables, then defaults.
-SettingText LookupFlagOrEnvironment(const std::string& name);
-
 }  // namespace bramleyspan
