--- a/Kernel/Error.cc
+++ b/Kernel/Error.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<ErrorCode, std::string_view>, 21> kStableCodes{{
+constexpr std::array<std::pair<ErrorCode, std::string_view>, 22> kStableCodes{{
     {ErrorCode::kInvalidSetting, "invalid_setting"},
     {ErrorCode::kMalformedDocument, "malformed_document"},
     {ErrorCode::kMalformedFrame, "malformed_frame"},
@@ -24,6 +24,7 @@
     {ErrorCode::kDeadlineUnmeetable, "deadline_unmeetable"},
     {ErrorCode::kClaimRefused, "claim_refused"},
     {ErrorCode::kClaimUnknown, "claim_unknown"},
+    {ErrorCode::kAnswerGone, "answer_gone"},
     {ErrorCode::kUnavailable, "unavailable"},
     {ErrorCode::kLeaving, "leaving"},
     {ErrorCode::kTruncated, "truncated"},
--- a/Kernel/Error.h
+++ b/Kernel/Error.h
@@ -24,6 +24,7 @@
   kDeadlineUnmeetable,
   kClaimRefused,
   kClaimUnknown,
+  kAnswerGone,
   kUnavailable,
   kLeaving,
   kTruncated,
--- /dev/null
+++ b/Libraries/LibCalls/AgentCalls.cc
@@ -0,0 +1,388 @@
+#include "LibCalls/AgentCalls.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace bramleyspan::calls {
+
+namespace {
+
+using claims::ClaimDecision;
+
+constexpr std::string_view kEventStream = "text/event-stream";
+constexpr std::string_view kEventStreamEnd = "data: [DONE]";
+constexpr size_t kTailBytes = 32;
+
+SendEnd End(const Recipient& to,
+            Verdict verdict,
+            ErrorCode error,
+            std::string detail,
+            Duration retry_after = {}) {
+  return {to, {verdict, error, std::move(detail), retry_after}};
+}
+
+Effects SendStoredAnswer(const Recipient& to,
+                         const claims::StoredAnswer& answer) {
+  return {SendHead{to, answer.status, answer.content_type},
+          SendBytes{to, answer.body}, SendEnd{to, {}}};
+}
+
+SendEnd EndWithoutKeptAnswer(const Recipient& to) {
+  return End(to, Verdict::kUnknown, ErrorCode::kAnswerGone,
+             "the call ran to its end, but its answer is not kept any more");
+}
+
+SendEnd EndStillRunning(const AgentCalls& calls, const Recipient& to) {
+  return End(to, Verdict::kUnknown, ErrorCode::kClaimUnknown,
+             "the call is running; ask again with the same key",
+             calls.settings.retry_after);
+}
+
+Effects Forward(AgentCalls& calls, const CallRequest& request, TimePoint now) {
+  const uint64_t id = ++calls.last_forward;
+  ForwardedCall forwarded;
+  forwarded.claim = request.claim;
+  forwarded.is_chat = request.is_chat;
+  forwarded.recipient = request.from;
+  forwarded.first_byte_by = now + request.remaining;
+  forwarded.started = now;
+  forwarded.last_heard = now;
+  calls.forwarded.emplace(id, std::move(forwarded));
+  if (!request.claim.empty()) {
+    calls.forward_of_claim[request.claim] = id;
+  }
+  return {StartForward{id}};
+}
+
+// A caller that gave up and asked again, perhaps through another entry, gets
+// the answer of the first attempt instead of an "unknown".
+Effects Attach(AgentCalls& calls, const CallRequest& request, TimePoint now) {
+  const auto running = calls.forward_of_claim.find(request.claim);
+  if (running == calls.forward_of_claim.end()) {
+    return {EndStillRunning(calls, request.from)};
+  }
+  calls.forwarded.at(running->second)
+      .waiters.push_back({request.from, now + request.remaining});
+  return {};
+}
+
+Effects DecideClaimedCall(AgentCalls& calls,
+                          const CallRequest& request,
+                          TimePoint now) {
+  const Recipient& from = request.from;
+  const Duration retry_after = calls.settings.retry_after;
+  switch (claims::AdmitClaim(
+      calls.claims,
+      {request.claim, request.owner, request.entry, request.fingerprint},
+      now)) {
+    case ClaimDecision::kRun:
+      if (calls.is_leaving) {
+        // Burnt first: a late duplicate must not run after "not run".
+        claims::RefuseClaim(calls.claims, request.claim);
+        return {End(from, Verdict::kNotRun, ErrorCode::kLeaving,
+                    "the target is leaving; take a new key", retry_after)};
+      }
+      return Forward(calls, request, now);
+    case ClaimDecision::kIsRunning:
+      return Attach(calls, request, now);
+    case ClaimDecision::kIsDone:
+      return SendStoredAnswer(
+          from, claims::FindClaim(calls.claims, request.claim)->answer);
+    case ClaimDecision::kIsAnswerGone:
+      return {EndWithoutKeptAnswer(from)};
+    case ClaimDecision::kIsRefused:
+      return {End(from, Verdict::kNotRun, ErrorCode::kClaimRefused,
+                  "the key was refused before; take a new one", retry_after)};
+    case ClaimDecision::kIsUnknown:
+      return {End(from, Verdict::kUnknown, ErrorCode::kClaimUnknown,
+                  "whether the call ran is not known any more")};
+    case ClaimDecision::kIsForged:
+      return {End(from, Verdict::kNotRun, ErrorCode::kForbidden,
+                  "the key was not issued to this entry")};
+    case ClaimDecision::kIsOtherCall:
+      return {End(from, Verdict::kNotRun, ErrorCode::kConflict,
+                  "the key belongs to another request")};
+    case ClaimDecision::kIsFull:
+      return {End(from, Verdict::kUnknown, ErrorCode::kLimitExceeded,
+                  "no room for one more key; ask again with the same key",
+                  retry_after)};
+  }
+  return {};
+}
+
+// An event stream that lacks its last event looks complete to HTTP when the
+// engine dies between two chunks and its kernel closes the connection. So does
+// every answer without a length. Neither is passed on as whole.
+bool is_whole(const ForwardedCall& forwarded) {
+  if (forwarded.is_chat &&
+      forwarded.answer.content_type.starts_with(kEventStream)) {
+    return forwarded.tail.find(kEventStreamEnd) != std::string::npos;
+  }
+  return forwarded.is_framed;
+}
+
+Ending EndingFor(const AgentCalls& calls,
+                 const ForwardedCall& forwarded,
+                 BackEndOutcome outcome,
+                 const std::string& detail) {
+  if (outcome == BackEndOutcome::kNeverSent) {
+    return {Verdict::kNotRun, ErrorCode::kUnavailable,
+            "the back end takes no connection", calls.settings.retry_after};
+  }
+  if (outcome == BackEndOutcome::kComplete && is_whole(forwarded)) {
+    return {};
+  }
+  if (forwarded.has_head) {
+    return {
+        Verdict::kTruncated, ErrorCode::kTruncated,
+        detail.empty() ? "the answer does not say that it is whole" : detail};
+  }
+  return {Verdict::kUnknown, ErrorCode::kOutcomeUnknown, detail,
+          calls.settings.retry_after};
+}
+
+void SettleClaim(AgentCalls& calls, ForwardedCall& forwarded, Verdict verdict) {
+  if (forwarded.claim.empty()) {
+    return;
+  }
+  calls.forward_of_claim.erase(forwarded.claim);
+  if (verdict == Verdict::kWhole) {
+    claims::FinishClaim(calls.claims, forwarded.claim, forwarded.answer);
+  } else if (verdict == Verdict::kNotRun) {
+    claims::RefuseClaim(calls.claims, forwarded.claim);
+  } else {
+    claims::LoseClaim(calls.claims, forwarded.claim);
+  }
+}
+
+void Append(Effects& effects, Effects more) {
+  std::move(more.begin(), more.end(), std::back_inserter(effects));
+}
+
+// A waiter has seen no part of the answer: to it a truncated one is unknown.
+Effects EndWaiter(const ForwardedCall& forwarded,
+                  const Waiter& waiter,
+                  const Ending& ending) {
+  if (ending.verdict == Verdict::kWhole) {
+    return forwarded.answer.is_too_large
+               ? Effects{EndWithoutKeptAnswer(waiter.to)}
+               : SendStoredAnswer(waiter.to, forwarded.answer);
+  }
+  Ending seen = ending;
+  if (seen.verdict == Verdict::kTruncated) {
+    seen.verdict = Verdict::kUnknown;
+    seen.error = ErrorCode::kOutcomeUnknown;
+  }
+  return {SendEnd{waiter.to, std::move(seen)}};
+}
+
+// The claim is settled before anybody hears of the end, so that whoever acts
+// on what it hears finds the key settled.
+Effects EndForward(AgentCalls& calls, uint64_t id, const Ending& ending) {
+  const auto found = calls.forwarded.find(id);
+  ForwardedCall forwarded = std::move(found->second);
+  calls.forwarded.erase(found);
+  SettleClaim(calls, forwarded, ending.verdict);
+  Effects effects;
+  if (forwarded.recipient) {
+    effects.emplace_back(SendEnd{*forwarded.recipient, ending});
+  }
+  for (const Waiter& waiter : forwarded.waiters) {
+    Append(effects, EndWaiter(forwarded, waiter, ending));
+  }
+  return effects;
+}
+
+// What may not be repeated is never cancelled half-way: its answer is kept for
+// the caller who asks again with the same key.
+Effects DropRecipient(AgentCalls& calls, uint64_t id) {
+  ForwardedCall& forwarded = calls.forwarded.at(id);
+  forwarded.recipient.reset();
+  if (!forwarded.claim.empty()) {
+    return {};
+  }
+  calls.forwarded.erase(id);
+  return {CancelForward{id}};
+}
+
+template <typename Predicate>
+Effects DropRecipientsIf(AgentCalls& calls, Predicate is_gone) {
+  std::vector<uint64_t> dropped;
+  for (auto& [id, forwarded] : calls.forwarded) {
+    std::erase_if(forwarded.waiters,
+                  [&](const Waiter& waiter) { return is_gone(waiter.to); });
+    if (forwarded.recipient && is_gone(*forwarded.recipient)) {
+      dropped.push_back(id);
+    }
+  }
+  Effects effects;
+  for (const uint64_t id : dropped) {
+    Append(effects, DropRecipient(calls, id));
+  }
+  return effects;
+}
+
+Effects EndExpiredWaiters(const AgentCalls& calls,
+                          ForwardedCall& forwarded,
+                          TimePoint now) {
+  Effects effects;
+  std::erase_if(forwarded.waiters, [&](const Waiter& waiter) {
+    const bool is_expired = waiter.until <= now;
+    if (is_expired) {
+      effects.emplace_back(EndStillRunning(calls, waiter.to));
+    }
+    return is_expired;
+  });
+  return effects;
+}
+
+// When a back end that keeps silent loses the call.
+TimePoint GivenUpAt(const AgentCalls& calls, const ForwardedCall& forwarded) {
+  if (forwarded.has_head) {
+    return forwarded.last_heard + calls.settings.longest_silence;
+  }
+  return forwarded.claim.empty()
+             ? forwarded.first_byte_by
+             : forwarded.started + calls.settings.longest_run;
+}
+
+bool is_late(const ForwardedCall& forwarded, TimePoint now) {
+  return !forwarded.has_head && forwarded.recipient &&
+         forwarded.first_byte_by <= now;
+}
+
+// A frozen back end must hold no caller beyond its deadline. A call that may
+// not be repeated runs on for whoever asks again.
+Effects CheckDeadline(AgentCalls& calls, uint64_t id, TimePoint now) {
+  ForwardedCall& forwarded = calls.forwarded.at(id);
+  Effects effects = EndExpiredWaiters(calls, forwarded, now);
+  if (GivenUpAt(calls, forwarded) <= now) {
+    const Ending ending{
+        forwarded.has_head ? Verdict::kTruncated : Verdict::kUnknown,
+        ErrorCode::kTimeout, "the back end keeps silent",
+        calls.settings.retry_after};
+    Append(effects, EndForward(calls, id, ending));
+    effects.emplace_back(CancelForward{id});
+  } else if (is_late(forwarded, now)) {
+    effects.emplace_back(EndStillRunning(calls, *forwarded.recipient));
+    forwarded.recipient.reset();
+  }
+  return effects;
+}
+
+std::vector<uint64_t> IdsOf(const AgentCalls& calls) {
+  std::vector<uint64_t> ids;
+  for (const auto& [id, forwarded] : calls.forwarded) {
+    ids.push_back(id);
+  }
+  return ids;
+}
+
+}  // namespace
+
+Effects ReceiveCall(AgentCalls& calls,
+                    const CallRequest& request,
+                    TimePoint now) {
+  if (!request.claim.empty()) {
+    return DecideClaimedCall(calls, request, now);
+  }
+  if (request.needs_claim) {
+    return {End(request.from, Verdict::kNotRun, ErrorCode::kMalformedRequest,
+                "the entry is at-most-once and needs a claim key")};
+  }
+  if (calls.is_leaving) {
+    return {End(request.from, Verdict::kNotRun, ErrorCode::kLeaving,
+                "the target is leaving", calls.settings.retry_after)};
+  }
+  return Forward(calls, request, now);
+}
+
+Effects ReceiveHead(AgentCalls& calls,
+                    uint64_t forward,
+                    const BackEndHead& head,
+                    TimePoint now) {
+  const auto found = calls.forwarded.find(forward);
+  if (found == calls.forwarded.end()) {
+    return {};
+  }
+  ForwardedCall& forwarded = found->second;
+  forwarded.has_head = true;
+  forwarded.is_framed = head.is_framed;
+  forwarded.last_heard = now;
+  forwarded.answer.status = head.status;
+  forwarded.answer.content_type = head.content_type;
+  if (!forwarded.recipient) {
+    return {};
+  }
+  return {SendHead{*forwarded.recipient, head.status, head.content_type}};
+}
+
+Effects ReceiveBytes(AgentCalls& calls,
+                     uint64_t forward,
+                     std::string_view bytes,
+                     TimePoint now) {
+  const auto found = calls.forwarded.find(forward);
+  if (found == calls.forwarded.end()) {
+    return {};
+  }
+  ForwardedCall& forwarded = found->second;
+  forwarded.last_heard = now;
+  forwarded.tail.append(bytes);
+  if (forwarded.tail.size() > kTailBytes) {
+    forwarded.tail.erase(0, forwarded.tail.size() - kTailBytes);
+  }
+  if (!forwarded.claim.empty()) {
+    claims::AppendToAnswer(calls.claims.settings, forwarded.answer, bytes);
+  }
+  if (!forwarded.recipient) {
+    return {};
+  }
+  return {SendBytes{*forwarded.recipient, std::string(bytes)}};
+}
+
+Effects ReceiveEnd(AgentCalls& calls,
+                   uint64_t forward,
+                   BackEndOutcome outcome,
+                   const std::string& detail) {
+  const auto found = calls.forwarded.find(forward);
+  if (found == calls.forwarded.end()) {
+    return {};
+  }
+  return EndForward(calls, forward,
+                    EndingFor(calls, found->second, outcome, detail));
+}
+
+Effects CancelCall(AgentCalls& calls, const Recipient& recipient) {
+  return DropRecipientsIf(
+      calls, [&](const Recipient& other) { return other == recipient; });
+}
+
+Effects LoseConnection(AgentCalls& calls, uint64_t connection) {
+  return DropRecipientsIf(calls, [&](const Recipient& other) {
+    return other.connection == connection;
+  });
+}
+
+Effects CheckDeadlines(AgentCalls& calls, TimePoint now) {
+  Effects effects;
+  for (const uint64_t id : IdsOf(calls)) {
+    Append(effects, CheckDeadline(calls, id, now));
+  }
+  return effects;
+}
+
+Effects CutAll(AgentCalls& calls) {
+  Effects effects;
+  for (const uint64_t id : IdsOf(calls)) {
+    const bool has_head = calls.forwarded.at(id).has_head;
+    const Ending ending{has_head ? Verdict::kTruncated : Verdict::kUnknown,
+                        ErrorCode::kLeaving, "the bound of the stop has come",
+                        calls.settings.retry_after};
+    Append(effects, EndForward(calls, id, ending));
+    effects.emplace_back(CancelForward{id});
+  }
+  return effects;
+}
+
+}  // namespace bramleyspan::calls
--- a/Libraries/LibClaims/Claims.cc
+++ b/Libraries/LibClaims/Claims.cc
@@ -1,7 +1,9 @@
 #include "LibClaims/Claims.h"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 
 #include "Kernel/Digest.h"
 
@@ -17,8 +19,8 @@
                                registry.settings.epoch_length);
 }
 
-// The oldest epoch whose keys are still remembered.
-uint64_t OldestEpoch(const ClaimRegistry& registry, TimePoint now) {
+// The oldest epoch whose keys are young enough to be remembered.
+uint64_t OldestEpochByAge(const ClaimRegistry& registry, TimePoint now) {
   const uint64_t current = EpochAt(registry, now);
   const uint64_t kept = registry.settings.remembered_epochs;
   return current > kept ? current - kept : 0;
@@ -57,6 +59,8 @@
       return ClaimDecision::kIsRunning;
     case ClaimState::kDone:
       return ClaimDecision::kIsDone;
+    case ClaimState::kAnswerGone:
+      return ClaimDecision::kIsAnswerGone;
     case ClaimState::kRefused:
       return ClaimDecision::kIsRefused;
     case ClaimState::kUnknown:
@@ -65,7 +69,10 @@
   return ClaimDecision::kIsUnknown;
 }
 
-ClaimRecord* FindRecord(ClaimRegistry& registry, const std::string& text) {
+// Works on a registry that may be const or not.
+template <typename Registry>
+auto FindRecord(Registry& registry, const std::string& text)
+    -> decltype(&registry.records.begin()->second.begin()->second) {
   const auto key = ParseClaimKey(text);
   if (key.has_error()) {
     return nullptr;
@@ -78,6 +85,78 @@
   return record == epoch->second.end() ? nullptr : &record->second;
 }
 
+// A record whose call has not ended. All ends pass through here: a key that
+// was refused or has ended keeps its state whatever arrives late.
+ClaimRecord* FindRunning(ClaimRegistry& registry, const std::string& text) {
+  ClaimRecord* record = FindRecord(registry, text);
+  const bool is_running =
+      record != nullptr && record->state == ClaimState::kRunning;
+  return is_running ? record : nullptr;
+}
+
+void DropAnswer(ClaimRegistry& registry, ClaimRecord& record) {
+  registry.answer_bytes -= record.answer.body.size();
+  record.answer = {};
+  record.state = ClaimState::kAnswerGone;
+}
+
+// That a call ran is remembered longer than what it answered.
+void EvictAnswers(ClaimRegistry& registry) {
+  while (registry.answer_bytes > registry.settings.most_answer_bytes) {
+    ClaimRecord* oldest = FindRecord(registry, registry.kept_answers.front());
+    registry.kept_answers.pop_front();
+    if (oldest != nullptr && oldest->state == ClaimState::kDone) {
+      DropAnswer(registry, *oldest);
+    }
+  }
+}
+
+void ForgetEpochsBefore(ClaimRegistry& registry, uint64_t oldest) {
+  registry.oldest_epoch = std::max(registry.oldest_epoch, oldest);
+  const auto end = registry.records.lower_bound(registry.oldest_epoch);
+  for (auto epoch = registry.records.begin(); epoch != end;) {
+    std::erase_if(epoch->second, [&](const auto& item) {
+      const ClaimRecord& record = item.second;
+      if (record.state == ClaimState::kRunning) {
+        return false;
+      }
+      registry.answer_bytes -= record.answer.body.size();
+      --registry.record_count;
+      return true;
+    });
+    epoch = epoch->second.empty() ? registry.records.erase(epoch)
+                                  : std::next(epoch);
+  }
+  while (!registry.kept_answers.empty() &&
+         FindRecord(registry, registry.kept_answers.front()) == nullptr) {
+    registry.kept_answers.pop_front();
+  }
+}
+
+// Makes room for one more key at the cost of the oldest epochs, but never of
+// the newest: a burst that fills one epoch is turned away instead.
+bool MakeRoom(ClaimRegistry& registry) {
+  while (registry.record_count >= registry.settings.most_records) {
+    const auto oldest = registry.records.lower_bound(registry.oldest_epoch);
+    const bool is_newest = oldest == registry.records.end() ||
+                           std::next(oldest) == registry.records.end();
+    if (is_newest) {
+      return false;
+    }
+    ForgetEpochsBefore(registry, oldest->first + 1);
+  }
+  return true;
+}
+
+bool is_authentic(const ClaimRegistry& registry,
+                  const ClaimKey& key,
+                  const ClaimedCall& call) {
+  const std::string prefix = call.key.substr(0, call.key.rfind('.'));
+  return is_equal_in_constant_time(
+      key.authentication_code,
+      CodeFor(registry, prefix, call.owner, call.entry));
+}
+
 }  // namespace
 
 Result<ClaimKey> ParseClaimKey(std::string_view text) {
@@ -113,68 +192,97 @@
 }
 
 ClaimDecision AdmitClaim(ClaimRegistry& registry,
-                         const std::string& text,
-                         const std::string& owner,
-                         const std::string& entry,
+                         const ClaimedCall& call,
                          TimePoint now) {
-  const auto parsed = ParseClaimKey(text);
-  if (parsed.has_error() || parsed.value().agent != registry.agent) {
+  const auto parsed = ParseClaimKey(call.key);
+  if (parsed.has_error()) {
     return ClaimDecision::kIsForged;
   }
   const ClaimKey& key = parsed.value();
-  // A restarted agent has forgotten what its predecessor forwarded. Running
-  // the key again could run the call twice; the new incarnation says unknown.
-  if (key.incarnation != registry.incarnation) {
+  // Only the agent that owns a key may say "not run". A restarted agent has
+  // forgotten what its predecessor forwarded; running the key again could run
+  // the call twice. So the new incarnation, like any other agent, says unknown.
+  if (key.agent != registry.agent || key.incarnation != registry.incarnation) {
     return ClaimDecision::kIsUnknown;
   }
-  const std::string prefix = text.substr(0, text.rfind('.'));
-  if (!is_equal_in_constant_time(key.authentication_code,
-                                 CodeFor(registry, prefix, owner, entry))) {
+  if (!is_authentic(registry, key, call)) {
     return ClaimDecision::kIsForged;
   }
+  if (const ClaimRecord* record = FindRecord(registry, call.key)) {
+    // A key that a caller uses for two requests must not bring the one the
+    // other's answer.
+    return record->fingerprint == call.fingerprint
+               ? DecisionFor(record->state)
+               : ClaimDecision::kIsOtherCall;
+  }
   // A key whose epoch was forgotten may have run: it must not run again.
-  if (key.epoch < OldestEpoch(registry, now)) {
+  const uint64_t oldest =
+      std::max(registry.oldest_epoch, OldestEpochByAge(registry, now));
+  if (key.epoch < oldest) {
     return ClaimDecision::kIsUnknown;
   }
-  auto& epoch = registry.records[key.epoch];
-  const auto [record, is_new] = epoch.try_emplace(text);
-  return is_new ? ClaimDecision::kRun : DecisionFor(record->second.state);
+  // A key that cannot be remembered must not run, nor be called not run: its
+  // duplicate would find no trace of either.
+  if (!MakeRoom(registry)) {
+    return ClaimDecision::kIsFull;
+  }
+  if (key.epoch < registry.oldest_epoch) {
+    return ClaimDecision::kIsUnknown;
+  }
+  registry.records[key.epoch][call.key].fingerprint = call.fingerprint;
+  ++registry.record_count;
+  return ClaimDecision::kRun;
 }
 
-void RefuseClaim(ClaimRegistry& registry, const std::string& text) {
-  const auto key = ParseClaimKey(text);
-  if (key.has_error()) {
-    return;
+void RefuseClaim(ClaimRegistry& registry, const std::string& key) {
+  if (ClaimRecord* record = FindRunning(registry, key)) {
+    record->state = ClaimState::kRefused;
+  }
+}
+
+void AppendToAnswer(const ClaimSettings& settings,
+                    StoredAnswer& answer,
+                    std::string_view bytes) {
+  if (answer.body.size() + bytes.size() > settings.largest_answer) {
+    answer.is_too_large = true;
+    answer.body = {};
+  }
+  if (!answer.is_too_large) {
+    answer.body.append(bytes);
   }
-  registry.records[key.value().epoch][text].state = ClaimState::kRefused;
 }
 
 void FinishClaim(ClaimRegistry& registry,
-                 const std::string& text,
+                 const std::string& key,
                  StoredAnswer answer) {
-  ClaimRecord* record = FindRecord(registry, text);
+  ClaimRecord* record = FindRunning(registry, key);
   if (record == nullptr) {
     return;
   }
+  if (answer.is_too_large) {
+    record->state = ClaimState::kAnswerGone;
+    return;
+  }
+  registry.answer_bytes += answer.body.size();
   record->state = ClaimState::kDone;
   record->answer = std::move(answer);
+  registry.kept_answers.push_back(key);
+  EvictAnswers(registry);
 }
 
-void LoseClaim(ClaimRegistry& registry, const std::string& text) {
-  ClaimRecord* record = FindRecord(registry, text);
-  if (record != nullptr) {
+void LoseClaim(ClaimRegistry& registry, const std::string& key) {
+  if (ClaimRecord* record = FindRunning(registry, key)) {
     record->state = ClaimState::kUnknown;
   }
 }
 
 const ClaimRecord* FindClaim(const ClaimRegistry& registry,
-                             const std::string& text) {
-  return FindRecord(const_cast<ClaimRegistry&>(registry), text);
+                             const std::string& key) {
+  return FindRecord(registry, key);
 }
 
 void ForgetOldEpochs(ClaimRegistry& registry, TimePoint now) {
-  const auto oldest = registry.records.lower_bound(OldestEpoch(registry, now));
-  registry.records.erase(registry.records.begin(), oldest);
+  ForgetEpochsBefore(registry, OldestEpochByAge(registry, now));
 }
 
 Duration RetentionOf(const ClaimRegistry& registry) {
--- a/Libraries/LibClaims/Claims.h
+++ b/Libraries/LibClaims/Claims.h
@@ -2,7 +2,9 @@
 // decides about its call; that agent keeps in memory what became of each key.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -12,10 +14,13 @@
 
 namespace bramleyspan::claims {
 
-// How long an epoch lasts, and how many epochs back keys are remembered.
+// How long keys are remembered, and how much memory that may take.
 struct ClaimSettings {
   Duration epoch_length = std::chrono::minutes(1);
   uint64_t remembered_epochs = 10;
+  size_t most_records = 200'000;
+  size_t most_answer_bytes = 64 << 20;
+  size_t largest_answer = 1 << 20;
 };
 
 // A claim key in its parts.
@@ -29,18 +34,31 @@
   auto operator<=>(const ClaimKey&) const = default;
 };
 
+// A call as it is shown together with a key.
+struct ClaimedCall {
+  std::string key;
+  std::string owner;
+  std::string entry;
+  // Digest of what the call asks for.
+  std::string fingerprint;
+};
+
 // An answer kept so that a repeated call gets it instead of running again.
 struct StoredAnswer {
   uint16_t status = 0;
   std::string content_type;
   std::string body;
+  // The body outgrew the largest answer and was dropped.
+  bool is_too_large = false;
 };
 
 enum class ClaimState {
-  // The call was forwarded and has not ended.
+  // The call may have been forwarded and has not ended.
   kRunning,
   // The call ran and its whole answer is kept.
   kDone,
+  // The call ran and its answer was too large or is evicted.
+  kAnswerGone,
   // The call was forwarded and nobody knows how it ended.
   kUnknown,
   // The caller was told "not run"; the key can never run.
@@ -50,6 +68,7 @@
 // What the agent remembers of one key.
 struct ClaimRecord {
   ClaimState state = ClaimState::kRunning;
+  std::string fingerprint;
   StoredAnswer answer;
 };
 
@@ -62,22 +81,34 @@
   TimePoint started;
   // Records by epoch, so that a whole epoch is forgotten at once.
   std::map<uint64_t, std::map<std::string, ClaimRecord>> records;
+  // Keys of epochs before this one are forgotten; it never goes down.
+  uint64_t oldest_epoch = 0;
+  size_t record_count = 0;
+  size_t answer_bytes = 0;
+  // Keys whose answer is kept, the oldest answer first.
+  std::deque<std::string> kept_answers;
 };
 
 enum class ClaimDecision {
   // Forward the call; the key is marked as running.
   kRun,
-  // The call is running; ask again later.
+  // The call is running; its answer will come.
   kIsRunning,
   // The call ran; answer with the record's answer.
   kIsDone,
+  // The call ran, but its answer is not kept any more.
+  kIsAnswerGone,
   // The key was burnt by an earlier "not run"; it did not and will not run.
   kIsRefused,
-  // The key belongs to a forgotten epoch or incarnation, or the call ended
-  // unknown: nobody can tell whether it ran.
+  // The key belongs to another agent, a forgotten epoch or incarnation, or the
+  // call ended unknown: nobody here can tell whether it ran.
   kIsUnknown,
   // The key was not issued by this agent to this owner's entry.
   kIsForged,
+  // The key is bound to another request; this one did not and will not run.
+  kIsOtherCall,
+  // There is no room to remember one more key, so that it must not run now.
+  kIsFull,
 };
 
 // Parses a key. Fails with kMalformedRequest.
@@ -92,31 +123,35 @@
 
 // Decides about a call with a key and marks the key as running for kRun.
 ClaimDecision AdmitClaim(ClaimRegistry& registry,
-                         const std::string& text,
-                         const std::string& owner,
-                         const std::string& entry,
+                         const ClaimedCall& call,
                          TimePoint now);
 
-// Burns a key that AdmitClaim let run but that was never forwarded, or one
-// that was never seen. After this the caller may be told "not run".
-void RefuseClaim(ClaimRegistry& registry, const std::string& text);
+// Burns a key that AdmitClaim let run and of whose call no byte was sent to
+// the back end. After this, and not before, the caller may be told "not run".
+void RefuseClaim(ClaimRegistry& registry, const std::string& key);
+
+// Adds a part of the body to an answer that is to be kept.
+void AppendToAnswer(const ClaimSettings& settings,
+                    StoredAnswer& answer,
+                    std::string_view bytes);
 
-// Records the whole answer of a key that ran.
+// Records the whole answer of a running key.
 void FinishClaim(ClaimRegistry& registry,
-                 const std::string& text,
+                 const std::string& key,
                  StoredAnswer answer);
 
-// Records that a forwarded call ended without a whole answer.
-void LoseClaim(ClaimRegistry& registry, const std::string& text);
+// Records that a running key's call ended without a whole answer.
+void LoseClaim(ClaimRegistry& registry, const std::string& key);
 
 // The record of a key, if it is remembered.
 const ClaimRecord* FindClaim(const ClaimRegistry& registry,
-                             const std::string& text);
+                             const std::string& key);
 
 // Forgets the epochs that are too old; their keys are kIsUnknown from now on.
+// Keys that are still running stay until their call ends.
 void ForgetOldEpochs(ClaimRegistry& registry, TimePoint now);
 
-// How long a key issued now is remembered at least.
+// How long a key issued now is remembered at least, unless memory runs out.
 Duration RetentionOf(const ClaimRegistry& registry);
 
 }  // namespace bramleyspan::claims
--- a/Libraries/LibWire/Connection.cc
+++ b/Libraries/LibWire/Connection.cc
@@ -71,6 +71,11 @@
   return connection;
 }
 
+uint64_t Connection::NextId() {
+  static uint64_t last_id = 0;
+  return ++last_id;
+}
+
 Connection::~Connection() {
   this->Close();
 }
--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -50,11 +50,15 @@
     return this->pending.size() + this->in_flight.size();
   }
 
+  // Distinguishes this connection from every other that this process had.
+  const uint64_t id = NextId();
+
   // Bytes of all frames sent and received, for the budget per node.
   uint64_t sent_bytes = 0;
   uint64_t received_bytes = 0;
 
  private:
+  static uint64_t NextId();
   void StartReading();
   void HandleInput();
   void Flush();
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -16,19 +16,16 @@
 constexpr size_t kSecretBytes = 32;
 
 nlohmann::json DumpOf(const AgentState& state) {
-  size_t remembered = 0;
-  for (const auto& [epoch, records] : state.claims.records) {
-    remembered += records.size();
-  }
   return {{"process", state.settings.name},
           {"role", "agent"},
           {"zone", state.settings.zone},
           {"revision", state.feed.revision()},
-          {"incarnation", state.claims.incarnation},
+          {"incarnation", state.calls.claims.incarnation},
           {"is_leaving", state.is_leaving},
           {"entries_linked", state.connections.size()},
-          {"in_flight", state.forwarded.size()},
-          {"remembered_claims", remembered}};
+          {"in_flight", state.calls.forwarded.size()},
+          {"remembered_claims", state.calls.claims.record_count},
+          {"kept_answer_bytes", state.calls.claims.answer_bytes}};
 }
 
 class AgentRole : public Role {
@@ -38,7 +35,7 @@
 
   Result<void> Start() {
     const Settings& settings = this->state.settings;
-    claims::ClaimRegistry& claims = this->state.claims;
+    claims::ClaimRegistry& claims = this->state.calls.claims;
     claims.agent = settings.name;
     claims.incarnation = RandomBits();
     claims.secret = RandomHex(kSecretBytes);
@@ -54,6 +51,7 @@
         [this](h2o_socket_t* socket) { this->AcceptEntry(socket); }));
     this->state.feed.on_in_force = [this] { this->TellRevision(); };
     this->ForgetEpochsForever();
+    WatchDeadlines(this->state);
     return Succeed();
   }
 
@@ -61,6 +59,7 @@
     if (std::exchange(this->state.is_leaving, true)) {
       return;
     }
+    this->state.calls.is_leaving = true;
     for (const auto& connection : this->state.connections) {
       wire::LeavingT leaving;
       leaving.reason = "planned stop";
@@ -85,7 +84,7 @@
     hello.process = this->state.settings.name;
     hello.role = this->state.settings.role;
     hello.zone = this->state.settings.zone;
-    hello.incarnation = this->state.claims.incarnation;
+    hello.incarnation = this->state.calls.claims.incarnation;
     hello.revision = this->state.feed.revision();
     connection->Send(wire::Encode(std::move(hello)));
     this->state.connections.insert(std::move(connection));
@@ -117,13 +116,13 @@
   }
 
   void ForgetEpochsForever() {
-    claims::ForgetOldEpochs(this->state.claims, EventLoop::Now());
+    claims::ForgetOldEpochs(this->state.calls.claims, EventLoop::Now());
     this->state.loop.RunAfter(kEpochCheckInterval,
                               [this] { this->ForgetEpochsForever(); });
   }
 
   void StopWhenIdle() {
-    if (this->state.forwarded.empty()) {
+    if (this->state.calls.forwarded.empty()) {
       this->state.loop.Stop();
       return;
     }
--- a/Services/bramleyspand/Agent/AgentState.h
+++ b/Services/bramleyspand/Agent/AgentState.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <utility>
 
-#include "LibClaims/Claims.h"
+#include "LibCalls/AgentCalls.h"
 #include "LibHTTP/Client.h"
 #include "LibHTTP/Server.h"
 #include "Services/bramleyspand/CatalogueFeed.h"
@@ -16,15 +16,6 @@
 
 namespace bramleyspan::agent {
 
-// A call that the back end is working on.
-struct ForwardedCall {
-  // The entry's connection; empty once the entry has gone.
-  std::weak_ptr<wire::Connection> connection;
-  wire::CallT call;
-  std::shared_ptr<http::ClientCall> client_call;
-  claims::StoredAnswer answer;
-};
-
 struct AgentState {
   AgentState(EventLoop& loop, const Settings& settings)
       : loop(loop), settings(settings), client(loop) {}
@@ -33,13 +24,21 @@
   Settings settings;
   http::Client client;
   CatalogueFeed feed;
-  claims::ClaimRegistry claims;
+  calls::AgentCalls calls;
   std::set<std::shared_ptr<wire::Connection>> connections;
-  std::map<uint64_t, ForwardedCall> forwarded;
-  uint64_t last_forward = 0;
+  // The connections by their ids, as the recipients of answers name them.
+  std::map<uint64_t, std::weak_ptr<wire::Connection>> callers;
+  // The exchanges with the back end, by the forwards of `calls`.
+  std::map<uint64_t, std::shared_ptr<http::ClientCall>> exchanges;
   bool is_leaving = false;
 };
 
+// Ends calls that have waited too long, for ever (Calls.cc).
+void WatchDeadlines(AgentState& state);
+
+// The bound of the planned stop has come (Calls.cc).
+void CutAllCalls(AgentState& state);
+
 // Handles a frame of an entry (Calls.cc).
 void HandleEntryFrame(AgentState& state,
                       wire::Connection& connection,
--- a/Services/bramleyspand/Agent/Calls.cc
+++ b/Services/bramleyspand/Agent/Calls.cc
@@ -6,122 +6,114 @@
 
 namespace {
 
-using claims::ClaimDecision;
-
-constexpr Duration kLongestCall = std::chrono::minutes(30);
-constexpr Duration kRetryAfter = std::chrono::seconds(1);
+constexpr Duration kDeadlineCheckInterval = std::chrono::milliseconds(20);
 constexpr Duration kEstimatePerCall = std::chrono::milliseconds(10);
 constexpr size_t kNonceBytes = 12;
 
-// How a call ended, as the agent knows it.
-struct Ending {
-  wire::Verdict verdict = wire::Verdict::Whole;
-  ErrorCode error = ErrorCode::kUnavailable;
-  std::string detail;
-  Duration retry_after{};
-};
-
-void SendEnd(wire::Connection& connection,
-             uint64_t call,
-             const Ending& ending) {
-  wire::CallEndT end;
-  end.call = call;
-  end.verdict = ending.verdict;
-  if (ending.verdict != wire::Verdict::Whole) {
-    end.error = StableCodeOf(ending.error);
+wire::Verdict ToWire(calls::Verdict verdict) {
+  switch (verdict) {
+    case calls::Verdict::kWhole:
+      return wire::Verdict::Whole;
+    case calls::Verdict::kNotRun:
+      return wire::Verdict::NotRun;
+    case calls::Verdict::kUnknown:
+      return wire::Verdict::Unknown;
+    case calls::Verdict::kTruncated:
+      return wire::Verdict::Truncated;
   }
-  end.detail = ending.detail;
-  end.retry_after_microseconds = ending.retry_after.count();
-  connection.Send(wire::Encode(std::move(end)));
+  return wire::Verdict::Unknown;
 }
 
-void SendHead(wire::Connection& connection,
-              uint64_t call,
-              uint16_t status,
-              const std::string& content_type) {
+std::string EncodeHead(const calls::SendHead& effect) {
   wire::CallHeadT head;
-  head.call = call;
-  head.status = status;
-  head.content_type = content_type;
-  connection.Send(wire::Encode(std::move(head)));
+  head.call = effect.to.call;
+  head.status = effect.status;
+  head.content_type = effect.content_type;
+  return wire::Encode(std::move(head));
 }
 
-void SendChunk(wire::Connection& connection,
-               uint64_t call,
-               std::string_view bytes) {
+std::string EncodeBytes(const calls::SendBytes& effect) {
   wire::CallChunkT chunk;
-  chunk.call = call;
-  chunk.bytes = bytes;
-  connection.Send(wire::Encode(std::move(chunk)));
+  chunk.call = effect.to.call;
+  chunk.bytes = effect.bytes;
+  return wire::Encode(std::move(chunk));
 }
 
-void SendStoredAnswer(wire::Connection& connection,
-                      uint64_t call,
-                      const claims::StoredAnswer& answer) {
-  SendHead(connection, call, answer.status, answer.content_type);
-  SendChunk(connection, call, answer.body);
-  SendEnd(connection, call, {.verdict = wire::Verdict::Whole});
+std::string EncodeEnd(const calls::SendEnd& effect) {
+  wire::CallEndT end;
+  end.call = effect.to.call;
+  end.verdict = ToWire(effect.ending.verdict);
+  if (effect.ending.verdict != calls::Verdict::kWhole) {
+    end.error = StableCodeOf(effect.ending.error);
+  }
+  end.detail = effect.ending.detail;
+  end.retry_after_microseconds = effect.ending.retry_after.count();
+  return wire::Encode(std::move(end));
 }
 
-void HandleForwardEnd(AgentState& state,
-                      uint64_t id,
-                      const Result<void>& outcome) {
-  const auto found = state.forwarded.find(id);
-  ForwardedCall forwarded = std::move(found->second);
-  state.forwarded.erase(found);
-  const std::string& claim = forwarded.call.claim;
-  Ending ending;
-  if (outcome.has_value()) {
-    claims::FinishClaim(state.claims, claim, std::move(forwarded.answer));
-  } else if (outcome.error().code == ErrorCode::kConnectionFailed) {
-    // No byte was sent, so the call did not run. The key is burnt before the
-    // caller hears it: a late duplicate must not run after "not run".
-    claims::RefuseClaim(state.claims, claim);
-    ending = {wire::Verdict::NotRun, ErrorCode::kUnavailable,
-              "the back end takes no connection", kRetryAfter};
-  } else {
-    claims::LoseClaim(state.claims, claim);
-    const bool is_started = forwarded.answer.status != 0;
-    ending = {is_started ? wire::Verdict::Truncated : wire::Verdict::Unknown,
-              is_started ? ErrorCode::kTruncated : ErrorCode::kOutcomeUnknown,
-              Describe(outcome.error()), kRetryAfter};
+void SendTo(const AgentState& state,
+            const calls::Recipient& recipient,
+            const std::string& frame) {
+  const auto caller = state.callers.find(recipient.connection);
+  if (caller == state.callers.end()) {
+    return;
+  }
+  if (const auto connection = caller->second.lock()) {
+    connection->Send(frame);
   }
-  if (const auto connection = forwarded.connection.lock()) {
-    SendEnd(*connection, forwarded.call.call, ending);
+}
+
+void CancelExchange(AgentState& state, uint64_t forward) {
+  const auto found = state.exchanges.find(forward);
+  if (found != state.exchanges.end()) {
+    found->second->Cancel();
+    state.exchanges.erase(found);
   }
 }
 
-http::ClientEvents EventsFor(AgentState& state, uint64_t id) {
+void Perform(AgentState& state, const calls::Effects& effects);
+
+calls::BackEndOutcome OutcomeOf(const Result<void>& outcome) {
+  if (outcome.has_value()) {
+    return calls::BackEndOutcome::kComplete;
+  }
+  return outcome.error().code == ErrorCode::kConnectionFailed
+             ? calls::BackEndOutcome::kNeverSent
+             : calls::BackEndOutcome::kBroken;
+}
+
+calls::BackEndHead ParseHead(const http::ResponseHead& head) {
+  const bool has_no_body = head.status == 204 || head.status == 304;
+  return {.status = static_cast<uint16_t>(head.status),
+          .content_type =
+              std::string(http::FindHeader(head.headers, "content-type")),
+          .is_framed =
+              has_no_body ||
+              !http::FindHeader(head.headers, "content-length").empty() ||
+              !http::FindHeader(head.headers, "transfer-encoding").empty()};
+}
+
+http::ClientEvents EventsFor(AgentState& state, uint64_t forward) {
   http::ClientEvents events;
-  events.on_head = [&state, id](const http::ResponseHead& head) {
-    ForwardedCall& forwarded = state.forwarded.at(id);
-    forwarded.answer.status = static_cast<uint16_t>(head.status);
-    forwarded.answer.content_type =
-        http::FindHeader(head.headers, "content-type");
-    if (const auto connection = forwarded.connection.lock()) {
-      SendHead(*connection, forwarded.call.call, forwarded.answer.status,
-               forwarded.answer.content_type);
-    }
+  events.on_head = [&state, forward](const http::ResponseHead& head) {
+    Perform(state, calls::ReceiveHead(state.calls, forward, ParseHead(head),
+                                      EventLoop::Now()));
   };
-  events.on_bytes = [&state, id](std::string_view bytes) {
-    ForwardedCall& forwarded = state.forwarded.at(id);
-    if (!forwarded.call.claim.empty()) {
-      forwarded.answer.body.append(bytes);
-    }
-    if (const auto connection = forwarded.connection.lock()) {
-      SendChunk(*connection, forwarded.call.call, bytes);
-    }
+  events.on_bytes = [&state, forward](std::string_view bytes) {
+    Perform(state,
+            calls::ReceiveBytes(state.calls, forward, bytes, EventLoop::Now()));
   };
-  events.on_end = [&state, id](const Result<void>& outcome) {
-    HandleForwardEnd(state, id, outcome);
+  events.on_end = [&state, forward](const Result<void>& outcome) {
+    state.exchanges.erase(forward);
+    const std::string detail =
+        outcome.has_error() ? Describe(outcome.error()) : "";
+    Perform(state, calls::ReceiveEnd(state.calls, forward, OutcomeOf(outcome),
+                                     detail));
   };
   return events;
 }
 
-void Forward(AgentState& state,
-             wire::Connection& connection,
-             const wire::CallT& call) {
-  const uint64_t id = ++state.last_forward;
+void Forward(AgentState& state, const wire::CallT& call, uint64_t forward) {
   http::ClientRequest request{
       .target = *state.settings.target,
       .method = call.method,
@@ -130,99 +122,64 @@
                   {"bramleyspan-request", call.request},
                   {"bramleyspan-entry", call.catalogue_entry}},
       .body = call.body,
-      .timeout = kLongestCall,
+      // The deadlines of `calls` end it; this bound is only a last resort.
+      .timeout = 2 * state.calls.settings.longest_run,
       .connection_use = call.claim.empty() ? http::ConnectionUse::kShared
                                            : http::ConnectionUse::kFresh};
-  ForwardedCall forwarded;
-  forwarded.connection = connection.weak_from_this();
-  forwarded.call = call;
-  state.forwarded.emplace(id, std::move(forwarded));
-  auto client_call =
-      state.client.Stream(std::move(request), EventsFor(state, id));
-  const auto found = state.forwarded.find(id);
-  if (found != state.forwarded.end()) {
-    found->second.client_call = std::move(client_call);
-  }
-}
-
-void HandleClaimedCall(AgentState& state,
-                       wire::Connection& connection,
-                       const wire::CallT& call) {
-  const ClaimDecision decision =
-      claims::AdmitClaim(state.claims, call.claim, call.owner,
-                         call.catalogue_entry, EventLoop::Now());
-  switch (decision) {
-    case ClaimDecision::kRun:
-      if (state.is_leaving) {
-        claims::RefuseClaim(state.claims, call.claim);
-        SendEnd(connection, call.call,
-                {wire::Verdict::NotRun, ErrorCode::kLeaving,
-                 "the target is leaving; take a new key", kRetryAfter});
-        return;
-      }
-      Forward(state, connection, call);
-      return;
-    case ClaimDecision::kIsDone:
-      SendStoredAnswer(connection, call.call,
-                       claims::FindClaim(state.claims, call.claim)->answer);
-      return;
-    case ClaimDecision::kIsRunning:
-      SendEnd(
-          connection, call.call,
-          {wire::Verdict::Unknown, ErrorCode::kClaimUnknown,
-           "the call is running; ask again with the same key", kRetryAfter});
-      return;
-    case ClaimDecision::kIsRefused:
-      SendEnd(connection, call.call,
-              {wire::Verdict::NotRun, ErrorCode::kClaimRefused,
-               "the key was refused before; take a new one", kRetryAfter});
-      return;
-    case ClaimDecision::kIsUnknown:
-      SendEnd(connection, call.call,
-              {wire::Verdict::Unknown,
-               ErrorCode::kClaimUnknown,
-               "whether the call ran is not known any more",
-               {}});
-      return;
-    case ClaimDecision::kIsForged:
-      SendEnd(connection, call.call,
-              {wire::Verdict::NotRun,
-               ErrorCode::kForbidden,
-               "the key was not issued to this entry",
-               {}});
-      return;
+  auto exchange =
+      state.client.Stream(std::move(request), EventsFor(state, forward));
+  if (state.calls.forwarded.contains(forward)) {
+    state.exchanges.emplace(forward, std::move(exchange));
+  }
+}
+
+// Does what the decisions ask for; StartForward stands only after a call.
+void Perform(AgentState& state, const calls::Effects& effects) {
+  for (const calls::Effect& effect : effects) {
+    if (const auto* cancel = std::get_if<calls::CancelForward>(&effect)) {
+      CancelExchange(state, cancel->forward);
+    } else if (const auto* head = std::get_if<calls::SendHead>(&effect)) {
+      SendTo(state, head->to, EncodeHead(*head));
+    } else if (const auto* bytes = std::get_if<calls::SendBytes>(&effect)) {
+      SendTo(state, bytes->to, EncodeBytes(*bytes));
+    } else if (const auto* end = std::get_if<calls::SendEnd>(&effect)) {
+      SendTo(state, end->to, EncodeEnd(*end));
+    }
   }
 }
 
-bool needs_claim(const AgentState& state, const std::string& entry_name) {
+calls::CallRequest ParseCall(const AgentState& state,
+                             uint64_t connection,
+                             const wire::CallT& call) {
+  calls::CallRequest request{
+      .from = {connection, call.call},
+      .claim = call.claim,
+      .owner = call.owner,
+      .entry = call.catalogue_entry,
+      .fingerprint = Sha256Hex(call.method + "\n" + call.path + "\n" +
+                               call.content_type + "\n" + call.body),
+      .remaining = Duration(call.remaining_microseconds)};
   const auto& entries = state.feed.current().entries;
-  const auto entry = entries.find(entry_name);
-  return entry != entries.end() &&
-         entry->second.repetition == catalogue::Repetition::kAtMostOnce;
+  const auto entry = entries.find(call.catalogue_entry);
+  if (entry != entries.end()) {
+    request.needs_claim =
+        entry->second.repetition == catalogue::Repetition::kAtMostOnce;
+    request.is_chat = entry->second.kind == catalogue::BackEndKind::kModel;
+  }
+  return request;
 }
 
 void HandleCall(AgentState& state,
-                wire::Connection& connection,
+                const wire::Connection& connection,
                 const wire::CallT& call) {
-  if (!call.claim.empty()) {
-    HandleClaimedCall(state, connection, call);
-    return;
-  }
-  if (needs_claim(state, call.catalogue_entry)) {
-    SendEnd(connection, call.call,
-            {wire::Verdict::NotRun,
-             ErrorCode::kMalformedRequest,
-             "the entry is at-most-once and needs a claim key",
-             {}});
-    return;
-  }
-  if (state.is_leaving) {
-    SendEnd(connection, call.call,
-            {wire::Verdict::NotRun, ErrorCode::kLeaving,
-             "the target is leaving", kRetryAfter});
-    return;
+  const calls::Effects effects = calls::ReceiveCall(
+      state.calls, ParseCall(state, connection.id, call), EventLoop::Now());
+  for (const calls::Effect& effect : effects) {
+    if (const auto* start = std::get_if<calls::StartForward>(&effect)) {
+      Forward(state, call, start->forward);
+    }
   }
-  Forward(state, connection, call);
+  Perform(state, effects);
 }
 
 void HandleProbe(AgentState& state,
@@ -231,9 +188,10 @@
   wire::EstimateT estimate;
   estimate.probe = probe.probe;
   estimate.is_admitting = !state.is_leaving;
-  estimate.in_flight = static_cast<uint32_t>(state.forwarded.size());
+  estimate.in_flight = static_cast<uint32_t>(state.calls.forwarded.size());
   estimate.first_token_microseconds =
-      (kEstimatePerCall * static_cast<int64_t>(state.forwarded.size())).count();
+      (kEstimatePerCall * static_cast<int64_t>(state.calls.forwarded.size()))
+          .count();
   connection.Send(wire::Encode(estimate));
 }
 
@@ -242,50 +200,25 @@
                         const wire::ClaimRequestT& request) {
   wire::ClaimReplyT reply;
   reply.request = request.request;
-  reply.keep_microseconds = claims::RetentionOf(state.claims).count();
+  reply.keep_microseconds = claims::RetentionOf(state.calls.claims).count();
   if (state.is_leaving) {
     reply.error = StableCodeOf(ErrorCode::kLeaving);
   } else {
     for (uint32_t i = 0; i < request.count; ++i) {
       reply.keys.push_back(claims::IssueClaim(
-          state.claims, request.owner, request.catalogue_entry,
+          state.calls.claims, request.owner, request.catalogue_entry,
           RandomHex(kNonceBytes), EventLoop::Now()));
     }
   }
   connection.Send(wire::Encode(std::move(reply)));
 }
 
-void CancelForwarded(AgentState& state, uint64_t id) {
-  const auto found = state.forwarded.find(id);
-  // What may not be repeated is never cancelled half-way: its answer is kept
-  // for the caller who asks again with the same key.
-  if (!found->second.call.claim.empty()) {
-    found->second.connection.reset();
-    return;
-  }
-  if (found->second.client_call != nullptr) {
-    found->second.client_call->Cancel();
-  }
-  state.forwarded.erase(found);
-}
-
-void HandleCancel(AgentState& state,
-                  const wire::Connection& connection,
-                  uint64_t call) {
-  for (const auto& [id, forwarded] : state.forwarded) {
-    const auto owner = forwarded.connection.lock();
-    if (owner.get() == &connection && forwarded.call.call == call) {
-      CancelForwarded(state, id);
-      return;
-    }
-  }
-}
-
 }  // namespace
 
 void HandleEntryFrame(AgentState& state,
                       wire::Connection& connection,
                       const wire::FrameT& frame) {
+  state.callers.try_emplace(connection.id, connection.weak_from_this());
   if (state.feed.HandleFrame(connection, frame)) {
     return;
   }
@@ -294,22 +227,26 @@
   } else if (const auto* call = frame.body.AsCall()) {
     HandleCall(state, connection, *call);
   } else if (const auto* cancel = frame.body.AsCallCancel()) {
-    HandleCancel(state, connection, cancel->call);
+    Perform(state,
+            calls::CancelCall(state.calls, {connection.id, cancel->call}));
   } else if (const auto* request = frame.body.AsClaimRequest()) {
     HandleClaimRequest(state, connection, *request);
   }
 }
 
 void HandleLostEntry(AgentState& state, const wire::Connection& connection) {
-  std::vector<uint64_t> orphans;
-  for (const auto& [id, forwarded] : state.forwarded) {
-    if (forwarded.connection.lock().get() == &connection) {
-      orphans.push_back(id);
-    }
-  }
-  for (const uint64_t id : orphans) {
-    CancelForwarded(state, id);
-  }
+  state.callers.erase(connection.id);
+  Perform(state, calls::LoseConnection(state.calls, connection.id));
+}
+
+void WatchDeadlines(AgentState& state) {
+  Perform(state, calls::CheckDeadlines(state.calls, EventLoop::Now()));
+  state.loop.RunAfter(kDeadlineCheckInterval,
+                      [&state] { WatchDeadlines(state); });
+}
+
+void CutAllCalls(AgentState& state) {
+  Perform(state, calls::CutAll(state.calls));
 }
 
 }  // namespace bramleyspan::agent
--- a/Services/bramleyspand/Answers.cc
+++ b/Services/bramleyspand/Answers.cc
@@ -17,6 +17,8 @@
     case ErrorCode::kClaimRefused:
     case ErrorCode::kClaimUnknown:
       return 409;
+    case ErrorCode::kAnswerGone:
+      return 410;
     case ErrorCode::kTooLarge:
       return 413;
     case ErrorCode::kLimitExceeded:
--- a/Services/bramleyspand/Entry/CallerApi.cc
+++ b/Services/bramleyspand/Entry/CallerApi.cc
@@ -45,9 +45,13 @@
   const bool is_at_most_once =
       entry.repetition == catalogue::Repetition::kAtMostOnce;
   if (is_at_most_once != !claim.empty()) {
+    // A key of the caller's own choice names no agent that could remember it:
+    // two entries would send it to two agents, and the call would run twice.
     Refuse(exchange, ErrorCode::kMalformedRequest, entry.name,
-           is_at_most_once ? "needs a key in the header Bramleyspan-Claim"
-                           : "takes no claim key: it is repeatable");
+           is_at_most_once
+               ? "needs a key in the header Bramleyspan-Claim; take one by "
+                 "POST /v1/claims (an Idempotency-Key does not stand for it)"
+               : "takes no claim key: it is repeatable");
     return;
   }
   const uint64_t id = OpenNewCall(state, entry, request, exchange);
--- a/Services/bramleyspand/Entry/Calls.cc
+++ b/Services/bramleyspand/Entry/Calls.cc
@@ -1,4 +1,8 @@
 #include "Services/bramleyspand/Entry/Calls.h"
+
+#include <algorithm>
+#include <utility>
+
 #include "Kernel/Digest.h"
 #include "LibClaims/Claims.h"
 #include "LibTelemetry/Log.h"
@@ -8,49 +12,163 @@
 namespace {
 
 constexpr size_t kRequestIdBytes = 8;
+constexpr Duration kWatchInterval = std::chrono::milliseconds(20);
+// The agent tells of a missed deadline itself; the entry does only if the
+// agent keeps silent as well.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(200);
+constexpr Duration kLongestSilence = std::chrono::seconds(70);
 
-void HandleCallEnd(EntryState& state, const wire::CallEndT& end) {
-  const auto found = state.calls.find(end.call);
-  if (found == state.calls.end()) {
-    return;
+calls::Verdict FromWire(wire::Verdict verdict) {
+  switch (verdict) {
+    case wire::Verdict::Whole:
+      return calls::Verdict::kWhole;
+    case wire::Verdict::NotRun:
+      return calls::Verdict::kNotRun;
+    case wire::Verdict::Unknown:
+      return calls::Verdict::kUnknown;
+    case wire::Verdict::Truncated:
+      return calls::Verdict::kTruncated;
   }
-  const OpenCall open = std::move(found->second);
-  state.calls.erase(found);
-  const bool is_whole = end.verdict == wire::Verdict::Whole;
+  return calls::Verdict::kUnknown;
+}
+
+// The call that an agent's frame belongs to, if it is still with that agent.
+OpenCall* FindAttempt(EntryState& state, uint64_t attempt) {
+  const auto found = state.call_of_attempt.find(attempt);
+  return found == state.call_of_attempt.end() ? nullptr
+                                              : &state.calls.at(found->second);
+}
+
+void LogEnd(const OpenCall& open, const calls::Ending& ending) {
+  const bool is_whole = ending.verdict == calls::Verdict::kWhole;
   telemetry::Log(
       is_whole ? telemetry::LogLevel::kInfo : telemetry::LogLevel::kWarning,
       "calls", "call_ended",
       {{"request", open.call.request},
        {"catalogue_entry", open.call.catalogue_entry},
        {"target", open.target},
-       {"verdict", wire::EnumNameVerdict(end.verdict)},
-       {"error", end.error}});
-  if (open.has_head) {
-    // A break after the head must show as a truncated answer, never as whole.
-    is_whole ? open.exchange->Finish() : open.exchange->Abort();
+       {"attempts", std::to_string(open.attempt.attempts)},
+       {"error", std::string(is_whole ? "" : StableCodeOf(ending.error))},
+       {"detail", ending.detail}});
+}
+
+http::Response ToResponse(const OpenCall& open, const calls::Ending& ending) {
+  const auto verdict = calls::VerdictOverAll(open.attempt, ending.verdict);
+  std::optional<Duration> retry_after;
+  if (ending.retry_after > Duration(0)) {
+    retry_after = ending.retry_after;
+  }
+  return bramleyspan::ToResponse(
+      {.error = {ending.error, open.call.catalogue_entry, ending.detail},
+       .run = verdict == calls::Verdict::kNotRun ? RunState::kNotRun
+                                                 : RunState::kUnknown,
+       .retry_after = retry_after});
+}
+
+void CancelAtAgent(const EntryState& state, const OpenCall& open) {
+  const auto link = state.links.find(open.target);
+  if (link == state.links.end()) {
     return;
   }
-  std::optional<Duration> retry_after;
-  if (end.retry_after_microseconds > 0) {
-    retry_after = Duration(end.retry_after_microseconds);
+  wire::CallCancelT cancel;
+  cancel.call = open.call.call;
+  link->second.connection->Send(wire::Encode(cancel));
+}
+
+void CloseCall(EntryState& state, uint64_t id) {
+  state.call_of_attempt.erase(state.calls.at(id).call.call);
+  state.calls.erase(id);
+}
+
+void Retry(EntryState& state, uint64_t id) {
+  OpenCall& open = state.calls.at(id);
+  open.tried.insert(std::exchange(open.target, {}));
+  const auto& entries = state.feed.current().entries;
+  const auto entry = entries.find(open.call.catalogue_entry);
+  if (entry == entries.end()) {
+    RefuseCall(state, id, ErrorCode::kForbidden, "the entry was removed");
+    return;
   }
-  open.exchange->Respond(ToResponse(
-      {.error = {ErrorCodeFromStableCode(end.error), open.call.catalogue_entry,
-                 end.detail},
-       .run = end.verdict == wire::Verdict::NotRun ? RunState::kNotRun
-                                                   : RunState::kUnknown,
-       .retry_after = retry_after}));
+  RouteByProbes(state, entry->second, id);
+}
+
+void EndAttempt(EntryState& state, uint64_t id, const calls::Ending& ending) {
+  OpenCall& open = state.calls.at(id);
+  state.call_of_attempt.erase(open.call.call);
+  open.attempt.remaining = open.first_byte_by - EventLoop::Now();
+  const auto next = calls::DecideNextStep(state.retry_policy, open.attempt,
+                                          ending, state.take_retry);
+  LogEnd(open, ending);
+  switch (next) {
+    case calls::NextStep::kRetry:
+      open.attempt.may_have_run |= ending.verdict != calls::Verdict::kNotRun;
+      Retry(state, id);
+      return;
+    case calls::NextStep::kFinish:
+      open.exchange->Finish();
+      break;
+    case calls::NextStep::kBreakOff:
+      open.exchange->Abort();
+      break;
+    case calls::NextStep::kRefuse:
+      open.exchange->Respond(ToResponse(open, ending));
+      break;
+  }
+  CloseCall(state, id);
+}
+
+void HandleCallEnd(EntryState& state, const wire::CallEndT& end) {
+  const auto found = state.call_of_attempt.find(end.call);
+  if (found == state.call_of_attempt.end()) {
+    return;
+  }
+  EndAttempt(state, found->second,
+             {.verdict = FromWire(end.verdict),
+              .error = ErrorCodeFromStableCode(end.error),
+              .detail = end.detail,
+              .retry_after = Duration(end.retry_after_microseconds)});
 }
 
 void HandleCallHead(EntryState& state, const wire::CallHeadT& head) {
-  const auto found = state.calls.find(head.call);
-  if (found == state.calls.end()) {
+  OpenCall* open = FindAttempt(state, head.call);
+  if (open == nullptr) {
     return;
   }
-  found->second.has_head = true;
-  found->second.exchange->StartStream(
-      head.status, {{"content-type", head.content_type},
-                    {"bramleyspan-request", found->second.call.request}});
+  open->attempt.has_head = true;
+  open->last_heard = EventLoop::Now();
+  open->exchange->StartStream(head.status,
+                              {{"content-type", head.content_type},
+                               {"bramleyspan-request", open->call.request}});
+}
+
+void HandleCallChunk(EntryState& state, const wire::CallChunkT& chunk) {
+  OpenCall* open = FindAttempt(state, chunk.call);
+  if (open == nullptr) {
+    return;
+  }
+  open->last_heard = EventLoop::Now();
+  open->exchange->Write(chunk.bytes);
+}
+
+bool is_overdue(const OpenCall& open, TimePoint now) {
+  return open.attempt.has_head ? open.last_heard + kLongestSilence <= now
+                               : open.first_byte_by + kDeadlineGrace <= now;
+}
+
+// The agent is frozen or cut off without a sign: the caller must not wait with
+// it. What an agent that wakes sends later belongs to no attempt any more.
+void GiveUp(EntryState& state, uint64_t id) {
+  const OpenCall& open = state.calls.at(id);
+  if (!open.target.empty()) {
+    CancelAtAgent(state, open);
+  }
+  EndAttempt(state, id,
+             {.verdict = calls::Verdict::kUnknown,
+              .error = ErrorCode::kTimeout,
+              .detail = open.attempt.is_repeatable
+                            ? "no answer in time"
+                            : "no answer in time; ask again with the same key",
+              .retry_after = kRetryAfter});
 }
 
 }  // namespace
@@ -60,34 +178,37 @@
             const std::string& subject,
             const std::string& detail,
             std::optional<Duration> retry_after) {
-  exchange->Respond(ToResponse({.error = {code, subject, detail},
-                                .run = RunState::kNotRun,
-                                .retry_after = retry_after}));
+  exchange->Respond(bramleyspan::ToResponse({.error = {code, subject, detail},
+                                             .run = RunState::kNotRun,
+                                             .retry_after = retry_after}));
 }
 
-// Ends a call that was not sent to any agent.
 void RefuseCall(EntryState& state,
                 uint64_t id,
                 ErrorCode code,
                 const std::string& detail) {
-  const auto found = state.calls.find(id);
-  Refuse(found->second.exchange, code, found->second.call.catalogue_entry,
-         detail, kRetryAfter);
-  state.calls.erase(found);
+  const OpenCall& open = state.calls.at(id);
+  open.exchange->Respond(
+      ToResponse(open, {calls::Verdict::kNotRun, code, detail, kRetryAfter}));
+  CloseCall(state, id);
 }
 
 void SendCall(EntryState& state, uint64_t id, const std::string& target) {
   OpenCall& open = state.calls.at(id);
-  const Link* link = FindUsableLink(state.links, target);
-  if (link == nullptr) {
+  const auto link = state.links.find(target);
+  if (link == state.links.end() || !link->second.connection->is_open()) {
     RefuseCall(state, id, ErrorCode::kUnavailable, "the target has left");
     return;
   }
   open.target = target;
-  link->connection->Send(wire::Encode(open.call));
+  ++open.attempt.attempts;
+  open.call.call = ++state.last_id;
+  const Duration remaining = open.first_byte_by - EventLoop::Now();
+  open.call.remaining_microseconds = std::max(remaining, Duration(0)).count();
+  state.call_of_attempt.emplace(open.call.call, id);
+  link->second.connection->Send(wire::Encode(open.call));
 }
 
-// Registers a call and the cancellation that follows if its caller leaves.
 uint64_t OpenNewCall(EntryState& state,
                      const catalogue::Entry& entry,
                      const http::Request& request,
@@ -96,12 +217,13 @@
   OpenCall open;
   open.exchange = exchange;
   open.deadline = entry.deadline;
-  open.call.call = id;
+  open.first_byte_by = EventLoop::Now() + entry.deadline;
+  open.attempt.is_repeatable =
+      entry.repetition == catalogue::Repetition::kRepeatable;
   open.call.request = RandomHex(kRequestIdBytes);
   open.call.catalogue_entry = entry.name;
   open.call.owner = entry.owner;
   open.call.service_class = static_cast<uint8_t>(entry.service_class);
-  open.call.remaining_microseconds = Duration(entry.deadline).count();
   open.call.method = request.method;
   open.call.path = request.path;
   open.call.content_type = http::FindHeader(request.headers, "content-type");
@@ -111,19 +233,15 @@
     if (found == state.calls.end()) {
       return;
     }
-    const auto link = state.links.find(found->second.target);
-    if (link != state.links.end()) {
-      wire::CallCancelT cancel;
-      cancel.call = id;
-      link->second.connection->Send(wire::Encode(cancel));
-    }
-    state.calls.erase(found);
+    CancelAtAgent(state, found->second);
+    CloseCall(state, id);
   });
   state.calls.emplace(id, std::move(open));
   return id;
 }
 
-// A call with a claim key goes to the one agent that the key names.
+// An agent that is leaving still knows what became of its keys, and only it
+// may say that a call did not run.
 void RouteByClaim(EntryState& state, const std::string& claim, uint64_t id) {
   const auto key = claims::ParseClaimKey(claim);
   if (key.has_error()) {
@@ -131,21 +249,18 @@
     return;
   }
   OpenCall& open = state.calls.at(id);
-  const Link* link = FindUsableLink(state.links, key.value().agent);
-  if (link != nullptr) {
+  const auto link = state.links.find(key.value().agent);
+  if (link != state.links.end() && link->second.connection->is_open()) {
     open.call.claim = claim;
     SendCall(state, id, key.value().agent);
     return;
   }
   // Another attempt with this key may have reached the agent by another
   // entry, so that "not run" would be a guess.
-  open.exchange->Respond(ToResponse(
-      {.error = {ErrorCode::kOutcomeUnknown, open.call.catalogue_entry,
-                 "the agent that owns the claim is not reachable; "
-                 "ask again with the same key"},
-       .run = RunState::kUnknown,
-       .retry_after = kRetryAfter}));
-  state.calls.erase(id);
+  open.attempt.may_have_run = true;
+  RefuseCall(state, id, ErrorCode::kOutcomeUnknown,
+             "the agent that owns the claim is not reachable; "
+             "ask again with the same key");
 }
 
 void HandleAgentFrame(EntryState& state, const wire::FrameT& frame) {
@@ -154,10 +269,7 @@
   } else if (const auto* head = frame.body.AsCallHead()) {
     HandleCallHead(state, *head);
   } else if (const auto* chunk = frame.body.AsCallChunk()) {
-    const auto found = state.calls.find(chunk->call);
-    if (found != state.calls.end()) {
-      found->second.exchange->Write(chunk->bytes);
-    }
+    HandleCallChunk(state, *chunk);
   } else if (const auto* end = frame.body.AsCallEnd()) {
     HandleCallEnd(state, *end);
   } else if (const auto* reply = frame.body.AsClaimReply()) {
@@ -173,23 +285,27 @@
     }
   }
   for (const uint64_t id : lost) {
-    wire::CallEndT end;
-    end.call = id;
-    end.verdict = state.calls.at(id).has_head ? wire::Verdict::Truncated
-                                              : wire::Verdict::Unknown;
-    end.error = StableCodeOf(ErrorCode::kOutcomeUnknown);
-    end.detail = "the connection to the agent broke";
-    end.retry_after_microseconds = kRetryAfter.count();
-    HandleCallEnd(state, end);
-  }
-  std::erase_if(state.claim_requests, [&](const auto& item) {
-    if (item.second.target != target) {
-      return false;
+    EndAttempt(state, id,
+               {.verdict = calls::Verdict::kUnknown,
+                .error = ErrorCode::kOutcomeUnknown,
+                .detail = "the connection to the agent broke",
+                .retry_after = kRetryAfter});
+  }
+  HandleLostClaimAgent(state, target);
+}
+
+void WatchCalls(EntryState& state) {
+  const TimePoint now = EventLoop::Now();
+  std::vector<uint64_t> overdue;
+  for (const auto& [id, open] : state.calls) {
+    if (is_overdue(open, now)) {
+      overdue.push_back(id);
     }
-    Refuse(item.second.exchange, ErrorCode::kUnavailable, "claims",
-           "the agent is gone", kRetryAfter);
-    return true;
-  });
+  }
+  for (const uint64_t id : overdue) {
+    GiveUp(state, id);
+  }
+  state.loop.RunAfter(kWatchInterval, [&state] { WatchCalls(state); });
 }
 
 }  // namespace bramleyspan::entry
--- a/Services/bramleyspand/Entry/Calls.h
+++ b/Services/bramleyspand/Entry/Calls.h
@@ -36,7 +36,8 @@
 // Sends an open call to a target's agent (Calls.cc).
 void SendCall(EntryState& state, uint64_t id, const std::string& target);
 
-// Ends an open call that was not sent to any agent (Calls.cc).
+// Ends an open call that is with no agent: "not run", unless an earlier attempt
+// may have run (Calls.cc).
 void RefuseCall(EntryState& state,
                 uint64_t id,
                 ErrorCode code,
@@ -61,6 +62,9 @@
                   const ExchangePointer& exchange);
 void HandleClaimReply(EntryState& state, const wire::ClaimReplyT& reply);
 
+// Asks another agent for the keys that a lost one was to issue (Claims.cc).
+void HandleLostClaimAgent(EntryState& state, const std::string& target);
+
 // Names the entries that a caller may use (Addresses.cc).
 void HandleAddresses(const EntryState& state, const ExchangePointer& exchange);
 
--- a/Services/bramleyspand/Entry/Claims.cc
+++ b/Services/bramleyspand/Entry/Claims.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "Kernel/Digest.h"
 #include "Services/bramleyspand/Entry/Calls.h"
@@ -11,6 +12,52 @@
 using nlohmann::json;
 
 constexpr uint32_t kMostKeys = 64;
+// Agents that a request for keys is shown to before it is refused.
+constexpr size_t kMostAgents = 3;
+constexpr Duration kAgentTimeout = std::chrono::milliseconds(500);
+
+uint32_t ParseCount(const std::string& body) {
+  const json document = json::parse(body, nullptr, false);
+  if (!document.is_object() || !document.contains("count") ||
+      !document["count"].is_number_unsigned()) {
+    return 1;
+  }
+  return static_cast<uint32_t>(
+      std::min<uint64_t>(document["count"].get<uint64_t>(), kMostKeys));
+}
+
+// Takes the request out of those that are open; what its agent still sends
+// finds nothing, and keys that nobody holds never run.
+OpenClaimRequest Take(EntryState& state, uint64_t request) {
+  const auto found = state.claim_requests.find(request);
+  OpenClaimRequest open = std::move(found->second);
+  state.claim_requests.erase(found);
+  state.loop.Cancel(open.timer);
+  return open;
+}
+
+// Keys can be asked for again, so a frozen, dead or leaving agent costs its
+// callers no more than the time to ask the next.
+void AskNextAgent(EntryState& state, OpenClaimRequest open) {
+  while (!open.candidates.empty()) {
+    open.target = open.candidates.back();
+    open.candidates.pop_back();
+    const Link* link = FindUsableLink(state.links, open.target);
+    if (link == nullptr) {
+      continue;
+    }
+    const uint64_t request = ++state.last_id;
+    open.frame.request = request;
+    open.timer = state.loop.RunAfter(kAgentTimeout, [&state, request] {
+      AskNextAgent(state, Take(state, request));
+    });
+    link->connection->Send(wire::Encode(open.frame));
+    state.claim_requests.emplace(request, std::move(open));
+    return;
+  }
+  Refuse(open.exchange, ErrorCode::kUnavailable, open.frame.catalogue_entry,
+         "no target issues keys now", kRetryAfter);
+}
 
 }  // namespace
 
@@ -22,46 +69,43 @@
     exchange->Respond(ToResponse({.error = entry.error()}));
     return;
   }
-  const auto candidates = routing::PickCandidates(
-      FindCandidates(state, *entry.value()), 1, RandomBits());
-  if (candidates.empty()) {
-    Refuse(exchange, ErrorCode::kUnavailable, entry.value()->name,
-           "no target is reachable", kRetryAfter);
-    return;
-  }
-  const json document = json::parse(request.body, nullptr, false);
-  uint32_t count = 1;
-  if (document.is_object() && document.contains("count") &&
-      document["count"].is_number_unsigned()) {
-    count = std::min(document["count"].get<uint32_t>(), kMostKeys);
+  OpenClaimRequest open;
+  open.exchange = exchange;
+  open.frame.owner = entry.value()->owner;
+  open.frame.catalogue_entry = entry.value()->name;
+  open.frame.count = ParseCount(request.body);
+  for (const routing::Candidate& candidate : routing::PickCandidates(
+           FindCandidates(state, *entry.value()), kMostAgents, RandomBits())) {
+    open.candidates.push_back(candidate.target);
   }
-  wire::ClaimRequestT frame;
-  frame.request = ++state.last_id;
-  frame.owner = entry.value()->owner;
-  frame.catalogue_entry = entry.value()->name;
-  frame.count = count;
-  const std::string& target = candidates.front().target;
-  state.claim_requests.emplace(frame.request,
-                               OpenClaimRequest{exchange, target});
-  state.links.at(target).connection->Send(wire::Encode(std::move(frame)));
+  AskNextAgent(state, std::move(open));
 }
 
 void HandleClaimReply(EntryState& state, const wire::ClaimReplyT& reply) {
-  const auto found = state.claim_requests.find(reply.request);
-  if (found == state.claim_requests.end()) {
+  if (!state.claim_requests.contains(reply.request)) {
     return;
   }
-  const ExchangePointer exchange = found->second.exchange;
-  state.claim_requests.erase(found);
+  OpenClaimRequest open = Take(state, reply.request);
   if (!reply.error.empty()) {
-    Refuse(exchange, ErrorCodeFromStableCode(reply.error), "claims",
-           "the agent issues no keys now", kRetryAfter);
+    AskNextAgent(state, std::move(open));
     return;
   }
   const auto keep = std::chrono::duration_cast<std::chrono::seconds>(
       Duration(reply.keep_microseconds));
-  exchange->Respond(JsonResponse(
+  open.exchange->Respond(JsonResponse(
       200, {{"keys", reply.keys}, {"keep_seconds", keep.count()}}));
 }
 
+void HandleLostClaimAgent(EntryState& state, const std::string& target) {
+  std::vector<uint64_t> lost;
+  for (const auto& [request, open] : state.claim_requests) {
+    if (open.target == target) {
+      lost.push_back(request);
+    }
+  }
+  for (const uint64_t request : lost) {
+    AskNextAgent(state, Take(state, request));
+  }
+}
+
 }  // namespace bramleyspan::entry
--- a/Services/bramleyspand/Entry/EntryRole.cc
+++ b/Services/bramleyspand/Entry/EntryRole.cc
@@ -28,6 +28,7 @@
         [this](h2o_socket_t* socket) { AcceptLink(this->state, socket); }));
     StartCatalogueSource(this->state);
     StartLinks(this->state);
+    WatchCalls(this->state);
     return Succeed();
   }
 
--- a/Services/bramleyspand/Entry/EntryState.h
+++ b/Services/bramleyspand/Entry/EntryState.h
@@ -4,9 +4,11 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "LibCalls/Retry.h"
 #include "LibHTTP/Client.h"
 #include "LibHTTP/Server.h"
 #include "LibPlatform/KeyValueClient.h"
@@ -24,9 +26,13 @@
   std::shared_ptr<http::Exchange> exchange;
   wire::CallT call;
   Duration deadline{};
-  // The VM whose agent has the call; empty before it is sent.
+  // The VM whose agent has the call; empty while it is with none.
   std::string target;
-  bool has_head = false;
+  // The VMs whose agents had the call before.
+  std::set<std::string> tried;
+  calls::Attempt attempt{.attempts = 0};
+  TimePoint first_byte_by;
+  TimePoint last_heard;
 };
 
 // A probe round whose answers are still coming in.
@@ -41,6 +47,10 @@
 struct OpenClaimRequest {
   std::shared_ptr<http::Exchange> exchange;
   std::string target;
+  wire::ClaimRequestT frame;
+  // The VMs whose agents are asked next, the last one first.
+  std::vector<std::string> candidates;
+  TimerId timer = 0;
 };
 
 struct EntryState {
@@ -58,6 +68,12 @@
   std::vector<platform::Vm> vms;
   LinkMap links;
   std::map<uint64_t, OpenCall> calls;
+  // The call of each attempt that an agent has. An attempt's id is never used
+  // again, so that a late frame of one that was given up finds nothing.
+  std::map<uint64_t, uint64_t> call_of_attempt;
+  calls::RetryPolicy retry_policy;
+  // FIXME: The budget of LibLimits is to be wired here.
+  calls::TakeRetry take_retry = [] { return true; };
   std::map<uint64_t, ProbeRound> rounds;
   std::map<uint64_t, uint64_t> round_of_probe;
   std::map<uint64_t, OpenClaimRequest> claim_requests;
@@ -85,6 +101,8 @@
                          const std::shared_ptr<http::Exchange>& exchange);
 void HandleAgentFrame(EntryState& state, const wire::FrameT& frame);
 void HandleLostAgent(EntryState& state, const std::string& target);
+// Ends calls that have waited too long, for ever.
+void WatchCalls(EntryState& state);
 
 // Operators (OperatorApi.cc).
 void HandleOperatorRequest(EntryState& state,
--- a/Services/bramleyspand/Entry/OperatorApi.cc
+++ b/Services/bramleyspand/Entry/OperatorApi.cc
@@ -147,7 +147,7 @@
     calls.push_back({{"request", call.call.request},
                      {"catalogue_entry", call.call.catalogue_entry},
                      {"target", call.target},
-                     {"has_head", call.has_head}});
+                     {"has_head", call.attempt.has_head}});
   }
   json vms = json::array();
   for (const platform::Vm& vm : state.vms) {
--- a/Services/bramleyspand/Entry/Probing.cc
+++ b/Services/bramleyspand/Entry/Probing.cc
@@ -76,6 +76,10 @@
                    const catalogue::Entry& entry,
                    uint64_t id) {
   auto candidates = FindCandidates(state, entry);
+  const auto& tried = state.calls.at(id).tried;
+  std::erase_if(candidates, [&tried](const routing::Candidate& candidate) {
+    return tried.contains(candidate.target);
+  });
   if (candidates.empty()) {
     RefuseCall(state, id, ErrorCode::kUnavailable, "no group is reachable");
     return;
