--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -58,7 +58,11 @@
     return this->pending.size() + this->in_flight.size();
   }
 
+  // Distinguishes this connection from every other that this process had.
+  const uint64_t id = NextId();
+
  private:
+  static uint64_t NextId();
   void StartReading();
   void HandleInput();
   void Flush();
