--- a/Services/bramleyspand/Entry/CallerApi.cc
+++ b/Services/bramleyspand/Entry/CallerApi.cc
@@ -4,6 +4,7 @@
 
 namespace {
 
+constexpr size_t kLargestCallerBody = 1 << 20;
 constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::string_view kServicePrefix = "/v1/services/";
 
@@ -68,6 +69,11 @@
 void HandleCallerRequest(EntryState& state,
                          const http::Request& request,
                          const ExchangePointer& exchange) {
+  if (request.body.size() > kLargestCallerBody) {
+    Refuse(exchange, ErrorCode::kTooLarge, request.path,
+           "a request's body may have up to a mebibyte");
+    return;
+  }
   if (request.path == "/v1/addresses") {
     HandleAddresses(state, exchange);
   } else if (request.path == "/v1/claims" && request.method == "POST") {
--- a/Services/bramleyspand/Entry/EntryRole.cc
+++ b/Services/bramleyspand/Entry/EntryRole.cc
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr size_t kLargestOperatorBody = 8 << 20;
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
 
 class EntryRole : public Role {
@@ -18,8 +19,10 @@
 
   Result<void> Start() {
     const Settings& settings = this->state.settings;
+    // An operator sends a whole catalogue: 1,500 owners take over a megabyte.
+    const http::ServerLimits limits{.largest_body = kLargestOperatorBody};
     this->server = TRY(http::Server::Listen(
-        this->state.loop, {settings.ip, settings.caller_port}, {},
+        this->state.loop, {settings.ip, settings.caller_port}, limits,
         [this](const http::Request& request,
                const std::shared_ptr<http::Exchange>& exchange) {
           this->HandleRequest(request, exchange);
