Services: Bound planned stops and hold them until nothing is in flight

An agent that stopped left while the end of its last answer was still queued for an entry, and a call that an entry had just sent met a closed connection: "unknown" for a call that surely had not run. The agent now stays for two seconds to refuse such calls itself, waits for its last bytes, and begins to refuse when the VM list says that its VM leaves. An entry tells kept connections to close while it can still serve them.

--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -320,9 +320,13 @@
   static_cast<void>(this->internals.release());
 }
 
+void Server::CloseKeptConnections() {
+  h2o_context_request_shutdown(&this->internals->context);
+}
+
 void Server::Drain() {
   this->internals->listener = nullptr;
-  h2o_context_request_shutdown(&this->internals->context);
+  this->CloseKeptConnections();
 }
 
 uint16_t Server::port() const {
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -92,6 +92,9 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
+  // Closes each kept connection after its next answer; still takes new ones.
+  void CloseKeptConnections();
+
   // Takes no new connection and closes each kept one after its answer.
   void Drain();
 
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -72,7 +72,11 @@
 }
 
 start_engine() { spawn "engine-$1" "$BIN/StandInModelEngine" --address="$NET.2.$1:8000"; }
-start_service() { spawn "service-$1" "$BIN/StandInPlainService" --address="$NET.2.$1:8000"; }
+# SERVICE_FLAGS holds further flags of the plain service.
+start_service() {
+  # shellcheck disable=SC2086
+  spawn "service-$1" "$BIN/StandInPlainService" --address="$NET.2.$1:8000" ${SERVICE_FLAGS:-}
+}
 
 start_fleet() {
   start_platform
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -1,7 +1,9 @@
+#include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
 
 #include "Kernel/Digest.h"
+#include "LibPlatform/VmList.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Agent/AgentState.h"
 #include "Services/bramleyspand/Answers.h"
@@ -11,7 +13,16 @@
 
 namespace {
 
+using telemetry::Log;
+using telemetry::LogLevel;
+
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
+// A call may be on its way from an entry that has not heard of the stop: the
+// agent stays this long to say "not run" itself.
+constexpr Duration kLeaveNotice = std::chrono::seconds(2);
+// How long the last answers may take to reach the entries.
+constexpr Duration kLongestFlush = std::chrono::seconds(2);
+constexpr Duration kVmListInterval = std::chrono::seconds(2);
 constexpr Duration kEpochCheckInterval = std::chrono::seconds(10);
 constexpr size_t kSecretBytes = 32;
 
@@ -28,6 +39,18 @@
           {"kept_answer_bytes", state.calls.claims.answer_bytes}};
 }
 
+void SendLeaving(wire::Connection& connection, const std::string& reason) {
+  wire::LeavingT leaving;
+  leaving.reason = reason;
+  connection.Send(wire::Encode(std::move(leaving)));
+}
+
+bool is_leaving(const std::vector<platform::Vm>& vms, const std::string& name) {
+  return std::any_of(vms.begin(), vms.end(), [&name](const platform::Vm& vm) {
+    return vm.name == name && vm.state == platform::VmState::kLeaving;
+  });
+}
+
 class AgentRole : public Role {
  public:
   AgentRole(EventLoop& loop, const Settings& settings)
@@ -52,19 +75,19 @@
     this->state.feed.on_in_force = [this] { this->TellRevision(); };
     this->ForgetEpochsForever();
     WatchDeadlines(this->state);
+    this->WatchVmList();
     return Succeed();
   }
 
   void StartDrain() override {
-    if (std::exchange(this->state.is_leaving, true)) {
+    if (std::exchange(this->is_draining, true)) {
       return;
     }
-    this->state.calls.is_leaving = true;
-    for (const auto& connection : this->state.connections) {
-      wire::LeavingT leaving;
-      leaving.reason = "planned stop";
-      connection->Send(wire::Encode(std::move(leaving)));
-    }
+    this->StartLeaving("planned stop");
+    const TimePoint now = EventLoop::Now();
+    this->notice_ends = now + kLeaveNotice;
+    this->idle_since = now;
+    this->drain_ends = now + this->state.settings.drain_bound;
     this->StopWhenIdle();
   }
 
@@ -87,9 +110,42 @@
     hello.incarnation = this->state.calls.claims.incarnation;
     hello.revision = this->state.feed.revision();
     connection->Send(wire::Encode(std::move(hello)));
+    if (this->state.is_leaving) {
+      SendLeaving(*connection, "planned stop");
+    }
     this->state.connections.insert(std::move(connection));
   }
 
+  // From now on the agent refuses new work itself, so that it does not matter
+  // who has heard of it.
+  void StartLeaving(const std::string& reason) {
+    if (std::exchange(this->state.is_leaving, true)) {
+      return;
+    }
+    this->state.calls.is_leaving = true;
+    Log(LogLevel::kInfo, "drain", "drain_started",
+        {{"reason", reason},
+         {"in_flight", std::to_string(this->state.calls.forwarded.size())}});
+    for (const auto& connection : this->state.connections) {
+      SendLeaving(*connection, reason);
+    }
+  }
+
+  // The platform may announce that the VM leaves before it stops the process.
+  void WatchVmList() {
+    platform::FetchVmList(
+        this->state.client, this->state.settings.vm_list,
+        [this](const Result<std::vector<platform::Vm>>& vms) {
+          if (vms.has_value() &&
+              is_leaving(vms.value(), this->state.settings.name)) {
+            this->StartLeaving("the VM list says so");
+            return;
+          }
+          this->state.loop.RunAfter(kVmListInterval,
+                                    [this] { this->WatchVmList(); });
+        });
+  }
+
   void TellRevision() {
     for (const auto& connection : this->state.connections) {
       wire::InForceT in_force;
@@ -122,7 +178,11 @@
   }
 
   void StopWhenIdle() {
-    if (this->state.calls.forwarded.empty()) {
+    const TimePoint now = EventLoop::Now();
+    if (!this->state.calls.forwarded.empty()) {
+      this->idle_since = now;
+      this->CutAtBound(now);
+    } else if (now >= this->notice_ends && this->is_flushed(now)) {
       this->state.loop.Stop();
       return;
     }
@@ -130,7 +190,34 @@
                               [this] { this->StopWhenIdle(); });
   }
 
+  void CutAtBound(TimePoint now) {
+    if (now < this->drain_ends) {
+      return;
+    }
+    Log(LogLevel::kWarning, "drain", "drain_bound_reached",
+        {{"cut", std::to_string(this->state.calls.forwarded.size())}});
+    CutAllCalls(this->state);
+  }
+
+  // The end of the last answer may still wait for a slow entry; stopping now
+  // would cut off an answer that the back end has finished.
+  bool is_flushed(TimePoint now) const {
+    return this->unsent_bytes() == 0 || now >= this->idle_since + kLongestFlush;
+  }
+
+  size_t unsent_bytes() const {
+    size_t bytes = 0;
+    for (const auto& connection : this->state.connections) {
+      bytes += connection->pending_bytes();
+    }
+    return bytes;
+  }
+
   AgentState state;
+  bool is_draining = false;
+  TimePoint notice_ends;
+  TimePoint idle_since;
+  TimePoint drain_ends;
   std::unique_ptr<http::Server> server;
   std::unique_ptr<Listener> listener;
 };
--- a/Services/bramleyspand/Entry/EntryRole.cc
+++ b/Services/bramleyspand/Entry/EntryRole.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+using telemetry::Log;
+using telemetry::LogLevel;
+
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
 
 class EntryRole : public Role {
@@ -36,7 +39,14 @@
     if (std::exchange(this->state.is_leaving, true)) {
       return;
     }
+    Log(LogLevel::kInfo, "drain", "drain_started",
+        {{"in_flight", std::to_string(this->server->open_exchanges())}});
     AnnounceLeaving(this->state);
+    // A caller that sends its next request on a kept connection just as this
+    // process exits gets no answer. So each is told with its next answer to
+    // connect anew, while there is time to do so.
+    this->server->CloseKeptConnections();
+    this->drain_ends = EventLoop::Now() + this->state.settings.drain_bound;
     // Callers keep the addresses that they were told for a while and may still
     // connect here: serve on until all kept answers have run out.
     this->state.loop.RunAfter(kAddressLifetime, [this] {
@@ -62,7 +72,14 @@
   }
 
   void StopWhenIdle() {
-    if (this->server->open_exchanges() == 0) {
+    const size_t in_flight = this->server->open_exchanges();
+    if (in_flight == 0) {
+      this->state.loop.Stop();
+      return;
+    }
+    if (EventLoop::Now() >= this->drain_ends) {
+      Log(LogLevel::kWarning, "drain", "drain_bound_reached",
+          {{"cut", std::to_string(in_flight)}});
       this->state.loop.Stop();
       return;
     }
@@ -71,6 +88,7 @@
   }
 
   EntryState state;
+  TimePoint drain_ends;
   std::unique_ptr<http::Server> server;
   std::unique_ptr<Listener> listener;
 };
--- a/Services/bramleyspand/Main.cc
+++ b/Services/bramleyspand/Main.cc
@@ -30,6 +30,10 @@
           operator_key_sha256,
           "",
           "SHA-256 in hexadecimal of the key that operators show");
+ABSL_FLAG(std::string,
+          drain_bound_seconds,
+          "",
+          "longest time that a planned stop waits for what is in flight");
 ABSL_FLAG(std::string,
           log_level,
           "",
@@ -52,8 +56,8 @@
   const char* fallback;
 };
 
-const std::array<FlagRow, 10>& FlagRows() {
-  static const std::array<FlagRow, 10> rows{{
+const std::array<FlagRow, 11>& FlagRows() {
+  static const std::array<FlagRow, 11> rows{{
       {"role", &FLAGS_role, ""},
       {"name", &FLAGS_name, ""},
       {"zone", &FLAGS_zone, ""},
@@ -64,6 +68,7 @@
       {"vm-list", &FLAGS_vm_list, ""},
       {"target", &FLAGS_target, ""},
       {"operator-key-sha256", &FLAGS_operator_key_sha256, ""},
+      {"drain-bound-seconds", &FLAGS_drain_bound_seconds, "600"},
   }};
   return rows;
 }
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -45,6 +45,20 @@
   return address;
 }
 
+Result<Duration> RequireSeconds(const SettingLookup& lookup,
+                                const std::string& name) {
+  constexpr int64_t kLongest = 24LL * 3600;
+  const SettingText given = lookup(name);
+  const char* end = given.text.data() + given.text.size();
+  int64_t seconds = 0;
+  const auto [stop, failure] = std::from_chars(given.text.data(), end, seconds);
+  if (failure != std::errc{} || stop != end || seconds < 1 ||
+      seconds > kLongest) {
+    return FailFor(name, given, "whole seconds from 1 to 86400");
+  }
+  return Duration(std::chrono::seconds(seconds));
+}
+
 Result<std::string> RequireName(const SettingLookup& lookup) {
   const SettingText given = lookup("name");
   // Claim keys carry the name between dots.
@@ -78,6 +92,7 @@
   }
   settings.operator_key_sha256 =
       TRY(RequireText(lookup, "operator-key-sha256"));
+  settings.drain_bound = TRY(RequireSeconds(lookup, "drain-bound-seconds"));
   const SettingText level = lookup("log-level");
   auto parsed_level = telemetry::ParseLogLevel(level.text);
   if (parsed_level.has_error()) {
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -7,6 +7,7 @@
 
 #include "Kernel/Address.h"
 #include "Kernel/Result.h"
+#include "Kernel/Time.h"
 #include "LibTelemetry/Log.h"
 
 namespace bramleyspan {
@@ -23,6 +24,8 @@
   Address vm_list;
   // The back end beside an agent.
   std::optional<Address> target;
+  // The longest time that a planned stop waits for what is in flight.
+  Duration drain_bound = std::chrono::minutes(10);
   // The digest of the key that operators show.
   std::string operator_key_sha256;
   telemetry::LogLevel log_level = telemetry::LogLevel::kInfo;
--- /dev/null
+++ b/Tests/Process/Calls.sh
@@ -0,0 +1,88 @@
+# Calls as callers make them, for the process tests: sourced after Prelude.sh.
+
+# start_fleet_with_catalogue: a fleet in which the demo's catalogue is in force.
+start_fleet_with_catalogue() {
+  start_fleet
+  apply_catalogue 0
+  wait_for "revision 1 on all 8 processes" in_force 1 8
+}
+
+# take_key [ENTRY-NUMBER]: prints a claim key for issue-invoice.
+take_key() {
+  ask issue-invoice -X POST "http://$NET.1.${1:-1}:8080/v1/claims" -d '{}' |
+    sed -n 's/.*"keys":\["\([^"]*\)".*/\1/p'
+}
+
+# issue ENTRY-NUMBER KEY BODY CURL-ARGUMENTS...: issues an invoice.
+issue() {
+  local number=$1 key=$2 body=$3
+  shift 3
+  ask issue-invoice -H "Bramleyspan-Claim: $key" "$@" \
+    "http://$NET.1.$number:8080/v1/services/invoices/issue" -d "$body"
+}
+
+# runs BODY: prints how often the service ran an invoice.
+runs() {
+  curl -sf -m 5 "http://$NET.2.5:8000/status/$1" | sed -n 's/.*"runs":\([0-9]*\).*/\1/p'
+}
+has_run() { [ "$(runs "$1")" -ge 1 ]; }
+
+expect_runs() {
+  local found
+  found=$(runs "$1")
+  [ "$found" = "$2" ] || fail "$1 ran $found times, not $2"
+}
+
+# expect TEXT ANSWER: the answer must contain the text.
+expect() {
+  grep -qF "$1" <<<"$2" || fail "no $1 in: $2"
+}
+
+# chat ENTRY-NUMBER PROMPT TOKENS CURL-ARGUMENTS...: a streamed answer.
+chat() {
+  local number=$1 prompt=$2 tokens=$3
+  shift 3
+  ask draft-invoice "$@" "http://$NET.1.$number:8080/v1/chat/completions" \
+    -d "{\"stream\":true,\"max_tokens\":$tokens,\"messages\":[{\"role\":\"user\",\"content\":\"$prompt\"}]}"
+}
+
+# expect_whole PROMPT TOKENS ANSWER: every token once, none of another prompt's.
+expect_whole() {
+  local found
+  found=$(grep -o '"content":"[^"]*"' <<<"$3" | tr -d '\n')
+  local wanted="" n
+  for ((n = 0; n < $2; n++)); do wanted+="\"content\":\"$1#$n \""; done
+  [ "$found" = "$wanted" ] || fail "the answer to $1 is not its own and whole: $3"
+  expect '[DONE]' "$3"
+}
+
+# load FIELD: adds up a field of the four engines' load reports.
+load() {
+  local n field sum=0
+  for n in 1 2 3 4; do
+    field=$(curl -sf -m 5 "http://$NET.2.$n:8000/load" | grep -o "\"$1\":[0-9]*")
+    sum=$((sum + ${field##*:}))
+  done
+  echo "$sum"
+}
+
+signal() { kill "-$1" "${PIDS[$2]}"; }
+
+# kill_process NAME: kills it without warning and forgets it.
+kill_process() {
+  local pid=${PIDS[$1]}
+  unset "PIDS[$1]"
+  kill -KILL "$pid"
+  wait "$pid" 2>/dev/null || true
+}
+
+restart_agent() {
+  start_agent 5 st-poelten
+  wait_for "the links of target-5" links_of_target_5 "$1"
+}
+
+# links_of_target_5 REVISION: whether the agent is linked to all entries.
+links_of_target_5() {
+  curl -sf -m 2 "http://$NET.2.5:8080/v1/operator/dump" |
+    grep -q "\"entries_linked\":3.*\"revision\":$1"
+}
