--- a/Specs/Claims.pml
+++ b/Specs/Claims.pml
@@ -19,6 +19,12 @@
 // variant BROKEN_IS_NOT_RUN    a broken exchange counts as never sent
 // variant ENTRY_GUESSES        an entry that finds no agent says "not run"
 // variant MATCH_BY_ORDER       an answer goes to the oldest open exchange
+// variant SEAL_BEFORE_LEAVING  an agent seals its keys and still takes new ones
+// variant SEAL_WITHOUT_EPOCH   a seal says nothing of keys that are forgotten
+// variant SEAL_ONLY_DONE       a seal names only the keys that are known to be done
+//
+// An agent that is leaving refuses every new key; once nothing is running it
+// seals its keys (LibClaims/Seal), and entries answer for it ever after.
 
 #define KEYS 2
 #define FORWARDS 3
@@ -44,6 +50,9 @@
 byte answer[4];
 bool is_forgotten[2];
 bool is_alive[2];
+bool is_leaving[2];
+bool is_sealed;
+bool may_have_run[KEYS];
 
 #define RECORD(a, k) record[(a) * KEYS + (k)]
 #define ANSWER(a, k) answer[(a) * KEYS + (k)]
@@ -80,10 +89,14 @@
         if
 #ifndef NO_EPOCH_CHECK
         :: is_forgotten[a] -> skip /* kIsUnknown */
-        :: else -> Forward(a, k)
+        :: else ->
 #else
-        :: true -> Forward(a, k)
+        :: true ->
 #endif
+           if
+           :: is_leaving[a] -> RECORD(a, k) = kRefused; TellNotRun(k)
+           :: else -> Forward(a, k)
+           fi
         fi
      :: RECORD(a, k) == kRunning ->
 #ifdef FORWARD_AGAIN
@@ -179,6 +192,31 @@
        :: else -> break
        od;
        k = 0 }
+  :: atomic { is_alive[a] && !is_leaving[a] -> is_leaving[a] = true }
+  :: atomic { is_alive[a] && a + 1 == OWNER && !is_sealed &&
+#ifndef SEAL_BEFORE_LEAVING
+       is_leaving[a] &&
+#endif
+       RECORD(a, 0) != kRunning && RECORD(a, 1) != kRunning ->
+       // SealClaims.
+       is_sealed = true;
+       k = 0;
+       do
+       :: k < KEYS ->
+#ifdef SEAL_ONLY_DONE
+          may_have_run[k] = RECORD(a, k) == kDone || is_forgotten[a];
+#else
+#ifdef SEAL_WITHOUT_EPOCH
+          may_have_run[k] = RECORD(a, k) != kNone && RECORD(a, k) != kRefused;
+#else
+          may_have_run[k] = is_forgotten[a] || RECORD(a, k) == kDone ||
+                            RECORD(a, k) == kUnknown;
+#endif
+#endif
+          k++
+       :: else -> break
+       od;
+       k = 0 }
   :: atomic { !is_alive[a] -> break }
   od
 }
@@ -207,6 +245,8 @@
        if
        :: shown[k] < SHOWS -> shown[k]++; on_the_way[k]++
        :: on_the_way[k] > 0 -> on_the_way[k]--
+       // DecideBySeal.
+       :: is_sealed && !may_have_run[k] -> TellNotRun(k)
 #ifdef ENTRY_GUESSES
        :: shown[k] < SHOWS -> shown[k]++; TellNotRun(k)
 #endif
