--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -31,6 +31,10 @@
           operator_key_sha256,
           "",
           "SHA-256 in hexadecimal of the key that operators show");
+ABSL_FLAG(std::string,
+          drain_bound_seconds,
+          "",
+          "longest time that a planned stop waits for what is in flight");
 ABSL_FLAG(std::string,
           log_level,
           "",
@@ -60,6 +64,7 @@
       SettingRow{"vm-list", &FLAGS_vm_list, ""},
       SettingRow{"target", &FLAGS_target, ""},
       SettingRow{"operator-key-sha256", &FLAGS_operator_key_sha256, ""},
+      SettingRow{"drain-bound-seconds", &FLAGS_drain_bound_seconds, "600"},
       SettingRow{"log-level", &FLAGS_log_level, "info"},
   };
   return rows;
--- a/Tests/Process/Prelude.sh
+++ b/Tests/Process/Prelude.sh
@@ -18,3 +18,8 @@
   curl -sS -m 20 -H "Authorization: Bearer studio-huber-key" \
     -H "Bramleyspan-Entry: $entry" "$@"
 }
+
+# dump IP: prints the whole state of the process there, as an operator.
+dump() {
+  curl -sf -m 2 -H "Authorization: Bearer $OPERATOR_KEY" "http://$1:8080/v1/operator/dump"
+}
