--- /dev/null
+++ b/Libraries/LibAdmission/Admission.cc
@@ -0,0 +1,238 @@
+#include "LibAdmission/Admission.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleyspan::admission {
+
+namespace {
+
+// Each new measurement counts this share of the mean.
+constexpr double kNewShare = 1.0 / 32;
+
+Duration Microseconds(double count) {
+  return Duration(static_cast<int64_t>(std::ceil(count)));
+}
+
+void AddDecayed(double& sum, double& weight, double value, double count) {
+  sum = sum * (1 - kNewShare) + value;
+  weight = weight * (1 - kNewShare) + count;
+}
+
+// Mean time from start to end. The ages of what runs now bound it from below:
+// when an engine starts to limp nothing ends for a while, and a mean over ends
+// alone would go on to promise the old pace.
+double MeanService(const Admission& admission, TimePoint now) {
+  const Measured& measured = admission.measured;
+  const double ended =
+      measured.service_count > 0
+          ? measured.service_microseconds / measured.service_count
+          : static_cast<double>(admission.settings.initial_service.count());
+  if (admission.running.empty()) {
+    return ended;
+  }
+  double ages = 0;
+  for (const auto& [id, running] : admission.running) {
+    ages += static_cast<double>((now - running.started).count());
+  }
+  return std::max(ended, ages / static_cast<double>(admission.running.size()));
+}
+
+uint32_t UncachedTokens(const Admission& admission, const Request& request) {
+  const uint32_t cached = CachedTokens(admission.prefixes, request.prefix);
+  const uint32_t tokens = std::max(request.prompt_tokens, 1U);
+  return tokens > cached ? tokens - cached : 1;
+}
+
+// Time from start to the first token.
+double MeanPrefill(const Admission& admission, const Request& request) {
+  const Measured& measured = admission.measured;
+  if (measured.prefill_tokens <= 0) {
+    return 0;
+  }
+  return measured.prefill_microseconds / measured.prefill_tokens *
+         UncachedTokens(admission, request);
+}
+
+uint32_t UsableSlots(const Admission& admission) {
+  return admission.is_stalled ? 1 : std::max(admission.settings.slots, 1U);
+}
+
+double DrainInterval(const Admission& admission, TimePoint now) {
+  return MeanService(admission, now) / std::max(admission.settings.slots, 1U);
+}
+
+Duration Silence(const Admission& admission, TimePoint now) {
+  if (admission.running.empty()) {
+    return Duration::zero();
+  }
+  TimePoint oldest = now;
+  for (const auto& [id, running] : admission.running) {
+    oldest = std::min(oldest, running.started);
+  }
+  return now - std::max(oldest, admission.last_progress);
+}
+
+// A frozen engine sends no event at all. What shows is silence much longer
+// than the interval at which ends are due; how long it will go on is best
+// guessed by how long it has lasted.
+Duration StallOf(const Admission& admission, TimePoint now) {
+  const Duration silence = Silence(admission, now);
+  const double due = MeanService(admission, admission.last_progress) /
+                     std::max<size_t>(admission.running.size(), 1);
+  const Duration bound =
+      std::max(admission.settings.shortest_stall,
+               Microseconds(admission.settings.stall_factor * due));
+  return silence > bound ? silence : Duration::zero();
+}
+
+void NoteStall(Admission& admission, TimePoint now) {
+  if (StallOf(admission, now) > Duration::zero()) {
+    admission.is_stalled = true;
+  }
+}
+
+double WaitAt(const Admission& admission,
+              catalogue::ServiceClass service_class,
+              size_t position,
+              double drain_interval) {
+  const auto busy = static_cast<double>(admission.running.size());
+  const double free_slots = UsableSlots(admission) - busy;
+  return WaitMicroseconds(admission.queues, service_class, position, free_slots,
+                          drain_interval);
+}
+
+// Spreads the returns of the refused over the time that the queue needs to
+// take them: all told the same second would come back as one herd.
+Duration RetryAfter(Admission& admission, Duration excess, TimePoint now) {
+  admission.returns_until = std::max(admission.returns_until, now + excess) +
+                            Microseconds(DrainInterval(admission, now));
+  const TimePoint latest = now + admission.settings.longest_retry_after;
+  admission.returns_until = std::min(admission.returns_until, latest);
+  return admission.returns_until - now;
+}
+
+void Start(Admission& admission, const Request& request, TimePoint now) {
+  const uint32_t uncached = UncachedTokens(admission, request);
+  Remember(admission.prefixes, request.prefix,
+           std::min(request.prompt_tokens, admission.settings.prefix_tokens));
+  admission.running.emplace(
+      request.id,
+      Running{.request = request, .started = now, .uncached_tokens = uncached});
+}
+
+void GiveUpLate(Admission& admission, TimePoint now, Effects& effects) {
+  const double drain_interval = DrainInterval(admission, now);
+  const Duration stall = StallOf(admission, now);
+  for (auto& queue : admission.queues.waiting) {
+    size_t position = 0;
+    std::erase_if(queue, [&](const Request& request) {
+      const Duration needed =
+          stall + Microseconds(WaitAt(admission, request.service_class,
+                                      position, drain_interval) +
+                               MeanPrefill(admission, request));
+      if (now + needed <= request.deadline) {
+        ++position;
+        return false;
+      }
+      const Duration excess = now + needed - request.deadline;
+      effects.give_up.push_back(
+          {request.id, RetryAfter(admission, excess, now)});
+      return true;
+    });
+  }
+}
+
+void StartWaiting(Admission& admission, TimePoint now, Effects& effects) {
+  while (admission.running.size() < UsableSlots(admission)) {
+    const auto next = Pop(admission.queues);
+    if (!next) {
+      return;
+    }
+    Start(admission, *next, now);
+    effects.start.push_back(next->id);
+  }
+}
+
+}  // namespace
+
+Estimate EstimateFor(const Admission& admission,
+                     const Request& request,
+                     TimePoint now) {
+  const size_t position =
+      admission.queues.waiting[IndexOf(request.service_class)].size();
+  const double wait = WaitAt(admission, request.service_class, position,
+                             DrainInterval(admission, now));
+  const size_t in_flight =
+      admission.running.size() + CountWaiting(admission.queues);
+  return {.first_token = StallOf(admission, now) +
+                         Microseconds(wait + MeanPrefill(admission, request)),
+          .in_flight = static_cast<uint32_t>(in_flight),
+          .cached_tokens = CachedTokens(admission.prefixes, request.prefix)};
+}
+
+Decision Offer(Admission& admission, const Request& request, TimePoint now) {
+  NoteStall(admission, now);
+  const Duration needed = EstimateFor(admission, request, now).first_token;
+  const auto given = static_cast<double>((request.deadline - now).count());
+  const Duration allowed =
+      Microseconds(given * admission.settings.admitted_share);
+  if (needed > allowed) {
+    return {.verdict = Verdict::kRefuse,
+            .retry_after = RetryAfter(admission, needed - allowed, now)};
+  }
+  NoteTaken(admission.queues, request.service_class, now);
+  if (admission.running.size() < UsableSlots(admission) &&
+      CountWaiting(admission.queues) == 0) {
+    Start(admission, request, now);
+    return {.verdict = Verdict::kStart};
+  }
+  Push(admission.queues, request);
+  return {.verdict = Verdict::kWait};
+}
+
+void HandleProgress(Admission& admission, uint64_t id, TimePoint now) {
+  admission.last_progress = now;
+  admission.is_stalled = false;
+  const auto found = admission.running.find(id);
+  if (found == admission.running.end() || found->second.has_first_token) {
+    return;
+  }
+  Running& running = found->second;
+  running.has_first_token = true;
+  AddDecayed(admission.measured.prefill_microseconds,
+             admission.measured.prefill_tokens,
+             static_cast<double>((now - running.started).count()),
+             running.uncached_tokens);
+}
+
+Effects HandleEnd(Admission& admission,
+                  uint64_t id,
+                  bool is_measured,
+                  TimePoint now) {
+  const auto found = admission.running.find(id);
+  if (found != admission.running.end()) {
+    if (is_measured) {
+      HandleProgress(admission, id, now);
+      AddDecayed(admission.measured.service_microseconds,
+                 admission.measured.service_count,
+                 static_cast<double>((now - found->second.started).count()), 1);
+    }
+    admission.running.erase(found);
+  }
+  return Review(admission, now);
+}
+
+bool Withdraw(Admission& admission, uint64_t id) {
+  return Remove(admission.queues, id);
+}
+
+Effects Review(Admission& admission, TimePoint now) {
+  Effects effects;
+  NoteStall(admission, now);
+  GiveUpLate(admission, now, effects);
+  StartWaiting(admission, now, effects);
+  return effects;
+}
+
+}  // namespace bramleyspan::admission
--- a/Libraries/LibRouting/Routing.cc
+++ b/Libraries/LibRouting/Routing.cc
@@ -4,31 +4,222 @@
 #include <random>
 #include <tuple>
 
+#include "LibRouting/Hash.h"
+
 namespace bramleyspan::routing {
 
+namespace {
+
+// Each new call counts this share of the mean shortfall.
+constexpr int64_t kNewShareDivisor = 2;
+
+// Load bound of the home of a prefix: a popular prefix must not draw more load
+// to one target than the others carry, however good its cache is.
+bool is_over_bound(const RoutingSettings& settings,
+                   const ProbeAnswer& home,
+                   const std::vector<ProbeAnswer>& answers) {
+  if (answers.size() < 2) {
+    return false;
+  }
+  double others = 0;
+  for (const ProbeAnswer& answer : answers) {
+    others += answer.in_flight;
+  }
+  others = (others - home.in_flight) / static_cast<double>(answers.size() - 1);
+  return home.in_flight >
+         settings.affinity_load_bound * others + settings.affinity_load_slack;
+}
+
+// What was learnt of the target is added to its promise. A target that always
+// says zero, or less than zero, would else win every comparison.
+Duration ExpectedFirstToken(const Router& router,
+                            const Query& query,
+                            const ProbeAnswer& answer,
+                            TimePoint now) {
+  const Duration promised = std::max(answer.first_token, Duration::zero());
+  return promised +
+         ShortfallOf(router, answer.candidate.target, query.service_class, now);
+}
+
+Duration Decayed(const Router& router,
+                 const Shortfall& shortfall,
+                 TimePoint now) {
+  constexpr int64_t kMostHalvings = 30;
+  const auto halvings =
+      (now - shortfall.at) / router.settings.shortfall_half_life;
+  return shortfall.mean /
+         (int64_t{1} << std::clamp<int64_t>(halvings, 0, kMostHalvings));
+}
+
+void NoteShortfall(Router& router,
+                   const Outstanding& sent,
+                   Duration late,
+                   TimePoint now) {
+  Shortfall& shortfall =
+      router.targets[sent.target].shortfalls[sent.service_class];
+  const Duration known = Decayed(router, shortfall, now);
+  shortfall.mean = known + (late - known) / kNewShareDivisor;
+  shortfall.at = now;
+}
+
+bool is_ejected(const Router& router,
+                const Candidate& candidate,
+                TimePoint now) {
+  const auto record = router.targets.find(candidate.target);
+  return record != router.targets.end() && record->second.ejected_until > now;
+}
+
+}  // namespace
+
 std::vector<Candidate> PickCandidates(std::vector<Candidate> all,
                                       size_t count,
                                       uint64_t random) {
   std::mt19937_64 generator(random);
-  std::shuffle(all.begin(), all.end(), generator);
-  all.resize(std::min(all.size(), count));
-  return all;
+  std::vector<Candidate> picked;
+  picked.reserve(std::min(count, all.size()));
+  while (picked.size() < count && !all.empty()) {
+    const size_t index = generator() % all.size();
+    picked.push_back(std::move(all[index]));
+    all[index] = std::move(all.back());
+    all.pop_back();
+  }
+  return picked;
 }
 
-std::optional<Candidate> ChooseCandidate(
-    const std::vector<ProbeAnswer>& answers,
-    Duration deadline) {
+std::vector<Candidate> DropEjected(const Router& router,
+                                   const std::vector<Candidate>& all,
+                                   TimePoint now) {
+  std::vector<Candidate> usable;
+  for (const Candidate& candidate : all) {
+    if (!is_ejected(router, candidate, now)) {
+      usable.push_back(candidate);
+    }
+  }
+  return usable.empty() ? all : usable;
+}
+
+std::optional<Candidate> HomeOf(uint64_t prefix,
+                                const std::vector<Candidate>& all) {
+  const auto home =
+      std::ranges::max_element(all, {}, [prefix](const Candidate& candidate) {
+        return HashWith(candidate.target, prefix);
+      });
+  return home == all.end() ? std::nullopt : std::optional(*home);
+}
+
+std::optional<Choice> ChooseCandidate(const Router& router,
+                                      const Query& query,
+                                      const std::vector<ProbeAnswer>& answers,
+                                      Duration deadline,
+                                      TimePoint now) {
   const ProbeAnswer* best = nullptr;
+  std::tuple<bool, int64_t, uint32_t, Duration> best_cost;
   for (const ProbeAnswer& answer : answers) {
-    if (!answer.is_admitting || answer.first_token > deadline) {
+    const Duration expected = ExpectedFirstToken(router, query, answer, now);
+    if (!answer.is_admitting || expected > deadline) {
       continue;
     }
-    if (best == nullptr || std::tie(answer.first_token, answer.in_flight) <
-                               std::tie(best->first_token, best->in_flight)) {
+    const bool is_drawn = query.prefix != 0 && answer.cached_tokens > 0;
+    const std::tuple cost{
+        is_drawn && is_over_bound(router.settings, answer, answers),
+        expected / router.settings.noise, answer.in_flight, expected};
+    if (best == nullptr || cost < best_cost) {
       best = &answer;
+      best_cost = cost;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  return Choice{best->candidate, std::max(best->first_token, Duration::zero())};
+}
+
+Duration ShortfallOf(const Router& router,
+                     const std::string& target,
+                     uint8_t service_class,
+                     TimePoint now) {
+  Duration shortfall{};
+  const auto record = router.targets.find(target);
+  if (record != router.targets.end()) {
+    for (size_t index = 0; index <= service_class; ++index) {
+      shortfall = std::max(
+          shortfall, Decayed(router, record->second.shortfalls[index], now));
     }
   }
-  return best == nullptr ? std::nullopt : std::optional(best->candidate);
+  // A call that is overdue now tells more than calls that ended long ago: a
+  // frozen target ends none.
+  for (const auto& [call, sent] : router.outstanding) {
+    if (sent.target == target && sent.service_class <= service_class) {
+      const auto waited = std::chrono::duration_cast<Duration>(now - sent.sent);
+      shortfall = std::max(shortfall, waited - sent.promised);
+    }
+  }
+  return shortfall <= router.settings.noise ? Duration::zero() : shortfall;
+}
+
+void HandleProbeAnswered(Router& router, const std::string& target) {
+  const auto found = router.targets.find(target);
+  if (found != router.targets.end()) {
+    found->second.failures = 0;
+    found->second.ejections = 0;
+  }
+}
+
+void HandleTargetFailure(Router& router,
+                         const std::string& target,
+                         const std::vector<Candidate>& all,
+                         TimePoint now) {
+  TargetRecord& record = router.targets[target];
+  ++record.failures;
+  if (record.failures < router.settings.failures_to_eject ||
+      record.ejected_until > now) {
+    return;
+  }
+  // If many fail at once the cause is likely here or shared; ejecting them all
+  // would press the whole load on the few that are left.
+  const auto most = static_cast<int64_t>(router.settings.largest_ejected_share *
+                                         static_cast<double>(all.size()));
+  const int64_t ejected =
+      std::ranges::count_if(all, [&](const Candidate& candidate) {
+        return is_ejected(router, candidate, now);
+      });
+  if (ejected >= std::max<int64_t>(most, 1)) {
+    return;
+  }
+  constexpr uint32_t kMostDoublings = 10;
+  const Duration pause =
+      router.settings.first_ejection *
+      (int64_t{1} << std::min(record.ejections, kMostDoublings));
+  record.ejected_until =
+      now + std::min(pause, router.settings.longest_ejection);
+  ++record.ejections;
+}
+
+void HandleSent(Router& router,
+                uint64_t call,
+                const Choice& choice,
+                uint8_t service_class,
+                TimePoint now) {
+  router.outstanding.insert_or_assign(
+      call, Outstanding{.target = choice.candidate.target,
+                        .service_class = service_class,
+                        .promised = choice.promised,
+                        .sent = now});
+}
+
+void HandleFirstByte(Router& router, uint64_t call, TimePoint now) {
+  const auto found = router.outstanding.find(call);
+  if (found == router.outstanding.end()) {
+    return;
+  }
+  const Outstanding& sent = found->second;
+  const auto waited = std::chrono::duration_cast<Duration>(now - sent.sent);
+  NoteShortfall(router, sent, waited - sent.promised, now);
+  router.outstanding.erase(found);
+}
+
+void HandleForgotten(Router& router, uint64_t call) {
+  router.outstanding.erase(call);
 }
 
 }  // namespace bramleyspan::routing
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -1,12 +1,18 @@
-// Which group gets a request: a few candidates are probed, the best that can
-// meet the deadline is taken.
+// Which group gets a request. A few candidates are probed while the request
+// waits; the best that can meet the deadline is taken (power of d choices,
+// Mitzenmacher 2001; probing by latency and requests in flight as in Prequal,
+// Wydrowski et al. 2024). What a target promises is compared with what it
+// delivers, and a target that fails is left out for a while (outlier ejection).
 #pragma once
 
+#include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <vector>
 
+#include "Kernel/Plugin.h"
 #include "Kernel/Time.h"
 
 namespace bramleyspan::routing {
@@ -25,17 +31,141 @@
   bool is_admitting = false;
   uint32_t in_flight = 0;
   Duration first_token{};
+  uint32_t cached_tokens = 0;
 };
 
+// A target's load as it was some time ago, for the baseline policies.
+struct LoadReport {
+  uint32_t in_flight = 0;
+};
+
+struct RoutingSettings {
+  size_t probes = 2;
+  // A probe without an answer after this time is taken as unanswered.
+  Duration probe_timeout = std::chrono::milliseconds(50);
+  // Times to the first token that differ by less are told apart by load.
+  Duration noise = std::chrono::milliseconds(20);
+  // The home of a prefix may have this many times the load of the others
+  // (bounded-load consistent hashing, Mirrokni et al. 2018).
+  double affinity_load_bound = 1.25;
+  uint32_t affinity_load_slack = 2;
+  // Failures or unanswered probes in a row after which a target is ejected.
+  uint32_t failures_to_eject = 2;
+  Duration first_ejection = std::chrono::seconds(2);
+  Duration longest_ejection = std::chrono::seconds(60);
+  // At most this share of the candidates is ejected at a time.
+  double largest_ejected_share = 0.34;
+  // What a target fell short of its promises is forgotten by half in this
+  // time, so that it is tried again.
+  Duration shortfall_half_life = std::chrono::seconds(20);
+};
+
+// Classes of service; a lower one is more urgent.
+inline constexpr size_t kClasses = 3;
+
+// A call that has been sent and has no first byte yet.
+struct Outstanding {
+  std::string target;
+  uint8_t service_class = 0;
+  Duration promised{};
+  TimePoint sent;
+};
+
+// Decayed mean of the time to the first token less what was promised.
+struct Shortfall {
+  Duration mean{};
+  TimePoint at;
+};
+
+// What an entry knows of a target from its own calls and probes.
+struct TargetRecord {
+  uint32_t failures = 0;
+  uint32_t ejections = 0;
+  TimePoint ejected_until;
+  std::array<Shortfall, kClasses> shortfalls;
+};
+
+struct Router {
+  RoutingSettings settings;
+  std::map<std::string, TargetRecord> targets;
+  std::map<uint64_t, Outstanding> outstanding;
+  std::map<std::string, LoadReport> reports;
+  uint64_t turn = 0;
+};
+
+// What a policy needs to know of a request.
+struct Query {
+  // Names the first part of the prompt; zero names none.
+  uint64_t prefix = 0;
+  uint64_t random = 0;
+  uint8_t service_class = 0;
+};
+
+// A routing policy: picks the candidates to probe. If it picks one alone there
+// is nothing to compare, and the request goes there.
+using Policy = std::vector<Candidate> (*)(Router& router,
+                                          const Query& query,
+                                          const std::vector<Candidate>& all,
+                                          TimePoint now);
+
+inline constexpr std::string_view kDefaultPolicy = "probes-with-affinity";
+
+// Finds a registered policy. Fails with kInvalidSetting.
+Result<Policy> FindPolicy(std::string_view name);
+
 // Picks up to `count` distinct candidates; `random` drives the choice.
 std::vector<Candidate> PickCandidates(std::vector<Candidate> all,
                                       size_t count,
                                       uint64_t random);
 
-// The admitting candidate with the least time to the first token, if it can
-// meet the deadline.
-std::optional<Candidate> ChooseCandidate(
-    const std::vector<ProbeAnswer>& answers,
-    Duration deadline);
+// The candidates that are not ejected; all of them if none is left.
+std::vector<Candidate> DropEjected(const Router& router,
+                                   const std::vector<Candidate>& all,
+                                   TimePoint now);
+
+// The home of a prefix by rendezvous hashing, if there is any candidate.
+std::optional<Candidate> HomeOf(uint64_t prefix,
+                                const std::vector<Candidate>& all);
+
+// The candidate for a request and the time to the first token it promised.
+struct Choice {
+  Candidate candidate;
+  Duration promised{};
+};
+
+// The admitting candidate that is expected to answer first, if it can meet the
+// deadline.
+std::optional<Choice> ChooseCandidate(const Router& router,
+                                      const Query& query,
+                                      const std::vector<ProbeAnswer>& answers,
+                                      Duration deadline,
+                                      TimePoint now);
+
+// How much later than promised a target is expected to answer a request of a
+// class. Only that class and more urgent ones count: under load a batch request
+// is overtaken and late, which says nothing against an interactive one.
+Duration ShortfallOf(const Router& router,
+                     const std::string& target,
+                     uint8_t service_class,
+                     TimePoint now);
+
+// A probe was answered.
+void HandleProbeAnswered(Router& router, const std::string& target);
+
+// A probe was not answered in time, or a call broke. `all` are the candidates
+// that could have answered; they bound the ejections.
+void HandleTargetFailure(Router& router,
+                         const std::string& target,
+                         const std::vector<Candidate>& all,
+                         TimePoint now);
+
+// A call was sent, its first byte came, or it ended without any.
+void HandleSent(Router& router,
+                uint64_t call,
+                const Choice& choice,
+                uint8_t service_class,
+                TimePoint now);
+void HandleFirstByte(Router& router, uint64_t call, TimePoint now);
+void HandleForgotten(Router& router, uint64_t call);
 
 }  // namespace bramleyspan::routing
--- /dev/null
+++ b/Measurements/Samples.h
@@ -0,0 +1,28 @@
+// Times collected by a measurement.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <vector>
+
+#include "Kernel/Time.h"
+
+namespace bramleyspan::measurements {
+
+struct Samples {
+  std::vector<Duration> values;
+
+  // The value below which `share` of all lie, in milliseconds; 0 for none.
+  double PercentileMilliseconds(double share) {
+    if (this->values.empty()) {
+      return 0;
+    }
+    std::ranges::sort(this->values);
+    const auto index = static_cast<size_t>(
+        share * static_cast<double>(this->values.size() - 1));
+    return std::chrono::duration<double, std::milli>(this->values[index])
+        .count();
+  }
+};
+
+}  // namespace bramleyspan::measurements
--- a/Services/bramleyspand/Entry/Probing.cc
+++ b/Services/bramleyspand/Entry/Probing.cc
@@ -19,14 +19,14 @@
   if (call == state.calls.end()) {
     return;
   }
-  const auto chosen =
-      routing::ChooseCandidate(round.answers, call->second.deadline);
+  const auto chosen = routing::ChooseCandidate(
+      {}, {}, round.answers, call->second.deadline, EventLoop::Now());
   if (!chosen) {
     RefuseCall(state, round.call, ErrorCode::kDeadlineUnmeetable,
                "no group can answer in time");
     return;
   }
-  SendCall(state, round.call, chosen->target);
+  SendCall(state, round.call, chosen->candidate.target);
 }
 
 void StartRound(EntryState& state,
--- /dev/null
+++ b/Tests/LibAdmission/TestAdmission.cc
@@ -0,0 +1,213 @@
+#include "LibAdmission/Admission.h"
+
+#include <algorithm>
+#include <map>
+
+#include "Tests/Property.h"
+
+namespace bramleyspan::admission {
+
+namespace {
+
+using catalogue::ServiceClass;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr TimePoint kBegin = TimePoint{} + seconds(100);
+
+Request MakeRequest(uint64_t id,
+                    ServiceClass service_class = ServiceClass::kInteractive,
+                    Duration allowed = seconds(2),
+                    TimePoint now = kBegin) {
+  return {.id = id, .service_class = service_class, .deadline = now + allowed};
+}
+
+// An agent whose back end runs two requests of 400 ms at once.
+Admission MakeAdmission() {
+  Admission admission;
+  admission.settings.slots = 2;
+  admission.settings.initial_service = milliseconds(400);
+  admission.last_progress = kBegin;
+  return admission;
+}
+
+}  // namespace
+
+TEST_CASE("requests start while slots are free and wait after that") {
+  Admission admission = MakeAdmission();
+  CHECK(Offer(admission, MakeRequest(1), kBegin).verdict == Verdict::kStart);
+  CHECK(Offer(admission, MakeRequest(2), kBegin).verdict == Verdict::kStart);
+  CHECK(Offer(admission, MakeRequest(3), kBegin).verdict == Verdict::kWait);
+  const Effects effects = HandleEnd(admission, 1, true, kBegin);
+  CHECK(effects.start == std::vector<uint64_t>{3});
+}
+
+// A member waits two seconds only to hear that nobody had time for the draft:
+// the queue was longer than the deadline from the start and the agent took the
+// request all the same.
+TEST_CASE("a request that cannot be answered in time is refused on arrival") {
+  Admission admission = MakeAdmission();
+  uint64_t id = 0;
+  Decision decision;
+  do {
+    decision = Offer(admission, MakeRequest(++id), kBegin);
+  } while (decision.verdict != Verdict::kRefuse && id < 100);
+  // Two run; 200 ms a start let eight wait within 80% of two seconds.
+  CHECK(id == 11);
+  CHECK(decision.retry_after > Duration::zero());
+  const Decision next = Offer(admission, MakeRequest(12), kBegin);
+  CHECK(next.retry_after > decision.retry_after);
+}
+
+// Timetable summaries of class batch never get their turn on the night before
+// term: interactive requests keep coming and always go first.
+TEST_CASE("no class starves while more urgent ones keep coming") {
+  ClassQueues queues;
+  for (uint64_t id = 1; id <= 40; ++id) {
+    Push(queues, MakeRequest(id, ServiceClass::kBatch));
+  }
+  std::map<ServiceClass, int> started;
+  for (uint64_t id = 100; id < 310; ++id) {
+    Push(queues, MakeRequest(id, ServiceClass::kInteractive));
+    Push(queues, MakeRequest(id + 1000, ServiceClass::kStandard));
+    ++started[Pop(queues)->service_class];
+  }
+  CHECK(started[ServiceClass::kInteractive] == 160);
+  CHECK(started[ServiceClass::kStandard] == 40);
+  CHECK(started[ServiceClass::kBatch] == 10);
+}
+
+// A morning's interactive requests wait behind a burst of batch: batch had not
+// asked for anything all night and had saved up its right to start.
+TEST_CASE("an idle class saves up no right to the next starts") {
+  ClassQueues queues;
+  for (uint64_t id = 1; id <= 100; ++id) {
+    Push(queues, MakeRequest(id, ServiceClass::kInteractive));
+    Pop(queues);
+  }
+  for (uint64_t id = 200; id < 220; ++id) {
+    Push(queues, MakeRequest(id, ServiceClass::kBatch));
+    Push(queues, MakeRequest(id + 100, ServiceClass::kInteractive));
+  }
+  int batch = 0;
+  for (int i = 0; i < 17; ++i) {
+    batch += Pop(queues)->service_class == ServiceClass::kBatch;
+  }
+  CHECK(batch <= 2);
+}
+
+// A caller hears "no" two seconds late: its request waited in the queue of an
+// engine that had frozen and that sent no event which would have told.
+TEST_CASE(
+    "what waits for a stalled back end is given up long before the "
+    "deadline") {
+  Admission admission = MakeAdmission();
+  Offer(admission, MakeRequest(1), kBegin);
+  Offer(admission, MakeRequest(2), kBegin);
+  Offer(admission, MakeRequest(3, ServiceClass::kInteractive, seconds(4)),
+        kBegin);
+  TimePoint now = kBegin;
+  Effects effects;
+  while (effects.give_up.empty() && now < kBegin + seconds(4)) {
+    now += kReviewInterval;
+    effects = Review(admission, now);
+  }
+  REQUIRE(effects.give_up.size() == 1);
+  CHECK(effects.give_up.front().id == 3);
+  CHECK(now - kBegin < milliseconds(2500));
+  CHECK(Offer(admission,
+              MakeRequest(4, ServiceClass::kInteractive, seconds(2), now), now)
+            .verdict == Verdict::kRefuse);
+}
+
+// Drafts crawl on one target for minutes although its agent promises the old
+// pace: the mean over ended requests knows nothing of those that do not end.
+TEST_CASE("an engine that starts to limp shows before its requests end") {
+  Admission admission = MakeAdmission();
+  admission.settings.slots = 4;
+  for (uint64_t id = 1; id <= 4; ++id) {
+    Offer(admission, MakeRequest(id), kBegin);
+    HandleProgress(admission, id, kBegin);
+  }
+  const auto before = EstimateFor(admission, MakeRequest(9), kBegin);
+  const TimePoint later = kBegin + seconds(2);
+  HandleProgress(admission, 1, later);
+  const auto after = EstimateFor(admission, MakeRequest(9), later);
+  CHECK(after.first_token > 4 * before.first_token);
+}
+
+// Batch requests are told "no" after most of their deadline: the queue alone
+// promised them a place that interactive requests took as they came.
+TEST_CASE("an estimate counts what more urgent classes will take") {
+  ClassQueues quiet;
+  ClassQueues busy;
+  for (int i = 0; i < 20; ++i) {
+    NoteTaken(busy, ServiceClass::kInteractive, kBegin);
+  }
+  constexpr double kInterval = 200'000;
+  const double alone =
+      WaitMicroseconds(quiet, ServiceClass::kBatch, 4, 0, kInterval);
+  const double among =
+      WaitMicroseconds(busy, ServiceClass::kBatch, 4, 0, kInterval);
+  CHECK(among > 3 * alone);
+}
+
+TEST_CASE("a withdrawn request never starts") {
+  Admission admission = MakeAdmission();
+  for (uint64_t id = 1; id <= 3; ++id) {
+    Offer(admission, MakeRequest(id), kBegin);
+  }
+  CHECK(Withdraw(admission, 3));
+  CHECK_FALSE(Withdraw(admission, 1));
+  CHECK(HandleEnd(admission, 1, true, kBegin).start.empty());
+}
+
+TEST_CASE("the prefix memory forgets what was not used for longest") {
+  PrefixMemory memory{.capacity = 2};
+  Remember(memory, 1, 10);
+  Remember(memory, 2, 20);
+  Remember(memory, 1, 15);
+  Remember(memory, 3, 30);
+  CHECK(CachedTokens(memory, 1) == 15);
+  CHECK(CachedTokens(memory, 2) == 0);
+  CHECK(CachedTokens(memory, 3) == 30);
+}
+
+TEST_CASE("property: every request gets one fate and slots are kept") {
+  tests::CheckProperty("one fate", [](const std::vector<uint8_t>& choices) {
+    Admission admission = MakeAdmission();
+    std::map<uint64_t, int> fates;
+    TimePoint now = kBegin;
+    uint64_t last = 0;
+    const auto obey = [&](const Effects& effects) {
+      for (const uint64_t id : effects.start) {
+        ++fates[id];
+      }
+      for (const GivenUp& given_up : effects.give_up) {
+        ++fates[given_up.id];
+      }
+    };
+    for (const uint8_t choice : choices) {
+      now += milliseconds(choice);
+      if (choice % 3 == 0 && !admission.running.empty()) {
+        obey(HandleEnd(admission, admission.running.begin()->first, true, now));
+        continue;
+      }
+      const uint64_t id = ++last;
+      const auto decision =
+          Offer(admission,
+                MakeRequest(id, static_cast<ServiceClass>(choice % 3),
+                            seconds(1), now),
+                now);
+      fates[id] += decision.verdict != Verdict::kWait;
+      obey(Review(admission, now));
+      RC_ASSERT(admission.running.size() <= admission.settings.slots);
+    }
+    obey(Review(admission, now + seconds(10)));
+    RC_ASSERT(CountWaiting(admission.queues) == 0);
+    RC_ASSERT(std::ranges::all_of(
+        fates, [](const auto& item) { return item.second == 1; }));
+  });
+}
+
+}  // namespace bramleyspan::admission
--- a/Tests/LibRouting/TestRouting.cc
+++ b/Tests/LibRouting/TestRouting.cc
@@ -10,8 +10,13 @@
       {{"a", "t1"}, true, 3, milliseconds(30)},
       {{"b", "t3"}, true, 1, milliseconds(10)},
       {{"c", "t5"}, false, 0, milliseconds(0)}};
-  CHECK(ChooseCandidate(answers, milliseconds(100)) == Candidate{"b", "t3"});
-  CHECK_FALSE(ChooseCandidate(answers, milliseconds(5)).has_value());
+  const Router router;
+  const TimePoint now;
+  CHECK(
+      ChooseCandidate(router, {}, answers, milliseconds(100), now)->candidate ==
+      Candidate{"b", "t3"});
+  CHECK_FALSE(
+      ChooseCandidate(router, {}, answers, milliseconds(5), now).has_value());
 }
 
 TEST_CASE("candidates are distinct and no more than asked for") {
