--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -23,6 +23,8 @@
   Address vm_list;
   // The back end beside an agent.
   std::optional<Address> target;
+  // Requests that the back end beside an agent runs at once.
+  uint32_t target_slots = 16;
   // The digest of the key that operators show.
   std::string operator_key_sha256;
   telemetry::LogFilter log_filter;
