--- a/Services/bramleyspand/Entry/Calls.h
+++ b/Services/bramleyspand/Entry/Calls.h
@@ -57,6 +57,12 @@
                    uint64_t id);
 void HandleEstimate(EntryState& state, const wire::EstimateT& estimate);
 
+// Compares what an attempt's target promised with what it does (Probing.cc).
+void NoteFirstBytes(EntryState& state, uint64_t attempt);
+void NoteAttemptEnd(EntryState& state,
+                    const OpenCall& open,
+                    const calls::Ending& ending);
+
 // Takes claim keys from an agent for a caller (Claims.cc).
 void HandleClaims(EntryState& state,
                   const http::Request& request,
