Services: Answer for the claim keys of an agent that has stopped

A stopped agent's keys were "unknown" from then on, also those that surely never ran. The agent now seals its keys as its last word; entries keep the seal, pass it on to peers that start later and answer "not run" or "answer gone" by it.

--- a/Libraries/LibWire/Generated/Frames_generated.h
+++ b/Libraries/LibWire/Generated/Frames_generated.h
@@ -56,6 +56,10 @@
 struct ClaimReplyBuilder;
 struct ClaimReplyT;
 
+struct ClaimsSealed;
+struct ClaimsSealedBuilder;
+struct ClaimsSealedT;
+
 struct HeadAnnouncement;
 struct HeadAnnouncementBuilder;
 struct HeadAnnouncementT;
@@ -129,15 +133,16 @@
   CallCancel = 9,
   ClaimRequest = 10,
   ClaimReply = 11,
-  HeadAnnouncement = 12,
-  ShardRequest = 13,
-  Shard = 14,
-  InForce = 15,
+  ClaimsSealed = 12,
+  HeadAnnouncement = 13,
+  ShardRequest = 14,
+  Shard = 15,
+  InForce = 16,
   MIN = NONE,
   MAX = InForce
 };
 
-inline const Body (&EnumValuesBody())[16] {
+inline const Body (&EnumValuesBody())[17] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -151,6 +156,7 @@
     Body::CallCancel,
     Body::ClaimRequest,
     Body::ClaimReply,
+    Body::ClaimsSealed,
     Body::HeadAnnouncement,
     Body::ShardRequest,
     Body::Shard,
@@ -160,7 +166,7 @@
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[17] = {
+  static const char * const names[18] = {
     "NONE",
     "Hello",
     "Leaving",
@@ -173,6 +179,7 @@
     "CallCancel",
     "ClaimRequest",
     "ClaimReply",
+    "ClaimsSealed",
     "HeadAnnouncement",
     "ShardRequest",
     "Shard",
@@ -236,6 +243,10 @@
   static const Body enum_value = Body::ClaimReply;
 };
 
+template<> struct BodyTraits<bramleyspan::wire::ClaimsSealed> {
+  static const Body enum_value = Body::ClaimsSealed;
+};
+
 template<> struct BodyTraits<bramleyspan::wire::HeadAnnouncement> {
   static const Body enum_value = Body::HeadAnnouncement;
 };
@@ -300,6 +311,10 @@
   static const Body enum_value = Body::ClaimReply;
 };
 
+template<> struct BodyUnionTraits<bramleyspan::wire::ClaimsSealedT> {
+  static const Body enum_value = Body::ClaimsSealed;
+};
+
 template<> struct BodyUnionTraits<bramleyspan::wire::HeadAnnouncementT> {
   static const Body enum_value = Body::HeadAnnouncement;
 };
@@ -434,6 +449,14 @@
     return type == Body::ClaimReply ?
       reinterpret_cast<const bramleyspan::wire::ClaimReplyT *>(value) : nullptr;
   }
+  bramleyspan::wire::ClaimsSealedT *AsClaimsSealed() {
+    return type == Body::ClaimsSealed ?
+      reinterpret_cast<bramleyspan::wire::ClaimsSealedT *>(value) : nullptr;
+  }
+  const bramleyspan::wire::ClaimsSealedT *AsClaimsSealed() const {
+    return type == Body::ClaimsSealed ?
+      reinterpret_cast<const bramleyspan::wire::ClaimsSealedT *>(value) : nullptr;
+  }
   bramleyspan::wire::HeadAnnouncementT *AsHeadAnnouncement() {
     return type == Body::HeadAnnouncement ?
       reinterpret_cast<bramleyspan::wire::HeadAnnouncementT *>(value) : nullptr;
@@ -1626,6 +1649,116 @@
 
 flatbuffers::Offset<ClaimReply> CreateClaimReply(flatbuffers::FlatBufferBuilder &_fbb, const ClaimReplyT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ClaimsSealedT : public flatbuffers::NativeTable {
+  typedef ClaimsSealed TableType;
+  std::string agent{};
+  uint64_t incarnation = 0;
+  uint64_t oldest_epoch = 0;
+  std::vector<std::string> may_have_run{};
+};
+
+struct ClaimsSealed FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ClaimsSealedT NativeTableType;
+  typedef ClaimsSealedBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_AGENT = 4,
+    VT_INCARNATION = 6,
+    VT_OLDEST_EPOCH = 8,
+    VT_MAY_HAVE_RUN = 10
+  };
+  const flatbuffers::String *agent() const {
+    return GetPointer<const flatbuffers::String *>(VT_AGENT);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  uint64_t oldest_epoch() const {
+    return GetField<uint64_t>(VT_OLDEST_EPOCH, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *may_have_run() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_MAY_HAVE_RUN);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_AGENT) &&
+           verifier.VerifyString(agent()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OLDEST_EPOCH, 8) &&
+           VerifyOffset(verifier, VT_MAY_HAVE_RUN) &&
+           verifier.VerifyVector(may_have_run()) &&
+           verifier.VerifyVectorOfStrings(may_have_run()) &&
+           verifier.EndTable();
+  }
+  ClaimsSealedT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ClaimsSealedT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<ClaimsSealed> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimsSealedT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ClaimsSealedBuilder {
+  typedef ClaimsSealed Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_agent(flatbuffers::Offset<flatbuffers::String> agent) {
+    fbb_.AddOffset(ClaimsSealed::VT_AGENT, agent);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(ClaimsSealed::VT_INCARNATION, incarnation, 0);
+  }
+  void add_oldest_epoch(uint64_t oldest_epoch) {
+    fbb_.AddElement<uint64_t>(ClaimsSealed::VT_OLDEST_EPOCH, oldest_epoch, 0);
+  }
+  void add_may_have_run(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> may_have_run) {
+    fbb_.AddOffset(ClaimsSealed::VT_MAY_HAVE_RUN, may_have_run);
+  }
+  explicit ClaimsSealedBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<ClaimsSealed> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<ClaimsSealed>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<ClaimsSealed> CreateClaimsSealed(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> agent = 0,
+    uint64_t incarnation = 0,
+    uint64_t oldest_epoch = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> may_have_run = 0) {
+  ClaimsSealedBuilder builder_(_fbb);
+  builder_.add_oldest_epoch(oldest_epoch);
+  builder_.add_incarnation(incarnation);
+  builder_.add_may_have_run(may_have_run);
+  builder_.add_agent(agent);
+  return builder_.Finish();
+}
+
+struct ClaimsSealed::Traits {
+  using type = ClaimsSealed;
+  static auto constexpr Create = CreateClaimsSealed;
+};
+
+inline flatbuffers::Offset<ClaimsSealed> CreateClaimsSealedDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *agent = nullptr,
+    uint64_t incarnation = 0,
+    uint64_t oldest_epoch = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *may_have_run = nullptr) {
+  auto agent__ = agent ? _fbb.CreateString(agent) : 0;
+  auto may_have_run__ = may_have_run ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*may_have_run) : 0;
+  return bramleyspan::wire::CreateClaimsSealed(
+      _fbb,
+      agent__,
+      incarnation,
+      oldest_epoch,
+      may_have_run__);
+}
+
+flatbuffers::Offset<ClaimsSealed> CreateClaimsSealed(flatbuffers::FlatBufferBuilder &_fbb, const ClaimsSealedT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeadAnnouncementT : public flatbuffers::NativeTable {
   typedef HeadAnnouncement TableType;
   uint64_t revision = 0;
@@ -2038,6 +2171,9 @@
   const bramleyspan::wire::ClaimReply *body_as_ClaimReply() const {
     return body_type() == bramleyspan::wire::Body::ClaimReply ? static_cast<const bramleyspan::wire::ClaimReply *>(body()) : nullptr;
   }
+  const bramleyspan::wire::ClaimsSealed *body_as_ClaimsSealed() const {
+    return body_type() == bramleyspan::wire::Body::ClaimsSealed ? static_cast<const bramleyspan::wire::ClaimsSealed *>(body()) : nullptr;
+  }
   const bramleyspan::wire::HeadAnnouncement *body_as_HeadAnnouncement() const {
     return body_type() == bramleyspan::wire::Body::HeadAnnouncement ? static_cast<const bramleyspan::wire::HeadAnnouncement *>(body()) : nullptr;
   }
@@ -2106,6 +2242,10 @@
   return body_as_ClaimReply();
 }
 
+template<> inline const bramleyspan::wire::ClaimsSealed *Frame::body_as<bramleyspan::wire::ClaimsSealed>() const {
+  return body_as_ClaimsSealed();
+}
+
 template<> inline const bramleyspan::wire::HeadAnnouncement *Frame::body_as<bramleyspan::wire::HeadAnnouncement>() const {
   return body_as_HeadAnnouncement();
 }
@@ -2534,6 +2674,41 @@
       _keep_microseconds);
 }
 
+inline ClaimsSealedT *ClaimsSealed::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ClaimsSealedT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void ClaimsSealed::UnPackTo(ClaimsSealedT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = agent(); if (_e) _o->agent = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = oldest_epoch(); _o->oldest_epoch = _e; }
+  { auto _e = may_have_run(); if (_e) { _o->may_have_run.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->may_have_run[_i] = _e->Get(_i)->str(); } } }
+}
+
+inline flatbuffers::Offset<ClaimsSealed> ClaimsSealed::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ClaimsSealedT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateClaimsSealed(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<ClaimsSealed> CreateClaimsSealed(flatbuffers::FlatBufferBuilder &_fbb, const ClaimsSealedT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ClaimsSealedT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _agent = _o->agent.empty() ? 0 : _fbb.CreateString(_o->agent);
+  auto _incarnation = _o->incarnation;
+  auto _oldest_epoch = _o->oldest_epoch;
+  auto _may_have_run = _o->may_have_run.size() ? _fbb.CreateVectorOfStrings(_o->may_have_run) : 0;
+  return bramleyspan::wire::CreateClaimsSealed(
+      _fbb,
+      _agent,
+      _incarnation,
+      _oldest_epoch,
+      _may_have_run);
+}
+
 inline HeadAnnouncementT *HeadAnnouncement::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<HeadAnnouncementT>();
   UnPackTo(_o.get(), _resolver);
@@ -2748,6 +2923,10 @@
       auto ptr = reinterpret_cast<const bramleyspan::wire::ClaimReply *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::ClaimsSealed: {
+      auto ptr = reinterpret_cast<const bramleyspan::wire::ClaimsSealed *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Body::HeadAnnouncement: {
       auto ptr = reinterpret_cast<const bramleyspan::wire::HeadAnnouncement *>(obj);
       return verifier.VerifyTable(ptr);
@@ -2827,6 +3006,10 @@
       auto ptr = reinterpret_cast<const bramleyspan::wire::ClaimReply *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::ClaimsSealed: {
+      auto ptr = reinterpret_cast<const bramleyspan::wire::ClaimsSealed *>(obj);
+      return ptr->UnPack(resolver);
+    }
     case Body::HeadAnnouncement: {
       auto ptr = reinterpret_cast<const bramleyspan::wire::HeadAnnouncement *>(obj);
       return ptr->UnPack(resolver);
@@ -2894,6 +3077,10 @@
       auto ptr = reinterpret_cast<const bramleyspan::wire::ClaimReplyT *>(value);
       return CreateClaimReply(_fbb, ptr, _rehasher).Union();
     }
+    case Body::ClaimsSealed: {
+      auto ptr = reinterpret_cast<const bramleyspan::wire::ClaimsSealedT *>(value);
+      return CreateClaimsSealed(_fbb, ptr, _rehasher).Union();
+    }
     case Body::HeadAnnouncement: {
       auto ptr = reinterpret_cast<const bramleyspan::wire::HeadAnnouncementT *>(value);
       return CreateHeadAnnouncement(_fbb, ptr, _rehasher).Union();
@@ -2960,6 +3147,10 @@
       value = new bramleyspan::wire::ClaimReplyT(*reinterpret_cast<bramleyspan::wire::ClaimReplyT *>(u.value));
       break;
     }
+    case Body::ClaimsSealed: {
+      value = new bramleyspan::wire::ClaimsSealedT(*reinterpret_cast<bramleyspan::wire::ClaimsSealedT *>(u.value));
+      break;
+    }
     case Body::HeadAnnouncement: {
       value = new bramleyspan::wire::HeadAnnouncementT(*reinterpret_cast<bramleyspan::wire::HeadAnnouncementT *>(u.value));
       break;
@@ -3038,6 +3229,11 @@
       delete ptr;
       break;
     }
+    case Body::ClaimsSealed: {
+      auto ptr = reinterpret_cast<bramleyspan::wire::ClaimsSealedT *>(value);
+      delete ptr;
+      break;
+    }
     case Body::HeadAnnouncement: {
       auto ptr = reinterpret_cast<bramleyspan::wire::HeadAnnouncementT *>(value);
       delete ptr;
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -206,9 +206,12 @@
     if (!this->state.calls.forwarded.empty()) {
       this->idle_since = now;
       this->CutAtBound(now);
-    } else if (now >= this->notice_ends && this->is_flushed(now)) {
-      this->state.loop.Stop();
-      return;
+    } else if (now >= this->notice_ends) {
+      this->SealOnce();
+      if (this->is_flushed(now)) {
+        this->state.loop.Stop();
+        return;
+      }
     }
     this->state.loop.RunAfter(kDrainCheckInterval,
                               [this] { this->StopWhenIdle(); });
@@ -225,6 +228,16 @@
 
   // The end of the last answer may still wait for a slow entry; stopping now
   // would cut off an answer that the back end has finished.
+  // Nothing runs and no key will: tell the entries, which answer for the keys
+  // when this process is gone.
+  void SealOnce() {
+    if (std::exchange(this->is_sealed, true)) {
+      return;
+    }
+    SendSeal(this->state);
+    this->idle_since = EventLoop::Now();
+  }
+
   bool is_flushed(TimePoint now) const {
     return this->unsent_bytes() == 0 || now >= this->idle_since + kLongestFlush;
   }
@@ -239,6 +252,7 @@
 
   AgentState state;
   bool is_draining = false;
+  bool is_sealed = false;
   TimePoint notice_ends;
   TimePoint idle_since;
   TimePoint drain_ends;
--- a/Services/bramleyspand/Agent/AgentState.h
+++ b/Services/bramleyspand/Agent/AgentState.h
@@ -39,6 +39,10 @@
 // The bound of the planned stop has come (Calls.cc).
 void CutAllCalls(AgentState& state);
 
+// Tells all entries what became of the claim keys (Calls.cc). The agent must be
+// leaving and nothing may be running.
+void SendSeal(AgentState& state);
+
 // Handles a frame of an entry (Calls.cc).
 void HandleEntryFrame(AgentState& state,
                       wire::Connection& connection,
--- a/Services/bramleyspand/Agent/Calls.cc
+++ b/Services/bramleyspand/Agent/Calls.cc
@@ -1,4 +1,5 @@
 #include "Kernel/Digest.h"
+#include "LibClaims/Seal.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Agent/AgentState.h"
 
@@ -9,6 +10,8 @@
 constexpr Duration kDeadlineCheckInterval = std::chrono::milliseconds(20);
 constexpr Duration kEstimatePerCall = std::chrono::milliseconds(10);
 constexpr size_t kNonceBytes = 12;
+// A seal of more keys would not fit into a frame.
+constexpr size_t kMostSealedKeys = 50'000;
 
 wire::Verdict ToWire(calls::Verdict verdict) {
   switch (verdict) {
@@ -245,6 +248,23 @@
                       [&state] { WatchDeadlines(state); });
 }
 
+void SendSeal(AgentState& state) {
+  const claims::ClaimsSeal seal = claims::SealClaims(state.calls.claims);
+  if (seal.may_have_run.size() > kMostSealedKeys) {
+    telemetry::Log(telemetry::LogLevel::kWarning, "calls", "not_sealed",
+                   {{"keys", std::to_string(seal.may_have_run.size())}});
+    return;
+  }
+  wire::ClaimsSealedT frame;
+  frame.agent = seal.agent;
+  frame.incarnation = seal.incarnation;
+  frame.oldest_epoch = seal.oldest_epoch;
+  frame.may_have_run.assign(seal.may_have_run.begin(), seal.may_have_run.end());
+  for (const auto& connection : state.connections) {
+    connection->Send(wire::Encode(frame));
+  }
+}
+
 void CutAllCalls(AgentState& state) {
   Perform(state, calls::CutAll(state.calls));
 }
--- a/Services/bramleyspand/Entry/Calls.cc
+++ b/Services/bramleyspand/Entry/Calls.cc
@@ -217,10 +217,11 @@
 void RefuseCall(EntryState& state,
                 uint64_t id,
                 ErrorCode code,
-                const std::string& detail) {
+                const std::string& detail,
+                Duration retry_after) {
   const OpenCall& open = state.calls.at(id);
   const calls::Ending ending{calls::Verdict::kNotRun, code, detail,
-                             kRetryAfter};
+                             retry_after};
   CountEnd(open, ending);
   open.exchange->Respond(ToResponse(open, ending));
   CloseCall(state, id);
@@ -281,6 +282,9 @@
     RefuseCall(state, id, ErrorCode::kMalformedRequest, key.error().detail);
     return;
   }
+  if (AnswerBySeal(state, key.value(), id)) {
+    return;
+  }
   OpenCall& open = state.calls.at(id);
   const auto link = state.links.find(key.value().agent);
   if (link != state.links.end() && link->second.connection->is_open()) {
@@ -307,6 +311,8 @@
     HandleCallEnd(state, *end);
   } else if (const auto* reply = frame.body.AsClaimReply()) {
     HandleClaimReply(state, *reply);
+  } else if (const auto* seal = frame.body.AsClaimsSealed()) {
+    HandleSeal(state, *seal);
   }
 }
 
--- a/Services/bramleyspand/Entry/Calls.h
+++ b/Services/bramleyspand/Entry/Calls.h
@@ -41,7 +41,8 @@
 void RefuseCall(EntryState& state,
                 uint64_t id,
                 ErrorCode code,
-                const std::string& detail);
+                const std::string& detail,
+                Duration retry_after = kRetryAfter);
 
 // Sends a call to the one agent that its claim key names (Calls.cc).
 void RouteByClaim(EntryState& state, const std::string& claim, uint64_t id);
@@ -62,6 +63,13 @@
                   const ExchangePointer& exchange);
 void HandleClaimReply(EntryState& state, const wire::ClaimReplyT& reply);
 
+// Takes an agent's seal and passes it on to the other entries (Seals.cc).
+void HandleSeal(EntryState& state, const wire::ClaimsSealedT& frame);
+
+// Answers for an agent that has sealed its keys and stopped. Returns false if
+// only the agent itself could answer (Seals.cc).
+bool AnswerBySeal(EntryState& state, const claims::ClaimKey& key, uint64_t id);
+
 // Asks another agent for the keys that a lost one was to issue (Claims.cc).
 void HandleLostClaimAgent(EntryState& state, const std::string& target);
 
--- a/Services/bramleyspand/Entry/EntryState.h
+++ b/Services/bramleyspand/Entry/EntryState.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "LibCalls/Retry.h"
+#include "LibClaims/Seal.h"
 #include "LibHTTP/Client.h"
 #include "LibHTTP/Server.h"
 #include "LibPlatform/KeyValueClient.h"
@@ -78,6 +79,7 @@
   std::map<uint64_t, ProbeRound> rounds;
   std::map<uint64_t, uint64_t> round_of_probe;
   std::map<uint64_t, OpenClaimRequest> claim_requests;
+  claims::SealBook seals;
   uint64_t last_id = 0;
   bool is_leaving = false;
   // Whether the key-value service or a peer has told the catalogue once.
@@ -105,6 +107,10 @@
 // Ends calls that have waited too long, for ever.
 void WatchCalls(EntryState& state);
 
+// The seals of agents that have stopped (Seals.cc), for a peer that has just
+// started and would have to answer "unknown" without them.
+void SendSeals(const EntryState& state, wire::Connection& connection);
+
 // Operators (OperatorApi.cc).
 void HandleOperatorRequest(EntryState& state,
                            const http::Request& request,
--- a/Services/bramleyspand/Entry/Links.cc
+++ b/Services/bramleyspand/Entry/Links.cc
@@ -45,6 +45,9 @@
     link.zone = hello->zone;
     link.incarnation = hello->incarnation;
     link.revision = hello->revision;
+    if (link.role == "entry") {
+      SendSeals(state, connection);
+    }
   } else if (const auto* in_force = frame.body.AsInForce()) {
     link.revision = in_force->revision;
   } else if (frame.body.AsLeaving() != nullptr) {
