--- a/Kernel/Error.cc
+++ b/Kernel/Error.cc
@@ -16,6 +16,7 @@
     {ErrorCode::kConnectionClosed, "connection_closed"},
     {ErrorCode::kTimeout, "timeout"},
     {ErrorCode::kConflict, "conflict"},
+    {ErrorCode::kStoreBehind, "store_behind"},
     {ErrorCode::kOutcomeUnknown, "outcome_unknown"},
     {ErrorCode::kUnauthenticated, "unauthenticated"},
     {ErrorCode::kForbidden, "forbidden"},
--- a/Kernel/Error.h
+++ b/Kernel/Error.h
@@ -16,6 +16,8 @@
   kConnectionClosed,
   kTimeout,
   kConflict,
+  // The key-value service lacks a change that is in force.
+  kStoreBehind,
   kOutcomeUnknown,
   kUnauthenticated,
   kForbidden,
--- a/Libraries/LibCatalogue/Commit.h
+++ b/Libraries/LibCatalogue/Commit.h
@@ -8,7 +8,7 @@
 #include <variant>
 #include <vector>
 
-#include "LibCatalogue/Shards.h"
+#include "LibCatalogue/Lineage.h"
 
 namespace bramleyspan::catalogue {
 
@@ -27,7 +27,10 @@
 };
 
 // Effects that the caller performs; each is answered by one event.
-struct ReadHead {};
+struct ReadHead {
+  // Reads before this one; the caller waits longer before each retry.
+  uint32_t attempt = 0;
+};
 struct WriteShard {
   std::string digest;
   std::string document;
@@ -36,15 +39,22 @@
   uint64_t expected_version = 0;
   std::string text;
 };
-// The change is decided: the accepted revision, or kConflict, or
-// kOutcomeUnknown, or kUnavailable when surely nothing was changed.
+// The change is decided: the accepted revision, or kConflict, or kStoreBehind,
+// or kOutcomeUnknown, or kUnavailable when surely nothing was changed.
 struct FinishCommit {
   Result<uint64_t> outcome;
 };
 using CommitEffect = std::variant<ReadHead, WriteShard, SwapHead, FinishCommit>;
 
+// What is in force here and on the peers, as far as it was known when a read
+// of the head was sent: the read must show all of it.
+using KnownChanges = std::vector<AcceptedChange>;
+
 struct Commit {
   ChangeSet change;
+  // What a restore writes back; none for a change set.
+  std::optional<Snapshot> restored;
+  // The head and all of its shards once the swap is sent.
   Snapshot next;
   uint64_t head_version = 0;
   std::vector<std::pair<std::string, std::string>> unwritten;
@@ -56,8 +66,16 @@
 // Starts a commit; the first effect is always to read the head.
 CommitEffect StartCommit(Commit& commit, ChangeSet change);
 
-// The head was read, or the read failed.
-CommitEffect HandleHeadRead(Commit& commit, const Result<StoredHead>& stored);
+// Starts to commit the catalogue in force anew, for a key-value service that
+// has lost accepted changes. What the service accepted since is abandoned.
+CommitEffect StartRestore(Commit& commit,
+                          std::string change_id,
+                          Snapshot in_force);
+
+// The head was read, or the read failed. `known` is from before the read.
+CommitEffect HandleHeadRead(Commit& commit,
+                            const Result<StoredHead>& stored,
+                            const KnownChanges& known);
 
 // A shard was written (or stood there already), or the write failed.
 CommitEffect HandleShardWritten(Commit& commit, const Result<void>& written);
--- /dev/null
+++ b/Libraries/LibCatalogue/Diff.h
@@ -0,0 +1,31 @@
+// What differs between two catalogues, for operators.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "LibCatalogue/Catalogue.h"
+
+namespace bramleyspan::catalogue {
+
+enum class DifferenceKind { kAdded, kRemoved, kChanged };
+
+// A declaration that differs. For kChanged `fields` names each field as
+// "deadline_ms: 2000 -> 3000".
+struct Difference {
+  DifferenceKind kind = DifferenceKind::kChanged;
+  std::string section;
+  std::string name;
+  std::vector<std::string> fields;
+
+  bool operator==(const Difference&) const = default;
+};
+
+// What makes `after` out of `before`.
+std::vector<Difference> Compare(const Catalogue& before,
+                                const Catalogue& after);
+
+// Formats as "+ entry draft", "- owner huber" or "~ group a: field: 1 -> 2".
+std::string Format(const Difference& difference);
+
+}  // namespace bramleyspan::catalogue
--- a/Libraries/LibCatalogue/Follower.cc
+++ b/Libraries/LibCatalogue/Follower.cc
@@ -1,5 +1,6 @@
 #include "LibCatalogue/Follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "Kernel/Digest.h"
@@ -37,17 +38,23 @@
 
 OfferEffects OfferHead(Follower& follower, const Head& head) {
   const Head& current = follower.in_force.head;
-  // A late or repeated head, or a key-value service that came back with an
-  // older state, must not undo an accepted change.
-  if (head.revision < current.revision) {
-    return {OfferOutcome::kOlder, {}};
-  }
-  if (head.revision == current.revision) {
-    return {head == current ? OfferOutcome::kKnown : OfferOutcome::kDiverged,
-            {}};
+  switch (CompareLineage(head, NewestChange(current))) {
+    case Lineage::kSame:
+      return {OfferOutcome::kKnown, {}};
+    case Lineage::kOlder:
+      // A late or repeated head, or a key-value service that came back with an
+      // older state, must not undo an accepted change.
+      return {OfferOutcome::kOlder, {}};
+    case Lineage::kDiverged:
+      // The service lost accepted changes and somebody committed on top of
+      // what was left. The number of such a head may be higher than ours, but
+      // to follow it would undo what was accepted.
+      return {OfferOutcome::kDiverged, {}};
+    case Lineage::kNewer:
+      break;
   }
   if (follower.pending && head.revision < follower.pending->revision) {
-    return {OfferOutcome::kOlder, {}};
+    return {OfferOutcome::kKnown, {}};
   }
   follower.pending = head;
   return TryPending(follower);
@@ -57,8 +64,20 @@
   if (!follower.pending) {
     return {OfferOutcome::kKnown, {}};
   }
-  follower.in_force.shards.emplace(Sha256Hex(document), document);
+  const std::string digest = Sha256Hex(document);
+  const auto missing = FindPendingShards(follower);
+  if (std::ranges::find(missing, digest) == missing.end()) {
+    return {OfferOutcome::kKnown, {}};
+  }
+  follower.in_force.shards.emplace(digest, document);
   return TryPending(follower);
 }
 
+std::vector<std::string> FindPendingShards(const Follower& follower) {
+  if (!follower.pending) {
+    return {};
+  }
+  return FindMissingShards(*follower.pending, follower.in_force.shards);
+}
+
 }  // namespace bramleyspan::catalogue
--- a/Libraries/LibCatalogue/Follower.h
+++ b/Libraries/LibCatalogue/Follower.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "LibCatalogue/Shards.h"
+#include "LibCatalogue/Lineage.h"
 
 namespace bramleyspan::catalogue {
 
@@ -25,7 +25,8 @@
   // The head is older than the one in force and was not taken. A key-value
   // service that offers one has lost accepted changes.
   kOlder,
-  // The head has the revision in force but other contents.
+  // The head lacks a change that is in force here and has one of its own: the
+  // key-value service lost accepted changes and took others since.
   kDiverged,
   // Shards are missing; the head takes force when they have come.
   kNeedsShards,
@@ -48,4 +49,8 @@
 // document can never stand for the right one.
 OfferEffects OfferShard(Follower& follower, const std::string& document);
 
+// The shards that a pending head still lacks; to be asked for again, since a
+// request or its answer may be lost.
+std::vector<std::string> FindPendingShards(const Follower& follower);
+
 }  // namespace bramleyspan::catalogue
--- a/Libraries/LibCatalogue/Shards.cc
+++ b/Libraries/LibCatalogue/Shards.cc
@@ -12,7 +12,6 @@
 using nlohmann::json;
 
 constexpr size_t kOwnerShards = 32;
-constexpr size_t kRememberedChanges = 64;
 
 // Owners and their entries share a shard, so that most changes touch one.
 std::string SlotOfOwner(const std::string& owner) {
@@ -21,6 +20,22 @@
   return "owners-" + std::to_string(slot % kOwnerShards);
 }
 
+json ToJson(const std::vector<AcceptedChange>& changes) {
+  json list = json::array();
+  for (const AcceptedChange& change : changes) {
+    list.push_back({{"id", change.id}, {"revision", change.revision}});
+  }
+  return list;
+}
+
+std::vector<AcceptedChange> ParseChanges(const json& list) {
+  std::vector<AcceptedChange> changes;
+  for (const json& change : list) {
+    changes.push_back({change.at("id"), change.at("revision")});
+  }
+  return changes;
+}
+
 }  // namespace
 
 Snapshot CutIntoShards(const Catalogue& catalogue,
@@ -37,6 +52,7 @@
   Snapshot snapshot;
   snapshot.head.revision = previous.revision + 1;
   snapshot.head.changes = previous.changes;
+  snapshot.head.abandoned = previous.abandoned;
   snapshot.head.changes.push_back({change_id, snapshot.head.revision});
   if (snapshot.head.changes.size() > kRememberedChanges) {
     snapshot.head.changes.erase(snapshot.head.changes.begin());
@@ -77,13 +93,10 @@
 }
 
 std::string SerializeHead(const Head& head) {
-  json changes = json::array();
-  for (const AcceptedChange& change : head.changes) {
-    changes.push_back({{"id", change.id}, {"revision", change.revision}});
-  }
   const json document = {{"revision", head.revision},
                          {"shards", head.shards},
-                         {"changes", changes}};
+                         {"changes", ToJson(head.changes)},
+                         {"abandoned", ToJson(head.abandoned)}};
   return document.dump();
 }
 
@@ -94,9 +107,8 @@
     head.revision = document.at("revision");
     head.shards =
         document.at("shards").get<std::map<std::string, std::string>>();
-    for (const json& change : document.at("changes")) {
-      head.changes.push_back({change.at("id"), change.at("revision")});
-    }
+    head.changes = ParseChanges(document.at("changes"));
+    head.abandoned = ParseChanges(document.at("abandoned"));
     return head;
   } catch (const std::exception& failure) {
     return Fail(ErrorCode::kMalformedDocument, "catalogue head",
--- a/Libraries/LibCatalogue/Shards.h
+++ b/Libraries/LibCatalogue/Shards.h
@@ -29,6 +29,9 @@
   std::map<std::string, std::string> shards;
   // The newest changes, oldest first.
   std::vector<AcceptedChange> changes;
+  // Changes that an operator gave up by a restore: they were accepted by a
+  // key-value service that had lost others.
+  std::vector<AcceptedChange> abandoned;
 
   bool operator==(const Head&) const = default;
 };
@@ -42,6 +45,11 @@
   ShardMap shards;
 };
 
+// How many changes a head remembers. Today's users and the size ahead make 310
+// changes a day: a process can be away for five hours and still tell that a
+// head follows its own.
+inline constexpr size_t kRememberedChanges = 64;
+
 // Cuts a catalogue into shards and names them in the next head.
 Snapshot CutIntoShards(const Catalogue& catalogue,
                        const Head& previous,
--- a/Libraries/LibPlatform/KeyValueClient.cc
+++ b/Libraries/LibPlatform/KeyValueClient.cc
@@ -12,7 +12,7 @@
 constexpr int kOk = 200;
 constexpr int kNotFound = 404;
 // A watch is answered late by up to a sixteenth of its wait.
-constexpr auto kWatchSlack = std::chrono::seconds(6);
+constexpr auto kWatchSlack = std::chrono::seconds(1);
 
 std::string PathOf(const std::string& key) {
   return "/v1/kv/" + key;
--- a/Libraries/LibPlatform/KeyValueClient.h
+++ b/Libraries/LibPlatform/KeyValueClient.h
@@ -27,7 +27,9 @@
 struct KeyValueSettings {
   Address address;
   Duration call_timeout = std::chrono::seconds(2);
-  Duration watch_wait = std::chrono::seconds(60);
+  // A service that is frozen shows only by a watch that is not answered in
+  // time, so the wait bounds how late that is noticed.
+  Duration watch_wait = std::chrono::seconds(5);
 };
 
 class KeyValueClient {
--- a/Libraries/LibWire/Generated/Frames_generated.h
+++ b/Libraries/LibWire/Generated/Frames_generated.h
@@ -478,6 +478,7 @@
   std::string zone{};
   uint64_t incarnation = 0;
   uint64_t revision = 0;
+  std::string change{};
 };
 
 struct Hello FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -489,7 +490,8 @@
     VT_ROLE = 6,
     VT_ZONE = 8,
     VT_INCARNATION = 10,
-    VT_REVISION = 12
+    VT_REVISION = 12,
+    VT_CHANGE = 14
   };
   const flatbuffers::String *process() const {
     return GetPointer<const flatbuffers::String *>(VT_PROCESS);
@@ -506,6 +508,9 @@
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  const flatbuffers::String *change() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHANGE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_PROCESS) &&
@@ -516,6 +521,8 @@
            verifier.VerifyString(zone()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_CHANGE) &&
+           verifier.VerifyString(change()) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -542,6 +549,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(Hello::VT_REVISION, revision, 0);
   }
+  void add_change(flatbuffers::Offset<flatbuffers::String> change) {
+    fbb_.AddOffset(Hello::VT_CHANGE, change);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -559,10 +569,12 @@
     flatbuffers::Offset<flatbuffers::String> role = 0,
     flatbuffers::Offset<flatbuffers::String> zone = 0,
     uint64_t incarnation = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::String> change = 0) {
   HelloBuilder builder_(_fbb);
   builder_.add_revision(revision);
   builder_.add_incarnation(incarnation);
+  builder_.add_change(change);
   builder_.add_zone(zone);
   builder_.add_role(role);
   builder_.add_process(process);
@@ -580,17 +592,20 @@
     const char *role = nullptr,
     const char *zone = nullptr,
     uint64_t incarnation = 0,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    const char *change = nullptr) {
   auto process__ = process ? _fbb.CreateString(process) : 0;
   auto role__ = role ? _fbb.CreateString(role) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
+  auto change__ = change ? _fbb.CreateString(change) : 0;
   return bramleyspan::wire::CreateHello(
       _fbb,
       process__,
       role__,
       zone__,
       incarnation,
-      revision);
+      revision,
+      change__);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1862,6 +1877,7 @@
 struct InForceT : public flatbuffers::NativeTable {
   typedef InForce TableType;
   uint64_t revision = 0;
+  std::string change{};
 };
 
 struct InForce FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1869,14 +1885,20 @@
   typedef InForceBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_REVISION = 4
+    VT_REVISION = 4,
+    VT_CHANGE = 6
   };
   uint64_t revision() const {
     return GetField<uint64_t>(VT_REVISION, 0);
   }
+  const flatbuffers::String *change() const {
+    return GetPointer<const flatbuffers::String *>(VT_CHANGE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyOffset(verifier, VT_CHANGE) &&
+           verifier.VerifyString(change()) &&
            verifier.EndTable();
   }
   InForceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1891,6 +1913,9 @@
   void add_revision(uint64_t revision) {
     fbb_.AddElement<uint64_t>(InForce::VT_REVISION, revision, 0);
   }
+  void add_change(flatbuffers::Offset<flatbuffers::String> change) {
+    fbb_.AddOffset(InForce::VT_CHANGE, change);
+  }
   explicit InForceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1904,9 +1929,11 @@
 
 inline flatbuffers::Offset<InForce> CreateInForce(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t revision = 0) {
+    uint64_t revision = 0,
+    flatbuffers::Offset<flatbuffers::String> change = 0) {
   InForceBuilder builder_(_fbb);
   builder_.add_revision(revision);
+  builder_.add_change(change);
   return builder_.Finish();
 }
 
@@ -1915,6 +1942,17 @@
   static auto constexpr Create = CreateInForce;
 };
 
+inline flatbuffers::Offset<InForce> CreateInForceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t revision = 0,
+    const char *change = nullptr) {
+  auto change__ = change ? _fbb.CreateString(change) : 0;
+  return bramleyspan::wire::CreateInForce(
+      _fbb,
+      revision,
+      change__);
+}
+
 flatbuffers::Offset<InForce> CreateInForce(flatbuffers::FlatBufferBuilder &_fbb, const InForceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct LeavingT : public flatbuffers::NativeTable {
@@ -2174,6 +2212,7 @@
   { auto _e = zone(); if (_e) _o->zone = _e->str(); }
   { auto _e = incarnation(); _o->incarnation = _e; }
   { auto _e = revision(); _o->revision = _e; }
+  { auto _e = change(); if (_e) _o->change = _e->str(); }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2189,13 +2228,15 @@
   auto _zone = _o->zone.empty() ? 0 : _fbb.CreateString(_o->zone);
   auto _incarnation = _o->incarnation;
   auto _revision = _o->revision;
+  auto _change = _o->change.empty() ? 0 : _fbb.CreateString(_o->change);
   return bramleyspan::wire::CreateHello(
       _fbb,
       _process,
       _role,
       _zone,
       _incarnation,
-      _revision);
+      _revision,
+      _change);
 }
 
 inline ProbeT *Probe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2628,6 +2669,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = revision(); _o->revision = _e; }
+  { auto _e = change(); if (_e) _o->change = _e->str(); }
 }
 
 inline flatbuffers::Offset<InForce> InForce::Pack(flatbuffers::FlatBufferBuilder &_fbb, const InForceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2639,9 +2681,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const InForceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _revision = _o->revision;
+  auto _change = _o->change.empty() ? 0 : _fbb.CreateString(_o->change);
   return bramleyspan::wire::CreateInForce(
       _fbb,
-      _revision);
+      _revision,
+      _change);
 }
 
 inline LeavingT *Leaving::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -98,14 +98,23 @@
     "$BIN/bramleyspanctl" "$@"
 }
 
+# control_at N ARGUMENTS...: as control, by entry N alone.
+control_at() {
+  local n=$1
+  shift
+  BRAMLEYSPAN_OPERATOR_KEY=$OPERATOR_KEY BRAMLEYSPAN_ENTRIES=$NET.1.$n:8080 \
+    "$BIN/bramleyspanctl" "$@"
+}
+
+# store_mode JSON: makes the key-value service fail, or serve again.
+store_mode() { curl -sf -X PUT "http://$KEY_VALUE/control" -d "$1" -o "$LOGS/control"; }
+
 # in_force REVISION COUNT: whether every entry sees COUNT processes, itself
 # included, that have REVISION in force.
 in_force() {
   local n
   for n in 1 2 3; do
-    [ "$(BRAMLEYSPAN_ENTRIES=$NET.1.$n:8080 BRAMLEYSPAN_OPERATOR_KEY=$OPERATOR_KEY \
-      "$BIN/bramleyspanctl" status |
-      grep -c "revision $1")" -eq "$2" ] || return 1
+    [ "$(control_at "$n" status | grep -cw "revision $1")" -eq "$2" ] || return 1
   done
 }
 
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -26,6 +26,7 @@
 constexpr Duration kLongestFlush = std::chrono::seconds(2);
 constexpr Duration kVmListInterval = std::chrono::seconds(2);
 constexpr Duration kEpochCheckInterval = std::chrono::seconds(10);
+constexpr Duration kAntiEntropyInterval = std::chrono::seconds(2);
 constexpr size_t kSecretBytes = 32;
 
 nlohmann::json DumpOf(const AgentState& state) {
@@ -78,6 +79,7 @@
     this->ForgetEpochsForever();
     WatchDeadlines(this->state);
     this->WatchVmList();
+    this->RunAntiEntropy();
     return Succeed();
   }
 
@@ -111,6 +113,7 @@
     hello.zone = this->state.settings.zone;
     hello.incarnation = this->state.calls.claims.incarnation;
     hello.revision = this->state.feed.revision();
+    hello.change = this->state.feed.newest_change().id;
     connection->Send(wire::Encode(std::move(hello)));
     if (this->state.is_leaving) {
       SendLeaving(*connection, "planned stop");
@@ -148,11 +151,20 @@
         });
   }
 
+  // Repeats what may have been lost: requests for shards, and the revision by
+  // which an entry sees that this agent lags.
+  void RunAntiEntropy() {
+    this->TellRevision();
+    for (const auto& connection : this->state.connections) {
+      this->state.feed.AskForPendingShards(*connection);
+    }
+    this->state.loop.RunAfter(kAntiEntropyInterval,
+                              [this] { this->RunAntiEntropy(); });
+  }
+
   void TellRevision() {
     for (const auto& connection : this->state.connections) {
-      wire::InForceT in_force;
-      in_force.revision = this->state.feed.revision();
-      connection->Send(wire::Encode(in_force));
+      this->state.feed.TellInForce(*connection);
     }
   }
 
--- a/Services/bramleyspand/Entry/CatalogueSource.cc
+++ b/Services/bramleyspand/Entry/CatalogueSource.cc
@@ -1,3 +1,6 @@
+#include "Kernel/Digest.h"
+#include "LibCatalogue/Watchers.h"
+#include "LibPlatform/Backoff.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Entry/EntryState.h"
 
@@ -5,16 +8,15 @@
 
 namespace {
 
-using telemetry::Log;
-using telemetry::LogLevel;
+using catalogue::Lineage;
 
-constexpr std::string_view kModule = "catalogue";
-constexpr Duration kRetryInterval = std::chrono::seconds(1);
+// How often peers are told what is in force here, and lost requests repeated.
+constexpr Duration kAntiEntropyInterval = std::chrono::seconds(2);
 
 void FetchShardsFromKeyValue(EntryState& state,
                              const std::vector<std::string>& digests) {
   for (const std::string& digest : digests) {
-    state.key_value.Read("bramleyspan/catalogue/shard/" + digest,
+    state.key_value.Read(std::string(kShardPrefix) + digest,
                          [&state](const Result<platform::ReadAnswer>& answer) {
                            if (answer.has_value() && answer.value().value) {
                              state.feed.OfferShard(answer.value().value->text);
@@ -23,52 +25,152 @@
   }
 }
 
-void OfferAnswer(EntryState& state, const platform::ReadAnswer& answer) {
-  state.is_ready = true;
-  if (!answer.value) {
-    return;
+// Compares what the service holds with what was in force here when the read
+// was sent: a read that was sent later must show it, or the service has lost
+// it. An answer that is merely late raises no alarm.
+void RaiseOrClearStoreAlarms(EntryState& state,
+                             const catalogue::Head& stored,
+                             const catalogue::AcceptedChange& known) {
+  const Lineage lineage = catalogue::CompareLineage(stored, known);
+  const std::string detail = "the service holds change '" +
+                             catalogue::NewestChange(stored).id +
+                             "', in force is '" + known.id + "'";
+  if (lineage == Lineage::kOlder) {
+    state.feed.Raise(CatalogueAlarm::kStoreBehind, detail);
+  } else {
+    state.feed.Clear(CatalogueAlarm::kStoreBehind);
   }
-  const auto head = catalogue::ParseHead(answer.value->text);
-  if (head.has_error()) {
-    Log(LogLevel::kError, kModule, "malformed_head",
-        {{"error", Describe(head.error())}});
-    return;
+  if (lineage == Lineage::kDiverged) {
+    state.feed.Raise(CatalogueAlarm::kStoreDiverged, detail);
+  } else {
+    state.feed.Clear(CatalogueAlarm::kStoreDiverged);
+  }
+}
+
+void OfferAnswer(EntryState& state,
+                 const platform::ReadAnswer& answer,
+                 const catalogue::AcceptedChange& known) {
+  catalogue::Head stored;
+  if (answer.value) {
+    auto parsed = catalogue::ParseHead(answer.value->text);
+    if (parsed.has_error()) {
+      state.feed.Raise(CatalogueAlarm::kMalformed, Describe(parsed.error()));
+      return;
+    }
+    stored = std::move(parsed).assume_value();
   }
-  state.feed.OfferHead(head.value(), [&state](const auto& missing) {
+  RaiseOrClearStoreAlarms(state, stored, known);
+  catalogue::HandleStoreAnswer(state.readiness, stored.revision);
+  state.feed.OfferHead(stored, [&state](const auto& missing) {
     FetchShardsFromKeyValue(state, missing);
   });
+  RefreshReadiness(state);
 }
 
-void WatchHead(EntryState& state, uint64_t index);
+bool is_watching(const EntryState& state) {
+  std::vector<std::string> others;
+  for (const auto& [name, link] : state.links) {
+    if (link.is_heard && link.role == "entry" && !link.is_leaving &&
+        link.zone == state.settings.zone) {
+      others.push_back(name);
+    }
+  }
+  return catalogue::is_watcher(state.settings.name, others);
+}
+
+void FollowStore(EntryState& state);
 
-void HandleHead(EntryState& state, const Result<platform::ReadAnswer>& answer) {
+void HandleHead(EntryState& state,
+                const Result<platform::ReadAnswer>& answer,
+                const catalogue::AcceptedChange& known) {
+  StoreWatch& watch = state.store_watch;
+  watch.is_call_open = false;
   if (answer.has_error()) {
-    Log(LogLevel::kWarning, kModule, "key_value_service_unavailable",
-        {{"error", Describe(answer.error())}});
-    state.loop.RunAfter(kRetryInterval, [&state] { WatchHead(state, 0); });
+    state.feed.Raise(CatalogueAlarm::kStoreUnavailable,
+                     Describe(answer.error()));
+    watch.index = 0;
+    ++watch.failures;
+    watch.is_call_open = true;
+    state.loop.RunAfter(platform::BackoffDelay(watch.failures, RandomBits()),
+                        [&state] {
+                          state.store_watch.is_call_open = false;
+                          FollowStore(state);
+                        });
     return;
   }
-  OfferAnswer(state, answer.value());
-  WatchHead(state, answer.value().index);
+  state.feed.Clear(CatalogueAlarm::kStoreUnavailable);
+  watch.failures = 0;
+  // The index goes back when the service is restored; a watch from the old
+  // one would wait for a change that is long past.
+  const bool has_gone_back = answer.value().index < watch.index;
+  watch.index = has_gone_back ? 0 : answer.value().index;
+  OfferAnswer(state, answer.value(), known);
+  if (is_watching(state)) {
+    FollowStore(state);
+  }
 }
 
-void WatchHead(EntryState& state, uint64_t index) {
-  const std::string key = "bramleyspan/catalogue/head";
-  auto on_done = [&state](const Result<platform::ReadAnswer>& answer) {
-    HandleHead(state, answer);
+// Reads or watches the head, one call at a time.
+void FollowStore(EntryState& state) {
+  if (state.store_watch.is_call_open) {
+    return;
+  }
+  state.store_watch.is_call_open = true;
+  auto on_done = [&state, known = state.feed.newest_change()](
+                     const Result<platform::ReadAnswer>& answer) {
+    HandleHead(state, answer, known);
   };
-  if (index == 0) {
+  const std::string key(kHeadKey);
+  if (state.store_watch.index == 0) {
     state.key_value.Read(key, on_done);
     return;
   }
-  state.key_value.Watch(key, index, on_done);
+  state.key_value.Watch(key, state.store_watch.index, on_done);
+}
+
+// Asks one peer and the key-value service for what a pending head lacks.
+void RepeatLostRequests(EntryState& state) {
+  const auto missing = state.feed.pending_shards();
+  if (missing.empty()) {
+    return;
+  }
+  FetchShardsFromKeyValue(state, missing);
+  for (auto& [name, link] : state.links) {
+    if (link.is_heard && link.in_force.revision > state.feed.revision()) {
+      state.feed.AskForPendingShards(*link.connection);
+      return;
+    }
+  }
+}
+
+void RunAntiEntropy(EntryState& state) {
+  RepeatLostRequests(state);
+  TellInForce(state);
+  RefreshReadiness(state);
+  if (is_watching(state)) {
+    FollowStore(state);
+  }
+  state.loop.RunAfter(kAntiEntropyInterval,
+                      [&state] { RunAntiEntropy(state); });
 }
 
 }  // namespace
 
+void RefreshReadiness(EntryState& state) {
+  state.is_ready = catalogue::UpdateReadiness(
+      state.readiness, state.feed.revision(), EventLoop::Now());
+}
+
 void StartCatalogueSource(EntryState& state) {
-  state.feed.on_in_force = [&state] { AnnounceCatalogue(state); };
-  WatchHead(state, 0);
+  state.readiness.started = EventLoop::Now();
+  state.feed.on_in_force = [&state] {
+    AnnounceCatalogue(state);
+    RefreshReadiness(state);
+  };
+  FollowStore(state);
+  RunAntiEntropy(state);
+  state.loop.RunAfter(catalogue::kPeerWait,
+                      [&state] { RefreshReadiness(state); });
 }
 
 }  // namespace bramleyspan::entry
--- a/Services/bramleyspand/Entry/EntryState.h
+++ b/Services/bramleyspand/Entry/EntryState.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "LibCalls/Retry.h"
+#include "LibCatalogue/Readiness.h"
 #include "LibHTTP/Client.h"
 #include "LibHTTP/Server.h"
 #include "LibPlatform/KeyValueClient.h"
@@ -54,6 +55,14 @@
   TimerId timer = 0;
 };
 
+// The reads and watches of the catalogue's head, one call at a time.
+struct StoreWatch {
+  uint64_t index = 0;
+  uint32_t failures = 0;
+  // A call waits for its answer, or a failed one for its retry.
+  bool is_call_open = false;
+};
+
 struct EntryState {
   EntryState(EventLoop& loop, const Settings& settings)
       : loop(loop),
@@ -80,21 +89,37 @@
   std::map<uint64_t, OpenClaimRequest> claim_requests;
   uint64_t last_id = 0;
   bool is_leaving = false;
-  // Whether the key-value service or a peer has told the catalogue once.
+  StoreWatch store_watch;
+  catalogue::Readiness readiness;
+  // Whether this process has in force what others had when it started.
   bool is_ready = false;
 };
 
 // How long a caller may keep the addresses that it was told.
 inline constexpr Duration kAddressLifetime = std::chrono::seconds(5);
 
+// Where the catalogue lives in the key-value service.
+inline constexpr std::string_view kHeadKey = "bramleyspan/catalogue/head";
+inline constexpr std::string_view kShardPrefix = "bramleyspan/catalogue/shard/";
+
 // Links (Links.cc): keeps links to all agents and peers of the VM list.
 void StartLinks(EntryState& state);
 void AcceptLink(EntryState& state, h2o_socket_t* socket);
 void AnnounceCatalogue(EntryState& state);
+void TellInForce(EntryState& state);
 void AnnounceLeaving(EntryState& state);
 
 // The catalogue (CatalogueSource.cc): follows the key-value service.
 void StartCatalogueSource(EntryState& state);
+void RefreshReadiness(EntryState& state);
+
+// Changes of the catalogue (CatalogueChanges.cc): commits and restores.
+void HandleChange(EntryState& state,
+                  const http::Request& request,
+                  const std::shared_ptr<http::Exchange>& exchange);
+void HandleRestore(EntryState& state,
+                   const http::Request& request,
+                   const std::shared_ptr<http::Exchange>& exchange);
 
 // Calls (Calls.cc): routes callers' requests to agents.
 void HandleCallerRequest(EntryState& state,
--- a/Services/bramleyspand/Entry/Links.cc
+++ b/Services/bramleyspand/Entry/Links.cc
@@ -19,45 +19,64 @@
   hello.role = state.settings.role;
   hello.zone = state.settings.zone;
   hello.revision = state.feed.revision();
+  hello.change = state.feed.newest_change().id;
   connection.Send(wire::Encode(std::move(hello)));
 }
 
-void HandleFrame(EntryState& state,
-                 const std::string& peer,
-                 wire::Connection& connection,
-                 const wire::FrameT& frame) {
-  const auto found = state.links.find(peer);
-  if (const auto* announced = frame.body.AsHeadAnnouncement();
-      announced != nullptr && found != state.links.end()) {
-    // A peer announces only what it has in force. Without this, a peer that
-    // read the head by itself would show an old revision in `status` for ever.
-    found->second.revision = announced->revision;
-  }
-  if (state.feed.HandleFrame(connection, frame)) {
-    return;
+// Files what a peer says to have in force.
+void HandleRevision(EntryState& state,
+                    Link& link,
+                    const catalogue::AcceptedChange& in_force) {
+  if (link.in_force != in_force) {
+    link.in_force_since = EventLoop::Now();
   }
-  if (found == state.links.end()) {
-    return;
-  }
-  Link& link = found->second;
+  link.in_force = in_force;
+  catalogue::HandlePeerRevision(state.readiness, link.process,
+                                in_force.revision);
+}
+
+void HandlePeerFrame(EntryState& state, Link& link, const wire::FrameT& frame) {
   if (const auto* hello = frame.body.AsHello()) {
+    link.is_heard = true;
     link.role = hello->role;
     link.zone = hello->zone;
     link.incarnation = hello->incarnation;
-    link.revision = hello->revision;
+    HandleRevision(state, link, {hello->change, hello->revision});
   } else if (const auto* in_force = frame.body.AsInForce()) {
-    link.revision = in_force->revision;
+    HandleRevision(state, link, {in_force->change, in_force->revision});
   } else if (frame.body.AsLeaving() != nullptr) {
     link.is_leaving = true;
-  } else {
+  }
+}
+
+void HandleFrame(EntryState& state,
+                 const std::string& peer,
+                 wire::Connection& connection,
+                 const wire::FrameT& frame) {
+  const auto found = state.links.find(peer);
+  if (found != state.links.end()) {
+    HandlePeerFrame(state, found->second, frame);
+  }
+  const bool is_catalogue = state.feed.HandleFrame(connection, frame);
+  RefreshReadiness(state);
+  if (!is_catalogue && found != state.links.end()) {
     HandleAgentFrame(state, frame);
   }
 }
 
 void HandleClosed(EntryState& state,
                   const std::string& peer,
+                  const wire::Connection& connection,
                   const Error& error) {
-  state.links.erase(peer);
+  const auto found = state.links.find(peer);
+  if (found == state.links.end() ||
+      found->second.connection.get() != &connection) {
+    // The peer came back on a new connection before the old one's end was
+    // seen. That end must not take the new link away.
+    return;
+  }
+  state.links.erase(found);
+  catalogue::HandleLostPeer(state.readiness, peer);
   Log(LogLevel::kInfo, kModule, "link_closed",
       {{"peer", peer}, {"error", Describe(error)}});
   HandleLostAgent(state, peer);
@@ -67,15 +86,14 @@
   wire::ConnectionEvents events;
   events.on_open = [&state](wire::Connection& connection) {
     SendHello(state, connection);
-    state.feed.AnnounceTo(connection);
   };
   events.on_frame = [&state, peer = vm.name](wire::Connection& connection,
                                              const wire::FrameT& frame) {
     HandleFrame(state, peer, connection, frame);
   };
-  events.on_closed = [&state, peer = vm.name](wire::Connection&,
+  events.on_closed = [&state, peer = vm.name](wire::Connection& connection,
                                               const Error& error) {
-    HandleClosed(state, peer, error);
+    HandleClosed(state, peer, connection, error);
   };
   const Address address{vm.ip, state.settings.link_port};
   Link link;
@@ -93,6 +111,9 @@
 
 void UpdateFromVmList(EntryState& state) {
   for (const platform::Vm& vm : state.vms) {
+    if (vm.name != state.settings.name) {
+      catalogue::HandleListedPeer(state.readiness, vm.name);
+    }
     if (is_ours_to_open(state, vm) && !state.links.contains(vm.name)) {
       OpenLink(state, vm);
     }
@@ -105,6 +126,7 @@
       [&state](Result<std::vector<platform::Vm>> vms) {
         if (vms.has_value()) {
           state.vms = std::move(vms).assume_value();
+          catalogue::HandleListRead(state.readiness);
         } else {
           Log(LogLevel::kWarning, kModule, "vm_list_unavailable",
               {{"error", Describe(vms.error())}});
@@ -134,12 +156,12 @@
       link.connection = connection.shared_from_this();
       state.links.insert_or_assign(*peer, std::move(link));
       SendHello(state, connection);
-      state.feed.AnnounceTo(connection);
     }
     HandleFrame(state, *peer, connection, frame);
   };
-  events.on_closed = [&state, peer](wire::Connection&, const Error& error) {
-    HandleClosed(state, *peer, error);
+  events.on_closed = [&state, peer](wire::Connection& connection,
+                                    const Error& error) {
+    HandleClosed(state, *peer, connection, error);
   };
   // The link holds the connection from its Hello on; until then the events do.
   auto connection = wire::Connection::Accept(socket, std::move(events));
@@ -152,8 +174,21 @@
 
 void AnnounceCatalogue(EntryState& state) {
   for (auto& [name, link] : state.links) {
-    if (link.connection->is_open()) {
+    if (!link.connection->is_open()) {
+      continue;
+    }
+    if (link.in_force.revision < state.feed.revision()) {
       state.feed.AnnounceTo(*link.connection);
+    } else {
+      state.feed.TellInForce(*link.connection);
+    }
+  }
+}
+
+void TellInForce(EntryState& state) {
+  for (auto& [name, link] : state.links) {
+    if (link.is_heard) {
+      state.feed.TellInForce(*link.connection);
     }
   }
 }
--- a/Services/bramleyspand/Entry/OperatorApi.cc
+++ b/Services/bramleyspand/Entry/OperatorApi.cc
@@ -1,8 +1,6 @@
 #include <nlohmann/json.hpp>
 
-#include "LibCatalogue/Commit.h"
 #include "LibCatalogue/Document.h"
-#include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Entry/EntryState.h"
 #include "Services/bramleyspand/OperatorKey.h"
 
@@ -13,132 +11,85 @@
 using nlohmann::json;
 using ExchangePointer = std::shared_ptr<http::Exchange>;
 
-constexpr Duration kRetryAfterOutage = std::chrono::seconds(2);
-constexpr std::string_view kHeadKey = "bramleyspan/catalogue/head";
-constexpr std::string_view kShardPrefix = "bramleyspan/catalogue/shard/";
+constexpr std::string_view kCataloguePath = "/v1/operator/catalogue";
 
-// A commit on its way, kept alive by the callbacks of its effects.
-struct RunningCommit : std::enable_shared_from_this<RunningCommit> {
-  EntryState& state;
-  ExchangePointer exchange;
-  catalogue::Commit commit;
+int64_t MillisecondsOf(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration)
+      .count();
+}
 
-  RunningCommit(EntryState& state, ExchangePointer exchange)
-      : state(state), exchange(std::move(exchange)) {}
+// How long a process has had its revision in force, as seen from here.
+int64_t AgeOf(TimePoint since) {
+  return MillisecondsOf(EventLoop::Now() - since);
+}
 
-  void Perform(const catalogue::CommitEffect& effect) {
-    std::visit([this](const auto& one) { this->Perform(one); }, effect);
+json RowOf(const EntryState& state, const std::string& name, const Link& link) {
+  json row = {{"process", name},
+              {"role", link.role},
+              {"zone", link.zone},
+              {"revision", link.in_force.revision},
+              {"change", link.in_force.id},
+              {"in_force_for_ms", AgeOf(link.in_force_since)},
+              {"is_leaving", link.is_leaving},
+              {"is_linked", link.connection->is_open()}};
+  if (link.in_force == state.feed.newest_change()) {
+    row["came_after_ms"] =
+        MillisecondsOf(link.in_force_since - state.feed.in_force_since);
   }
+  return row;
+}
 
-  void Perform(const catalogue::ReadHead&) {
-    this->state.key_value.Read(
-        std::string(kHeadKey), [self = this->shared_from_this()](
-                                   const Result<platform::ReadAnswer>& answer) {
-          if (answer.has_error()) {
-            self->Perform(catalogue::HandleHeadRead(
-                self->commit, boost::outcome_v2::failure(answer.error())));
-            return;
-          }
-          catalogue::StoredHead stored;
-          if (answer.value().value) {
-            stored.version = answer.value().value->version;
-            stored.text = answer.value().value->text;
-          }
-          self->Perform(catalogue::HandleHeadRead(self->commit, stored));
-        });
-  }
+json OwnRow(const EntryState& state) {
+  return {{"process", state.settings.name},
+          {"role", "entry"},
+          {"zone", state.settings.zone},
+          {"revision", state.feed.revision()},
+          {"change", state.feed.newest_change().id},
+          {"in_force_for_ms", AgeOf(state.feed.in_force_since)},
+          {"came_after_ms", 0},
+          {"is_leaving", state.is_leaving},
+          {"is_linked", true}};
+}
 
-  void Perform(const catalogue::WriteShard& effect) {
-    constexpr uint64_t kMustNotExist = 0;
-    this->state.key_value.Swap(
-        std::string(kShardPrefix) + effect.digest, effect.document,
-        kMustNotExist,
-        [self = this->shared_from_this()](const Result<bool>& written) {
-          // "Not written" means that the immutable shard stood there already.
-          Result<void> outcome = Succeed();
-          if (written.has_error()) {
-            outcome = boost::outcome_v2::failure(written.error());
-          }
-          self->Perform(catalogue::HandleShardWritten(self->commit, outcome));
-        });
+json AlarmsOf(const EntryState& state) {
+  json alarms = json::array();
+  for (const auto& [alarm, raised] : state.feed.alarms) {
+    alarms.push_back({{"alarm", NameOf(alarm)},
+                      {"process", state.settings.name},
+                      {"for_ms", AgeOf(raised.since)},
+                      {"detail", raised.detail}});
   }
+  return alarms;
+}
 
-  void Perform(const catalogue::SwapHead& effect) {
-    this->state.key_value.Swap(
-        std::string(kHeadKey), effect.text, effect.expected_version,
-        [self = this->shared_from_this()](const Result<bool>& swapped) {
-          self->Perform(catalogue::HandleHeadSwapped(self->commit, swapped));
-        });
+json StatusOf(const EntryState& state) {
+  json rows = json::array({OwnRow(state)});
+  for (const auto& [name, link] : state.links) {
+    rows.push_back(RowOf(state, name, link));
   }
+  return {{"revision", state.feed.revision()},
+          {"change", state.feed.newest_change().id},
+          {"processes", rows},
+          {"alarms", AlarmsOf(state)}};
+}
 
-  void Perform(const catalogue::FinishCommit& effect) {
-    if (effect.outcome.has_value()) {
-      this->exchange->Respond(
-          JsonResponse(200, {{"change", this->commit.change.id},
-                             {"revision", effect.outcome.value()}}));
-      return;
-    }
-    const Error& error = effect.outcome.error();
-    const bool is_unknown = error.code == ErrorCode::kOutcomeUnknown;
-    Refusal refusal{.error = error,
-                    .run = is_unknown ? RunState::kUnknown : RunState::kNotRun,
-                    .retry_after = std::nullopt};
-    if (error.code != ErrorCode::kConflict) {
-      refusal.retry_after = kRetryAfterOutage;
-    }
-    this->exchange->Respond(ToResponse(refusal));
-  }
-};
-
-void ApplyChange(EntryState& state,
-                 const http::Request& request,
-                 const ExchangePointer& exchange) {
-  catalogue::ChangeSet change;
-  try {
-    const json document = json::parse(request.body);
-    change.id = document.at("id");
-    change.base_revision = document.at("base_revision");
-    auto parsed = catalogue::ParseJson(document.at("catalogue").dump());
-    if (parsed.has_error()) {
-      exchange->Respond(ToResponse({.error = parsed.error()}));
-      return;
-    }
-    change.catalogue = std::move(parsed).assume_value();
-  } catch (const std::exception& failure) {
-    exchange->Respond(ToResponse(
-        {.error = {ErrorCode::kMalformedRequest, "change", failure.what()}}));
-    return;
-  }
-  const auto checked = catalogue::Check(change.catalogue);
-  if (checked.has_error()) {
-    exchange->Respond(ToResponse({.error = checked.error()}));
-    return;
+json ListChanges(const std::vector<catalogue::AcceptedChange>& changes) {
+  json list = json::array();
+  for (const catalogue::AcceptedChange& change : changes) {
+    list.push_back({{"id", change.id}, {"revision", change.revision}});
   }
-  auto running = std::make_shared<RunningCommit>(state, exchange);
-  running->Perform(catalogue::StartCommit(running->commit, std::move(change)));
+  return list;
 }
 
-json RowOf(const std::string& name, const Link& link) {
-  return {{"process", name},
-          {"role", link.role},
-          {"zone", link.zone},
-          {"revision", link.revision},
-          {"is_leaving", link.is_leaving},
-          {"is_linked", link.connection->is_open()}};
+json CatalogueOf(const EntryState& state) {
+  return {{"revision", state.feed.revision()},
+          {"catalogue",
+           json::parse(catalogue::SerializeJson(state.feed.current()))}};
 }
 
-json StatusOf(const EntryState& state) {
-  json rows = json::array();
-  rows.push_back({{"process", state.settings.name},
-                  {"role", "entry"},
-                  {"zone", state.settings.zone},
-                  {"revision", state.feed.revision()},
-                  {"is_leaving", state.is_leaving},
-                  {"is_linked", true}});
-  for (const auto& [name, link] : state.links) {
-    rows.push_back(RowOf(name, link));
-  }
-  return {{"revision", state.feed.revision()}, {"processes", rows}};
+json HistoryOf(const EntryState& state) {
+  return {{"changes", ListChanges(state.feed.head().changes)},
+          {"abandoned", ListChanges(state.feed.head().abandoned)}};
 }
 
 json DumpOf(const EntryState& state) {
@@ -160,10 +111,37 @@
   dump["process"] = state.settings.name;
   dump["calls"] = calls;
   dump["vms"] = vms;
+  dump["is_ready"] = state.is_ready;
+  dump["store_watch"] = {{"index", state.store_watch.index},
+                         {"failures", state.store_watch.failures},
+                         {"is_call_open", state.store_watch.is_call_open}};
   dump["key_value_calls"] = state.key_value.calls;
   return dump;
 }
 
+void RouteOperatorRequest(EntryState& state,
+                          const http::Request& request,
+                          const ExchangePointer& exchange) {
+  const std::string path(request.path);
+  const bool is_post = request.method == "POST";
+  if (path == kCataloguePath && !is_post) {
+    exchange->Respond(JsonResponse(200, CatalogueOf(state)));
+  } else if (path == std::string(kCataloguePath) + "/history") {
+    exchange->Respond(JsonResponse(200, HistoryOf(state)));
+  } else if (path == std::string(kCataloguePath) + "/changes" && is_post) {
+    HandleChange(state, request, exchange);
+  } else if (path == std::string(kCataloguePath) + "/restore" && is_post) {
+    HandleRestore(state, request, exchange);
+  } else if (path == "/v1/operator/status") {
+    exchange->Respond(JsonResponse(200, StatusOf(state)));
+  } else if (path == "/v1/operator/dump") {
+    exchange->Respond(JsonResponse(200, DumpOf(state)));
+  } else {
+    exchange->Respond(
+        ToResponse({.error = {ErrorCode::kNotFound, path, "no such path"}}));
+  }
+}
+
 }  // namespace
 
 void HandleOperatorRequest(EntryState& state,
@@ -174,23 +152,7 @@
                                             "operator", "show a valid key"}}));
     return;
   }
-  if (request.path == "/v1/operator/catalogue" && request.method == "GET") {
-    const json document = {
-        {"revision", state.feed.revision()},
-        {"catalogue",
-         json::parse(catalogue::SerializeJson(state.feed.current()))}};
-    exchange->Respond(JsonResponse(200, document));
-  } else if (request.path == "/v1/operator/catalogue/changes" &&
-             request.method == "POST") {
-    ApplyChange(state, request, exchange);
-  } else if (request.path == "/v1/operator/status") {
-    exchange->Respond(JsonResponse(200, StatusOf(state)));
-  } else if (request.path == "/v1/operator/dump") {
-    exchange->Respond(JsonResponse(200, DumpOf(state)));
-  } else {
-    exchange->Respond(ToResponse(
-        {.error = {ErrorCode::kNotFound, request.path, "no such path"}}));
-  }
+  RouteOperatorRequest(state, request, exchange);
 }
 
 }  // namespace bramleyspan::entry
--- a/Services/bramleyspand/Link.h
+++ b/Services/bramleyspand/Link.h
@@ -5,6 +5,8 @@
 #include <memory>
 #include <string>
 
+#include "Kernel/Time.h"
+#include "LibCatalogue/Shards.h"
 #include "LibWire/Connection.h"
 
 namespace bramleyspan {
@@ -16,7 +18,11 @@
   std::string role;
   std::string zone;
   uint64_t incarnation = 0;
-  uint64_t revision = 0;
+  // What the peer last told to have in force, and when it first told so.
+  catalogue::AcceptedChange in_force;
+  TimePoint in_force_since{};
+  // Whether the peer has said Hello.
+  bool is_heard = false;
   bool is_leaving = false;
 };
 
--- a/StandIns/KeyValueService.cc
+++ b/StandIns/KeyValueService.cc
@@ -26,6 +26,8 @@
   kOutage,
   // Writes take effect, but their replies are lost.
   kLostReplies,
+  // The next write to a key that ends in "/head" is answered; then it is down.
+  kOutageAfterHead,
 };
 
 struct Value {
@@ -100,6 +102,10 @@
   const Waiter waiter = std::move(found->second);
   state.waiters.erase(found);
   state.loop.Cancel(waiter.timer);
+  if (state.mode == Mode::kOutage) {
+    state.unanswered.push_back(waiter.exchange);
+    return;
+  }
   AnswerRead(state, waiter.key, waiter.exchange);
 }
 
@@ -160,19 +166,30 @@
   } else {
     exchange->Respond({.body = is_written ? "true" : "false"});
   }
+  if (is_written && state.mode == Mode::kOutageAfterHead &&
+      key.ends_with("/head")) {
+    state.mode = Mode::kOutage;
+  }
   if (is_written) {
     WakeWaiters(state, key);
   }
 }
 
+Mode ParseMode(const std::string& mode) {
+  static const std::map<std::string, Mode> modes{
+      {"outage", Mode::kOutage},
+      {"lost_replies", Mode::kLostReplies},
+      {"outage_after_head", Mode::kOutageAfterHead}};
+  const auto found = modes.find(mode);
+  return found == modes.end() ? Mode::kServing : found->second;
+}
+
 void HandleControl(State& state,
                    const http::Request& request,
                    const ExchangePointer& exchange) {
   const json document = json::parse(request.body, nullptr, false);
   const std::string mode = document.value("mode", "serving");
-  state.mode = mode == "outage"         ? Mode::kOutage
-               : mode == "lost_replies" ? Mode::kLostReplies
-                                        : Mode::kServing;
+  state.mode = ParseMode(mode);
   if (document.contains("restore")) {
     // The service comes back with an older state, as from a backup.
     for (const auto& [key, text] : document["restore"].items()) {
--- a/Tests/LibCatalogue/TestFollower.cc
+++ b/Tests/LibCatalogue/TestFollower.cc
@@ -52,4 +52,42 @@
   CHECK(follower.in_force.head.revision == 1);
 }
 
+// A zone is cut off while the key-value service comes back with revision 1 and
+// an entry there commits two more. When the links heal, the fork has the higher
+// number; a process that goes by numbers undoes the accepted change 2.
+TEST_CASE("a higher head that lacks the change in force is not followed") {
+  const Snapshot first = CutIntoShards(WithOwner("huber"), {}, "c1");
+  const Snapshot second = CutIntoShards(WithOwner("maier"), first.head, "c2");
+  const Snapshot fork = CutIntoShards(WithOwner("gruber"), first.head, "d2");
+  const Snapshot higher = CutIntoShards(WithOwner("gruber"), fork.head, "d3");
+  Follower follower;
+  Follow(follower, second);
+  CHECK(OfferHead(follower, fork.head).outcome == OfferOutcome::kDiverged);
+  CHECK(OfferHead(follower, higher.head).outcome == OfferOutcome::kDiverged);
+  Follow(follower, higher);
+  CHECK(follower.catalogue.owners.contains("maier"));
+}
+
+// A process was away for longer than the history reaches. It must follow
+// again, or it would obey its old catalogue until somebody restarts it.
+TEST_CASE("a head whose history is too short to tell is followed") {
+  Snapshot snapshot = CutIntoShards(WithOwner("huber"), {}, "c1");
+  Follower follower;
+  Follow(follower, snapshot);
+  for (size_t i = 2; i < 2 * kRememberedChanges; ++i) {
+    snapshot = CutIntoShards(WithOwner("maier"), snapshot.head,
+                             "c" + std::to_string(i));
+  }
+  Follow(follower, snapshot);
+  CHECK(follower.catalogue.owners.contains("maier"));
+}
+
+TEST_CASE("the shards of a pending head can be asked for again") {
+  const Snapshot snapshot = CutIntoShards(WithOwner("huber"), {}, "c1");
+  Follower follower;
+  CHECK(FindPendingShards(follower).empty());
+  OfferHead(follower, snapshot.head);
+  CHECK(FindPendingShards(follower).size() == snapshot.shards.size());
+}
+
 }  // namespace bramleyspan::catalogue
--- /dev/null
+++ b/Utilities/bramleyspanctl/Commands.h
@@ -0,0 +1,36 @@
+// The commands of the operators' tool. Each prints its outcome or fails.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "Kernel/Result.h"
+#include "Utilities/bramleyspanctl/OperatorClient.h"
+
+namespace bramleyspan {
+
+// The entries and the key that flags or environment variables give.
+Result<OperatorClient> MakeClient();
+
+// Sends a request and returns the body of its answer. A refusal comes back as
+// the failure that the entry named.
+Result<std::string> AskForBody(const std::string& method,
+                               const std::string& path,
+                               const std::string& body);
+
+// How a change set is sent.
+struct ApplyOptions {
+  // The revision from which the file was made; negative if not given.
+  int64_t base_revision = -1;
+  // The id of an earlier try; empty for a new change.
+  std::string change_id;
+};
+
+Result<void> CheckFile(const std::string& path);
+Result<void> DiffFile(const std::string& path);
+Result<void> ApplyFile(const std::string& path, const ApplyOptions& options);
+Result<void> RestoreCatalogue(const std::string& change_id);
+Result<void> PrintHistory();
+Result<void> PrintStatus();
+
+}  // namespace bramleyspan
--- a/Utilities/bramleyspanctl/Main.cc
+++ b/Utilities/bramleyspanctl/Main.cc
@@ -5,14 +5,10 @@
 #include <absl/flags/usage.h>
 
 #include <cstdlib>
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
-#include <sstream>
 
-#include "Kernel/Digest.h"
-#include "LibCatalogue/Document.h"
-#include "Utilities/bramleyspanctl/OperatorClient.h"
+#include "Utilities/bramleyspanctl/Commands.h"
 
 ABSL_FLAG(std::string,
           entries,
@@ -41,13 +37,17 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 constexpr int kOk = 200;
-constexpr size_t kChangeIdBytes = 12;
 
 constexpr const char* kUsage =
     "bramleyspanctl COMMAND\n"
     "  catalogue check FILE    check a file without any connection\n"
+    "  catalogue diff FILE     what the file would change\n"
     "  catalogue apply FILE    make a file the catalogue in force\n"
     "  catalogue get           print the catalogue in force\n"
+    "  catalogue history       the newest changes\n"
+    "  catalogue restore       write the catalogue in force back to a "
+    "key-value\n"
+    "                          service that has lost it\n"
     "  status                  which revision is in force on which process\n"
     "  dump                    the whole state of one process\n";
 
@@ -59,6 +59,8 @@
   return value == nullptr ? "" : value;
 }
 
+}  // namespace
+
 Result<OperatorClient> MakeClient() {
   OperatorClient client;
   client.entries = TRY(ParseEntries(
@@ -68,16 +70,6 @@
   return client;
 }
 
-Result<catalogue::Catalogue> ReadCatalogueFile(const std::string& path) {
-  std::ifstream file(path);
-  if (!file) {
-    return Fail(ErrorCode::kNotFound, path, "cannot be read");
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return catalogue::ParseToml(text.str(), path);
-}
-
 Result<std::string> AskForBody(const std::string& method,
                                const std::string& path,
                                const std::string& body) {
@@ -96,68 +88,50 @@
               error.value("message", ""));
 }
 
-Result<void> CheckFile(const std::string& path) {
-  const auto parsed = TRY(ReadCatalogueFile(path));
-  std::cout << path << ": valid, " << parsed.owners.size() << " owners, "
-            << parsed.entries.size() << " entries, " << parsed.groups.size()
-            << " groups\n";
-  return Succeed();
-}
+namespace {
 
-Result<void> ApplyFile(const std::string& path) {
-  const auto parsed = TRY(ReadCatalogueFile(path));
-  const int64_t base = absl::GetFlag(FLAGS_base_revision);
-  if (base < 0) {
-    return Fail(ErrorCode::kInvalidSetting, "base-revision",
-                "say from which revision the file was made (0: none yet); "
-                "without it the edit of another operator could be undone");
-  }
-  std::string id = absl::GetFlag(FLAGS_change_id);
-  if (id.empty()) {
-    id = RandomHex(kChangeIdBytes);
-  }
-  std::cerr << "change id " << id << "\n";
-  const json change = {
-      {"id", id},
-      {"base_revision", base},
-      {"catalogue", json::parse(catalogue::SerializeJson(parsed))}};
-  const std::string answer =
-      TRY(AskForBody("POST", "/v1/operator/catalogue/changes", change.dump()));
-  const json document = json::parse(answer);
-  std::cout << "accepted as revision " << document.at("revision") << "\n";
+Result<void> PrintBody(const std::string& path) {
+  const std::string answer = TRY(AskForBody("GET", path, ""));
+  std::cout << json::parse(answer).dump(2) << "\n";
   return Succeed();
 }
 
-Result<void> PrintStatus() {
-  const std::string answer = TRY(AskForBody("GET", "/v1/operator/status", ""));
-  const json document = json::parse(answer);
-  for (const json& row : document.at("processes")) {
-    std::cout << row.at("process").get<std::string>() << "\t"
-              << row.at("role").get<std::string>() << "\t"
-              << row.at("zone").get<std::string>() << "\trevision "
-              << row.at("revision")
-              << (row.at("is_leaving").get<bool>() ? "\tleaving" : "") << "\n";
-  }
-  return Succeed();
+Result<void> FailUsage() {
+  return Fail(ErrorCode::kInvalidSetting, "command",
+              "unknown\n" + std::string(kUsage));
 }
 
-Result<void> PrintBody(const std::string& path) {
-  const std::string answer = TRY(AskForBody("GET", path, ""));
-  std::cout << json::parse(answer).dump(2) << "\n";
-  return Succeed();
+Result<void> RunCatalogueCommand(const std::string& verb,
+                                 const std::string& file) {
+  const std::string change_id = absl::GetFlag(FLAGS_change_id);
+  const bool has_file = !file.empty();
+  if (verb == "check" && has_file) {
+    return CheckFile(file);
+  }
+  if (verb == "diff" && has_file) {
+    return DiffFile(file);
+  }
+  if (verb == "apply" && has_file) {
+    return ApplyFile(file, {.base_revision = absl::GetFlag(FLAGS_base_revision),
+                            .change_id = change_id});
+  }
+  if (verb == "get") {
+    return PrintBody("/v1/operator/catalogue");
+  }
+  if (verb == "history") {
+    return PrintHistory();
+  }
+  if (verb == "restore") {
+    return RestoreCatalogue(change_id);
+  }
+  return FailUsage();
 }
 
 Result<void> RunCommand(const std::vector<std::string>& words) {
   const std::string command = words.empty() ? "" : words[0];
   const std::string verb = words.size() > 1 ? words[1] : "";
-  if (command == "catalogue" && verb == "check" && words.size() == 3) {
-    return CheckFile(words[2]);
-  }
-  if (command == "catalogue" && verb == "apply" && words.size() == 3) {
-    return ApplyFile(words[2]);
-  }
-  if (command == "catalogue" && verb == "get") {
-    return PrintBody("/v1/operator/catalogue");
+  if (command == "catalogue") {
+    return RunCatalogueCommand(verb, words.size() == 3 ? words[2] : "");
   }
   if (command == "status") {
     return PrintStatus();
@@ -165,8 +139,7 @@
   if (command == "dump") {
     return PrintBody("/v1/operator/dump");
   }
-  return Fail(ErrorCode::kInvalidSetting, "command",
-              "unknown\n" + std::string(kUsage));
+  return FailUsage();
 }
 
 int Run(int argument_count, char** arguments) {
