--- a/Kernel/Error.cc
+++ b/Kernel/Error.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
-constexpr std::array<std::pair<ErrorCode, std::string_view>, 22> kStableCodes{{
+using StableCode = std::pair<ErrorCode, std::string_view>;
+
+constexpr auto kStableCodes = std::to_array<StableCode>({
     {ErrorCode::kInvalidSetting, "invalid_setting"},
     {ErrorCode::kMalformedDocument, "malformed_document"},
     {ErrorCode::kMalformedFrame, "malformed_frame"},
@@ -16,6 +18,7 @@
     {ErrorCode::kConnectionClosed, "connection_closed"},
     {ErrorCode::kTimeout, "timeout"},
     {ErrorCode::kConflict, "conflict"},
+    {ErrorCode::kStoreBehind, "store_behind"},
     {ErrorCode::kOutcomeUnknown, "outcome_unknown"},
     {ErrorCode::kUnauthenticated, "unauthenticated"},
     {ErrorCode::kForbidden, "forbidden"},
@@ -30,7 +33,7 @@
     {ErrorCode::kTruncated, "truncated"},
     {ErrorCode::kTooLarge, "too_large"},
     {ErrorCode::kTargetFailed, "target_failed"},
-}};
+});
 
 }  // namespace
 
