--- a/Kernel/Error.cc
+++ b/Kernel/Error.cc
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::array<std::pair<ErrorCode, std::string_view>, 22> kStableCodes{{
+constexpr std::array<std::pair<ErrorCode, std::string_view>, 23> kStableCodes{{
     {ErrorCode::kInvalidSetting, "invalid_setting"},
     {ErrorCode::kMalformedDocument, "malformed_document"},
     {ErrorCode::kMalformedFrame, "malformed_frame"},
