LibPlacement: Measure the price of a move, and hold still within the noise

Ruled out (trials on a copy, means over 16 and 32 ranks and four drifts at 16,384 tokens a step): half-lives of 3, 5, 15 and 30 min; free drops; sixteen or all ranks as destinations; the fourth power in place of the eighth.

Each test was seen to fail without its guard: noise (no deviations; no wavering term), undone copies (memory off; not remembered), the hour's budget, a plan underway, slots, last copy (also by the property), noise floor, late observation, weight of zero, store budget (demand reset; uneven parts).

--- a/Libraries/LibPlacement/Placement.cc
+++ b/Libraries/LibPlacement/Placement.cc
@@ -117,6 +117,7 @@
   const double tokens_per_rank =
       tokens_per_step / static_cast<double>(rank_loads.size());
   std::vector<double> deviations;
+  deviations.reserve(rank_loads.size());
   for (const double load : rank_loads) {
     // An idle rank keeps a little noise, so that nothing divides by zero.
     deviations.push_back(std::sqrt(std::max(load, 1e-6) / tokens_per_rank));
--- a/Libraries/LibPlacement/Rebalancer.cc
+++ b/Libraries/LibPlacement/Rebalancer.cc
@@ -35,15 +35,25 @@
          settings.seconds_per_gigabyte * (1 - weight) / weight;
 }
 
+// How much dearer a load is for the part of the hour's budget that is spent.
+// Without it small gains eat the budget up and a sudden swap finds none left.
+double ScarcityOf(const RebalanceSettings& settings, size_t loads_left) {
+  return static_cast<double>(settings.loads_per_hour) /
+         static_cast<double>(loads_left);
+}
+
 double StepsInHorizon(const RebalanceSettings& settings) {
   return ToSeconds(settings.horizon) / ToSeconds(settings.step_time);
 }
 
-// The standard deviation of the slowest rank's estimated load over the mean.
-double DeviationOfEstimate(double slowest,
-                           uint32_t ranks,
+// The standard deviation of the slowest rank's estimated load over the mean:
+// the sampling of tokens, and the wavering of shares that is no drift.
+double DeviationOfEstimate(const RebalanceSettings& settings,
+                           double slowest,
                            double effective_tokens) {
-  return std::sqrt(slowest * ranks / effective_tokens);
+  const double sampling = slowest * settings.shape.ranks / effective_tokens;
+  const double wavering = settings.share_waver * slowest;
+  return std::sqrt(sampling + wavering * wavering);
 }
 
 SearchLimits LimitsFor(const Rebalancer& rebalancer,
@@ -64,13 +74,13 @@
 // The prefix of the best changes of a layer with the largest net value.
 LayerPlan PlanLayer(const Rebalancer& rebalancer,
                     uint32_t layer,
-                    size_t most_loads) {
+                    size_t loads_left) {
   const RebalanceSettings& settings = rebalancer.settings;
   const uint32_t ranks = settings.shape.ranks;
   const Popularity& popularity = rebalancer.popularity[layer];
   const Shares shares = EstimateShares(popularity);
   LayerPlacement placement = rebalancer.in_force.layers[layer];
-  const SearchLimits limits = LimitsFor(rebalancer, layer, most_loads);
+  const SearchLimits limits = LimitsFor(rebalancer, layer, loads_left);
   const std::vector<Change> changes =
       ImproveLayer(placement, shares, settings.shape, limits);
 
@@ -78,7 +88,8 @@
   const double skew = ExpectedSkew(loads, settings.tokens_per_step);
   const double least_gain =
       settings.least_deviations *
-      DeviationOfEstimate(*std::max_element(loads.begin(), loads.end()), ranks,
+      DeviationOfEstimate(settings,
+                          *std::max_element(loads.begin(), loads.end()),
                           EffectiveTokens(popularity));
   const double seconds_per_skew =
       ToSeconds(settings.balanced_layer_time) * StepsInHorizon(settings);
@@ -96,7 +107,8 @@
         skew - ExpectedSkew(RankLoads(placement, shares, ranks),
                             settings.tokens_per_step);
     const double gain = saved * seconds_per_skew;
-    const double cost = price * CostOfALoad(settings);
+    const double cost =
+        price * CostOfALoad(settings) * ScarcityOf(settings, loads_left);
     // A gain within the noise of the estimate would be chased back and forth.
     const bool is_sure = saved > least_gain;
     const bool is_worth_it = gain > settings.hysteresis * cost;
@@ -135,11 +147,12 @@
 Plan Join(const Rebalancer& rebalancer,
           std::vector<LayerPlan> layers,
           size_t loads_left) {
-  std::stable_sort(layers.begin(), layers.end(),
-                   [](const LayerPlan& left, const LayerPlan& right) {
-                     return left.gain_seconds * right.loads >
-                            right.gain_seconds * left.loads;
-                   });
+  std::stable_sort(
+      layers.begin(), layers.end(),
+      [](const LayerPlan& left, const LayerPlan& right) {
+        return left.gain_seconds * static_cast<double>(right.loads) >
+               right.gain_seconds * static_cast<double>(left.loads);
+      });
   Plan plan{.placement = rebalancer.in_force, .loads = {}};
   for (const LayerPlan& layer : layers) {
     if (layer.loads > loads_left) {
--- a/Libraries/LibPlacement/Rebalancer.h
+++ b/Libraries/LibPlacement/Rebalancer.h
@@ -26,15 +26,18 @@
   // Tokens that a step routes in a layer, each choice of an expert counted.
   double tokens_per_step = 0;
   // How long a plan is expected to pay.
-  Duration horizon = std::chrono::minutes(30);
+  Duration horizon = std::chrono::minutes(15);
   // After this time without observations a popularity counts half.
-  Duration half_life = std::chrono::minutes(5);
+  Duration half_life = std::chrono::minutes(2);
   // Seconds of skew that a gigabyte is worth at a skew_weight of one half.
   double seconds_per_gigabyte = 1;
   // The time for which a switch of the map stalls the group.
   Duration switch_stall = std::chrono::milliseconds(100);
   // A plan must gain this many times its cost.
   double hysteresis = 1.5;
+  // The part by which the estimated load of a rank wavers although popularity
+  // does not drift: requests of one moment share topics.
+  double share_waver = 0.04;
   // A gain counts only beyond this many standard deviations of the estimate.
   double least_deviations = 2;
   // Loads that a group may start in any hour.
--- a/Measurements/MeasurePlacement.cc
+++ b/Measurements/MeasurePlacement.cc
@@ -35,6 +35,7 @@
 // Layers that are simulated of a model with sixty; all figures are per layer.
 constexpr uint32_t kLayers = 3;
 constexpr uint64_t kExpertBytes = 44'000'000;
+constexpr size_t kLoadsPerHour = size_t{64} * kLayers;
 // A layer's part of a weight store that gives a group 1.2 GB/s.
 constexpr uint64_t kStoreBytesPerSecond = 20'000'000;
 constexpr Duration kTick = seconds(10);
@@ -188,7 +189,7 @@
   settings.expert_bytes = kExpertBytes;
   settings.skew_weight = skew_weight;
   settings.tokens_per_step = world.tokens;
-  settings.loads_per_hour = 64 * kLayers;
+  settings.loads_per_hour = kLoadsPerHour;
   return settings;
 }
 
@@ -233,7 +234,8 @@
 };
 
 double Quantile(std::vector<double>& values, double part) {
-  const auto index = static_cast<size_t>(part * (values.size() - 1));
+  const auto index =
+      static_cast<size_t>(part * static_cast<double>(values.size() - 1));
   std::nth_element(values.begin(),
                    values.begin() + static_cast<std::ptrdiff_t>(index),
                    values.end());
@@ -313,9 +315,6 @@
       continue;
     }
     underway = decider.decide(rebalancer, world, tick, now);
-    if (underway && underway->loads.empty()) {
-      underway.reset();
-    }
     if (underway) {
       const uint64_t bytes = underway->loads.size() * kExpertBytes;
       ready_at = now + seconds(bytes / (kStoreBytesPerSecond * kLayers) + 1);
@@ -324,8 +323,8 @@
           kStalledStepsOfLoad * static_cast<double>(underway->loads.size());
     }
   }
-  figures.mean =
-      std::accumulate(skews.begin(), skews.end(), 0.0) / skews.size();
+  figures.mean = std::accumulate(skews.begin(), skews.end(), 0.0) /
+                 static_cast<double>(skews.size());
   figures.median = Quantile(skews, 0.5);
   figures.high = Quantile(skews, 0.99);
   figures.gigabytes = figures.loads * (kExpertBytes / 1e9) / kLayers;
@@ -333,7 +332,10 @@
   return figures;
 }
 
-Plan PlanFor(const Rebalancer& rebalancer, Placement placement) {
+std::optional<Plan> PlanFor(const Rebalancer& rebalancer, Placement placement) {
+  if (placement == rebalancer.in_force) {
+    return std::nullopt;
+  }
   Plan plan;
   plan.loads = LoadsBetween(rebalancer.in_force, placement, kExpertBytes);
   plan.placement = std::move(placement);
@@ -349,15 +351,15 @@
 Decider AlwaysFresh() {
   return {"always, packed afresh",
           [](Rebalancer& rebalancer, const World& world, size_t, TimePoint) {
-            return std::optional(PlanFor(
-                rebalancer, PackFor(world, EstimatedShares(rebalancer))));
+            return PlanFor(rebalancer,
+                           PackFor(world, EstimatedShares(rebalancer)));
           }};
 }
 
 // Improves all layers without a price, by at most `most_loads` each.
-Plan ImproveAll(const Rebalancer& rebalancer,
-                const World& world,
-                const std::vector<Shares>& shares) {
+std::optional<Plan> ImproveAll(const Rebalancer& rebalancer,
+                               const World& world,
+                               const std::vector<Shares>& shares) {
   Placement placement = rebalancer.in_force;
   for (uint32_t layer = 0; layer < kLayers; ++layer) {
     LayerPlacement& one = placement.layers[layer];
@@ -372,8 +374,7 @@
 Decider AlwaysIncremental() {
   return {"always, few changes",
           [](Rebalancer& rebalancer, const World& world, size_t, TimePoint) {
-            return std::optional(
-                ImproveAll(rebalancer, world, EstimatedShares(rebalancer)));
+            return (ImproveAll(rebalancer, world, EstimatedShares(rebalancer)));
           }};
 }
 
@@ -392,7 +393,7 @@
             if (slowest / kLayers < threshold) {
               return std::optional<Plan>();
             }
-            return std::optional(PlanFor(rebalancer, PackFor(world, shares)));
+            return PlanFor(rebalancer, PackFor(world, shares));
           }};
 }
 
--- a/Tests/LibPlacement/TestRebalancer.cc
+++ b/Tests/LibPlacement/TestRebalancer.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <random>
 
@@ -39,6 +40,19 @@
   return counts;
 }
 
+// The shares of a moment: requests that run together share topics.
+Shares Waver(Shares shares, std::mt19937& random) {
+  std::normal_distribution<double> normal(0, 0.1);
+  for (double& share : shares) {
+    share *= std::exp(normal(random));
+  }
+  const double sum = std::accumulate(shares.begin(), shares.end(), 0.0);
+  for (double& share : shares) {
+    share /= sum;
+  }
+  return shares;
+}
+
 RebalanceSettings MakeSettings() {
   RebalanceSettings settings;
   settings.shape = kShape;
@@ -90,35 +104,48 @@
 // next steps make the mended one look uneven.
 TEST_CASE("noise without drift moves nothing") {
   const Shares shares = ZipfShares(1);
-  Run run{.rebalancer = StartPackedFor(shares, MakeSettings())};
-  CHECK(run.Pass(std::chrono::hours(2), shares).empty());
-}
-
-// Popularity swings between two topics every ten minutes. A planner without
-// memory loads a copy, drops it ten minutes later and loads it again: the
-// weight store is busy all day for experts that were there an hour ago.
-TEST_CASE("a copy that moved lately is not moved back at its plain price") {
-  const Shares first = ZipfShares(1);
-  const Shares second = ZipfShares(2);
   RebalanceSettings settings = MakeSettings();
-  settings.loads_per_hour = 10'000;
-  // Dear enough that a plain load just pays and its undoing does not.
-  settings.seconds_per_gigabyte = 60;
-  Run run{.rebalancer = StartPackedFor(first, settings)};
-  std::vector<ExpertLoad> loads;
-  for (int swing = 0; swing < 6; ++swing) {
-    const auto more =
-        run.Pass(std::chrono::minutes(10), swing % 2 == 0 ? second : first);
-    loads.insert(loads.end(), more.begin(), more.end());
-  }
-  size_t repeated = 0;
-  for (size_t later = 0; later < loads.size(); ++later) {
-    repeated += std::count(loads.begin(),
-                           loads.begin() + static_cast<std::ptrdiff_t>(later),
-                           loads[later]) > 0;
+  // Loads cost nothing, so that only the noise holds the planner back.
+  settings.skew_weight = 1;
+  Run run{.rebalancer = StartPackedFor(shares, settings)};
+  std::mt19937 random(3);
+  size_t loads = 0;
+  for (int minute = 0; minute < 120; ++minute) {
+    loads += run.Pass(std::chrono::minutes(1), Waver(shares, random)).size();
   }
-  CHECK(loads.size() > 0);
-  CHECK(repeated == 0);
+  CHECK(loads == 0);
+}
+
+// Popularity swings between two topics every few minutes. A planner without
+// memory loads a copy, drops it and loads it again: the weight store is busy
+// all day for experts that were there an hour ago.
+TEST_CASE("a copy that went lately comes back only at a higher price") {
+  const Shape shape{.ranks = 3, .slots_per_rank = 2};
+  const Shares shares{0.8, 0.1, 0.1};
+  const LayerPlacement layer{{{0}, {1}, {2}}};
+  const auto first = ImproveLayer(layer, shares, shape, {.most_loads = 1});
+  REQUIRE(first.size() == 1);
+  const Copy went = first[0].loads[0];
+  const SearchLimits limits{.most_loads = 1, .recent = {went}};
+  const auto second = ImproveLayer(layer, shares, shape, limits);
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].loads[0] != went);
+  CHECK(PriceInLoads(first[0], limits) == limits.undo_price);
+}
+
+// The same story as a whole: what a plan brings and what it takes away is
+// remembered for the settle time, and is gone from memory afterwards.
+TEST_CASE("a plan's copies are remembered until they have settled") {
+  Run run{.rebalancer = StartPackedFor(ZipfShares(1), MakeSettings())};
+  CHECK(!run.Pass(std::chrono::minutes(30), ZipfShares(2)).empty());
+  const auto& recent = run.rebalancer.recent;
+  CHECK(std::any_of(recent.begin(), recent.end(),
+                    [](const auto& change) { return change.is_load; }));
+  CHECK(std::any_of(recent.begin(), recent.end(),
+                    [](const auto& change) { return !change.is_load; }));
+  ProposePlan(run.rebalancer, run.now + std::chrono::hours(2));
+  CHECK(std::all_of(recent.begin(), recent.end(),
+                    [&](const auto& change) { return change.at > run.now; }));
 }
 
 // The night before term turns every expert's popularity over at once. Without
@@ -216,6 +243,7 @@
     const uint64_t other = AskForBytes(budget, "b", 1, 5000, now);
     CHECK(granted + other <= 100 * static_cast<uint64_t>(second));
   }
+  CHECK(granted >= 900);
   CHECK(granted <= 1100);
 }
 
