LibUsage: Count work as counters that only go up

The pure part of attribution: the agent's ledger, the keeper's documents, and the totals that operators read. Counters are kept by agent, incarnation, window and entry and joined by the larger value, so that reports that come twice, late or by two keepers add nothing.

Each test was seen to fail without its guard: values added in place of joined (the property), a counter forgotten that had grown, a write for each repeated report, a window not due after a report during its write, documents without the keeper's incarnation, parts that do not sum. The property alone did not find the missing incarnation; that guard has a test of its own now. Not seen to fail: the test of reconciling and the one of the joint kill, which states the bound.

--- /dev/null
+++ b/Libraries/LibUsage/Counts.cc
@@ -0,0 +1,66 @@
+#include "LibUsage/Counts.h"
+
+#include <algorithm>
+#include <array>
+
+namespace bramleyspan::usage {
+
+namespace {
+
+// Every unit, so that a new one cannot be forgotten in one of the functions.
+constexpr std::array kUnits = {
+    &Counts::requests,           &Counts::tokens_in,    &Counts::tokens_out,
+    &Counts::queue_microseconds, &Counts::retries,      &Counts::hedges,
+    &Counts::cancelled,          &Counts::loaded_bytes,
+};
+static_assert(sizeof(Counts) == kUnits.size() * sizeof(uint64_t));
+
+}  // namespace
+
+void Add(Counts& counts, const Counts& more) {
+  for (const auto unit : kUnits) {
+    counts.*unit += more.*unit;
+  }
+}
+
+void TakeLarger(Counts& counts, const Counts& other) {
+  for (const auto unit : kUnits) {
+    counts.*unit = std::max(counts.*unit, other.*unit);
+  }
+}
+
+void Join(Rows& rows, const Rows& other) {
+  for (const auto& [source, counts] : other) {
+    TakeLarger(rows[source], counts);
+  }
+}
+
+bool is_covered(const Counts& counts, const Counts& other) {
+  return std::all_of(kUnits.begin(), kUnits.end(), [&](const auto unit) {
+    return counts.*unit <= other.*unit;
+  });
+}
+
+std::map<std::string, uint64_t> SplitBytes(
+    uint64_t bytes,
+    const std::map<std::string, uint64_t>& tokens_by_entry) {
+  uint64_t tokens_left = 0;
+  for (const auto& [entry, tokens] : tokens_by_entry) {
+    tokens_left += tokens;
+  }
+  std::map<std::string, uint64_t> parts;
+  for (const auto& [entry, tokens] : tokens_by_entry) {
+    if (tokens == 0) {
+      continue;
+    }
+    // Each takes its part of what is left, so that the last takes the rest.
+    const auto part = static_cast<uint64_t>(
+        static_cast<unsigned __int128>(bytes) * tokens / tokens_left);
+    parts[entry] = part;
+    bytes -= part;
+    tokens_left -= tokens;
+  }
+  return parts;
+}
+
+}  // namespace bramleyspan::usage
--- /dev/null
+++ b/Libraries/LibUsage/Counts.h
@@ -0,0 +1,68 @@
+// What is counted, and for whom: the rows that agents report and keepers keep.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "Kernel/Time.h"
+
+namespace bramleyspan::usage {
+
+// Units of work.
+struct Counts {
+  uint64_t requests = 0;
+  uint64_t tokens_in = 0;
+  uint64_t tokens_out = 0;
+  uint64_t queue_microseconds = 0;
+  uint64_t retries = 0;
+  uint64_t hedges = 0;
+  uint64_t cancelled = 0;
+  // Of experts that were loaded or moved.
+  uint64_t loaded_bytes = 0;
+
+  bool operator==(const Counts&) const = default;
+};
+
+// A stretch of wall-clock time, numbered from the Unix epoch.
+using Window = uint64_t;
+inline constexpr std::chrono::minutes kWindowLength{10};
+
+// Whose counter it is. A restarted agent has a new incarnation and thereby new
+// counters, so that a counter only ever goes up.
+struct Source {
+  std::string agent;
+  uint64_t incarnation = 0;
+  Window window = 0;
+  std::string owner;
+  // The catalogue entry that caused the work.
+  std::string entry;
+
+  auto operator<=>(const Source&) const = default;
+};
+
+// Counters by source. Each value is cumulative over its window.
+using Rows = std::map<Source, Counts>;
+
+// Adds work to a counter.
+void Add(Counts& counts, const Counts& more);
+
+// Takes the larger of each unit. Counters only go up, so this is right for
+// values that come twice, late or out of order.
+void TakeLarger(Counts& counts, const Counts& other);
+
+// Joins rows by TakeLarger: any order, any number of times, one result.
+void Join(Rows& rows, const Rows& other);
+
+// Whether every unit of `counts` is covered by `other`.
+bool is_covered(const Counts& counts, const Counts& other);
+
+// Splits the bytes of a load over the entries that made its expert popular, in
+// proportion to their tokens; the parts sum to `bytes` exactly. Without any
+// tokens nobody caused the load and the result is empty.
+std::map<std::string, uint64_t> SplitBytes(
+    uint64_t bytes,
+    const std::map<std::string, uint64_t>& tokens_by_entry);
+
+}  // namespace bramleyspan::usage
--- /dev/null
+++ b/Libraries/LibUsage/Ledger.cc
@@ -0,0 +1,42 @@
+#include "LibUsage/Ledger.h"
+
+namespace bramleyspan::usage {
+
+Window WindowAt(std::chrono::system_clock::time_point time) {
+  return static_cast<Window>(time.time_since_epoch() / kWindowLength);
+}
+
+void CountWork(Ledger& ledger,
+               const std::string& owner,
+               const std::string& entry,
+               Window window,
+               const Counts& work) {
+  Add(ledger.rows[{ledger.agent, ledger.incarnation, window, owner, entry}],
+      work);
+}
+
+Rows ReportFor(const Ledger& ledger, const std::string& owner) {
+  Rows report;
+  for (const auto& [source, counts] : ledger.rows) {
+    if (source.owner == owner) {
+      report.emplace(source, counts);
+    }
+  }
+  return report;
+}
+
+void HandleStored(Ledger& ledger, const Rows& stored, Window current) {
+  for (const auto& [source, counts] : stored) {
+    const auto row = ledger.rows.find(source);
+    if (row == ledger.rows.end() || source.window >= current) {
+      continue;
+    }
+    // Work may have been counted after the report that was stored: forgetting
+    // the counter then would lose it without any kill.
+    if (is_covered(row->second, counts)) {
+      ledger.rows.erase(row);
+    }
+  }
+}
+
+}  // namespace bramleyspan::usage
