--- a/Libraries/LibUsage/Keeper.cc
+++ b/Libraries/LibUsage/Keeper.cc
@@ -17,6 +17,13 @@
          keeper.process + "/" + std::to_string(keeper.incarnation);
 }
 
+std::string DigestOf(const std::string& owner, const std::string& process) {
+  std::string names = owner;
+  names += '/';
+  names += process;
+  return Sha256Hex(names);
+}
+
 json ToJson(const Source& source, const Counts& counts) {
   return json::array({source.agent, source.incarnation, source.window,
                       source.owner, source.entry, counts.requests,
@@ -41,7 +48,7 @@
   std::optional<std::string> keeper;
   std::string highest;
   for (const std::string& process : processes) {
-    const std::string digest = Sha256Hex(owner + "/" + process);
+    const std::string digest = DigestOf(owner, process);
     if (digest > highest) {
       highest = digest;
       keeper = process;
