--- a/Tests/LibExpertMap/SimulatedGroup.cc
+++ b/Tests/LibExpertMap/SimulatedGroup.cc
@@ -55,7 +55,6 @@
 void SimulatedGroup::StartOwnerProcess() {
   this->owner = MapOwner{};
   this->owner.window = this->window;
-  // A call to the log that the dead owner made may take place yet.
   this->Perform(StartOwner(this->owner, "g", this->ranks.size(),
                            std::to_string(++this->owner_starts), this->now));
 }
@@ -99,6 +98,9 @@
       return engine.schedule.contains(set->from_step);
     }
     engine.schedule[set->from_step] = set->version;
+    if (engine.schedule.size() > 2) {
+      engine.schedule.erase(engine.schedule.begin());
+    }
     status.from_step = engine.schedule.rbegin()->first;
     status.version = engine.schedule.rbegin()->second;
   } else if (const auto* grant = std::get_if<GrantSteps>(&order)) {
--- a/Tests/LibExpertMap/SimulatedGroup.h
+++ b/Tests/LibExpertMap/SimulatedGroup.h
@@ -18,7 +18,8 @@
 // anyone, whatever their age, and ignores fencing numbers.
 struct SimulatedEngine {
   EngineStatus status;
-  // The schedule: from which step on each map holds.
+  // The schedule: from which step on each map holds. An engine remembers the
+  // newest map and the one before it, no more.
   std::map<Step, MapVersion> schedule;
   // Every step begun, with the map that was used.
   std::map<Step, MapVersion> record;
@@ -59,7 +60,7 @@
   kPropose,
   kLoseAnswer,
 };
-inline constexpr int kHappenings = 17;
+inline constexpr size_t kHappenings = 17;
 
 struct SimulatedGroup {
   explicit SimulatedGroup(size_t rank_count, Step window);
