bramleyspand: Admit at the agent, route by live probes

The agent took every call and promised 10 ms a call in flight; the entry believed it. Now LibAdmission decides at the agent (classes by stride scheduling, an estimate from measured service and prefill times, refusals on arrival with a time to come back, stalls seen by silence) and LibRouting at the entry compares promises with what was delivered, leaves out targets that answer no probes, and asks the home of a prompt's prefix besides random candidates. A call that admission gives up is ended by calls::RefuseForward, which burns its claim key before the caller hears "not run".

--- a/Libraries/LibCalls/AgentCalls.cc
+++ b/Libraries/LibCalls/AgentCalls.cc
@@ -353,6 +353,18 @@
                     EndingFor(calls, found->second, outcome, detail));
 }
 
+Effects RefuseForward(AgentCalls& calls,
+                      uint64_t forward,
+                      ErrorCode error,
+                      const std::string& detail,
+                      Duration retry_after) {
+  if (!calls.forwarded.contains(forward)) {
+    return {};
+  }
+  return EndForward(calls, forward,
+                    {Verdict::kNotRun, error, detail, retry_after});
+}
+
 Effects CancelCall(AgentCalls& calls, const Recipient& recipient) {
   return DropRecipientsIf(
       calls, [&](const Recipient& other) { return other == recipient; });
--- a/Libraries/LibCalls/AgentCalls.h
+++ b/Libraries/LibCalls/AgentCalls.h
@@ -150,6 +150,14 @@
                    BackEndOutcome outcome,
                    const std::string& detail);
 
+// Admission gave up a call that was not handed to the back end yet. Its claim
+// key is burnt and everybody who waits is told "not run".
+Effects RefuseForward(AgentCalls& calls,
+                      uint64_t forward,
+                      ErrorCode error,
+                      const std::string& detail,
+                      Duration retry_after);
+
 // A caller has left.
 Effects CancelCall(AgentCalls& calls, const Recipient& recipient);
 
--- a/Libraries/LibRouting/Routing.cc
+++ b/Libraries/LibRouting/Routing.cc
@@ -13,6 +13,14 @@
 // Each new call counts this share of the mean shortfall.
 constexpr int64_t kNewShareDivisor = 2;
 
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(100);
+constexpr Duration kLongestRetryAfter = std::chrono::seconds(15);
+
+Duration AllowedOf(const Router& router, Duration deadline) {
+  return std::chrono::duration_cast<Duration>(deadline *
+                                              router.settings.admitted_share);
+}
+
 // Load bound of the home of a prefix: a popular prefix must not draw more load
 // to one target than the others carry, however good its cache is.
 bool is_over_bound(const RoutingSettings& settings,
@@ -112,17 +120,20 @@
                                       const std::vector<ProbeAnswer>& answers,
                                       Duration deadline,
                                       TimePoint now) {
+  const Duration allowed = AllowedOf(router, deadline);
   const ProbeAnswer* best = nullptr;
-  std::tuple<bool, int64_t, uint32_t, Duration> best_cost;
+  std::tuple<bool, int64_t, uint32_t> best_cost;
   for (const ProbeAnswer& answer : answers) {
     const Duration expected = ExpectedFirstToken(router, query, answer, now);
-    if (!answer.is_admitting || expected > deadline) {
+    if (!answer.is_admitting || expected > allowed) {
       continue;
     }
     const bool is_drawn = query.prefix != 0 && answer.cached_tokens > 0;
     const std::tuple cost{
         is_drawn && is_over_bound(router.settings, answer, answers),
-        expected / router.settings.noise, answer.in_flight, expected};
+        expected / router.settings.noise, answer.in_flight};
+    // Equals go by the order of the answers. By their exact times one of two
+    // idle targets would get every request, and news of the other none.
     if (best == nullptr || cost < best_cost) {
       best = &answer;
       best_cost = cost;
@@ -134,6 +145,20 @@
   return Choice{best->candidate, std::max(best->first_token, Duration::zero())};
 }
 
+Duration RetryAfterOf(const Router& router,
+                      const Query& query,
+                      const std::vector<ProbeAnswer>& answers,
+                      Duration deadline,
+                      TimePoint now) {
+  Duration best = kLongestRetryAfter;
+  for (const ProbeAnswer& answer : answers) {
+    const Duration expected = ExpectedFirstToken(router, query, answer, now);
+    best = std::min(best, expected - AllowedOf(router, deadline));
+  }
+  best = std::clamp(best, kShortestRetryAfter, kLongestRetryAfter);
+  return best + Duration(query.random % best.count());
+}
+
 Duration ShortfallOf(const Router& router,
                      const std::string& target,
                      uint8_t service_class,
--- a/Libraries/LibRouting/Routing.h
+++ b/Libraries/LibRouting/Routing.h
@@ -45,6 +45,9 @@
   Duration probe_timeout = std::chrono::milliseconds(50);
   // Times to the first token that differ by less are told apart by load.
   Duration noise = std::chrono::milliseconds(20);
+  // Share of a request's time within which an answer must be promised; agents
+  // refuse what needs more.
+  double admitted_share = 0.8;
   // The home of a prefix may have this many times the load of the others
   // (bounded-load consistent hashing, Mirrokni et al. 2018).
   double affinity_load_bound = 1.25;
@@ -141,6 +144,15 @@
                                       Duration deadline,
                                       TimePoint now);
 
+// When a request that no candidate can answer in time should come back: when
+// the queue of the best will have drained far enough, spread by `query.random`
+// so that those refused together do not return together.
+Duration RetryAfterOf(const Router& router,
+                      const Query& query,
+                      const std::vector<ProbeAnswer>& answers,
+                      Duration deadline,
+                      TimePoint now);
+
 // How much later than promised a target is expected to answer a request of a
 // class. Only that class and more urgent ones count: under load a batch request
 // is overtaken and late, which says nothing against an interactive one.
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -37,6 +37,9 @@
           {"is_leaving", state.is_leaving},
           {"entries_linked", state.connections.size()},
           {"in_flight", state.calls.forwarded.size()},
+          {"waiting", state.waiting.size()},
+          {"slots", state.admission.settings.slots},
+          {"is_stalled", state.admission.is_stalled},
           {"remembered_claims", state.calls.claims.record_count},
           {"kept_answer_bytes", state.calls.claims.answer_bytes}};
 }
@@ -61,6 +64,7 @@
   Result<void> Start() {
     const Settings& settings = this->state.settings;
     claims::ClaimRegistry& claims = this->state.calls.claims;
+    this->state.admission.settings.slots = settings.target_slots;
     claims.agent = settings.name;
     claims.incarnation = RandomBits();
     claims.secret = RandomHex(kSecretBytes);
--- a/Services/bramleyspand/Agent/AgentState.h
+++ b/Services/bramleyspand/Agent/AgentState.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <utility>
 
+#include "LibAdmission/Admission.h"
 #include "LibCalls/AgentCalls.h"
 #include "LibHTTP/Client.h"
 #include "LibHTTP/Server.h"
@@ -25,6 +26,9 @@
   http::Client client;
   CatalogueFeed feed;
   calls::AgentCalls calls;
+  admission::Admission admission;
+  // The calls that wait for a slot of the back end, by their forwards.
+  std::map<uint64_t, wire::CallT> waiting;
   std::set<std::shared_ptr<wire::Connection>> connections;
   // The connections by their ids, as the recipients of answers name them.
   std::map<uint64_t, std::weak_ptr<wire::Connection>> callers;
--- a/Services/bramleyspand/Agent/Calls.cc
+++ b/Services/bramleyspand/Agent/Calls.cc
@@ -1,13 +1,12 @@
 #include "Kernel/Digest.h"
 #include "LibTelemetry/Log.h"
-#include "Services/bramleyspand/Agent/AgentState.h"
+#include "Services/bramleyspand/Agent/Admission.h"
 
 namespace bramleyspan::agent {
 
 namespace {
 
 constexpr Duration kDeadlineCheckInterval = std::chrono::milliseconds(20);
-constexpr Duration kEstimatePerCall = std::chrono::milliseconds(10);
 constexpr size_t kNonceBytes = 12;
 
 wire::Verdict ToWire(calls::Verdict verdict) {
@@ -69,10 +68,9 @@
     found->second->Cancel();
     state.exchanges.erase(found);
   }
+  ReleaseSlot(state, forward, /*is_measured=*/false);
 }
 
-void Perform(AgentState& state, const calls::Effects& effects);
-
 calls::BackEndOutcome OutcomeOf(const Result<void>& outcome) {
   if (outcome.has_value()) {
     return calls::BackEndOutcome::kComplete;
@@ -102,6 +100,7 @@
   events.on_bytes = [&state, forward](std::string_view bytes) {
     Perform(state,
             calls::ReceiveBytes(state.calls, forward, bytes, EventLoop::Now()));
+    NoteProgress(state, forward);
   };
   events.on_end = [&state, forward](const Result<void>& outcome) {
     state.exchanges.erase(forward);
@@ -109,10 +108,13 @@
         outcome.has_error() ? Describe(outcome.error()) : "";
     Perform(state, calls::ReceiveEnd(state.calls, forward, OutcomeOf(outcome),
                                      detail));
+    ReleaseSlot(state, forward, outcome.has_value());
   };
   return events;
 }
 
+}  // namespace
+
 void Forward(AgentState& state, const wire::CallT& call, uint64_t forward) {
   http::ClientRequest request{
       .target = *state.settings.target,
@@ -148,6 +150,8 @@
   }
 }
 
+namespace {
+
 calls::CallRequest ParseCall(const AgentState& state,
                              uint64_t connection,
                              const wire::CallT& call) {
@@ -176,23 +180,16 @@
       state.calls, ParseCall(state, connection.id, call), EventLoop::Now());
   for (const calls::Effect& effect : effects) {
     if (const auto* start = std::get_if<calls::StartForward>(&effect)) {
-      Forward(state, call, start->forward);
+      SubmitCall(state, call, start->forward);
     }
   }
   Perform(state, effects);
 }
 
-void HandleProbe(AgentState& state,
+void HandleProbe(const AgentState& state,
                  wire::Connection& connection,
                  const wire::ProbeT& probe) {
-  wire::EstimateT estimate;
-  estimate.probe = probe.probe;
-  estimate.is_admitting = !state.is_leaving;
-  estimate.in_flight = static_cast<uint32_t>(state.calls.forwarded.size());
-  estimate.first_token_microseconds =
-      (kEstimatePerCall * static_cast<int64_t>(state.calls.forwarded.size()))
-          .count();
-  connection.Send(wire::Encode(estimate));
+  connection.Send(wire::Encode(EstimateFor(state, probe)));
 }
 
 void HandleClaimRequest(AgentState& state,
@@ -240,6 +237,9 @@
 }
 
 void WatchDeadlines(AgentState& state) {
+  // Before the deadlines: what still waits has surely not run, and its caller
+  // is to hear so.
+  ReviewWaiting(state);
   Perform(state, calls::CheckDeadlines(state.calls, EventLoop::Now()));
   state.loop.RunAfter(kDeadlineCheckInterval,
                       [&state] { WatchDeadlines(state); });
--- a/Services/bramleyspand/Entry/Calls.cc
+++ b/Services/bramleyspand/Entry/Calls.cc
@@ -102,7 +102,9 @@
 }
 
 void CloseCall(EntryState& state, uint64_t id) {
-  state.call_of_attempt.erase(state.calls.at(id).call.call);
+  const uint64_t attempt = state.calls.at(id).call.call;
+  state.call_of_attempt.erase(attempt);
+  routing::HandleForgotten(state.router, attempt);
   state.calls.erase(id);
 }
 
@@ -121,6 +123,7 @@
 void EndAttempt(EntryState& state, uint64_t id, const calls::Ending& ending) {
   OpenCall& open = state.calls.at(id);
   state.call_of_attempt.erase(open.call.call);
+  NoteAttemptEnd(state, open, ending);
   open.attempt.remaining = open.first_byte_by - EventLoop::Now();
   const auto next = calls::DecideNextStep(state.retry_policy, open.attempt,
                                           ending, state.take_retry);
@@ -178,6 +181,7 @@
     return;
   }
   open->last_heard = EventLoop::Now();
+  NoteFirstBytes(state, chunk.call);
   open->exchange->Write(chunk.bytes);
 }
 
@@ -217,10 +221,11 @@
 void RefuseCall(EntryState& state,
                 uint64_t id,
                 ErrorCode code,
-                const std::string& detail) {
+                const std::string& detail,
+                Duration retry_after) {
   const OpenCall& open = state.calls.at(id);
   const calls::Ending ending{calls::Verdict::kNotRun, code, detail,
-                             kRetryAfter};
+                             retry_after};
   CountEnd(open, ending);
   open.exchange->Respond(ToResponse(open, ending));
   CloseCall(state, id);
--- a/Services/bramleyspand/Entry/Calls.h
+++ b/Services/bramleyspand/Entry/Calls.h
@@ -41,7 +41,8 @@
 void RefuseCall(EntryState& state,
                 uint64_t id,
                 ErrorCode code,
-                const std::string& detail);
+                const std::string& detail,
+                Duration retry_after = kRetryAfter);
 
 // Sends a call to the one agent that its claim key names (Calls.cc).
 void RouteByClaim(EntryState& state, const std::string& claim, uint64_t id);
@@ -56,6 +57,12 @@
                    uint64_t id);
 void HandleEstimate(EntryState& state, const wire::EstimateT& estimate);
 
+// Compares what an attempt's target promised with what it does (Probing.cc).
+void NoteFirstBytes(EntryState& state, uint64_t attempt);
+void NoteAttemptEnd(EntryState& state,
+                    const OpenCall& open,
+                    const calls::Ending& ending);
+
 // Takes claim keys from an agent for a caller (Claims.cc).
 void HandleClaims(EntryState& state,
                   const http::Request& request,
--- a/Services/bramleyspand/Entry/EntryState.h
+++ b/Services/bramleyspand/Entry/EntryState.h
@@ -41,6 +41,10 @@
   uint64_t call = 0;
   std::map<uint64_t, routing::Candidate> outstanding;
   std::vector<routing::ProbeAnswer> answers;
+  // All that could answer; no more than a share of them is ever left out.
+  std::vector<routing::Candidate> all;
+  // No candidate of an earlier round answered.
+  bool is_second = false;
   TimerId timer = 0;
 };
 
@@ -75,6 +79,8 @@
   calls::RetryPolicy retry_policy;
   // FIXME: The budget of LibLimits is to be wired here.
   calls::TakeRetry take_retry = [] { return true; };
+  routing::Router router;
+  routing::Policy policy = routing::FindPolicy(routing::kDefaultPolicy).value();
   std::map<uint64_t, ProbeRound> rounds;
   std::map<uint64_t, uint64_t> round_of_probe;
   std::map<uint64_t, OpenClaimRequest> claim_requests;
--- a/Services/bramleyspand/Entry/Probing.cc
+++ b/Services/bramleyspand/Entry/Probing.cc
@@ -1,53 +1,150 @@
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
 #include "Kernel/Digest.h"
+#include "LibRouting/Hash.h"
 #include "Services/bramleyspand/Entry/Calls.h"
 
 namespace bramleyspan::entry {
 
 namespace {
 
-constexpr size_t kProbes = 2;
-constexpr Duration kProbeTimeout = std::chrono::milliseconds(50);
+using nlohmann::json;
+
+// Good for the choice of a target; the engine's own count is what is billed.
+constexpr size_t kBytesPerToken = 4;
+constexpr size_t kPrefixBytes = 2048;
+
+// The text of a chat request; the whole body if it is none.
+std::string PromptOf(const std::string& body) {
+  const json document = json::parse(body, nullptr, false);
+  if (!document.is_object() || !document.contains("messages") ||
+      !document["messages"].is_array()) {
+    return body;
+  }
+  std::string prompt;
+  for (const json& message : document["messages"]) {
+    if (message.is_object() && message.contains("content")) {
+      prompt += message["content"].dump(-1, ' ', false,
+                                        json::error_handler_t::replace);
+    }
+  }
+  return prompt;
+}
+
+// Prefixes are apart by owner: one owner's prompts say nothing of another's.
+void DescribePrompt(wire::CallT& call) {
+  const std::string prompt = PromptOf(call.body);
+  call.prompt_tokens =
+      static_cast<uint32_t>(prompt.size() / kBytesPerToken) + 1;
+  if (prompt.size() >= kPrefixBytes) {
+    call.prefix = routing::PrefixOf(call.owner + prompt,
+                                    call.owner.size() + kPrefixBytes);
+  }
+}
+
+routing::Query QueryOf(const OpenCall& open) {
+  return {.prefix = open.call.prefix,
+          .random = RandomBits(),
+          .service_class = std::min<uint8_t>(open.call.service_class,
+                                             routing::kClasses - 1)};
+}
+
+void StartRound(EntryState& state,
+                uint64_t call,
+                std::vector<routing::Candidate> candidates,
+                bool is_second);
+
+void SendTo(EntryState& state, uint64_t id, const routing::Choice& choice) {
+  const uint8_t service_class = QueryOf(state.calls.at(id)).service_class;
+  SendCall(state, id, choice.candidate.target);
+  const auto call = state.calls.find(id);
+  if (call != state.calls.end()) {
+    routing::HandleSent(state.router, call->second.call.call, choice,
+                        service_class, EventLoop::Now());
+  }
+}
+
+// The others, after a round in which nobody answered.
+std::vector<routing::Candidate> NotAskedOf(const ProbeRound& round) {
+  std::vector<routing::Candidate> others = round.all;
+  std::erase_if(others, [&](const routing::Candidate& candidate) {
+    return std::ranges::any_of(round.outstanding, [&](const auto& item) {
+      return item.second == candidate;
+    });
+  });
+  return others;
+}
+
+void NoteUnanswered(EntryState& state, const ProbeRound& round) {
+  for (const auto& [probe, candidate] : round.outstanding) {
+    state.round_of_probe.erase(probe);
+    routing::HandleTargetFailure(state.router, candidate.target, round.all,
+                                 EventLoop::Now());
+  }
+}
 
 void FinishRound(EntryState& state, uint64_t round_id) {
   const ProbeRound round = std::move(state.rounds.at(round_id));
   state.rounds.erase(round_id);
   state.loop.Cancel(round.timer);
-  for (const auto& [probe, candidate] : round.outstanding) {
-    state.round_of_probe.erase(probe);
-  }
+  NoteUnanswered(state, round);
   const auto call = state.calls.find(round.call);
   if (call == state.calls.end()) {
     return;
   }
-  const auto chosen = routing::ChooseCandidate(
-      {}, {}, round.answers, call->second.deadline, EventLoop::Now());
-  if (!chosen) {
-    RefuseCall(state, round.call, ErrorCode::kDeadlineUnmeetable,
-               "no group can answer in time");
+  const TimePoint now = EventLoop::Now();
+  const routing::Query query = QueryOf(call->second);
+  const Duration remaining = call->second.first_byte_by - now;
+  const auto choice = routing::ChooseCandidate(state.router, query,
+                                               round.answers, remaining, now);
+  if (choice) {
+    SendTo(state, round.call, *choice);
     return;
   }
-  SendCall(state, round.call, chosen->candidate.target);
+  auto others = NotAskedOf(round);
+  if (round.answers.empty() && !round.is_second && !others.empty()) {
+    StartRound(state, round.call, std::move(others), /*is_second=*/true);
+    return;
+  }
+  RefuseCall(state, round.call, ErrorCode::kDeadlineUnmeetable,
+             "no group can answer in time",
+             routing::RetryAfterOf(state.router, query, round.answers,
+                                   remaining, now));
+}
+
+void SendProbe(EntryState& state,
+               const OpenCall& open,
+               uint64_t probe,
+               const routing::Candidate& candidate) {
+  wire::ProbeT frame;
+  frame.probe = probe;
+  frame.service_class = open.call.service_class;
+  frame.prompt_tokens = open.call.prompt_tokens;
+  frame.prefix = open.call.prefix;
+  state.links.at(candidate.target).connection->Send(wire::Encode(frame));
 }
 
 void StartRound(EntryState& state,
                 uint64_t call,
-                std::vector<routing::Candidate> candidates) {
+                std::vector<routing::Candidate> candidates,
+                bool is_second) {
   const uint64_t round_id = ++state.last_id;
+  const OpenCall& open = state.calls.at(call);
   ProbeRound round;
   round.call = call;
-  for (routing::Candidate& candidate :
-       routing::PickCandidates(std::move(candidates), kProbes, RandomBits())) {
+  round.is_second = is_second;
+  for (routing::Candidate& candidate : state.policy(
+           state.router, QueryOf(open), candidates, EventLoop::Now())) {
     const uint64_t probe = ++state.last_id;
-    wire::ProbeT frame;
-    frame.probe = probe;
-    frame.service_class = state.calls.at(call).call.service_class;
-    frame.prompt_tokens = state.calls.at(call).call.prompt_tokens;
-    state.links.at(candidate.target).connection->Send(wire::Encode(frame));
+    SendProbe(state, open, probe, candidate);
     state.round_of_probe.emplace(probe, round_id);
     round.outstanding.emplace(probe, std::move(candidate));
   }
-  round.timer = state.loop.RunAfter(
-      kProbeTimeout, [&state, round_id] { FinishRound(state, round_id); });
+  round.all = std::move(candidates);
+  round.timer =
+      state.loop.RunAfter(state.router.settings.probe_timeout,
+                          [&state, round_id] { FinishRound(state, round_id); });
   state.rounds.emplace(round_id, std::move(round));
 }
 
@@ -84,7 +181,8 @@
     RefuseCall(state, id, ErrorCode::kUnavailable, "no group is reachable");
     return;
   }
-  StartRound(state, id, std::move(candidates));
+  DescribePrompt(state.calls.at(id).call);
+  StartRound(state, id, std::move(candidates), /*is_second=*/false);
 }
 
 void HandleEstimate(EntryState& state, const wire::EstimateT& estimate) {
@@ -100,11 +198,34 @@
       {.candidate = probed->second,
        .is_admitting = estimate.is_admitting,
        .in_flight = estimate.in_flight,
-       .first_token = Duration(estimate.first_token_microseconds)});
+       .first_token = Duration(estimate.first_token_microseconds),
+       .cached_tokens = estimate.cached_tokens});
+  routing::HandleProbeAnswered(state.router, probed->second.target);
   round.outstanding.erase(probed);
   if (round.outstanding.empty()) {
     FinishRound(state, round_id);
   }
 }
 
+void NoteFirstBytes(EntryState& state, uint64_t attempt) {
+  routing::HandleFirstByte(state.router, attempt, EventLoop::Now());
+}
+
+void NoteAttemptEnd(EntryState& state,
+                    const OpenCall& open,
+                    const calls::Ending& ending) {
+  routing::HandleForgotten(state.router, open.call.call);
+  const auto& entries = state.feed.current().entries;
+  const auto entry = entries.find(open.call.catalogue_entry);
+  // An unknown that the agent itself tells, such as a key that it forgot, says
+  // nothing against its target.
+  const bool is_failure = ending.error == ErrorCode::kTimeout ||
+                          ending.error == ErrorCode::kOutcomeUnknown;
+  if (is_failure && !open.target.empty() && entry != entries.end()) {
+    routing::HandleTargetFailure(state.router, open.target,
+                                 FindCandidates(state, entry->second),
+                                 EventLoop::Now());
+  }
+}
+
 }  // namespace bramleyspan::entry
--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -27,6 +27,10 @@
           "IP:PORT of the platform's key-value service");
 ABSL_FLAG(std::string, vm_list, "", "IP:PORT of the platform's VM list");
 ABSL_FLAG(std::string, target, "", "IP:PORT of the back end beside an agent");
+ABSL_FLAG(std::string,
+          target_slots,
+          "",
+          "requests that the back end beside an agent runs at once");
 ABSL_FLAG(std::string,
           operator_key_sha256,
           "",
@@ -63,6 +67,7 @@
       SettingRow{"key-value-service", &FLAGS_key_value_service, ""},
       SettingRow{"vm-list", &FLAGS_vm_list, ""},
       SettingRow{"target", &FLAGS_target, ""},
+      SettingRow{"target-slots", &FLAGS_target_slots, "16"},
       SettingRow{"operator-key-sha256", &FLAGS_operator_key_sha256, ""},
       SettingRow{"drain-bound-seconds", &FLAGS_drain_bound_seconds, "600"},
       SettingRow{"log-level", &FLAGS_log_level, "info"},
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -35,6 +35,17 @@
   return port;
 }
 
+Result<uint32_t> RequireSlots(const SettingLookup& lookup) {
+  const SettingText given = lookup("target-slots");
+  const char* end = given.text.data() + given.text.size();
+  uint32_t slots = 0;
+  const auto [stop, failure] = std::from_chars(given.text.data(), end, slots);
+  if (failure != std::errc{} || stop != end || slots == 0) {
+    return FailFor("target-slots", given, "a number from 1");
+  }
+  return slots;
+}
+
 Result<Address> RequireAddress(const SettingLookup& lookup,
                                const std::string& name) {
   const SettingText given = lookup(name);
@@ -90,6 +101,7 @@
   if (settings.role == "agent" && !settings.target) {
     return FailFor("target", lookup("target"), "IP:PORT of the back end");
   }
+  settings.target_slots = TRY(RequireSlots(lookup));
   settings.operator_key_sha256 =
       TRY(RequireText(lookup, "operator-key-sha256"));
   settings.drain_bound = TRY(RequireSeconds(lookup, "drain-bound-seconds"));
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -26,6 +26,8 @@
   std::optional<Address> target;
   // The longest time that a planned stop waits for what is in flight.
   Duration drain_bound = std::chrono::minutes(10);
+  // Requests that the back end beside an agent runs at once.
+  uint32_t target_slots = 16;
   // The digest of the key that operators show.
   std::string operator_key_sha256;
   telemetry::LogFilter log_filter;
