--- a/Services/bramleyspand/Entry/Calls.cc
+++ b/Services/bramleyspand/Entry/Calls.cc
@@ -125,8 +125,10 @@
   state.call_of_attempt.erase(open.call.call);
   NoteAttemptEnd(state, open, ending);
   open.attempt.remaining = open.first_byte_by - EventLoop::Now();
-  const auto next = calls::DecideNextStep(state.retry_policy, open.attempt,
-                                          ending, state.take_retry);
+  const auto next = calls::DecideNextStep(
+      state.retry_policy, open.attempt, ending, [&state, &open] {
+        return limits::TakeRetry(state.retry_budget, open.call.owner);
+      });
   LogEnd(open, ending);
   if (next != calls::NextStep::kRetry) {
     CountEnd(open, ending);
@@ -274,6 +276,7 @@
     CancelAtAgent(state, found->second);
     CloseCall(state, id);
   });
+  limits::NoteFirstAttempt(state.retry_budget, entry.owner);
   state.calls.emplace(id, std::move(open));
   return id;
 }
--- a/Services/bramleyspand/Entry/EntryState.h
+++ b/Services/bramleyspand/Entry/EntryState.h
@@ -11,6 +11,7 @@
 #include "LibCalls/Retry.h"
 #include "LibHTTP/Client.h"
 #include "LibHTTP/Server.h"
+#include "LibLimits/RetryBudget.h"
 #include "LibPlatform/KeyValueClient.h"
 #include "LibPlatform/VmList.h"
 #include "LibRouting/Routing.h"
@@ -77,8 +78,7 @@
   // again, so that a late frame of one that was given up finds nothing.
   std::map<uint64_t, uint64_t> call_of_attempt;
   calls::RetryPolicy retry_policy;
-  // FIXME: The budget of LibLimits is to be wired here.
-  calls::TakeRetry take_retry = [] { return true; };
+  limits::RetryBudget retry_budget;
   routing::Router router;
   routing::Policy policy = routing::FindPolicy(routing::kDefaultPolicy).value();
   std::map<uint64_t, ProbeRound> rounds;
