Entry: Say "unknown" of a claim key that no agent was asked about

Cause: an entry that refused a request before sending it said "not run", also when the request showed a claim key. An invoice that had been issued, whose catalogue entry was removed afterwards, was called "not run"; the member would have issued it twice. An entry that has not caught up refuses callers as well; it answered them by whatever catalogue it had.

--- a/Libraries/LibAdmission/Admission.cc
+++ b/Libraries/LibAdmission/Admission.cc
@@ -78,8 +78,9 @@
 // guessed by how long it has lasted.
 Duration StallOf(const Admission& admission, TimePoint now) {
   const Duration silence = Silence(admission, now);
-  const double due = MeanService(admission, admission.last_progress) /
-                     std::max<size_t>(admission.running.size(), 1);
+  const auto running =
+      static_cast<double>(std::max<size_t>(admission.running.size(), 1));
+  const double due = MeanService(admission, admission.last_progress) / running;
   const Duration bound =
       std::max(admission.settings.shortest_stall,
                Microseconds(admission.settings.stall_factor * due));
--- a/Services/bramleyspand/Entry/CallerApi.cc
+++ b/Services/bramleyspand/Entry/CallerApi.cc
@@ -8,6 +8,25 @@
 constexpr std::string_view kChatPath = "/v1/chat/completions";
 constexpr std::string_view kServicePrefix = "/v1/services/";
 
+// What this entry can say of a request that it sends to no agent. With a claim
+// key, another attempt may have run by another entry or at another revision of
+// the catalogue; "not run" would be a guess, and the caller would take a new
+// key and run the call twice. Only the key's agent may say it.
+RunState RunStateUnasked(const http::Request& request) {
+  const bool has_claim =
+      !http::FindHeader(request.headers, "bramleyspan-claim").empty();
+  return has_claim ? RunState::kUnknown : RunState::kNotRun;
+}
+
+void RefuseUnasked(const http::Request& request,
+                   const ExchangePointer& exchange,
+                   const Error& error,
+                   std::optional<Duration> retry_after = std::nullopt) {
+  exchange->Respond(ToResponse({.error = error,
+                                .run = RunStateUnasked(request),
+                                .retry_after = retry_after}));
+}
+
 void HandleChat(EntryState& state,
                 const http::Request& request,
                 const ExchangePointer& exchange) {
@@ -30,15 +49,16 @@
                    const ExchangePointer& exchange) {
   const auto found = FindEntry(state, request);
   if (found.has_error()) {
-    exchange->Respond(ToResponse({.error = found.error()}));
+    RefuseUnasked(request, exchange, found.error());
     return;
   }
   const catalogue::Entry& entry = *found.value();
   const std::string prefix = std::string(kServicePrefix) + entry.back_end + "/";
   if (entry.kind != catalogue::BackEndKind::kService ||
       !request.path.starts_with(prefix)) {
-    Refuse(exchange, ErrorCode::kForbidden, entry.name,
-           "the path is not this entry's service");
+    RefuseUnasked(request, exchange,
+                  {ErrorCode::kForbidden, entry.name,
+                   "the path is not this entry's service"});
     return;
   }
   const std::string claim(
@@ -48,11 +68,13 @@
   if (is_at_most_once != !claim.empty()) {
     // A key of the caller's own choice names no agent that could remember it:
     // two entries would send it to two agents, and the call would run twice.
-    Refuse(exchange, ErrorCode::kMalformedRequest, entry.name,
-           is_at_most_once
-               ? "needs a key in the header Bramleyspan-Claim; take one by "
-                 "POST /v1/claims (an Idempotency-Key does not stand for it)"
-               : "takes no claim key: it is repeatable");
+    RefuseUnasked(
+        request, exchange,
+        {ErrorCode::kMalformedRequest, entry.name,
+         is_at_most_once
+             ? "needs a key in the header Bramleyspan-Claim; take one by "
+               "POST /v1/claims (an Idempotency-Key does not stand for it)"
+             : "takes no claim key: it is repeatable"});
     return;
   }
   const uint64_t id = OpenNewCall(state, entry, request, exchange);
@@ -70,8 +92,18 @@
                          const http::Request& request,
                          const ExchangePointer& exchange) {
   if (request.body.size() > kLargestCallerBody) {
-    Refuse(exchange, ErrorCode::kTooLarge, request.path,
-           "a request's body may have up to a mebibyte");
+    RefuseUnasked(request, exchange,
+                  {ErrorCode::kTooLarge, request.path,
+                   "a request's body may have up to a mebibyte"});
+    return;
+  }
+  // An entry that has not caught up could admit by a catalogue that was
+  // replaced long ago, and refuse owners who were added since.
+  if (!state.is_ready) {
+    RefuseUnasked(request, exchange,
+                  {ErrorCode::kUnavailable, state.settings.name,
+                   "this entry has not caught up yet; use another one"},
+                  kRetryAfter);
     return;
   }
   if (request.path == "/v1/addresses") {
