--- a/Measurements/MeasureRouting.cc
+++ b/Measurements/MeasureRouting.cc
@@ -72,7 +72,7 @@
   double hits = 0;
 
   double InTimeShare() const {
-    const double all = offered[0] + offered[1] + offered[2];
+    const auto all = static_cast<double>(offered[0] + offered[1] + offered[2]);
     return static_cast<double>(in_time[0] + in_time[1] + in_time[2]) / all;
   }
   double ClassShare(size_t index) const {
@@ -133,7 +133,8 @@
       started += target->started;
       hits += target->cache_hits;
     }
-    this->outcome.hits = static_cast<double>(hits) / started;
+    this->outcome.hits =
+        static_cast<double>(hits) / static_cast<double>(started);
     return std::move(this->outcome);
   }
 
--- a/Tests/LibCatalogue/TestReadiness.cc
+++ b/Tests/LibCatalogue/TestReadiness.cc
@@ -58,8 +58,10 @@
 
 // 340 entries that all watch read each change 340 times at one moment.
 TEST_CASE("two entries of a zone watch the store") {
+  constexpr size_t kEntriesOfZone = 57;
   std::vector<std::string> zone;
-  for (int i = 0; i < 57; ++i) {
+  zone.reserve(kEntriesOfZone);
+  for (size_t i = 0; i < kEntriesOfZone; ++i) {
     zone.push_back("entry-" + std::to_string(i));
   }
   size_t watchers = 0;
--- a/Tests/LibClaims/TestClaims.cc
+++ b/Tests/LibClaims/TestClaims.cc
@@ -173,56 +173,58 @@
 
 // Any order of shows, ends, eviction, forgetting and restarts.
 TEST_CASE("property: a key runs at most once and never after not run") {
-  tests::CheckProperty("keys of one agent", [](std::vector<uint8_t> steps) {
-    ClaimRegistry registry = MakeRegistry(1);
-    registry.settings = {.epoch_length = minutes(1),
-                         .remembered_epochs = 2,
-                         .most_records = 3,
-                         .most_answer_bytes = 4,
-                         .largest_answer = 3};
-    TimePoint now = registry.started;
-    std::vector<std::string> keys;
-    std::map<std::string, int> runs;
-    std::set<std::string> not_run;
-    for (const uint8_t step : steps) {
-      if (keys.size() < 6 && step % 8 < 2) {
-        keys.push_back(Issue(registry, now, std::to_string(keys.size())));
-      }
-      if (keys.empty()) {
-        continue;
-      }
-      const std::string& key = keys[(step / 8) % keys.size()];
-      switch (step % 8) {
-        case 2:
-        case 3:
-          if (Admit(registry, key, now) == ClaimDecision::kRun) {
-            RC_ASSERT(!not_run.contains(key));
-            RC_ASSERT(++runs[key] == 1);
+  tests::CheckProperty(
+      "keys of one agent", [](const std::vector<uint8_t>& steps) {
+        ClaimRegistry registry = MakeRegistry(1);
+        registry.settings = {.epoch_length = minutes(1),
+                             .remembered_epochs = 2,
+                             .most_records = 3,
+                             .most_answer_bytes = 4,
+                             .largest_answer = 3};
+        TimePoint now = registry.started;
+        std::vector<std::string> keys;
+        std::map<std::string, int> runs;
+        std::set<std::string> not_run;
+        for (const uint8_t step : steps) {
+          if (keys.size() < 6 && step % 8 < 2) {
+            keys.push_back(Issue(registry, now, std::to_string(keys.size())));
           }
-          break;
-        case 4:
-          FinishClaim(registry, key, {.status = 200, .body = "12"});
-          break;
-        case 5:
-          if (Admit(registry, key, now) == ClaimDecision::kRun) {
-            RefuseClaim(registry, key);
-            not_run.insert(key);
+          if (keys.empty()) {
+            continue;
           }
-          break;
-        case 6:
-          LoseClaim(registry, key);
-          break;
-        case 7:
-          now += std::chrono::seconds(30);
-          ForgetOldEpochs(registry, now);
-          break;
-        default:
-          break;
-      }
-      RC_ASSERT(registry.record_count <= registry.settings.most_records);
-      RC_ASSERT(registry.answer_bytes <= registry.settings.most_answer_bytes);
-    }
-  });
+          const std::string& key = keys[(step / 8) % keys.size()];
+          switch (step % 8) {
+            case 2:
+            case 3:
+              if (Admit(registry, key, now) == ClaimDecision::kRun) {
+                RC_ASSERT(!not_run.contains(key));
+                RC_ASSERT(++runs[key] == 1);
+              }
+              break;
+            case 4:
+              FinishClaim(registry, key, {.status = 200, .body = "12"});
+              break;
+            case 5:
+              if (Admit(registry, key, now) == ClaimDecision::kRun) {
+                RefuseClaim(registry, key);
+                not_run.insert(key);
+              }
+              break;
+            case 6:
+              LoseClaim(registry, key);
+              break;
+            case 7:
+              now += std::chrono::seconds(30);
+              ForgetOldEpochs(registry, now);
+              break;
+            default:
+              break;
+          }
+          RC_ASSERT(registry.record_count <= registry.settings.most_records);
+          RC_ASSERT(registry.answer_bytes <=
+                    registry.settings.most_answer_bytes);
+        }
+      });
 }
 
 }  // namespace bramleyspan::claims
--- a/Tests/LibClaims/TestSeal.cc
+++ b/Tests/LibClaims/TestSeal.cc
@@ -11,7 +11,7 @@
 std::string IssueAndAdmit(ClaimRegistry& registry,
                           const std::string& nonce,
                           TimePoint now) {
-  const std::string key = IssueClaim(registry, "huber", "issue", nonce, now);
+  std::string key = IssueClaim(registry, "huber", "issue", nonce, now);
   REQUIRE(AdmitClaim(registry, {key, "huber", "issue", ""}, now) ==
           ClaimDecision::kRun);
   return key;
--- a/Utilities/bramleyspanctl/CatalogueCommands.cc
+++ b/Utilities/bramleyspanctl/CatalogueCommands.cc
@@ -58,7 +58,7 @@
 }
 
 std::string NewChangeId(const std::string& given) {
-  const std::string id = given.empty() ? RandomHex(kChangeIdBytes) : given;
+  std::string id = given.empty() ? RandomHex(kChangeIdBytes) : given;
   std::cerr << "change id " << id << "\n";
   return id;
 }
