--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -242,8 +242,6 @@
     CutAllCalls(this->state);
   }
 
-  // The end of the last answer may still wait for a slow entry; stopping now
-  // would cut off an answer that the back end has finished.
   // Nothing runs and no key will: tell the entries, which answer for the keys
   // when this process is gone.
   void SealOnce() {
@@ -254,6 +252,8 @@
     this->idle_since = EventLoop::Now();
   }
 
+  // The end of the last answer may still wait for a slow entry; stopping now
+  // would cut off an answer that the back end has finished.
   bool is_flushed(TimePoint now) const {
     return this->unsent_bytes() == 0 || now >= this->idle_since + kLongestFlush;
   }
