LibHTTP: Hold back answers whose breaking off could not be seen

Cause: h2o chunks streamed answers of HTTP/1.1 for status 200 and 206 only; all others end with the connection, whole or not. Ruled out: sending our own chunks, since h2o owns the framing. Such answers, and all to HTTP/1.0, are held until their end is known, up to the bound for slow readers, and a broken one becomes a typed 502.

--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -50,6 +50,25 @@
   }
 }
 
+// Whether the caller can tell a broken stream from a whole one. h2o chunks
+// answers of HTTP/1.1 with status 200 and 206 only; others end with the
+// connection, whole or not. HTTP/2 resets a broken stream.
+bool can_show_truncation(const h2o_req_t& request, int status) {
+  constexpr int kHttp11 = 0x101;
+  if (request.version > kHttp11) {
+    return true;
+  }
+  return request.version == kHttp11 && (status == 200 || status == 206);
+}
+
+Response TruncatedAnswer() {
+  return {.status = 502,
+          .headers = {{"content-type", "application/json"}},
+          .body =
+              "{\"error\":{\"code\":\"truncated\",\"message\":\"the answer "
+              "broke off\",\"run\":\"unknown\"}}\n"};
+}
+
 std::string ToString(const h2o_iovec_t& bytes) {
   return {bytes.base, bytes.len};
 }
@@ -89,6 +108,10 @@
   if (this->is_closed()) {
     return;
   }
+  if (!can_show_truncation(*this->request, status)) {
+    this->held = Response{.status = status, .headers = headers, .body = ""};
+    return;
+  }
   this->SetHead(status, headers);
   this->StartGenerator();
   // The head goes out at once: its arrival tells the caller that the request
@@ -101,6 +124,13 @@
   if (this->is_closed() || this->end != End::kNone || bytes.empty()) {
     return;
   }
+  if (this->held) {
+    this->held->body.append(bytes);
+    if (this->held->body.size() > this->most_pending_bytes) {
+      this->Abandon();
+    }
+    return;
+  }
   this->pending.append(bytes);
   this->Flush();
   // A caller that reads slower than the engine writes would otherwise fill
@@ -121,12 +151,21 @@
 void Exchange::EndAs(End kind) {
   // The first end stands: a stream that was cut off for a slow caller while
   // bytes were on their way must not be finished as whole by its source.
+  if (this->held) {
+    this->EndHeld(kind);
+    return;
+  }
   if (this->end == End::kNone) {
     this->end = kind;
   }
   this->Flush();
 }
 
+void Exchange::EndHeld(End kind) {
+  const Response whole = *std::exchange(this->held, std::nullopt);
+  this->Respond(kind == End::kWhole ? whole : TruncatedAnswer());
+}
+
 void Exchange::OnGone(std::function<void()> callback) {
   this->gone_callback = std::move(callback);
 }
@@ -213,7 +252,9 @@
   auto keep_until_return = this->shared_from_this();
   auto callback = std::exchange(this->gone_callback, nullptr);
   this->pending.clear();
-  if (!this->is_closed() && this->request->_generator == nullptr) {
+  if (this->held) {
+    this->Abort();
+  } else if (!this->is_closed() && this->request->_generator == nullptr) {
     this->Respond({.status = kCallerClosedRequest, .headers = {}, .body = ""});
   } else {
     this->Abort();
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "Kernel/Address.h"
@@ -24,7 +25,9 @@
   // Sends the whole answer.
   void Respond(const Response& response);
 
-  // Sends the head of a streamed answer.
+  // Sends the head of a streamed answer. Where the protocol cannot show that
+  // such an answer broke off, it is held back until its end is known; one that
+  // breaks off becomes a 502 then.
   void StartStream(int status, const HeaderList& headers);
 
   // Sends a part of a streamed answer.
@@ -50,6 +53,7 @@
   enum class End { kNone, kWhole, kTruncated };
 
   void EndAs(End kind);
+  void EndHeld(End kind);
   void SetHead(int status, const HeaderList& headers);
   void StartGenerator();
   void Flush();
@@ -59,6 +63,8 @@
   void Abandon();
 
   h2o_req_t* request;
+  // A streamed answer that is held back until its end is known.
+  std::optional<Response> held;
   size_t most_pending_bytes;
   std::string pending;
   std::string in_flight;
--- a/Tests/LibHTTP/TestServer.cc
+++ b/Tests/LibHTTP/TestServer.cc
@@ -32,6 +32,38 @@
   CHECK(answer.error().code == ErrorCode::kTruncated);
 }
 
+// A confirmation with status 201 breaks off half-way and the caller takes the
+// half for the whole: h2o sends chunks for 200 and 206 only, and ends all other
+// streams by closing the connection, which is also how a whole one ends.
+TEST_CASE("an aborted stream of any status never shows as whole") {
+  for (const int status : {200, 201, 404, 503}) {
+    Fixture fixture;
+    fixture.Serve([status](const Request&, const auto& exchange) {
+      exchange->StartStream(status, {});
+      exchange->Write("half of ");
+      exchange->Abort();
+    });
+    const auto answer = fixture.Fetch({});
+    CHECK((answer.has_error() || answer.value().status == 502));
+  }
+}
+
+TEST_CASE("a stream of any status arrives whole") {
+  for (const int status : {200, 201, 404, 503}) {
+    Fixture fixture;
+    fixture.Serve([status](const Request&, const auto& exchange) {
+      exchange->StartStream(status, {});
+      exchange->Write("both ");
+      exchange->Write("halves");
+      exchange->Finish();
+    });
+    const auto answer = fixture.Fetch({});
+    REQUIRE(answer.has_value());
+    CHECK(answer.value().status == status);
+    CHECK(answer.value().body == "both halves");
+  }
+}
+
 // The engine works on for callers that have closed their connection, and
 // those who wait are served late: a closed connection is not seen before the
 // next write, and a queued request writes nothing.
