LibAdmission: Tell the fixed cost of a prompt from its cost per token

Cause: the agent divided the time to the first token by the tokens of the prompt, so that the fixed cost of short prompts counted as a cost per token. An idle fleet that had answered a dozen greetings refused every prompt of 400 characters or more with deadline_unmeetable (found by trying CALLING.md as a new user). Now least squares over decayed sums; the unit test failed before.

Entry: the query string was dropped on the way to the service and was not compared under a claim key, so that "issue?copy=2" got the answer of "issue". Text that is no claim key no longer gets a Retry-After.

--- a/Libraries/LibAdmission/Admission.cc
+++ b/Libraries/LibAdmission/Admission.cc
@@ -46,12 +46,9 @@
 
 // Time from start to the first token.
 double MeanPrefill(const Admission& admission, const Request& request) {
-  const Measured& measured = admission.measured;
-  if (measured.prefill_tokens <= 0) {
-    return 0;
-  }
-  return measured.prefill_microseconds / measured.prefill_tokens *
-         UncachedTokens(admission, request);
+  const Duration expected =
+      Predict(admission.measured.prefill, UncachedTokens(admission, request));
+  return static_cast<double>(expected.count());
 }
 
 uint32_t UsableSlots(const Admission& admission) {
@@ -201,10 +198,8 @@
   }
   Running& running = found->second;
   running.has_first_token = true;
-  AddDecayed(admission.measured.prefill_microseconds,
-             admission.measured.prefill_tokens,
-             static_cast<double>((now - running.started).count()),
-             running.uncached_tokens);
+  Learn(admission.measured.prefill, running.uncached_tokens,
+        now - running.started);
 }
 
 Effects HandleEnd(Admission& admission,
--- a/Libraries/LibAdmission/Admission.h
+++ b/Libraries/LibAdmission/Admission.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "LibAdmission/ClassQueues.h"
+#include "LibAdmission/PrefillModel.h"
 #include "LibAdmission/PrefixMemory.h"
 
 namespace bramleyspan::admission {
@@ -36,12 +37,11 @@
   bool has_first_token = false;
 };
 
-// Decayed sums of what was measured; a mean is a quotient of two of them.
+// What was measured: decayed sums, whose quotient is a mean, and prefills.
 struct Measured {
   double service_microseconds = 0;
   double service_count = 0;
-  double prefill_microseconds = 0;
-  double prefill_tokens = 0;
+  PrefillModel prefill;
 };
 
 struct Admission {
--- a/Services/bramleyspand/Entry/CallerApi.cc
+++ b/Services/bramleyspand/Entry/CallerApi.cc
@@ -78,7 +78,9 @@
     return;
   }
   const uint64_t id = OpenNewCall(state, entry, request, exchange);
-  state.calls.at(id).call.path = request.path.substr(prefix.size() - 1);
+  state.calls.at(id).call.path =
+      request.path.substr(prefix.size() - 1) +
+      (request.query.empty() ? "" : "?" + request.query);
   if (is_at_most_once) {
     RouteByClaim(state, claim, id);
     return;
--- a/Services/bramleyspand/Entry/Calls.cc
+++ b/Services/bramleyspand/Entry/Calls.cc
@@ -114,7 +114,8 @@
   const auto& entries = state.feed.current().entries;
   const auto entry = entries.find(open.call.catalogue_entry);
   if (entry == entries.end()) {
-    RefuseCall(state, id, ErrorCode::kForbidden, "the entry was removed");
+    RefuseCall(state, id, ErrorCode::kForbidden, "the entry was removed",
+               Duration::zero());
     return;
   }
   RouteByProbes(state, entry->second, id);
@@ -286,7 +287,8 @@
 void RouteByClaim(EntryState& state, const std::string& claim, uint64_t id) {
   const auto key = claims::ParseClaimKey(claim);
   if (key.has_error()) {
-    RefuseCall(state, id, ErrorCode::kMalformedRequest, key.error().detail);
+    RefuseCall(state, id, ErrorCode::kMalformedRequest, key.error().detail,
+               Duration::zero());
     return;
   }
   if (AnswerBySeal(state, key.value(), id)) {
--- a/Tests/LibAdmission/TestAdmission.cc
+++ b/Tests/LibAdmission/TestAdmission.cc
@@ -1,4 +1,5 @@
 #include "LibAdmission/Admission.h"
+#include "LibAdmission/PrefillModel.h"
 
 #include <algorithm>
 #include <map>
@@ -152,6 +153,38 @@
   CHECK(among > 3 * alone);
 }
 
+// A member's long contract is refused at once by a fleet that has nothing to
+// do: the fixed cost of a dozen short prompts was taken for a cost per token,
+// and a prompt a thousand times longer for one that takes a thousand times as
+// long.
+TEST_CASE("short prompts say nothing of the time that long ones take") {
+  Admission admission = MakeAdmission();
+  TimePoint now = kBegin;
+  for (uint64_t id = 1; id <= 12; ++id) {
+    Request greeting =
+        MakeRequest(id, ServiceClass::kInteractive, seconds(2), now);
+    greeting.prompt_tokens = 16;
+    Offer(admission, greeting, now);
+    now += milliseconds(160);
+    HandleProgress(admission, id, now);
+    HandleEnd(admission, id, true, now);
+  }
+  Request contract =
+      MakeRequest(20, ServiceClass::kInteractive, seconds(2), now);
+  contract.prompt_tokens = 25'000;
+  CHECK(Offer(admission, contract, now).verdict == Verdict::kStart);
+}
+
+TEST_CASE("a cost per token that was seen is counted") {
+  PrefillModel model;
+  for (uint32_t tokens = 100; tokens <= 2000; tokens += 100) {
+    Learn(model, tokens, milliseconds(20 + tokens / 10));
+  }
+  CHECK(Predict(model, 10'000) > milliseconds(900));
+  CHECK(Predict(model, 10'000) < milliseconds(1100));
+  CHECK(Predict(model, 100) < milliseconds(60));
+}
+
 TEST_CASE("a withdrawn request never starts") {
   Admission admission = MakeAdmission();
   for (uint64_t id = 1; id <= 3; ++id) {
