LibCatalogue: Let a restore give up the branches of other processes

Ruled out: a pending head that blocks newer ones; in the model shards are always at hand. An operator can now say that the other branches are given up; the restore names their newest changes, so that their processes follow.

Without the new option the restore stays as careful as it was.

--- a/Libraries/LibCatalogue/Commit.cc
+++ b/Libraries/LibCatalogue/Commit.cc
@@ -58,15 +58,21 @@
 
 // Prepares a restore: every shard is written, since the service may have lost
 // any. Processes that followed the abandoned changes find them named.
-void PrepareRestore(Commit& commit, const Head& current) {
+void PrepareRestore(Commit& commit,
+                    const Head& current,
+                    const KnownChanges& known) {
   commit.next = *commit.restored;
   Head& head = commit.next.head;
-  for (const AcceptedChange& change : current.changes) {
-    if (!holds_change(head, change)) {
+  uint64_t highest = std::max(head.revision, current.revision);
+  KnownChanges others = current.changes;
+  others.insert(others.end(), known.begin(), known.end());
+  for (const AcceptedChange& change : others) {
+    highest = std::max(highest, change.revision);
+    if (!holds_change(head, change) && !has_abandoned(head, change)) {
       AppendBounded(head.abandoned, change);
     }
   }
-  head.revision = std::max(head.revision, current.revision) + 1;
+  head.revision = highest + 1;
   AppendBounded(head.changes, {commit.change.id, head.revision});
   commit.unwritten.assign(commit.next.shards.begin(), commit.next.shards.end());
 }
@@ -120,17 +126,19 @@
                              const KnownChanges& known) {
   const Head& in_force = commit.restored->head;
   for (const AcceptedChange& change : known) {
-    if (!holds_change(in_force, change) && !holds_change(current, change)) {
+    if (commit.scope == RestoreScope::kStore &&
+        !holds_change(in_force, change) && !holds_change(current, change)) {
       return Finish(Fail(ErrorCode::kConflict, commit.change.id,
                          "another process has change " + change.id +
-                             " in force, which would be lost: restore there"));
+                             " in force, which would be lost: restore there, "
+                             "or give up all other branches"));
     }
   }
   if (WorstLineage(current, known) <= Lineage::kNewer) {
     return Finish(Fail(ErrorCode::kConflict, commit.change.id,
                        "the key-value service lacks nothing"));
   }
-  PrepareRestore(commit, current);
+  PrepareRestore(commit, current, known);
   return WriteNextOrSwap(commit);
 }
 
@@ -145,8 +153,10 @@
 
 CommitEffect StartRestore(Commit& commit,
                           std::string change_id,
-                          Snapshot in_force) {
+                          Snapshot in_force,
+                          RestoreScope scope) {
   commit = Commit{};
+  commit.scope = scope;
   commit.change.id = std::move(change_id);
   commit.restored = std::move(in_force);
   commit.reads_left = kMostReads;
--- a/Libraries/LibCatalogue/Commit.h
+++ b/Libraries/LibCatalogue/Commit.h
@@ -50,10 +50,22 @@
 // of the head was sent: the read must show all of it.
 using KnownChanges = std::vector<AcceptedChange>;
 
+// Which changes a restore may give up.
+enum class RestoreScope {
+  // Those that only the key-value service holds; a change that another process
+  // has in force is a kConflict.
+  kStore,
+  // All that the restoring process lacks. Where a partition has left two
+  // branches in force and the service holds a third, a restore of the first
+  // scope is refused from every process, and nothing could be edited any more.
+  kAllBranches,
+};
+
 struct Commit {
   ChangeSet change;
   // What a restore writes back; none for a change set.
   std::optional<Snapshot> restored;
+  RestoreScope scope = RestoreScope::kStore;
   // The head and all of its shards once the swap is sent.
   Snapshot next;
   uint64_t head_version = 0;
@@ -67,10 +79,12 @@
 CommitEffect StartCommit(Commit& commit, ChangeSet change);
 
 // Starts to commit the catalogue in force anew, for a key-value service that
-// has lost accepted changes. What the service accepted since is abandoned.
+// has lost accepted changes. What the service accepted since is abandoned, and
+// by kAllBranches also what other processes have in force.
 CommitEffect StartRestore(Commit& commit,
                           std::string change_id,
-                          Snapshot in_force);
+                          Snapshot in_force,
+                          RestoreScope scope);
 
 // The head was read, or the read failed. `known` is from before the read.
 CommitEffect HandleHeadRead(Commit& commit,
--- a/Services/bramleyspand/Entry/CatalogueChanges.cc
+++ b/Services/bramleyspand/Entry/CatalogueChanges.cc
@@ -259,9 +259,14 @@
   if (AnsweredAtOnce(state, id, exchange)) {
     return;
   }
+  const bool gives_up_branches =
+      document.contains("abandon_other_branches") &&
+      document["abandon_other_branches"] == json(true);
+  const auto scope = gives_up_branches ? catalogue::RestoreScope::kAllBranches
+                                       : catalogue::RestoreScope::kStore;
   auto running = std::make_shared<RunningCommit>(state, exchange);
-  running->Perform(
-      catalogue::StartRestore(running->commit, id, state.feed.snapshot()));
+  running->Perform(catalogue::StartRestore(running->commit, id,
+                                           state.feed.snapshot(), scope));
 }
 
 }  // namespace bramleyspan::entry
--- a/Tests/LibCatalogue/TestCatalogueProperties.cc
+++ b/Tests/LibCatalogue/TestCatalogueProperties.cc
@@ -348,13 +348,13 @@
 }
 
 // An operator runs `catalogue restore` on a process, with all links up.
-void RestoreCatalogueFrom(World& world, size_t process) {
+void RestoreCatalogueFrom(World& world, size_t process, RestoreScope scope) {
   RunningCommit restore;
   restore.process = process;
   const std::string id = "restore";
   const auto& in_force = world.processes.at(process);
   world.catalogue_of_change.insert_or_assign(id, in_force.catalogue);
-  restore.effect = StartRestore(restore.commit, id, in_force.in_force);
+  restore.effect = StartRestore(restore.commit, id, in_force.in_force, scope);
   world.has_partitions = false;
   restore.known = KnownTo(world, process);
   world.commits.at(0) = restore;
@@ -364,10 +364,10 @@
 }
 
 // Every failure ends; every process reads the store and hears all others.
-void Heal(World& world) {
+void Heal(World& world, RestoreScope scope) {
   world.commits = {};
   world.store.is_down = false;
-  RestoreCatalogueFrom(world, HighestProcess(world));
+  RestoreCatalogueFrom(world, HighestProcess(world), scope);
   for (size_t to = 0; to < kProcesses; ++to) {
     ReadStore(world, to);
   }
@@ -414,7 +414,7 @@
 TEST_CASE("property: accepted changes take force everywhere and stay") {
   tests::CheckProperty("without partitions", [] {
     World world = RunSteps(/*has_partitions=*/false);
-    Heal(world);
+    Heal(world, RestoreScope::kStore);
     CheckConverged(world);
     CheckAcceptedInForce(world);
   });
@@ -426,7 +426,7 @@
 TEST_CASE("property: a fork is followed by nobody from the other branch") {
   tests::CheckProperty("with partitions", [] {
     World world = RunSteps(/*has_partitions=*/true);
-    Heal(world);
+    Heal(world, RestoreScope::kAllBranches);
     CheckConverged(world);
   });
 }
--- a/Tests/LibCatalogue/TestCommit.cc
+++ b/Tests/LibCatalogue/TestCommit.cc
@@ -110,7 +110,7 @@
       CutIntoShards({}, HeadAfter({{"c5", 5}, {"c6", 6}}), "c7");
   const Head stored = HeadAfter({{"c5", 5}, {"d6", 6}, {"d7", 7}, {"d8", 8}});
   Commit commit;
-  StartRestore(commit, "r", in_force);
+  StartRestore(commit, "r", in_force, RestoreScope::kStore);
   const CommitEffect effect = WriteAllShards(
       commit,
       HandleHeadRead(commit,
@@ -125,10 +125,36 @@
   CHECK(CompareLineage(next, {"d7", 7}) == Lineage::kNewer);
 }
 
+// Two halves of the entries were parted while the key-value service came back
+// older: two branches are in force and the service holds a third. A restore of
+// any branch is refused for the sake of the others, and operators can edit
+// nothing any more. Found by Meta/explore with seed 2791715484.
+TEST_CASE("a restore can give up the branches of other processes") {
+  const Snapshot common = CutIntoShards({}, {}, "c1");
+  const Snapshot ours = CutIntoShards({}, common.head, "a2");
+  const Snapshot stored = CutIntoShards({}, common.head, "s2");
+  const AcceptedChange theirs{"b2", 2};
+  const StoredHead text{.version = 3, .text = SerializeHead(stored.head)};
+  const KnownChanges known{NewestChange(ours.head), theirs};
+
+  Commit commit;
+  StartRestore(commit, "r", ours, RestoreScope::kStore);
+  const CommitEffect refused = HandleHeadRead(commit, text, known);
+  CHECK(std::get<FinishCommit>(refused).outcome.error().code ==
+        ErrorCode::kConflict);
+
+  StartRestore(commit, "r", ours, RestoreScope::kAllBranches);
+  HandleHeadRead(commit, text, known);
+  for (const AcceptedChange& change :
+       {theirs, NewestChange(stored.head), NewestChange(ours.head)}) {
+    CHECK(CompareLineage(commit.next.head, change) == Lineage::kNewer);
+  }
+}
+
 TEST_CASE("a restore is refused where nothing is lost") {
   const Snapshot in_force = CutIntoShards({}, {}, "c1");
   Commit commit;
-  StartRestore(commit, "r", in_force);
+  StartRestore(commit, "r", in_force, RestoreScope::kStore);
   const std::string text = SerializeHead(in_force.head);
   const CommitEffect end = HandleHeadRead(
       commit, StoredHead{.version = 3, .text = text}, {{"c1", 1}});
--- a/Utilities/bramleyspanctl/CatalogueCommands.cc
+++ b/Utilities/bramleyspanctl/CatalogueCommands.cc
@@ -133,15 +133,22 @@
   return boost::outcome_v2::failure(answer.error());
 }
 
-Result<void> RestoreCatalogue(const std::string& change_id) {
+Result<void> RestoreCatalogue(const std::string& change_id,
+                              bool abandons_other_branches) {
   const std::string id = NewChangeId(change_id);
-  const auto answer = AskForBody("POST", kRestorePath, json{{"id", id}}.dump());
+  const auto answer = AskForBody(
+      "POST", kRestorePath,
+      json{{"id", id}, {"abandon_other_branches", abandons_other_branches}}
+          .dump());
   if (answer.has_value()) {
     PrintAccepted(answer.value());
     return Succeed();
   }
   if (is_outcome_unknown(answer.error())) {
-    ExplainUnknown("bramleyspanctl catalogue restore --change_id=" + id);
+    ExplainUnknown(
+        std::string("bramleyspanctl catalogue restore ") +
+        (abandons_other_branches ? "--abandon_other_branches " : "") +
+        "--change_id=" + id);
   }
   return boost::outcome_v2::failure(answer.error());
 }
--- a/Utilities/bramleyspanctl/Commands.h
+++ b/Utilities/bramleyspanctl/Commands.h
@@ -29,7 +29,8 @@
 Result<void> CheckFile(const std::string& path);
 Result<void> DiffFile(const std::string& path);
 Result<void> ApplyFile(const std::string& path, const ApplyOptions& options);
-Result<void> RestoreCatalogue(const std::string& change_id);
+Result<void> RestoreCatalogue(const std::string& change_id,
+                              bool abandons_other_branches);
 Result<void> PrintHistory();
 Result<void> PrintStatus();
 
--- a/Utilities/bramleyspanctl/Main.cc
+++ b/Utilities/bramleyspanctl/Main.cc
@@ -22,6 +22,10 @@
           base_revision,
           -1,
           "revision from which the applied file was made");
+ABSL_FLAG(bool,
+          abandon_other_branches,
+          false,
+          "let a restore give up what other processes have in force");
 ABSL_FLAG(std::string,
           change_id,
           "",
@@ -122,7 +126,8 @@
     return PrintHistory();
   }
   if (verb == "restore") {
-    return RestoreCatalogue(change_id);
+    return RestoreCatalogue(change_id,
+                            absl::GetFlag(FLAGS_abandon_other_branches));
   }
   return FailUsage();
 }
