LibCatalogue: Read the head again if the catalogue moved meanwhile

Cause: a commit compared the head that it read with what was in force before the read was sent. Ruled out by a trial: taking what is known after the read alone, which would refuse honest commits as store_behind. The head is read again instead.

The assertion no longer hands a null pointer to rapidcheck, whose printing of it hid the cause.

--- a/Libraries/LibCatalogue/Commit.cc
+++ b/Libraries/LibCatalogue/Commit.cc
@@ -195,6 +195,12 @@
   return WriteNextOrSwap(commit);
 }
 
+CommitEffect HandleMovedDuringRead(Commit& commit) {
+  return ReadAgainOrGiveUp(
+      commit, Error{ErrorCode::kConflict, commit.change.id,
+                    "the catalogue moved while its head was read"});
+}
+
 CommitEffect HandleShardWritten(Commit& commit, const Result<void>& written) {
   if (written.has_error()) {
     // Shards are immutable and unnamed until the swap: writing again is safe.
--- a/Libraries/LibCatalogue/Commit.h
+++ b/Libraries/LibCatalogue/Commit.h
@@ -91,6 +91,12 @@
                             const Result<StoredHead>& stored,
                             const KnownChanges& known);
 
+// What is in force here or on the peers has changed while the head was read:
+// the answer may be from before or after that, so the head is read again. To
+// judge it by what was known before would let a commit through on a service
+// that came back older in between, and fork the catalogue.
+CommitEffect HandleMovedDuringRead(Commit& commit);
+
 // A shard was written (or stood there already), or the write failed.
 CommitEffect HandleShardWritten(Commit& commit, const Result<void>& written);
 
--- a/Services/bramleyspand/Entry/CatalogueChanges.cc
+++ b/Services/bramleyspand/Entry/CatalogueChanges.cc
@@ -69,6 +69,10 @@
 
   void HandleRead(const Result<platform::ReadAnswer>& answer,
                   const catalogue::KnownChanges& known) {
+    if (KnownChangesOf(this->state) != known) {
+      this->Perform(catalogue::HandleMovedDuringRead(this->commit));
+      return;
+    }
     if (answer.has_error()) {
       this->Perform(catalogue::HandleHeadRead(
           this->commit, boost::outcome_v2::failure(answer.error()), known));
--- a/Tests/LibCatalogue/TestCatalogueProperties.cc
+++ b/Tests/LibCatalogue/TestCatalogueProperties.cc
@@ -209,6 +209,9 @@
     return HandleHeadRead(running.commit, boost::outcome_v2::failure(kLost),
                           running.known);
   }
+  if (KnownTo(world, running.process) != running.known) {
+    return HandleMovedDuringRead(running.commit);
+  }
   return HandleHeadRead(running.commit, world.store.head, running.known);
 }
 
@@ -383,7 +386,8 @@
 void CheckAcceptedInForce(const World& world) {
   const Head& head = world.processes.at(0).in_force.head;
   for (const std::string& id : world.accepted) {
-    RC_ASSERT(FindChange(head, id) != nullptr);
+    const bool is_in_force = FindChange(head, id) != nullptr;
+    RC_ASSERT(is_in_force);
   }
 }
 
