--- a/Libraries/LibPlacement/Rebalancer.cc
+++ b/Libraries/LibPlacement/Rebalancer.cc
@@ -8,6 +8,8 @@
 
 namespace {
 
+using Seconds = std::chrono::duration<double>;
+
 constexpr Duration kBudgetWindow = std::chrono::hours(1);
 constexpr double kBytesPerGigabyte = 1e9;
 // Below this weight a second of skew buys nothing; it also keeps the price
@@ -18,8 +20,8 @@
 struct LayerPlan {
   uint32_t layer = 0;
   std::vector<Change> changes;
-  double gain_seconds = 0;
-  double cost_seconds = 0;
+  Seconds gain{};
+  Seconds cost{};
   size_t loads = 0;
 };
 
@@ -113,9 +115,9 @@
     const bool is_sure = saved > least_gain;
     const bool is_worth_it = gain > settings.hysteresis * cost;
     if (is_sure && is_worth_it &&
-        gain - cost > best.gain_seconds - best.cost_seconds) {
-      best.gain_seconds = gain;
-      best.cost_seconds = cost;
+        Seconds(gain - cost) > best.gain - best.cost) {
+      best.gain = Seconds(gain);
+      best.cost = Seconds(cost);
       best.loads = loaded;
       best_size = size;
     }
@@ -147,20 +149,19 @@
 Plan Join(const Rebalancer& rebalancer,
           std::vector<LayerPlan> layers,
           size_t loads_left) {
-  std::stable_sort(
-      layers.begin(), layers.end(),
-      [](const LayerPlan& left, const LayerPlan& right) {
-        return left.gain_seconds * static_cast<double>(right.loads) >
-               right.gain_seconds * static_cast<double>(left.loads);
-      });
+  std::stable_sort(layers.begin(), layers.end(),
+                   [](const LayerPlan& left, const LayerPlan& right) {
+                     return left.gain * static_cast<double>(right.loads) >
+                            right.gain * static_cast<double>(left.loads);
+                   });
   Plan plan{.placement = rebalancer.in_force, .loads = {}};
   for (const LayerPlan& layer : layers) {
     if (layer.loads > loads_left) {
       continue;
     }
     loads_left -= layer.loads;
-    plan.gain_seconds += layer.gain_seconds;
-    plan.cost_seconds += layer.cost_seconds;
+    plan.gain += layer.gain;
+    plan.cost += layer.cost;
     for (const Change& change : layer.changes) {
       Apply(plan.placement.layers[layer.layer], change);
     }
@@ -227,8 +228,8 @@
     return {.plan = std::nullopt, .hold = HoldReason::kNothingObserved};
   }
   Plan plan = Join(rebalancer, std::move(layers), loads_left);
-  plan.cost_seconds += ToSeconds(rebalancer.settings.switch_stall);
-  if (plan.gain_seconds <= rebalancer.settings.hysteresis * plan.cost_seconds) {
+  plan.cost += rebalancer.settings.switch_stall;
+  if (plan.gain <= rebalancer.settings.hysteresis * plan.cost) {
     return {.plan = std::nullopt, .hold = HoldReason::kNotWorthIt};
   }
   Remember(rebalancer, plan, now);
--- a/Libraries/LibPlacement/Rebalancer.h
+++ b/Libraries/LibPlacement/Rebalancer.h
@@ -61,9 +61,9 @@
   Placement placement;
   std::vector<ExpertLoad> loads;
   // Expected time saved over the horizon, in seconds of step time.
-  double gain_seconds = 0;
+  std::chrono::duration<double> gain{};
   // The price of the loads and of the switch, in the same unit.
-  double cost_seconds = 0;
+  std::chrono::duration<double> cost{};
 };
 
 // Why a proposal has no plan.
