--- a/Kernel/Plugin.h
+++ b/Kernel/Plugin.h
@@ -47,6 +47,10 @@
   std::map<std::string, Plugin> plugins;
 };
 
+// An environment variable with our prefix that a platform sets and no setting
+// of ours reads; registered by its name.
+struct ForeignVariable {};
+
 // Registers a plug-in while the program starts.
 template <typename Plugin>
 struct PluginRegistration {
--- /dev/null
+++ b/Libraries/LibGateway/EventReader.cc
@@ -0,0 +1,64 @@
+#include "LibGateway/EventReader.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+// The value of the event's last `id` line.
+std::optional<uint64_t> FindId(std::string_view event) {
+  std::optional<uint64_t> id;
+  while (!event.empty()) {
+    const size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    if (!line.starts_with("id:")) {
+      continue;
+    }
+    line.remove_prefix(3);
+    while (line.starts_with(' ')) {
+      line.remove_prefix(1);
+    }
+    uint64_t value = 0;
+    const char* line_end = line.data() + line.size();
+    const auto [stop, failure] = std::from_chars(line.data(), line_end, value);
+    if (failure == std::errc{} && stop != line.data()) {
+      id = value;
+    }
+  }
+  return id;
+}
+
+// The number of bytes up to and including the first blank line; 0 if none.
+size_t FindEventEnd(std::string_view bytes) {
+  const size_t plain = bytes.find("\n\n");
+  const size_t with_returns = bytes.find("\r\n\r\n");
+  const size_t plain_end =
+      plain == std::string_view::npos ? bytes.npos : plain + 2;
+  const size_t returns_end =
+      with_returns == std::string_view::npos ? bytes.npos : with_returns + 4;
+  const size_t end = std::min(plain_end, returns_end);
+  return end == std::string_view::npos ? 0 : end;
+}
+
+}  // namespace
+
+void EventReader::Read(
+    std::string_view bytes,
+    const std::function<void(const StreamEvent&)>& on_event) {
+  this->partial.append(bytes);
+  while (true) {
+    const size_t end = FindEventEnd(this->partial);
+    if (end == 0) {
+      return;
+    }
+    StreamEvent event{.bytes = this->partial.substr(0, end), .id = {}};
+    this->partial.erase(0, end);
+    event.id = FindId(event.bytes);
+    on_event(event);
+  }
+}
+
+}  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Libraries/LibGateway/Places.cc
@@ -0,0 +1,171 @@
+#include "LibGateway/Places.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+// Streams a rank runs at once before anything is known of its passes.
+constexpr double kFirstPerRank = 5;
+constexpr double kLeastPerRank = 2;
+// The part of the longest pause at which a usual pass is held, so that the
+// unusual ones stay under it too.
+constexpr double kAimedPart = 0.72;
+// The pause that nine in ten do not exceed stands for the usual pass.
+constexpr double kUsualQuantile = 0.9;
+constexpr size_t kLeastPauses = 12;
+constexpr size_t kMostPauses = 4096;
+constexpr double kRaisePerAdjustment = 1.04;
+constexpr double kLowerPerAdjustment = 0.9;
+constexpr double kGain = 0.25;
+// The limit is raised only where it is used: an idle group's short passes say
+// nothing of a full one's.
+constexpr double kUsedPart = 0.75;
+
+struct GroupLoad {
+  uint32_t ranks = 0;
+  uint32_t own = 0;
+  uint32_t total = 0;
+  bool is_open = true;
+};
+
+using GroupLoads = std::map<std::string, GroupLoad>;
+
+GroupLoads CountLoads(const TargetTable& targets, std::string_view service) {
+  GroupLoads loads;
+  ForEachUsable(targets, service, {}, [&loads](const TargetView& view) {
+    GroupLoad& load = loads[GroupOf(view)];
+    ++load.ranks;
+    load.own += view.open;
+    load.total += view.load();
+    if (view.rank && !view.rank->is_open) {
+      load.is_open = false;
+    }
+  });
+  return loads;
+}
+
+GroupPlaces& PlacesOf(Places& places,
+                      const std::string& group,
+                      const GroupLoad& load) {
+  GroupPlaces& found = places.groups[group];
+  if (found.limit == 0) {
+    found.limit = kFirstPerRank * load.ranks;
+  }
+  return found;
+}
+
+// Whether this gateway may start another stream in the group.
+bool has_place(const GroupPlaces& group,
+               const GroupLoad& load,
+               const Sharing& sharing) {
+  const auto own = static_cast<double>(load.own);
+  const auto total = static_cast<double>(load.total);
+  const double share = group.limit / static_cast<double>(sharing.gateways);
+  // Shares are fractions of a stream; what is left over goes to whoever sees
+  // it free.
+  if (own + 1 <= share) {
+    return total + 1 <= group.limit * 1.1;
+  }
+  // Beyond the share: what the others leave, less one place for each of them
+  // that wants one too and has not yet told that it took it.
+  return total + 1 + static_cast<double>(sharing.hungry_others) <= group.limit;
+}
+
+}  // namespace
+
+std::string GroupOf(const TargetView& view) {
+  if (view.rank && !view.rank->group.empty()) {
+    return view.rank->group;
+  }
+  return "service:" + view.target.service;
+}
+
+const TargetView* ChoosePlace(Places& places,
+                              const TargetTable& targets,
+                              const Service& service,
+                              const Sharing& sharing,
+                              const std::set<std::string>& excluded,
+                              TimePoint now) {
+  const GroupLoads loads = CountLoads(targets, service.name);
+  const std::string* best_group = nullptr;
+  double best_fill = 0;
+  for (const auto& [name, load] : loads) {
+    const GroupPlaces& group = PlacesOf(places, name, load);
+    if (!load.is_open || !has_place(group, load, sharing)) {
+      continue;
+    }
+    const double fill = static_cast<double>(load.total) / group.limit;
+    if (best_group == nullptr || fill < best_fill) {
+      best_group = &name;
+      best_fill = fill;
+    }
+  }
+  if (best_group == nullptr) {
+    return nullptr;
+  }
+  const TargetView* best = nullptr;
+  double best_cost = 0;
+  ForEachUsable(targets, service.name, excluded, [&](const TargetView& view) {
+    if (GroupOf(view) != *best_group ||
+        view.load() >= std::max<uint32_t>(1, view.target.slots)) {
+      return;
+    }
+    const double cost = view.load() + FailureScore(view, now) +
+                        (view.avoided_until > now ? 1000.0 : 0.0);
+    if (best == nullptr || cost < best_cost) {
+      best = &view;
+      best_cost = cost;
+    }
+  });
+  return best;
+}
+
+void NotePause(Places& places, const std::string& group, Duration pause) {
+  std::vector<Duration>& pauses = places.groups[group].pauses;
+  if (pauses.size() < kMostPauses) {
+    pauses.push_back(pause);
+  }
+}
+
+void AdjustLimits(Places& places,
+                  const TargetTable& targets,
+                  const Service& service,
+                  Duration longest_pause) {
+  const GroupLoads loads = CountLoads(targets, service.name);
+  for (const auto& [name, load] : loads) {
+    GroupPlaces& group = PlacesOf(places, name, load);
+    if (group.pauses.size() < kLeastPauses) {
+      continue;
+    }
+    const auto at =
+        group.pauses.begin() +
+        static_cast<int64_t>(kUsualQuantile *
+                             static_cast<double>(group.pauses.size() - 1));
+    std::nth_element(group.pauses.begin(), at, group.pauses.end());
+    group.usual_pause = *at;
+    group.pauses.clear();
+    const double aimed =
+        kAimedPart * static_cast<double>(longest_pause.count());
+    const double over =
+        (aimed - static_cast<double>(group.usual_pause.count())) / aimed;
+    double factor =
+        std::clamp(1 + kGain * over, kLowerPerAdjustment, kRaisePerAdjustment);
+    const bool is_used =
+        static_cast<double>(load.total) >= kUsedPart * group.limit;
+    if (factor > 1 && !is_used) {
+      factor = 1;
+    }
+    const double most =
+        static_cast<double>(load.ranks) * std::max(1U, service.engine->slots);
+    group.limit = std::clamp(group.limit * factor,
+                             std::min(most, kLeastPerRank * load.ranks), most);
+  }
+  std::erase_if(places.groups, [&loads](const auto& item) {
+    return !loads.contains(item.first);
+  });
+}
+
+}  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Libraries/LibGateway/Places.h
@@ -0,0 +1,64 @@
+// How many streams run at once in a group of ranks. All ranks of a group
+// advance together, so that each further stream makes every pass longer; past
+// a point every stream is late. What has no place waits at the gateway, where
+// it costs no rank anything and can be refused while the caller has time left.
+//
+// The group's limit follows the pauses that callers see, which are its passes.
+// Each gateway works the limit out for itself and takes its share of it.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibGateway/RouteTable.h"
+#include "LibGateway/Targets.h"
+
+namespace bramleyspan::gateway {
+
+struct GroupPlaces {
+  // Streams that may run at once in the whole group.
+  double limit = 0;
+  // Pauses seen since the last adjustment.
+  std::vector<Duration> pauses;
+  // The longest usual pause lately, for the dump.
+  Duration usual_pause{};
+};
+
+struct Places {
+  std::map<std::string, GroupPlaces> groups;
+};
+
+// How a gateway shares the groups with the others.
+struct Sharing {
+  // Gateways at work, this one among them.
+  size_t gateways = 1;
+  // Those of the others that have requests waiting.
+  size_t hungry_others = 0;
+};
+
+// The group of a target. Targets whose group is not known share one by
+// service.
+std::string GroupOf(const TargetView& view);
+
+// The target that runs the next stream; null if no group has a place.
+const TargetView* ChoosePlace(Places& places,
+                              const TargetTable& targets,
+                              const Service& service,
+                              const Sharing& sharing,
+                              const std::set<std::string>& excluded,
+                              TimePoint now);
+
+// A stream of a group had a pause between events.
+void NotePause(Places& places, const std::string& group, Duration pause);
+
+// Sets the limits by the pauses since the last call. `longest_pause` is what
+// counts as on time.
+void AdjustLimits(Places& places,
+                  const TargetTable& targets,
+                  const Service& service,
+                  Duration longest_pause);
+
+}  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Libraries/LibGateway/RepeatBudget.cc
@@ -0,0 +1,46 @@
+#include "LibGateway/RepeatBudget.h"
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+// Repeats arrive a little later than they are counted here, and other entries
+// may have come since the count of entries was taken.
+constexpr double kShareTaken = 0.8;
+
+void DropBefore(std::deque<TimePoint>& times, TimePoint first) {
+  while (!times.empty() && times.front() < first) {
+    times.pop_front();
+  }
+}
+
+}  // namespace
+
+void NoteRequest(RepeatBudget& budget,
+                 const std::string& service,
+                 TimePoint now) {
+  auto& history = budget.services[service];
+  DropBefore(history.requests, now - budget.settings.window);
+  history.requests.push_back(now);
+}
+
+bool TakeRepeat(RepeatBudget& budget,
+                const std::string& service,
+                size_t entries,
+                TimePoint now) {
+  auto& history = budget.services[service];
+  DropBefore(history.requests, now - budget.settings.window);
+  DropBefore(history.repeats,
+             now - budget.settings.window - std::chrono::seconds(1));
+  const double allowed =
+      kShareTaken *
+      (budget.settings.ratio * static_cast<double>(history.requests.size()) +
+       budget.settings.slack / static_cast<double>(entries));
+  if (static_cast<double>(history.repeats.size()) + 1 > allowed) {
+    return false;
+  }
+  history.repeats.push_back(now);
+  return true;
+}
+
+}  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Libraries/LibGateway/RouteTable.cc
@@ -0,0 +1,66 @@
+#include "LibGateway/RouteTable.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+std::string NormalizeHost(std::string_view host) {
+  std::string name(host.substr(0, host.rfind(':')));
+  for (char& letter : name) {
+    letter =
+        static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
+  }
+  return name;
+}
+
+}  // namespace
+
+void AddRoute(RouteTable& table, Route route) {
+  auto& routes = table.hosts[NormalizeHost(route.host)];
+  routes.push_back(std::make_shared<const Route>(std::move(route)));
+}
+
+void SortRoutes(RouteTable& table) {
+  for (auto& [host, routes] : table.hosts) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const auto& left, const auto& right) {
+                       return left->prefix.size() > right->prefix.size();
+                     });
+  }
+}
+
+std::shared_ptr<const Route> FindRoute(const RouteTable& table,
+                                       std::string_view host,
+                                       std::string_view path) {
+  const auto found = table.hosts.find(NormalizeHost(host));
+  if (found == table.hosts.end()) {
+    return nullptr;
+  }
+  for (const auto& route : found->second) {
+    if (path.starts_with(route->prefix)) {
+      return route;
+    }
+  }
+  return nullptr;
+}
+
+const std::string& PickService(const Route& route, double at) {
+  double total = 0;
+  for (const SplitPart& part : route.split) {
+    total += std::max(0.0, part.weight);
+  }
+  double passed = 0;
+  for (const SplitPart& part : route.split) {
+    passed += std::max(0.0, part.weight);
+    if (at * total < passed) {
+      return part.service;
+    }
+  }
+  return route.split.back().service;
+}
+
+}  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Libraries/LibGateway/Targets.cc
@@ -0,0 +1,111 @@
+#include "LibGateway/Targets.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+// A failure counts half after this time.
+constexpr Duration kFailureHalfLife = std::chrono::seconds(2);
+// An unreachable target is left alone this long, then tried again.
+constexpr Duration kAvoidTime = std::chrono::milliseconds(1500);
+// The load that a recent failure counts as, in parts of all slots.
+constexpr double kFailureWeight = 0.6;
+// A target in another zone counts as a little more loaded.
+constexpr double kOtherZoneWeight = 0.02;
+constexpr double kJitterWeight = 0.01;
+// Good answers wear failures off.
+constexpr double kGoodFactor = 0.9;
+
+double JitterOf(uint64_t bits, const std::string& id) {
+  const uint64_t mixed =
+      bits ^ (std::hash<std::string>{}(id)*0x9E3779B97F4A7C15ULL);
+  return static_cast<double>(mixed % 1024) / 1024;
+}
+
+}  // namespace
+
+void ApplyTarget(TargetTable& table, Target target) {
+  const std::string id = target.id;
+  table.by_id[id].target = std::move(target);
+}
+
+void RemoveTarget(TargetTable& table, const std::string& id) {
+  table.by_id.erase(id);
+}
+
+double FailureScore(const TargetView& view, TimePoint now) {
+  if (view.failures == 0) {
+    return 0;
+  }
+  const double age = std::chrono::duration<double>(now - view.failures_at) /
+                     std::chrono::duration<double>(kFailureHalfLife);
+  return view.failures * std::exp2(-std::max(0.0, age));
+}
+
+void NoteOutcome(TargetTable& table,
+                 const std::string& id,
+                 Outcome outcome,
+                 TimePoint now) {
+  const auto found = table.by_id.find(id);
+  if (found == table.by_id.end()) {
+    return;
+  }
+  TargetView& view = found->second;
+  view.failures = FailureScore(view, now);
+  view.failures_at = now;
+  switch (outcome) {
+    case Outcome::kGood:
+      view.failures *= kGoodFactor;
+      return;
+    case Outcome::kFailed:
+      view.failures += 1;
+      return;
+    case Outcome::kUnreachable:
+      view.failures += 1;
+      view.avoided_until = now + kAvoidTime;
+      return;
+  }
+}
+
+void ForEachUsable(const TargetTable& table,
+                   std::string_view service,
+                   const std::set<std::string>& excluded,
+                   const TargetVisitor& visit) {
+  for (const auto& [id, view] : table.by_id) {
+    if (view.target.service == service && !view.target.is_leaving &&
+        !excluded.contains(id)) {
+      visit(view);
+    }
+  }
+}
+
+const TargetView* ChooseLeastLoaded(const TargetTable& table,
+                                    std::string_view service,
+                                    const std::set<std::string>& excluded,
+                                    std::string_view own_zone,
+                                    uint64_t random_bits,
+                                    TimePoint now) {
+  const TargetView* best = nullptr;
+  double best_cost = 0;
+  ForEachUsable(table, service, excluded, [&](const TargetView& view) {
+    double cost = static_cast<double>(view.load()) /
+                  std::max<uint32_t>(1, view.target.slots);
+    cost += kFailureWeight * FailureScore(view, now);
+    cost += view.target.zone == own_zone ? 0 : kOtherZoneWeight;
+    cost += kJitterWeight * JitterOf(random_bits, view.target.id);
+    // Avoided ones come last but are not ruled out: if all were unreachable a
+    // moment ago, one of them may answer again.
+    cost += view.avoided_until > now ? 1000 : 0;
+    if (best == nullptr || cost < best_cost) {
+      best = &view;
+      best_cost = cost;
+    }
+  });
+  return best;
+}
+
+}  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -0,0 +1,253 @@
+#include "LibHTTP/DirectCall.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <utility>
+
+namespace bramleyspan::http {
+
+namespace {
+
+constexpr size_t kLargestAnswerHead = 65536;
+
+}  // namespace
+
+std::string_view NameOf(CallEnd end) {
+  switch (end) {
+    case CallEnd::kWhole:
+      return "whole";
+    case CallEnd::kNotSent:
+      return "not_sent";
+    case CallEnd::kClosed:
+      return "closed";
+    case CallEnd::kMalformed:
+      return "malformed";
+    case CallEnd::kTruncated:
+      return "truncated";
+    case CallEnd::kTimeout:
+      return "timeout";
+  }
+  return "closed";
+}
+
+std::shared_ptr<DirectCall> DirectCall::Start(EventLoop& loop,
+                                              DirectRequest request,
+                                              DirectEvents events) {
+  std::shared_ptr<DirectCall> call(new DirectCall(loop));
+  call->request = std::move(request);
+  call->events = std::move(events);
+  call->self = call;
+  call->Connect();
+  return call;
+}
+
+std::shared_ptr<DirectCall> DirectCall::Fetch(
+    EventLoop& loop,
+    DirectRequest request,
+    std::function<void(CallEnd, Response)> on_done) {
+  auto response = std::make_shared<Response>();
+  DirectEvents events;
+  events.on_head = [response](const AnswerHead& head, BodyFraming) {
+    response->status = head.status;
+    response->headers = head.headers;
+  };
+  events.on_bytes = [response](std::string_view bytes) {
+    response->body.append(bytes);
+  };
+  events.on_end = [response, on_done = std::move(on_done)](CallEnd end) {
+    on_done(end, std::move(*response));
+  };
+  return Start(loop, std::move(request), std::move(events));
+}
+
+std::string DirectCall::Serialize() const {
+  std::string bytes =
+      this->request.method + " " + this->request.path + " HTTP/1.1\r\n";
+  for (const auto& [name, value] : this->request.headers) {
+    bytes.append(name).append(": ").append(value).append("\r\n");
+  }
+  if (!this->request.body.empty() || this->request.method != "GET") {
+    bytes +=
+        "content-length: " + std::to_string(this->request.body.size()) + "\r\n";
+  }
+  bytes += "connection: close\r\n\r\n";
+  return bytes + this->request.body;
+}
+
+void DirectCall::Connect() {
+  // A connection that a partition swallows never fails by itself.
+  this->connect_timer =
+      this->loop.RunAfter(this->request.connect_timeout, [this] {
+        this->connect_timer = 0;
+        auto keep_until_return = this->shared_from_this();
+        this->End(CallEnd::kNotSent);
+      });
+  this->timer = this->loop.RunAfter(this->request.timeout, [this] {
+    auto keep_until_return = this->shared_from_this();
+    this->End(this->is_connected ? CallEnd::kTimeout : CallEnd::kNotSent);
+  });
+  sockaddr_in target = ToSocketAddress(this->request.target);
+  this->socket = h2o_socket_connect(
+      this->loop.raw(), reinterpret_cast<sockaddr*>(&target), sizeof target,
+      [](h2o_socket_t* opened, const char* failure) {
+        auto call = static_cast<DirectCall*>(opened->data)->shared_from_this();
+        call->HandleConnected(failure);
+      });
+  if (this->socket == nullptr) {
+    // Events may not come from inside Start.
+    this->loop.RunAfter(Duration(0), [call = this->shared_from_this()] {
+      call->End(CallEnd::kNotSent);
+    });
+    return;
+  }
+  this->socket->data = this;
+}
+
+void DirectCall::HandleConnected(const char* failure) {
+  if (this->is_ended) {
+    return;
+  }
+  this->loop.Cancel(this->connect_timer);
+  if (failure != nullptr) {
+    this->End(CallEnd::kNotSent);
+    return;
+  }
+  this->is_connected = true;
+  const int no_delay = 1;
+  setsockopt(h2o_socket_get_fd(this->socket), IPPROTO_TCP, TCP_NODELAY,
+             &no_delay, sizeof no_delay);
+  if (this->events.on_connected) {
+    this->events.on_connected();
+    if (this->is_ended) {
+      return;
+    }
+  }
+  this->outgoing = this->Serialize();
+  h2o_iovec_t buffer =
+      h2o_iovec_init(this->outgoing.data(), this->outgoing.size());
+  // A failed write shows as a failed read too, with any answer before it.
+  h2o_socket_write(this->socket, &buffer, 1, [](h2o_socket_t*, const char*) {});
+  h2o_socket_read_start(
+      this->socket, [](h2o_socket_t* source, const char* read_failure) {
+        auto call = static_cast<DirectCall*>(source->data)->shared_from_this();
+        call->HandleReadable(read_failure);
+      });
+}
+
+void DirectCall::HandleReadable(const char* failure) {
+  h2o_buffer_t* received = this->socket->input;
+  if (received->size != 0) {
+    this->input.append(received->bytes, received->size);
+    h2o_buffer_consume(&this->socket->input, received->size);
+    if (!this->has_head) {
+      this->ReadHead();
+    }
+    if (this->has_head && !this->is_ended) {
+      this->ReadBody();
+    }
+  }
+  if (failure != nullptr && !this->is_ended) {
+    this->HandleClosed(failure);
+  }
+}
+
+void DirectCall::ReadHead() {
+  constexpr int kFirstFinalStatus = 200;
+  while (true) {
+    auto parsed = ParseAnswerHead(this->input);
+    if (parsed.has_error()) {
+      this->End(CallEnd::kMalformed);
+      return;
+    }
+    if (!parsed.value()) {
+      if (this->input.size() > kLargestAnswerHead) {
+        this->End(CallEnd::kMalformed);
+      }
+      return;
+    }
+    const AnswerHead head = std::move(*parsed.value());
+    this->input.erase(0, head.bytes);
+    if (head.status < kFirstFinalStatus) {
+      continue;
+    }
+    const auto shape = ShapeOfAnswer(head, this->request.method);
+    if (shape.has_error()) {
+      this->End(CallEnd::kMalformed);
+      return;
+    }
+    this->has_head = true;
+    this->reader = BodyReader(shape.value());
+    if (this->events.on_head) {
+      this->events.on_head(head, shape.value().framing);
+    }
+    return;
+  }
+}
+
+void DirectCall::ReadBody() {
+  std::string body;
+  const auto taken = this->reader.Read(this->input, body);
+  if (taken.has_error()) {
+    this->End(CallEnd::kMalformed);
+    return;
+  }
+  this->input.erase(0, taken.value());
+  if (!body.empty() && this->events.on_bytes) {
+    this->events.on_bytes(body);
+  }
+  if (this->is_ended || !this->reader.is_whole()) {
+    return;
+  }
+  // What follows the answer belongs to no request: the connection ends here,
+  // so that it reaches nobody.
+  this->End(CallEnd::kWhole);
+}
+
+void DirectCall::HandleClosed(const char* failure) {
+  if (!this->has_head) {
+    this->End(this->input.empty() ? CallEnd::kClosed : CallEnd::kMalformed);
+    return;
+  }
+  // An answer without a length ends with its connection. A reset shows as
+  // another failure than a close, and such an answer is not whole.
+  const bool is_orderly = failure == h2o_socket_error_closed;
+  const bool is_whole =
+      is_orderly && this->reader.framing() == BodyFraming::kUntilClose;
+  this->End(is_whole ? CallEnd::kWhole : CallEnd::kTruncated);
+}
+
+void DirectCall::End(CallEnd end) {
+  if (this->is_ended) {
+    return;
+  }
+  auto on_end = std::move(this->events.on_end);
+  this->Release();
+  if (on_end) {
+    on_end(end);
+  }
+}
+
+void DirectCall::Cancel() {
+  if (!this->is_ended) {
+    this->Release();
+  }
+}
+
+void DirectCall::Release() {
+  this->is_ended = true;
+  this->loop.Cancel(this->timer);
+  this->loop.Cancel(this->connect_timer);
+  if (this->socket != nullptr) {
+    h2o_socket_close(std::exchange(this->socket, nullptr));
+  }
+  // The callbacks may hold what holds this call; they are dropped when the
+  // present one has returned.
+  this->loop.RunAfter(Duration(0), [call = std::exchange(this->self, nullptr)] {
+    if (call != nullptr) {
+      call->events = {};
+    }
+  });
+}
+
+}  // namespace bramleyspan::http
--- /dev/null
+++ b/Libraries/LibHTTP/Ingress.cc
@@ -0,0 +1,66 @@
+#include "LibHTTP/Ingress.h"
+
+#include <utility>
+#include <vector>
+
+#include "LibHTTP/IngressConnection.h"
+
+namespace bramleyspan::http {
+
+namespace {
+
+constexpr Duration kCheckInterval = std::chrono::milliseconds(200);
+
+}  // namespace
+
+Result<std::unique_ptr<Ingress>> Ingress::Listen(EventLoop& loop,
+                                                 const Address& address,
+                                                 const IngressLimits& limits,
+                                                 IngressHandler handler) {
+  std::unique_ptr<Ingress> ingress(new Ingress(loop));
+  Ingress* server = ingress.get();
+  server->limits = limits;
+  server->handler = std::move(handler);
+  server->listener =
+      TRY(Listener::Listen(loop, address, [server](h2o_socket_t* accepted) {
+        auto connection =
+            std::make_shared<IngressConnection>(*server, accepted);
+        server->connections.insert(connection);
+        connection->Start();
+      }));
+  server->CheckTimeouts();
+  return ingress;
+}
+
+Ingress::~Ingress() {
+  this->loop.Cancel(this->timer);
+  const auto open = std::exchange(this->connections, {});
+  for (const auto& connection : open) {
+    connection->Close();
+  }
+}
+
+void Ingress::CloseIdle() {
+  this->listener = nullptr;
+  const auto open = this->connections;
+  for (const auto& connection : open) {
+    if (connection->is_idle()) {
+      connection->Close();
+    }
+  }
+}
+
+// One timer for all connections: a timer each would cost a processor that is
+// a quarter of a core more than the requests do.
+void Ingress::CheckTimeouts() {
+  const TimePoint now = EventLoop::Now();
+  const std::vector<std::shared_ptr<IngressConnection>> open(
+      this->connections.begin(), this->connections.end());
+  for (const auto& connection : open) {
+    connection->CheckTimeout(now);
+  }
+  this->timer =
+      this->loop.RunAfter(kCheckInterval, [this] { this->CheckTimeouts(); });
+}
+
+}  // namespace bramleyspan::http
--- /dev/null
+++ b/Libraries/LibHTTP/IngressConnection.h
@@ -0,0 +1,64 @@
+// One caller's connection to an Ingress.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "LibHTTP/Ingress.h"
+
+namespace bramleyspan::http {
+
+class IngressConnection
+    : public std::enable_shared_from_this<IngressConnection> {
+ public:
+  IngressConnection(Ingress& server, h2o_socket_t* socket);
+
+  void Start();
+  void Close();
+  void CheckTimeout(TimePoint now);
+
+  // Whether no request is being read or answered.
+  bool is_idle() const {
+    return this->phase == Phase::kHead && this->input.empty() &&
+           this->outgoing.empty() && !this->is_writing;
+  }
+
+ private:
+  friend class IngressExchange;
+  enum class Phase { kHead, kBody, kAnswer, kLingering, kClosed };
+
+  void HandleReadable(const char* failure);
+  void ReadMore();
+  void ReadHead();
+  void ReadBody();
+  void HandOver();
+  void Refuse(int status);
+  void Send(std::string_view bytes);
+  void Flush();
+  void HandleWritten(const char* failure);
+  void EndAnswer();
+  void Linger();
+  std::string SerializeHead(int status,
+                            const HeaderList& headers,
+                            std::string_view framing) const;
+
+  Ingress& server;
+  h2o_socket_t* socket = nullptr;
+  Phase phase = Phase::kHead;
+  std::string input;
+  std::string outgoing;
+  std::string in_flight;
+  bool is_writing = false;
+  // Whether the connection ends with the answer under way.
+  bool is_last = false;
+  bool is_answered = false;
+  std::optional<RequestHead> head;
+  BodyReader body_reader;
+  std::string body;
+  std::shared_ptr<IngressExchange> exchange;
+  // When the present phase began.
+  TimePoint since;
+};
+
+}  // namespace bramleyspan::http
--- /dev/null
+++ b/Libraries/LibMembership/Members.h
@@ -0,0 +1,85 @@
+// Who else runs: each process tells a few others what it knows of itself and
+// of those it heard of, several times a second. No member decides about
+// another; each judges by how long ago it heard something new.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "Kernel/Result.h"
+#include "Kernel/Time.h"
+#include "LibMembership/Generated/Messages_generated.h"
+
+namespace bramleyspan::membership {
+
+// A process's own heartbeats are this far apart.
+inline constexpr Duration kHeartbeatInterval = std::chrono::milliseconds(200);
+
+// A member that was not heard of for so long is not named to callers.
+inline constexpr Duration kSuspectAfter = std::chrono::milliseconds(1300);
+
+// A member that was not heard of for so long is forgotten.
+inline constexpr Duration kForgetAfter = std::chrono::seconds(30);
+
+// Members told to one peer in one datagram, besides the sender itself.
+inline constexpr size_t kMembersPerHeartbeat = 6;
+
+// Peers told at each heartbeat; a bound on the traffic of a large fleet.
+inline constexpr size_t kPeersPerHeartbeat = 24;
+
+// What is known of another process.
+struct KnownMember {
+  wire::MemberT member;
+  // When something new of it was last heard, by any way.
+  TimePoint heard;
+};
+
+struct Members {
+  std::string own_name;
+  std::map<std::string, KnownMember> known;
+  // Addresses from settings or the store of processes not heard of yet.
+  std::map<std::string, TimePoint> hints;
+};
+
+// Takes a record of another process. `is_direct` if it came from that process
+// itself: such a record replaces that of an earlier incarnation, while one by
+// hearsay may be older than what is known. Returns whether it told anything
+// new.
+bool Learn(Members& members,
+           const wire::MemberT& record,
+           bool is_direct,
+           TimePoint now);
+
+// Drops what was not heard of for long.
+void Forget(Members& members, TimePoint now);
+
+bool is_alive(const KnownMember& known, TimePoint now);
+
+// Entries that are alive, ready and not leaving, itself not among them.
+std::vector<const KnownMember*> LiveEntries(const Members& members,
+                                            TimePoint now);
+
+// The largest number of entries that may be at work, itself among them.
+size_t CountEntries(const Members& members, TimePoint now);
+
+// The IP numbers to send the next heartbeat to; all as long as they are few,
+// else a part that `turn` shifts on.
+std::vector<std::string> PeersForHeartbeat(const Members& members,
+                                           uint64_t turn);
+
+// The next members to speak of, so that each is spoken of in its turn.
+std::vector<const wire::MemberT*> MembersToTell(const Members& members,
+                                                uint64_t turn,
+                                                TimePoint now);
+
+// Serializes a message.
+std::string Encode(wire::HeartbeatT heartbeat);
+std::string Encode(wire::ExpertCountsT counts);
+
+// Parses a datagram. Fails with kMalformedFrame.
+Result<wire::MessageT> Decode(std::string_view bytes);
+
+}  // namespace bramleyspan::membership
--- /dev/null
+++ b/Libraries/LibPlatform/PrefixFeed.cc
@@ -0,0 +1,200 @@
+#include "LibPlatform/PrefixFeed.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleyspan::platform {
+
+PrefixFeed::PrefixFeed(EventLoop& loop,
+                       Store& store,
+                       PrefixFeedSettings settings,
+                       FeedEvents events)
+    : loop(loop),
+      store(store),
+      settings(std::move(settings)),
+      events(std::move(events)),
+      last_answer(EventLoop::Now()),
+      returned(TimePoint::min()) {}
+
+void PrefixFeed::Start() {
+  ++this->turn;
+  this->in_range.clear();
+  this->range_revision = 0;
+  this->ReadPage("");
+}
+
+void PrefixFeed::Restart() {
+  if (!this->has_loaded || this->watched == 0) {
+    return;
+  }
+  ++this->turn;
+  this->Watch();
+}
+
+void PrefixFeed::ReadPage(const std::string& after) {
+  this->store.range({.prefix = this->settings.prefix,
+                     .after = after,
+                     .timeout = this->settings.range_timeout},
+                    [this, asked = this->turn](Result<RangePage> page) {
+                      this->HandlePage(asked, std::move(page));
+                    });
+}
+
+void PrefixFeed::HandlePage(uint64_t asked, Result<RangePage> page) {
+  if (asked != this->turn) {
+    return;
+  }
+  if (page.has_error()) {
+    this->Retry(page.error());
+    return;
+  }
+  this->NoteAnswer();
+  // What changes between two pages is in the history after the first one.
+  if (this->range_revision == 0) {
+    this->range_revision = page.value().revision;
+  }
+  for (const StoreItem& item : page.value().items) {
+    this->in_range[item.key] = item.revision;
+    this->Apply(item);
+  }
+  if (page.value().has_more && !page.value().items.empty()) {
+    this->ReadPage(page.value().items.back().key);
+    return;
+  }
+  this->FinishRange();
+}
+
+void PrefixFeed::FinishRange() {
+  std::vector<std::string> gone;
+  for (const auto& [key, item] : this->held) {
+    const bool is_listed = this->in_range.contains(key);
+    if (!item.is_removed && !is_listed &&
+        item.revision <= this->range_revision) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    this->HoldRemoval(key, this->range_revision);
+  }
+  this->has_loaded = true;
+  this->watched = this->range_revision;
+  this->Watch();
+}
+
+void PrefixFeed::Watch() {
+  this->store.watch({.prefix = this->settings.prefix,
+                     .after = this->watched,
+                     .wait = this->settings.watch_wait,
+                     .slack = this->settings.watch_slack},
+                    [this, asked = this->turn](Result<WatchAnswer> answer) {
+                      this->HandleWatch(asked, std::move(answer));
+                    });
+}
+
+void PrefixFeed::HandleWatch(uint64_t asked, Result<WatchAnswer> answer) {
+  if (asked != this->turn) {
+    return;
+  }
+  if (answer.has_error()) {
+    if (answer.error().code == ErrorCode::kHistoryGone) {
+      this->NoteAnswer();
+      this->Start();
+      return;
+    }
+    this->Retry(answer.error());
+    return;
+  }
+  this->NoteAnswer();
+  for (const StoreItem& item : answer.value().events) {
+    if (item.is_removed) {
+      this->HoldRemoval(item.key, item.revision);
+    } else {
+      this->Apply(item);
+    }
+  }
+  this->watched = std::max(this->watched, answer.value().revision);
+  this->Watch();
+}
+
+void PrefixFeed::Retry(const Error& error) {
+  if (std::exchange(this->reached, false) && this->events.on_reach) {
+    this->events.on_reach(false, Describe(error));
+  }
+  this->loop.RunAfter(this->settings.retry_delay, [this, asked = this->turn] {
+    if (asked != this->turn) {
+      return;
+    }
+    if (this->watched == 0) {
+      this->Start();
+    } else {
+      this->Watch();
+    }
+  });
+}
+
+void PrefixFeed::NoteAnswer() {
+  this->last_answer = EventLoop::Now();
+  if (!std::exchange(this->reached, true)) {
+    this->returned = this->last_answer;
+    if (this->events.on_reach) {
+      this->events.on_reach(true, "it answers");
+    }
+  }
+}
+
+bool PrefixFeed::is_returning() const {
+  return this->returned != TimePoint::min() &&
+         EventLoop::Now() - this->returned < this->settings.return_grace;
+}
+
+void PrefixFeed::Apply(const StoreItem& item) {
+  FeedItem& known = this->held[item.key];
+  if (known.revision >= item.revision) {
+    return;
+  }
+  known = {.value = item.value,
+           .revision = item.revision,
+           .is_removed = false,
+           .heard = EventLoop::Now()};
+  this->newest = std::max(this->newest, item.revision);
+  if (this->events.on_change) {
+    this->events.on_change(item);
+  }
+}
+
+void PrefixFeed::HoldRemoval(const std::string& key, uint64_t revision) {
+  if (!this->is_returning()) {
+    this->Remove(key, revision);
+    return;
+  }
+  this->loop.RunAfter(this->settings.return_grace,
+                      [this, key, revision] { this->Remove(key, revision); });
+}
+
+void PrefixFeed::Remove(const std::string& key, uint64_t revision) {
+  FeedItem& known = this->held[key];
+  if (known.revision > revision || known.is_removed) {
+    return;
+  }
+  known = {.value = "",
+           .revision = revision,
+           .is_removed = true,
+           .heard = EventLoop::Now()};
+  this->newest = std::max(this->newest, revision);
+  if (this->events.on_change) {
+    this->events.on_change(
+        {.key = key, .value = "", .revision = revision, .is_removed = true});
+  }
+}
+
+void PrefixFeed::Merge(const std::vector<StoreItem>& items) {
+  for (const StoreItem& item : items) {
+    if (item.is_removed) {
+      this->Remove(item.key, item.revision);
+    } else {
+      this->Apply(item);
+    }
+  }
+}
+
+}  // namespace bramleyspan::platform
--- /dev/null
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -0,0 +1,110 @@
+// Follows all keys of a prefix: reads them whole, then watches. A watch that
+// is cut, silent, slow or has lost its history starts over; what peers have
+// learnt meanwhile is merged by revision, so that an entry that the store
+// turns away hears of changes all the same.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "Kernel/EventLoop.h"
+#include "LibPlatform/Store.h"
+
+namespace bramleyspan::platform {
+
+struct PrefixFeedSettings {
+  std::string prefix;
+  // A silent channel shows only by a watch that is not answered in time, so
+  // the wait bounds how late that is noticed.
+  Duration watch_wait = std::chrono::milliseconds(700);
+  Duration watch_slack = std::chrono::milliseconds(300);
+  Duration range_timeout = std::chrono::milliseconds(700);
+  Duration retry_delay = std::chrono::milliseconds(150);
+  // Keys that vanish together while the store was away, or just after, may be
+  // back at once: their leases ran out unrenewed. They are held this long.
+  Duration return_grace = std::chrono::milliseconds(2300);
+};
+
+// What a feed holds of a key; a removed one is kept as its revision, so that
+// news that are late do not bring it back.
+struct FeedItem {
+  std::string value;
+  uint64_t revision = 0;
+  bool is_removed = false;
+  // When it was heard.
+  TimePoint heard;
+};
+
+struct FeedEvents {
+  // Something was written or removed.
+  std::function<void(const StoreItem&)> on_change;
+  // The store answers again, or no longer does.
+  std::function<void(bool is_reached, const std::string& reason)> on_reach;
+};
+
+class PrefixFeed {
+ public:
+  PrefixFeed(EventLoop& loop,
+             Store& store,
+             PrefixFeedSettings settings,
+             FeedEvents events);
+  PrefixFeed(const PrefixFeed&) = delete;
+  PrefixFeed& operator=(const PrefixFeed&) = delete;
+
+  void Start();
+
+  // Takes what a peer holds: items and removals with their revisions. Those
+  // that are older than what is known change nothing.
+  void Merge(const std::vector<StoreItem>& items);
+
+  // Asks the store anew on a new channel; a peer knows more than we do.
+  void Restart();
+
+  const std::map<std::string, FeedItem>& items() const { return this->held; }
+
+  // The newest change known.
+  uint64_t newest_revision() const { return this->newest; }
+
+  // Whether the keys were ever read whole, from the store or a peer.
+  bool is_loaded() const { return this->has_loaded; }
+  void set_loaded() { this->has_loaded = true; }
+
+  bool is_reached() const { return this->reached; }
+
+  // How long ago the store last answered.
+  Duration age(TimePoint now) const { return now - this->last_answer; }
+
+ private:
+  void ReadPage(const std::string& after);
+  void HandlePage(uint64_t turn, Result<RangePage> page);
+  void FinishRange();
+  void Watch();
+  void HandleWatch(uint64_t turn, Result<WatchAnswer> answer);
+  void Retry(const Error& error);
+  void NoteAnswer();
+  void Apply(const StoreItem& item);
+  void Remove(const std::string& key, uint64_t revision);
+  void HoldRemoval(const std::string& key, uint64_t revision);
+  bool is_returning() const;
+
+  EventLoop& loop;
+  Store& store;
+  PrefixFeedSettings settings;
+  FeedEvents events;
+  std::map<std::string, FeedItem> held;
+  std::map<std::string, uint64_t> in_range;
+  uint64_t range_revision = 0;
+  uint64_t watched = 0;
+  uint64_t newest = 0;
+  // Answers to an older turn are dropped.
+  uint64_t turn = 0;
+  bool has_loaded = false;
+  bool reached = true;
+  TimePoint last_answer;
+  // When the store last came back after it had not answered.
+  TimePoint returned;
+};
+
+}  // namespace bramleyspan::platform
--- a/Libraries/LibTelemetry/Log.cc
+++ b/Libraries/LibTelemetry/Log.cc
@@ -1,9 +1,12 @@
 #include "LibTelemetry/Log.h"
 
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include <array>
 #include <chrono>
+#include <map>
 #include <nlohmann/json.hpp>
 #include <sstream>
 #include <utility>
@@ -17,9 +20,27 @@
 constexpr std::array<std::string_view, 4> kLevelNames{"debug", "info",
                                                       "warning", "error"};
 
+// Records of one kind that are written in a second. What a request goes
+// through is many lines under load, and the lines that tell of failures and of
+// changed beliefs must not be starved by those that tell of success.
+constexpr uint32_t kInfoPerSecond = 50;
+constexpr uint32_t kWarningsPerSecond = 100;
+
+// Bytes that a pipe takes whole if it takes any.
+constexpr size_t kAtomicPipeBytes = 4096;
+
+// What one kind of record has used of its present second.
+struct KindBudget {
+  std::chrono::steady_clock::time_point second;
+  uint32_t written = 0;
+  uint64_t left_out = 0;
+};
+
 struct LogState {
   std::string process;
   LogFilter filter;
+  std::map<std::string, KindBudget, std::less<>> budgets;
+  uint64_t lost_lines = 0;
 };
 
 LogState& State() {
@@ -27,6 +48,50 @@
   return state;
 }
 
+// Writes whole lines to standard output and never waits for its reader: a
+// pipe that is full loses the line, since a process that waits for its log
+// answers nobody.
+class LineWriter : public el::LogDispatchCallback {
+ protected:
+  void handle(const el::LogDispatchData* data) override {
+    const std::string line = data->logMessage()->message() + "\n";
+    pollfd entry{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    const bool is_writable =
+        poll(&entry, 1, 0) == 1 && (entry.revents & POLLOUT) != 0;
+    if (!is_writable || line.size() > kAtomicPipeBytes ||
+        ::write(STDOUT_FILENO, line.data(), line.size()) < 0) {
+      ++State().lost_lines;
+    }
+  }
+};
+
+// Whether the budget of a kind has a record left; begins a new second where
+// one is over and gives the count of those left out before.
+bool TakeFromBudget(LogLevel level,
+                    std::string_view event,
+                    uint64_t& left_out) {
+  auto& budgets = State().budgets;
+  auto found = budgets.find(event);
+  if (found == budgets.end()) {
+    found = budgets.emplace(std::string(event), KindBudget{}).first;
+  }
+  KindBudget& budget = found->second;
+  const auto now = std::chrono::steady_clock::now();
+  if (now - budget.second >= std::chrono::seconds(1)) {
+    left_out = std::exchange(budget.left_out, 0);
+    budget.second = now;
+    budget.written = 0;
+  }
+  const uint32_t most =
+      level >= LogLevel::kWarning ? kWarningsPerSecond : kInfoPerSecond;
+  if (budget.written >= most) {
+    ++budget.left_out;
+    return false;
+  }
+  ++budget.written;
+  return true;
+}
+
 Result<LogLevel> ParseLogLevel(const std::string& word) {
   for (size_t i = 0; i < kLevelNames.size(); ++i) {
     if (kLevelNames[i] == word) {
@@ -40,13 +105,17 @@
 }  // namespace
 
 void StartLog(std::string_view process, LogFilter filter) {
-  State() = {std::string(process), std::move(filter)};
+  State().process = std::string(process);
+  State().filter = std::move(filter);
   el::Configurations configuration;
   configuration.setToDefault();
   configuration.setGlobally(el::ConfigurationType::Format, "%msg");
   configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+  configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
   el::Loggers::setDefaultConfigurations(configuration, true);
+  el::Helpers::uninstallLogDispatchCallback<
+      el::base::DefaultLogDispatchCallback>("DefaultLogDispatchCallback");
+  el::Helpers::installLogDispatchCallback<LineWriter>("LineWriter");
 }
 
 Result<LogFilter> ParseLogFilter(const std::string& text) {
@@ -79,6 +148,10 @@
   if (!is_logged(State().filter, level, module)) {
     return;
   }
+  uint64_t left_out = 0;
+  if (!TakeFromBudget(level, event, left_out)) {
+    return;
+  }
   const auto now = std::chrono::time_point_cast<std::chrono::milliseconds>(
       std::chrono::system_clock::now());
   nlohmann::ordered_json record = {
@@ -90,6 +163,12 @@
   for (const LogField& field : fields) {
     record[std::string(field.name)] = field.value;
   }
+  if (left_out > 0) {
+    record["left_out_before"] = left_out;
+  }
+  if (State().lost_lines > 0) {
+    record["lost_lines"] = State().lost_lines;
+  }
   LOG(INFO) << record.dump(-1, ' ', false,
                            nlohmann::json::error_handler_t::replace);
 }
--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -9,7 +9,12 @@
 #include <cstdlib>
 #include <string_view>
 
-ABSL_FLAG(std::string, role, "", "what this process is: entry or agent");
+#include "Kernel/Plugin.h"
+
+ABSL_FLAG(std::string,
+          role,
+          "",
+          "what this process is: entry, agent, gateway or rank");
 ABSL_FLAG(std::string, name, "", "name of this VM in the VM list");
 ABSL_FLAG(std::string, zone, "", "availability zone of this VM");
 ABSL_FLAG(std::string, ip, "", "IP number that this process listens on");
@@ -43,6 +48,55 @@
           log_level,
           "",
           "lowest level logged, for all or by module: info,links=debug");
+ABSL_FLAG(std::string,
+          adapter,
+          "",
+          "the adapter of the platform that a gateway or rank runs on");
+ABSL_FLAG(std::string, store, "", "IP:PORT of the platform's key-value store");
+ABSL_FLAG(std::string, callers, "", "IP:PORT where a gateway serves callers");
+ABSL_FLAG(std::string,
+          directory,
+          "",
+          "IP:PORT where a gateway tells callers whom to connect to");
+ABSL_FLAG(std::string,
+          readiness,
+          "",
+          "IP:PORT where a gateway tells whether it is ready");
+ABSL_FLAG(std::string,
+          peer_ports,
+          "",
+          "first port for the system's own processes, then others; the same on "
+          "all VMs");
+ABSL_FLAG(std::string, metrics_port, "", "port for metrics");
+ABSL_FLAG(std::string,
+          seeds,
+          "",
+          "IP:PORT of processes that may be up, separated by commas");
+ABSL_FLAG(std::string,
+          engine,
+          "",
+          "IP:PORT of the model server beside a rank's agent");
+ABSL_FLAG(std::string,
+          repeat_ratio,
+          "",
+          "repeats that all gateways may send for each request");
+ABSL_FLAG(std::string,
+          repeat_slack,
+          "",
+          "repeats that all gateways may send besides, in a window");
+ABSL_FLAG(std::string,
+          repeat_window_seconds,
+          "",
+          "the window in which repeats are counted");
+ABSL_FLAG(std::string,
+          directory_lifetime_seconds,
+          "",
+          "how long callers may use the directory's answer");
+ABSL_FLAG(std::string,
+          stop_bound_seconds,
+          "",
+          "after this time the platform kills a stopping process");
+
 namespace bramleyspan {
 
 namespace {
@@ -70,6 +124,21 @@
       SettingRow{"target-slots", &FLAGS_target_slots, "16"},
       SettingRow{"operator-key-sha256", &FLAGS_operator_key_sha256, ""},
       SettingRow{"drain-bound-seconds", &FLAGS_drain_bound_seconds, "600"},
+      SettingRow{"adapter", &FLAGS_adapter, "kv"},
+      SettingRow{"store", &FLAGS_store, ""},
+      SettingRow{"callers", &FLAGS_callers, ""},
+      SettingRow{"directory", &FLAGS_directory, ""},
+      SettingRow{"readiness", &FLAGS_readiness, ""},
+      SettingRow{"peer-ports", &FLAGS_peer_ports, ""},
+      SettingRow{"metrics-port", &FLAGS_metrics_port, "9464"},
+      SettingRow{"seeds", &FLAGS_seeds, ""},
+      SettingRow{"engine", &FLAGS_engine, ""},
+      SettingRow{"repeat-ratio", &FLAGS_repeat_ratio, "0.1"},
+      SettingRow{"repeat-slack", &FLAGS_repeat_slack, "0"},
+      SettingRow{"repeat-window-seconds", &FLAGS_repeat_window_seconds, "10"},
+      SettingRow{"directory-lifetime-seconds",
+                 &FLAGS_directory_lifetime_seconds, "1"},
+      SettingRow{"stop-bound-seconds", &FLAGS_stop_bound_seconds, "8"},
       SettingRow{"log-level", &FLAGS_log_level, "info"},
   };
   return rows;
@@ -92,6 +161,12 @@
       kToolVariables.end()) {
     return true;
   }
+  const bool is_foreign = PluginRegistry<ForeignVariable>::Instance()
+                              .Find(std::string(variable))
+                              .has_value();
+  if (is_foreign) {
+    return true;
+  }
   return std::any_of(
       SettingRows().begin(), SettingRows().end(),
       [&](const SettingRow& row) { return VariableOf(row.name) == variable; });
--- /dev/null
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -0,0 +1,106 @@
+#include "Services/bramleyspand/Gateway/Feeds.h"
+
+#include <utility>
+
+#include "LibTelemetry/Log.h"
+
+namespace bramleyspan::gatewayd {
+
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+
+void HandleTableChange(GatewayState& state,
+                       const platform::StoreItem& item,
+                       const OnTable& on_table) {
+  if (item.key != state.adapter.table_key || item.is_removed) {
+    return;
+  }
+  auto parsed = state.adapter.parse_table(item.value);
+  if (parsed.has_error()) {
+    Log(LogLevel::kError, "feeds", "table_unreadable",
+        {{"revision", std::to_string(item.revision)},
+         {"error", Describe(parsed.error())}});
+    return;
+  }
+  // The highest version wins: a peer's copy may be older than ours.
+  if (state.table != nullptr &&
+      parsed.value().version <= state.table->version) {
+    return;
+  }
+  state.table = std::make_shared<const gateway::RouteTable>(
+      std::move(parsed).assume_value());
+  Log(LogLevel::kInfo, "feeds", "table_in_force",
+      {{"version", std::to_string(state.table->version)},
+       {"revision", std::to_string(item.revision)},
+       {"hosts", std::to_string(state.table->hosts.size())},
+       {"keys", std::to_string(state.table->tenants_by_key.size())}});
+  on_table(*state.table);
+}
+
+void HandleTargetChange(GatewayState& state, const platform::StoreItem& item) {
+  const std::string id = item.key.substr(item.key.rfind('/') + 1);
+  std::optional<gateway::Target> target;
+  if (!item.is_removed) {
+    target = state.adapter.parse_target(item.key, item.value);
+  }
+  const auto known = state.targets.by_id.find(id);
+  const bool was_usable =
+      known != state.targets.by_id.end() && !known->second.target.is_leaving;
+  const bool is_usable = target && !target->is_leaving;
+  if (was_usable != is_usable) {
+    Log(LogLevel::kInfo, "feeds", "target_changed",
+        {{"target", id},
+         {"now", is_usable         ? "usable"
+                 : target          ? "leaving"
+                 : item.is_removed ? "gone"
+                                   : "unreadable"},
+         {"revision", std::to_string(item.revision)}});
+  }
+  if (target) {
+    gateway::ApplyTarget(state.targets, *std::move(target));
+  } else {
+    gateway::RemoveTarget(state.targets, id);
+  }
+}
+
+platform::FeedEvents EventsOf(
+    std::string name,
+    std::function<void(const platform::StoreItem&)> on_change) {
+  platform::FeedEvents events;
+  events.on_change = std::move(on_change);
+  events.on_reach = [name = std::move(name)](bool is_reached,
+                                             const std::string& reason) {
+    Log(is_reached ? LogLevel::kInfo : LogLevel::kWarning, "feeds",
+        is_reached ? "store_regained" : "store_lost",
+        {{"feed", name}, {"reason", reason}});
+  };
+  return events;
+}
+
+}  // namespace
+
+void StartFeeds(GatewayState& state,
+                OnTable on_table,
+                std::function<void()> on_target) {
+  state.table_feed = std::make_unique<platform::PrefixFeed>(
+      state.loop, state.store,
+      platform::PrefixFeedSettings{.prefix = state.adapter.table_prefix},
+      EventsOf("table", [&state, on_table = std::move(on_table)](
+                            const platform::StoreItem& item) {
+        HandleTableChange(state, item, on_table);
+      }));
+  state.targets_feed = std::make_unique<platform::PrefixFeed>(
+      state.loop, state.store,
+      platform::PrefixFeedSettings{.prefix = state.adapter.targets_prefix},
+      EventsOf("targets", [&state, on_target = std::move(on_target)](
+                              const platform::StoreItem& item) {
+        HandleTargetChange(state, item);
+        on_target();
+      }));
+  state.table_feed->Start();
+  state.targets_feed->Start();
+}
+
+}  // namespace bramleyspan::gatewayd
--- /dev/null
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -0,0 +1,707 @@
+#include "Services/bramleyspand/Gateway/Forwarding.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+#include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+
+namespace bramleyspan::gatewayd {
+
+namespace {
+
+using gateway::Outcome;
+using gateway::RouteKind;
+using gateway::TargetView;
+using http::CallEnd;
+using http::FindHeader;
+using telemetry::Log;
+using telemetry::LogLevel;
+
+constexpr int kOk = 200;
+constexpr int kFirstFailure = 300;
+constexpr int kFirstServerFailure = 500;
+constexpr int kUnauthorized = 401;
+constexpr int kNotFound = 404;
+constexpr int kMisdirected = 421;
+constexpr int kTooMany = 429;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+// A connection inside a region takes a millisecond or two.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+// Connections that may fail before the request is given up.
+constexpr int kMostUnreached = 4;
+// A stream that is silent for so long is looked for elsewhere. Callers leave
+// after two seconds.
+constexpr Duration kStreamSilence = std::chrono::milliseconds(1750);
+// The part of the objective for which a request waits for a place: waiting
+// for longer keeps a caller from going elsewhere while there is time.
+constexpr int kWaitDivisor = 9;
+constexpr Duration kLongestWait = std::chrono::milliseconds(500);
+// When a place may be free again.
+constexpr std::string_view kRetryAfterLackOfPlace = "0.5";
+constexpr std::string_view kRetryAfterStart = "0.5";
+constexpr std::string_view kRetryAfterRejection = "0.2";
+
+// Headers that concern one connection only, and those that are set anew.
+constexpr std::array<std::string_view, 11> kOwnHeaders{
+    "connection", "keep-alive", "proxy-connection",    "te",
+    "trailer",    "upgrade",    "transfer-encoding",   "content-length",
+    "expect",     "host",       "proxy-authorization",
+};
+
+std::string Text(Duration time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+std::optional<int64_t> ParseNumber(std::string_view text) {
+  int64_t value = 0;
+  const auto [stop, failure] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (failure != std::errc{} || text.empty()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+bool is_own_header(std::string_view name) {
+  return std::find(kOwnHeaders.begin(), kOwnHeaders.end(), name) !=
+         kOwnHeaders.end();
+}
+
+}  // namespace
+
+gateway::Sharing SharingOf(const GatewayState& state, TimePoint now) {
+  gateway::Sharing sharing;
+  for (const auto* other : membership::LiveEntries(state.members, now)) {
+    ++sharing.gateways;
+    sharing.hungry_others += other->member.is_hungry ? 1 : 0;
+  }
+  return sharing;
+}
+
+void HandleCaller(GatewayState& state,
+                  http::IngressRequest request,
+                  const std::shared_ptr<http::IngressExchange>& exchange) {
+  state.last_request = EventLoop::Now();
+  auto forwarding =
+      std::make_shared<Forwarding>(state, std::move(request), exchange);
+  forwarding->Start();
+}
+
+void ServeWaiting(GatewayState& state) {
+  const TimePoint now = EventLoop::Now();
+  // A copy, since each that is sent or refused leaves the list.
+  const auto waiting = state.waiting;
+  std::set<std::string> full;
+  for (const auto& forwarding : waiting) {
+    const bool is_sent =
+        !full.contains(forwarding->service_name()) && forwarding->TrySend();
+    if (is_sent) {
+      continue;
+    }
+    full.insert(forwarding->service_name());
+    if (forwarding->waits_until() <= now) {
+      forwarding->RefuseForLackOfPlace();
+    }
+  }
+}
+
+Forwarding::Forwarding(GatewayState& state,
+                       http::IngressRequest request,
+                       std::shared_ptr<http::IngressExchange> exchange)
+    : state(state),
+      number(++state.last_forwarding),
+      request(std::move(request)),
+      exchange(std::move(exchange)),
+      arrived(EventLoop::Now()) {
+  this->state.open.emplace(this->number, this);
+}
+
+Forwarding::~Forwarding() {
+  this->state.open.erase(this->number);
+}
+
+void Forwarding::Start() {
+  this->id = std::string(
+      FindHeader(this->request.headers, this->state.adapter.headers.attempt));
+  this->table = this->state.table;
+  if (!this->FindRouteAndTenant()) {
+    return;
+  }
+  this->service = gateway::PickService(
+      *this->route,
+      std::uniform_real_distribution<double>(0, 1)(this->state.random));
+  const auto left = ParseNumber(
+      FindHeader(this->request.headers, this->state.adapter.headers.deadline));
+  Duration allowed = this->route->timeout;
+  if (left && *left > 0) {
+    allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*left));
+  }
+  this->deadline = this->arrived + allowed;
+  this->wait_ends =
+      this->arrived + std::min({this->route->objective / kWaitDivisor,
+                                allowed / 2, kLongestWait});
+  gateway::NoteRequest(this->state.repeats, this->service, this->arrived);
+  this->exchange->OnGone([self = this->weak_from_this()] {
+    if (const auto forwarding = self.lock()) {
+      forwarding->HandleGone();
+    }
+  });
+  this->deadline_timer = this->state.loop.RunAfter(
+      allowed, [self = this->shared_from_this()] { self->HandleDeadline(); });
+  Log(LogLevel::kInfo, "forward", "accepted",
+      {{"request", this->id},
+       {"route", this->route->name},
+       {"service", this->service},
+       {"tenant", this->tenant},
+       {"table_version", std::to_string(this->table->version)},
+       {"left_ms", Text(allowed)}});
+  this->SendOrWait();
+}
+
+bool Forwarding::FindRouteAndTenant() {
+  if (this->table == nullptr) {
+    this->Refuse(kUnavailable, "no desired state known", true);
+    return false;
+  }
+  this->route =
+      gateway::FindRoute(*this->table, this->request.host, this->request.path);
+  if (this->route == nullptr) {
+    this->Refuse(kNotFound, "no such route", false);
+    return false;
+  }
+  this->priority = this->route->priority;
+  if (!this->is_allowed_by_key()) {
+    this->Refuse(kUnauthorized, "no tenant holds this key", false);
+    return false;
+  }
+  return true;
+}
+
+bool Forwarding::is_allowed_by_key() {
+  const std::string_view key =
+      FindHeader(this->request.headers, this->state.adapter.headers.key);
+  const auto found = this->table->tenants_by_key.find(std::string(key));
+  if (found != this->table->tenants_by_key.end() && !key.empty()) {
+    this->tenant = found->second.name;
+    this->priority = found->second.priority.value_or(this->priority);
+    return true;
+  }
+  return !this->table->has_tenants || this->route->is_public;
+}
+
+bool Forwarding::is_before(const Forwarding& other) const {
+  return this->priority < other.priority;
+}
+
+void Forwarding::SendOrWait() {
+  auto& waiting = this->state.waiting;
+  const bool is_first =
+      std::none_of(waiting.begin(), waiting.end(), [this](const auto& other) {
+        return other->service == this->service && !this->is_before(*other);
+      });
+  if (is_first && this->TrySend()) {
+    return;
+  }
+  if (EventLoop::Now() >= this->wait_ends) {
+    this->RefuseForLackOfPlace();
+    return;
+  }
+  const auto behind = std::find_if(
+      waiting.begin(), waiting.end(),
+      [this](const auto& other) { return this->is_before(*other); });
+  waiting.insert(behind, this->shared_from_this());
+  Log(LogLevel::kInfo, "forward", "waits",
+      {{"request", this->id}, {"waiting", std::to_string(waiting.size())}});
+}
+
+bool Forwarding::TrySend() {
+  const TimePoint now = EventLoop::Now();
+  const auto service_found = this->table->services.find(this->service);
+  const bool has_engine = service_found != this->table->services.end() &&
+                          service_found->second.engine.has_value();
+  const TargetView* target = nullptr;
+  if (has_engine) {
+    target = gateway::ChoosePlace(
+        this->state.places, this->state.targets, service_found->second,
+        SharingOf(this->state, now), this->tried, now);
+  } else {
+    target = gateway::ChooseLeastLoaded(this->state.targets, this->service,
+                                        this->tried, this->state.settings.zone,
+                                        this->state.random(), now);
+  }
+  if (target == nullptr) {
+    return false;
+  }
+  auto keep_until_return = this->shared_from_this();
+  this->state.waiting.remove(keep_until_return);
+  this->SendTo(*target);
+  return true;
+}
+
+void Forwarding::RefuseForLackOfPlace() {
+  auto keep_until_return = this->shared_from_this();
+  this->state.waiting.remove(keep_until_return);
+  if (this->has_started_answer) {
+    this->BreakOff("no place to go on");
+    return;
+  }
+  if (this->may_have_run && !this->route->is_repeatable()) {
+    this->Fail(kBadGateway, "may have run, and no target left");
+    return;
+  }
+  this->Refuse(kUnavailable, "no place in time", true);
+}
+
+http::HeaderList Forwarding::HeadersFor(const TargetView& target,
+                                        TimePoint now) const {
+  const gateway::CallHeaders& names = this->state.adapter.headers;
+  http::HeaderList headers;
+  headers.emplace_back("host", this->request.host);
+  std::string connection_words;
+  for (const auto& [name, value] : this->request.headers) {
+    if (name == "connection") {
+      connection_words += value + ",";
+    }
+  }
+  for (const auto& [name, value] : this->request.headers) {
+    const bool is_reserved =
+        std::find(names.reserved.begin(), names.reserved.end(), name) !=
+        names.reserved.end();
+    if (is_own_header(name) || is_reserved || name == names.key ||
+        name == names.tenant || name == names.deadline ||
+        name == names.expected_target || name == names.priority ||
+        http::has_token(connection_words, name)) {
+      continue;
+    }
+    if (name == names.last_event && this->last_event) {
+      continue;
+    }
+    headers.emplace_back(name, value);
+  }
+  if (this->last_event) {
+    headers.emplace_back(names.last_event, std::to_string(*this->last_event));
+  }
+  if (!this->tenant.empty()) {
+    headers.emplace_back(names.tenant, this->tenant);
+  }
+  headers.emplace_back(names.deadline, Text(this->deadline - now));
+  headers.emplace_back(names.expected_target, target.target.id);
+  return headers;
+}
+
+void Forwarding::SendTo(const TargetView& target) {
+  const TimePoint now = EventLoop::Now();
+  this->target_id = target.target.id;
+  this->group = gateway::GroupOf(target);
+  this->tried.insert(this->target_id);
+  ++this->state.targets.by_id[this->target_id].open;
+  this->answer.reset();
+  this->answer_body.clear();
+  this->events = {};
+  this->is_passing_events = false;
+  Log(LogLevel::kInfo, "forward", "sent",
+      {{"request", this->id},
+       {"target", this->target_id},
+       {"group", this->group},
+       {"open", std::to_string(target.open)},
+       {"open_elsewhere", std::to_string(target.open_elsewhere)},
+       {"waited_ms", Text(now - this->arrived)},
+       {"targets_revision",
+        std::to_string(this->state.targets_feed->newest_revision())},
+       {"targets_age_ms", Text(this->state.targets_feed->age(now))},
+       {"attempt", std::to_string(this->tried.size())}});
+  http::DirectRequest outgoing{
+      .target = target.target.address,
+      .method = this->request.method,
+      .path = this->request.target,
+      .headers = this->HeadersFor(target, now),
+      .body = this->request.body,
+      .connect_timeout = kConnectTimeout,
+      .timeout = this->deadline - now + std::chrono::seconds(1)};
+  auto self = this->shared_from_this();
+  http::DirectEvents listeners;
+  listeners.on_connected = [self] {
+    ++self->sent;
+    self->may_have_run = true;
+  };
+  listeners.on_head = [self](const http::AnswerHead& head, http::BodyFraming) {
+    self->HandleHead(head);
+  };
+  listeners.on_bytes = [self](std::string_view bytes) {
+    self->HandleBytes(bytes);
+  };
+  listeners.on_end = [self](CallEnd end) { self->HandleEnd(end); };
+  this->call = http::DirectCall::Start(this->state.loop, std::move(outgoing),
+                                       std::move(listeners));
+  if (this->is_streaming()) {
+    this->ArmSilence(kStreamSilence);
+  } else if (this->route->kind == RouteKind::kIdempotent) {
+    this->ArmSilence(std::max<Duration>(this->route->objective * 2,
+                                        (this->deadline - now) * 2 / 5));
+  }
+}
+
+bool Forwarding::is_own_answer(const http::AnswerHead& head) const {
+  const std::string_view echoed =
+      FindHeader(head.headers, this->state.adapter.headers.attempt);
+  return echoed.empty() || echoed == this->id;
+}
+
+void Forwarding::HandleHead(const http::AnswerHead& head) {
+  this->answer = head;
+  const bool has_stamp =
+      !FindHeader(head.headers, this->state.adapter.headers.stamp).empty();
+  const bool is_encoded = !FindHeader(head.headers, "content-encoding").empty();
+  this->is_passing_events = this->is_streaming() && head.status == kOk &&
+                            has_stamp && !is_encoded &&
+                            this->is_own_answer(head);
+  if (this->is_streaming()) {
+    this->ArmSilence(kStreamSilence);
+  }
+}
+
+void Forwarding::HandleBytes(std::string_view bytes) {
+  if (!this->is_passing_events) {
+    this->answer_body.append(bytes);
+    return;
+  }
+  this->events.Read(bytes, [this](const gateway::StreamEvent& event) {
+    this->HandleEvent(event);
+  });
+}
+
+void Forwarding::HandleEvent(const gateway::StreamEvent& event) {
+  if (this->is_finished) {
+    return;
+  }
+  // A run that goes on elsewhere may begin with what the caller has.
+  if (event.id && this->last_event && *event.id <= *this->last_event) {
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  if (!std::exchange(this->has_started_answer, true)) {
+    this->exchange->StartStream(this->answer->status, this->AnswerHeaders());
+    telemetry::Observe(kFirstEventTime, {{"service", this->service}},
+                       now - this->arrived);
+    Log(LogLevel::kInfo, "forward", "first_event",
+        {{"request", this->id},
+         {"target", this->target_id},
+         {"after_ms", Text(now - this->arrived)}});
+  } else {
+    gateway::NotePause(this->state.places, this->group,
+                       now - this->last_event_at);
+    telemetry::Observe(kPauseTime, {{"service", this->service}},
+                       now - this->last_event_at);
+  }
+  this->last_event_at = now;
+  if (event.id) {
+    this->last_event = event.id;
+  }
+  this->exchange->Write(event.bytes);
+  this->ArmSilence(kStreamSilence);
+}
+
+void Forwarding::HandleEnd(CallEnd end) {
+  auto keep_until_return = this->shared_from_this();
+  this->call = nullptr;
+  this->state.loop.Cancel(std::exchange(this->silence_timer, 0));
+  if (this->is_finished) {
+    return;
+  }
+  if (this->is_passing_events) {
+    this->HandleStreamEnd(end);
+    return;
+  }
+  if (end != CallEnd::kWhole) {
+    this->HandleFailed(end);
+    return;
+  }
+  switch (this->Judge()) {
+    case Verdict::kPass:
+      this->PassAnswer();
+      return;
+    case Verdict::kRejected:
+      this->HandleRejected();
+      return;
+    case Verdict::kUnsound:
+      this->HandleFailed(CallEnd::kMalformed);
+      return;
+  }
+}
+
+Forwarding::Verdict Forwarding::Judge() const {
+  const gateway::CallHeaders& names = this->state.adapter.headers;
+  const http::AnswerHead& head = *this->answer;
+  if (!this->is_own_answer(head)) {
+    return Verdict::kUnsound;
+  }
+  if (head.status == kMisdirected ||
+      !FindHeader(head.headers, names.not_run).empty()) {
+    return Verdict::kRejected;
+  }
+  const bool has_stamp = !FindHeader(head.headers, names.stamp).empty();
+  const bool is_encoded = !FindHeader(head.headers, "content-encoding").empty();
+  // A target's 429 or 503 without the mark may come from a run; passed on, it
+  // would promise the caller that nothing ran.
+  const bool is_false_promise = head.status == kTooMany ||
+                                head.status == kUnavailable ||
+                                head.status == 408;
+  if (!has_stamp || is_encoded || is_false_promise || this->is_streaming()) {
+    return head.status >= kFirstFailure && has_stamp && !is_false_promise
+               ? Verdict::kPass
+               : Verdict::kUnsound;
+  }
+  return Verdict::kPass;
+}
+
+void Forwarding::PassAnswer() {
+  const int status = this->answer->status;
+  const bool is_failure = status >= kFirstServerFailure;
+  this->LeaveTarget(is_failure ? Outcome::kFailed : Outcome::kGood);
+  if (is_failure && this->route->is_repeatable()) {
+    const auto held_answer = this->answer;
+    const std::string held_body = this->answer_body;
+    if (this->TryAgain("target answered " + std::to_string(status), true)) {
+      return;
+    }
+    this->answer = held_answer;
+    this->answer_body = held_body;
+  }
+  this->exchange->Respond(status, this->AnswerHeaders(), this->answer_body);
+  this->Finish(is_failure ? "target_failed" : "answered", status);
+}
+
+http::HeaderList Forwarding::AnswerHeaders() const {
+  http::HeaderList headers;
+  for (const auto& [name, value] : this->answer->headers) {
+    if (!is_own_header(name)) {
+      headers.emplace_back(name, value);
+    }
+  }
+  return headers;
+}
+
+void Forwarding::HandleRejected() {
+  // It did not run there, and the target says that it never will.
+  --this->sent;
+  this->may_have_run = this->sent > 0 || this->has_started_answer;
+  const bool is_misdirected = this->answer->status == kMisdirected;
+  Log(LogLevel::kWarning, "forward", "rejected",
+      {{"request", this->id},
+       {"target", this->target_id},
+       {"status", std::to_string(this->answer->status)}});
+  this->LeaveTarget(is_misdirected ? Outcome::kUnreachable : Outcome::kFailed);
+  if (this->TryAgain("rejected", true)) {
+    return;
+  }
+  if (this->has_started_answer) {
+    this->BreakOff("rejected when going on");
+  } else if (this->may_have_run) {
+    this->Fail(kBadGateway, "rejected, and may have run before");
+  } else {
+    this->Refuse(kUnavailable, "rejected by the target", true);
+  }
+}
+
+void Forwarding::HandleFailed(CallEnd end) {
+  const bool is_unreached = end == CallEnd::kNotSent;
+  Log(LogLevel::kWarning, "forward", "attempt_failed",
+      {{"request", this->id},
+       {"target", this->target_id},
+       {"end", std::string(http::NameOf(end))},
+       {"after_ms", Text(EventLoop::Now() - this->arrived)}});
+  this->LeaveTarget(is_unreached ? Outcome::kUnreachable : Outcome::kFailed);
+  if (is_unreached) {
+    ++this->unreached;
+  }
+  const bool may_go_on = is_unreached || this->route->is_repeatable();
+  if (may_go_on && this->TryAgain(http::NameOf(end), !is_unreached)) {
+    return;
+  }
+  if (this->has_started_answer) {
+    this->BreakOff(http::NameOf(end));
+  } else if (this->may_have_run) {
+    this->Fail(end == CallEnd::kTimeout ? kGatewayTimeout : kBadGateway,
+               http::NameOf(end));
+  } else {
+    this->Refuse(kUnavailable, http::NameOf(end), true);
+  }
+}
+
+void Forwarding::HandleStreamEnd(CallEnd end) {
+  const bool is_whole =
+      end == CallEnd::kWhole && !this->events.has_partial_event();
+  if (is_whole && this->has_started_answer) {
+    this->LeaveTarget(Outcome::kGood);
+    this->exchange->Finish();
+    this->Finish("answered", kOk);
+    return;
+  }
+  this->HandleFailed(end == CallEnd::kWhole ? CallEnd::kTruncated : end);
+}
+
+bool Forwarding::TryAgain(std::string_view cause, bool has_arrived) {
+  const TimePoint now = EventLoop::Now();
+  constexpr Duration kLeastLeft = std::chrono::milliseconds(20);
+  if (now + kLeastLeft > this->deadline || this->exchange->is_closed()) {
+    return false;
+  }
+  // Only targets that the request was sent to count against the route's
+  // bound: an unreached one has nothing of it.
+  const auto reached = static_cast<int>(this->tried.size()) - this->unreached;
+  if (reached >= this->route->most_targets ||
+      this->unreached > kMostUnreached) {
+    return false;
+  }
+  const size_t gateways = membership::CountEntries(this->state.members, now);
+  if (has_arrived &&
+      !gateway::TakeRepeat(this->state.repeats, this->service, gateways, now)) {
+    Log(LogLevel::kWarning, "forward", "no_budget", {{"request", this->id}});
+    return false;
+  }
+  Log(LogLevel::kInfo, "forward", "sent_once_more",
+      {{"request", this->id}, {"cause", std::string(cause)}});
+  telemetry::Count(kRepeats, {{"service", this->service}});
+  this->wait_ends = std::max(
+      this->wait_ends, now + std::min(this->route->objective / kWaitDivisor,
+                                      (this->deadline - now) / 2));
+  if (!this->TrySend()) {
+    this->state.waiting.push_front(this->shared_from_this());
+  }
+  return true;
+}
+
+void Forwarding::Refuse(int status, std::string_view cause, bool says_when) {
+  http::HeaderList headers;
+  if (says_when) {
+    const bool is_start = this->table == nullptr;
+    headers.emplace_back(
+        "retry-after", std::string(is_start         ? kRetryAfterStart
+                                   : this->sent > 0 ? kRetryAfterRejection
+                                                    : kRetryAfterLackOfPlace));
+  }
+  Log(LogLevel::kWarning, "forward", "refused",
+      {{"request", this->id},
+       {"status", std::to_string(status)},
+       {"cause", std::string(cause)},
+       {"path", this->request.path},
+       {"waiting", std::to_string(this->state.waiting.size())},
+       {"table_version",
+        std::to_string(this->table == nullptr ? 0 : this->table->version)}});
+  this->exchange->Respond(status, headers, "");
+  this->Finish("refused", status);
+}
+
+void Forwarding::Fail(int status, std::string_view cause) {
+  Log(LogLevel::kWarning, "forward", "failed",
+      {{"request", this->id},
+       {"status", std::to_string(status)},
+       {"target", this->target_id},
+       {"cause", std::string(cause)}});
+  this->exchange->Respond(status, {}, "");
+  this->Finish("failed", status);
+}
+
+void Forwarding::BreakOff(std::string_view cause) {
+  Log(LogLevel::kWarning, "forward", "broken_off",
+      {{"request", this->id},
+       {"target", this->target_id},
+       {"cause", std::string(cause)}});
+  this->exchange->Abort();
+  this->Finish("broken_off", kBadGateway);
+}
+
+void Forwarding::Finish(std::string_view outcome, int status) {
+  if (std::exchange(this->is_finished, true)) {
+    return;
+  }
+  this->StopTimers();
+  this->state.waiting.remove(this->shared_from_this());
+  const Duration took = EventLoop::Now() - this->arrived;
+  telemetry::Count(kRequests, {{"service", this->service},
+                               {"outcome", std::string(outcome)}});
+  telemetry::Observe(kRequestTime, {{"service", this->service}}, took);
+  Log(LogLevel::kInfo, "forward", "ended",
+      {{"request", this->id},
+       {"outcome", std::string(outcome)},
+       {"status", std::to_string(status)},
+       {"took_ms", Text(took)}});
+}
+
+// The request has nothing at its target any more, whatever came of it.
+void Forwarding::LeaveTarget(Outcome outcome) {
+  if (this->target_id.empty()) {
+    return;
+  }
+  const auto found = this->state.targets.by_id.find(this->target_id);
+  if (found != this->state.targets.by_id.end() && found->second.open > 0) {
+    --found->second.open;
+  }
+  gateway::NoteOutcome(this->state.targets, this->target_id, outcome,
+                       EventLoop::Now());
+  this->target_id.clear();
+  this->state.loop.RunAfter(Duration(0),
+                            [&state = this->state] { ServeWaiting(state); });
+}
+
+void Forwarding::HandleGone() {
+  auto keep_until_return = this->shared_from_this();
+  if (this->call != nullptr) {
+    std::exchange(this->call, nullptr)->Cancel();
+  }
+  this->LeaveTarget(Outcome::kGood);
+  this->Finish("caller_left", 0);
+}
+
+void Forwarding::HandleDeadline() {
+  this->deadline_timer = 0;
+  if (this->is_finished) {
+    return;
+  }
+  auto keep_until_return = this->shared_from_this();
+  const std::string last_target = this->target_id;
+  if (this->call != nullptr) {
+    std::exchange(this->call, nullptr)->Cancel();
+  }
+  this->LeaveTarget(Outcome::kGood);
+  if (this->has_started_answer) {
+    this->BreakOff("out of time");
+  } else if (this->may_have_run) {
+    this->target_id = last_target;
+    this->Fail(kGatewayTimeout, "out of time");
+    this->target_id.clear();
+  } else {
+    this->Refuse(kUnavailable, "out of time", true);
+  }
+}
+
+void Forwarding::ArmSilence(Duration after) {
+  this->state.loop.Cancel(this->silence_timer);
+  this->silence_timer = this->state.loop.RunAfter(
+      after, [self = this->shared_from_this()] { self->HandleSilence(); });
+}
+
+void Forwarding::HandleSilence() {
+  this->silence_timer = 0;
+  if (this->is_finished || this->call == nullptr ||
+      !this->route->is_repeatable()) {
+    return;
+  }
+  // Only a repeatable request is taken away from a silent target.
+  std::exchange(this->call, nullptr)->Cancel();
+  this->HandleFailed(CallEnd::kTimeout);
+}
+
+void Forwarding::StopTimers() {
+  this->state.loop.Cancel(std::exchange(this->deadline_timer, 0));
+  this->state.loop.Cancel(std::exchange(this->silence_timer, 0));
+}
+
+}  // namespace bramleyspan::gatewayd
--- /dev/null
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -0,0 +1,120 @@
+// One caller's request on its way: found a route, given a place, sent to a
+// target, perhaps sent once more, answered.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+#include "LibGateway/EventReader.h"
+#include "LibHTTP/DirectCall.h"
+#include "LibHTTP/Ingress.h"
+#include "Services/bramleyspand/Gateway/GatewayState.h"
+
+namespace bramleyspan::gatewayd {
+
+// Takes a request from a caller.
+void HandleCaller(GatewayState& state,
+                  http::IngressRequest request,
+                  const std::shared_ptr<http::IngressExchange>& exchange);
+
+// Gives places to waiting requests and refuses those that waited long enough.
+void ServeWaiting(GatewayState& state);
+
+class Forwarding : public std::enable_shared_from_this<Forwarding> {
+ public:
+  Forwarding(GatewayState& state,
+             http::IngressRequest request,
+             std::shared_ptr<http::IngressExchange> exchange);
+  ~Forwarding();
+  Forwarding(const Forwarding&) = delete;
+  Forwarding& operator=(const Forwarding&) = delete;
+
+  void Start();
+
+  // Tries to get a place and to send. False if there is none.
+  bool TrySend();
+
+  // There was no place in time.
+  void RefuseForLackOfPlace();
+
+  // Before the others, if true.
+  bool is_before(const Forwarding& other) const;
+
+  TimePoint waits_until() const { return this->wait_ends; }
+  const std::string& service_name() const { return this->service; }
+  bool is_streaming() const {
+    return this->route->kind == gateway::RouteKind::kStreaming;
+  }
+
+ private:
+  // What an answer is worth once it is whole.
+  enum class Verdict { kPass, kRejected, kUnsound };
+
+  bool FindRouteAndTenant();
+  bool is_allowed_by_key();
+  void SendOrWait();
+  void SendTo(const gateway::TargetView& target);
+  http::HeaderList HeadersFor(const gateway::TargetView& target,
+                              TimePoint now) const;
+  void HandleHead(const http::AnswerHead& head);
+  void HandleBytes(std::string_view bytes);
+  void HandleEvent(const gateway::StreamEvent& event);
+  void HandleEnd(http::CallEnd end);
+  void HandleStreamEnd(http::CallEnd end);
+  Verdict Judge() const;
+  bool is_own_answer(const http::AnswerHead& head) const;
+  void HandleRejected();
+  void HandleFailed(http::CallEnd end);
+  bool TryAgain(std::string_view cause, bool has_arrived);
+  void PassAnswer();
+  http::HeaderList AnswerHeaders() const;
+  void Refuse(int status, std::string_view cause, bool says_when);
+  void Fail(int status, std::string_view cause);
+  void BreakOff(std::string_view cause);
+  void Finish(std::string_view outcome, int status);
+  void LeaveTarget(gateway::Outcome outcome);
+  void HandleGone();
+  void HandleDeadline();
+  void HandleSilence();
+  void ArmSilence(Duration after);
+  void StopTimers();
+
+  GatewayState& state;
+  uint64_t number = 0;
+  http::IngressRequest request;
+  std::shared_ptr<http::IngressExchange> exchange;
+  std::shared_ptr<const gateway::RouteTable> table;
+  std::shared_ptr<const gateway::Route> route;
+  std::string service;
+  std::string id;
+  std::string tenant;
+  int priority = 0;
+  TimePoint arrived;
+  TimePoint deadline;
+  TimePoint wait_ends;
+  TimerId deadline_timer = 0;
+  TimerId silence_timer = 0;
+
+  std::shared_ptr<http::DirectCall> call;
+  std::string target_id;
+  std::string group;
+  std::set<std::string> tried;
+  // Targets that the request was sent to, and connections that failed.
+  int sent = 0;
+  int unreached = 0;
+  // Whether some target may have run it.
+  bool may_have_run = false;
+
+  std::optional<http::AnswerHead> answer;
+  std::string answer_body;
+  bool is_passing_events = false;
+  bool has_started_answer = false;
+  std::optional<uint64_t> last_event;
+  TimePoint last_event_at;
+  gateway::EventReader events;
+  bool is_finished = false;
+};
+
+}  // namespace bramleyspan::gatewayd
--- /dev/null
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -0,0 +1,38 @@
+// Every metric that a gateway exports.
+#pragma once
+
+#include "LibTelemetry/Metrics.h"
+
+namespace bramleyspan::gatewayd {
+
+using telemetry::MetricName;
+
+inline constexpr MetricName kRequests{
+    "bramleyspan_requests_total",
+    "Callers' requests that ended, by service and outcome."};
+inline constexpr MetricName kRequestTime{
+    "bramleyspan_request_seconds",
+    "Time from a request's arrival to the end of its answer, by service."};
+inline constexpr MetricName kFirstEventTime{
+    "bramleyspan_first_event_seconds",
+    "Time from a request's arrival to its stream's first event, by service."};
+inline constexpr MetricName kPauseTime{
+    "bramleyspan_pause_seconds",
+    "Time between two events of a stream, by service."};
+inline constexpr MetricName kRepeats{
+    "bramleyspan_repeats_total",
+    "Requests sent to a further target, by service."};
+inline constexpr MetricName kWaiting{"bramleyspan_waiting",
+                                     "Requests that wait for a place."};
+inline constexpr MetricName kLiveGateways{
+    "bramleyspan_live_gateways", "Gateways at work, this one among them."};
+inline constexpr MetricName kTableVersion{
+    "bramleyspan_table_version", "Version of the desired state in force."};
+inline constexpr MetricName kFeedAge{
+    "bramleyspan_feed_age_seconds",
+    "Time since the store last answered, by feed."};
+inline constexpr MetricName kGroupLimit{
+    "bramleyspan_group_limit",
+    "Streams that may run at once in a group, by group."};
+
+}  // namespace bramleyspan::gatewayd
--- /dev/null
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -0,0 +1,356 @@
+// The role of an entry VM on a platform whose targets have no agent that
+// forwards: it serves callers itself and sends straight to the targets.
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "Kernel/Digest.h"
+#include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Gateway/Feeds.h"
+#include "Services/bramleyspand/Gateway/Forwarding.h"
+#include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+#include "Services/bramleyspand/Gateway/GatewayState.h"
+#include "Services/bramleyspand/Gateway/Peers.h"
+#include "Services/bramleyspand/Role.h"
+
+namespace bramleyspan::gatewayd {
+
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+
+constexpr Duration kAdjustInterval = std::chrono::milliseconds(250);
+constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
+// Callers that have not heard of the stop may connect for as long as they
+// keep the directory's answer, some of them three times as long.
+constexpr Duration kLeastDrain = std::chrono::milliseconds(3500);
+constexpr Duration kQuietBeforeStop = std::chrono::milliseconds(700);
+// What is left of the stop bound when all that still runs is ended.
+constexpr Duration kStopReserve = std::chrono::milliseconds(400);
+constexpr Duration kStatusInterval = std::chrono::seconds(5);
+constexpr size_t kMostAddresses = 64;
+
+class GatewayRole : public Role {
+ public:
+  GatewayRole(EventLoop& loop, const Settings& settings)
+      : state(loop, settings), peers(this->state) {}
+
+  Result<void> Start() {
+    const FleetSettings& fleet = this->state.fleet();
+    const auto make = TRY(
+        PluginRegistry<gateway::MakeAdapter>::Instance().Find(fleet.adapter));
+    this->state.adapter = make();
+    this->state.incarnation = RandomBits();
+    this->state.members.own_name = this->state.settings.name;
+    this->state.repeats.settings = {.ratio = fleet.repeat_ratio,
+                                    .slack = fleet.repeat_slack,
+                                    .window = fleet.repeat_window};
+    this->state.store =
+        this->state.adapter.open_store(this->state.loop, fleet.store);
+    StartFeeds(
+        this->state,
+        [this](const gateway::RouteTable& table) { this->HandleTable(table); },
+        [this] { this->HandleTargets(); });
+    TRY(this->peers.Start());
+    this->callers = TRY(this->Serve(*fleet.callers, HandleCaller));
+    this->directory = TRY(this->Serve(fleet.directory, HandleDirectory));
+    this->readiness = TRY(this->Serve(fleet.readiness, HandleReadiness));
+    const std::string& ip = this->state.settings.ip;
+    this->internal =
+        TRY(this->Serve(Address{ip, fleet.peer_port}, HandleInternal));
+    this->metrics =
+        TRY(this->Serve(Address{ip, fleet.metrics_port}, HandleMetrics));
+    this->AdjustForever();
+    this->TellStatusForever();
+    return Succeed();
+  }
+
+  void StartDrain() override {
+    if (std::exchange(this->state.is_draining, true)) {
+      return;
+    }
+    this->drain_began = EventLoop::Now();
+    Log(LogLevel::kInfo, "drain", "drain_started",
+        {{"open", std::to_string(this->state.open.size())}});
+    this->callers->StartDrain();
+    this->directory->StartDrain();
+    this->peers.TellNow();
+    this->StopWhenIdle();
+  }
+
+ private:
+  using Handler = void (*)(GatewayRole& role,
+                           http::IngressRequest request,
+                           const std::shared_ptr<http::IngressExchange>&);
+
+  Result<std::unique_ptr<http::Ingress>> Serve(
+      const std::optional<Address>& address,
+      Handler handler) {
+    if (!address) {
+      return std::unique_ptr<http::Ingress>();
+    }
+    return http::Ingress::Listen(
+        this->state.loop, *address, {},
+        [this, handler](
+            http::IngressRequest request,
+            const std::shared_ptr<http::IngressExchange>& exchange) {
+          handler(*this, std::move(request), exchange);
+        });
+  }
+
+  static void HandleCaller(
+      GatewayRole& role,
+      http::IngressRequest request,
+      const std::shared_ptr<http::IngressExchange>& exchange) {
+    gatewayd::HandleCaller(role.state, std::move(request), exchange);
+  }
+
+  static void HandleReadiness(
+      GatewayRole& role,
+      http::IngressRequest request,
+      const std::shared_ptr<http::IngressExchange>& exchange) {
+    const bool is_known = request.path == role.state.adapter.readiness_path;
+    exchange->Respond(!is_known ? 404 : role.is_ready() ? 200 : 503, {}, "");
+  }
+
+  static void HandleDirectory(
+      GatewayRole& role,
+      http::IngressRequest request,
+      const std::shared_ptr<http::IngressExchange>& exchange) {
+    if (request.path != role.state.adapter.directory_path) {
+      exchange->Respond(404, {}, "");
+      return;
+    }
+    const std::vector<std::string> addresses = role.AddressesForCallers();
+    if (addresses.empty()) {
+      exchange->Respond(503, {{"retry-after", "0.5"}}, "");
+      return;
+    }
+    exchange->Respond(200, {{"content-type", "application/json"}},
+                      role.state.adapter.write_directory(
+                          addresses, role.state.fleet().directory_lifetime));
+  }
+
+  static void HandleInternal(
+      GatewayRole& role,
+      http::IngressRequest request,
+      const std::shared_ptr<http::IngressExchange>& exchange) {
+    if (request.path == "/v1/news") {
+      exchange->Respond(
+          200, {{"content-type", "application/msgpack"}},
+          role.peers.SerializeNews(NumberIn(request.query, "table"),
+                                   NumberIn(request.query, "targets")));
+    } else if (request.path == "/v1/dump") {
+      exchange->Respond(200, {{"content-type", "application/json"}},
+                        role.Dump().dump(2) + "\n");
+    } else {
+      exchange->Respond(404, {}, "");
+    }
+  }
+
+  static void HandleMetrics(
+      GatewayRole& role,
+      http::IngressRequest request,
+      const std::shared_ptr<http::IngressExchange>& exchange) {
+    if (request.path != "/metrics") {
+      exchange->Respond(404, {}, "");
+      return;
+    }
+    role.UpdateGauges();
+    exchange->Respond(200, {{"content-type", "text/plain; version=0.0.4"}},
+                      telemetry::SerializeMetrics());
+  }
+
+  static uint64_t NumberIn(std::string_view query, std::string_view name) {
+    return std::strtoull(http::FindQueryValue(query, name).c_str(), nullptr,
+                         10);
+  }
+
+  bool is_ready() const {
+    return this->state.table != nullptr && !this->state.is_draining;
+  }
+
+  // Callers keep an answer and exclude what fails them, so that naming an
+  // entry that may be gone is better than naming nobody.
+  std::vector<std::string> AddressesForCallers() const {
+    const TimePoint now = EventLoop::Now();
+    std::vector<std::string> addresses;
+    if (this->is_ready()) {
+      addresses.push_back(Format(*this->state.fleet().callers));
+    }
+    for (const auto* known :
+         membership::LiveEntries(this->state.members, now)) {
+      if (addresses.size() < kMostAddresses) {
+        addresses.push_back(known->member.caller_address);
+      }
+    }
+    if (!addresses.empty()) {
+      return addresses;
+    }
+    for (const auto& [name, known] : this->state.members.known) {
+      if (known.member.is_entry && !known.member.is_leaving &&
+          addresses.size() < kMostAddresses) {
+        addresses.push_back(known.member.caller_address);
+      }
+    }
+    if (addresses.empty() && this->state.table != nullptr) {
+      addresses.push_back(Format(*this->state.fleet().callers));
+    }
+    return addresses;
+  }
+
+  void HandleTable(const gateway::RouteTable& table) {
+    const gateway::CallerLimits& bounds = table.limits;
+    this->callers->SetLimits({.largest_head = bounds.header_bytes,
+                              .largest_body = bounds.body_bytes,
+                              .head_timeout = bounds.header_timeout,
+                              .idle_timeout = bounds.idle_timeout});
+    this->peers.TellNow();
+  }
+
+  void HandleTargets() { this->peers.TellNow(); }
+
+  void AdjustForever() {
+    if (this->state.table != nullptr) {
+      for (const auto& [name, service] : this->state.table->services) {
+        if (service.engine) {
+          gateway::AdjustLimits(this->state.places, this->state.targets,
+                                service, this->ShortestPause(name));
+        }
+      }
+    }
+    ServeWaiting(this->state);
+    this->state.loop.RunAfter(kAdjustInterval,
+                              [this] { this->AdjustForever(); });
+  }
+
+  // The strictest pause that a route of the service allows.
+  Duration ShortestPause(const std::string& service) const {
+    constexpr Duration kUsual = std::chrono::milliseconds(120);
+    Duration shortest = Duration::max();
+    for (const auto& [host, routes] : this->state.table->hosts) {
+      for (const auto& route : routes) {
+        const bool is_its = route->split.front().service == service;
+        if (is_its && route->longest_pause > Duration(0)) {
+          shortest = std::min(shortest, route->longest_pause);
+        }
+      }
+    }
+    return shortest == Duration::max() ? kUsual : shortest;
+  }
+
+  void StopWhenIdle() {
+    const TimePoint now = EventLoop::Now();
+    const Duration since = now - this->drain_began;
+    const bool is_idle = this->state.open.empty() &&
+                         now - this->state.last_request > kQuietBeforeStop;
+    const bool is_over = since > this->state.fleet().stop_bound - kStopReserve;
+    if ((is_idle && since > kLeastDrain) || is_over) {
+      Log(LogLevel::kInfo, "drain", "drain_ended",
+          {{"open", std::to_string(this->state.open.size())}});
+      this->state.loop.Stop();
+      return;
+    }
+    this->state.loop.RunAfter(kDrainCheckInterval,
+                              [this] { this->StopWhenIdle(); });
+  }
+
+  void UpdateGauges() const {
+    const TimePoint now = EventLoop::Now();
+    telemetry::SetGauge(kWaiting, {},
+                        static_cast<double>(this->state.waiting.size()));
+    telemetry::SetGauge(
+        kLiveGateways, {},
+        static_cast<double>(SharingOf(this->state, now).gateways));
+    telemetry::SetGauge(kTableVersion, {},
+                        this->state.table == nullptr
+                            ? 0
+                            : static_cast<double>(this->state.table->version));
+    for (const auto& [name, feed] :
+         {std::pair("table", this->state.table_feed.get()),
+          std::pair("targets", this->state.targets_feed.get())}) {
+      telemetry::SetGauge(
+          kFeedAge, {{"feed", name}},
+          std::chrono::duration<double>(feed->age(now)).count());
+    }
+    for (const auto& [name, group] : this->state.places.groups) {
+      telemetry::SetGauge(kGroupLimit, {{"group", name}}, group.limit);
+    }
+  }
+
+  nlohmann::json Dump() const {
+    const TimePoint now = EventLoop::Now();
+    nlohmann::json dump = {
+        {"process", this->state.settings.name},
+        {"role", "gateway"},
+        {"incarnation", this->state.incarnation},
+        {"is_draining", this->state.is_draining},
+        {"table_version",
+         this->state.table == nullptr ? 0 : this->state.table->version},
+        {"table_age_ms", this->state.table_feed->age(now).count() / 1000},
+        {"targets_revision", this->state.targets_feed->newest_revision()},
+        {"targets_age_ms", this->state.targets_feed->age(now).count() / 1000},
+        {"open", this->state.open.size()},
+        {"waiting", this->state.waiting.size()}};
+    for (const auto& [id, view] : this->state.targets.by_id) {
+      dump["targets"][id] = {{"service", view.target.service},
+                             {"address", Format(view.target.address)},
+                             {"is_leaving", view.target.is_leaving},
+                             {"open", view.open},
+                             {"open_elsewhere", view.open_elsewhere},
+                             {"failures", gateway::FailureScore(view, now)},
+                             {"group", gateway::GroupOf(view)}};
+    }
+    for (const auto& [name, group] : this->state.places.groups) {
+      dump["groups"][name] = {
+          {"limit", group.limit},
+          {"usual_pause_ms", group.usual_pause.count() / 1000}};
+    }
+    for (const auto& [name, known] : this->state.members.known) {
+      dump["members"][name] = {{"ip", known.member.ip},
+                               {"is_ready", known.member.is_ready},
+                               {"is_leaving", known.member.is_leaving},
+                               {"table_version", known.member.table_version},
+                               {"age_ms", (now - known.heard).count() / 1000}};
+    }
+    return dump;
+  }
+
+  void TellStatusForever() {
+    const TimePoint now = EventLoop::Now();
+    nlohmann::json groups;
+    for (const auto& [name, group] : this->state.places.groups) {
+      groups[name] = {static_cast<int>(group.limit),
+                      group.usual_pause.count() / 1000};
+    }
+    Log(LogLevel::kInfo, "main", "status",
+        {{"open", std::to_string(this->state.open.size())},
+         {"waiting", std::to_string(this->state.waiting.size())},
+         {"gateways", std::to_string(SharingOf(this->state, now).gateways)},
+         {"groups", groups.dump()}});
+    this->state.loop.RunAfter(kStatusInterval,
+                              [this] { this->TellStatusForever(); });
+  }
+
+  GatewayState state;
+  Peers peers;
+  std::unique_ptr<http::Ingress> callers;
+  std::unique_ptr<http::Ingress> directory;
+  std::unique_ptr<http::Ingress> readiness;
+  std::unique_ptr<http::Ingress> internal;
+  std::unique_ptr<http::Ingress> metrics;
+  TimePoint drain_began;
+};
+
+Result<std::unique_ptr<Role>> StartGateway(EventLoop& loop,
+                                           const Settings& settings) {
+  auto role = std::make_unique<GatewayRole>(loop, settings);
+  TRY(role->Start());
+  return std::unique_ptr<Role>(std::move(role));
+}
+
+const PluginRegistration<StartRole> kRegistration("gateway", StartGateway);
+
+}  // namespace
+
+}  // namespace bramleyspan::gatewayd
--- /dev/null
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -0,0 +1,48 @@
+// What a gateway tells the other processes of the system and hears of them.
+#pragma once
+
+#include <memory>
+
+#include "Kernel/Datagrams.h"
+#include "Services/bramleyspand/Gateway/GatewayState.h"
+
+namespace bramleyspan::gatewayd {
+
+class Peers {
+ public:
+  explicit Peers(GatewayState& state) : state(state) {}
+
+  // Fails with kConnectionFailed if the port is taken.
+  Result<void> Start();
+
+  // Tells the others now: something changed that they should not wait for.
+  void TellNow();
+
+  // What a peer fetches that has heard of something newer.
+  std::string SerializeNews(uint64_t table_version,
+                            uint64_t targets_revision) const;
+
+ private:
+  void Tick();
+  void Tell();
+  membership::wire::MemberT DescribeSelf();
+  void HandleDatagram(const std::string& from_ip, std::string_view bytes);
+  void HandleMember(const membership::wire::MemberT& member, bool is_direct);
+  void UpdateLoads();
+  void FetchIfBehind(const membership::wire::MemberT& member);
+  void HandleNews(const std::string& text);
+  void ReadStoredMembers();
+  void KeepRecord();
+  void PutRecord();
+
+  GatewayState& state;
+  std::unique_ptr<Datagrams> datagrams;
+  uint64_t counter = 0;
+  uint64_t turn = 0;
+  uint64_t lease = 0;
+  bool is_fetching = false;
+  bool is_keeping = false;
+  TimePoint last_fetch;
+};
+
+}  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -1,6 +1,7 @@
 #include "Services/bramleyspand/Settings.h"
 
 #include <charconv>
+#include <sstream>
 
 namespace bramleyspan {
 
@@ -79,6 +80,92 @@
   return given.text;
 }
 
+Result<double> RequireNumber(const SettingLookup& lookup,
+                             const std::string& name) {
+  const SettingText given = lookup(name);
+  const char* end = given.text.data() + given.text.size();
+  double value = 0;
+  const auto [stop, failure] = std::from_chars(given.text.data(), end, value);
+  if (failure != std::errc{} || stop != end || value < 0) {
+    return FailFor(name, given, "a number from 0");
+  }
+  return value;
+}
+
+Result<std::optional<Address>> FindAddress(const SettingLookup& lookup,
+                                           const std::string& name) {
+  if (lookup(name).text.empty()) {
+    return std::optional<Address>();
+  }
+  const Address address = TRY(RequireAddress(lookup, name));
+  return std::optional<Address>(address);
+}
+
+// Parses "10.0.0.1:80,10.0.0.2:80" into IP numbers.
+Result<std::vector<std::string>> FindSeeds(const SettingLookup& lookup) {
+  const SettingText given = lookup("seeds");
+  std::vector<std::string> seeds;
+  std::istringstream words(given.text);
+  for (std::string word; std::getline(words, word, ',');) {
+    const auto address = ParseAddress(word);
+    if (address.has_error()) {
+      return FailFor("seeds", given, "IP:PORT, separated by commas");
+    }
+    seeds.push_back(address.value().ip);
+  }
+  return seeds;
+}
+
+// Parses the first of "7340,7355".
+Result<uint16_t> RequireFirstPort(const SettingLookup& lookup,
+                                  const std::string& name) {
+  const SettingText given = lookup(name);
+  return RequirePort(
+      [&given](const std::string&) {
+        return SettingText{given.text.substr(0, given.text.find(',')),
+                           given.source};
+      },
+      name);
+}
+
+Result<FleetSettings> ParseFleetSettings(const SettingLookup& lookup,
+                                         const std::string& role) {
+  FleetSettings fleet;
+  fleet.adapter = TRY(RequireText(lookup, "adapter"));
+  fleet.store = TRY(RequireAddress(lookup, "store"));
+  fleet.callers = TRY(FindAddress(lookup, "callers"));
+  fleet.directory = TRY(FindAddress(lookup, "directory"));
+  fleet.readiness = TRY(FindAddress(lookup, "readiness"));
+  fleet.peer_port = TRY(RequireFirstPort(lookup, "peer-ports"));
+  fleet.metrics_port = TRY(RequirePort(lookup, "metrics-port"));
+  fleet.seeds = TRY(FindSeeds(lookup));
+  fleet.engine = TRY(FindAddress(lookup, "engine"));
+  fleet.repeat_ratio = TRY(RequireNumber(lookup, "repeat-ratio"));
+  fleet.repeat_slack = TRY(RequireNumber(lookup, "repeat-slack"));
+  fleet.repeat_window = TRY(RequireSeconds(lookup, "repeat-window-seconds"));
+  fleet.directory_lifetime = std::chrono::duration_cast<std::chrono::seconds>(
+      TRY(RequireSeconds(lookup, "directory-lifetime-seconds")));
+  fleet.stop_bound = TRY(RequireSeconds(lookup, "stop-bound-seconds"));
+  if (role == "gateway" && !fleet.callers) {
+    return FailFor("callers", lookup("callers"), "IP:PORT");
+  }
+  if (role == "rank" && !fleet.engine) {
+    return FailFor("engine", lookup("engine"), "IP:PORT of the model server");
+  }
+  return fleet;
+}
+
+Result<telemetry::LogFilter> RequireLogFilter(const SettingLookup& lookup) {
+  const SettingText level = lookup("log-level");
+  auto filter = telemetry::ParseLogFilter(level.text);
+  if (filter.has_error()) {
+    return FailFor("log-level", level,
+                   "debug, info, warning or error, then MODULE=LEVEL, all "
+                   "separated by commas");
+  }
+  return filter;
+}
+
 }  // namespace
 
 Result<Settings> ParseSettings(const SettingLookup& lookup) {
@@ -87,12 +174,17 @@
   settings.name = TRY(RequireName(lookup));
   settings.zone = TRY(RequireText(lookup, "zone"));
   settings.ip = TRY(RequireText(lookup, "ip"));
-  settings.caller_port = TRY(RequirePort(lookup, "caller-port"));
-  settings.link_port = TRY(RequirePort(lookup, "link-port"));
   const SettingText own_ip = lookup("ip");
   if (ParseAddress(settings.ip + ":1").has_error()) {
     return FailFor("ip", own_ip, "an IPv4 number");
   }
+  settings.log_filter = TRY(RequireLogFilter(lookup));
+  if (settings.role == "gateway" || settings.role == "rank") {
+    settings.fleet = TRY(ParseFleetSettings(lookup, settings.role));
+    return settings;
+  }
+  settings.caller_port = TRY(RequirePort(lookup, "caller-port"));
+  settings.link_port = TRY(RequirePort(lookup, "link-port"));
   settings.key_value_service = TRY(RequireAddress(lookup, "key-value-service"));
   settings.vm_list = TRY(RequireAddress(lookup, "vm-list"));
   if (!lookup("target").text.empty()) {
@@ -105,14 +197,6 @@
   settings.operator_key_sha256 =
       TRY(RequireText(lookup, "operator-key-sha256"));
   settings.drain_bound = TRY(RequireSeconds(lookup, "drain-bound-seconds"));
-  const SettingText level = lookup("log-level");
-  auto filter = telemetry::ParseLogFilter(level.text);
-  if (filter.has_error()) {
-    return FailFor("log-level", level,
-                   "debug, info, warning or error, then MODULE=LEVEL, all "
-                   "separated by commas");
-  }
-  settings.log_filter = std::move(filter).assume_value();
   return settings;
 }
 
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "Kernel/Address.h"
 #include "Kernel/Result.h"
@@ -12,6 +13,32 @@
 
 namespace bramleyspan {
 
+// Settings of the roles on a platform with a store: gateway and rank.
+struct FleetSettings {
+  // The platform's adapter.
+  std::string adapter;
+  Address store;
+  // Where a gateway serves callers, the directory and its readiness.
+  std::optional<Address> callers;
+  std::optional<Address> directory;
+  std::optional<Address> readiness;
+  // The port for the system's own processes; the same on all VMs.
+  uint16_t peer_port = 0;
+  uint16_t metrics_port = 0;
+  // IP numbers of processes that may be up.
+  std::vector<std::string> seeds;
+  // The model server beside a rank's agent.
+  std::optional<Address> engine;
+  // Repeats that all gateways together may send in any window.
+  double repeat_ratio = 0;
+  double repeat_slack = 0;
+  Duration repeat_window{};
+  // How long callers may use the directory's answer.
+  std::chrono::seconds directory_lifetime{1};
+  // The platform kills a stopping process after this time.
+  Duration stop_bound{};
+};
+
 // Checked settings of one process.
 struct Settings {
   std::string role;
@@ -31,6 +58,8 @@
   // The digest of the key that operators show.
   std::string operator_key_sha256;
   telemetry::LogFilter log_filter;
+  // Given for the roles gateway and rank only.
+  std::optional<FleetSettings> fleet;
 };
 
 // The raw text of a setting and where it came from.
