--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -1,13 +1,18 @@
 #include "Services/bramleyspand/Flags.h"
 
 #include <absl/flags/flag.h>
+#include <absl/flags/reflection.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <array>
 #include <cctype>
 #include <cstdlib>
+#include <fstream>
+#include <sstream>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "Kernel/Plugin.h"
 
@@ -172,6 +177,21 @@
       [&](const SettingRow& row) { return VariableOf(row.name) == variable; });
 }
 
+// The flag of "--link_port"; null if it is none.
+absl::Flag<std::string>* FindFlag(std::string word) {
+  if (!word.starts_with("--")) {
+    return nullptr;
+  }
+  word.erase(0, 2);
+  std::replace(word.begin(), word.end(), '_', '-');
+  for (const SettingRow& row : SettingRows()) {
+    if (row.name == word) {
+      return row.flag;
+    }
+  }
+  return nullptr;
+}
+
 }  // namespace
 
 SettingText LookupFlagOrEnvironment(const std::string& name) {
@@ -205,6 +225,37 @@
   return Succeed();
 }
 
+std::string FlagFiles() {
+  const absl::CommandLineFlag* flag = absl::FindCommandLineFlag("flagfile");
+  return flag == nullptr ? "" : flag->CurrentValue();
+}
+
+Result<void> ReloadFlagFiles() {
+  std::vector<std::pair<absl::Flag<std::string>*, std::string>> changes;
+  std::istringstream paths(FlagFiles());
+  for (std::string path; std::getline(paths, path, ',');) {
+    std::ifstream file(path);
+    if (!file) {
+      return Fail(ErrorCode::kInvalidSetting, path, "cannot be read");
+    }
+    for (std::string line; std::getline(file, line);) {
+      if (line.empty() || line.starts_with('#')) {
+        continue;
+      }
+      const size_t equals = line.find('=');
+      absl::Flag<std::string>* flag = FindFlag(line.substr(0, equals));
+      if (flag == nullptr || equals == std::string::npos) {
+        return Fail(ErrorCode::kInvalidSetting, line, "no setting of ours");
+      }
+      changes.emplace_back(flag, line.substr(equals + 1));
+    }
+  }
+  for (const auto& [flag, value] : changes) {
+    absl::SetFlag(flag, value);
+  }
+  return Succeed();
+}
+
 std::string UsageMessage() {
   std::string text =
       "bramleyspand: the daemon of bramleyspan.\n"
--- a/Services/bramleyspand/Flags.h
+++ b/Services/bramleyspand/Flags.h
@@ -16,6 +16,14 @@
 // that is no setting: a misspelt one would silently leave its default.
 Result<void> RefuseUnknownVariables();
 
+// Reads the files of --flagfile again. Lines are --name=value; a line that is
+// no setting of ours fails with kInvalidSetting and changes nothing, where the
+// command line's own parser would end the process.
+Result<void> ReloadFlagFiles();
+
+// The files of --flagfile, separated by commas.
+std::string FlagFiles();
+
 // The usage text of --help.
 std::string UsageMessage();
 
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -78,6 +78,17 @@
     this->StopWhenIdle();
   }
 
+  void HandleSettings(const Settings& settings) override {
+    const FleetSettings& fleet = *settings.fleet;
+    FleetSettings& own = *this->state.settings.fleet;
+    own.seeds = fleet.seeds;
+    own.directory_lifetime = fleet.directory_lifetime;
+    own.stop_bound = fleet.stop_bound;
+    this->state.repeats.settings = {.ratio = fleet.repeat_ratio,
+                                    .slack = fleet.repeat_slack,
+                                    .window = fleet.repeat_window};
+  }
+
  private:
   using Handler = void (*)(GatewayRole& role,
                            http::IngressRequest request,
--- a/Services/bramleyspand/Main.cc
+++ b/Services/bramleyspand/Main.cc
@@ -1,8 +1,10 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <sys/stat.h>
 
 #include <iostream>
+#include <sstream>
 
 #include "Services/bramleyspand/Flags.h"
 #include "Services/bramleyspand/Role.h"
@@ -26,6 +28,52 @@
   return settings;
 }
 
+// Takes the settings anew. Wrong ones change nothing: a process that serves is
+// worth more than one that stops over a mistake in a file.
+void Reload(Role& role) {
+  const Result<void> read = ReloadFlagFiles();
+  if (read.has_error()) {
+    telemetry::Log(telemetry::LogLevel::kError, "main", "reload_refused",
+                   {{"error", Describe(read.error())}});
+    return;
+  }
+  const auto settings = ReadSettings();
+  if (settings.has_error()) {
+    telemetry::Log(telemetry::LogLevel::kError, "main", "reload_refused",
+                   {{"error", Describe(settings.error())}});
+    return;
+  }
+  role.HandleSettings(settings.value());
+  telemetry::Log(telemetry::LogLevel::kInfo, "main", "reloaded");
+}
+
+// When the settings' files were last written.
+std::string StampOfFiles() {
+  std::string stamp;
+  std::istringstream paths(FlagFiles());
+  for (std::string path; std::getline(paths, path, ',');) {
+    struct stat status {};
+    if (stat(path.c_str(), &status) == 0) {
+      stamp += std::to_string(status.st_mtim.tv_sec) + "." +
+               std::to_string(status.st_mtim.tv_nsec) + "," +
+               std::to_string(status.st_size) + ";";
+    }
+  }
+  return stamp;
+}
+
+// A file may also change without a signal.
+void WatchFiles(EventLoop& loop, Role& role, const std::string& seen) {
+  constexpr Duration kFileCheckInterval = std::chrono::seconds(2);
+  loop.RunAfter(kFileCheckInterval, [&loop, &role, seen] {
+    const std::string stamp = StampOfFiles();
+    if (stamp != seen) {
+      Reload(role);
+    }
+    WatchFiles(loop, role, stamp);
+  });
+}
+
 int Run(const Settings& settings) {
   const auto start = PluginRegistry<StartRole>::Instance().Find(settings.role);
   telemetry::StartLog(settings.name, settings.log_filter);
@@ -36,6 +84,8 @@
     return kExitFailedStart;
   }
   loop.OnStopSignal([&role] { role.value()->StartDrain(); });
+  loop.OnReloadSignal([&role] { Reload(*role.value()); });
+  WatchFiles(loop, *role.value(), StampOfFiles());
   telemetry::Log(telemetry::LogLevel::kInfo, "main", "started",
                  {{"role", settings.role}, {"zone", settings.zone}});
   loop.Run();
--- a/Services/bramleyspand/Role.h
+++ b/Services/bramleyspand/Role.h
@@ -17,6 +17,10 @@
   // Starts a planned stop: nothing new is taken, what is in flight ends, then
   // the loop is stopped.
   virtual void StartDrain() = 0;
+
+  // Takes settings that have changed. Addresses and names hold until the next
+  // start.
+  virtual void HandleSettings(const Settings& /*settings*/) {}
 };
 
 // Starts a role on the loop. Fails if an address cannot be bound.
