--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -13,6 +13,40 @@
 
 }  // namespace
 
+KeptChannels::~KeptChannels() {
+  for (auto& [target, kept] : this->idle) {
+    h2o_socket_close(kept->socket);
+  }
+}
+
+h2o_socket_t* KeptChannels::Take(const Address& target) {
+  const auto found = this->idle.find(target);
+  if (found == this->idle.end()) {
+    return nullptr;
+  }
+  h2o_socket_t* socket = found->second->socket;
+  h2o_socket_read_stop(socket);
+  this->idle.erase(found);
+  return socket;
+}
+
+void KeptChannels::Keep(const Address& target, h2o_socket_t* socket) {
+  auto kept = std::make_unique<Idle>(Idle{this, target, socket});
+  socket->data = kept.get();
+  this->idle.emplace(target, std::move(kept));
+  // Whatever comes now, an end or bytes of no request, ends the connection.
+  h2o_socket_read_start(socket, [](h2o_socket_t* source, const char*) {
+    auto* idle = static_cast<Idle*>(source->data);
+    idle->owner->Drop(idle);
+  });
+}
+
+void KeptChannels::Drop(Idle* idle) {
+  h2o_socket_close(idle->socket);
+  std::erase_if(this->idle,
+                [idle](const auto& item) { return item.second.get() == idle; });
+}
+
 std::string_view NameOf(CallEnd end) {
   switch (end) {
     case CallEnd::kWhole:
@@ -71,7 +105,8 @@
     bytes +=
         "content-length: " + std::to_string(this->request.body.size()) + "\r\n";
   }
-  bytes += "connection: close\r\n\r\n";
+  bytes +=
+      this->request.channels == nullptr ? "connection: close\r\n\r\n" : "\r\n";
   return bytes + this->request.body;
 }
 
@@ -87,6 +122,14 @@
     auto keep_until_return = this->shared_from_this();
     this->End(this->is_connected ? CallEnd::kTimeout : CallEnd::kNotSent);
   });
+  if (this->request.channels != nullptr) {
+    this->socket = this->request.channels->Take(this->request.target);
+    if (this->socket != nullptr) {
+      this->socket->data = this;
+      this->HandleConnected(nullptr);
+      return;
+    }
+  }
   sockaddr_in target = ToSocketAddress(this->request.target);
   this->socket = h2o_socket_connect(
       this->loop.raw(), reinterpret_cast<sockaddr*>(&target), sizeof target,
@@ -177,6 +220,7 @@
       return;
     }
     this->has_head = true;
+    this->is_kept_open = is_kept(head.headers, head.minor_version);
     this->reader = BodyReader(shape.value());
     if (this->events.on_head) {
       this->events.on_head(head, shape.value().framing);
@@ -222,6 +266,15 @@
     return;
   }
   auto on_end = std::move(this->events.on_end);
+  const bool may_keep = end == CallEnd::kWhole && this->is_kept_open &&
+                        this->input.empty() &&
+                        this->request.channels != nullptr &&
+                        h2o_socket_is_writing(this->socket) == 0;
+  if (may_keep) {
+    h2o_socket_read_stop(this->socket);
+    this->request.channels->Keep(this->request.target,
+                                 std::exchange(this->socket, nullptr));
+  }
   this->Release();
   if (on_end) {
     on_end(end);
--- a/Libraries/LibHTTP/DirectCall.h
+++ b/Libraries/LibHTTP/DirectCall.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -14,6 +15,32 @@
 
 namespace bramleyspan::http {
 
+// Connections that were left open after a whole answer. Only for requests that
+// may be repeated, to a server that is trusted to answer one for one.
+class KeptChannels {
+ public:
+  KeptChannels() = default;
+  ~KeptChannels();
+  KeptChannels(const KeptChannels&) = delete;
+  KeptChannels& operator=(const KeptChannels&) = delete;
+
+  // An open connection; null if there is none.
+  h2o_socket_t* Take(const Address& target);
+
+  // Keeps a connection that carries nothing.
+  void Keep(const Address& target, h2o_socket_t* socket);
+
+ private:
+  struct Idle {
+    KeptChannels* owner;
+    Address target;
+    h2o_socket_t* socket;
+  };
+  void Drop(Idle* idle);
+
+  std::multimap<Address, std::unique_ptr<Idle>> idle;
+};
+
 struct DirectRequest {
   Address target;
   std::string method = "GET";
@@ -25,6 +52,8 @@
   Duration connect_timeout = std::chrono::milliseconds(500);
   // From the start to the answer's end.
   Duration timeout = std::chrono::seconds(5);
+  // Where a kept connection may be found and left; null for a fresh one.
+  KeptChannels* channels = nullptr;
 };
 
 // How a call ended.
@@ -90,6 +119,7 @@
   std::string input;
   bool is_connected = false;
   bool has_head = false;
+  bool is_kept_open = false;
   bool is_ended = false;
   BodyReader reader;
   TimerId timer = 0;
--- /dev/null
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -0,0 +1,78 @@
+// The switch of a group from one expert map to the next, as the agent beside
+// rank 0 leads it. In every pass all ranks use one map:
+//
+//   prepare  all ranks copy the new map's experts
+//   hold     rank 0 keeps the group from beginning pass S
+//   arm      every rank is to switch as pass S begins
+//   go       once every rank reports that it is armed for S
+//
+// Passes never begin S before all are armed, so that an order that is lost or
+// late makes the group wait and never splits it. From the hold on there is
+// only the way forward: nothing is ever disarmed, since an arm that was sent
+// may still arrive, and whoever finds a held group, a restarted agent too, can
+// finish what was begun from the reports alone. The lead needs no lease: only
+// one process runs beside rank 0, and orders of the one before are refused by
+// their expected sequence or are the same orders again.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Kernel/Time.h"
+#include "LibMapSwitch/Rank.h"
+
+namespace bramleyspan::mapswitch {
+
+enum class SwitchPhase { kIdle, kPreparing, kHolding, kArming, kReleasing };
+
+std::string_view NameOf(SwitchPhase phase);
+
+// What every rank is to do.
+struct Wish {
+  uint64_t epoch = 0;
+  Version version = 0;
+  ExpertLists map;
+  // 0 as long as the map is only to be prepared.
+  Step arm_step = 0;
+};
+
+// What is known of a rank, and when its agent said so.
+struct HeardStatus {
+  RankStatus status;
+  TimePoint heard;
+};
+
+struct MapSwitch {
+  SwitchPhase phase = SwitchPhase::kIdle;
+  Wish wish;
+  // By rank; the own rank is 0.
+  std::vector<std::optional<HeardStatus>> ranks;
+  TimePoint since;
+  // Whether a hold may be on its way; from then on nothing is given up.
+  bool is_hold_sent = false;
+  // The newest version that was ever wished or seen.
+  Version newest = 0;
+  // Names a failed switch in the log.
+  std::string last_failure;
+};
+
+// Takes what a rank reports. Returns whether the group was formed anew.
+bool HandleStatus(MapSwitch& map_switch,
+                  const RankStatus& status,
+                  TimePoint now);
+
+// Whether all ranks of an open group are heard and no switch is under way.
+bool is_ready_for_map(const MapSwitch& map_switch, TimePoint now);
+
+// Starts a switch to `map`; is_ready_for_map must hold.
+void StartSwitch(MapSwitch& map_switch, ExpertLists map, TimePoint now);
+
+// Goes on. Gives the order for the own rank, if there is one now.
+std::optional<Order> Continue(MapSwitch& map_switch, TimePoint now);
+
+// The next order of a rank's agent under its owner's wish, as its own server
+// reports its state.
+std::optional<Order> NextOrder(const Wish& wish, const RankStatus& own);
+
+}  // namespace bramleyspan::mapswitch
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -21,9 +21,9 @@
 struct OpenCountBuilder;
 struct OpenCountT;
 
-struct RankReport;
-struct RankReportBuilder;
-struct RankReportT;
+struct RankStatus;
+struct RankStatusBuilder;
+struct RankStatusT;
 
 struct Member;
 struct MemberBuilder;
@@ -33,9 +33,13 @@
 struct HeartbeatBuilder;
 struct HeartbeatT;
 
-struct ExpertCounts;
-struct ExpertCountsBuilder;
-struct ExpertCountsT;
+struct RankNews;
+struct RankNewsBuilder;
+struct RankNewsT;
+
+struct MapWish;
+struct MapWishBuilder;
+struct MapWishT;
 
 struct Message;
 struct MessageBuilder;
@@ -44,32 +48,35 @@
 enum class Body : uint8_t {
   NONE = 0,
   Heartbeat = 1,
-  ExpertCounts = 2,
+  RankNews = 2,
+  MapWish = 3,
   MIN = NONE,
-  MAX = ExpertCounts
+  MAX = MapWish
 };
 
-inline const Body (&EnumValuesBody())[3] {
+inline const Body (&EnumValuesBody())[4] {
   static const Body values[] = {
     Body::NONE,
     Body::Heartbeat,
-    Body::ExpertCounts
+    Body::RankNews,
+    Body::MapWish
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[4] = {
+  static const char * const names[5] = {
     "NONE",
     "Heartbeat",
-    "ExpertCounts",
+    "RankNews",
+    "MapWish",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::ExpertCounts)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::MapWish)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -82,8 +89,12 @@
   static const Body enum_value = Body::Heartbeat;
 };
 
-template<> struct BodyTraits<bramleyspan::membership::wire::ExpertCounts> {
-  static const Body enum_value = Body::ExpertCounts;
+template<> struct BodyTraits<bramleyspan::membership::wire::RankNews> {
+  static const Body enum_value = Body::RankNews;
+};
+
+template<> struct BodyTraits<bramleyspan::membership::wire::MapWish> {
+  static const Body enum_value = Body::MapWish;
 };
 
 template<typename T> struct BodyUnionTraits {
@@ -94,8 +105,12 @@
   static const Body enum_value = Body::Heartbeat;
 };
 
-template<> struct BodyUnionTraits<bramleyspan::membership::wire::ExpertCountsT> {
-  static const Body enum_value = Body::ExpertCounts;
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::RankNewsT> {
+  static const Body enum_value = Body::RankNews;
+};
+
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::MapWishT> {
+  static const Body enum_value = Body::MapWish;
 };
 
 struct BodyUnion {
@@ -136,13 +151,21 @@
     return type == Body::Heartbeat ?
       reinterpret_cast<const bramleyspan::membership::wire::HeartbeatT *>(value) : nullptr;
   }
-  bramleyspan::membership::wire::ExpertCountsT *AsExpertCounts() {
-    return type == Body::ExpertCounts ?
-      reinterpret_cast<bramleyspan::membership::wire::ExpertCountsT *>(value) : nullptr;
+  bramleyspan::membership::wire::RankNewsT *AsRankNews() {
+    return type == Body::RankNews ?
+      reinterpret_cast<bramleyspan::membership::wire::RankNewsT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::RankNewsT *AsRankNews() const {
+    return type == Body::RankNews ?
+      reinterpret_cast<const bramleyspan::membership::wire::RankNewsT *>(value) : nullptr;
   }
-  const bramleyspan::membership::wire::ExpertCountsT *AsExpertCounts() const {
-    return type == Body::ExpertCounts ?
-      reinterpret_cast<const bramleyspan::membership::wire::ExpertCountsT *>(value) : nullptr;
+  bramleyspan::membership::wire::MapWishT *AsMapWish() {
+    return type == Body::MapWish ?
+      reinterpret_cast<bramleyspan::membership::wire::MapWishT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::MapWishT *AsMapWish() const {
+    return type == Body::MapWish ?
+      reinterpret_cast<const bramleyspan::membership::wire::MapWishT *>(value) : nullptr;
   }
 };
 
@@ -230,40 +253,50 @@
 
 flatbuffers::Offset<OpenCount> CreateOpenCount(flatbuffers::FlatBufferBuilder &_fbb, const OpenCountT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct RankReportT : public flatbuffers::NativeTable {
-  typedef RankReport TableType;
-  std::string target{};
+struct RankStatusT : public flatbuffers::NativeTable {
+  typedef RankStatus TableType;
+  std::string address{};
   std::string group{};
   uint64_t epoch = 0;
   uint32_t rank = 0;
   uint32_t size = 0;
   bool is_open = false;
+  bool is_busy = false;
+  uint64_t sequence = 0;
   uint32_t running = 0;
   uint32_t queued = 0;
   uint64_t step = 0;
-  uint64_t map_version = 0;
-  uint64_t pass_microseconds = 0;
+  uint64_t map = 0;
+  uint64_t prepared = 0;
+  uint64_t armed = 0;
+  uint64_t armed_step = 0;
+  uint64_t held = 0;
 };
 
-struct RankReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef RankReportT NativeTableType;
-  typedef RankReportBuilder Builder;
+struct RankStatus FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RankStatusT NativeTableType;
+  typedef RankStatusBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_TARGET = 4,
+    VT_ADDRESS = 4,
     VT_GROUP = 6,
     VT_EPOCH = 8,
     VT_RANK = 10,
     VT_SIZE = 12,
     VT_IS_OPEN = 14,
-    VT_RUNNING = 16,
-    VT_QUEUED = 18,
-    VT_STEP = 20,
-    VT_MAP_VERSION = 22,
-    VT_PASS_MICROSECONDS = 24
+    VT_IS_BUSY = 16,
+    VT_SEQUENCE = 18,
+    VT_RUNNING = 20,
+    VT_QUEUED = 22,
+    VT_STEP = 24,
+    VT_MAP = 26,
+    VT_PREPARED = 28,
+    VT_ARMED = 30,
+    VT_ARMED_STEP = 32,
+    VT_HELD = 34
   };
-  const flatbuffers::String *target() const {
-    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
   }
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -280,6 +313,12 @@
   bool is_open() const {
     return GetField<uint8_t>(VT_IS_OPEN, 0) != 0;
   }
+  bool is_busy() const {
+    return GetField<uint8_t>(VT_IS_BUSY, 0) != 0;
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
   uint32_t running() const {
     return GetField<uint32_t>(VT_RUNNING, 0);
   }
@@ -289,146 +328,195 @@
   uint64_t step() const {
     return GetField<uint64_t>(VT_STEP, 0);
   }
-  uint64_t map_version() const {
-    return GetField<uint64_t>(VT_MAP_VERSION, 0);
+  uint64_t map() const {
+    return GetField<uint64_t>(VT_MAP, 0);
   }
-  uint64_t pass_microseconds() const {
-    return GetField<uint64_t>(VT_PASS_MICROSECONDS, 0);
+  uint64_t prepared() const {
+    return GetField<uint64_t>(VT_PREPARED, 0);
+  }
+  uint64_t armed() const {
+    return GetField<uint64_t>(VT_ARMED, 0);
+  }
+  uint64_t armed_step() const {
+    return GetField<uint64_t>(VT_ARMED_STEP, 0);
+  }
+  uint64_t held() const {
+    return GetField<uint64_t>(VT_HELD, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_TARGET) &&
-           verifier.VerifyString(target()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
            VerifyOffset(verifier, VT_GROUP) &&
            verifier.VerifyString(group()) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
            VerifyField<uint32_t>(verifier, VT_RANK, 4) &&
            VerifyField<uint32_t>(verifier, VT_SIZE, 4) &&
            VerifyField<uint8_t>(verifier, VT_IS_OPEN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_BUSY, 1) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
            VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
            VerifyField<uint64_t>(verifier, VT_STEP, 8) &&
-           VerifyField<uint64_t>(verifier, VT_MAP_VERSION, 8) &&
-           VerifyField<uint64_t>(verifier, VT_PASS_MICROSECONDS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_MAP, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PREPARED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ARMED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ARMED_STEP, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HELD, 8) &&
            verifier.EndTable();
   }
-  RankReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(RankReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<RankReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  RankStatusT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RankStatusT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RankStatus> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct RankReportBuilder {
-  typedef RankReport Table;
+struct RankStatusBuilder {
+  typedef RankStatus Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
-    fbb_.AddOffset(RankReport::VT_TARGET, target);
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(RankStatus::VT_ADDRESS, address);
   }
   void add_group(flatbuffers::Offset<flatbuffers::String> group) {
-    fbb_.AddOffset(RankReport::VT_GROUP, group);
+    fbb_.AddOffset(RankStatus::VT_GROUP, group);
   }
   void add_epoch(uint64_t epoch) {
-    fbb_.AddElement<uint64_t>(RankReport::VT_EPOCH, epoch, 0);
+    fbb_.AddElement<uint64_t>(RankStatus::VT_EPOCH, epoch, 0);
   }
   void add_rank(uint32_t rank) {
-    fbb_.AddElement<uint32_t>(RankReport::VT_RANK, rank, 0);
+    fbb_.AddElement<uint32_t>(RankStatus::VT_RANK, rank, 0);
   }
   void add_size(uint32_t size) {
-    fbb_.AddElement<uint32_t>(RankReport::VT_SIZE, size, 0);
+    fbb_.AddElement<uint32_t>(RankStatus::VT_SIZE, size, 0);
   }
   void add_is_open(bool is_open) {
-    fbb_.AddElement<uint8_t>(RankReport::VT_IS_OPEN, static_cast<uint8_t>(is_open), 0);
+    fbb_.AddElement<uint8_t>(RankStatus::VT_IS_OPEN, static_cast<uint8_t>(is_open), 0);
+  }
+  void add_is_busy(bool is_busy) {
+    fbb_.AddElement<uint8_t>(RankStatus::VT_IS_BUSY, static_cast<uint8_t>(is_busy), 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(RankStatus::VT_SEQUENCE, sequence, 0);
   }
   void add_running(uint32_t running) {
-    fbb_.AddElement<uint32_t>(RankReport::VT_RUNNING, running, 0);
+    fbb_.AddElement<uint32_t>(RankStatus::VT_RUNNING, running, 0);
   }
   void add_queued(uint32_t queued) {
-    fbb_.AddElement<uint32_t>(RankReport::VT_QUEUED, queued, 0);
+    fbb_.AddElement<uint32_t>(RankStatus::VT_QUEUED, queued, 0);
   }
   void add_step(uint64_t step) {
-    fbb_.AddElement<uint64_t>(RankReport::VT_STEP, step, 0);
+    fbb_.AddElement<uint64_t>(RankStatus::VT_STEP, step, 0);
   }
-  void add_map_version(uint64_t map_version) {
-    fbb_.AddElement<uint64_t>(RankReport::VT_MAP_VERSION, map_version, 0);
+  void add_map(uint64_t map) {
+    fbb_.AddElement<uint64_t>(RankStatus::VT_MAP, map, 0);
   }
-  void add_pass_microseconds(uint64_t pass_microseconds) {
-    fbb_.AddElement<uint64_t>(RankReport::VT_PASS_MICROSECONDS, pass_microseconds, 0);
+  void add_prepared(uint64_t prepared) {
+    fbb_.AddElement<uint64_t>(RankStatus::VT_PREPARED, prepared, 0);
   }
-  explicit RankReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_armed(uint64_t armed) {
+    fbb_.AddElement<uint64_t>(RankStatus::VT_ARMED, armed, 0);
+  }
+  void add_armed_step(uint64_t armed_step) {
+    fbb_.AddElement<uint64_t>(RankStatus::VT_ARMED_STEP, armed_step, 0);
+  }
+  void add_held(uint64_t held) {
+    fbb_.AddElement<uint64_t>(RankStatus::VT_HELD, held, 0);
+  }
+  explicit RankStatusBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<RankReport> Finish() {
+  flatbuffers::Offset<RankStatus> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<RankReport>(end);
+    auto o = flatbuffers::Offset<RankStatus>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<RankReport> CreateRankReport(
+inline flatbuffers::Offset<RankStatus> CreateRankStatus(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::String> target = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::String> group = 0,
     uint64_t epoch = 0,
     uint32_t rank = 0,
     uint32_t size = 0,
     bool is_open = false,
+    bool is_busy = false,
+    uint64_t sequence = 0,
     uint32_t running = 0,
     uint32_t queued = 0,
     uint64_t step = 0,
-    uint64_t map_version = 0,
-    uint64_t pass_microseconds = 0) {
-  RankReportBuilder builder_(_fbb);
-  builder_.add_pass_microseconds(pass_microseconds);
-  builder_.add_map_version(map_version);
+    uint64_t map = 0,
+    uint64_t prepared = 0,
+    uint64_t armed = 0,
+    uint64_t armed_step = 0,
+    uint64_t held = 0) {
+  RankStatusBuilder builder_(_fbb);
+  builder_.add_held(held);
+  builder_.add_armed_step(armed_step);
+  builder_.add_armed(armed);
+  builder_.add_prepared(prepared);
+  builder_.add_map(map);
   builder_.add_step(step);
+  builder_.add_sequence(sequence);
   builder_.add_epoch(epoch);
   builder_.add_queued(queued);
   builder_.add_running(running);
   builder_.add_size(size);
   builder_.add_rank(rank);
   builder_.add_group(group);
-  builder_.add_target(target);
+  builder_.add_address(address);
+  builder_.add_is_busy(is_busy);
   builder_.add_is_open(is_open);
   return builder_.Finish();
 }
 
-struct RankReport::Traits {
-  using type = RankReport;
-  static auto constexpr Create = CreateRankReport;
+struct RankStatus::Traits {
+  using type = RankStatus;
+  static auto constexpr Create = CreateRankStatus;
 };
 
-inline flatbuffers::Offset<RankReport> CreateRankReportDirect(
+inline flatbuffers::Offset<RankStatus> CreateRankStatusDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const char *target = nullptr,
+    const char *address = nullptr,
     const char *group = nullptr,
     uint64_t epoch = 0,
     uint32_t rank = 0,
     uint32_t size = 0,
     bool is_open = false,
+    bool is_busy = false,
+    uint64_t sequence = 0,
     uint32_t running = 0,
     uint32_t queued = 0,
     uint64_t step = 0,
-    uint64_t map_version = 0,
-    uint64_t pass_microseconds = 0) {
-  auto target__ = target ? _fbb.CreateString(target) : 0;
+    uint64_t map = 0,
+    uint64_t prepared = 0,
+    uint64_t armed = 0,
+    uint64_t armed_step = 0,
+    uint64_t held = 0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
   auto group__ = group ? _fbb.CreateString(group) : 0;
-  return bramleyspan::membership::wire::CreateRankReport(
+  return bramleyspan::membership::wire::CreateRankStatus(
       _fbb,
-      target__,
+      address__,
       group__,
       epoch,
       rank,
       size,
       is_open,
+      is_busy,
+      sequence,
       running,
       queued,
       step,
-      map_version,
-      pass_microseconds);
+      map,
+      prepared,
+      armed,
+      armed_step,
+      held);
 }
 
-flatbuffers::Offset<RankReport> CreateRankReport(flatbuffers::FlatBufferBuilder &_fbb, const RankReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<RankStatus> CreateRankStatus(flatbuffers::FlatBufferBuilder &_fbb, const RankStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct MemberT : public flatbuffers::NativeTable {
   typedef Member TableType;
@@ -445,7 +533,7 @@
   uint64_t targets_revision = 0;
   std::vector<std::unique_ptr<bramleyspan::membership::wire::OpenCountT>> open{};
   bool is_hungry = false;
-  std::unique_ptr<bramleyspan::membership::wire::RankReportT> rank{};
+  std::unique_ptr<bramleyspan::membership::wire::RankStatusT> rank{};
   MemberT() = default;
   MemberT(const MemberT &o);
   MemberT(MemberT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -511,8 +599,8 @@
   bool is_hungry() const {
     return GetField<uint8_t>(VT_IS_HUNGRY, 0) != 0;
   }
-  const bramleyspan::membership::wire::RankReport *rank() const {
-    return GetPointer<const bramleyspan::membership::wire::RankReport *>(VT_RANK);
+  const bramleyspan::membership::wire::RankStatus *rank() const {
+    return GetPointer<const bramleyspan::membership::wire::RankStatus *>(VT_RANK);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -587,7 +675,7 @@
   void add_is_hungry(bool is_hungry) {
     fbb_.AddElement<uint8_t>(Member::VT_IS_HUNGRY, static_cast<uint8_t>(is_hungry), 0);
   }
-  void add_rank(flatbuffers::Offset<bramleyspan::membership::wire::RankReport> rank) {
+  void add_rank(flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank) {
     fbb_.AddOffset(Member::VT_RANK, rank);
   }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
@@ -616,7 +704,7 @@
     uint64_t targets_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::OpenCount>>> open = 0,
     bool is_hungry = false,
-    flatbuffers::Offset<bramleyspan::membership::wire::RankReport> rank = 0) {
+    flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0) {
   MemberBuilder builder_(_fbb);
   builder_.add_targets_revision(targets_revision);
   builder_.add_table_version(table_version);
@@ -655,7 +743,7 @@
     uint64_t targets_revision = 0,
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::OpenCount>> *open = nullptr,
     bool is_hungry = false,
-    flatbuffers::Offset<bramleyspan::membership::wire::RankReport> rank = 0) {
+    flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
@@ -754,25 +842,143 @@
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct ExpertCountsT : public flatbuffers::NativeTable {
-  typedef ExpertCounts TableType;
+struct RankNewsT : public flatbuffers::NativeTable {
+  typedef RankNews TableType;
+  std::unique_ptr<bramleyspan::membership::wire::RankStatusT> status{};
+  std::vector<uint32_t> counts{};
+  std::vector<uint16_t> experts{};
+  std::vector<uint16_t> lengths{};
+  RankNewsT() = default;
+  RankNewsT(const RankNewsT &o);
+  RankNewsT(RankNewsT&&) FLATBUFFERS_NOEXCEPT = default;
+  RankNewsT &operator=(RankNewsT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RankNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RankNewsT NativeTableType;
+  typedef RankNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_STATUS = 4,
+    VT_COUNTS = 6,
+    VT_EXPERTS = 8,
+    VT_LENGTHS = 10
+  };
+  const bramleyspan::membership::wire::RankStatus *status() const {
+    return GetPointer<const bramleyspan::membership::wire::RankStatus *>(VT_STATUS);
+  }
+  const flatbuffers::Vector<uint32_t> *counts() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_COUNTS);
+  }
+  const flatbuffers::Vector<uint16_t> *experts() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_EXPERTS);
+  }
+  const flatbuffers::Vector<uint16_t> *lengths() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_LENGTHS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_STATUS) &&
+           verifier.VerifyTable(status()) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           VerifyOffset(verifier, VT_EXPERTS) &&
+           verifier.VerifyVector(experts()) &&
+           VerifyOffset(verifier, VT_LENGTHS) &&
+           verifier.VerifyVector(lengths()) &&
+           verifier.EndTable();
+  }
+  RankNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RankNewsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RankNews> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RankNewsBuilder {
+  typedef RankNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_status(flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> status) {
+    fbb_.AddOffset(RankNews::VT_STATUS, status);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts) {
+    fbb_.AddOffset(RankNews::VT_COUNTS, counts);
+  }
+  void add_experts(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts) {
+    fbb_.AddOffset(RankNews::VT_EXPERTS, experts);
+  }
+  void add_lengths(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths) {
+    fbb_.AddOffset(RankNews::VT_LENGTHS, lengths);
+  }
+  explicit RankNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RankNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RankNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RankNews> CreateRankNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> status = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths = 0) {
+  RankNewsBuilder builder_(_fbb);
+  builder_.add_lengths(lengths);
+  builder_.add_experts(experts);
+  builder_.add_counts(counts);
+  builder_.add_status(status);
+  return builder_.Finish();
+}
+
+struct RankNews::Traits {
+  using type = RankNews;
+  static auto constexpr Create = CreateRankNews;
+};
+
+inline flatbuffers::Offset<RankNews> CreateRankNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> status = 0,
+    const std::vector<uint32_t> *counts = nullptr,
+    const std::vector<uint16_t> *experts = nullptr,
+    const std::vector<uint16_t> *lengths = nullptr) {
+  auto counts__ = counts ? _fbb.CreateVector<uint32_t>(*counts) : 0;
+  auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
+  auto lengths__ = lengths ? _fbb.CreateVector<uint16_t>(*lengths) : 0;
+  return bramleyspan::membership::wire::CreateRankNews(
+      _fbb,
+      status,
+      counts__,
+      experts__,
+      lengths__);
+}
+
+flatbuffers::Offset<RankNews> CreateRankNews(flatbuffers::FlatBufferBuilder &_fbb, const RankNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct MapWishT : public flatbuffers::NativeTable {
+  typedef MapWish TableType;
   std::string group{};
   uint64_t epoch = 0;
-  uint32_t rank = 0;
-  uint64_t sequence = 0;
-  std::vector<uint32_t> counts{};
+  uint64_t version = 0;
+  std::vector<uint16_t> experts{};
+  std::vector<uint16_t> lengths{};
+  uint64_t arm_step = 0;
 };
 
-struct ExpertCounts FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef ExpertCountsT NativeTableType;
-  typedef ExpertCountsBuilder Builder;
+struct MapWish FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MapWishT NativeTableType;
+  typedef MapWishBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_GROUP = 4,
     VT_EPOCH = 6,
-    VT_RANK = 8,
-    VT_SEQUENCE = 10,
-    VT_COUNTS = 12
+    VT_VERSION = 8,
+    VT_EXPERTS = 10,
+    VT_LENGTHS = 12,
+    VT_ARM_STEP = 14
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -780,101 +986,114 @@
   uint64_t epoch() const {
     return GetField<uint64_t>(VT_EPOCH, 0);
   }
-  uint32_t rank() const {
-    return GetField<uint32_t>(VT_RANK, 0);
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
   }
-  uint64_t sequence() const {
-    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  const flatbuffers::Vector<uint16_t> *experts() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_EXPERTS);
   }
-  const flatbuffers::Vector<uint32_t> *counts() const {
-    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_COUNTS);
+  const flatbuffers::Vector<uint16_t> *lengths() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_LENGTHS);
+  }
+  uint64_t arm_step() const {
+    return GetField<uint64_t>(VT_ARM_STEP, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_GROUP) &&
            verifier.VerifyString(group()) &&
            VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
-           VerifyField<uint32_t>(verifier, VT_RANK, 4) &&
-           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
-           VerifyOffset(verifier, VT_COUNTS) &&
-           verifier.VerifyVector(counts()) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyOffset(verifier, VT_EXPERTS) &&
+           verifier.VerifyVector(experts()) &&
+           VerifyOffset(verifier, VT_LENGTHS) &&
+           verifier.VerifyVector(lengths()) &&
+           VerifyField<uint64_t>(verifier, VT_ARM_STEP, 8) &&
            verifier.EndTable();
   }
-  ExpertCountsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(ExpertCountsT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<ExpertCounts> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ExpertCountsT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  MapWishT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MapWishT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MapWish> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapWishT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-struct ExpertCountsBuilder {
-  typedef ExpertCounts Table;
+struct MapWishBuilder {
+  typedef MapWish Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
   void add_group(flatbuffers::Offset<flatbuffers::String> group) {
-    fbb_.AddOffset(ExpertCounts::VT_GROUP, group);
+    fbb_.AddOffset(MapWish::VT_GROUP, group);
   }
   void add_epoch(uint64_t epoch) {
-    fbb_.AddElement<uint64_t>(ExpertCounts::VT_EPOCH, epoch, 0);
+    fbb_.AddElement<uint64_t>(MapWish::VT_EPOCH, epoch, 0);
   }
-  void add_rank(uint32_t rank) {
-    fbb_.AddElement<uint32_t>(ExpertCounts::VT_RANK, rank, 0);
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(MapWish::VT_VERSION, version, 0);
   }
-  void add_sequence(uint64_t sequence) {
-    fbb_.AddElement<uint64_t>(ExpertCounts::VT_SEQUENCE, sequence, 0);
+  void add_experts(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts) {
+    fbb_.AddOffset(MapWish::VT_EXPERTS, experts);
   }
-  void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts) {
-    fbb_.AddOffset(ExpertCounts::VT_COUNTS, counts);
+  void add_lengths(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths) {
+    fbb_.AddOffset(MapWish::VT_LENGTHS, lengths);
   }
-  explicit ExpertCountsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+  void add_arm_step(uint64_t arm_step) {
+    fbb_.AddElement<uint64_t>(MapWish::VT_ARM_STEP, arm_step, 0);
+  }
+  explicit MapWishBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
   }
-  flatbuffers::Offset<ExpertCounts> Finish() {
+  flatbuffers::Offset<MapWish> Finish() {
     const auto end = fbb_.EndTable(start_);
-    auto o = flatbuffers::Offset<ExpertCounts>(end);
+    auto o = flatbuffers::Offset<MapWish>(end);
     return o;
   }
 };
 
-inline flatbuffers::Offset<ExpertCounts> CreateExpertCounts(
+inline flatbuffers::Offset<MapWish> CreateMapWish(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> group = 0,
     uint64_t epoch = 0,
-    uint32_t rank = 0,
-    uint64_t sequence = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts = 0) {
-  ExpertCountsBuilder builder_(_fbb);
-  builder_.add_sequence(sequence);
+    uint64_t version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths = 0,
+    uint64_t arm_step = 0) {
+  MapWishBuilder builder_(_fbb);
+  builder_.add_arm_step(arm_step);
+  builder_.add_version(version);
   builder_.add_epoch(epoch);
-  builder_.add_counts(counts);
-  builder_.add_rank(rank);
+  builder_.add_lengths(lengths);
+  builder_.add_experts(experts);
   builder_.add_group(group);
   return builder_.Finish();
 }
 
-struct ExpertCounts::Traits {
-  using type = ExpertCounts;
-  static auto constexpr Create = CreateExpertCounts;
+struct MapWish::Traits {
+  using type = MapWish;
+  static auto constexpr Create = CreateMapWish;
 };
 
-inline flatbuffers::Offset<ExpertCounts> CreateExpertCountsDirect(
+inline flatbuffers::Offset<MapWish> CreateMapWishDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *group = nullptr,
     uint64_t epoch = 0,
-    uint32_t rank = 0,
-    uint64_t sequence = 0,
-    const std::vector<uint32_t> *counts = nullptr) {
+    uint64_t version = 0,
+    const std::vector<uint16_t> *experts = nullptr,
+    const std::vector<uint16_t> *lengths = nullptr,
+    uint64_t arm_step = 0) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
-  auto counts__ = counts ? _fbb.CreateVector<uint32_t>(*counts) : 0;
-  return bramleyspan::membership::wire::CreateExpertCounts(
+  auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
+  auto lengths__ = lengths ? _fbb.CreateVector<uint16_t>(*lengths) : 0;
+  return bramleyspan::membership::wire::CreateMapWish(
       _fbb,
       group__,
       epoch,
-      rank,
-      sequence,
-      counts__);
+      version,
+      experts__,
+      lengths__,
+      arm_step);
 }
 
-flatbuffers::Offset<ExpertCounts> CreateExpertCounts(flatbuffers::FlatBufferBuilder &_fbb, const ExpertCountsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+flatbuffers::Offset<MapWish> CreateMapWish(flatbuffers::FlatBufferBuilder &_fbb, const MapWishT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct MessageT : public flatbuffers::NativeTable {
   typedef Message TableType;
@@ -899,8 +1118,11 @@
   const bramleyspan::membership::wire::Heartbeat *body_as_Heartbeat() const {
     return body_type() == bramleyspan::membership::wire::Body::Heartbeat ? static_cast<const bramleyspan::membership::wire::Heartbeat *>(body()) : nullptr;
   }
-  const bramleyspan::membership::wire::ExpertCounts *body_as_ExpertCounts() const {
-    return body_type() == bramleyspan::membership::wire::Body::ExpertCounts ? static_cast<const bramleyspan::membership::wire::ExpertCounts *>(body()) : nullptr;
+  const bramleyspan::membership::wire::RankNews *body_as_RankNews() const {
+    return body_type() == bramleyspan::membership::wire::Body::RankNews ? static_cast<const bramleyspan::membership::wire::RankNews *>(body()) : nullptr;
+  }
+  const bramleyspan::membership::wire::MapWish *body_as_MapWish() const {
+    return body_type() == bramleyspan::membership::wire::Body::MapWish ? static_cast<const bramleyspan::membership::wire::MapWish *>(body()) : nullptr;
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
@@ -918,8 +1140,12 @@
   return body_as_Heartbeat();
 }
 
-template<> inline const bramleyspan::membership::wire::ExpertCounts *Message::body_as<bramleyspan::membership::wire::ExpertCounts>() const {
-  return body_as_ExpertCounts();
+template<> inline const bramleyspan::membership::wire::RankNews *Message::body_as<bramleyspan::membership::wire::RankNews>() const {
+  return body_as_RankNews();
+}
+
+template<> inline const bramleyspan::membership::wire::MapWish *Message::body_as<bramleyspan::membership::wire::MapWish>() const {
+  return body_as_MapWish();
 }
 
 struct MessageBuilder {
@@ -989,60 +1215,75 @@
       _open);
 }
 
-inline RankReportT *RankReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<RankReportT>();
+inline RankStatusT *RankStatus::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RankStatusT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void RankReport::UnPackTo(RankReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void RankStatus::UnPackTo(RankStatusT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
-  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = group(); if (_e) _o->group = _e->str(); }
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = rank(); _o->rank = _e; }
   { auto _e = size(); _o->size = _e; }
   { auto _e = is_open(); _o->is_open = _e; }
+  { auto _e = is_busy(); _o->is_busy = _e; }
+  { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = running(); _o->running = _e; }
   { auto _e = queued(); _o->queued = _e; }
   { auto _e = step(); _o->step = _e; }
-  { auto _e = map_version(); _o->map_version = _e; }
-  { auto _e = pass_microseconds(); _o->pass_microseconds = _e; }
+  { auto _e = map(); _o->map = _e; }
+  { auto _e = prepared(); _o->prepared = _e; }
+  { auto _e = armed(); _o->armed = _e; }
+  { auto _e = armed_step(); _o->armed_step = _e; }
+  { auto _e = held(); _o->held = _e; }
 }
 
-inline flatbuffers::Offset<RankReport> RankReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateRankReport(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<RankStatus> RankStatus::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankStatusT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRankStatus(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<RankReport> CreateRankReport(flatbuffers::FlatBufferBuilder &_fbb, const RankReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<RankStatus> CreateRankStatus(flatbuffers::FlatBufferBuilder &_fbb, const RankStatusT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RankReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
-  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RankStatusT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
   auto _epoch = _o->epoch;
   auto _rank = _o->rank;
   auto _size = _o->size;
   auto _is_open = _o->is_open;
+  auto _is_busy = _o->is_busy;
+  auto _sequence = _o->sequence;
   auto _running = _o->running;
   auto _queued = _o->queued;
   auto _step = _o->step;
-  auto _map_version = _o->map_version;
-  auto _pass_microseconds = _o->pass_microseconds;
-  return bramleyspan::membership::wire::CreateRankReport(
+  auto _map = _o->map;
+  auto _prepared = _o->prepared;
+  auto _armed = _o->armed;
+  auto _armed_step = _o->armed_step;
+  auto _held = _o->held;
+  return bramleyspan::membership::wire::CreateRankStatus(
       _fbb,
-      _target,
+      _address,
       _group,
       _epoch,
       _rank,
       _size,
       _is_open,
+      _is_busy,
+      _sequence,
       _running,
       _queued,
       _step,
-      _map_version,
-      _pass_microseconds);
+      _map,
+      _prepared,
+      _armed,
+      _armed_step,
+      _held);
 }
 
 inline MemberT::MemberT(const MemberT &o)
@@ -1058,7 +1299,7 @@
         table_version(o.table_version),
         targets_revision(o.targets_revision),
         is_hungry(o.is_hungry),
-        rank((o.rank) ? new bramleyspan::membership::wire::RankReportT(*o.rank) : nullptr) {
+        rank((o.rank) ? new bramleyspan::membership::wire::RankStatusT(*o.rank) : nullptr) {
   open.reserve(o.open.size());
   for (const auto &open_ : o.open) { open.emplace_back((open_) ? new bramleyspan::membership::wire::OpenCountT(*open_) : nullptr); }
 }
@@ -1103,7 +1344,7 @@
   { auto _e = targets_revision(); _o->targets_revision = _e; }
   { auto _e = open(); if (_e) { _o->open.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->open[_i] = std::unique_ptr<bramleyspan::membership::wire::OpenCountT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = is_hungry(); _o->is_hungry = _e; }
-  { auto _e = rank(); if (_e) _o->rank = std::unique_ptr<bramleyspan::membership::wire::RankReportT>(_e->UnPack(_resolver)); }
+  { auto _e = rank(); if (_e) _o->rank = std::unique_ptr<bramleyspan::membership::wire::RankStatusT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1127,7 +1368,7 @@
   auto _targets_revision = _o->targets_revision;
   auto _open = _o->open.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::OpenCount>> (_o->open.size(), [](size_t i, _VectorArgs *__va) { return CreateOpenCount(*__va->__fbb, __va->__o->open[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _is_hungry = _o->is_hungry;
-  auto _rank = _o->rank ? CreateRankReport(_fbb, _o->rank.get(), _rehasher) : 0;
+  auto _rank = _o->rank ? CreateRankStatus(_fbb, _o->rank.get(), _rehasher) : 0;
   return bramleyspan::membership::wire::CreateMember(
       _fbb,
       _name,
@@ -1182,42 +1423,95 @@
       _members);
 }
 
-inline ExpertCountsT *ExpertCounts::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
-  auto _o = std::make_unique<ExpertCountsT>();
+inline RankNewsT::RankNewsT(const RankNewsT &o)
+      : status((o.status) ? new bramleyspan::membership::wire::RankStatusT(*o.status) : nullptr),
+        counts(o.counts),
+        experts(o.experts),
+        lengths(o.lengths) {
+}
+
+inline RankNewsT &RankNewsT::operator=(RankNewsT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(status, o.status);
+  std::swap(counts, o.counts);
+  std::swap(experts, o.experts);
+  std::swap(lengths, o.lengths);
+  return *this;
+}
+
+inline RankNewsT *RankNews::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RankNewsT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RankNews::UnPackTo(RankNewsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = status(); if (_e) _o->status = std::unique_ptr<bramleyspan::membership::wire::RankStatusT>(_e->UnPack(_resolver)); }
+  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->counts[_i] = _e->Get(_i); } } }
+  { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->experts[_i] = _e->Get(_i); } } }
+  { auto _e = lengths(); if (_e) { _o->lengths.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lengths[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<RankNews> RankNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRankNews(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RankNews> CreateRankNews(flatbuffers::FlatBufferBuilder &_fbb, const RankNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RankNewsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _status = _o->status ? CreateRankStatus(_fbb, _o->status.get(), _rehasher) : 0;
+  auto _counts = _o->counts.size() ? _fbb.CreateVector(_o->counts) : 0;
+  auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
+  auto _lengths = _o->lengths.size() ? _fbb.CreateVector(_o->lengths) : 0;
+  return bramleyspan::membership::wire::CreateRankNews(
+      _fbb,
+      _status,
+      _counts,
+      _experts,
+      _lengths);
+}
+
+inline MapWishT *MapWish::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<MapWishT>();
   UnPackTo(_o.get(), _resolver);
   return _o.release();
 }
 
-inline void ExpertCounts::UnPackTo(ExpertCountsT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+inline void MapWish::UnPackTo(MapWishT *_o, const flatbuffers::resolver_function_t *_resolver) const {
   (void)_o;
   (void)_resolver;
   { auto _e = group(); if (_e) _o->group = _e->str(); }
   { auto _e = epoch(); _o->epoch = _e; }
-  { auto _e = rank(); _o->rank = _e; }
-  { auto _e = sequence(); _o->sequence = _e; }
-  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->counts[_i] = _e->Get(_i); } } }
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->experts[_i] = _e->Get(_i); } } }
+  { auto _e = lengths(); if (_e) { _o->lengths.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lengths[_i] = _e->Get(_i); } } }
+  { auto _e = arm_step(); _o->arm_step = _e; }
 }
 
-inline flatbuffers::Offset<ExpertCounts> ExpertCounts::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ExpertCountsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
-  return CreateExpertCounts(_fbb, _o, _rehasher);
+inline flatbuffers::Offset<MapWish> MapWish::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapWishT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMapWish(_fbb, _o, _rehasher);
 }
 
-inline flatbuffers::Offset<ExpertCounts> CreateExpertCounts(flatbuffers::FlatBufferBuilder &_fbb, const ExpertCountsT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+inline flatbuffers::Offset<MapWish> CreateMapWish(flatbuffers::FlatBufferBuilder &_fbb, const MapWishT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
   (void)_rehasher;
   (void)_o;
-  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ExpertCountsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MapWishT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
   auto _epoch = _o->epoch;
-  auto _rank = _o->rank;
-  auto _sequence = _o->sequence;
-  auto _counts = _o->counts.size() ? _fbb.CreateVector(_o->counts) : 0;
-  return bramleyspan::membership::wire::CreateExpertCounts(
+  auto _version = _o->version;
+  auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
+  auto _lengths = _o->lengths.size() ? _fbb.CreateVector(_o->lengths) : 0;
+  auto _arm_step = _o->arm_step;
+  return bramleyspan::membership::wire::CreateMapWish(
       _fbb,
       _group,
       _epoch,
-      _rank,
-      _sequence,
-      _counts);
+      _version,
+      _experts,
+      _lengths,
+      _arm_step);
 }
 
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1258,8 +1552,12 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::Heartbeat *>(obj);
       return verifier.VerifyTable(ptr);
     }
-    case Body::ExpertCounts: {
-      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::ExpertCounts *>(obj);
+    case Body::RankNews: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::RankNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::MapWish: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MapWish *>(obj);
       return verifier.VerifyTable(ptr);
     }
     default: return true;
@@ -1285,8 +1583,12 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::Heartbeat *>(obj);
       return ptr->UnPack(resolver);
     }
-    case Body::ExpertCounts: {
-      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::ExpertCounts *>(obj);
+    case Body::RankNews: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::RankNews *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::MapWish: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MapWish *>(obj);
       return ptr->UnPack(resolver);
     }
     default: return nullptr;
@@ -1300,9 +1602,13 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::HeartbeatT *>(value);
       return CreateHeartbeat(_fbb, ptr, _rehasher).Union();
     }
-    case Body::ExpertCounts: {
-      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::ExpertCountsT *>(value);
-      return CreateExpertCounts(_fbb, ptr, _rehasher).Union();
+    case Body::RankNews: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::RankNewsT *>(value);
+      return CreateRankNews(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::MapWish: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MapWishT *>(value);
+      return CreateMapWish(_fbb, ptr, _rehasher).Union();
     }
     default: return 0;
   }
@@ -1314,8 +1620,12 @@
       value = new bramleyspan::membership::wire::HeartbeatT(*reinterpret_cast<bramleyspan::membership::wire::HeartbeatT *>(u.value));
       break;
     }
-    case Body::ExpertCounts: {
-      value = new bramleyspan::membership::wire::ExpertCountsT(*reinterpret_cast<bramleyspan::membership::wire::ExpertCountsT *>(u.value));
+    case Body::RankNews: {
+      value = new bramleyspan::membership::wire::RankNewsT(*reinterpret_cast<bramleyspan::membership::wire::RankNewsT *>(u.value));
+      break;
+    }
+    case Body::MapWish: {
+      value = new bramleyspan::membership::wire::MapWishT(*reinterpret_cast<bramleyspan::membership::wire::MapWishT *>(u.value));
       break;
     }
     default:
@@ -1330,8 +1640,13 @@
       delete ptr;
       break;
     }
-    case Body::ExpertCounts: {
-      auto ptr = reinterpret_cast<bramleyspan::membership::wire::ExpertCountsT *>(value);
+    case Body::RankNews: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::RankNewsT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::MapWish: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::MapWishT *>(value);
       delete ptr;
       break;
     }
--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -88,7 +88,9 @@
                                            uint64_t turn) {
   std::vector<std::string> peers;
   for (const auto& [name, known] : members.known) {
-    peers.push_back(known.member.ip);
+    if (known.member.is_entry) {
+      peers.push_back(known.member.ip);
+    }
   }
   for (const auto& [ip, since] : members.hints) {
     peers.push_back(ip);
@@ -108,7 +110,7 @@
                                                 TimePoint now) {
   std::vector<const wire::MemberT*> live;
   for (const auto& [name, known] : members.known) {
-    if (is_alive(known, now)) {
+    if (known.member.is_entry && is_alive(known, now)) {
       live.push_back(&known.member);
     }
   }
@@ -125,8 +127,12 @@
   return EncodeBody(std::move(heartbeat));
 }
 
-std::string Encode(wire::ExpertCountsT counts) {
-  return EncodeBody(std::move(counts));
+std::string Encode(wire::RankNewsT news) {
+  return EncodeBody(std::move(news));
+}
+
+std::string Encode(wire::MapWishT wish) {
+  return EncodeBody(std::move(wish));
 }
 
 Result<wire::MessageT> Decode(std::string_view bytes) {
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -25,7 +25,7 @@
 inline constexpr Duration kForgetAfter = std::chrono::seconds(30);
 
 // Members told to one peer in one datagram, besides the sender itself.
-inline constexpr size_t kMembersPerHeartbeat = 6;
+inline constexpr size_t kMembersPerHeartbeat = 2;
 
 // Peers told at each heartbeat; a bound on the traffic of a large fleet.
 inline constexpr size_t kPeersPerHeartbeat = 24;
@@ -65,19 +65,20 @@
 // The largest number of entries that may be at work, itself among them.
 size_t CountEntries(const Members& members, TimePoint now);
 
-// The IP numbers to send the next heartbeat to; all as long as they are few,
-// else a part that `turn` shifts on.
+// The gateways' IP numbers to send the next heartbeat to; all as long as they
+// are few, else a part that `turn` shifts on.
 std::vector<std::string> PeersForHeartbeat(const Members& members,
                                            uint64_t turn);
 
-// The next members to speak of, so that each is spoken of in its turn.
+// The next gateways to speak of, so that each is spoken of in its turn.
 std::vector<const wire::MemberT*> MembersToTell(const Members& members,
                                                 uint64_t turn,
                                                 TimePoint now);
 
 // Serializes a message.
 std::string Encode(wire::HeartbeatT heartbeat);
-std::string Encode(wire::ExpertCountsT counts);
+std::string Encode(wire::RankNewsT news);
+std::string Encode(wire::MapWishT wish);
 
 // Parses a datagram. Fails with kMalformedFrame.
 Result<wire::MessageT> Decode(std::string_view bytes);
--- /dev/null
+++ b/Libraries/LibPlacement/Copies.cc
@@ -0,0 +1,194 @@
+#include "LibPlacement/Copies.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace bramleyspan::placement {
+
+namespace {
+
+// What a remembered demand counts against a present one.
+constexpr double kRememberedWeight = 0.3;
+// A copy that waits behind another on its rank's link comes later; it counts
+// as this much more load.
+constexpr double kLinkWeight = 0.004;
+
+std::vector<uint32_t> CountHolders(const RankLists& lists, size_t experts) {
+  std::vector<uint32_t> holders(experts, 0);
+  for (const auto& list : lists) {
+    for (const uint16_t expert : list) {
+      if (expert < experts) {
+        ++holders[expert];
+      }
+    }
+  }
+  return holders;
+}
+
+std::vector<double> LoadsOf(const RankLists& lists,
+                            const Shares& shares,
+                            const std::vector<uint32_t>& holders) {
+  std::vector<double> loads(lists.size(), 0);
+  for (size_t rank = 0; rank < lists.size(); ++rank) {
+    for (const uint16_t expert : lists[rank]) {
+      if (expert < shares.size()) {
+        loads[rank] += shares[expert] / std::max(1U, holders[expert]);
+      }
+    }
+  }
+  return loads;
+}
+
+double SkewOfLoads(const std::vector<double>& loads) {
+  double total = 0;
+  double most = 0;
+  for (const double load : loads) {
+    total += load;
+    most = std::max(most, load);
+  }
+  return total == 0 ? 1 : most * static_cast<double>(loads.size()) / total;
+}
+
+bool is_held(const std::vector<uint16_t>& list, uint16_t expert) {
+  return std::find(list.begin(), list.end(), expert) != list.end();
+}
+
+// One change: a copy that comes to a rank, and one that leaves it.
+struct Step {
+  uint16_t expert = 0;
+  size_t rank = 0;
+  std::optional<uint16_t> dropped;
+  double skew = 0;
+  double cost = 0;
+};
+
+struct Search {
+  const Shares& shares;
+  const Shares& remembered;
+  const CopyLimits& limits;
+  const std::vector<uint32_t>& new_elsewhere;
+  RankLists lists;
+  std::vector<std::vector<uint16_t>> added;
+
+  double ValueOf(uint16_t expert) const {
+    const double present = this->shares[expert];
+    const double past =
+        expert < this->remembered.size() ? this->remembered[expert] : 0;
+    return std::max(present, kRememberedWeight * past);
+  }
+
+  // The copy that a full rank gives up; none if it cannot.
+  std::optional<uint16_t> FindDrop(size_t rank,
+                                   const std::vector<uint32_t>& holders) const {
+    std::optional<uint16_t> found;
+    for (const uint16_t expert : this->lists[rank]) {
+      if (holders[expert] < 2 || is_held(this->added[rank], expert)) {
+        continue;
+      }
+      if (!found || this->ValueOf(expert) / holders[expert] <
+                        this->ValueOf(*found) / holders[*found]) {
+        found = expert;
+      }
+    }
+    return found;
+  }
+
+  std::optional<Step> TryCopy(uint16_t expert,
+                              size_t rank,
+                              const std::vector<uint32_t>& holders) {
+    if (is_held(this->lists[rank], expert) ||
+        this->added[rank].size() >= this->limits.spare) {
+      return std::nullopt;
+    }
+    Step step{.expert = expert, .rank = rank};
+    if (this->lists[rank].size() >= this->limits.places_per_rank) {
+      step.dropped = this->FindDrop(rank, holders);
+      if (!step.dropped) {
+        return std::nullopt;
+      }
+    }
+    const std::vector<uint16_t> kept = this->lists[rank];
+    std::vector<uint32_t> counts = holders;
+    this->Make(step, counts);
+    step.skew = SkewOfLoads(LoadsOf(this->lists, this->shares, counts));
+    step.cost = step.skew + kLinkWeight * (this->new_elsewhere[rank] +
+                                           this->added[rank].size());
+    this->lists[rank] = kept;
+    return step;
+  }
+
+  void Make(const Step& step, std::vector<uint32_t>& holders) {
+    auto& list = this->lists[step.rank];
+    if (step.dropped) {
+      std::erase(list, *step.dropped);
+      --holders[*step.dropped];
+    }
+    list.push_back(step.expert);
+    ++holders[step.expert];
+  }
+};
+
+std::optional<Step> FindBestStep(Search& search,
+                                 const std::vector<uint32_t>& holders) {
+  const std::vector<double> loads =
+      LoadsOf(search.lists, search.shares, holders);
+  const auto most = static_cast<size_t>(
+      std::max_element(loads.begin(), loads.end()) - loads.begin());
+  std::optional<Step> best;
+  // Only a copy of what the most loaded rank holds lowers its load.
+  const std::vector<uint16_t> candidates = search.lists[most];
+  for (const uint16_t expert : candidates) {
+    for (size_t rank = 0; rank < search.lists.size(); ++rank) {
+      const auto step =
+          rank == most ? std::nullopt : search.TryCopy(expert, rank, holders);
+      if (step && (!best || step->cost < best->cost)) {
+        best = step;
+      }
+    }
+  }
+  return best;
+}
+
+}  // namespace
+
+double SkewOf(const RankLists& lists, const Shares& shares) {
+  return SkewOfLoads(
+      LoadsOf(lists, shares, CountHolders(lists, shares.size())));
+}
+
+CopyPlan PlanCopies(const RankLists& lists,
+                    const Shares& shares,
+                    const Shares& remembered,
+                    const CopyLimits& limits,
+                    std::vector<uint32_t>& new_on_rank) {
+  CopyPlan plan;
+  plan.skew_before = SkewOf(lists, shares);
+  plan.skew_after = plan.skew_before;
+  new_on_rank.resize(lists.size(), 0);
+  Search search{.shares = shares,
+                .remembered = remembered,
+                .limits = limits,
+                .new_elsewhere = new_on_rank,
+                .lists = lists,
+                .added = std::vector<std::vector<uint16_t>>(lists.size())};
+  std::vector<uint32_t> holders = CountHolders(lists, shares.size());
+  std::vector<uint32_t> copies_on_rank(lists.size(), 0);
+  while (plan.copies < limits.most_copies) {
+    const auto step = FindBestStep(search, holders);
+    if (!step || plan.skew_after - step->skew < limits.least_gain) {
+      break;
+    }
+    search.Make(*step, holders);
+    search.added[step->rank].push_back(step->expert);
+    ++copies_on_rank[step->rank];
+    plan.skew_after = step->skew;
+    ++plan.copies;
+  }
+  for (size_t rank = 0; rank < lists.size(); ++rank) {
+    new_on_rank[rank] += copies_on_rank[rank];
+  }
+  plan.lists = std::move(search.lists);
+  return plan;
+}
+
+}  // namespace bramleyspan::placement
--- /dev/null
+++ b/Libraries/LibPlacement/Copies.h
@@ -0,0 +1,47 @@
+// Evens out a set's rank loads by a few more copies of its hottest experts.
+// While demand jumps every few seconds, few copies that are there at once gain
+// more than the best map that comes late.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "LibPlacement/Placement.h"
+
+namespace bramleyspan::placement {
+
+// The experts that each rank holds in one set.
+using RankLists = std::vector<std::vector<uint16_t>>;
+
+struct CopyLimits {
+  uint32_t places_per_rank = 0;
+  // New experts that a rank can take in one set at a time.
+  uint32_t spare = 0;
+  // Copies in this set, at most.
+  uint32_t most_copies = 3;
+  // A copy must lower the skew by this much.
+  double least_gain = 0.03;
+};
+
+struct CopyPlan {
+  RankLists lists;
+  uint32_t copies = 0;
+  // The load of the most loaded rank over the mean, before and after.
+  double skew_before = 1;
+  double skew_after = 1;
+};
+
+// The load of the most loaded rank over the mean.
+double SkewOf(const RankLists& lists, const Shares& shares);
+
+// Adds copies to the least loaded ranks. A full rank gives up the copy that is
+// least in demand, now and by what is remembered; an expert keeps at least one
+// copy. `new_on_rank` counts copies planned for each rank in other sets, which
+// share its link.
+CopyPlan PlanCopies(const RankLists& lists,
+                    const Shares& shares,
+                    const Shares& remembered,
+                    const CopyLimits& limits,
+                    std::vector<uint32_t>& new_on_rank);
+
+}  // namespace bramleyspan::placement
--- /dev/null
+++ b/Libraries/LibPlacement/Drift.h
@@ -0,0 +1,50 @@
+// What is in demand now: a mixture that jumps. Counts are averaged as long as
+// they agree; when they no longer do, what was seen before is remembered as a
+// pattern and the average begins anew.
+#pragma once
+
+#include <cstdint>
+#include <vector>
+
+#include "Kernel/Time.h"
+#include "LibPlacement/Placement.h"
+
+namespace bramleyspan::placement {
+
+struct DriftSettings {
+  // A sample that differs by more than this part of its weight (total
+  // variation, mean of the sets) begins a new pattern.
+  double jump = 0.2;
+  // The weight of a new sample that agrees.
+  double gain = 0.3;
+  // Patterns that differ by less are one.
+  double same = 0.15;
+  size_t most_patterns = 16;
+  // A sample of fewer choices a set says too little.
+  double least_choices = 300;
+};
+
+// Shares by set.
+using Pattern = std::vector<Shares>;
+
+struct Drift {
+  DriftSettings settings;
+  Pattern present;
+  std::vector<Pattern> remembered;
+  uint64_t jumps = 0;
+  // Choices that do not make up a sample yet, by set and expert.
+  std::vector<std::vector<double>> pending;
+};
+
+// Takes choices of experts, set by set. Returns whether what is in demand has
+// jumped.
+bool ObserveChoices(Drift& drift,
+                    const std::vector<std::vector<double>>& choices);
+
+// For each expert of a set the largest share in any remembered pattern.
+Shares RememberedShares(const Drift& drift, size_t set);
+
+// The part of the weight by which two patterns differ, mean of their sets.
+double Distance(const Pattern& left, const Pattern& right);
+
+}  // namespace bramleyspan::placement
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -151,6 +151,9 @@
           200, {{"content-type", "application/msgpack"}},
           role.peers.SerializeNews(NumberIn(request.query, "table"),
                                    NumberIn(request.query, "targets")));
+    } else if (request.path == "/v1/engine") {
+      role.RespondWithEngine(http::FindQueryValue(request.query, "address"),
+                             *exchange);
     } else if (request.path == "/v1/dump") {
       exchange->Respond(200, {{"content-type", "application/json"}},
                         role.Dump().dump(2) + "\n");
@@ -172,6 +175,30 @@
                       telemetry::SerializeMetrics());
   }
 
+  // Tells an agent the shape of its engine's expert maps.
+  void RespondWithEngine(const std::string& address,
+                         http::IngressExchange& exchange) const {
+    for (const auto& [id, view] : this->state.targets.by_id) {
+      if (this->state.table == nullptr ||
+          Format(view.target.address) != address) {
+        continue;
+      }
+      const auto found = this->state.table->services.find(view.target.service);
+      if (found != this->state.table->services.end() && found->second.engine) {
+        const gateway::EngineShape& engine = *found->second.engine;
+        const nlohmann::json shape = {
+            {"sets", engine.sets},
+            {"experts", engine.experts},
+            {"places_per_rank", engine.places_per_rank},
+            {"spare", engine.spare}};
+        exchange.Respond(200, {{"content-type", "application/json"}},
+                         shape.dump());
+        return;
+      }
+    }
+    exchange.Respond(404, {}, "");
+  }
+
   static uint64_t NumberIn(std::string_view query, std::string_view name) {
     return std::strtoull(http::FindQueryValue(query, name).c_str(), nullptr,
                          10);
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -28,6 +28,7 @@
 constexpr Duration kFetchInterval = std::chrono::milliseconds(150);
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(700);
 constexpr size_t kMostOpenCounts = 64;
+constexpr uint64_t kTurnsPerAgentHeartbeat = 3;
 
 void AddHint(membership::Members& members, const std::string& ip) {
   const bool is_known = std::any_of(
@@ -75,8 +76,9 @@
 
 void Peers::Tell() {
   const TimePoint now = EventLoop::Now();
+  const MemberT self = this->DescribeSelf();
   membership::wire::HeartbeatT heartbeat;
-  heartbeat.members.push_back(std::make_unique<MemberT>(this->DescribeSelf()));
+  heartbeat.members.push_back(std::make_unique<MemberT>(self));
   for (const MemberT* member :
        membership::MembersToTell(this->state.members, this->turn, now)) {
     heartbeat.members.push_back(std::make_unique<MemberT>(*member));
@@ -86,9 +88,41 @@
        membership::PeersForHeartbeat(this->state.members, this->turn)) {
     this->datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
   }
+  if (this->turn % kTurnsPerAgentHeartbeat == 0) {
+    this->TellAgents(self);
+  }
   ++this->turn;
 }
 
+// An agent needs to know the gateways and the owner of its group's map; the
+// rest would only fill its small link.
+void Peers::TellAgents(const MemberT& self) {
+  std::map<std::string, const MemberT*> owners;
+  for (const auto& [name, known] : this->state.members.known) {
+    const auto* rank = known.member.rank.get();
+    if (rank != nullptr && rank->rank == 0) {
+      owners[rank->group] = &known.member;
+    }
+  }
+  MemberT short_self = self;
+  short_self.open.clear();
+  for (const auto& [name, known] : this->state.members.known) {
+    if (known.member.is_entry) {
+      continue;
+    }
+    membership::wire::HeartbeatT heartbeat;
+    heartbeat.members.push_back(std::make_unique<MemberT>(short_self));
+    const auto* rank = known.member.rank.get();
+    const auto owner =
+        rank == nullptr ? owners.end() : owners.find(rank->group);
+    if (owner != owners.end()) {
+      heartbeat.members.push_back(std::make_unique<MemberT>(*owner->second));
+    }
+    this->datagrams->Send({known.member.ip, this->state.fleet().peer_port},
+                          membership::Encode(std::move(heartbeat)));
+  }
+}
+
 MemberT Peers::DescribeSelf() {
   const GatewayState& now = this->state;
   MemberT self;
@@ -146,9 +180,6 @@
          {"ip", member.ip},
          {"incarnation", std::to_string(member.incarnation)}});
   }
-  if (member.rank != nullptr) {
-    this->state.members.known[member.name].member = member;
-  }
   if (member.is_entry && is_direct) {
     this->FetchIfBehind(member);
   }
@@ -157,8 +188,10 @@
 // Adds up what the others have at each target, and takes what the agents say.
 void Peers::UpdateLoads() {
   const TimePoint now = EventLoop::Now();
+  std::map<std::string, gateway::TargetView*> by_address;
   for (auto& [id, view] : this->state.targets.by_id) {
     view.open_elsewhere = 0;
+    by_address[Format(view.target.address)] = &view;
     if (view.rank && now - view.rank->heard > membership::kSuspectAfter) {
       view.rank->is_open = true;
     }
@@ -174,19 +207,17 @@
       }
     }
     const auto* rank = known.member.rank.get();
-    if (rank == nullptr) {
-      continue;
-    }
-    const auto found = this->state.targets.by_id.find(rank->target);
-    if (found != this->state.targets.by_id.end()) {
-      found->second.rank = gateway::RankView{.group = rank->group,
-                                             .epoch = rank->epoch,
-                                             .rank = rank->rank,
-                                             .size = rank->size,
-                                             .is_open = rank->is_open,
-                                             .running = rank->running,
-                                             .queued = rank->queued,
-                                             .heard = known.heard};
+    const auto found =
+        rank == nullptr ? by_address.end() : by_address.find(rank->address);
+    if (found != by_address.end()) {
+      found->second->rank = gateway::RankView{.group = rank->group,
+                                              .epoch = rank->epoch,
+                                              .rank = rank->rank,
+                                              .size = rank->size,
+                                              .is_open = rank->is_open,
+                                              .running = rank->running,
+                                              .queued = rank->queued,
+                                              .heard = known.heard};
     }
   }
 }
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -25,6 +25,7 @@
  private:
   void Tick();
   void Tell();
+  void TellAgents(const membership::wire::MemberT& self);
   membership::wire::MemberT DescribeSelf();
   void HandleDatagram(const std::string& from_ip, std::string_view bytes);
   void HandleMember(const membership::wire::MemberT& member, bool is_direct);
--- /dev/null
+++ b/Services/bramleyspand/Rank/MapOwner.h
@@ -0,0 +1,17 @@
+// The part of a rank's agent that leads its group's map, beside rank 0.
+#pragma once
+
+#include "Services/bramleyspand/Rank/RankState.h"
+
+namespace bramleyspan::rankd {
+
+// Takes what a rank's agent tells.
+void HandleRankNews(RankState& state,
+                    const std::string& from_ip,
+                    const membership::wire::RankNewsT& news);
+
+// Goes on with the switch under way, or begins one that is worth it. Gives
+// the order for the own rank, if there is one.
+std::optional<mapswitch::Order> LeadMap(RankState& state, TimePoint now);
+
+}  // namespace bramleyspan::rankd
--- /dev/null
+++ b/Services/bramleyspand/Rank/RankMessages.cc
@@ -0,0 +1,79 @@
+#include "Services/bramleyspand/Rank/RankMessages.h"
+
+namespace bramleyspan::rankd {
+
+membership::wire::RankStatusT ToWire(const mapswitch::RankStatus& status,
+                                     const Address& server) {
+  membership::wire::RankStatusT wire;
+  wire.address = Format(server);
+  wire.group = status.group;
+  wire.epoch = status.epoch;
+  wire.rank = status.rank;
+  wire.size = status.size;
+  wire.is_open = status.is_open;
+  wire.is_busy = status.is_busy;
+  wire.sequence = status.sequence;
+  wire.running = status.running;
+  wire.queued = status.queued;
+  wire.step = status.step;
+  wire.map = status.map;
+  wire.prepared = status.prepared;
+  wire.armed = status.armed;
+  wire.armed_step = status.armed_step;
+  wire.held = status.held;
+  return wire;
+}
+
+mapswitch::RankStatus FromWire(const membership::wire::RankStatusT& status) {
+  return {.group = status.group,
+          .epoch = status.epoch,
+          .rank = status.rank,
+          .size = status.size,
+          .is_open = status.is_open,
+          .is_busy = status.is_busy,
+          .sequence = status.sequence,
+          .running = status.running,
+          .queued = status.queued,
+          .step = status.step,
+          .map = status.map,
+          .prepared = status.prepared,
+          .armed = status.armed,
+          .armed_step = status.armed_step,
+          .held = status.held};
+}
+
+membership::wire::MapWishT ToWire(const mapswitch::Wish& wish,
+                                  const std::string& group) {
+  membership::wire::MapWishT wire;
+  wire.group = group;
+  wire.epoch = wish.epoch;
+  wire.version = wish.version;
+  wire.arm_step = wish.arm_step;
+  for (const auto& set : wish.map) {
+    for (const auto& list : set) {
+      wire.lengths.push_back(static_cast<uint16_t>(list.size()));
+      wire.experts.insert(wire.experts.end(), list.begin(), list.end());
+    }
+  }
+  return wire;
+}
+
+mapswitch::Wish FromWire(const membership::wire::MapWishT& wish,
+                         uint32_t ranks) {
+  mapswitch::Wish result{
+      .epoch = wish.epoch, .version = wish.version, .arm_step = wish.arm_step};
+  size_t at = 0;
+  for (size_t i = 0; i < wish.lengths.size() && ranks > 0; ++i) {
+    if (i % ranks == 0) {
+      result.map.emplace_back();
+    }
+    const size_t end = std::min(wish.experts.size(), at + wish.lengths[i]);
+    result.map.back().emplace_back(
+        wish.experts.begin() + static_cast<int64_t>(at),
+        wish.experts.begin() + static_cast<int64_t>(end));
+    at = end;
+  }
+  return result;
+}
+
+}  // namespace bramleyspan::rankd
--- /dev/null
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -0,0 +1,541 @@
+// The role of the small process beside each model server: it reads its rank's
+// reports and counts, which are free and fresh there, tells the gateways how
+// the rank fares, carries out what the owner of the group's map wants, and
+// leads the map itself beside rank 0.
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "Kernel/Digest.h"
+#include "LibHTTP/Ingress.h"
+#include "LibTelemetry/Log.h"
+#include "LibTelemetry/Metrics.h"
+#include "Services/bramleyspand/Rank/MapOwner.h"
+#include "Services/bramleyspand/Rank/RankMessages.h"
+#include "Services/bramleyspand/Rank/RankState.h"
+#include "Services/bramleyspand/Role.h"
+
+namespace bramleyspan::rankd {
+
+namespace {
+
+using http::CallEnd;
+using mapswitch::Order;
+using mapswitch::RankStatus;
+using telemetry::Log;
+using telemetry::LogLevel;
+
+constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+// Ticks between two readings of the counts.
+constexpr uint64_t kTicksPerCounts = 2;
+constexpr uint64_t kTicksPerHeartbeat = 4;
+constexpr Duration kShapeInterval = std::chrono::seconds(2);
+constexpr Duration kOwnCallTimeout = std::chrono::milliseconds(700);
+constexpr Duration kFarCallTimeout = std::chrono::milliseconds(700);
+// An agent that has said nothing for so long while the group is held is left
+// aside: its server gets its order from here.
+constexpr Duration kSilentAgent = std::chrono::milliseconds(300);
+constexpr Duration kFarOrderInterval = std::chrono::milliseconds(500);
+
+class RankRole : public Role {
+ public:
+  RankRole(EventLoop& loop, const Settings& settings) : state(loop, settings) {}
+
+  Result<void> Start() {
+    const FleetSettings& fleet = this->state.fleet();
+    const auto make =
+        TRY(PluginRegistry<mapswitch::MakeRankAdapter>::Instance().Find(
+            fleet.adapter));
+    this->state.adapter = make();
+    this->state.incarnation = RandomBits();
+    this->state.members.own_name = this->state.settings.name;
+    const std::string& ip = this->state.settings.ip;
+    this->state.datagrams = TRY(Datagrams::Bind(
+        this->state.loop, {ip, fleet.peer_port},
+        [this](const std::string& from_ip, std::string_view bytes) {
+          this->HandleDatagram(from_ip, bytes);
+        }));
+    this->metrics = TRY(this->Serve({ip, fleet.metrics_port}));
+    this->internal = TRY(this->Serve({ip, fleet.peer_port}));
+    this->Tick();
+    this->AskForShape();
+    return Succeed();
+  }
+
+  // Nothing of a request runs through an agent, so it may stop at once, but
+  // not while it holds the group.
+  void StartDrain() override {
+    if (std::exchange(this->is_draining, true)) {
+      return;
+    }
+    this->drain_began = EventLoop::Now();
+    this->StopWhenReleased();
+  }
+
+ private:
+  Result<std::unique_ptr<http::Ingress>> Serve(const Address& address) {
+    return http::Ingress::Listen(
+        this->state.loop, address, {},
+        [this](const http::IngressRequest& request,
+               const std::shared_ptr<http::IngressExchange>& exchange) {
+          if (request.path == "/metrics") {
+            exchange->Respond(200,
+                              {{"content-type", "text/plain; version=0.0.4"}},
+                              telemetry::SerializeMetrics());
+          } else if (request.path == "/v1/dump") {
+            exchange->Respond(200, {{"content-type", "application/json"}},
+                              this->Dump().dump(2) + "\n");
+          } else {
+            exchange->Respond(404, {}, "");
+          }
+        });
+  }
+
+  void StopWhenReleased() {
+    constexpr Duration kLongest = std::chrono::seconds(3);
+    const bool is_held = this->state.own && this->state.own->held != 0;
+    if (!is_held || EventLoop::Now() - this->drain_began > kLongest) {
+      this->state.loop.Stop();
+      return;
+    }
+    this->state.loop.RunAfter(kTickInterval,
+                              [this] { this->StopWhenReleased(); });
+  }
+
+  void Tick() {
+    ++this->ticks;
+    this->state.loop.RunAfter(kTickInterval, [this] { this->Tick(); });
+    const TimePoint now = EventLoop::Now();
+    membership::Forget(this->state.members, now);
+    this->ReadReport();
+    if (this->ticks % kTicksPerCounts == 0) {
+      this->ReadCounts();
+    }
+    if (this->ticks % kTicksPerHeartbeat == 0) {
+      this->SendHeartbeat();
+    }
+  }
+
+  void CallServer(const std::string& path,
+                  std::function<void(Result<std::string>)> on_done) {
+    http::DirectCall::Fetch(
+        this->state.loop,
+        {.target = *this->state.fleet().engine,
+         .path = path,
+         .headers = {{"host", Format(*this->state.fleet().engine)}},
+         .connect_timeout = kOwnCallTimeout,
+         .timeout = kOwnCallTimeout,
+         .channels = &this->state.channels},
+        [on_done = std::move(on_done)](CallEnd end,
+                                       const http::Response& response) {
+          if (end != CallEnd::kWhole || response.status != 200) {
+            on_done(Fail(ErrorCode::kTargetFailed, "engine",
+                         std::string(http::NameOf(end))));
+            return;
+          }
+          on_done(response.body);
+        });
+  }
+
+  void ReadReport() {
+    if (std::exchange(this->is_reading_report, true)) {
+      return;
+    }
+    this->CallServer(
+        this->state.adapter.report_path, [this](Result<std::string> body) {
+          this->is_reading_report = false;
+          if (body.has_error()) {
+            this->NoteEngine(false, Describe(body.error()));
+            return;
+          }
+          auto status = this->state.adapter.parse_report(body.value());
+          if (status.has_value()) {
+            this->NoteEngine(true, "");
+            this->HandleOwnStatus(std::move(status).assume_value());
+          }
+        });
+  }
+
+  void NoteEngine(bool is_reached, const std::string& reason) {
+    if (std::exchange(this->is_engine_reached, is_reached) != is_reached) {
+      Log(is_reached ? LogLevel::kInfo : LogLevel::kWarning, "rank",
+          is_reached ? "engine_regained" : "engine_lost", {{"reason", reason}});
+    }
+  }
+
+  void HandleOwnStatus(RankStatus status) {
+    RankState& now_state = this->state;
+    const bool is_new_map = !now_state.own ||
+                            now_state.own->map != status.map ||
+                            now_state.own->epoch != status.epoch;
+    if (is_new_map) {
+      Log(LogLevel::kInfo, "rank", "map_in_use",
+          {{"group", status.group},
+           {"rank", std::to_string(status.rank)},
+           {"epoch", std::to_string(status.epoch)},
+           {"map", std::to_string(status.map)},
+           {"step", std::to_string(status.step)}});
+      now_state.own_held = {};
+      now_state.wish.reset();
+    }
+    now_state.own = std::move(status);
+    now_state.own_heard = EventLoop::Now();
+    if (now_state.own_held.sets.empty() ||
+        now_state.own_held.version != now_state.own->map) {
+      this->ReadLists();
+    }
+    this->TellOwner();
+    this->Act();
+  }
+
+  void ReadLists() {
+    if (std::exchange(this->is_reading_lists, true)) {
+      return;
+    }
+    const auto version = this->state.own->map;
+    const auto epoch = this->state.own->epoch;
+    this->CallServer(
+        this->state.adapter.lists_path,
+        [this, version, epoch](const Result<std::string>& body) {
+          this->is_reading_lists = false;
+          if (body.has_error() || !this->state.own ||
+              this->state.own->map != version ||
+              this->state.own->epoch != epoch) {
+            return;
+          }
+          auto lists = this->state.adapter.parse_lists(body.value());
+          if (lists.has_value()) {
+            this->state.own_held = {.version = version,
+                                    .sets = std::move(lists).assume_value()};
+          }
+        });
+  }
+
+  void ReadCounts() {
+    if (std::exchange(this->is_reading_counts, true)) {
+      return;
+    }
+    this->CallServer(this->state.adapter.counts_path,
+                     [this](const Result<std::string>& body) {
+                       this->is_reading_counts = false;
+                       if (body.has_value()) {
+                         this->HandleCounts(body.value());
+                       }
+                     });
+  }
+
+  void HandleCounts(const std::string& body) {
+    auto parsed = this->state.adapter.parse_counts(body);
+    if (parsed.has_error()) {
+      return;
+    }
+    auto& last = this->state.last_counts;
+    const auto& counts = parsed.value().counts;
+    const bool goes_on = last && last->epoch == parsed.value().epoch &&
+                         last->counts.size() == counts.size();
+    if (goes_on) {
+      this->state.new_counts.resize(counts.size(), 0);
+      for (size_t i = 0; i < counts.size(); ++i) {
+        // Counts start anew with the rank.
+        if (counts[i] >= last->counts[i]) {
+          this->state.new_counts[i] +=
+              static_cast<uint32_t>(counts[i] - last->counts[i]);
+        }
+      }
+    }
+    last = std::move(parsed).assume_value();
+  }
+
+  // The owner's agent, as the gateways tell of it.
+  std::string FindOwnerIp() const {
+    for (const auto& [name, known] : this->state.members.known) {
+      const auto* rank = known.member.rank.get();
+      if (rank != nullptr && rank->rank == 0 &&
+          rank->group == this->state.own->group) {
+        return known.member.ip;
+      }
+    }
+    return "";
+  }
+
+  void TellOwner() {
+    membership::wire::RankNewsT news;
+    news.status = std::make_unique<membership::wire::RankStatusT>(
+        ToWire(*this->state.own, *this->state.fleet().engine));
+    news.counts = std::exchange(this->state.new_counts, {});
+    if (this->state.own_held.version == this->state.own->map) {
+      for (const auto& set : this->state.own_held.sets) {
+        news.lengths.push_back(static_cast<uint16_t>(set.size()));
+        news.experts.insert(news.experts.end(), set.begin(), set.end());
+      }
+    }
+    if (this->state.is_owner()) {
+      HandleRankNews(this->state, this->state.settings.ip, news);
+      return;
+    }
+    const std::string ip = this->FindOwnerIp();
+    if (!ip.empty()) {
+      this->state.datagrams->Send({ip, this->state.fleet().peer_port},
+                                  membership::Encode(std::move(news)));
+    }
+  }
+
+  void Act() {
+    const TimePoint now = EventLoop::Now();
+    std::optional<Order> order;
+    if (this->state.is_owner()) {
+      order = LeadMap(this->state, now);
+      this->TellWish(now);
+    }
+    if (!order && this->state.wish) {
+      order = mapswitch::NextOrder(*this->state.wish, *this->state.own);
+    }
+    if (order && !this->state.is_order_underway) {
+      this->SendOwnOrder(*order);
+    }
+  }
+
+  void TellWish(TimePoint now) {
+    const mapswitch::MapSwitch& map_switch = this->state.map_switch;
+    if (map_switch.phase == mapswitch::SwitchPhase::kIdle) {
+      this->state.wish.reset();
+      return;
+    }
+    this->state.wish = map_switch.wish;
+    const std::string bytes =
+        membership::Encode(ToWire(map_switch.wish, this->state.own->group));
+    for (const auto& [rank, info] : this->state.ranks) {
+      if (rank != 0) {
+        this->state.datagrams->Send({info.ip, this->state.fleet().peer_port},
+                                    bytes);
+      }
+    }
+    if (map_switch.phase == mapswitch::SwitchPhase::kArming &&
+        now - map_switch.since > kSilentAgent) {
+      this->OrderSilentRanks(now);
+    }
+  }
+
+  void SendOwnOrder(const Order& order) {
+    this->state.is_order_underway = true;
+    this->SendOrder(*this->state.fleet().engine, order, kOwnCallTimeout,
+                    [this] {
+                      this->state.is_order_underway = false;
+                      this->ReadReport();
+                    });
+  }
+
+  void SendOrder(const Address& server,
+                 const Order& order,
+                 Duration timeout,
+                 std::function<void()> on_done) {
+    const std::string kind = mapswitch::NameOf(order.body);
+    http::DirectCall::Fetch(
+        this->state.loop,
+        {.target = server,
+         .method = "POST",
+         .path = this->state.adapter.order_path,
+         .headers = {{"host", Format(server)},
+                     {"content-type", "application/json"}},
+         .body = this->state.adapter.write_order(order),
+         .timeout = timeout},
+        [kind, server, order, on_done = std::move(on_done)](
+            CallEnd end, const http::Response& response) {
+          Log(LogLevel::kInfo, "rank", "order_ended",
+              {{"order", kind},
+               {"server", Format(server)},
+               {"expected_sequence", std::to_string(order.expected_sequence)},
+               {"end", std::string(http::NameOf(end))},
+               {"status",
+                std::to_string(end == CallEnd::kWhole ? response.status : 0)}});
+          on_done();
+        });
+  }
+
+  // The group waits for a rank whose agent is gone: its server is asked and
+  // ordered from here, which costs more and works.
+  void OrderSilentRanks(TimePoint now) {
+    if (now - this->last_far_order < kFarOrderInterval) {
+      return;
+    }
+    this->last_far_order = now;
+    for (const auto& [rank, info] : this->state.ranks) {
+      const auto& heard = this->state.map_switch.ranks.at(rank);
+      if (heard && now - heard->heard < kSilentAgent) {
+        continue;
+      }
+      http::DirectCall::Fetch(
+          this->state.loop,
+          {.target = info.server,
+           .path = this->state.adapter.report_path,
+           .headers = {{"host", Format(info.server)}},
+           .timeout = kFarCallTimeout},
+          [this, server = info.server](CallEnd end,
+                                       const http::Response& response) {
+            if (end == CallEnd::kWhole && response.status == 200) {
+              this->HandleFarReport(server, response.body);
+            }
+          });
+    }
+  }
+
+  void HandleFarReport(const Address& server, const std::string& body) {
+    const auto status = this->state.adapter.parse_report(body);
+    if (status.has_error()) {
+      return;
+    }
+    mapswitch::HandleStatus(this->state.map_switch, status.value(),
+                            EventLoop::Now());
+    const auto order =
+        mapswitch::NextOrder(this->state.map_switch.wish, status.value());
+    if (order) {
+      this->SendOrder(server, *order, kFarCallTimeout, [] {});
+    }
+  }
+
+  void HandleDatagram(const std::string& from_ip, std::string_view bytes) {
+    const auto message = membership::Decode(bytes);
+    if (message.has_error()) {
+      return;
+    }
+    const auto& body = message.value().body;
+    if (const auto* heartbeat = body.AsHeartbeat()) {
+      for (const auto& member : heartbeat->members) {
+        if (member != nullptr) {
+          membership::Learn(this->state.members, *member, member->ip == from_ip,
+                            EventLoop::Now());
+        }
+      }
+    } else if (const auto* news = body.AsRankNews()) {
+      HandleRankNews(this->state, from_ip, *news);
+    } else if (const auto* wish = body.AsMapWish()) {
+      this->HandleWish(*wish);
+    }
+  }
+
+  void HandleWish(const membership::wire::MapWishT& wish) {
+    if (!this->state.own || wish.group != this->state.own->group ||
+        wish.epoch != this->state.own->epoch || this->state.is_owner()) {
+      return;
+    }
+    // Datagrams overtake each other: an older wish must not replace a newer.
+    const auto& known = this->state.wish;
+    if (known &&
+        (known->version > wish.version ||
+         (known->version == wish.version && known->arm_step > wish.arm_step))) {
+      return;
+    }
+    const bool is_new = !known || known->version != wish.version ||
+                        known->arm_step != wish.arm_step;
+    this->state.wish = FromWire(wish, this->state.own->size);
+    if (is_new) {
+      this->ReadReport();
+    }
+  }
+
+  void SendHeartbeat() {
+    membership::wire::HeartbeatT heartbeat;
+    auto self = std::make_unique<membership::wire::MemberT>();
+    self->name = this->state.settings.name;
+    self->zone = this->state.settings.zone;
+    self->ip = this->state.settings.ip;
+    self->incarnation = this->state.incarnation;
+    self->counter = ++this->counter;
+    constexpr Duration kStale = std::chrono::seconds(1);
+    if (this->state.own && EventLoop::Now() - this->state.own_heard < kStale) {
+      self->rank = std::make_unique<membership::wire::RankStatusT>(
+          ToWire(*this->state.own, *this->state.fleet().engine));
+    }
+    heartbeat.members.push_back(std::move(self));
+    const std::string bytes = membership::Encode(std::move(heartbeat));
+    for (const std::string& ip : this->GatewayIps()) {
+      this->state.datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
+    }
+  }
+
+  std::set<std::string> GatewayIps() const {
+    std::set<std::string> ips(this->state.fleet().seeds.begin(),
+                              this->state.fleet().seeds.end());
+    for (const auto& [name, known] : this->state.members.known) {
+      if (known.member.is_entry) {
+        ips.insert(known.member.ip);
+      }
+    }
+    return ips;
+  }
+
+  void AskForShape() {
+    this->state.loop.RunAfter(kShapeInterval, [this] { this->AskForShape(); });
+    const std::set<std::string> ips = this->GatewayIps();
+    if (ips.empty()) {
+      return;
+    }
+    auto chosen = ips.begin();
+    std::advance(chosen, this->ticks % ips.size());
+    http::DirectCall::Fetch(
+        this->state.loop,
+        {.target = {*chosen, this->state.fleet().peer_port},
+         .path = "/v1/engine?address=" + Format(*this->state.fleet().engine),
+         .headers = {{"host", *chosen}},
+         .timeout = kFarCallTimeout},
+        [this](CallEnd end, const http::Response& response) {
+          const auto body =
+              nlohmann::json::parse(response.body, nullptr, false);
+          if (end != CallEnd::kWhole || response.status != 200 ||
+              !body.is_object()) {
+            return;
+          }
+          this->state.shape =
+              MapShape{.sets = body.value("sets", 0U),
+                       .experts = body.value("experts", 0U),
+                       .places_per_rank = body.value("places_per_rank", 0U),
+                       .spare = body.value("spare", 0U)};
+        });
+  }
+
+  nlohmann::json Dump() const {
+    nlohmann::json dump = {{"process", this->state.settings.name},
+                           {"role", "rank"},
+                           {"incarnation", this->state.incarnation},
+                           {"is_owner", this->state.is_owner()}};
+    if (this->state.own) {
+      const RankStatus& own = *this->state.own;
+      dump["rank"] = {{"group", own.group},    {"rank", own.rank},
+                      {"epoch", own.epoch},    {"map", own.map},
+                      {"step", own.step},      {"held", own.held},
+                      {"armed", own.armed},    {"prepared", own.prepared},
+                      {"running", own.running}};
+      dump["rank_age_ms"] =
+          (EventLoop::Now() - this->state.own_heard).count() / 1000;
+    }
+    dump["switch"] = {
+        {"phase", mapswitch::NameOf(this->state.map_switch.phase)},
+        {"version", this->state.map_switch.wish.version}};
+    return dump;
+  }
+
+  RankState state;
+  std::unique_ptr<http::Ingress> metrics;
+  std::unique_ptr<http::Ingress> internal;
+  uint64_t ticks = 0;
+  uint64_t counter = 0;
+  bool is_reading_report = false;
+  bool is_reading_lists = false;
+  bool is_reading_counts = false;
+  bool is_engine_reached = true;
+  bool is_draining = false;
+  TimePoint drain_began;
+  TimePoint last_far_order;
+};
+
+Result<std::unique_ptr<Role>> StartRank(EventLoop& loop,
+                                        const Settings& settings) {
+  auto role = std::make_unique<RankRole>(loop, settings);
+  TRY(role->Start());
+  return std::unique_ptr<Role>(std::move(role));
+}
+
+const PluginRegistration<StartRole> kRegistration("rank", StartRank);
+
+}  // namespace
+
+}  // namespace bramleyspan::rankd
--- /dev/null
+++ b/Services/bramleyspand/Rank/RankState.h
@@ -0,0 +1,75 @@
+// What the parts of a rank's agent share.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "Kernel/Datagrams.h"
+#include "LibHTTP/DirectCall.h"
+#include "LibMapSwitch/Switch.h"
+#include "LibMembership/Members.h"
+#include "LibPlacement/Copies.h"
+#include "LibPlacement/Drift.h"
+#include "Services/bramleyspand/Settings.h"
+
+namespace bramleyspan::rankd {
+
+// The shape of an engine's expert maps, as a gateway tells it from the desired
+// state.
+struct MapShape {
+  uint32_t sets = 0;
+  uint32_t experts = 0;
+  uint32_t places_per_rank = 0;
+  uint32_t spare = 0;
+};
+
+// Set by set, the experts that a rank holds under a map.
+struct HeldExperts {
+  mapswitch::Version version = 0;
+  std::vector<std::vector<uint16_t>> sets;
+};
+
+// What the owner of the group's map knows of a rank besides its status.
+struct RankInfo {
+  std::string ip;
+  Address server;
+  HeldExperts held;
+};
+
+struct RankState {
+  RankState(EventLoop& loop, const Settings& settings)
+      : loop(loop), settings(settings) {}
+
+  EventLoop& loop;
+  Settings settings;
+  mapswitch::RankAdapter adapter;
+  http::KeptChannels channels;
+  std::unique_ptr<Datagrams> datagrams;
+  membership::Members members;
+  uint64_t incarnation = 0;
+
+  // The rank beside this agent.
+  std::optional<mapswitch::RankStatus> own;
+  TimePoint own_heard;
+  HeldExperts own_held;
+  std::optional<mapswitch::ExpertCounts> last_counts;
+  // Choices read and not told yet.
+  std::vector<uint32_t> new_counts;
+  bool is_order_underway = false;
+  std::optional<mapswitch::Wish> wish;
+
+  // Kept by the owner only, the agent beside rank 0.
+  mapswitch::MapSwitch map_switch;
+  std::map<uint32_t, RankInfo> ranks;
+  placement::Drift drift;
+  std::optional<MapShape> shape;
+
+  const FleetSettings& fleet() const { return *this->settings.fleet; }
+  bool is_owner() const { return this->own && this->own->rank == 0; }
+};
+
+}  // namespace bramleyspan::rankd
