--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -31,6 +31,8 @@
 // A switch must lower the mean skew of all sets by this much.
 constexpr double kLeastGainOfSwitch = 0.05;
 
+constexpr Duration kSampleTime = std::chrono::milliseconds(150);
+
 std::string Rounded(double value) {
   constexpr double kHundredths = 100;
   return std::to_string(static_cast<int>(value * kHundredths) / kHundredths)
@@ -60,15 +62,24 @@
       counts.size() != size_t{state.shape->sets} * state.shape->experts) {
     return;
   }
-  std::vector<std::vector<double>> choices(state.shape->sets);
+  auto& choices = state.choices;
+  choices.resize(state.shape->sets,
+                 std::vector<double>(state.shape->experts, 0));
   size_t at = 0;
   for (auto& set : choices) {
-    for (uint32_t i = 0; i < state.shape->experts; ++i) {
-      set.push_back(counts[at++]);
+    for (double& sum : set) {
+      sum += counts[at++];
     }
   }
+  // One rank's requests are not what the group's are: a sample holds what all
+  // ranks told in this time.
+  const TimePoint now = EventLoop::Now();
+  if (now - state.sampled < kSampleTime) {
+    return;
+  }
+  state.sampled = now;
   const uint64_t jumps = state.drift.jumps;
-  placement::ObserveChoices(state.drift, choices);
+  placement::ObserveChoices(state.drift, std::exchange(choices, {}));
   if (state.drift.jumps != jumps) {
     Log(LogLevel::kInfo, "map", "demand_jumped",
         {{"jumps", std::to_string(state.drift.jumps)},
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -34,6 +34,8 @@
 // An agent that has said nothing for so long while the group is held is left
 // aside: its server gets its order from here.
 constexpr Duration kSilentAgent = std::chrono::milliseconds(300);
+// An order may be lost; it is sent again after this time.
+constexpr Duration kRepeatOrderAfter = std::chrono::milliseconds(1000);
 constexpr Duration kFarOrderInterval = std::chrono::milliseconds(500);
 
 class RankRole : public Role {
@@ -289,11 +291,26 @@
     if (!order && this->state.wish) {
       order = mapswitch::NextOrder(*this->state.wish, *this->state.own);
     }
-    if (order && !this->state.is_order_underway) {
+    if (order && !this->state.is_order_underway &&
+        !this->is_repeat(*order, now)) {
       this->SendOwnOrder(*order);
     }
   }
 
+  // Whether the same order went out a moment ago. A rank that copies reports
+  // neither that it is busy nor that the map is prepared, and would be ordered
+  // again at each reading.
+  bool is_repeat(const Order& order, TimePoint now) {
+    const std::string written = this->state.adapter.write_order(order);
+    if (written == this->last_order &&
+        now - this->last_order_at < kRepeatOrderAfter) {
+      return true;
+    }
+    this->last_order = written;
+    this->last_order_at = now;
+    return false;
+  }
+
   void TellWish(TimePoint now) {
     const mapswitch::MapSwitch& map_switch = this->state.map_switch;
     if (map_switch.phase == mapswitch::SwitchPhase::kIdle) {
@@ -525,6 +542,8 @@
   bool is_draining = false;
   TimePoint drain_began;
   TimePoint last_far_order;
+  std::string last_order;
+  TimePoint last_order_at;
 };
 
 Result<std::unique_ptr<Role>> StartRank(EventLoop& loop,
--- a/Services/bramleyspand/Rank/RankState.h
+++ b/Services/bramleyspand/Rank/RankState.h
@@ -66,6 +66,9 @@
   mapswitch::MapSwitch map_switch;
   std::map<uint32_t, RankInfo> ranks;
   placement::Drift drift;
+  // Choices of all ranks that do not make up a sample yet.
+  std::vector<std::vector<double>> choices;
+  TimePoint sampled;
   std::optional<MapShape> shape;
 
   const FleetSettings& fleet() const { return *this->settings.fleet; }
