LibGateway: Keep a group's limit per rank; LibMapSwitch: repeat lost orders soon

Cause: the first gateway to hear of one rank set the whole group's limit by it (5 to 15 instead of 40), and it grew by 4% a quarter second.

--- a/Libraries/LibGateway/Places.cc
+++ b/Libraries/LibGateway/Places.cc
@@ -20,6 +20,9 @@
 constexpr double kRaisePerAdjustment = 1.04;
 constexpr double kLowerPerAdjustment = 0.9;
 constexpr double kGain = 0.25;
+// Gateways that each keep to their share may exceed the limit by this factor
+// while others give back what they had borrowed.
+constexpr double kOverdraft = 1.1;
 // The limit is raised only where it is used: an idle group's short passes say
 // nothing of a full one's.
 constexpr double kUsedPart = 0.75;
@@ -47,12 +50,10 @@
   return loads;
 }
 
-GroupPlaces& PlacesOf(Places& places,
-                      const std::string& group,
-                      const GroupLoad& load) {
+GroupPlaces& PlacesOf(Places& places, const std::string& group) {
   GroupPlaces& found = places.groups[group];
-  if (found.limit == 0) {
-    found.limit = kFirstPerRank * load.ranks;
+  if (found.per_rank == 0) {
+    found.per_rank = kFirstPerRank;
   }
   return found;
 }
@@ -63,19 +64,24 @@
                const Sharing& sharing) {
   const auto own = static_cast<double>(load.own);
   const auto total = static_cast<double>(load.total);
-  const double share = group.limit / static_cast<double>(sharing.gateways);
+  const double limit = LimitOf(group, load.ranks);
+  const double share = limit / static_cast<double>(sharing.gateways);
   // Shares are fractions of a stream; what is left over goes to whoever sees
   // it free.
   if (own + 1 <= share) {
-    return total + 1 <= group.limit * 1.1;
+    return total + 1 <= limit * kOverdraft;
   }
   // Beyond the share: what the others leave, less one place for each of them
   // that wants one too and has not yet told that it took it.
-  return total + 1 + static_cast<double>(sharing.hungry_others) <= group.limit;
+  return total + 1 + static_cast<double>(sharing.hungry_others) <= limit;
 }
 
 }  // namespace
 
+double LimitOf(const GroupPlaces& group, uint32_t ranks) {
+  return group.per_rank * ranks;
+}
+
 std::string GroupOf(const TargetView& view) {
   if (view.rank && !view.rank->group.empty()) {
     return view.rank->group;
@@ -93,11 +99,12 @@
   const std::string* best_group = nullptr;
   double best_fill = 0;
   for (const auto& [name, load] : loads) {
-    const GroupPlaces& group = PlacesOf(places, name, load);
+    const GroupPlaces& group = PlacesOf(places, name);
     if (!load.is_open || !has_place(group, load, sharing)) {
       continue;
     }
-    const double fill = static_cast<double>(load.total) / group.limit;
+    const double fill =
+        static_cast<double>(load.total) / LimitOf(group, load.ranks);
     if (best_group == nullptr || fill < best_fill) {
       best_group = &name;
       best_fill = fill;
@@ -136,7 +143,7 @@
                   Duration longest_pause) {
   const GroupLoads loads = CountLoads(targets, service.name);
   for (const auto& [name, load] : loads) {
-    GroupPlaces& group = PlacesOf(places, name, load);
+    GroupPlaces& group = PlacesOf(places, name);
     if (group.pauses.size() < kLeastPauses) {
       continue;
     }
@@ -153,15 +160,14 @@
         (aimed - static_cast<double>(group.usual_pause.count())) / aimed;
     double factor =
         std::clamp(1 + kGain * over, kLowerPerAdjustment, kRaisePerAdjustment);
-    const bool is_used =
-        static_cast<double>(load.total) >= kUsedPart * group.limit;
+    const bool is_used = static_cast<double>(load.total) >=
+                         kUsedPart * LimitOf(group, load.ranks);
     if (factor > 1 && !is_used) {
       factor = 1;
     }
-    const double most =
-        static_cast<double>(load.ranks) * std::max(1U, service.engine->slots);
-    group.limit = std::clamp(group.limit * factor,
-                             std::min(most, kLeastPerRank * load.ranks), most);
+    const double most = std::max(1U, service.engine->slots);
+    group.per_rank = std::clamp(group.per_rank * factor,
+                                std::min(most, kLeastPerRank), most);
   }
   std::erase_if(places.groups, [&loads](const auto& item) {
     return !loads.contains(item.first);
--- a/Libraries/LibGateway/Places.h
+++ b/Libraries/LibGateway/Places.h
@@ -19,14 +19,18 @@
 namespace bramleyspan::gateway {
 
 struct GroupPlaces {
-  // Streams that may run at once in the whole group.
-  double limit = 0;
+  // Streams that may run at once at each rank. Ranks become known one after
+  // the other, so that a limit of the whole group would begin too low.
+  double per_rank = 0;
   // Pauses seen since the last adjustment.
   std::vector<Duration> pauses;
   // The longest usual pause lately, for the dump.
   Duration usual_pause{};
 };
 
+// Streams that may run at once in a whole group.
+double LimitOf(const GroupPlaces& group, uint32_t ranks);
+
 struct Places {
   std::map<std::string, GroupPlaces> groups;
 };
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -32,7 +32,7 @@
     "bramleyspan_feed_age_seconds",
     "Time since the store last answered, by feed."};
 inline constexpr MetricName kGroupLimit{
-    "bramleyspan_group_limit",
-    "Streams that may run at once in a group, by group."};
+    "bramleyspan_streams_per_rank",
+    "Streams that may run at once at each rank, by group."};
 
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -312,7 +312,7 @@
           std::chrono::duration<double>(feed->age(now)).count());
     }
     for (const auto& [name, group] : this->state.places.groups) {
-      telemetry::SetGauge(kGroupLimit, {{"group", name}}, group.limit);
+      telemetry::SetGauge(kGroupLimit, {{"group", name}}, group.per_rank);
     }
   }
 
@@ -341,7 +341,7 @@
     }
     for (const auto& [name, group] : this->state.places.groups) {
       dump["groups"][name] = {
-          {"limit", group.limit},
+          {"per_rank", group.per_rank},
           {"usual_pause_ms", group.usual_pause.count() / 1000}};
     }
     for (const auto& [name, known] : this->state.members.known) {
@@ -358,8 +358,7 @@
     const TimePoint now = EventLoop::Now();
     nlohmann::json groups;
     for (const auto& [name, group] : this->state.places.groups) {
-      groups[name] = {static_cast<int>(group.limit),
-                      group.usual_pause.count() / 1000};
+      groups[name] = {group.per_rank, group.usual_pause.count() / 1000};
     }
     Log(LogLevel::kInfo, "main", "status",
         {{"open", std::to_string(this->state.open.size())},
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -34,8 +34,11 @@
 // An agent that has said nothing for so long while the group is held is left
 // aside: its server gets its order from here.
 constexpr Duration kSilentAgent = std::chrono::milliseconds(300);
-// An order may be lost; it is sent again after this time.
-constexpr Duration kRepeatOrderAfter = std::chrono::milliseconds(1000);
+// An order that was not answered may be lost, and the whole group may wait for
+// it: it is sent again soon. One that was accepted takes its time.
+constexpr Duration kRepeatLostAfter = std::chrono::milliseconds(100);
+constexpr Duration kRepeatTakenAfter = std::chrono::milliseconds(1500);
+constexpr Duration kOwnOrderTimeout = std::chrono::milliseconds(100);
 constexpr Duration kFarOrderInterval = std::chrono::milliseconds(500);
 
 class RankRole : public Role {
@@ -302,12 +305,14 @@
   // again at each reading.
   bool is_repeat(const Order& order, TimePoint now) {
     const std::string written = this->state.adapter.write_order(order);
-    if (written == this->last_order &&
-        now - this->last_order_at < kRepeatOrderAfter) {
+    const Duration wait =
+        this->is_last_order_taken ? kRepeatTakenAfter : kRepeatLostAfter;
+    if (written == this->last_order && now - this->last_order_at < wait) {
       return true;
     }
     this->last_order = written;
     this->last_order_at = now;
+    this->is_last_order_taken = false;
     return false;
   }
 
@@ -334,8 +339,9 @@
 
   void SendOwnOrder(const Order& order) {
     this->state.is_order_underway = true;
-    this->SendOrder(*this->state.fleet().engine, order, kOwnCallTimeout,
-                    [this] {
+    this->SendOrder(*this->state.fleet().engine, order, kOwnOrderTimeout,
+                    [this](bool is_taken) {
+                      this->is_last_order_taken = is_taken;
                       this->state.is_order_underway = false;
                       this->ReadReport();
                     });
@@ -344,7 +350,7 @@
   void SendOrder(const Address& server,
                  const Order& order,
                  Duration timeout,
-                 std::function<void()> on_done) {
+                 std::function<void(bool is_taken)> on_done) {
     const std::string kind = mapswitch::NameOf(order.body);
     http::DirectCall::Fetch(
         this->state.loop,
@@ -364,7 +370,8 @@
                {"end", std::string(http::NameOf(end))},
                {"status",
                 std::to_string(end == CallEnd::kWhole ? response.status : 0)}});
-          on_done();
+          on_done(end == CallEnd::kWhole &&
+                  (response.status == 200 || response.status == 202));
         });
   }
 
@@ -405,7 +412,7 @@
     const auto order =
         mapswitch::NextOrder(this->state.map_switch.wish, status.value());
     if (order) {
-      this->SendOrder(server, *order, kFarCallTimeout, [] {});
+      this->SendOrder(server, *order, kFarCallTimeout, [](bool) {});
     }
   }
 
@@ -544,6 +551,7 @@
   TimePoint last_far_order;
   std::string last_order;
   TimePoint last_order_at;
+  bool is_last_order_taken = false;
 };
 
 Result<std::unique_ptr<Role>> StartRank(EventLoop& loop,
