--- a/Libraries/LibPlacement/Copies.cc
+++ b/Libraries/LibPlacement/Copies.cc
@@ -11,7 +11,7 @@
 constexpr double kRememberedWeight = 0.3;
 // A copy that waits behind another on its rank's link comes later; it counts
 // as this much more load.
-constexpr double kLinkWeight = 0.004;
+constexpr double kLinkWeight = 0.02;
 
 std::vector<uint32_t> CountHolders(const RankLists& lists, size_t experts) {
   std::vector<uint32_t> holders(experts, 0);
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -29,7 +29,7 @@
 // A copy must lower its set's skew by this much.
 constexpr double kLeastGainOfCopy = 0.04;
 // A switch must lower the mean skew of all sets by this much.
-constexpr double kLeastGainOfSwitch = 0.05;
+constexpr double kLeastGainOfSwitch = 0.12;
 
 constexpr Duration kSampleTime = std::chrono::milliseconds(150);
 
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -318,6 +318,15 @@
 
   void TellWish(TimePoint now) {
     const mapswitch::MapSwitch& map_switch = this->state.map_switch;
+    // Said at each tick, and at once where it is new.
+    const bool is_new = map_switch.phase != this->told_phase ||
+                        map_switch.wish.version != this->told_version;
+    if (!is_new && now - this->told_at < kTickInterval) {
+      return;
+    }
+    this->told_at = now;
+    this->told_phase = map_switch.phase;
+    this->told_version = map_switch.wish.version;
     if (map_switch.phase == mapswitch::SwitchPhase::kIdle) {
       this->state.wish.reset();
       return;
@@ -431,6 +440,11 @@
       }
     } else if (const auto* news = body.AsRankNews()) {
       HandleRankNews(this->state, from_ip, *news);
+      // A switch goes on with the last rank's news, not with the next tick.
+      if (this->state.is_owner() &&
+          this->state.map_switch.phase != mapswitch::SwitchPhase::kIdle) {
+        this->Act();
+      }
     } else if (const auto* wish = body.AsMapWish()) {
       this->HandleWish(*wish);
     }
@@ -549,6 +563,9 @@
   bool is_draining = false;
   TimePoint drain_began;
   TimePoint last_far_order;
+  TimePoint told_at;
+  mapswitch::SwitchPhase told_phase = mapswitch::SwitchPhase::kIdle;
+  mapswitch::Version told_version = 0;
   std::string last_order;
   TimePoint last_order_at;
   bool is_last_order_taken = false;
