--- a/Libraries/LibGateway/Places.cc
+++ b/Libraries/LibGateway/Places.cc
@@ -12,7 +12,7 @@
 constexpr double kLeastPerRank = 2;
 // The part of the longest pause at which a usual pass is held, so that the
 // unusual ones stay under it too.
-constexpr double kAimedPart = 0.72;
+constexpr double kAimedPart = 0.85;
 // The pause that nine in ten do not exceed stands for the usual pass.
 constexpr double kUsualQuantile = 0.9;
 constexpr size_t kLeastPauses = 12;
--- a/Libraries/LibPlatform/PrefixFeed.h
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -18,7 +18,7 @@
   std::string prefix;
   // A silent channel shows only by a watch that is not answered in time, so
   // the wait bounds how late that is noticed.
-  Duration watch_wait = std::chrono::milliseconds(700);
+  Duration watch_wait = std::chrono::milliseconds(1200);
   Duration watch_slack = std::chrono::milliseconds(300);
   Duration range_timeout = std::chrono::milliseconds(700);
   Duration retry_delay = std::chrono::milliseconds(150);
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -25,7 +25,7 @@
     "bramleyspan_expert_copies_total", "Copies of experts that were ordered."};
 
 // Copies in a set that one switch brings: few are there sooner than many.
-constexpr uint32_t kCopiesPerSwitch = 3;
+constexpr uint32_t kCopiesPerSwitch = 1;
 // A copy must lower its set's skew by this much.
 constexpr double kLeastGainOfCopy = 0.04;
 // A switch must lower the mean skew of all sets by this much.
