LibGateway: Replace a target by the newer one at its address; LibPlacement: relieve slow ranks

Cause: after a loss of power all servers come back under new names at their old addresses; both names counted as ranks, which doubled the group's limit, and half of the requests met 421.

--- a/Libraries/LibGateway/Places.cc
+++ b/Libraries/LibGateway/Places.cc
@@ -120,7 +120,8 @@
         view.load() >= std::max<uint32_t>(1, view.target.slots)) {
       return;
     }
-    const double cost = view.load() + FailureScore(view, now) +
+    const double pace = view.rank ? std::max(1.0, view.rank->pace) : 1;
+    const double cost = (view.load() + 1) * pace + FailureScore(view, now) +
                         (view.avoided_until > now ? 1000.0 : 0.0);
     if (best == nullptr || cost < best_cost) {
       best = &view;
--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -30,7 +30,18 @@
 
 void ApplyTarget(TargetTable& table, Target target) {
   const std::string id = target.id;
-  table.by_id[id].target = std::move(target);
+  for (auto& [other_id, other] : table.by_id) {
+    if (other_id == id || other.target.address != target.address) {
+      continue;
+    }
+    if (other.target.revision > target.revision) {
+      return;
+    }
+    other.is_replaced = true;
+  }
+  TargetView& view = table.by_id[id];
+  view.is_replaced = false;
+  view.target = std::move(target);
 }
 
 void RemoveTarget(TargetTable& table, const std::string& id) {
@@ -64,6 +75,9 @@
     case Outcome::kFailed:
       view.failures += 1;
       return;
+    case Outcome::kMisdirected:
+      view.is_replaced = true;
+      return;
     case Outcome::kUnreachable:
       view.failures += 1;
       view.avoided_until = now + kAvoidTime;
@@ -77,7 +91,7 @@
                    const TargetVisitor& visit) {
   for (const auto& [id, view] : table.by_id) {
     if (view.target.service == service && !view.target.is_leaving &&
-        !excluded.contains(id)) {
+        !view.is_replaced && !excluded.contains(id)) {
       visit(view);
     }
   }
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -23,6 +23,8 @@
   Address address;
   uint32_t slots = 1;
   bool is_leaving = false;
+  // The store's revision of this record.
+  uint64_t revision = 0;
 };
 
 // What an agent says of the rank beside it.
@@ -34,6 +36,8 @@
   bool is_open = true;
   uint32_t running = 0;
   uint32_t queued = 0;
+  // How many times as long as usual the rank's work takes.
+  double pace = 1;
   TimePoint heard;
 };
 
@@ -45,6 +49,9 @@
   // Failures count less as they grow older.
   double failures = 0;
   TimePoint failures_at;
+  // Another target has its address now, or said so itself: nothing is sent
+  // there until the platform lists it anew.
+  bool is_replaced = false;
   // After a connection was refused or timed out, nothing is sent until then.
   TimePoint avoided_until;
   std::optional<RankView> rank;
@@ -56,12 +63,15 @@
   std::map<std::string, TargetView> by_id;
 };
 
-// Takes what the platform lists; the view of a known target is kept.
+// Takes what the platform lists; the view of a known target is kept. Targets
+// that were listed before at the same address are replaced by it: all servers
+// of a site that lost power come back at their addresses with new names, while
+// the old names stay listed for seconds.
 void ApplyTarget(TargetTable& table, Target target);
 void RemoveTarget(TargetTable& table, const std::string& id);
 
 // How a request at a target ended, for choosing the next one.
-enum class Outcome { kGood, kFailed, kUnreachable };
+enum class Outcome { kGood, kFailed, kUnreachable, kMisdirected };
 void NoteOutcome(TargetTable& table,
                  const std::string& id,
                  Outcome outcome,
--- a/Libraries/LibMapSwitch/Rank.h
+++ b/Libraries/LibMapSwitch/Rank.h
@@ -32,6 +32,8 @@
   uint64_t sequence = 0;
   uint32_t running = 0;
   uint32_t queued = 0;
+  // How many times as long as usual the rank's work takes.
+  double pace = 1;
   // The last pass begun.
   Step step = 0;
   Version map = 0;
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -265,6 +265,7 @@
   uint64_t sequence = 0;
   uint32_t running = 0;
   uint32_t queued = 0;
+  double pace = 0.0;
   uint64_t step = 0;
   uint64_t map = 0;
   uint64_t prepared = 0;
@@ -288,12 +289,13 @@
     VT_SEQUENCE = 18,
     VT_RUNNING = 20,
     VT_QUEUED = 22,
-    VT_STEP = 24,
-    VT_MAP = 26,
-    VT_PREPARED = 28,
-    VT_ARMED = 30,
-    VT_ARMED_STEP = 32,
-    VT_HELD = 34
+    VT_PACE = 24,
+    VT_STEP = 26,
+    VT_MAP = 28,
+    VT_PREPARED = 30,
+    VT_ARMED = 32,
+    VT_ARMED_STEP = 34,
+    VT_HELD = 36
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -325,6 +327,9 @@
   uint32_t queued() const {
     return GetField<uint32_t>(VT_QUEUED, 0);
   }
+  double pace() const {
+    return GetField<double>(VT_PACE, 0.0);
+  }
   uint64_t step() const {
     return GetField<uint64_t>(VT_STEP, 0);
   }
@@ -357,6 +362,7 @@
            VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
            VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
+           VerifyField<double>(verifier, VT_PACE, 8) &&
            VerifyField<uint64_t>(verifier, VT_STEP, 8) &&
            VerifyField<uint64_t>(verifier, VT_MAP, 8) &&
            VerifyField<uint64_t>(verifier, VT_PREPARED, 8) &&
@@ -404,6 +410,9 @@
   void add_queued(uint32_t queued) {
     fbb_.AddElement<uint32_t>(RankStatus::VT_QUEUED, queued, 0);
   }
+  void add_pace(double pace) {
+    fbb_.AddElement<double>(RankStatus::VT_PACE, pace, 0.0);
+  }
   void add_step(uint64_t step) {
     fbb_.AddElement<uint64_t>(RankStatus::VT_STEP, step, 0);
   }
@@ -445,6 +454,7 @@
     uint64_t sequence = 0,
     uint32_t running = 0,
     uint32_t queued = 0,
+    double pace = 0.0,
     uint64_t step = 0,
     uint64_t map = 0,
     uint64_t prepared = 0,
@@ -458,6 +468,7 @@
   builder_.add_prepared(prepared);
   builder_.add_map(map);
   builder_.add_step(step);
+  builder_.add_pace(pace);
   builder_.add_sequence(sequence);
   builder_.add_epoch(epoch);
   builder_.add_queued(queued);
@@ -488,6 +499,7 @@
     uint64_t sequence = 0,
     uint32_t running = 0,
     uint32_t queued = 0,
+    double pace = 0.0,
     uint64_t step = 0,
     uint64_t map = 0,
     uint64_t prepared = 0,
@@ -508,6 +520,7 @@
       sequence,
       running,
       queued,
+      pace,
       step,
       map,
       prepared,
@@ -966,6 +979,7 @@
   std::vector<uint16_t> experts{};
   std::vector<uint16_t> lengths{};
   uint64_t arm_step = 0;
+  std::vector<std::string> servers{};
 };
 
 struct MapWish FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -978,7 +992,8 @@
     VT_VERSION = 8,
     VT_EXPERTS = 10,
     VT_LENGTHS = 12,
-    VT_ARM_STEP = 14
+    VT_ARM_STEP = 14,
+    VT_SERVERS = 16
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -998,6 +1013,9 @@
   uint64_t arm_step() const {
     return GetField<uint64_t>(VT_ARM_STEP, 0);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVERS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_GROUP) &&
@@ -1009,6 +1027,9 @@
            VerifyOffset(verifier, VT_LENGTHS) &&
            verifier.VerifyVector(lengths()) &&
            VerifyField<uint64_t>(verifier, VT_ARM_STEP, 8) &&
+           VerifyOffset(verifier, VT_SERVERS) &&
+           verifier.VerifyVector(servers()) &&
+           verifier.VerifyVectorOfStrings(servers()) &&
            verifier.EndTable();
   }
   MapWishT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1038,6 +1059,9 @@
   void add_arm_step(uint64_t arm_step) {
     fbb_.AddElement<uint64_t>(MapWish::VT_ARM_STEP, arm_step, 0);
   }
+  void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers) {
+    fbb_.AddOffset(MapWish::VT_SERVERS, servers);
+  }
   explicit MapWishBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1056,11 +1080,13 @@
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths = 0,
-    uint64_t arm_step = 0) {
+    uint64_t arm_step = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0) {
   MapWishBuilder builder_(_fbb);
   builder_.add_arm_step(arm_step);
   builder_.add_version(version);
   builder_.add_epoch(epoch);
+  builder_.add_servers(servers);
   builder_.add_lengths(lengths);
   builder_.add_experts(experts);
   builder_.add_group(group);
@@ -1079,10 +1105,12 @@
     uint64_t version = 0,
     const std::vector<uint16_t> *experts = nullptr,
     const std::vector<uint16_t> *lengths = nullptr,
-    uint64_t arm_step = 0) {
+    uint64_t arm_step = 0,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
   auto lengths__ = lengths ? _fbb.CreateVector<uint16_t>(*lengths) : 0;
+  auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
   return bramleyspan::membership::wire::CreateMapWish(
       _fbb,
       group__,
@@ -1090,7 +1118,8 @@
       version,
       experts__,
       lengths__,
-      arm_step);
+      arm_step,
+      servers__);
 }
 
 flatbuffers::Offset<MapWish> CreateMapWish(flatbuffers::FlatBufferBuilder &_fbb, const MapWishT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1234,6 +1263,7 @@
   { auto _e = sequence(); _o->sequence = _e; }
   { auto _e = running(); _o->running = _e; }
   { auto _e = queued(); _o->queued = _e; }
+  { auto _e = pace(); _o->pace = _e; }
   { auto _e = step(); _o->step = _e; }
   { auto _e = map(); _o->map = _e; }
   { auto _e = prepared(); _o->prepared = _e; }
@@ -1260,6 +1290,7 @@
   auto _sequence = _o->sequence;
   auto _running = _o->running;
   auto _queued = _o->queued;
+  auto _pace = _o->pace;
   auto _step = _o->step;
   auto _map = _o->map;
   auto _prepared = _o->prepared;
@@ -1278,6 +1309,7 @@
       _sequence,
       _running,
       _queued,
+      _pace,
       _step,
       _map,
       _prepared,
@@ -1488,6 +1520,7 @@
   { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->experts[_i] = _e->Get(_i); } } }
   { auto _e = lengths(); if (_e) { _o->lengths.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lengths[_i] = _e->Get(_i); } } }
   { auto _e = arm_step(); _o->arm_step = _e; }
+  { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = _e->Get(_i)->str(); } } }
 }
 
 inline flatbuffers::Offset<MapWish> MapWish::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapWishT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1504,6 +1537,7 @@
   auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
   auto _lengths = _o->lengths.size() ? _fbb.CreateVector(_o->lengths) : 0;
   auto _arm_step = _o->arm_step;
+  auto _servers = _o->servers.size() ? _fbb.CreateVectorOfStrings(_o->servers) : 0;
   return bramleyspan::membership::wire::CreateMapWish(
       _fbb,
       _group,
@@ -1511,7 +1545,8 @@
       _version,
       _experts,
       _lengths,
-      _arm_step);
+      _arm_step,
+      _servers);
 }
 
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Libraries/LibPlacement/Copies.cc
+++ b/Libraries/LibPlacement/Copies.cc
@@ -39,12 +39,17 @@
   return loads;
 }
 
-double SkewOfLoads(const std::vector<double>& loads) {
+double PaceOf(const std::vector<double>& paces, size_t rank) {
+  return rank < paces.size() ? std::max(1.0, paces[rank]) : 1;
+}
+
+double SkewOfLoads(const std::vector<double>& loads,
+                   const std::vector<double>& paces) {
   double total = 0;
   double most = 0;
-  for (const double load : loads) {
-    total += load;
-    most = std::max(most, load);
+  for (size_t rank = 0; rank < loads.size(); ++rank) {
+    total += loads[rank];
+    most = std::max(most, loads[rank] * PaceOf(paces, rank));
   }
   return total == 0 ? 1 : most * static_cast<double>(loads.size()) / total;
 }
@@ -58,6 +63,8 @@
   uint16_t expert = 0;
   size_t rank = 0;
   std::optional<uint16_t> dropped;
+  // The rank that gives the expert up altogether; another one keeps it.
+  std::optional<size_t> moved_from;
   double skew = 0;
   double cost = 0;
 };
@@ -95,25 +102,27 @@
 
   std::optional<Step> TryCopy(uint16_t expert,
                               size_t rank,
+                              std::optional<size_t> moved_from,
                               const std::vector<uint32_t>& holders) {
     if (is_held(this->lists[rank], expert) ||
         this->added[rank].size() >= this->limits.spare) {
       return std::nullopt;
     }
-    Step step{.expert = expert, .rank = rank};
+    Step step{.expert = expert, .rank = rank, .moved_from = moved_from};
     if (this->lists[rank].size() >= this->limits.places_per_rank) {
       step.dropped = this->FindDrop(rank, holders);
       if (!step.dropped) {
         return std::nullopt;
       }
     }
-    const std::vector<uint16_t> kept = this->lists[rank];
+    const RankLists kept = this->lists;
     std::vector<uint32_t> counts = holders;
     this->Make(step, counts);
-    step.skew = SkewOfLoads(LoadsOf(this->lists, this->shares, counts));
+    step.skew = SkewOfLoads(LoadsOf(this->lists, this->shares, counts),
+                            this->limits.paces);
     step.cost = step.skew + kLinkWeight * (this->new_elsewhere[rank] +
                                            this->added[rank].size());
-    this->lists[rank] = kept;
+    this->lists = kept;
     return step;
   }
 
@@ -125,6 +134,10 @@
     }
     list.push_back(step.expert);
     ++holders[step.expert];
+    if (step.moved_from) {
+      std::erase(this->lists[*step.moved_from], step.expert);
+      --holders[step.expert];
+    }
   }
 };
 
@@ -132,17 +145,32 @@
                                  const std::vector<uint32_t>& holders) {
   const std::vector<double> loads =
       LoadsOf(search.lists, search.shares, holders);
-  const auto most = static_cast<size_t>(
-      std::max_element(loads.begin(), loads.end()) - loads.begin());
+  size_t most = 0;
+  for (size_t rank = 1; rank < loads.size(); ++rank) {
+    const auto& paces = search.limits.paces;
+    if (loads[rank] * PaceOf(paces, rank) > loads[most] * PaceOf(paces, most)) {
+      most = rank;
+    }
+  }
   std::optional<Step> best;
   // Only a copy of what the most loaded rank holds lowers its load.
   const std::vector<uint16_t> candidates = search.lists[most];
   for (const uint16_t expert : candidates) {
     for (size_t rank = 0; rank < search.lists.size(); ++rank) {
-      const auto step =
-          rank == most ? std::nullopt : search.TryCopy(expert, rank, holders);
-      if (step && (!best || step->cost < best->cost)) {
-        best = step;
+      if (rank == most) {
+        continue;
+      }
+      const bool is_new = is_held(search.added[most], expert);
+      for (const bool is_move : {false, true}) {
+        if (is_move && is_new) {
+          continue;
+        }
+        const auto step = search.TryCopy(
+            expert, rank, is_move ? std::optional<size_t>(most) : std::nullopt,
+            holders);
+        if (step && (!best || step->cost < best->cost)) {
+          best = step;
+        }
       }
     }
   }
@@ -151,9 +179,11 @@
 
 }  // namespace
 
-double SkewOf(const RankLists& lists, const Shares& shares) {
-  return SkewOfLoads(
-      LoadsOf(lists, shares, CountHolders(lists, shares.size())));
+double SkewOf(const RankLists& lists,
+              const Shares& shares,
+              const std::vector<double>& paces) {
+  return SkewOfLoads(LoadsOf(lists, shares, CountHolders(lists, shares.size())),
+                     paces);
 }
 
 CopyPlan PlanCopies(const RankLists& lists,
@@ -162,7 +192,7 @@
                     const CopyLimits& limits,
                     std::vector<uint32_t>& new_on_rank) {
   CopyPlan plan;
-  plan.skew_before = SkewOf(lists, shares);
+  plan.skew_before = SkewOf(lists, shares, limits.paces);
   plan.skew_after = plan.skew_before;
   new_on_rank.resize(lists.size(), 0);
   Search search{.shares = shares,
--- a/Libraries/LibPlacement/Copies.h
+++ b/Libraries/LibPlacement/Copies.h
@@ -21,6 +21,9 @@
   uint32_t most_copies = 3;
   // A copy must lower the skew by this much.
   double least_gain = 0.03;
+  // How many times as long as usual each rank takes; empty if none is slow. A
+  // slow rank is relieved of experts, since all others wait for it.
+  std::vector<double> paces = {};
 };
 
 struct CopyPlan {
@@ -31,8 +34,10 @@
   double skew_after = 1;
 };
 
-// The load of the most loaded rank over the mean.
-double SkewOf(const RankLists& lists, const Shares& shares);
+// The time of the slowest rank over the mean of the loads.
+double SkewOf(const RankLists& lists,
+              const Shares& shares,
+              const std::vector<double>& paces = {});
 
 // Adds copies to the least loaded ranks. A full rank gives up the copy that is
 // least in demand, now and by what is remembered; an expert keeps at least one
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -59,6 +59,7 @@
          {"revision", std::to_string(item.revision)}});
   }
   if (target) {
+    target->revision = item.revision;
     gateway::ApplyTarget(state.targets, *std::move(target));
   } else {
     gateway::RemoveTarget(state.targets, id);
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -497,7 +497,7 @@
       {{"request", this->id},
        {"target", this->target_id},
        {"status", std::to_string(this->answer->status)}});
-  this->LeaveTarget(is_misdirected ? Outcome::kUnreachable : Outcome::kFailed);
+  this->LeaveTarget(is_misdirected ? Outcome::kMisdirected : Outcome::kFailed);
   if (this->TryAgain("rejected", true)) {
     return;
   }
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -191,7 +191,9 @@
   std::map<std::string, gateway::TargetView*> by_address;
   for (auto& [id, view] : this->state.targets.by_id) {
     view.open_elsewhere = 0;
-    by_address[Format(view.target.address)] = &view;
+    if (!view.is_replaced) {
+      by_address[Format(view.target.address)] = &view;
+    }
     if (view.rank && now - view.rank->heard > membership::kSuspectAfter) {
       view.rank->is_open = true;
     }
@@ -217,6 +219,7 @@
                                               .is_open = rank->is_open,
                                               .running = rank->running,
                                               .queued = rank->queued,
+                                              .pace = rank->pace,
                                               .heard = known.heard};
     }
   }
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -24,8 +24,10 @@
 constexpr telemetry::MetricName kExpertCopies{
     "bramleyspan_expert_copies_total", "Copies of experts that were ordered."};
 
-// Copies in a set that one switch brings: few are there sooner than many.
+// Copies in a set that one switch brings: few are there sooner than many, but
+// a slow rank is worth emptying.
 constexpr uint32_t kCopiesPerSwitch = 1;
+constexpr uint32_t kCopiesPerSwitchOfSlow = 4;
 // A copy must lower its set's skew by this much.
 constexpr double kLeastGainOfCopy = 0.04;
 // A switch must lower the mean skew of all sets by this much.
@@ -93,20 +95,28 @@
   if (!map || state.drift.present.size() != map->size()) {
     return;
   }
+  std::vector<double> paces;
+  for (const auto& rank : state.map_switch.ranks) {
+    paces.push_back(rank ? rank->status.pace : 1);
+  }
+  constexpr double kSlow = 1.3;
+  const bool is_any_slow = std::any_of(
+      paces.begin(), paces.end(), [](double pace) { return pace > kSlow; });
   mapswitch::ExpertLists next;
   std::vector<uint32_t> new_on_rank;
   double before = 0;
   double after = 0;
   uint32_t copies = 0;
   for (size_t set = 0; set < map->size(); ++set) {
-    const placement::CopyPlan plan =
-        placement::PlanCopies((*map)[set], state.drift.present[set],
-                              placement::RememberedShares(state.drift, set),
-                              {.places_per_rank = state.shape->places_per_rank,
-                               .spare = state.shape->spare,
-                               .most_copies = kCopiesPerSwitch,
-                               .least_gain = kLeastGainOfCopy},
-                              new_on_rank);
+    const placement::CopyPlan plan = placement::PlanCopies(
+        (*map)[set], state.drift.present[set],
+        placement::RememberedShares(state.drift, set),
+        {.places_per_rank = state.shape->places_per_rank,
+         .spare = state.shape->spare,
+         .most_copies = is_any_slow ? kCopiesPerSwitchOfSlow : kCopiesPerSwitch,
+         .least_gain = kLeastGainOfCopy,
+         .paces = paces},
+        new_on_rank);
     before += plan.skew_before;
     after += plan.skew_after;
     copies += plan.copies;
--- a/Services/bramleyspand/Rank/RankMessages.cc
+++ b/Services/bramleyspand/Rank/RankMessages.cc
@@ -15,6 +15,7 @@
   wire.sequence = status.sequence;
   wire.running = status.running;
   wire.queued = status.queued;
+  wire.pace = status.pace;
   wire.step = status.step;
   wire.map = status.map;
   wire.prepared = status.prepared;
@@ -34,6 +35,7 @@
           .sequence = status.sequence,
           .running = status.running,
           .queued = status.queued,
+          .pace = status.pace,
           .step = status.step,
           .map = status.map,
           .prepared = status.prepared,
