--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -87,6 +87,9 @@
     Enter(map_switch, SwitchPhase::kArming, now);
     return std::nullopt;
   }
+  if (map_switch.is_deputy) {
+    return std::nullopt;
+  }
   map_switch.wish.version = own.map;
   Enter(map_switch, SwitchPhase::kReleasing, now);
   return OwnOrder(map_switch, own, Go{.step = own.held});
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -53,6 +53,10 @@
   bool is_hold_sent = false;
   // The newest version that was ever wished or seen.
   Version newest = 0;
+  // An agent that stands in for a silent owner knows the ranks by reports that
+  // are old and of different moments, so that it only ever finishes a switch
+  // that all ranks have prepared.
+  bool is_deputy = false;
   // Names a failed switch in the log.
   std::string last_failure;
 };
--- /dev/null
+++ b/Services/bramleyspand/Rank/Deputy.cc
@@ -0,0 +1,92 @@
+#include "Services/bramleyspand/Rank/Deputy.h"
+
+#include "LibTelemetry/Log.h"
+
+namespace bramleyspan::rankd {
+
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+
+// A group that begins no pass for so long is held, or a rank of it is gone.
+constexpr Duration kStuck = std::chrono::milliseconds(350);
+// Ranks step in one after the other, so that one deputy is usually enough.
+constexpr Duration kPerRank = std::chrono::milliseconds(150);
+constexpr Duration kOwnerSilent = std::chrono::milliseconds(300);
+constexpr Duration kRoundInterval = std::chrono::milliseconds(300);
+constexpr Duration kFarTimeout = std::chrono::milliseconds(250);
+
+}  // namespace
+
+bool Deputy::is_needed(TimePoint now) {
+  const mapswitch::RankStatus& own = *this->state.own;
+  if (own.step != this->last_step || own.running == 0) {
+    this->last_step = own.step;
+    this->step_changed = now;
+    return false;
+  }
+  const Duration patience = kStuck + kPerRank * own.rank;
+  return own.rank != 0 && own.is_open &&
+         this->state.group_servers.size() == own.size &&
+         (own.armed != 0 || own.prepared > own.map) &&
+         now - this->step_changed > patience &&
+         now - this->state.owner_heard > kOwnerSilent;
+}
+
+void Deputy::HandleOwnStatus(TimePoint now) {
+  if (!this->is_needed(now)) {
+    this->map_switch = {};
+    return;
+  }
+  if (now - this->last_round < kRoundInterval) {
+    return;
+  }
+  this->last_round = now;
+  this->map_switch.is_deputy = true;
+  Log(LogLevel::kWarning, "map", "stands_in_for_owner",
+      {{"step", std::to_string(this->state.own->step)},
+       {"armed", std::to_string(this->state.own->armed)},
+       {"prepared", std::to_string(this->state.own->prepared)}});
+  this->ReadAllRanks();
+}
+
+void Deputy::ReadAllRanks() {
+  for (const Address& server : this->state.group_servers) {
+    http::DirectCall::Fetch(
+        this->state.loop,
+        {.target = server,
+         .path = this->state.adapter.report_path,
+         .headers = {{"host", Format(server)}},
+         .timeout = kFarTimeout},
+        [this, server](http::CallEnd end, const http::Response& response) {
+          if (end == http::CallEnd::kWhole && response.status == 200) {
+            this->HandleReport(server, response.body);
+          }
+        });
+  }
+}
+
+void Deputy::HandleReport(const Address& server, const std::string& body) {
+  const auto status = this->state.adapter.parse_report(body);
+  if (status.has_error() || !this->map_switch.is_deputy ||
+      status.value().group != this->state.own->group) {
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  mapswitch::HandleStatus(this->map_switch, status.value(), now);
+  const auto go = mapswitch::Continue(this->map_switch, now);
+  if (go) {
+    this->send_order(this->state.group_servers.front(), *go);
+  }
+  if (this->map_switch.phase != mapswitch::SwitchPhase::kArming) {
+    return;
+  }
+  const auto order =
+      mapswitch::NextOrder(this->map_switch.wish, status.value());
+  if (order) {
+    this->send_order(server, *order);
+  }
+}
+
+}  // namespace bramleyspan::rankd
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -28,6 +28,8 @@
 // a slow rank is worth emptying.
 constexpr uint32_t kCopiesPerSwitch = 1;
 constexpr uint32_t kCopiesPerSwitchOfSlow = 4;
+constexpr uint32_t kCopiesAtLargeSkew = 2;
+constexpr double kLargeSkew = 2.3;
 // A copy must lower its set's skew by this much.
 constexpr double kLeastGainOfCopy = 0.04;
 // A switch must lower the mean skew of all sets by this much.
@@ -89,6 +91,16 @@
   }
 }
 
+double MeanSkew(const RankState& state,
+                const mapswitch::ExpertLists& map,
+                const std::vector<double>& paces) {
+  double sum = 0;
+  for (size_t set = 0; set < map.size(); ++set) {
+    sum += placement::SkewOf(map[set], state.drift.present[set], paces);
+  }
+  return sum / static_cast<double>(map.size());
+}
+
 // Plans all sets and begins a switch if it gains enough.
 void StartSwitchIfWorthIt(RankState& state, TimePoint now) {
   const auto map = MapInForce(state);
@@ -102,21 +114,25 @@
   constexpr double kSlow = 1.3;
   const bool is_any_slow = std::any_of(
       paces.begin(), paces.end(), [](double pace) { return pace > kSlow; });
+  const uint32_t most_copies = is_any_slow ? kCopiesPerSwitchOfSlow
+                               : MeanSkew(state, *map, paces) > kLargeSkew
+                                   ? kCopiesAtLargeSkew
+                                   : kCopiesPerSwitch;
   mapswitch::ExpertLists next;
   std::vector<uint32_t> new_on_rank;
   double before = 0;
   double after = 0;
   uint32_t copies = 0;
   for (size_t set = 0; set < map->size(); ++set) {
-    const placement::CopyPlan plan = placement::PlanCopies(
-        (*map)[set], state.drift.present[set],
-        placement::RememberedShares(state.drift, set),
-        {.places_per_rank = state.shape->places_per_rank,
-         .spare = state.shape->spare,
-         .most_copies = is_any_slow ? kCopiesPerSwitchOfSlow : kCopiesPerSwitch,
-         .least_gain = kLeastGainOfCopy,
-         .paces = paces},
-        new_on_rank);
+    const placement::CopyPlan plan =
+        placement::PlanCopies((*map)[set], state.drift.present[set],
+                              placement::RememberedShares(state.drift, set),
+                              {.places_per_rank = state.shape->places_per_rank,
+                               .spare = state.shape->spare,
+                               .most_copies = most_copies,
+                               .least_gain = kLeastGainOfCopy,
+                               .paces = paces},
+                              new_on_rank);
     before += plan.skew_before;
     after += plan.skew_after;
     copies += plan.copies;
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -9,6 +9,7 @@
 #include "LibHTTP/Ingress.h"
 #include "LibTelemetry/Log.h"
 #include "LibTelemetry/Metrics.h"
+#include "Services/bramleyspand/Rank/Deputy.h"
 #include "Services/bramleyspand/Rank/MapOwner.h"
 #include "Services/bramleyspand/Rank/RankMessages.h"
 #include "Services/bramleyspand/Rank/RankState.h"
@@ -28,7 +29,8 @@
 // Ticks between two readings of the counts.
 constexpr uint64_t kTicksPerCounts = 2;
 constexpr uint64_t kTicksPerHeartbeat = 4;
-constexpr Duration kShapeInterval = std::chrono::seconds(2);
+constexpr Duration kShapeInterval = std::chrono::seconds(5);
+constexpr Duration kFirstShapeInterval = std::chrono::milliseconds(300);
 constexpr Duration kOwnCallTimeout = std::chrono::milliseconds(700);
 constexpr Duration kFarCallTimeout = std::chrono::milliseconds(700);
 // An agent that has said nothing for so long while the group is held is left
@@ -43,7 +45,11 @@
 
 class RankRole : public Role {
  public:
-  RankRole(EventLoop& loop, const Settings& settings) : state(loop, settings) {}
+  RankRole(EventLoop& loop, const Settings& settings)
+      : state(loop, settings),
+        deputy(this->state, [this](const Address& server, const Order& order) {
+          this->SendOrder(server, order, kFarCallTimeout, [](bool) {});
+        }) {}
 
   Result<void> Start() {
     const FleetSettings& fleet = this->state.fleet();
@@ -190,6 +196,7 @@
     }
     this->TellOwner();
     this->Act();
+    this->deputy.HandleOwnStatus(EventLoop::Now());
   }
 
   void ReadLists() {
@@ -455,6 +462,14 @@
         wish.epoch != this->state.own->epoch || this->state.is_owner()) {
       return;
     }
+    this->state.owner_heard = EventLoop::Now();
+    this->state.group_servers.clear();
+    for (const std::string& server : wish.servers) {
+      const auto address = ParseAddress(server);
+      if (address.has_value()) {
+        this->state.group_servers.push_back(address.value());
+      }
+    }
     // Datagrams overtake each other: an older wish must not replace a newer.
     const auto& known = this->state.wish;
     if (known &&
@@ -502,7 +517,9 @@
   }
 
   void AskForShape() {
-    this->state.loop.RunAfter(kShapeInterval, [this] { this->AskForShape(); });
+    const bool is_known = this->state.shape.has_value();
+    this->state.loop.RunAfter(is_known ? kShapeInterval : kFirstShapeInterval,
+                              [this] { this->AskForShape(); });
     const std::set<std::string> ips = this->GatewayIps();
     if (ips.empty()) {
       return;
@@ -552,6 +569,7 @@
   }
 
   RankState state;
+  Deputy deputy;
   std::unique_ptr<http::Ingress> metrics;
   std::unique_ptr<http::Ingress> internal;
   uint64_t ticks = 0;
--- a/Services/bramleyspand/Rank/RankState.h
+++ b/Services/bramleyspand/Rank/RankState.h
@@ -61,6 +61,9 @@
   std::vector<uint32_t> new_counts;
   bool is_order_underway = false;
   std::optional<mapswitch::Wish> wish;
+  // The servers of all ranks, as the owner told them, and when it last did.
+  std::vector<Address> group_servers;
+  TimePoint owner_heard;
 
   // Kept by the owner only, the agent beside rank 0.
   mapswitch::MapSwitch map_switch;
