--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -339,8 +339,11 @@
       return;
     }
     this->state.wish = map_switch.wish;
-    const std::string bytes =
-        membership::Encode(ToWire(map_switch.wish, this->state.own->group));
+    auto wire = ToWire(map_switch.wish, this->state.own->group);
+    for (const auto& [rank, info] : this->state.ranks) {
+      wire.servers.push_back(Format(info.server));
+    }
+    const std::string bytes = membership::Encode(std::move(wire));
     for (const auto& [rank, info] : this->state.ranks) {
       if (rank != 0) {
         this->state.datagrams->Send({info.ip, this->state.fleet().peer_port},
--- /dev/null
+++ b/Tests/LibGateway/TestEventsAndRepeats.cc
@@ -0,0 +1,79 @@
+#include <doctest/doctest.h>
+
+#include "LibGateway/EventReader.h"
+#include "LibGateway/RepeatBudget.h"
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+const TimePoint kStart{std::chrono::seconds(100)};
+
+}  // namespace
+
+// Story: a server died in the middle of an event; the caller had its first
+// half, and the run that went on elsewhere began with the whole of it.
+TEST_CASE("Only whole events are handed over, however the bytes come") {
+  const std::string stream =
+      "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: ha";
+  for (size_t step = 1; step <= stream.size(); ++step) {
+    EventReader reader;
+    std::string passed;
+    std::vector<uint64_t> ids;
+    for (size_t at = 0; at < stream.size(); at += step) {
+      reader.Read(std::string_view(stream).substr(at, step),
+                  [&](const StreamEvent& event) {
+                    passed += event.bytes;
+                    ids.push_back(event.id.value_or(0));
+                  });
+    }
+    CHECK(ids == std::vector<uint64_t>{1, 2});
+    CHECK(passed == stream.substr(0, stream.find("id: 3")));
+    CHECK(reader.has_partial_event());
+  }
+}
+
+TEST_CASE("An event without an id is passed on too") {
+  EventReader reader;
+  int events = 0;
+  reader.Read("data: x\n\n", [&events](const StreamEvent& event) {
+    CHECK_FALSE(event.id.has_value());
+    ++events;
+  });
+  CHECK(events == 1);
+}
+
+TEST_CASE("All gateways together stay within the budget of any window") {
+  constexpr size_t kGateways = 6;
+  std::vector<RepeatBudget> gateways(
+      kGateways,
+      RepeatBudget{.settings = {.ratio = 0.2, .slack = 88,
+                                .window = std::chrono::seconds(10)}});
+  int taken = 0;
+  for (RepeatBudget& budget : gateways) {
+    for (int i = 0; i < 100; ++i) {
+      NoteRequest(budget, "invoices", kStart + std::chrono::milliseconds(i));
+      if (TakeRepeat(budget, "invoices", kGateways,
+                     kStart + std::chrono::milliseconds(i))) {
+        ++taken;
+      }
+    }
+  }
+  CHECK(taken <= 0.2 * 600 + 88);
+  CHECK(taken >= 100);
+}
+
+TEST_CASE("Repeats wear off with their window, and are kept by service") {
+  RepeatBudget budget{.settings = {.ratio = 0, .slack = 5}};
+  const auto take = [&budget](Duration after) {
+    return TakeRepeat(budget, "a", 1, kStart + after);
+  };
+  for (int i = 0; i < 4; ++i) {
+    CHECK(take(Duration(0)));
+  }
+  CHECK_FALSE(take(std::chrono::seconds(9)));
+  CHECK(TakeRepeat(budget, "b", 1, kStart));
+  CHECK(take(std::chrono::seconds(12)));
+}
+
+}  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Tests/LibGateway/TestPlaces.cc
@@ -0,0 +1,121 @@
+#include <doctest/doctest.h>
+
+#include "LibGateway/Places.h"
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+constexpr Duration kLongestPause = std::chrono::milliseconds(120);
+const TimePoint kStart{std::chrono::seconds(100)};
+
+Service EngineService() {
+  return {.name = "models", .engine = EngineShape{.slots = 12}};
+}
+
+TargetTable GroupOfRanks(uint32_t ranks) {
+  TargetTable table;
+  for (uint32_t rank = 0; rank < ranks; ++rank) {
+    const std::string id = "r" + std::to_string(rank);
+    ApplyTarget(table, {.id = id,
+                        .service = "models",
+                        .address = {"10.0.0.1", static_cast<uint16_t>(80 + rank)},
+                        .slots = 12});
+    table.by_id[id].rank = RankView{.group = "g", .rank = rank, .size = ranks};
+  }
+  return table;
+}
+
+// Starts streams until there is no place; returns how many.
+uint32_t Fill(Places& places, TargetTable& table, const Sharing& sharing) {
+  for (uint32_t started = 0;; ++started) {
+    const TargetView* found =
+        ChoosePlace(places, table, EngineService(), sharing, {}, kStart);
+    if (found == nullptr) {
+      return started;
+    }
+    ++table.by_id[found->target.id].open;
+  }
+}
+
+void Adjust(Places& places, const TargetTable& table, Duration pause, int times) {
+  for (int i = 0; i < times; ++i) {
+    for (int sample = 0; sample < 20; ++sample) {
+      NotePause(places, "g", pause);
+    }
+    AdjustLimits(places, table, EngineService(), kLongestPause);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("A gateway takes its share, and all of it when it is alone") {
+  Places places;
+  TargetTable table = GroupOfRanks(8);
+  SUBCASE("alone") { CHECK(Fill(places, table, {.gateways = 1}) == 40); }
+  SUBCASE("one of four that all want more") {
+    for (auto& [id, view] : table.by_id) {
+      view.open_elsewhere = 4;
+    }
+    CHECK(Fill(places, table, {.gateways = 4, .hungry_others = 3}) >= 8);
+  }
+}
+
+TEST_CASE("Streams are spread evenly over the ranks of a group") {
+  Places places;
+  TargetTable table = GroupOfRanks(8);
+  Fill(places, table, {});
+  for (const auto& [id, view] : table.by_id) {
+    CHECK(view.open == 5);
+  }
+}
+
+// Story: for half a minute gateways ran a fifth of the streams that the groups
+// could hold. The first gateway to hear of one rank had set the whole group's
+// limit by it.
+TEST_CASE("A rank that becomes known brings its places") {
+  Places places;
+  TargetTable one = GroupOfRanks(1);
+  CHECK(Fill(places, one, {}) == 5);
+  TargetTable all = GroupOfRanks(8);
+  CHECK(Fill(places, all, {}) == 40);
+}
+
+// Story: with twelve streams a rank every pass took longer than a pause may
+// last, and each stream of the day was late.
+TEST_CASE("Long pauses lower the limit, short ones raise it where it is used") {
+  Places places;
+  TargetTable table = GroupOfRanks(8);
+  Fill(places, table, {});
+  const double before = places.groups["g"].per_rank;
+  Adjust(places, table, std::chrono::milliseconds(200), 5);
+  const double lowered = places.groups["g"].per_rank;
+  CHECK(lowered < before);
+  Adjust(places, table, std::chrono::milliseconds(50), 5);
+  CHECK(places.groups["g"].per_rank > lowered);
+}
+
+TEST_CASE("Short pauses of an idle group raise nothing") {
+  Places places;
+  TargetTable table = GroupOfRanks(8);
+  ChoosePlace(places, table, EngineService(), {}, {}, kStart);
+  Adjust(places, table, std::chrono::milliseconds(20), 50);
+  CHECK(places.groups["g"].per_rank == doctest::Approx(5));
+}
+
+TEST_CASE("A group that is being formed gets nothing") {
+  Places places;
+  TargetTable table = GroupOfRanks(8);
+  table.by_id["r3"].rank->is_open = false;
+  CHECK(Fill(places, table, {}) == 0);
+}
+
+TEST_CASE("A slow rank gets fewer streams") {
+  Places places;
+  TargetTable table = GroupOfRanks(8);
+  table.by_id["r3"].rank->pace = 7;
+  Fill(places, table, {});
+  CHECK(table.by_id["r3"].open <= 1);
+}
+
+}  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Tests/LibGateway/TestRouteTable.cc
@@ -0,0 +1,48 @@
+#include <doctest/doctest.h>
+
+#include "LibGateway/RouteTable.h"
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+RouteTable TableOf(const std::vector<std::string>& prefixes) {
+  RouteTable table;
+  for (const std::string& prefix : prefixes) {
+    AddRoute(table, {.name = prefix,
+                     .host = "Halls.example",
+                     .prefix = prefix,
+                     .split = {{.service = "a"}}});
+  }
+  SortRoutes(table);
+  return table;
+}
+
+}  // namespace
+
+TEST_CASE("The longest prefix of the host selects the route") {
+  const RouteTable table = TableOf({"/a/", "/a/b/", "/"});
+  CHECK(FindRoute(table, "halls.example", "/a/b/c")->prefix == "/a/b/");
+  CHECK(FindRoute(table, "HALLS.example:80", "/a/c")->prefix == "/a/");
+  CHECK(FindRoute(table, "halls.example", "/x")->prefix == "/");
+  CHECK(FindRoute(table, "other.example", "/a/") == nullptr);
+}
+
+TEST_CASE("A prefix that only looks like the path's beginning selects nothing") {
+  const RouteTable table = TableOf({"/book/"});
+  CHECK(FindRoute(table, "halls.example", "/books/1") == nullptr);
+  CHECK(FindRoute(table, "halls.example", "/book") == nullptr);
+}
+
+TEST_CASE("A split sends each service its part, and nothing to a weight of 0") {
+  Route route;
+  route.split = {{.service = "a", .weight = 90},
+                 {.service = "b", .weight = 0},
+                 {.service = "c", .weight = 10}};
+  CHECK(PickService(route, 0.0) == "a");
+  CHECK(PickService(route, 0.899) == "a");
+  CHECK(PickService(route, 0.901) == "c");
+  CHECK(PickService(route, 0.9999) == "c");
+}
+
+}  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Tests/LibMembership/TestMembers.cc
@@ -0,0 +1,99 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <set>
+
+#include "LibMembership/Members.h"
+
+namespace bramleyspan::membership {
+
+namespace {
+
+const TimePoint kStart{std::chrono::seconds(100)};
+
+wire::MemberT MemberOf(const std::string& name,
+                       uint64_t incarnation,
+                       uint64_t counter) {
+  wire::MemberT member;
+  member.name = name;
+  member.is_entry = true;
+  member.is_ready = true;
+  member.ip = "10.0.0." + std::to_string(name.size());
+  member.incarnation = incarnation;
+  member.counter = counter;
+  return member;
+}
+
+}  // namespace
+
+TEST_CASE("A member is alive while something new is heard of it") {
+  Members members{.own_name = "me"};
+  CHECK(Learn(members, MemberOf("a", 1, 1), true, kStart));
+  CHECK(LiveEntries(members, kStart).size() == 1);
+  // The same record again, by whatever way, is no sign of life.
+  const TimePoint later = kStart + kSuspectAfter + Duration(1);
+  CHECK_FALSE(Learn(members, MemberOf("a", 1, 1), true, later));
+  CHECK(LiveEntries(members, later).empty());
+  CHECK(Learn(members, MemberOf("a", 1, 2), false, later));
+  CHECK(LiveEntries(members, later).size() == 1);
+}
+
+// Story: a restarted entry was not named to callers for ten seconds. Its clock
+// had been set back, so that its peers took its first records for old ones.
+TEST_CASE("A restarted member's own word replaces that of the one before") {
+  Members members{.own_name = "me"};
+  Learn(members, MemberOf("a", 7, 500), true, kStart);
+  SUBCASE("Hearsay about an unknown incarnation may be older: it waits") {
+    CHECK_FALSE(Learn(members, MemberOf("a", 3, 1), false, kStart));
+    CHECK(members.known["a"].member.incarnation == 7);
+    CHECK(Learn(members, MemberOf("a", 3, 2), false,
+                kStart + kSuspectAfter + Duration(1)));
+  }
+  SUBCASE("The process itself is believed at once") {
+    CHECK(Learn(members, MemberOf("a", 3, 1), true, kStart));
+    CHECK(members.known["a"].member.incarnation == 3);
+  }
+}
+
+TEST_CASE("Leaving and unready members are not named, but count as at work") {
+  Members members{.own_name = "me"};
+  wire::MemberT leaving = MemberOf("a", 1, 1);
+  leaving.is_leaving = true;
+  wire::MemberT starting = MemberOf("bb", 1, 1);
+  starting.is_ready = false;
+  Learn(members, leaving, true, kStart);
+  Learn(members, starting, true, kStart);
+  CHECK(LiveEntries(members, kStart).empty());
+  CHECK(CountEntries(members, kStart) == 3);
+}
+
+TEST_CASE("In a large fleet each peer is told in its turn, by bounded traffic") {
+  Members members{.own_name = "me"};
+  for (int i = 0; i < 340; ++i) {
+    wire::MemberT member = MemberOf("m" + std::to_string(i), 1, 1);
+    member.ip = "10.0.1." + std::to_string(i);
+    Learn(members, member, true, kStart);
+  }
+  std::set<std::string> told;
+  const uint64_t turns = 340 / kPeersPerHeartbeat + 1;
+  for (uint64_t turn = 0; turn < turns; ++turn) {
+    const auto peers = PeersForHeartbeat(members, turn);
+    CHECK(peers.size() == kPeersPerHeartbeat);
+    told.insert(peers.begin(), peers.end());
+  }
+  CHECK(told.size() == 340);
+  CHECK(MembersToTell(members, 0, kStart).size() == kMembersPerHeartbeat);
+}
+
+TEST_CASE("A datagram that is cut or garbled is refused") {
+  wire::HeartbeatT heartbeat;
+  heartbeat.members.push_back(
+      std::make_unique<wire::MemberT>(MemberOf("a", 1, 1)));
+  const std::string bytes = Encode(std::move(heartbeat));
+  REQUIRE(Decode(bytes).has_value());
+  CHECK(Decode(bytes).value().body.AsHeartbeat()->members[0]->name == "a");
+  CHECK(Decode(bytes.substr(0, bytes.size() / 2)).has_error());
+  CHECK(Decode("").has_error());
+}
+
+}  // namespace bramleyspan::membership
