--- a/Tests/LibGateway/TestEventsAndRepeats.cc
+++ b/Tests/LibGateway/TestEventsAndRepeats.cc
@@ -47,7 +47,8 @@
   constexpr size_t kGateways = 6;
   std::vector<RepeatBudget> gateways(
       kGateways,
-      RepeatBudget{.settings = {.ratio = 0.2, .slack = 88,
+      RepeatBudget{.settings = {.ratio = 0.2,
+                                .slack = 88,
                                 .window = std::chrono::seconds(10)}});
   int taken = 0;
   for (RepeatBudget& budget : gateways) {
--- a/Tests/LibGateway/TestPlaces.cc
+++ b/Tests/LibGateway/TestPlaces.cc
@@ -17,10 +17,11 @@
   TargetTable table;
   for (uint32_t rank = 0; rank < ranks; ++rank) {
     const std::string id = "r" + std::to_string(rank);
-    ApplyTarget(table, {.id = id,
-                        .service = "models",
-                        .address = {"10.0.0.1", static_cast<uint16_t>(80 + rank)},
-                        .slots = 12});
+    ApplyTarget(table,
+                {.id = id,
+                 .service = "models",
+                 .address = {"10.0.0.1", static_cast<uint16_t>(80 + rank)},
+                 .slots = 12});
     table.by_id[id].rank = RankView{.group = "g", .rank = rank, .size = ranks};
   }
   return table;
@@ -38,7 +39,10 @@
   }
 }
 
-void Adjust(Places& places, const TargetTable& table, Duration pause, int times) {
+void Adjust(Places& places,
+            const TargetTable& table,
+            Duration pause,
+            int times) {
   for (int i = 0; i < times; ++i) {
     for (int sample = 0; sample < 20; ++sample) {
       NotePause(places, "g", pause);
@@ -52,7 +56,9 @@
 TEST_CASE("A gateway takes its share, and all of it when it is alone") {
   Places places;
   TargetTable table = GroupOfRanks(8);
-  SUBCASE("alone") { CHECK(Fill(places, table, {.gateways = 1}) == 40); }
+  SUBCASE("alone") {
+    CHECK(Fill(places, table, {.gateways = 1}) == 40);
+  }
   SUBCASE("one of four that all want more") {
     for (auto& [id, view] : table.by_id) {
       view.open_elsewhere = 4;
--- a/Tests/LibGateway/TestRouteTable.cc
+++ b/Tests/LibGateway/TestRouteTable.cc
@@ -28,7 +28,8 @@
   CHECK(FindRoute(table, "other.example", "/a/") == nullptr);
 }
 
-TEST_CASE("A prefix that only looks like the path's beginning selects nothing") {
+TEST_CASE(
+    "A prefix that only looks like the path's beginning selects nothing") {
   const RouteTable table = TableOf({"/book/"});
   CHECK(FindRoute(table, "halls.example", "/books/1") == nullptr);
   CHECK(FindRoute(table, "halls.example", "/book") == nullptr);
--- a/Tests/LibGateway/TestTargets.cc
+++ b/Tests/LibGateway/TestTargets.cc
@@ -17,9 +17,8 @@
 
 std::set<std::string> Usable(const TargetTable& table) {
   std::set<std::string> ids;
-  ForEachUsable(table, "invoices", {}, [&ids](const TargetView& view) {
-    ids.insert(view.target.id);
-  });
+  ForEachUsable(table, "invoices", {},
+                [&ids](const TargetView& view) { ids.insert(view.target.id); });
   return ids;
 }
 
@@ -45,7 +44,8 @@
 
 // Story: a server that says that it is another one got the next request too,
 // and the next. Its address had been given away, and its record outlived it.
-TEST_CASE("A target that was misdirected gets nothing until it is listed anew") {
+TEST_CASE(
+    "A target that was misdirected gets nothing until it is listed anew") {
   TargetTable table;
   ApplyTarget(table, TargetOf("a", 80, 1));
   NoteOutcome(table, "a", Outcome::kMisdirected, kStart);
@@ -78,20 +78,23 @@
   }
   table.by_id["b"].open = 1;
   const TimePoint later = kStart + std::chrono::seconds(10);
-  CHECK(ChooseLeastLoaded(table, "invoices", {}, "north", 1, later)
-            ->target.id == "a");
+  CHECK(
+      ChooseLeastLoaded(table, "invoices", {}, "north", 1, later)->target.id ==
+      "a");
 }
 
 TEST_CASE("An unreachable target comes last but is not ruled out") {
   TargetTable table;
   ApplyTarget(table, TargetOf("a", 80, 1));
   NoteOutcome(table, "a", Outcome::kUnreachable, kStart);
-  CHECK(ChooseLeastLoaded(table, "invoices", {}, "north", 1, kStart)
-            ->target.id == "a");
+  CHECK(
+      ChooseLeastLoaded(table, "invoices", {}, "north", 1, kStart)->target.id ==
+      "a");
   ApplyTarget(table, TargetOf("b", 81, 1));
   table.by_id["b"].open = 6;
-  CHECK(ChooseLeastLoaded(table, "invoices", {}, "north", 1, kStart)
-            ->target.id == "b");
+  CHECK(
+      ChooseLeastLoaded(table, "invoices", {}, "north", 1, kStart)->target.id ==
+      "b");
 }
 
 }  // namespace bramleyspan::gateway
--- /dev/null
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -0,0 +1,257 @@
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "SimulatedRanks.h"
+
+namespace bramleyspan::mapswitch {
+
+namespace {
+
+constexpr Duration kTick = std::chrono::milliseconds(50);
+constexpr uint32_t kRanks = 4;
+
+// Servers differ in what the pages leave open.
+void SetVariant(SimulatedRanks& ranks, uint64_t seed) {
+  ranks.has_sequences = seed % 3 == 0;
+  ranks.is_hold_replaced = seed % 2 == 0;
+}
+
+// What agents do with the library, on the simulated ranks: rank 0's leads,
+// each one follows the wish that it last heard.
+struct Agents {
+  SimulatedRanks& ranks;
+  MapSwitch owner;
+  std::vector<std::optional<Wish>> wishes =
+      std::vector<std::optional<Wish>>(kRanks);
+  // While frozen the owner says and does nothing.
+  TimePoint owner_frozen_until{};
+  // Messages that are lost, out of 100.
+  int lost_messages = 0;
+  std::mt19937_64 random;
+  int switches = 0;
+  std::map<uint32_t, std::pair<std::string, TimePoint>> last_orders;
+
+  explicit Agents(SimulatedRanks& ranks, uint64_t seed)
+      : ranks(ranks), random(seed) {}
+
+  bool is_lost() {
+    return static_cast<int>(this->random() % 100) < this->lost_messages;
+  }
+
+  void SendOnce(uint32_t rank, const Order& order) {
+    constexpr Duration kRepeat = std::chrono::milliseconds(100);
+    constexpr Duration kRepeatPrepare = std::chrono::milliseconds(1500);
+    const std::string name = NameOf(order.body) + std::to_string(order.epoch) +
+                             "." + std::to_string(order.expected_sequence);
+    auto& [last, at] = this->last_orders[rank];
+    const Duration wait =
+        NameOf(order.body) == "prepare" ? kRepeatPrepare : kRepeat;
+    if (last == name && this->ranks.now - at < wait) {
+      return;
+    }
+    last = name;
+    at = this->ranks.now;
+    this->ranks.Send(rank, order);
+  }
+
+  void Tick() {
+    const TimePoint now = this->ranks.now;
+    const bool is_frozen = now < this->owner_frozen_until;
+    for (uint32_t rank = 0; rank < kRanks && !is_frozen; ++rank) {
+      if (rank == 0 || !this->is_lost()) {
+        HandleStatus(this->owner, this->ranks.status(rank), now);
+      }
+    }
+    if (!is_frozen) {
+      this->Lead(now);
+    }
+    for (uint32_t rank = 0; rank < kRanks; ++rank) {
+      if (!this->wishes[rank] || (rank == 0 && is_frozen)) {
+        continue;
+      }
+      const auto order =
+          NextOrder(*this->wishes[rank], this->ranks.status(rank));
+      if (order) {
+        this->SendOnce(rank, *order);
+      }
+    }
+  }
+
+  void Lead(TimePoint now) {
+    const auto order = Continue(this->owner, now);
+    if (order) {
+      this->SendOnce(0, *order);
+    } else if (is_ready_for_map(this->owner, now)) {
+      StartSwitch(this->owner, ExpertLists(1, {{0}, {1}, {2}, {3}}), now);
+      ++this->switches;
+    }
+    if (this->owner.phase == SwitchPhase::kIdle) {
+      return;
+    }
+    for (auto& wish : this->wishes) {
+      if (!this->is_lost()) {
+        wish = this->owner.wish;
+      }
+    }
+  }
+
+  // The owner's process dies and another starts beside the same rank.
+  void RestartOwner() {
+    this->owner = {};
+    this->wishes[0].reset();
+    this->last_orders.erase(0);
+  }
+
+  // Another rank's agent reads all ranks and finishes what was begun.
+  void StandIn(MapSwitch& deputy) {
+    deputy.is_deputy = true;
+    for (uint32_t rank = 0; rank < kRanks; ++rank) {
+      HandleStatus(deputy, this->ranks.status(rank), this->ranks.now);
+      const auto go = Continue(deputy, this->ranks.now);
+      if (go) {
+        this->ranks.Send(0, *go);
+      }
+      const auto order = NextOrder(deputy.wish, this->ranks.status(rank));
+      if (deputy.phase == SwitchPhase::kArming && order) {
+        this->ranks.Send(rank, *order);
+      }
+    }
+  }
+
+  void Run(Duration time) {
+    for (const TimePoint end = this->ranks.now + time; this->ranks.now < end;) {
+      this->ranks.Advance(kTick);
+      this->Tick();
+    }
+  }
+};
+
+}  // namespace
+
+TEST_CASE("A switch brings the map into force at all ranks in one pass") {
+  SimulatedRanks ranks(kRanks, 1);
+  Agents agents(ranks, 1);
+  agents.Run(std::chrono::seconds(2));
+  CHECK_FALSE(ranks.is_split);
+  CHECK(ranks.status(0).map >= 2);
+}
+
+// Story: a stream broke off since its group went on with two maps. An order to
+// arm was carried out seconds late, after the switch it belonged to.
+TEST_CASE("Orders that are late or unanswered never split a group") {
+  for (uint64_t seed = 0; seed < 200; ++seed) {
+    CAPTURE(seed);
+    SimulatedRanks ranks(kRanks, seed);
+    SetVariant(ranks, seed);
+    ranks.late_orders = 25;
+    Agents agents(ranks, seed + 1);
+    agents.lost_messages = 20;
+    agents.Run(std::chrono::seconds(15));
+    REQUIRE_FALSE(ranks.is_split);
+  }
+}
+
+// Story: the owner's agent was killed after each of its orders in turn; the
+// next one must finish what it finds, with late orders of the dead one about.
+TEST_CASE("An owner that restarts at any moment finishes and never splits") {
+  for (uint64_t seed = 0; seed < 200; ++seed) {
+    CAPTURE(seed);
+    SimulatedRanks ranks(kRanks, seed);
+    SetVariant(ranks, seed);
+    ranks.late_orders = 20;
+    Agents agents(ranks, seed + 1);
+    for (int kill = 0; kill < 20; ++kill) {
+      agents.Run(std::chrono::milliseconds(
+          50 + ranks.now.time_since_epoch().count() / 50 % 17 * 50));
+      agents.RestartOwner();
+    }
+    REQUIRE_FALSE(ranks.is_split);
+    // Nothing that was begun keeps the group from going on.
+    ranks.late_orders = 0;
+    const Step before = ranks.step;
+    agents.Run(std::chrono::seconds(12));
+    REQUIRE(ranks.step > before + 20);
+  }
+}
+
+// Story: an idle group makes no passes, so that a hold and an arm that are
+// late may meet it long after the switch.
+TEST_CASE("A group that falls idle in the middle of a switch is not split") {
+  for (uint64_t seed = 0; seed < 200; ++seed) {
+    CAPTURE(seed);
+    SimulatedRanks ranks(kRanks, seed);
+    SetVariant(ranks, seed);
+    ranks.late_orders = 25;
+    Agents agents(ranks, seed + 1);
+    for (int turn = 0; turn < 10; ++turn) {
+      ranks.has_work = turn % 2 == 0;
+      agents.Run(std::chrono::milliseconds(700));
+    }
+    REQUIRE_FALSE(ranks.is_split);
+  }
+}
+
+// Story: the machine of the agent that had just held the group was frozen for
+// four seconds, and every stream of the group with it.
+TEST_CASE("A deputy lets a held group go on while its owner is frozen") {
+  SimulatedRanks ranks(kRanks, 1);
+  Agents agents(ranks, 1);
+  while (ranks.status(0).held == 0) {
+    agents.Run(kTick);
+  }
+  const Step held_before = ranks.step;
+  agents.owner_frozen_until = ranks.now + std::chrono::seconds(4);
+  MapSwitch deputy;
+  for (int round = 0; round < 10; ++round) {
+    agents.Run(kTick);
+    agents.StandIn(deputy);
+  }
+  CHECK(ranks.step > held_before + 2);
+  CHECK_FALSE(ranks.is_split);
+}
+
+TEST_CASE("A deputy beside an owner that is alive or wakes never splits") {
+  for (uint64_t seed = 0; seed < 300; ++seed) {
+    CAPTURE(seed);
+    SimulatedRanks ranks(kRanks, seed);
+    SetVariant(ranks, seed);
+    ranks.late_orders = 20;
+    Agents agents(ranks, seed + 1);
+    agents.lost_messages = 20;
+    MapSwitch deputy;
+    std::mt19937_64 random(seed);
+    for (int turn = 0; turn < 150; ++turn) {
+      if (random() % 20 == 0) {
+        agents.owner_frozen_until =
+            ranks.now + std::chrono::milliseconds(random() % 2000);
+      }
+      if (random() % 4 == 0) {
+        agents.StandIn(deputy);
+      }
+      if (random() % 30 == 0) {
+        deputy = {};
+      }
+      if (random() % 40 == 0) {
+        agents.RestartOwner();
+      }
+      if (random() % 60 == 0) {
+        ranks.Restart(static_cast<uint32_t>(random() % kRanks));
+      }
+      agents.Run(kTick);
+    }
+    REQUIRE_FALSE(ranks.is_split);
+  }
+}
+
+// Story: a rank restarted in the middle of a switch; orders of the epoch
+// before reached its server.
+TEST_CASE("Orders of an epoch that is over are refused") {
+  SimulatedRanks ranks(kRanks, 1);
+  const Order old_order{
+      .epoch = 1, .expected_sequence = 0, .body = Hold{.step = 5}};
+  ranks.Restart(0);
+  CHECK_FALSE(ranks.Execute(0, old_order));
+}
+
+}  // namespace bramleyspan::mapswitch
--- a/Tests/LibMembership/TestMembers.cc
+++ b/Tests/LibMembership/TestMembers.cc
@@ -67,7 +67,8 @@
   CHECK(CountEntries(members, kStart) == 3);
 }
 
-TEST_CASE("In a large fleet each peer is told in its turn, by bounded traffic") {
+TEST_CASE(
+    "In a large fleet each peer is told in its turn, by bounded traffic") {
   Members members{.own_name = "me"};
   for (int i = 0; i < 340; ++i) {
     wire::MemberT member = MemberOf("m" + std::to_string(i), 1, 1);
