Gateway: Tell agents of every gateway; draw groups by their room

Cause: agents knew only the gateways of their settings, so that six of nine gateways took all ranks for one group without epochs or paces.

--- a/Libraries/LibGateway/Places.cc
+++ b/Libraries/LibGateway/Places.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cmath>
+#include <random>
+#include <utility>
 
 namespace bramleyspan::gateway {
 
@@ -23,6 +25,8 @@
 // Gateways that each keep to their share may exceed the limit by this factor
 // while others give back what they had borrowed.
 constexpr double kOverdraft = 1.1;
+// The random part of a stream's weight.
+constexpr double kJitter = 1.0;
 // The limit is raised only where it is used: an idle group's short passes say
 // nothing of a full one's.
 constexpr double kUsedPart = 0.75;
@@ -76,6 +80,33 @@
   return total + 1 + static_cast<double>(sharing.hungry_others) <= limit;
 }
 
+// Draws a group that has a place by the room it has; empty if none has.
+std::string DrawGroup(Places& places,
+                      const GroupLoads& loads,
+                      const Sharing& sharing,
+                      std::minstd_rand& random) {
+  constexpr double kLeastRoom = 0.5;
+  std::vector<std::pair<std::string, double>> rooms;
+  double sum = 0;
+  for (const auto& [name, load] : loads) {
+    const GroupPlaces& group = PlacesOf(places, name);
+    if (!load.is_open || !has_place(group, load, sharing)) {
+      continue;
+    }
+    const double room = LimitOf(group, load.ranks) - load.total;
+    rooms.emplace_back(name, std::max(kLeastRoom, room * room));
+    sum += rooms.back().second;
+  }
+  double drawn = std::uniform_real_distribution<double>(0, sum)(random);
+  for (const auto& [name, room] : rooms) {
+    drawn -= room;
+    if (drawn <= 0) {
+      return name;
+    }
+  }
+  return rooms.empty() ? "" : rooms.back().first;
+}
+
 }  // namespace
 
 double LimitOf(const GroupPlaces& group, uint32_t ranks) {
@@ -94,35 +125,23 @@
                               const Service& service,
                               const Sharing& sharing,
                               const std::set<std::string>& excluded,
+                              uint64_t random_bits,
                               TimePoint now) {
-  const GroupLoads loads = CountLoads(targets, service.name);
-  const std::string* best_group = nullptr;
-  double best_fill = 0;
-  for (const auto& [name, load] : loads) {
-    const GroupPlaces& group = PlacesOf(places, name);
-    if (!load.is_open || !has_place(group, load, sharing)) {
-      continue;
-    }
-    const double fill =
-        static_cast<double>(load.total) / LimitOf(group, load.ranks);
-    if (best_group == nullptr || fill < best_fill) {
-      best_group = &name;
-      best_fill = fill;
-    }
-  }
-  if (best_group == nullptr) {
-    return nullptr;
-  }
+  std::minstd_rand random(static_cast<uint32_t>(random_bits));
+  const std::string group =
+      DrawGroup(places, CountLoads(targets, service.name), sharing, random);
+  std::uniform_real_distribution<double> part_of_stream(0, kJitter);
   const TargetView* best = nullptr;
   double best_cost = 0;
   ForEachUsable(targets, service.name, excluded, [&](const TargetView& view) {
-    if (GroupOf(view) != *best_group ||
+    if (group.empty() || GroupOf(view) != group ||
         view.load() >= std::max<uint32_t>(1, view.target.slots)) {
       return;
     }
     const double pace = view.rank ? std::max(1.0, view.rank->pace) : 1;
     const double cost = (view.load() + 1) * pace + FailureScore(view, now) +
-                        (view.avoided_until > now ? 1000.0 : 0.0);
+                        (view.avoided_until > now ? 1000.0 : 0.0) +
+                        part_of_stream(random);
     if (best == nullptr || cost < best_cost) {
       best = &view;
       best_cost = cost;
--- a/Libraries/LibGateway/Places.h
+++ b/Libraries/LibGateway/Places.h
@@ -47,12 +47,16 @@
 // service.
 std::string GroupOf(const TargetView& view);
 
-// The target that runs the next stream; null if no group has a place.
+// The target that runs the next stream; null if no group has a place. Groups
+// are drawn by the room they have, and ranks with a random part of a stream's
+// weight: what a gateway knows of the others is up to a heartbeat old, and the
+// emptiest rank would get the next stream of every one of them.
 const TargetView* ChoosePlace(Places& places,
                               const TargetTable& targets,
                               const Service& service,
                               const Sharing& sharing,
                               const std::set<std::string>& excluded,
+                              uint64_t random_bits,
                               TimePoint now);
 
 // A stream of a group had a pause between events.
--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -107,6 +107,7 @@
 
 std::vector<const wire::MemberT*> MembersToTell(const Members& members,
                                                 uint64_t turn,
+                                                size_t most,
                                                 TimePoint now) {
   std::vector<const wire::MemberT*> live;
   for (const auto& [name, known] : members.known) {
@@ -114,11 +115,10 @@
       live.push_back(&known.member);
     }
   }
-  if (live.size() > kMembersPerHeartbeat) {
-    const auto shift =
-        static_cast<int64_t>(turn * kMembersPerHeartbeat % live.size());
+  if (live.size() > most) {
+    const auto shift = static_cast<int64_t>(turn * most % live.size());
     std::rotate(live.begin(), live.begin() + shift, live.end());
-    live.resize(kMembersPerHeartbeat);
+    live.resize(most);
   }
   return live;
 }
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -73,6 +73,7 @@
 // The next gateways to speak of, so that each is spoken of in its turn.
 std::vector<const wire::MemberT*> MembersToTell(const Members& members,
                                                 uint64_t turn,
+                                                size_t most,
                                                 TimePoint now);
 
 // Serializes a message.
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -230,7 +230,7 @@
   if (has_engine) {
     target = gateway::ChoosePlace(
         this->state.places, this->state.targets, service_found->second,
-        SharingOf(this->state, now), this->tried, now);
+        SharingOf(this->state, now), this->tried, this->state.random(), now);
   } else {
     target = gateway::ChooseLeastLoaded(this->state.targets, this->service,
                                         this->tried, this->state.settings.zone,
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -29,6 +29,13 @@
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(700);
 constexpr size_t kMostOpenCounts = 64;
 constexpr uint64_t kTurnsPerAgentHeartbeat = 3;
+constexpr size_t kGatewaysToldToAgents = 5;
+
+MemberT InShort(const MemberT& member) {
+  MemberT in_short = member;
+  in_short.open.clear();
+  return in_short;
+}
 
 void AddHint(membership::Members& members, const std::string& ip) {
   const bool is_known = std::any_of(
@@ -80,7 +87,8 @@
   membership::wire::HeartbeatT heartbeat;
   heartbeat.members.push_back(std::make_unique<MemberT>(self));
   for (const MemberT* member :
-       membership::MembersToTell(this->state.members, this->turn, now)) {
+       membership::MembersToTell(this->state.members, this->turn,
+                                 membership::kMembersPerHeartbeat, now)) {
     heartbeat.members.push_back(std::make_unique<MemberT>(*member));
   }
   const std::string bytes = membership::Encode(std::move(heartbeat));
@@ -104,14 +112,22 @@
       owners[rank->group] = &known.member;
     }
   }
-  MemberT short_self = self;
-  short_self.open.clear();
+  // Every gateway, in short: an agent that knew only those that its settings
+  // name would tell the others nothing of its rank.
+  std::vector<MemberT> gateways{InShort(self)};
+  for (const MemberT* member : membership::MembersToTell(
+           this->state.members, this->turn / kTurnsPerAgentHeartbeat,
+           kGatewaysToldToAgents, EventLoop::Now())) {
+    gateways.push_back(InShort(*member));
+  }
   for (const auto& [name, known] : this->state.members.known) {
     if (known.member.is_entry) {
       continue;
     }
     membership::wire::HeartbeatT heartbeat;
-    heartbeat.members.push_back(std::make_unique<MemberT>(short_self));
+    for (const MemberT& gateway : gateways) {
+      heartbeat.members.push_back(std::make_unique<MemberT>(gateway));
+    }
     const auto* rank = known.member.rank.get();
     const auto owner =
         rank == nullptr ? owners.end() : owners.find(rank->group);
