--- a/Libraries/LibGateway/Places.cc
+++ b/Libraries/LibGateway/Places.cc
@@ -24,6 +24,9 @@
 constexpr double kGain = 0.25;
 // Gateways that each keep to their share may exceed the limit by this factor
 // while others give back what they had borrowed.
+// A pause of this part of the longest one keeps new streams away for a moment.
+constexpr int kStrainedPercent = 85;
+constexpr Duration kStrainTime = std::chrono::milliseconds(100);
 constexpr double kOverdraft = 1.1;
 // The random part of a stream's weight.
 constexpr double kJitter = 1.0;
@@ -84,13 +87,15 @@
 std::string DrawGroup(Places& places,
                       const GroupLoads& loads,
                       const Sharing& sharing,
-                      std::minstd_rand& random) {
+                      std::minstd_rand& random,
+                      TimePoint now) {
   constexpr double kLeastRoom = 0.5;
   std::vector<std::pair<std::string, double>> rooms;
   double sum = 0;
   for (const auto& [name, load] : loads) {
     const GroupPlaces& group = PlacesOf(places, name);
-    if (!load.is_open || !has_place(group, load, sharing)) {
+    const bool is_strained = now - group.strained_at < kStrainTime;
+    if (!load.is_open || is_strained || !has_place(group, load, sharing)) {
       continue;
     }
     const double room = LimitOf(group, load.ranks) - load.total;
@@ -128,8 +133,8 @@
                               uint64_t random_bits,
                               TimePoint now) {
   std::minstd_rand random(static_cast<uint32_t>(random_bits));
-  const std::string group =
-      DrawGroup(places, CountLoads(targets, service.name), sharing, random);
+  const std::string group = DrawGroup(places, CountLoads(targets, service.name),
+                                      sharing, random, now);
   std::uniform_real_distribution<double> part_of_stream(0, kJitter);
   const TargetView* best = nullptr;
   double best_cost = 0;
@@ -150,10 +155,17 @@
   return best;
 }
 
-void NotePause(Places& places, const std::string& group, Duration pause) {
-  std::vector<Duration>& pauses = places.groups[group].pauses;
-  if (pauses.size() < kMostPauses) {
-    pauses.push_back(pause);
+void NotePause(Places& places,
+               const std::string& group,
+               Duration pause,
+               Duration longest_pause,
+               TimePoint now) {
+  GroupPlaces& noted = places.groups[group];
+  if (noted.pauses.size() < kMostPauses) {
+    noted.pauses.push_back(pause);
+  }
+  if (pause >= longest_pause * kStrainedPercent / 100) {
+    noted.strained_at = now;
   }
 }
 
--- a/Libraries/LibGateway/Places.h
+++ b/Libraries/LibGateway/Places.h
@@ -26,6 +26,10 @@
   std::vector<Duration> pauses;
   // The longest usual pause lately, for the dump.
   Duration usual_pause{};
+  // When a pause was last about as long as may be. What is in demand jumps,
+  // and with a map of the moment before passes take twice as long at once;
+  // each further prompt would make all streams of the group late.
+  TimePoint strained_at;
 };
 
 // Streams that may run at once in a whole group.
@@ -60,7 +64,11 @@
                               TimePoint now);
 
 // A stream of a group had a pause between events.
-void NotePause(Places& places, const std::string& group, Duration pause);
+void NotePause(Places& places,
+               const std::string& group,
+               Duration pause,
+               Duration longest_pause,
+               TimePoint now);
 
 // Sets the limits by the pauses since the last call. `longest_pause` is what
 // counts as on time.
--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -12,10 +12,6 @@
 // A switch that is not prepared in this time is given up: a rank's agent may
 // have died, and nothing is held yet.
 constexpr Duration kLongestPreparation = std::chrono::seconds(5);
-// Passes between the last one begun and the one to switch at. The hold has to
-// arrive before that pass begins.
-constexpr Step kStepsAhead = 2;
-
 bool is_fresh(const std::optional<HeardStatus>& rank, TimePoint now) {
   return rank && now - rank->heard <= kFresh;
 }
@@ -49,14 +45,6 @@
                .body = std::move(body)};
 }
 
-Step ChooseStep(const MapSwitch& map_switch) {
-  Step newest = 0;
-  for (const auto& rank : map_switch.ranks) {
-    newest = std::max(newest, rank->status.step);
-  }
-  return newest + kStepsAhead;
-}
-
 // A restarted agent finds the group held by its predecessor. Arms are sent
 // only while every rank has the same map prepared, so that
 //   - where a rank is armed for the held pass, its map is the one to finish;
@@ -133,8 +121,10 @@
   if (!is_all_heard) {
     return std::nullopt;
   }
+  // The very next pass: the own rank's status was read a moment ago, and a hold
+  // that comes too late is refused and tried again with the pass after it.
   map_switch.is_hold_sent = true;
-  return OwnOrder(map_switch, own, Hold{.step = ChooseStep(map_switch)});
+  return OwnOrder(map_switch, own, Hold{.step = own.step + 1});
 }
 
 std::optional<Order> ContinueArming(MapSwitch& map_switch,
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -38,9 +38,9 @@
 // A stream that is silent for so long is looked for elsewhere. Callers leave
 // after two seconds.
 constexpr Duration kStreamSilence = std::chrono::milliseconds(1750);
-// The part of the objective for which a request waits for a place: waiting
-// for longer keeps a caller from going elsewhere while there is time.
-constexpr int kWaitDivisor = 9;
+// The part of the objective for which a request waits for a place: after that
+// its first event would come late.
+constexpr int kWaitDivisor = 2;
 constexpr Duration kLongestWait = std::chrono::milliseconds(500);
 // When a place may be free again.
 constexpr std::string_view kRetryAfterLackOfPlace = "0.5";
@@ -396,7 +396,8 @@
          {"after_ms", Text(now - this->arrived)}});
   } else {
     gateway::NotePause(this->state.places, this->group,
-                       now - this->last_event_at);
+                       now - this->last_event_at, this->route->longest_pause,
+                       now);
     telemetry::Observe(kPauseTime, {{"service", this->service}},
                        now - this->last_event_at);
   }
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -20,6 +20,7 @@
 using telemetry::LogLevel;
 
 constexpr Duration kAdjustInterval = std::chrono::milliseconds(250);
+constexpr Duration kServeInterval = std::chrono::milliseconds(25);
 constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
 // Callers that have not heard of the stop may connect for as long as they
 // keep the directory's answer, some of them three times as long.
@@ -61,6 +62,7 @@
     this->metrics =
         TRY(this->Serve(Address{ip, fleet.metrics_port}, HandleMetrics));
     this->AdjustForever();
+    this->ServeForever();
     this->TellStatusForever();
     return Succeed();
   }
@@ -262,6 +264,14 @@
                               [this] { this->AdjustForever(); });
   }
 
+  // Places come free with time too, not only as streams end.
+  void ServeForever() {
+    if (!this->state.waiting.empty()) {
+      ServeWaiting(this->state);
+    }
+    this->state.loop.RunAfter(kServeInterval, [this] { this->ServeForever(); });
+  }
+
   // The strictest pause that a route of the service allows.
   Duration ShortestPause(const std::string& service) const {
     constexpr Duration kUsual = std::chrono::milliseconds(120);
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -35,7 +35,7 @@
 // A switch must lower the mean skew of all sets by this much.
 constexpr double kLeastGainOfSwitch = 0.12;
 
-constexpr Duration kSampleTime = std::chrono::milliseconds(150);
+constexpr Duration kSampleTime = std::chrono::milliseconds(90);
 
 std::string Rounded(double value) {
   constexpr double kHundredths = 100;
@@ -172,11 +172,17 @@
   }
   RankInfo& info = state.ranks[status.rank];
   info.ip = from_ip;
+  if (info.epoch != status.epoch) {
+    info.held = {};
+    info.epoch = status.epoch;
+  }
   const auto server = ParseAddress(news.status->address);
   if (server.has_value()) {
     info.server = server.value();
   }
-  info.held = {.version = status.map, .sets = {}};
+  if (!news.lengths.empty()) {
+    info.held = {.version = status.map, .sets = {}};
+  }
   size_t at = 0;
   for (const uint16_t length : news.lengths) {
     const size_t end = std::min(news.experts.size(), at + length);
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -25,10 +25,12 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-constexpr Duration kTickInterval = std::chrono::milliseconds(50);
+constexpr Duration kTickInterval = std::chrono::milliseconds(30);
 // Ticks between two readings of the counts.
 constexpr uint64_t kTicksPerCounts = 2;
-constexpr uint64_t kTicksPerHeartbeat = 4;
+constexpr uint64_t kTicksPerHeartbeat = 7;
+// The lists of a rank's experts are told with each so-manieth news.
+constexpr uint64_t kNewsPerLists = 8;
 constexpr Duration kShapeInterval = std::chrono::seconds(5);
 constexpr Duration kFirstShapeInterval = std::chrono::milliseconds(300);
 constexpr Duration kOwnCallTimeout = std::chrono::milliseconds(700);
@@ -187,6 +189,7 @@
            {"step", std::to_string(status.step)}});
       now_state.own_held = {};
       now_state.wish.reset();
+      this->news_count = kNewsPerLists - 2;
     }
     now_state.own = std::move(status);
     now_state.own_heard = EventLoop::Now();
@@ -269,12 +272,30 @@
     return "";
   }
 
+  // Whether the owner has to hear of the present status at once.
+  bool is_news() {
+    RankStatus told = *this->state.own;
+    // A pass begins many times a second; that alone is told with the counts.
+    told.step = this->told_status.step;
+    told.running = this->told_status.running;
+    told.queued = this->told_status.queued;
+    if (told == this->told_status) {
+      return false;
+    }
+    this->told_status = *this->state.own;
+    return true;
+  }
+
   void TellOwner() {
+    if (!this->is_news() && this->state.new_counts.empty()) {
+      return;
+    }
     membership::wire::RankNewsT news;
     news.status = std::make_unique<membership::wire::RankStatusT>(
         ToWire(*this->state.own, *this->state.fleet().engine));
     news.counts = std::exchange(this->state.new_counts, {});
-    if (this->state.own_held.version == this->state.own->map) {
+    const bool is_known = this->state.own_held.version == this->state.own->map;
+    if (is_known && ++this->news_count % kNewsPerLists == 0) {
       for (const auto& set : this->state.own_held.sets) {
         news.lengths.push_back(static_cast<uint16_t>(set.size()));
         news.experts.insert(news.experts.end(), set.begin(), set.end());
@@ -585,6 +606,8 @@
   TimePoint drain_began;
   TimePoint last_far_order;
   TimePoint told_at;
+  RankStatus told_status;
+  uint64_t news_count = 0;
   mapswitch::SwitchPhase told_phase = mapswitch::SwitchPhase::kIdle;
   mapswitch::Version told_version = 0;
   std::string last_order;
--- a/Services/bramleyspand/Rank/RankState.h
+++ b/Services/bramleyspand/Rank/RankState.h
@@ -37,6 +37,7 @@
 struct RankInfo {
   std::string ip;
   Address server;
+  uint64_t epoch = 0;
   HeldExperts held;
 };
 
--- a/Tests/LibGateway/TestPlaces.cc
+++ b/Tests/LibGateway/TestPlaces.cc
@@ -45,7 +45,7 @@
             int times) {
   for (int i = 0; i < times; ++i) {
     for (int sample = 0; sample < 20; ++sample) {
-      NotePause(places, "g", pause);
+      NotePause(places, "g", pause, kLongestPause, kStart);
     }
     AdjustLimits(places, table, EngineService(), kLongestPause);
   }
@@ -131,6 +131,21 @@
   CHECK(Fill(places, table, {}) == 0);
 }
 
+// Story: what was in demand jumped, passes took 150 ms, and all streams of the
+// group were late; the prompts that came in that second had made it worse.
+TEST_CASE("A group whose pauses grow too long gets nothing for a moment") {
+  Places places;
+  TargetTable table = GroupOfRanks(8);
+  const auto is_open_at = [&](Duration after) {
+    return ChoosePlace(places, table, EngineService(), {}, {}, 1,
+                       kStart + after) != nullptr;
+  };
+  CHECK(is_open_at(Duration(0)));
+  NotePause(places, "g", std::chrono::milliseconds(118), kLongestPause, kStart);
+  CHECK_FALSE(is_open_at(std::chrono::milliseconds(50)));
+  CHECK(is_open_at(std::chrono::milliseconds(150)));
+}
+
 TEST_CASE("A slow rank gets fewer streams") {
   Places places;
   TargetTable table = GroupOfRanks(8);
