--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -42,8 +42,11 @@
 // its first event would come late.
 constexpr int kWaitDivisor = 2;
 constexpr Duration kLongestWait = std::chrono::milliseconds(500);
-// When a place may be free again.
-constexpr std::string_view kRetryAfterLackOfPlace = "0.5";
+// When a place may be free again: streams last for seconds, and a caller that
+// comes back into the same crowd is refused for good. The part of the time
+// left leaves enough for the second attempt.
+constexpr int kRetryAfterDivisor = 4;
+constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(100);
 constexpr std::string_view kRetryAfterStart = "0.5";
 constexpr std::string_view kRetryAfterRejection = "0.2";
 
@@ -600,6 +603,23 @@
   this->Finish("refused", status);
 }
 
+std::string Forwarding::RetryAfter() const {
+  if (this->table == nullptr) {
+    return std::string(kRetryAfterStart);
+  }
+  if (this->sent > 0) {
+    return std::string(kRetryAfterRejection);
+  }
+  const Duration left = this->deadline - EventLoop::Now();
+  const auto after = std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max(kShortestRetryAfter, left / kRetryAfterDivisor));
+  constexpr int64_t kMillisecondsPerSecond = 1000;
+  std::string fraction = std::to_string(after.count() % kMillisecondsPerSecond);
+  fraction.insert(0, 3 - fraction.size(), '0');
+  return std::to_string(after.count() / kMillisecondsPerSecond) + "." +
+         fraction;
+}
+
 void Forwarding::Fail(int status, std::string_view cause) {
   Log(LogLevel::kWarning, "forward", "failed",
       {{"request", this->id},
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -71,6 +71,8 @@
   void PassAnswer();
   http::HeaderList AnswerHeaders() const;
   void Refuse(int status, std::string_view cause, bool says_when);
+  // Seconds after which the caller is told to come back.
+  std::string RetryAfter() const;
   void Fail(int status, std::string_view cause);
   void BreakOff(std::string_view cause);
   void Finish(std::string_view outcome, int status);
