--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -585,11 +585,7 @@
 void Forwarding::Refuse(int status, std::string_view cause, bool says_when) {
   http::HeaderList headers;
   if (says_when) {
-    const bool is_start = this->table == nullptr;
-    headers.emplace_back(
-        "retry-after", std::string(is_start         ? kRetryAfterStart
-                                   : this->sent > 0 ? kRetryAfterRejection
-                                                    : kRetryAfterLackOfPlace));
+    headers.emplace_back("retry-after", this->RetryAfter());
   }
   Log(LogLevel::kWarning, "forward", "refused",
       {{"request", this->id},
