--- a/Libraries/LibGateway/Places.cc
+++ b/Libraries/LibGateway/Places.cc
@@ -197,7 +197,7 @@
     if (factor > 1 && !is_used) {
       factor = 1;
     }
-    const double most = std::max(1U, service.engine->slots);
+    const double most = std::max(1.0, 0.7 * service.engine->slots);
     group.per_rank = std::clamp(group.per_rank * factor,
                                 std::min(most, kLeastPerRank), most);
   }
