--- /dev/null
+++ b/Tests/LibHTTP/TestIngress.cc
@@ -0,0 +1,247 @@
+#include <doctest/doctest.h>
+
+#include "Fixture.h"
+#include "LibHTTP/DirectCall.h"
+#include "LibHTTP/Ingress.h"
+
+namespace bramleyspan::http {
+
+namespace {
+
+// An ingress on a port of the system's choice, and raw callers before it.
+struct IngressFixture {
+  EventLoop loop;
+  std::unique_ptr<Ingress> ingress;
+  std::vector<IngressRequest> seen;
+
+  void Serve(IngressHandler handler, const IngressLimits& limits = {}) {
+    auto listening =
+        Ingress::Listen(this->loop, {"127.0.0.1", 0}, limits,
+                        [this, handler = std::move(handler)](
+                            IngressRequest request,
+                            const std::shared_ptr<IngressExchange>& exchange) {
+                          this->seen.push_back(request);
+                          handler(std::move(request), exchange);
+                        });
+    REQUIRE(listening.has_value());
+    this->ingress = std::move(listening).assume_value();
+  }
+
+  Address address() const { return {"127.0.0.1", this->ingress->port()}; }
+
+  // What a caller hears that sends these bytes, until the server closes.
+  std::string Exchange(const std::string& bytes) {
+    RawCaller caller(this->loop, this->address(), bytes);
+    this->loop.Run();
+    return caller.received;
+  }
+};
+
+void Echo(IngressRequest request,
+          const std::shared_ptr<IngressExchange>& exchange) {
+  exchange->Respond(200, {}, request.path + "|" + request.body);
+}
+
+// A server that answers whatever comes with the same bytes.
+struct RawServer {
+  RawServer(EventLoop& loop, std::string answer, bool is_closing)
+      : answer(std::move(answer)), is_closing(is_closing) {
+    auto listening =
+        Listener::Listen(loop, {"127.0.0.1", 0}, [this](h2o_socket_t* socket) {
+          socket->data = this;
+          h2o_socket_read_start(
+              socket, [](h2o_socket_t* source, const char* failure) {
+                static_cast<RawServer*>(source->data)->Answer(source, failure);
+              });
+        });
+    REQUIRE(listening.has_value());
+    this->listener = std::move(listening).assume_value();
+  }
+
+  void Answer(h2o_socket_t* socket, const char* failure) {
+    if (failure != nullptr) {
+      h2o_socket_close(socket);
+      return;
+    }
+    h2o_buffer_consume(&socket->input, socket->input->size);
+    h2o_iovec_t bytes =
+        h2o_iovec_init(this->answer.data(), this->answer.size());
+    h2o_socket_write(socket, &bytes, 1, [](h2o_socket_t* source, const char*) {
+      if (static_cast<RawServer*>(source->data)->is_closing) {
+        h2o_socket_close(source);
+      }
+    });
+  }
+
+  std::string answer;
+  bool is_closing;
+  std::unique_ptr<Listener> listener;
+};
+
+// How a call ends to which a server answers with these bytes.
+CallEnd EndOf(const std::string& answer, bool is_closing, std::string& body) {
+  EventLoop loop;
+  RawServer server(loop, answer, is_closing);
+  CallEnd outcome = CallEnd::kNotSent;
+  DirectCall::Fetch(loop,
+                    {.target = {"127.0.0.1", server.listener->port()},
+                     .headers = {{"host", "x"}},
+                     .timeout = std::chrono::milliseconds(400)},
+                    [&](CallEnd end, const Response& response) {
+                      outcome = end;
+                      body = response.body;
+                      loop.Stop();
+                    });
+  loop.Run();
+  return outcome;
+}
+
+CallEnd EndOf(const std::string& answer, bool is_closing) {
+  std::string body;
+  return EndOf(answer, is_closing, body);
+}
+
+}  // namespace
+
+TEST_CASE("Requests on one connection are answered in order") {
+  IngressFixture fixture;
+  fixture.Serve(Echo);
+  const std::string heard = fixture.Exchange(
+      "POST /a HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\r\none"
+      "POST /b?q=1 HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\n\r\n"
+      "3\r\ntwo\r\n0\r\n\r\n"
+      "GET /c HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n");
+  CHECK(heard.find("/a|one") < heard.find("/b|two"));
+  CHECK(heard.find("/b|two") < heard.find("/c|"));
+  CHECK(fixture.seen[1].query == "q=1");
+  CHECK(fixture.seen[1].host == "h");
+}
+
+// Story: a request that hid a second one in its body had that one run under
+// another caller's key. Two ends had read its length in two ways.
+TEST_CASE("A request whose length is told in two ways is refused and ends") {
+  for (const std::string head :
+       {"content-length: 5\r\ntransfer-encoding: chunked\r\n",
+        "content-length: 5\r\ncontent-length: 6\r\n",
+        "transfer-encoding: gzip, chunked\r\n", "content-length: -1\r\n",
+        "host : h\r\n", " folded: x\r\n"}) {
+    CAPTURE(head);
+    IngressFixture fixture;
+    fixture.Serve(Echo);
+    const std::string heard = fixture.Exchange(
+        "POST / HTTP/1.1\r\n" + head + "\r\n0\r\n\r\nGET /x HTTP/1.1\r\n\r\n");
+    CHECK(heard.starts_with("HTTP/1.1 400"));
+    CHECK(heard.find("/x") == std::string::npos);
+    CHECK(fixture.seen.empty());
+  }
+}
+
+TEST_CASE("Heads and bodies over their limits are refused") {
+  IngressFixture fixture;
+  fixture.Serve(Echo, {.largest_head = 200, .largest_body = 10});
+  CHECK(fixture.Exchange("GET / HTTP/1.1\r\na: " + std::string(300, 'x'))
+            .starts_with("HTTP/1.1 431"));
+  CHECK(fixture.Exchange("POST / HTTP/1.1\r\ncontent-length: 11\r\n\r\n")
+            .starts_with("HTTP/1.1 413"));
+  CHECK(fixture
+            .Exchange("POST / HTTP/1.1\r\ntransfer-encoding: chunked\r\n\r\n"
+                      "b\r\nelevenbytes\r\n0\r\n\r\n")
+            .starts_with("HTTP/1.1 413"));
+}
+
+TEST_CASE("A head that does not end in time is refused with 408") {
+  IngressFixture fixture;
+  fixture.Serve(Echo, {.head_timeout = std::chrono::milliseconds(100)});
+  CHECK(
+      fixture.Exchange("GET / HTTP/1.1\r\nhost:").starts_with("HTTP/1.1 408"));
+}
+
+// Story: a model server worked for seconds on requests whose callers had left.
+TEST_CASE("A caller that leaves is noticed while its answer is pending") {
+  IngressFixture fixture;
+  bool is_gone = false;
+  std::shared_ptr<IngressExchange> kept;
+  auto caller = std::make_unique<RawCaller*>(nullptr);
+  fixture.Serve([&](const IngressRequest&,
+                    const std::shared_ptr<IngressExchange>& exchange) {
+    kept = exchange;
+    exchange->OnGone([&] {
+      is_gone = true;
+      fixture.loop.Stop();
+    });
+    (*caller)->Close();
+  });
+  RawCaller leaving(fixture.loop, fixture.address(), "GET / HTTP/1.1\r\n\r\n");
+  *caller = &leaving;
+  fixture.loop.Run();
+  CHECK(is_gone);
+  CHECK(kept->is_closed());
+  kept->Respond(200, {}, "late");
+}
+
+TEST_CASE("An aborted stream does not look whole") {
+  IngressFixture fixture;
+  fixture.Serve([](const IngressRequest&,
+                   const std::shared_ptr<IngressExchange>& exchange) {
+    exchange->StartStream(200, {});
+    exchange->Write("id: 1\n\n");
+    exchange->Abort();
+  });
+  const std::string heard = fixture.Exchange("GET / HTTP/1.1\r\n\r\n");
+  CHECK(heard.find("\r\n0\r\n\r\n") == std::string::npos);
+}
+
+TEST_CASE("A draining server ends each connection after its answer") {
+  IngressFixture fixture;
+  fixture.Serve(Echo);
+  fixture.ingress->StartDrain();
+  const std::string heard = fixture.Exchange("GET /a HTTP/1.1\r\n\r\n");
+  CHECK(heard.find("connection: close") != std::string::npos);
+  CHECK(heard.find("/a|") != std::string::npos);
+}
+
+TEST_CASE(
+    "Only an answer that is whole and followed by nothing ends as whole") {
+  std::string body;
+  CHECK(EndOf("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok", false, body) ==
+        CallEnd::kWhole);
+  CHECK(body == "ok");
+  CHECK(EndOf("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nokHTTP/1.1 200 OK",
+              false, body) == CallEnd::kWhole);
+  CHECK(body == "ok");
+  CHECK(EndOf("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+              "transfer-encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+              false, body) == CallEnd::kWhole);
+  CHECK(body == "ok");
+  CHECK(EndOf("HTTP/1.1 200 OK\r\n\r\nok", true, body) == CallEnd::kWhole);
+}
+
+// Story: half an invoice came with status 200. The server had died while it
+// wrote, and the shorter answer had looked like a whole one.
+TEST_CASE("Answers that break off or are none are told apart") {
+  CHECK(EndOf("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nhalf", true) ==
+        CallEnd::kTruncated);
+  CHECK(
+      EndOf("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nok\r\n",
+            true) == CallEnd::kTruncated);
+  CHECK(EndOf("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nzz\r\n",
+              true) == CallEnd::kMalformed);
+  CHECK(EndOf("garbage that is no answer\r\n\r\n", true) ==
+        CallEnd::kMalformed);
+  CHECK(EndOf("", true) == CallEnd::kClosed);
+  CHECK(EndOf("HTTP/1.1 200", false) == CallEnd::kTimeout);
+}
+
+TEST_CASE("A call that was never connected says that nothing was sent") {
+  EventLoop loop;
+  CallEnd outcome = CallEnd::kWhole;
+  DirectCall::Fetch(loop, {.target = {"127.0.0.1", 1}},
+                    [&](CallEnd end, const Response&) {
+                      outcome = end;
+                      loop.Stop();
+                    });
+  loop.Run();
+  CHECK(outcome == CallEnd::kNotSent);
+}
+
+}  // namespace bramleyspan::http
--- /dev/null
+++ b/Tests/LibPlacement/TestCopies.cc
@@ -0,0 +1,114 @@
+#include <doctest/doctest.h>
+
+#include <set>
+
+#include "LibPlacement/Copies.h"
+#include "LibPlacement/Drift.h"
+
+namespace bramleyspan::placement {
+
+namespace {
+
+constexpr uint16_t kExperts = 64;
+constexpr uint16_t kRanks = 8;
+
+RankLists InTurn() {
+  RankLists lists(kRanks);
+  for (uint16_t expert = 0; expert < kExperts; ++expert) {
+    lists[expert % kRanks].push_back(expert);
+  }
+  return lists;
+}
+
+// A few experts take most: 0.3, 0.11, 0.07, the rest evenly.
+Shares HotShares() {
+  Shares shares(kExperts, 0.52 / 61);
+  shares[3] = 0.3;
+  shares[20] = 0.11;
+  shares[41] = 0.07;
+  return shares;
+}
+
+CopyLimits Limits(uint32_t most_copies) {
+  return {.places_per_rank = 11, .spare = 4, .most_copies = most_copies};
+}
+
+bool is_complete(const RankLists& lists) {
+  std::set<uint16_t> held;
+  for (const auto& list : lists) {
+    if (list.size() > 11 ||
+        std::set<uint16_t>(list.begin(), list.end()).size() != list.size()) {
+      return false;
+    }
+    held.insert(list.begin(), list.end());
+  }
+  return held.size() == kExperts;
+}
+
+}  // namespace
+
+TEST_CASE("Few copies even out a hot set, and each expert keeps a copy") {
+  std::vector<uint32_t> new_on_rank;
+  const CopyPlan plan =
+      PlanCopies(InTurn(), HotShares(), {}, Limits(6), new_on_rank);
+  CHECK(plan.skew_before > 2.5);
+  CHECK(plan.skew_after < 1.4);
+  CHECK(plan.copies <= 6);
+  CHECK(is_complete(plan.lists));
+}
+
+TEST_CASE("Demand that jumps again and again never costs an expert its copy") {
+  RankLists lists = InTurn();
+  for (uint16_t turn = 0; turn < 60; ++turn) {
+    Shares shares(kExperts, 0.4 / 62);
+    shares[turn * 7 % kExperts] = 0.4;
+    shares[turn * 13 % kExperts] += 0.2;
+    std::vector<uint32_t> new_on_rank;
+    lists = PlanCopies(lists, shares, {}, Limits(3), new_on_rank).lists;
+    REQUIRE(is_complete(lists));
+  }
+}
+
+// Story: one rank of a group took seven times as long as the others, and all
+// of them waited for it in every step.
+TEST_CASE("A slow rank is relieved of its experts") {
+  CopyLimits limits = Limits(8);
+  limits.paces = std::vector<double>(kRanks, 1);
+  limits.paces[2] = 7;
+  std::vector<uint32_t> new_on_rank;
+  const Shares even(kExperts, 1.0 / kExperts);
+  const CopyPlan plan = PlanCopies(InTurn(), even, {}, limits, new_on_rank);
+  CHECK(plan.skew_before > 6);
+  CHECK(plan.skew_after < 2);
+  CHECK(plan.lists[2].size() < 4);
+  CHECK(is_complete(plan.lists));
+}
+
+TEST_CASE("An even demand moves nothing") {
+  std::vector<uint32_t> new_on_rank;
+  const Shares even(kExperts, 1.0 / kExperts);
+  CHECK(PlanCopies(InTurn(), even, {}, Limits(4), new_on_rank).copies == 0);
+}
+
+TEST_CASE("A jump of demand begins anew, a drift is averaged") {
+  Drift drift;
+  std::vector<std::vector<double>> choices(1, std::vector<double>(4, 250));
+  CHECK(ObserveChoices(drift, choices));
+  choices[0] = {270, 230, 250, 250};
+  CHECK_FALSE(ObserveChoices(drift, choices));
+  CHECK(drift.jumps == 0);
+  CHECK(drift.present[0][0] > 0.25);
+  CHECK(drift.present[0][0] < 0.27);
+  choices[0] = {900, 50, 25, 25};
+  CHECK(ObserveChoices(drift, choices));
+  CHECK(drift.jumps == 1);
+  CHECK(drift.present[0][0] == doctest::Approx(0.9));
+  CHECK(drift.remembered.size() == 1);
+  SUBCASE("Too few choices say nothing") {
+    choices[0] = {0, 0, 0, 100};
+    CHECK_FALSE(ObserveChoices(drift, choices));
+    CHECK(drift.jumps == 1);
+  }
+}
+
+}  // namespace bramleyspan::placement
--- /dev/null
+++ b/Tests/LibPlatform/TestPrefixFeed.cc
@@ -0,0 +1,126 @@
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "LibPlatform/PrefixFeed.h"
+
+namespace bramleyspan::platform {
+
+namespace {
+
+// A store whose answers the test gives.
+struct ScriptedStore {
+  EventLoop loop;
+  Store store;
+  std::vector<std::function<void(Result<RangePage>)>> ranges;
+  std::vector<std::function<void(Result<WatchAnswer>)>> watches;
+  std::vector<uint64_t> watched_after;
+  std::vector<std::string> changes;
+  std::unique_ptr<PrefixFeed> feed;
+
+  ScriptedStore() {
+    this->store.range = [this](const RangeCall&, auto on_done) {
+      this->ranges.push_back(std::move(on_done));
+    };
+    this->store.watch = [this](const WatchCall& call, auto on_done) {
+      this->watched_after.push_back(call.after);
+      this->watches.push_back(std::move(on_done));
+    };
+    FeedEvents events;
+    events.on_change = [this](const StoreItem& item) {
+      this->changes.push_back((item.is_removed ? "-" : "+") + item.key);
+    };
+    PrefixFeedSettings settings{.prefix = "servers/",
+                                .retry_delay = std::chrono::milliseconds(1),
+                                .return_grace = std::chrono::milliseconds(40)};
+    this->feed =
+        std::make_unique<PrefixFeed>(this->loop, this->store, settings, events);
+    this->feed->Start();
+  }
+
+  void AnswerRange(const std::vector<StoreItem>& items, uint64_t revision) {
+    auto answer = std::exchange(this->ranges, {}).back();
+    answer(RangePage{.items = items, .revision = revision});
+  }
+
+  void AnswerWatch(const std::vector<StoreItem>& events, uint64_t revision) {
+    auto answer = std::exchange(this->watches, {}).back();
+    answer(WatchAnswer{.events = events, .revision = revision});
+  }
+
+  void FailWatch(ErrorCode code) {
+    auto answer = std::exchange(this->watches, {}).back();
+    answer(Fail(code, "store", "test"));
+  }
+
+  void RunFor(Duration time) {
+    this->loop.RunAfter(time, [this] { this->loop.Stop(); });
+    this->loop.Run();
+  }
+};
+
+}  // namespace
+
+TEST_CASE("A feed reads the prefix, then watches from there") {
+  ScriptedStore fixture;
+  fixture.AnswerRange({{"servers/a", "1", 5}}, 9);
+  CHECK(fixture.watched_after == std::vector<uint64_t>{9});
+  fixture.AnswerWatch({{"servers/b", "2", 11}, {"servers/a", "", 12, true}},
+                      12);
+  CHECK(fixture.changes ==
+        std::vector<std::string>{"+servers/a", "+servers/b", "-servers/a"});
+  CHECK(fixture.watched_after.back() == 12);
+}
+
+// Story: a server that had left got work for a minute. The store had dropped
+// its history while the watch was away, and with it the server's removal.
+TEST_CASE("A feed whose history is gone reads the prefix again") {
+  ScriptedStore fixture;
+  fixture.AnswerRange({{"servers/a", "1", 5}, {"servers/b", "1", 6}}, 9);
+  fixture.FailWatch(ErrorCode::kHistoryGone);
+  fixture.AnswerRange({{"servers/b", "1", 6}}, 30);
+  CHECK(fixture.changes.back() == "-servers/a");
+}
+
+TEST_CASE("A failed watch goes on from where it was") {
+  ScriptedStore fixture;
+  fixture.AnswerRange({}, 9);
+  fixture.FailWatch(ErrorCode::kOutcomeUnknown);
+  CHECK_FALSE(fixture.feed->is_reached());
+  fixture.RunFor(std::chrono::milliseconds(20));
+  CHECK(fixture.watched_after == std::vector<uint64_t>{9, 9});
+}
+
+// Story: all servers were taken for gone when the store came back. Their leases
+// had run out while it was down, and they were listed again a second later.
+TEST_CASE("What vanished while the store was away may come back") {
+  ScriptedStore fixture;
+  fixture.AnswerRange({{"servers/a", "1", 5}, {"servers/b", "1", 6}}, 9);
+  fixture.FailWatch(ErrorCode::kUnavailable);
+  fixture.RunFor(std::chrono::milliseconds(10));
+  fixture.AnswerWatch(
+      {{"servers/a", "", 20, true}, {"servers/b", "", 21, true}}, 21);
+  CHECK(fixture.changes.size() == 2);
+  fixture.AnswerWatch({{"servers/a", "2", 22}}, 22);
+  fixture.RunFor(std::chrono::milliseconds(80));
+  CHECK(fixture.changes.back() == "-servers/b");
+  CHECK_FALSE(fixture.feed->items().at("servers/a").is_removed);
+}
+
+// Story: an entry that the store turned away sent work to a server that had
+// left; its peers had known for seconds.
+TEST_CASE("What a peer knows is taken by revision, and never goes back") {
+  ScriptedStore fixture;
+  fixture.AnswerRange({{"servers/a", "1", 5}}, 9);
+  fixture.feed->Merge({{"servers/a", "", 15, true}});
+  CHECK(fixture.changes.back() == "-servers/a");
+  fixture.feed->Merge({{"servers/a", "old", 12}});
+  CHECK(fixture.feed->items().at("servers/a").is_removed);
+  fixture.AnswerWatch({{"servers/a", "1", 5}}, 10);
+  CHECK(fixture.feed->items().at("servers/a").is_removed);
+}
+
+}  // namespace bramleyspan::platform
