LibMapSwitch: Hold no group whose ranks lose orders

Ruled out: our cancels (each channel was closed at once); a deputy cannot reach a hold on a frozen machine. Agents tell whether an order was lost in the last 2 s; with more than a third of the ranks losing them no switch begins or goes on to its hold.

--- a/Libraries/LibMapSwitch/Rank.h
+++ b/Libraries/LibMapSwitch/Rank.h
@@ -34,6 +34,8 @@
   uint32_t queued = 0;
   // How many times as long as usual the rank's work takes.
   double pace = 1;
+  // Whether its agent had no answer to an order a moment ago.
+  bool is_losing_orders = false;
   // The last pass begun.
   Step step = 0;
   Version map = 0;
--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -54,6 +54,17 @@
                .body = std::move(body)};
 }
 
+// Whether so many ranks lose orders that a held group would wait for long. A
+// map that is not switched costs less than a group that stands still, and
+// where the owner is lost too, requests run on that nobody waits for.
+bool is_losing_orders(const MapSwitch& map_switch) {
+  constexpr size_t kLeastRanks = 2;
+  const auto losing = static_cast<size_t>(std::count_if(
+      map_switch.ranks.begin(), map_switch.ranks.end(),
+      [](const auto& rank) { return rank && rank->status.is_losing_orders; }));
+  return losing >= std::max(kLeastRanks, map_switch.ranks.size() / 3 + 1);
+}
+
 // A restarted agent finds the group held by its predecessor. Arms are sent
 // only while every rank has the same map prepared, so that
 //   - where a rank is armed for the held pass, its map is the one to finish;
@@ -94,6 +105,10 @@
 
 std::optional<Order> ContinuePreparing(MapSwitch& map_switch, TimePoint now) {
   const Version version = map_switch.wish.version;
+  if (is_losing_orders(map_switch)) {
+    GiveUp(map_switch, "orders get lost", now);
+    return std::nullopt;
+  }
   if (now - map_switch.since > kLongestPreparation) {
     GiveUp(map_switch, "not prepared in time", now);
     return std::nullopt;
@@ -226,7 +241,8 @@
 
 bool is_ready_for_map(const MapSwitch& map_switch, TimePoint now) {
   if (map_switch.phase != SwitchPhase::kIdle || map_switch.ranks.empty() ||
-      !map_switch.ranks.front() || now < map_switch.rests_until) {
+      !map_switch.ranks.front() || now < map_switch.rests_until ||
+      is_losing_orders(map_switch)) {
     return false;
   }
   const RankStatus& own = map_switch.ranks.front()->status;
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -266,6 +266,7 @@
   uint32_t running = 0;
   uint32_t queued = 0;
   double pace = 0.0;
+  bool is_losing_orders = false;
   uint64_t step = 0;
   uint64_t map = 0;
   uint64_t prepared = 0;
@@ -290,12 +291,13 @@
     VT_RUNNING = 20,
     VT_QUEUED = 22,
     VT_PACE = 24,
-    VT_STEP = 26,
-    VT_MAP = 28,
-    VT_PREPARED = 30,
-    VT_ARMED = 32,
-    VT_ARMED_STEP = 34,
-    VT_HELD = 36
+    VT_IS_LOSING_ORDERS = 26,
+    VT_STEP = 28,
+    VT_MAP = 30,
+    VT_PREPARED = 32,
+    VT_ARMED = 34,
+    VT_ARMED_STEP = 36,
+    VT_HELD = 38
   };
   const flatbuffers::String *address() const {
     return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
@@ -330,6 +332,9 @@
   double pace() const {
     return GetField<double>(VT_PACE, 0.0);
   }
+  bool is_losing_orders() const {
+    return GetField<uint8_t>(VT_IS_LOSING_ORDERS, 0) != 0;
+  }
   uint64_t step() const {
     return GetField<uint64_t>(VT_STEP, 0);
   }
@@ -363,6 +368,7 @@
            VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
            VerifyField<uint32_t>(verifier, VT_QUEUED, 4) &&
            VerifyField<double>(verifier, VT_PACE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LOSING_ORDERS, 1) &&
            VerifyField<uint64_t>(verifier, VT_STEP, 8) &&
            VerifyField<uint64_t>(verifier, VT_MAP, 8) &&
            VerifyField<uint64_t>(verifier, VT_PREPARED, 8) &&
@@ -413,6 +419,9 @@
   void add_pace(double pace) {
     fbb_.AddElement<double>(RankStatus::VT_PACE, pace, 0.0);
   }
+  void add_is_losing_orders(bool is_losing_orders) {
+    fbb_.AddElement<uint8_t>(RankStatus::VT_IS_LOSING_ORDERS, static_cast<uint8_t>(is_losing_orders), 0);
+  }
   void add_step(uint64_t step) {
     fbb_.AddElement<uint64_t>(RankStatus::VT_STEP, step, 0);
   }
@@ -455,6 +464,7 @@
     uint32_t running = 0,
     uint32_t queued = 0,
     double pace = 0.0,
+    bool is_losing_orders = false,
     uint64_t step = 0,
     uint64_t map = 0,
     uint64_t prepared = 0,
@@ -477,6 +487,7 @@
   builder_.add_rank(rank);
   builder_.add_group(group);
   builder_.add_address(address);
+  builder_.add_is_losing_orders(is_losing_orders);
   builder_.add_is_busy(is_busy);
   builder_.add_is_open(is_open);
   return builder_.Finish();
@@ -500,6 +511,7 @@
     uint32_t running = 0,
     uint32_t queued = 0,
     double pace = 0.0,
+    bool is_losing_orders = false,
     uint64_t step = 0,
     uint64_t map = 0,
     uint64_t prepared = 0,
@@ -521,6 +533,7 @@
       running,
       queued,
       pace,
+      is_losing_orders,
       step,
       map,
       prepared,
@@ -1264,6 +1277,7 @@
   { auto _e = running(); _o->running = _e; }
   { auto _e = queued(); _o->queued = _e; }
   { auto _e = pace(); _o->pace = _e; }
+  { auto _e = is_losing_orders(); _o->is_losing_orders = _e; }
   { auto _e = step(); _o->step = _e; }
   { auto _e = map(); _o->map = _e; }
   { auto _e = prepared(); _o->prepared = _e; }
@@ -1291,6 +1305,7 @@
   auto _running = _o->running;
   auto _queued = _o->queued;
   auto _pace = _o->pace;
+  auto _is_losing_orders = _o->is_losing_orders;
   auto _step = _o->step;
   auto _map = _o->map;
   auto _prepared = _o->prepared;
@@ -1310,6 +1325,7 @@
       _running,
       _queued,
       _pace,
+      _is_losing_orders,
       _step,
       _map,
       _prepared,
--- a/Services/bramleyspand/Rank/RankMessages.cc
+++ b/Services/bramleyspand/Rank/RankMessages.cc
@@ -16,6 +16,7 @@
   wire.running = status.running;
   wire.queued = status.queued;
   wire.pace = status.pace;
+  wire.is_losing_orders = status.is_losing_orders;
   wire.step = status.step;
   wire.map = status.map;
   wire.prepared = status.prepared;
@@ -36,6 +37,7 @@
           .running = status.running,
           .queued = status.queued,
           .pace = status.pace,
+          .is_losing_orders = status.is_losing_orders,
           .step = status.step,
           .map = status.map,
           .prepared = status.prepared,
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -42,6 +42,7 @@
 // it: it is sent again soon. One that was accepted takes its time.
 constexpr Duration kRepeatLostAfter = std::chrono::milliseconds(40);
 constexpr Duration kRepeatTakenAfter = std::chrono::milliseconds(1500);
+constexpr Duration kLossRemembered = std::chrono::seconds(2);
 constexpr Duration kOwnOrderTimeout = std::chrono::milliseconds(40);
 constexpr Duration kFarOrderInterval = std::chrono::milliseconds(500);
 
@@ -50,7 +51,7 @@
   RankRole(EventLoop& loop, const Settings& settings)
       : state(loop, settings),
         deputy(this->state, [this](const Address& server, const Order& order) {
-          this->SendOrder(server, order, kFarCallTimeout, [](bool) {});
+          this->SendOrder(server, order, kFarCallTimeout, [](bool, bool) {});
         }) {}
 
   Result<void> Start() {
@@ -193,6 +194,8 @@
     }
     now_state.own = std::move(status);
     now_state.own_heard = EventLoop::Now();
+    now_state.own->is_losing_orders =
+        now_state.own_heard - this->last_order_lost < kLossRemembered;
     if (now_state.own_held.sets.empty() ||
         now_state.own_held.version != now_state.own->map) {
       this->ReadLists();
@@ -380,8 +383,11 @@
   void SendOwnOrder(const Order& order) {
     this->state.is_order_underway = true;
     this->SendOrder(*this->state.fleet().engine, order, kOwnOrderTimeout,
-                    [this](bool is_taken) {
+                    [this](bool is_taken, bool is_answered) {
                       this->is_last_order_taken = is_taken;
+                      if (!is_answered) {
+                        this->last_order_lost = EventLoop::Now();
+                      }
                       this->state.is_order_underway = false;
                       this->ReadReport();
                     });
@@ -390,7 +396,7 @@
   void SendOrder(const Address& server,
                  const Order& order,
                  Duration timeout,
-                 std::function<void(bool is_taken)> on_done) {
+                 std::function<void(bool is_taken, bool is_answered)> on_done) {
     const std::string kind = mapswitch::NameOf(order.body);
     http::DirectCall::Fetch(
         this->state.loop,
@@ -411,7 +417,8 @@
                {"status",
                 std::to_string(end == CallEnd::kWhole ? response.status : 0)}});
           on_done(end == CallEnd::kWhole &&
-                  (response.status == 200 || response.status == 202));
+                      (response.status == 200 || response.status == 202),
+                  end == CallEnd::kWhole);
         });
   }
 
@@ -452,7 +459,7 @@
     const auto order =
         mapswitch::NextOrder(this->state.map_switch.wish, status.value());
     if (order) {
-      this->SendOrder(server, *order, kFarCallTimeout, [](bool) {});
+      this->SendOrder(server, *order, kFarCallTimeout, [](bool, bool) {});
     }
   }
 
@@ -612,6 +619,7 @@
   mapswitch::Version told_version = 0;
   std::string last_order;
   TimePoint last_order_at;
+  TimePoint last_order_lost;
   bool is_last_order_taken = false;
 };
 
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -260,6 +260,42 @@
   CHECK_FALSE(ranks.is_split);
 }
 
+// Story: half of the orders got lost, the owner's machine froze while its group
+// was held, and servers worked on for callers that had left: nothing but the
+// owner's own machine could have let the group go on.
+TEST_CASE("A group whose ranks lose orders is not held") {
+  MapSwitch map_switch;
+  const TimePoint now{std::chrono::seconds(100)};
+  const auto hear = [&](uint32_t losing, Version prepared) {
+    for (uint32_t rank = 0; rank < 8; ++rank) {
+      HandleStatus(map_switch,
+                   {.group = "g",
+                    .epoch = 1,
+                    .rank = rank,
+                    .size = 8,
+                    .is_open = true,
+                    .is_losing_orders = rank < losing,
+                    .prepared = prepared},
+                   now);
+    }
+  };
+  hear(3, 0);
+  CHECK_FALSE(is_ready_for_map(map_switch, now));
+  hear(2, 0);
+  REQUIRE(is_ready_for_map(map_switch, now));
+  StartSwitch(map_switch, ExpertLists(1), now);
+  SUBCASE("The switch is given up before anything is held") {
+    hear(3, 1);
+    CHECK_FALSE(Continue(map_switch, now).has_value());
+    CHECK(map_switch.phase == SwitchPhase::kIdle);
+  }
+  SUBCASE("A rank or two that lose one do not matter") {
+    hear(2, 1);
+    Continue(map_switch, now);
+    CHECK(map_switch.phase == SwitchPhase::kHolding);
+  }
+}
+
 // Story: a rank restarted in the middle of a switch; orders of the epoch
 // before reached its server.
 TEST_CASE("Orders of an epoch that is over are refused") {
