--- a/Tests/LibHTTP/TestIngress.cc
+++ b/Tests/LibHTTP/TestIngress.cc
@@ -37,7 +37,7 @@
   }
 };
 
-void Echo(IngressRequest request,
+void Echo(const IngressRequest& request,
           const std::shared_ptr<IngressExchange>& exchange) {
   exchange->Respond(200, {}, request.path + "|" + request.body);
 }
