--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -1,17 +1,25 @@
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 
 #include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 
 namespace bramleyspan::gatewayd {
 
 namespace {
 
+using detail::is_own_header;
+using detail::kBadGateway;
+using detail::kGatewayTimeout;
+using detail::kNotFound;
+using detail::kStreamSilence;
+using detail::kUnauthorized;
+using detail::kUnavailable;
+using detail::Text;
 using gateway::Outcome;
 using gateway::RouteKind;
 using gateway::TargetView;
@@ -20,24 +28,10 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-constexpr int kOk = 200;
-constexpr int kFirstFailure = 300;
-constexpr int kFirstServerFailure = 500;
-constexpr int kUnauthorized = 401;
-constexpr int kNotFound = 404;
-constexpr int kMisdirected = 421;
-constexpr int kTooMany = 429;
-constexpr int kBadGateway = 502;
-constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
-
 // A connection inside a region takes a millisecond or two.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 // Connections that may fail before the request is given up.
 constexpr int kMostUnreached = 4;
-// A stream that is silent for so long is looked for elsewhere. Callers leave
-// after two seconds.
-constexpr Duration kStreamSilence = std::chrono::milliseconds(1750);
 // The part of the objective for which a request waits for a place: after that
 // its first event would come late.
 constexpr int kWaitDivisor = 2;
@@ -50,18 +44,6 @@
 constexpr std::string_view kRetryAfterStart = "0.5";
 constexpr std::string_view kRetryAfterRejection = "0.2";
 
-// Headers that concern one connection only, and those that are set anew.
-constexpr std::array<std::string_view, 11> kOwnHeaders{
-    "connection", "keep-alive", "proxy-connection",    "te",
-    "trailer",    "upgrade",    "transfer-encoding",   "content-length",
-    "expect",     "host",       "proxy-authorization",
-};
-
-std::string Text(Duration time) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 std::optional<int64_t> ParseNumber(std::string_view text) {
   int64_t value = 0;
   const auto [stop, failure] =
@@ -72,11 +54,6 @@
   return value;
 }
 
-bool is_own_header(std::string_view name) {
-  return std::find(kOwnHeaders.begin(), kOwnHeaders.end(), name) !=
-         kOwnHeaders.end();
-}
-
 }  // namespace
 
 gateway::Sharing SharingOf(const GatewayState& state, TimePoint now) {
@@ -351,209 +328,6 @@
   }
 }
 
-bool Forwarding::is_own_answer(const http::AnswerHead& head) const {
-  const std::string_view echoed =
-      FindHeader(head.headers, this->state.adapter.headers.attempt);
-  return echoed.empty() || echoed == this->id;
-}
-
-void Forwarding::HandleHead(const http::AnswerHead& head) {
-  this->answer = head;
-  const bool has_stamp =
-      !FindHeader(head.headers, this->state.adapter.headers.stamp).empty();
-  const bool is_encoded = !FindHeader(head.headers, "content-encoding").empty();
-  this->is_passing_events = this->is_streaming() && head.status == kOk &&
-                            has_stamp && !is_encoded &&
-                            this->is_own_answer(head);
-  if (this->is_streaming()) {
-    this->ArmSilence(kStreamSilence);
-  }
-}
-
-void Forwarding::HandleBytes(std::string_view bytes) {
-  if (!this->is_passing_events) {
-    this->answer_body.append(bytes);
-    return;
-  }
-  this->events.Read(bytes, [this](const gateway::StreamEvent& event) {
-    this->HandleEvent(event);
-  });
-}
-
-void Forwarding::HandleEvent(const gateway::StreamEvent& event) {
-  if (this->is_finished) {
-    return;
-  }
-  // A run that goes on elsewhere may begin with what the caller has.
-  if (event.id && this->last_event && *event.id <= *this->last_event) {
-    return;
-  }
-  const TimePoint now = EventLoop::Now();
-  if (!std::exchange(this->has_started_answer, true)) {
-    this->exchange->StartStream(this->answer->status, this->AnswerHeaders());
-    telemetry::Observe(kFirstEventTime, {{"service", this->service}},
-                       now - this->arrived);
-    Log(LogLevel::kInfo, "forward", "first_event",
-        {{"request", this->id},
-         {"target", this->target_id},
-         {"after_ms", Text(now - this->arrived)}});
-  } else {
-    gateway::NotePause(this->state.places, this->group,
-                       now - this->last_event_at, this->route->longest_pause,
-                       now);
-    telemetry::Observe(kPauseTime, {{"service", this->service}},
-                       now - this->last_event_at);
-  }
-  this->last_event_at = now;
-  if (event.id) {
-    this->last_event = event.id;
-  }
-  this->exchange->Write(event.bytes);
-  this->ArmSilence(kStreamSilence);
-}
-
-void Forwarding::HandleEnd(CallEnd end) {
-  auto keep_until_return = this->shared_from_this();
-  this->call = nullptr;
-  this->state.loop.Cancel(std::exchange(this->silence_timer, 0));
-  if (this->is_finished) {
-    return;
-  }
-  if (this->is_passing_events) {
-    this->HandleStreamEnd(end);
-    return;
-  }
-  if (end != CallEnd::kWhole) {
-    this->HandleFailed(end);
-    return;
-  }
-  switch (this->Judge()) {
-    case Verdict::kPass:
-      this->PassAnswer();
-      return;
-    case Verdict::kRejected:
-      this->HandleRejected();
-      return;
-    case Verdict::kUnsound:
-      this->HandleFailed(CallEnd::kMalformed);
-      return;
-  }
-}
-
-Forwarding::Verdict Forwarding::Judge() const {
-  const gateway::CallHeaders& names = this->state.adapter.headers;
-  const http::AnswerHead& head = *this->answer;
-  if (!this->is_own_answer(head)) {
-    return Verdict::kUnsound;
-  }
-  if (head.status == kMisdirected ||
-      !FindHeader(head.headers, names.not_run).empty()) {
-    return Verdict::kRejected;
-  }
-  const bool has_stamp = !FindHeader(head.headers, names.stamp).empty();
-  const bool is_encoded = !FindHeader(head.headers, "content-encoding").empty();
-  // A target's 429 or 503 without the mark may come from a run; passed on, it
-  // would promise the caller that nothing ran.
-  const bool is_false_promise = head.status == kTooMany ||
-                                head.status == kUnavailable ||
-                                head.status == 408;
-  if (!has_stamp || is_encoded || is_false_promise || this->is_streaming()) {
-    return head.status >= kFirstFailure && has_stamp && !is_false_promise
-               ? Verdict::kPass
-               : Verdict::kUnsound;
-  }
-  return Verdict::kPass;
-}
-
-void Forwarding::PassAnswer() {
-  const int status = this->answer->status;
-  const bool is_failure = status >= kFirstServerFailure;
-  this->LeaveTarget(is_failure ? Outcome::kFailed : Outcome::kGood);
-  if (is_failure && this->route->is_repeatable()) {
-    const auto held_answer = this->answer;
-    const std::string held_body = this->answer_body;
-    if (this->TryAgain("target answered " + std::to_string(status), true)) {
-      return;
-    }
-    this->answer = held_answer;
-    this->answer_body = held_body;
-  }
-  this->exchange->Respond(status, this->AnswerHeaders(), this->answer_body);
-  this->Finish(is_failure ? "target_failed" : "answered", status);
-}
-
-http::HeaderList Forwarding::AnswerHeaders() const {
-  http::HeaderList headers;
-  for (const auto& [name, value] : this->answer->headers) {
-    if (!is_own_header(name)) {
-      headers.emplace_back(name, value);
-    }
-  }
-  return headers;
-}
-
-void Forwarding::HandleRejected() {
-  // It did not run there, and the target says that it never will.
-  --this->sent;
-  this->may_have_run = this->sent > 0 || this->has_started_answer;
-  const bool is_misdirected = this->answer->status == kMisdirected;
-  Log(LogLevel::kWarning, "forward", "rejected",
-      {{"request", this->id},
-       {"target", this->target_id},
-       {"status", std::to_string(this->answer->status)}});
-  if (!is_misdirected) {
-    gateway::NoteRefusal(this->state.places, this->group, EventLoop::Now());
-  }
-  this->LeaveTarget(is_misdirected ? Outcome::kMisdirected : Outcome::kFailed);
-  if (this->TryAgain("rejected", true)) {
-    return;
-  }
-  if (this->has_started_answer) {
-    this->BreakOff("rejected when going on");
-  } else if (this->may_have_run) {
-    this->Fail(kBadGateway, "rejected, and may have run before");
-  } else {
-    this->Refuse(kUnavailable, "rejected by the target", true);
-  }
-}
-
-void Forwarding::HandleFailed(CallEnd end) {
-  const bool is_unreached = end == CallEnd::kNotSent;
-  Log(LogLevel::kWarning, "forward", "attempt_failed",
-      {{"request", this->id},
-       {"target", this->target_id},
-       {"end", std::string(http::NameOf(end))},
-       {"after_ms", Text(EventLoop::Now() - this->arrived)}});
-  this->LeaveTarget(is_unreached ? Outcome::kUnreachable : Outcome::kFailed);
-  if (is_unreached) {
-    ++this->unreached;
-  }
-  const bool may_go_on = is_unreached || this->route->is_repeatable();
-  if (may_go_on && this->TryAgain(http::NameOf(end), !is_unreached)) {
-    return;
-  }
-  if (this->has_started_answer) {
-    this->BreakOff(http::NameOf(end));
-  } else if (this->may_have_run) {
-    this->Fail(end == CallEnd::kTimeout ? kGatewayTimeout : kBadGateway,
-               http::NameOf(end));
-  } else {
-    this->Refuse(kUnavailable, http::NameOf(end), true);
-  }
-}
-
-void Forwarding::HandleStreamEnd(CallEnd end) {
-  const bool is_whole =
-      end == CallEnd::kWhole && !this->events.has_partial_event();
-  if (is_whole && this->has_started_answer) {
-    this->LeaveTarget(Outcome::kGood);
-    this->exchange->Finish();
-    this->Finish("answered", kOk);
-    return;
-  }
-  this->HandleFailed(end == CallEnd::kWhole ? CallEnd::kTruncated : end);
-}
-
 bool Forwarding::TryAgain(std::string_view cause, bool has_arrived) {
   const TimePoint now = EventLoop::Now();
   constexpr Duration kLeastLeft = std::chrono::milliseconds(20);
--- /dev/null
+++ b/Services/bramleyspand/Gateway/ForwardingDetail.h
@@ -0,0 +1,47 @@
+// What the two files of Forwarding share.
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <string>
+#include <string_view>
+
+#include "Kernel/Time.h"
+
+namespace bramleyspan::gatewayd::detail {
+
+inline constexpr int kOk = 200;
+inline constexpr int kFirstFailure = 300;
+inline constexpr int kFirstServerFailure = 500;
+inline constexpr int kUnauthorized = 401;
+inline constexpr int kNotFound = 404;
+inline constexpr int kRequestTimeout = 408;
+inline constexpr int kMisdirected = 421;
+inline constexpr int kTooMany = 429;
+inline constexpr int kBadGateway = 502;
+inline constexpr int kUnavailable = 503;
+inline constexpr int kGatewayTimeout = 504;
+// A stream that is silent for so long is looked for elsewhere. Callers leave
+// after two seconds.
+inline constexpr Duration kStreamSilence = std::chrono::milliseconds(1750);
+
+// Headers that concern one connection only, and those that are set anew.
+inline constexpr std::array<std::string_view, 11> kOwnHeaders{
+    "connection", "keep-alive", "proxy-connection",    "te",
+    "trailer",    "upgrade",    "transfer-encoding",   "content-length",
+    "expect",     "host",       "proxy-authorization",
+};
+
+// A duration as whole milliseconds, for headers and logs.
+inline std::string Text(Duration time) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
+// Whether a header concerns one connection only, or is set anew.
+inline bool is_own_header(std::string_view name) {
+  return std::find(kOwnHeaders.begin(), kOwnHeaders.end(), name) !=
+         kOwnHeaders.end();
+}
+
+}  // namespace bramleyspan::gatewayd::detail
