--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -29,7 +29,8 @@
 // Ticks between two readings of the counts.
 constexpr uint64_t kTicksPerCounts = 2;
 constexpr uint64_t kTicksPerHeartbeat = 7;
-// The lists of a rank's experts are told with each so-manieth news.
+// Every eighth news tells the lists of the rank's experts: the owner needs them
+// once a map, and a lost datagram should not cost it more than a second.
 constexpr uint64_t kNewsPerLists = 8;
 constexpr Duration kShapeInterval = std::chrono::seconds(5);
 constexpr Duration kFirstShapeInterval = std::chrono::milliseconds(300);
