--- a/Kernel/Digest.cc
+++ b/Kernel/Digest.cc
@@ -3,8 +3,8 @@
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
-#include <openssl/rand.h>
 #include <openssl/sha.h>
+#include <sys/random.h>
 
 #include <array>
 
@@ -14,6 +14,20 @@
 
 constexpr size_t kAuthenticationBytes = 16;
 
+// The kernel's random numbers and nothing else: a generator that also stirs in
+// the processor's own source or its cycle count would make two runs of one
+// simulated day differ, and a failure could not be played again by its seed.
+void FillRandom(void* bytes, size_t count) {
+  auto* at = static_cast<unsigned char*>(bytes);
+  while (count > 0) {
+    const ssize_t filled = getrandom(at, count, 0);
+    if (filled > 0) {
+      at += filled;
+      count -= static_cast<size_t>(filled);
+    }
+  }
+}
+
 std::string ToHex(const unsigned char* bytes, size_t count) {
   constexpr std::string_view kDigits = "0123456789abcdef";
   std::string text;
@@ -51,14 +65,13 @@
 
 std::string RandomHex(size_t count) {
   std::string bytes(count, '\0');
-  RAND_bytes(reinterpret_cast<unsigned char*>(bytes.data()),
-             static_cast<int>(count));
+  FillRandom(bytes.data(), count);
   return ToHex(reinterpret_cast<const unsigned char*>(bytes.data()), count);
 }
 
 uint64_t RandomBits() {
   uint64_t bits = 0;
-  RAND_bytes(reinterpret_cast<unsigned char*>(&bits), sizeof bits);
+  FillRandom(&bits, sizeof bits);
   return bits;
 }
 
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -8,6 +8,7 @@
 #include <random>
 #include <string>
 
+#include "Kernel/Digest.h"
 #include "LibGateway/Adapter.h"
 #include "LibGateway/Places.h"
 #include "LibGateway/RepeatBudget.h"
@@ -24,7 +25,7 @@
 
 struct GatewayState {
   GatewayState(EventLoop& loop, const Settings& settings)
-      : loop(loop), settings(settings), random(std::random_device{}()) {}
+      : loop(loop), settings(settings), random(RandomBits()) {}
 
   EventLoop& loop;
   Settings settings;
