--- /dev/null
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -0,0 +1,94 @@
+// How many streams the rank beside an agent takes at once. All ranks of a group
+// advance together, so that each further stream makes every pass longer; past
+// a point every stream is late. What has no place waits at the gateway, where
+// it costs no rank anything and can be refused while the caller has time left.
+//
+// The agent reads its rank's report every few ticks from its own machine, free
+// and fresh, so that it knows the load within milliseconds; a gateway's own
+// view of what the others sent is a heartbeat old. Gateways that chose by such
+// views all sent to the same rank: 20 streams in 0.3 s to a rank with 12 slots.
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+
+#include "Kernel/Time.h"
+
+namespace bramleyspan::admission {
+
+struct RankPlacesSettings {
+  // Streams that the rank's engine runs at once.
+  uint32_t slots = 12;
+  // The longest pause between a stream's events that is on time. An event comes
+  // with each pass.
+  Duration longest_pause = std::chrono::milliseconds(120);
+};
+
+// What the rank says of itself.
+struct RankLoad {
+  uint64_t epoch = 0;
+  // The last pass begun.
+  uint64_t step = 0;
+  uint32_t running = 0;
+  uint32_t queued = 0;
+  bool is_open = false;
+};
+
+// A pass, and when it was first seen.
+struct SeenPass {
+  uint64_t step = 0;
+  TimePoint at;
+};
+
+// Names a place that was taken: the gateway's address and its own number.
+struct TakenPlace {
+  std::string gateway;
+  uint64_t number = 0;
+
+  auto operator<=>(const TakenPlace&) const = default;
+};
+
+struct RankPlaces {
+  RankPlacesSettings settings;
+  // Streams that may run at once.
+  double limit = 0;
+  RankLoad reported;
+  TimePoint reported_at;
+  // Places that gateways took whose streams have not begun. An engine counts a
+  // stream only once it runs, a tenth of a second after it came.
+  std::map<TakenPlace, TimePoint> taken;
+  // Passes of the last moment, the oldest first.
+  std::deque<SeenPass> passes;
+  TimePoint adjusted_at;
+};
+
+// An agent's answer to a gateway that looks for a place.
+struct PlaceOffer {
+  bool is_admitting = false;
+  uint32_t load = 0;
+  double limit = 0;
+  // How long a pass takes at present; zero if nothing runs.
+  Duration pass{};
+};
+
+// Takes the rank's newest report.
+void NoteReport(RankPlaces& places, const RankLoad& load, TimePoint now);
+
+// A gateway took a place.
+void NoteTaken(RankPlaces& places, TakenPlace place, TimePoint now);
+
+// The stream that took it has begun or is over.
+void NoteSettled(RankPlaces& places, const TakenPlace& place);
+
+// Streams at the rank, those on their way among them.
+uint32_t LoadOf(const RankPlaces& places);
+
+// How long a pass took lately, the one under way included.
+Duration PassOf(const RankPlaces& places, TimePoint now);
+
+PlaceOffer OfferOf(const RankPlaces& places, TimePoint now);
+
+}  // namespace bramleyspan::admission
--- /dev/null
+++ b/Libraries/LibGateway/Offers.cc
@@ -0,0 +1,69 @@
+#include "LibGateway/Offers.h"
+
+#include <algorithm>
+#include <map>
+#include <random>
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+// An agent that has said nothing for so long is not asked.
+constexpr Duration kSilent = std::chrono::milliseconds(800);
+
+double FullnessOf(const Offer& offer) {
+  return (static_cast<double>(offer.load) + 1) / std::max(1.0, offer.limit);
+}
+
+}  // namespace
+
+std::vector<const TargetView*> PickRanksToAsk(
+    const TargetTable& targets,
+    std::string_view service,
+    const std::set<std::string>& excluded,
+    size_t count,
+    uint64_t random_bits,
+    TimePoint now) {
+  std::map<std::string, std::vector<const TargetView*>> groups;
+  ForEachUsable(targets, service, excluded, [&](const TargetView& view) {
+    const bool can_be_asked =
+        view.rank && view.rank->is_open && !view.rank->agent_ip.empty() &&
+        now - view.rank->heard < kSilent && view.avoided_until <= now;
+    if (can_be_asked) {
+      groups[view.rank->group].push_back(&view);
+    }
+  });
+  std::minstd_rand random(static_cast<uint32_t>(random_bits));
+  std::vector<std::vector<const TargetView*>> shuffled;
+  for (auto& [name, ranks] : groups) {
+    std::shuffle(ranks.begin(), ranks.end(), random);
+    shuffled.push_back(std::move(ranks));
+  }
+  std::shuffle(shuffled.begin(), shuffled.end(), random);
+  std::vector<const TargetView*> picked;
+  for (size_t turn = 0; picked.size() < count; ++turn) {
+    const size_t before = picked.size();
+    for (const auto& ranks : shuffled) {
+      if (turn < ranks.size() && picked.size() < count) {
+        picked.push_back(ranks[turn]);
+      }
+    }
+    if (picked.size() == before) {
+      break;
+    }
+  }
+  return picked;
+}
+
+std::optional<Offer> ChooseOffer(const std::vector<Offer>& offers) {
+  const Offer* best = nullptr;
+  for (const Offer& offer : offers) {
+    if (offer.is_admitting &&
+        (best == nullptr || FullnessOf(offer) < FullnessOf(*best))) {
+      best = &offer;
+    }
+  }
+  return best == nullptr ? std::nullopt : std::optional<Offer>(*best);
+}
+
+}  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -38,6 +38,8 @@
   uint32_t queued = 0;
   // How many times as long as usual the rank's work takes.
   double pace = 1;
+  // The agent that told this; it can be asked for a place.
+  std::string agent_ip;
   TimePoint heard;
 };
 
--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -18,6 +18,11 @@
 // A switch that is not prepared in this time is given up: a rank's agent may
 // have died, and nothing is held yet.
 constexpr Duration kLongestPreparation = std::chrono::seconds(5);
+// From the hold until every rank reports that it is armed.
+constexpr Duration kUsualArmingTime = std::chrono::milliseconds(40);
+constexpr Duration kArmingTimeUnderLoss = std::chrono::milliseconds(150);
+constexpr Duration kShortestPass = std::chrono::milliseconds(10);
+
 bool is_fresh(const std::optional<HeardStatus>& rank, TimePoint now) {
   return rank && now - rank->heard <= kFresh;
 }
@@ -65,6 +70,22 @@
   return losing >= std::max(kLeastRanks, map_switch.ranks.size() / 3 + 1);
 }
 
+// How many passes ahead the group is held. A group held at the very next pass
+// waits there until the last rank is armed, which made passes of 90 ms last
+// 130, and every stream late; with the arms out before the pass is due, nothing
+// waits. Orders that get lost are repeated, which takes longer.
+Step PassesAhead(const MapSwitch& map_switch) {
+  const bool is_any_losing = std::any_of(
+      map_switch.ranks.begin(), map_switch.ranks.end(),
+      [](const auto& rank) { return rank && rank->status.is_losing_orders; });
+  const Duration pass = std::max(map_switch.pass, kShortestPass);
+  const Duration needed =
+      is_any_losing ? kArmingTimeUnderLoss : kUsualArmingTime;
+  // The pass under way may end at any moment, so that it does not count.
+  const auto passes = 1 + (needed + pass - Duration(1)) / pass;
+  return static_cast<Step>(passes);
+}
+
 // A restarted agent finds the group held by its predecessor. Arms are sent
 // only while every rank has the same map prepared, so that
 //   - where a rank is armed for the held pass, its map is the one to finish;
@@ -145,10 +166,10 @@
   if (!is_all_heard) {
     return std::nullopt;
   }
-  // The very next pass: the own rank's status was read a moment ago, and a hold
-  // that comes too late is refused and tried again with the pass after it.
+  // A hold that comes too late is refused and tried again with a later pass.
   map_switch.is_hold_sent = true;
-  return OwnOrder(map_switch, own, Hold{.step = own.step + 1});
+  return OwnOrder(map_switch, own,
+                  Hold{.step = own.step + PassesAhead(map_switch)});
 }
 
 std::optional<Order> ContinueArming(MapSwitch& map_switch,
@@ -255,6 +276,10 @@
       });
 }
 
+bool is_replaceable(const MapSwitch& map_switch) {
+  return map_switch.phase == SwitchPhase::kPreparing;
+}
+
 void StartSwitch(MapSwitch& map_switch, ExpertLists map, TimePoint now) {
   map_switch.wish = Wish{.epoch = map_switch.ranks.front()->status.epoch,
                          .version = ++map_switch.newest,
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -2,7 +2,7 @@
 // rank 0 leads it. In every pass all ranks use one map:
 //
 //   prepare  all ranks copy the new map's experts
-//   hold     rank 0 keeps the group from beginning pass S
+//   hold     rank 0 keeps the group from beginning pass S, a few passes ahead
 //   arm      every rank is to switch as pass S begins
 //   go       once every rank reports that it is armed for S
 //
@@ -55,6 +55,8 @@
   // After a switch that took its time the next one waits: where orders get lost
   // a better map gains less than a held group costs.
   TimePoint rests_until;
+  // How long a pass of the group takes at present.
+  Duration pass = std::chrono::milliseconds(50);
   // Whether a hold may be on its way; from then on nothing is given up.
   bool is_hold_sent = false;
   // The newest version that was ever wished or seen.
@@ -75,7 +77,11 @@
 // Whether all ranks of an open group are heard and no switch is under way.
 bool is_ready_for_map(const MapSwitch& map_switch, TimePoint now);
 
-// Starts a switch to `map`; is_ready_for_map must hold.
+// Whether the switch under way can be replaced by one to another map: nothing
+// but copies was ordered for it.
+bool is_replaceable(const MapSwitch& map_switch);
+
+// Starts a switch to `map`; is_ready_for_map or is_replaceable must hold.
 void StartSwitch(MapSwitch& map_switch, ExpertLists map, TimePoint now);
 
 // Goes on. Gives the order for the own rank, if there is one now.
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -41,6 +41,18 @@
 struct MapWishBuilder;
 struct MapWishT;
 
+struct PlaceProbe;
+struct PlaceProbeBuilder;
+struct PlaceProbeT;
+
+struct PlaceOffer;
+struct PlaceOfferBuilder;
+struct PlaceOfferT;
+
+struct PlaceTaken;
+struct PlaceTakenBuilder;
+struct PlaceTakenT;
+
 struct Message;
 struct MessageBuilder;
 struct MessageT;
@@ -50,33 +62,42 @@
   Heartbeat = 1,
   RankNews = 2,
   MapWish = 3,
+  PlaceProbe = 4,
+  PlaceOffer = 5,
+  PlaceTaken = 6,
   MIN = NONE,
-  MAX = MapWish
+  MAX = PlaceTaken
 };
 
-inline const Body (&EnumValuesBody())[4] {
+inline const Body (&EnumValuesBody())[7] {
   static const Body values[] = {
     Body::NONE,
     Body::Heartbeat,
     Body::RankNews,
-    Body::MapWish
+    Body::MapWish,
+    Body::PlaceProbe,
+    Body::PlaceOffer,
+    Body::PlaceTaken
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[5] = {
+  static const char * const names[8] = {
     "NONE",
     "Heartbeat",
     "RankNews",
     "MapWish",
+    "PlaceProbe",
+    "PlaceOffer",
+    "PlaceTaken",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::MapWish)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PlaceTaken)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -97,6 +118,18 @@
   static const Body enum_value = Body::MapWish;
 };
 
+template<> struct BodyTraits<bramleyspan::membership::wire::PlaceProbe> {
+  static const Body enum_value = Body::PlaceProbe;
+};
+
+template<> struct BodyTraits<bramleyspan::membership::wire::PlaceOffer> {
+  static const Body enum_value = Body::PlaceOffer;
+};
+
+template<> struct BodyTraits<bramleyspan::membership::wire::PlaceTaken> {
+  static const Body enum_value = Body::PlaceTaken;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -113,6 +146,18 @@
   static const Body enum_value = Body::MapWish;
 };
 
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::PlaceProbeT> {
+  static const Body enum_value = Body::PlaceProbe;
+};
+
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::PlaceOfferT> {
+  static const Body enum_value = Body::PlaceOffer;
+};
+
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::PlaceTakenT> {
+  static const Body enum_value = Body::PlaceTaken;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -167,6 +212,30 @@
     return type == Body::MapWish ?
       reinterpret_cast<const bramleyspan::membership::wire::MapWishT *>(value) : nullptr;
   }
+  bramleyspan::membership::wire::PlaceProbeT *AsPlaceProbe() {
+    return type == Body::PlaceProbe ?
+      reinterpret_cast<bramleyspan::membership::wire::PlaceProbeT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::PlaceProbeT *AsPlaceProbe() const {
+    return type == Body::PlaceProbe ?
+      reinterpret_cast<const bramleyspan::membership::wire::PlaceProbeT *>(value) : nullptr;
+  }
+  bramleyspan::membership::wire::PlaceOfferT *AsPlaceOffer() {
+    return type == Body::PlaceOffer ?
+      reinterpret_cast<bramleyspan::membership::wire::PlaceOfferT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::PlaceOfferT *AsPlaceOffer() const {
+    return type == Body::PlaceOffer ?
+      reinterpret_cast<const bramleyspan::membership::wire::PlaceOfferT *>(value) : nullptr;
+  }
+  bramleyspan::membership::wire::PlaceTakenT *AsPlaceTaken() {
+    return type == Body::PlaceTaken ?
+      reinterpret_cast<bramleyspan::membership::wire::PlaceTakenT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::PlaceTakenT *AsPlaceTaken() const {
+    return type == Body::PlaceTaken ?
+      reinterpret_cast<const bramleyspan::membership::wire::PlaceTakenT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1137,6 +1206,266 @@
 
 flatbuffers::Offset<MapWish> CreateMapWish(flatbuffers::FlatBufferBuilder &_fbb, const MapWishT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct PlaceProbeT : public flatbuffers::NativeTable {
+  typedef PlaceProbe TableType;
+  uint64_t number = 0;
+};
+
+struct PlaceProbe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlaceProbeT NativeTableType;
+  typedef PlaceProbeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           verifier.EndTable();
+  }
+  PlaceProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlaceProbeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlaceProbe> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlaceProbeBuilder {
+  typedef PlaceProbe Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PlaceProbe::VT_NUMBER, number, 0);
+  }
+  explicit PlaceProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlaceProbe> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlaceProbe>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlaceProbe> CreatePlaceProbe(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0) {
+  PlaceProbeBuilder builder_(_fbb);
+  builder_.add_number(number);
+  return builder_.Finish();
+}
+
+struct PlaceProbe::Traits {
+  using type = PlaceProbe;
+  static auto constexpr Create = CreatePlaceProbe;
+};
+
+flatbuffers::Offset<PlaceProbe> CreatePlaceProbe(flatbuffers::FlatBufferBuilder &_fbb, const PlaceProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PlaceOfferT : public flatbuffers::NativeTable {
+  typedef PlaceOffer TableType;
+  uint64_t number = 0;
+  std::string address{};
+  bool is_admitting = false;
+  uint32_t load = 0;
+  double limit = 0.0;
+  uint64_t pass_microseconds = 0;
+};
+
+struct PlaceOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlaceOfferT NativeTableType;
+  typedef PlaceOfferBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_ADDRESS = 6,
+    VT_IS_ADMITTING = 8,
+    VT_LOAD = 10,
+    VT_LIMIT = 12,
+    VT_PASS_MICROSECONDS = 14
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  bool is_admitting() const {
+    return GetField<uint8_t>(VT_IS_ADMITTING, 0) != 0;
+  }
+  uint32_t load() const {
+    return GetField<uint32_t>(VT_LOAD, 0);
+  }
+  double limit() const {
+    return GetField<double>(VT_LIMIT, 0.0);
+  }
+  uint64_t pass_microseconds() const {
+    return GetField<uint64_t>(VT_PASS_MICROSECONDS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_ADMITTING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_LOAD, 4) &&
+           VerifyField<double>(verifier, VT_LIMIT, 8) &&
+           VerifyField<uint64_t>(verifier, VT_PASS_MICROSECONDS, 8) &&
+           verifier.EndTable();
+  }
+  PlaceOfferT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlaceOfferT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlaceOffer> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceOfferT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlaceOfferBuilder {
+  typedef PlaceOffer Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PlaceOffer::VT_NUMBER, number, 0);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(PlaceOffer::VT_ADDRESS, address);
+  }
+  void add_is_admitting(bool is_admitting) {
+    fbb_.AddElement<uint8_t>(PlaceOffer::VT_IS_ADMITTING, static_cast<uint8_t>(is_admitting), 0);
+  }
+  void add_load(uint32_t load) {
+    fbb_.AddElement<uint32_t>(PlaceOffer::VT_LOAD, load, 0);
+  }
+  void add_limit(double limit) {
+    fbb_.AddElement<double>(PlaceOffer::VT_LIMIT, limit, 0.0);
+  }
+  void add_pass_microseconds(uint64_t pass_microseconds) {
+    fbb_.AddElement<uint64_t>(PlaceOffer::VT_PASS_MICROSECONDS, pass_microseconds, 0);
+  }
+  explicit PlaceOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlaceOffer> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlaceOffer>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlaceOffer> CreatePlaceOffer(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    bool is_admitting = false,
+    uint32_t load = 0,
+    double limit = 0.0,
+    uint64_t pass_microseconds = 0) {
+  PlaceOfferBuilder builder_(_fbb);
+  builder_.add_pass_microseconds(pass_microseconds);
+  builder_.add_limit(limit);
+  builder_.add_number(number);
+  builder_.add_load(load);
+  builder_.add_address(address);
+  builder_.add_is_admitting(is_admitting);
+  return builder_.Finish();
+}
+
+struct PlaceOffer::Traits {
+  using type = PlaceOffer;
+  static auto constexpr Create = CreatePlaceOffer;
+};
+
+inline flatbuffers::Offset<PlaceOffer> CreatePlaceOfferDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *address = nullptr,
+    bool is_admitting = false,
+    uint32_t load = 0,
+    double limit = 0.0,
+    uint64_t pass_microseconds = 0) {
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  return bramleyspan::membership::wire::CreatePlaceOffer(
+      _fbb,
+      number,
+      address__,
+      is_admitting,
+      load,
+      limit,
+      pass_microseconds);
+}
+
+flatbuffers::Offset<PlaceOffer> CreatePlaceOffer(flatbuffers::FlatBufferBuilder &_fbb, const PlaceOfferT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PlaceTakenT : public flatbuffers::NativeTable {
+  typedef PlaceTaken TableType;
+  uint64_t number = 0;
+  bool is_settled = false;
+};
+
+struct PlaceTaken FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PlaceTakenT NativeTableType;
+  typedef PlaceTakenBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_IS_SETTLED = 6
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool is_settled() const {
+    return GetField<uint8_t>(VT_IS_SETTLED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_SETTLED, 1) &&
+           verifier.EndTable();
+  }
+  PlaceTakenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PlaceTakenT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PlaceTaken> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceTakenT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PlaceTakenBuilder {
+  typedef PlaceTaken Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(PlaceTaken::VT_NUMBER, number, 0);
+  }
+  void add_is_settled(bool is_settled) {
+    fbb_.AddElement<uint8_t>(PlaceTaken::VT_IS_SETTLED, static_cast<uint8_t>(is_settled), 0);
+  }
+  explicit PlaceTakenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PlaceTaken> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PlaceTaken>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PlaceTaken> CreatePlaceTaken(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool is_settled = false) {
+  PlaceTakenBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_is_settled(is_settled);
+  return builder_.Finish();
+}
+
+struct PlaceTaken::Traits {
+  using type = PlaceTaken;
+  static auto constexpr Create = CreatePlaceTaken;
+};
+
+flatbuffers::Offset<PlaceTaken> CreatePlaceTaken(flatbuffers::FlatBufferBuilder &_fbb, const PlaceTakenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MessageT : public flatbuffers::NativeTable {
   typedef Message TableType;
   bramleyspan::membership::wire::BodyUnion body{};
@@ -1166,6 +1495,15 @@
   const bramleyspan::membership::wire::MapWish *body_as_MapWish() const {
     return body_type() == bramleyspan::membership::wire::Body::MapWish ? static_cast<const bramleyspan::membership::wire::MapWish *>(body()) : nullptr;
   }
+  const bramleyspan::membership::wire::PlaceProbe *body_as_PlaceProbe() const {
+    return body_type() == bramleyspan::membership::wire::Body::PlaceProbe ? static_cast<const bramleyspan::membership::wire::PlaceProbe *>(body()) : nullptr;
+  }
+  const bramleyspan::membership::wire::PlaceOffer *body_as_PlaceOffer() const {
+    return body_type() == bramleyspan::membership::wire::Body::PlaceOffer ? static_cast<const bramleyspan::membership::wire::PlaceOffer *>(body()) : nullptr;
+  }
+  const bramleyspan::membership::wire::PlaceTaken *body_as_PlaceTaken() const {
+    return body_type() == bramleyspan::membership::wire::Body::PlaceTaken ? static_cast<const bramleyspan::membership::wire::PlaceTaken *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1190,6 +1528,18 @@
   return body_as_MapWish();
 }
 
+template<> inline const bramleyspan::membership::wire::PlaceProbe *Message::body_as<bramleyspan::membership::wire::PlaceProbe>() const {
+  return body_as_PlaceProbe();
+}
+
+template<> inline const bramleyspan::membership::wire::PlaceOffer *Message::body_as<bramleyspan::membership::wire::PlaceOffer>() const {
+  return body_as_PlaceOffer();
+}
+
+template<> inline const bramleyspan::membership::wire::PlaceTaken *Message::body_as<bramleyspan::membership::wire::PlaceTaken>() const {
+  return body_as_PlaceTaken();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1565,6 +1915,102 @@
       _servers);
 }
 
+inline PlaceProbeT *PlaceProbe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlaceProbeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlaceProbe::UnPackTo(PlaceProbeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+}
+
+inline flatbuffers::Offset<PlaceProbe> PlaceProbe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlaceProbe(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlaceProbe> CreatePlaceProbe(flatbuffers::FlatBufferBuilder &_fbb, const PlaceProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceProbeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  return bramleyspan::membership::wire::CreatePlaceProbe(
+      _fbb,
+      _number);
+}
+
+inline PlaceOfferT *PlaceOffer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlaceOfferT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlaceOffer::UnPackTo(PlaceOfferT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = address(); if (_e) _o->address = _e->str(); }
+  { auto _e = is_admitting(); _o->is_admitting = _e; }
+  { auto _e = load(); _o->load = _e; }
+  { auto _e = limit(); _o->limit = _e; }
+  { auto _e = pass_microseconds(); _o->pass_microseconds = _e; }
+}
+
+inline flatbuffers::Offset<PlaceOffer> PlaceOffer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceOfferT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlaceOffer(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlaceOffer> CreatePlaceOffer(flatbuffers::FlatBufferBuilder &_fbb, const PlaceOfferT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceOfferT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
+  auto _is_admitting = _o->is_admitting;
+  auto _load = _o->load;
+  auto _limit = _o->limit;
+  auto _pass_microseconds = _o->pass_microseconds;
+  return bramleyspan::membership::wire::CreatePlaceOffer(
+      _fbb,
+      _number,
+      _address,
+      _is_admitting,
+      _load,
+      _limit,
+      _pass_microseconds);
+}
+
+inline PlaceTakenT *PlaceTaken::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PlaceTakenT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PlaceTaken::UnPackTo(PlaceTakenT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = is_settled(); _o->is_settled = _e; }
+}
+
+inline flatbuffers::Offset<PlaceTaken> PlaceTaken::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceTakenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePlaceTaken(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PlaceTaken> CreatePlaceTaken(flatbuffers::FlatBufferBuilder &_fbb, const PlaceTakenT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceTakenT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _is_settled = _o->is_settled;
+  return bramleyspan::membership::wire::CreatePlaceTaken(
+      _fbb,
+      _number,
+      _is_settled);
+}
+
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<MessageT>();
   UnPackTo(_o.get(), _resolver);
@@ -1611,6 +2057,18 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MapWish *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::PlaceProbe: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceProbe *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PlaceOffer: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceOffer *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::PlaceTaken: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceTaken *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -1642,6 +2100,18 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MapWish *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::PlaceProbe: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceProbe *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::PlaceOffer: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceOffer *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::PlaceTaken: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceTaken *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -1661,6 +2131,18 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MapWishT *>(value);
       return CreateMapWish(_fbb, ptr, _rehasher).Union();
     }
+    case Body::PlaceProbe: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceProbeT *>(value);
+      return CreatePlaceProbe(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::PlaceOffer: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceOfferT *>(value);
+      return CreatePlaceOffer(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::PlaceTaken: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceTakenT *>(value);
+      return CreatePlaceTaken(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -1679,6 +2161,18 @@
       value = new bramleyspan::membership::wire::MapWishT(*reinterpret_cast<bramleyspan::membership::wire::MapWishT *>(u.value));
       break;
     }
+    case Body::PlaceProbe: {
+      value = new bramleyspan::membership::wire::PlaceProbeT(*reinterpret_cast<bramleyspan::membership::wire::PlaceProbeT *>(u.value));
+      break;
+    }
+    case Body::PlaceOffer: {
+      value = new bramleyspan::membership::wire::PlaceOfferT(*reinterpret_cast<bramleyspan::membership::wire::PlaceOfferT *>(u.value));
+      break;
+    }
+    case Body::PlaceTaken: {
+      value = new bramleyspan::membership::wire::PlaceTakenT(*reinterpret_cast<bramleyspan::membership::wire::PlaceTakenT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -1701,6 +2195,21 @@
       delete ptr;
       break;
     }
+    case Body::PlaceProbe: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::PlaceProbeT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::PlaceOffer: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::PlaceOfferT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::PlaceTaken: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::PlaceTakenT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -135,6 +135,18 @@
   return EncodeBody(std::move(wish));
 }
 
+std::string Encode(wire::PlaceProbeT probe) {
+  return EncodeBody(std::move(probe));
+}
+
+std::string Encode(wire::PlaceOfferT offer) {
+  return EncodeBody(std::move(offer));
+}
+
+std::string Encode(wire::PlaceTakenT taken) {
+  return EncodeBody(std::move(taken));
+}
+
 Result<wire::MessageT> Decode(std::string_view bytes) {
   flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
                                  bytes.size());
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -36,6 +36,8 @@
 // its first event would come late.
 constexpr int kWaitDivisor = 2;
 constexpr Duration kLongestWait = std::chrono::milliseconds(500);
+// Agents that had no place are not asked again at once.
+constexpr Duration kFullPause = std::chrono::milliseconds(12);
 // When a place may be free again: streams last for seconds, and a caller that
 // comes back into the same crowd is refused for good. The part of the time
 // left leaves enough for the second attempt.
@@ -82,7 +84,7 @@
   for (const auto& forwarding : waiting) {
     const bool is_sent =
         !full.contains(forwarding->service_name()) && forwarding->TrySend();
-    if (is_sent) {
+    if (is_sent || forwarding->is_asking()) {
       continue;
     }
     full.insert(forwarding->service_name());
@@ -181,10 +183,11 @@
 }
 
 void Forwarding::SendOrWait() {
-  auto& waiting = this->state.waiting;
+  const auto& waiting = this->state.waiting;
   const bool is_first =
       std::none_of(waiting.begin(), waiting.end(), [this](const auto& other) {
-        return other->service == this->service && !this->is_before(*other);
+        return other->service == this->service && !other->is_asking() &&
+               !this->is_before(*other);
       });
   if (is_first && this->TrySend()) {
     return;
@@ -193,24 +196,104 @@
     this->RefuseForLackOfPlace();
     return;
   }
-  const auto behind = std::find_if(
-      waiting.begin(), waiting.end(),
-      [this](const auto& other) { return this->is_before(*other); });
-  waiting.insert(behind, this->shared_from_this());
-  Log(LogLevel::kInfo, "forward", "waits",
-      {{"request", this->id}, {"waiting", std::to_string(waiting.size())}});
+  this->Wait(false);
+}
+
+void Forwarding::Wait(bool is_in_front) {
+  auto& waiting = this->state.waiting;
+  const auto self = this->shared_from_this();
+  if (std::find(waiting.begin(), waiting.end(), self) != waiting.end()) {
+    return;
+  }
+  const auto behind = is_in_front
+                          ? waiting.begin()
+                          : std::find_if(waiting.begin(), waiting.end(),
+                                         [this](const auto& other) {
+                                           return this->is_before(*other);
+                                         });
+  waiting.insert(behind, self);
+}
+
+bool Forwarding::has_engine() const {
+  const auto found = this->table->services.find(this->service);
+  return found != this->table->services.end() &&
+         found->second.engine.has_value();
 }
 
 bool Forwarding::TrySend() {
+  if (this->is_asking_agents) {
+    return false;
+  }
+  if (!this->has_engine()) {
+    return this->TryOwnView();
+  }
+  const auto full = this->state.full_until.find(this->service);
+  if (full != this->state.full_until.end() && EventLoop::Now() < full->second) {
+    return false;
+  }
+  this->is_asking_agents = this->state.placing->Ask(
+      this->service, this->tried,
+      [self = this->shared_from_this()](Placing::Verdict verdict,
+                                        const Placing::Place& place) {
+        self->HandlePlacing(verdict, place);
+      });
+  return !this->is_asking_agents && this->TryOwnView();
+}
+
+void Forwarding::SettlePlace() {
+  if (this->place) {
+    this->state.placing->Settle(*this->place);
+    this->place.reset();
+  }
+}
+
+void Forwarding::HandlePlacing(Placing::Verdict verdict,
+                               const Placing::Place& place) {
+  this->is_asking_agents = false;
+  if (verdict == Placing::Verdict::kPlaced) {
+    this->place = place;
+  }
+  if (this->is_finished) {
+    this->SettlePlace();
+    return;
+  }
+  const auto found = this->state.targets.by_id.find(place.target);
+  const bool is_placed = verdict == Placing::Verdict::kPlaced &&
+                         found != this->state.targets.by_id.end() &&
+                         !found->second.target.is_leaving &&
+                         !found->second.is_replaced;
+  if (is_placed) {
+    this->state.waiting.remove(this->shared_from_this());
+    this->SendTo(found->second);
+    ServeWaiting(this->state);
+    return;
+  }
+  this->SettlePlace();
+  if (verdict == Placing::Verdict::kUnanswered && this->TryOwnView()) {
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  if (verdict == Placing::Verdict::kFull) {
+    this->state.full_until[this->service] = now + kFullPause;
+    Log(LogLevel::kInfo, "forward", "waits",
+        {{"request", this->id},
+         {"waiting", std::to_string(this->state.waiting.size())}});
+  }
+  if (now >= this->wait_ends) {
+    this->RefuseForLackOfPlace();
+  }
+}
+
+// The choice by what this gateway knows itself: for plain services, and where
+// no agent answers.
+bool Forwarding::TryOwnView() {
   const TimePoint now = EventLoop::Now();
-  const auto service_found = this->table->services.find(this->service);
-  const bool has_engine = service_found != this->table->services.end() &&
-                          service_found->second.engine.has_value();
   const TargetView* target = nullptr;
-  if (has_engine) {
-    target = gateway::ChoosePlace(
-        this->state.places, this->state.targets, service_found->second,
-        SharingOf(this->state, now), this->tried, this->state.random(), now);
+  if (this->has_engine()) {
+    target = gateway::ChoosePlace(this->state.places, this->state.targets,
+                                  this->table->services.at(this->service),
+                                  SharingOf(this->state, now), this->tried,
+                                  this->state.random(), now);
   } else {
     target = gateway::ChooseLeastLoaded(this->state.targets, this->service,
                                         this->tried, this->state.settings.zone,
@@ -354,7 +437,7 @@
       this->wait_ends, now + std::min(this->route->objective / kWaitDivisor,
                                       (this->deadline - now) / 2));
   if (!this->TrySend()) {
-    this->state.waiting.push_front(this->shared_from_this());
+    this->Wait(true);
   }
   return true;
 }
@@ -431,6 +514,7 @@
 
 // The request has nothing at its target any more, whatever came of it.
 void Forwarding::LeaveTarget(Outcome outcome) {
+  this->SettlePlace();
   if (this->target_id.empty()) {
     return;
   }
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -11,6 +11,7 @@
 #include "LibHTTP/DirectCall.h"
 #include "LibHTTP/Ingress.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
+#include "Services/bramleyspand/Gateway/Placing.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -33,9 +34,13 @@
 
   void Start();
 
-  // Tries to get a place and to send. False if there is none.
+  // Tries to get a place and to send. False if there is none now; the agents
+  // may have been asked for one.
   bool TrySend();
 
+  // Whether agents have been asked and have not all answered.
+  bool is_asking() const { return this->is_asking_agents; }
+
   // There was no place in time.
   void RefuseForLackOfPlace();
 
@@ -55,6 +60,12 @@
   bool FindRouteAndTenant();
   bool is_allowed_by_key();
   void SendOrWait();
+  bool has_engine() const;
+  // Joins those that wait, in front of them or by priority.
+  void Wait(bool is_in_front);
+  bool TryOwnView();
+  void HandlePlacing(Placing::Verdict verdict, const Placing::Place& place);
+  void SettlePlace();
   void SendTo(const gateway::TargetView& target);
   http::HeaderList HeadersFor(const gateway::TargetView& target,
                               TimePoint now) const;
@@ -96,6 +107,8 @@
   TimePoint arrived;
   TimePoint deadline;
   TimePoint wait_ends;
+  bool is_asking_agents = false;
+  std::optional<Placing::Place> place;
   TimerId deadline_timer = 0;
   TimerId silence_timer = 0;
 
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -83,6 +83,7 @@
     telemetry::Observe(kPauseTime, {{"service", this->service}},
                        now - this->last_event_at);
   }
+  this->SettlePlace();
   this->last_event_at = now;
   if (event.id) {
     this->last_event = event.id;
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -22,6 +22,9 @@
 inline constexpr MetricName kRepeats{
     "bramleyspan_repeats_total",
     "Requests sent to a further target, by service."};
+inline constexpr MetricName kProbeTime{
+    "bramleyspan_probe_seconds",
+    "Time from asking agents for a place to the decision."};
 inline constexpr MetricName kWaiting{"bramleyspan_waiting",
                                      "Requests that wait for a place."};
 inline constexpr MetricName kLiveGateways{
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -10,6 +10,7 @@
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/Peers.h"
+#include "Services/bramleyspand/Gateway/Placing.h"
 #include "Services/bramleyspand/Role.h"
 
 namespace bramleyspan::gatewayd {
@@ -34,7 +35,14 @@
 class GatewayRole : public Role {
  public:
   GatewayRole(EventLoop& loop, const Settings& settings)
-      : state(loop, settings), peers(this->state) {}
+      : state(loop, settings),
+        peers(this->state),
+        placing(this->state,
+                [this](const std::string& ip, const std::string& bytes) {
+                  this->peers.Send(ip, bytes);
+                }) {
+    this->state.placing = &this->placing;
+  }
 
   Result<void> Start() {
     const FleetSettings& fleet = this->state.fleet();
@@ -381,6 +389,7 @@
 
   GatewayState state;
   Peers peers;
+  Placing placing;
   std::unique_ptr<http::Ingress> callers;
   std::unique_ptr<http::Ingress> directory;
   std::unique_ptr<http::Ingress> readiness;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -22,6 +22,7 @@
 namespace bramleyspan::gatewayd {
 
 class Forwarding;
+class Placing;
 
 struct GatewayState {
   GatewayState(EventLoop& loop, const Settings& settings)
@@ -42,6 +43,10 @@
   membership::Members members;
   uint64_t incarnation = 0;
 
+  // Null until the gateway can ask agents.
+  Placing* placing = nullptr;
+  // Services whose ranks had no place a moment ago are not asked until then.
+  std::map<std::string, TimePoint> full_until;
   // Requests that wait for a place, the next one first.
   std::list<std::shared_ptr<Forwarding>> waiting;
   std::map<uint64_t, Forwarding*> open;
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -8,6 +8,7 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
+#include "Services/bramleyspand/Gateway/Placing.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -77,6 +78,10 @@
                             [this] { this->Tick(); });
 }
 
+void Peers::Send(const std::string& ip, const std::string& bytes) {
+  this->datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
+}
+
 void Peers::TellNow() {
   this->Tell();
 }
@@ -171,7 +176,12 @@
   if (message.has_error()) {
     return;
   }
-  const auto* heartbeat = message.value().body.AsHeartbeat();
+  const auto& body = message.value().body;
+  if (const auto* offer = body.AsPlaceOffer()) {
+    this->state.placing->HandleOffer(*offer);
+    return;
+  }
+  const auto* heartbeat = body.AsHeartbeat();
   if (heartbeat == nullptr) {
     return;
   }
@@ -236,6 +246,7 @@
                                               .running = rank->running,
                                               .queued = rank->queued,
                                               .pace = rank->pace,
+                                              .agent_ip = known.member.ip,
                                               .heard = known.heard};
     }
   }
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -15,6 +15,8 @@
   // Fails with kConnectionFailed if the port is taken.
   Result<void> Start();
 
+  void Send(const std::string& ip, const std::string& bytes);
+
   // Tells the others now: something changed that they should not wait for.
   void TellNow();
 
--- /dev/null
+++ b/Services/bramleyspand/Gateway/Placing.cc
@@ -0,0 +1,128 @@
+#include "Services/bramleyspand/Gateway/Placing.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+
+namespace bramleyspan::gatewayd {
+
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+
+// An agent answers within two milliseconds unless it is busy or its datagram
+// was lost; those that answer in time are enough.
+constexpr Duration kUsualWait = std::chrono::milliseconds(6);
+constexpr Duration kLongestWait = std::chrono::milliseconds(25);
+
+}  // namespace
+
+bool Placing::Ask(const std::string& service,
+                  const std::set<std::string>& excluded,
+                  OnDecided on_decided) {
+  const TimePoint now = EventLoop::Now();
+  const auto ranks =
+      gateway::PickRanksToAsk(this->state.targets, service, excluded,
+                              gateway::kProbes, this->state.random(), now);
+  if (ranks.empty()) {
+    return false;
+  }
+  const uint64_t number = ++this->last_number;
+  Round& round = this->rounds[number];
+  round.began = now;
+  round.on_decided = std::move(on_decided);
+  membership::wire::PlaceProbeT probe;
+  probe.number = number;
+  const std::string bytes = membership::Encode(std::move(probe));
+  for (const gateway::TargetView* rank : ranks) {
+    round.asked[Format(rank->target.address)] = {
+        .agent_ip = rank->rank->agent_ip, .target = rank->target.id};
+    this->send(rank->rank->agent_ip, bytes);
+  }
+  round.timer = this->state.loop.RunAfter(
+      kUsualWait, [this, number] { this->HandleTimer(number); });
+  return true;
+}
+
+void Placing::HandleOffer(const membership::wire::PlaceOfferT& offer) {
+  const auto found = this->rounds.find(offer.number);
+  if (found == this->rounds.end()) {
+    return;
+  }
+  Round& round = found->second;
+  const auto asked = round.asked.find(offer.address);
+  if (asked == round.asked.end()) {
+    return;
+  }
+  round.offers.push_back(
+      {.target = asked->second.target,
+       .is_admitting = offer.is_admitting,
+       .load = offer.load,
+       .limit = offer.limit,
+       .pass = std::chrono::microseconds(offer.pass_microseconds)});
+  if (round.offers.size() == round.asked.size()) {
+    this->Decide(offer.number);
+  }
+}
+
+void Placing::HandleTimer(uint64_t number) {
+  const auto found = this->rounds.find(number);
+  if (found == this->rounds.end()) {
+    return;
+  }
+  Round& round = found->second;
+  round.timer = 0;
+  const Duration since = EventLoop::Now() - round.began;
+  if (round.offers.empty() && since < kLongestWait) {
+    round.timer = this->state.loop.RunAfter(
+        kLongestWait - since, [this, number] { this->HandleTimer(number); });
+    return;
+  }
+  this->Decide(number);
+}
+
+void Placing::Decide(uint64_t number) {
+  const auto found = this->rounds.find(number);
+  const Round round = std::move(found->second);
+  this->rounds.erase(found);
+  this->state.loop.Cancel(round.timer);
+  telemetry::Observe(kProbeTime, {}, EventLoop::Now() - round.began);
+  if (round.offers.empty()) {
+    round.on_decided(Verdict::kUnanswered, {});
+    return;
+  }
+  const auto chosen = gateway::ChooseOffer(round.offers);
+  if (!chosen) {
+    round.on_decided(Verdict::kFull, {});
+    return;
+  }
+  const auto asked = std::find_if(round.asked.begin(), round.asked.end(),
+                                  [&chosen](const auto& item) {
+                                    return item.second.target == chosen->target;
+                                  });
+  membership::wire::PlaceTakenT taken;
+  taken.number = number;
+  this->send(asked->second.agent_ip, membership::Encode(std::move(taken)));
+  Log(LogLevel::kInfo, "forward", "placed",
+      {{"probe", std::to_string(number)},
+       {"target", chosen->target},
+       {"load", std::to_string(chosen->load)},
+       {"limit", std::to_string(chosen->limit)},
+       {"offers", std::to_string(round.offers.size())},
+       {"asked", std::to_string(round.asked.size())}});
+  round.on_decided(Verdict::kPlaced, {.target = chosen->target,
+                                      .agent_ip = asked->second.agent_ip,
+                                      .number = number});
+}
+
+void Placing::Settle(const Place& place) {
+  membership::wire::PlaceTakenT taken;
+  taken.number = place.number;
+  taken.is_settled = true;
+  this->send(place.agent_ip, membership::Encode(std::move(taken)));
+}
+
+}  // namespace bramleyspan::gatewayd
--- /dev/null
+++ b/Services/bramleyspand/Gateway/Placing.h
@@ -0,0 +1,71 @@
+// Asks the agents beside a few ranks for a place for a stream.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "LibGateway/Offers.h"
+#include "Services/bramleyspand/Gateway/GatewayState.h"
+
+namespace bramleyspan::gatewayd {
+
+class Placing {
+ public:
+  enum class Verdict {
+    kPlaced,
+    // Agents answered, and none has a place.
+    kFull,
+    // No agent answered.
+    kUnanswered,
+  };
+  // A place that was taken. It has to be settled once its stream has begun or
+  // is over.
+  struct Place {
+    std::string target;
+    std::string agent_ip;
+    uint64_t number = 0;
+  };
+  // The place is given with kPlaced only.
+  using OnDecided = std::function<void(Verdict verdict, const Place& place)>;
+  using SendDatagram =
+      std::function<void(const std::string& ip, const std::string& bytes)>;
+
+  Placing(GatewayState& state, SendDatagram send)
+      : state(state), send(std::move(send)) {}
+
+  // Begins a round. False if there is no agent to ask.
+  bool Ask(const std::string& service,
+           const std::set<std::string>& excluded,
+           OnDecided on_decided);
+
+  void Settle(const Place& place);
+
+  void HandleOffer(const membership::wire::PlaceOfferT& offer);
+
+ private:
+  struct Asked {
+    std::string agent_ip;
+    std::string target;
+  };
+  struct Round {
+    // By the address of the rank's server.
+    std::map<std::string, Asked> asked;
+    std::vector<gateway::Offer> offers;
+    OnDecided on_decided;
+    TimerId timer = 0;
+    TimePoint began;
+  };
+
+  void HandleTimer(uint64_t number);
+  void Decide(uint64_t number);
+
+  GatewayState& state;
+  SendDatagram send;
+  std::map<uint64_t, Round> rounds;
+  uint64_t last_number = 0;
+};
+
+}  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -35,6 +35,10 @@
 // A switch must lower the mean skew of all sets by this much.
 constexpr double kLeastGainOfSwitch = 0.12;
 
+// A map in preparation is replaced if its skew is this much above what was
+// planned.
+constexpr double kOutdatedBy = 0.35;
+
 constexpr Duration kSampleTime = std::chrono::milliseconds(90);
 
 std::string Rounded(double value) {
@@ -91,6 +95,14 @@
   }
 }
 
+std::vector<double> PacesOf(const RankState& state) {
+  std::vector<double> paces;
+  for (const auto& rank : state.map_switch.ranks) {
+    paces.push_back(rank ? rank->status.pace : 1);
+  }
+  return paces;
+}
+
 double MeanSkew(const RankState& state,
                 const mapswitch::ExpertLists& map,
                 const std::vector<double>& paces) {
@@ -101,16 +113,26 @@
   return sum / static_cast<double>(map.size());
 }
 
+// Whether the map that is being prepared was planned for a demand that has
+// jumped since: waiting for its copies and only then copying the right ones
+// takes twice the time at the worst skew.
+bool is_outdated(const RankState& state) {
+  const MapSwitch& map_switch = state.map_switch;
+  if (!mapswitch::is_replaceable(map_switch) ||
+      state.drift.present.size() != map_switch.wish.map.size()) {
+    return false;
+  }
+  return MeanSkew(state, map_switch.wish.map, PacesOf(state)) >
+         state.planned_skew + kOutdatedBy;
+}
+
 // Plans all sets and begins a switch if it gains enough.
 void StartSwitchIfWorthIt(RankState& state, TimePoint now) {
   const auto map = MapInForce(state);
   if (!map || state.drift.present.size() != map->size()) {
     return;
   }
-  std::vector<double> paces;
-  for (const auto& rank : state.map_switch.ranks) {
-    paces.push_back(rank ? rank->status.pace : 1);
-  }
+  const std::vector<double> paces = PacesOf(state);
   constexpr double kSlow = 1.3;
   const bool is_any_slow = std::any_of(
       paces.begin(), paces.end(), [](double pace) { return pace > kSlow; });
@@ -143,6 +165,7 @@
   if (copies == 0 || (before - after) / sets < kLeastGainOfSwitch) {
     return;
   }
+  state.planned_skew = after / sets;
   mapswitch::StartSwitch(state.map_switch, std::move(next), now);
   telemetry::Count(kMapSwitches, {});
   telemetry::Count(kExpertCopies, {}, copies);
@@ -197,6 +220,7 @@
 std::optional<mapswitch::Order> LeadMap(RankState& state, TimePoint now) {
   MapSwitch& map_switch = state.map_switch;
   const SwitchPhase phase_before = map_switch.phase;
+  map_switch.pass = admission::PassOf(state.places, now);
   auto order = mapswitch::Continue(map_switch, now);
   if (map_switch.phase != phase_before) {
     Log(LogLevel::kInfo, "map", "switch_phase",
@@ -210,8 +234,9 @@
   const bool has_work = std::any_of(
       map_switch.ranks.begin(), map_switch.ranks.end(),
       [](const auto& rank) { return rank && rank->status.running > 0; });
-  if (!order && has_work && state.shape &&
-      mapswitch::is_ready_for_map(map_switch, now)) {
+  const bool may_start =
+      mapswitch::is_ready_for_map(map_switch, now) || is_outdated(state);
+  if (!order && has_work && state.shape && may_start) {
     StartSwitchIfWorthIt(state, now);
   }
   return order;
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -195,6 +195,13 @@
     }
     now_state.own = std::move(status);
     now_state.own_heard = EventLoop::Now();
+    admission::NoteReport(now_state.places,
+                          {.epoch = now_state.own->epoch,
+                           .step = now_state.own->step,
+                           .running = now_state.own->running,
+                           .queued = now_state.own->queued,
+                           .is_open = now_state.own->is_open},
+                          now_state.own_heard);
     now_state.own->is_losing_orders =
         now_state.own_heard - this->last_order_lost < kLossRemembered;
     if (now_state.own_held.sets.empty() ||
@@ -470,7 +477,17 @@
       return;
     }
     const auto& body = message.value().body;
-    if (const auto* heartbeat = body.AsHeartbeat()) {
+    if (const auto* probe = body.AsPlaceProbe()) {
+      this->Offer(from_ip, probe->number);
+    } else if (const auto* taken = body.AsPlaceTaken()) {
+      admission::TakenPlace place{.gateway = from_ip, .number = taken->number};
+      if (taken->is_settled) {
+        admission::NoteSettled(this->state.places, place);
+      } else {
+        admission::NoteTaken(this->state.places, std::move(place),
+                             EventLoop::Now());
+      }
+    } else if (const auto* heartbeat = body.AsHeartbeat()) {
       for (const auto& member : heartbeat->members) {
         if (member != nullptr) {
           membership::Learn(this->state.members, *member, member->ip == from_ip,
@@ -489,6 +506,21 @@
     }
   }
 
+  // Answers a gateway that looks for a place for a stream.
+  void Offer(const std::string& gateway_ip, uint64_t number) {
+    const admission::PlaceOffer offer =
+        admission::OfferOf(this->state.places, EventLoop::Now());
+    membership::wire::PlaceOfferT wire;
+    wire.number = number;
+    wire.address = Format(*this->state.fleet().engine);
+    wire.is_admitting = offer.is_admitting;
+    wire.load = offer.load;
+    wire.limit = offer.limit;
+    wire.pass_microseconds = static_cast<uint64_t>(offer.pass.count());
+    this->state.datagrams->Send({gateway_ip, this->state.fleet().peer_port},
+                                membership::Encode(std::move(wire)));
+  }
+
   void HandleWish(const membership::wire::MapWishT& wish) {
     if (!this->state.own || wish.group != this->state.own->group ||
         wish.epoch != this->state.own->epoch || this->state.is_owner()) {
--- a/Services/bramleyspand/Rank/RankState.h
+++ b/Services/bramleyspand/Rank/RankState.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "Kernel/Datagrams.h"
+#include "LibAdmission/RankPlaces.h"
 #include "LibHTTP/DirectCall.h"
 #include "LibMapSwitch/Switch.h"
 #include "LibMembership/Members.h"
@@ -62,6 +63,7 @@
   std::vector<uint32_t> new_counts;
   bool is_order_underway = false;
   std::optional<mapswitch::Wish> wish;
+  admission::RankPlaces places;
   // The servers of all ranks, as the owner told them, and when it last did.
   std::vector<Address> group_servers;
   TimePoint owner_heard;
@@ -70,6 +72,8 @@
   mapswitch::MapSwitch map_switch;
   std::map<uint32_t, RankInfo> ranks;
   placement::Drift drift;
+  // The skew that the switch under way was planned to.
+  double planned_skew = 1;
   // Choices of all ranks that do not make up a sample yet.
   std::vector<std::vector<double>> choices;
   TimePoint sampled;
