--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -1,28 +1,18 @@
 #include "LibAdmission/RankPlaces.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace bramleyspan::admission {
 
 namespace {
 
-// Streams a rank runs at once before anything is known of its passes.
-constexpr double kFirstLimit = 5;
 constexpr double kLeastLimit = 2;
 // Reading prompts and preparing maps need room beside the running streams.
 constexpr double kMostOfSlots = 0.7;
 // The part of the longest pause at which a pass is held, so that unusual ones
 // stay under it too.
 constexpr double kAimedPart = 0.85;
-constexpr double kRaise = 1.04;
-constexpr double kLower = 0.9;
-constexpr double kGain = 0.25;
-constexpr Duration kAdjustInterval = std::chrono::milliseconds(250);
-// The limit is raised only where it is used: an idle group's short passes say
-// nothing of a full one's.
-constexpr double kUsedPart = 0.75;
 // Passes are averaged over this time.
 constexpr Duration kPassWindow = std::chrono::milliseconds(300);
 // A place whose stream was not told of any more is free again after this time:
@@ -30,50 +20,47 @@
 constexpr Duration kTakenAtMost = std::chrono::milliseconds(800);
 // A report older than this says nothing of the rank.
 constexpr Duration kStale = std::chrono::milliseconds(500);
+// A jump of demand makes passes long until copies are there; only after this
+// time is a group slow.
+constexpr Duration kSlowAfter = std::chrono::milliseconds(700);
+// A slow group takes late streams while its passes are no longer than this
+// many times the longest pause: they have to end before their callers leave.
+constexpr double kMostOfPause = 1.6;
+// Late streams fill no more than this part of what may run, so that those in
+// time find a place: gateways that have only late ones waiting would take every
+// place that comes free, and in a minute all streams would be late.
+constexpr double kLateLimitPart = 0.75;
+// A rank that takes this many times as long as usual is left alone.
+constexpr double kSlowPace = 1.5;
 
-Duration Aimed(const RankPlaces& places) {
-  return std::chrono::duration_cast<Duration>(places.settings.longest_pause *
-                                              kAimedPart);
+double SecondsOf(Duration time) {
+  return std::chrono::duration<double>(time).count();
 }
 
-void AdjustLimit(RankPlaces& places, TimePoint now) {
-  const double most =
-      std::max(kLeastLimit, kMostOfSlots * places.settings.slots);
-  if (places.limit == 0) {
-    places.limit = std::min(kFirstLimit, most);
-    places.adjusted_at = now;
-  }
-  if (now - places.adjusted_at < kAdjustInterval) {
-    return;
-  }
-  places.adjusted_at = now;
-  const Duration pass = PassOf(places, now);
-  if (pass == Duration(0)) {
-    return;
-  }
-  const double room = 1 - std::chrono::duration<double>(pass) /
-                              std::chrono::duration<double>(Aimed(places));
-  double factor = std::clamp(1 + kGain * room, kLower, kRaise);
-  const bool is_used =
-      static_cast<double>(LoadOf(places)) >= kUsedPart * places.limit;
-  if (factor > 1 && !is_used) {
-    factor = 1;
+double MostOf(const RankPlaces& places) {
+  return std::max(kLeastLimit, kMostOfSlots * places.settings.slots);
+}
+
+void NoteSlowness(RankPlaces& places, TimePoint now) {
+  if (PassOf(places, now) < places.settings.longest_pause) {
+    places.slow_since.reset();
+  } else if (!places.slow_since) {
+    places.slow_since = now;
   }
-  places.limit = std::clamp(places.limit * factor, kLeastLimit, most);
 }
 
 }  // namespace
 
 void NoteReport(RankPlaces& places, const RankLoad& load, TimePoint now) {
+  const bool has_work = load.running + load.queued > 0;
   const bool goes_on = load.epoch == places.reported.epoch &&
-                       load.step >= places.reported.step &&
-                       load.running + load.queued > 0;
+                       load.step >= places.reported.step && has_work;
   if (!goes_on) {
     places.passes.clear();
   }
   places.reported = load;
   places.reported_at = now;
-  if (load.running + load.queued > 0 &&
+  if (has_work &&
       (places.passes.empty() || places.passes.back().step != load.step)) {
     places.passes.push_back({load.step, now});
   }
@@ -84,7 +71,7 @@
   std::erase_if(places.taken, [now](const auto& item) {
     return now - item.second > kTakenAtMost;
   });
-  AdjustLimit(places, now);
+  NoteSlowness(places, now);
 }
 
 void NoteTaken(RankPlaces& places, TakenPlace place, TimePoint now) {
@@ -114,14 +101,34 @@
                                  static_cast<int64_t>(last.step - first.step));
 }
 
-PlaceOffer OfferOf(const RankPlaces& places, TimePoint now) {
+double LimitOf(const RankPlaces& places, TimePoint now) {
+  const double least_pass = SecondsOf(places.settings.least_pass);
+  const double grown = SecondsOf(PassOf(places, now)) - least_pass;
+  if (grown <= 0 || places.reported.running == 0) {
+    return MostOf(places);
+  }
+  const double per_stream = grown / places.reported.running;
+  const double aimed =
+      kAimedPart * SecondsOf(places.settings.longest_pause) - least_pass;
+  return std::clamp(aimed / per_stream, kLeastLimit, MostOf(places));
+}
+
+PlaceOffer OfferOf(const RankPlaces& places, bool is_late, TimePoint now) {
   PlaceOffer offer{.load = LoadOf(places),
-                   .limit = places.limit,
+                   .limit = LimitOf(places, now),
                    .pass = PassOf(places, now)};
-  offer.is_admitting = places.reported.is_open &&
-                       now - places.reported_at < kStale &&
-                       offer.pass < Aimed(places) &&
-                       static_cast<double>(offer.load) + 1 <= offer.limit;
+  offer.is_slow = places.slow_since && now - *places.slow_since > kSlowAfter;
+  const auto load = static_cast<double>(offer.load) + 1;
+  const auto longest = SecondsOf(places.settings.longest_pause);
+  const double pass = SecondsOf(offer.pass);
+  const double limit = is_late ? kLateLimitPart * offer.limit : offer.limit;
+  const bool has_place = pass < kAimedPart * longest && load <= limit;
+  const bool has_late_place = is_late && offer.is_slow &&
+                              pass < kMostOfPause * longest &&
+                              load <= MostOf(places);
+  offer.is_admitting =
+      places.reported.is_open && now - places.reported_at < kStale &&
+      places.reported.pace < kSlowPace && (has_place || has_late_place);
   return offer;
 }
 
--- a/Libraries/LibAdmission/RankPlaces.h
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "Kernel/Time.h"
@@ -25,6 +26,8 @@
   // The longest pause between a stream's events that is on time. An event comes
   // with each pass.
   Duration longest_pause = std::chrono::milliseconds(120);
+  // What a pass takes with hardly anything to do.
+  Duration least_pass = std::chrono::milliseconds(18);
 };
 
 // What the rank says of itself.
@@ -34,6 +37,8 @@
   uint64_t step = 0;
   uint32_t running = 0;
   uint32_t queued = 0;
+  // How many times as long as usual the rank's own work takes.
+  double pace = 1;
   bool is_open = false;
 };
 
@@ -53,8 +58,6 @@
 
 struct RankPlaces {
   RankPlacesSettings settings;
-  // Streams that may run at once.
-  double limit = 0;
   RankLoad reported;
   TimePoint reported_at;
   // Places that gateways took whose streams have not begun. An engine counts a
@@ -62,12 +65,16 @@
   std::map<TakenPlace, TimePoint> taken;
   // Passes of the last moment, the oldest first.
   std::deque<SeenPass> passes;
-  TimePoint adjusted_at;
+  // Since when every pass has been longer than a pause may be; none if they are
+  // not.
+  std::optional<TimePoint> slow_since;
 };
 
 // An agent's answer to a gateway that looks for a place.
 struct PlaceOffer {
   bool is_admitting = false;
+  // Every stream of the group is late for a while, because a rank is slow.
+  bool is_slow = false;
   uint32_t load = 0;
   double limit = 0;
   // How long a pass takes at present; zero if nothing runs.
@@ -89,6 +96,14 @@
 // How long a pass took lately, the one under way included.
 Duration PassOf(const RankPlaces& places, TimePoint now);
 
-PlaceOffer OfferOf(const RankPlaces& places, TimePoint now);
+// Streams that may run at once for passes to stay short enough. A pass grows
+// with the streams by what the last ones took, so that the limit is right at
+// once when a slow rank has recovered or the map has been switched.
+double LimitOf(const RankPlaces& places, TimePoint now);
+
+// Whether there is a place. A stream that is late in any case (`is_late`) may
+// also join a group whose streams are all late: that is worth less than one in
+// time and more than a refusal.
+PlaceOffer OfferOf(const RankPlaces& places, bool is_late, TimePoint now);
 
 }  // namespace bramleyspan::admission
--- a/Libraries/LibGateway/Offers.cc
+++ b/Libraries/LibGateway/Offers.cc
@@ -15,8 +15,20 @@
   return (static_cast<double>(offer.load) + 1) / std::max(1.0, offer.limit);
 }
 
+bool is_better(const Offer& left, const Offer& right) {
+  if (left.is_slow != right.is_slow) {
+    return left.is_slow;
+  }
+  return FullnessOf(left) < FullnessOf(right);
+}
+
 }  // namespace
 
+std::string AgentIpOf(const TargetView& view) {
+  return view.rank && !view.rank->agent_ip.empty() ? view.rank->agent_ip
+                                                   : view.target.address.ip;
+}
+
 std::vector<const TargetView*> PickRanksToAsk(
     const TargetTable& targets,
     std::string_view service,
@@ -58,8 +70,7 @@
 std::optional<Offer> ChooseOffer(const std::vector<Offer>& offers) {
   const Offer* best = nullptr;
   for (const Offer& offer : offers) {
-    if (offer.is_admitting &&
-        (best == nullptr || FullnessOf(offer) < FullnessOf(*best))) {
+    if (offer.is_admitting && (best == nullptr || is_better(offer, *best))) {
       best = &offer;
     }
   }
--- a/Libraries/LibGateway/RouteTable.h
+++ b/Libraries/LibGateway/RouteTable.h
@@ -32,6 +32,8 @@
   Duration objective = std::chrono::seconds(1);
   // The longest pause between a stream's events that is still on time.
   Duration longest_pause{};
+  // A stream's caller leaves after so long without an event.
+  Duration patience = std::chrono::seconds(2);
   int priority = 0;
   std::vector<SplitPart> split;
   // Targets to which one request may be sent.
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -2,8 +2,10 @@
 // rank 0 leads it. In every pass all ranks use one map:
 //
 //   prepare  all ranks copy the new map's experts
-//   hold     rank 0 keeps the group from beginning pass S, a few passes ahead
-//   arm      every rank is to switch as pass S begins
+//   hold     some other rank, the holder, keeps the group from beginning pass
+//   S,
+//            a few passes ahead
+//   arm      the owner's rank is to switch as pass S begins, then every other
 //   go       once every rank reports that it is armed for S
 //
 // Passes never begin S before all are armed, so that an order that is lost or
@@ -13,6 +15,12 @@
 // finish what was begun from the reports alone. The lead needs no lease: only
 // one process runs beside rank 0, and orders of the one before are refused by
 // their expected sequence or are the same orders again.
+//
+// Failure: the owner's machine freezes between hold and go, and its server
+// cannot be reached either. It shows as a group that begins no pass until the
+// machine wakes. The hold therefore lies at another rank, and the owner's own
+// rank is armed before any other hears of the step: whoever heard of it knows
+// that the one rank that cannot be asked is armed, and may finish.
 #pragma once
 
 #include <optional>
@@ -24,7 +32,14 @@
 
 namespace bramleyspan::mapswitch {
 
-enum class SwitchPhase { kIdle, kPreparing, kHolding, kArming, kReleasing };
+enum class SwitchPhase {
+  kIdle,
+  kPreparing,
+  kHolding,
+  kArmingOwner,
+  kArming,
+  kReleasing,
+};
 
 std::string_view NameOf(SwitchPhase phase);
 
@@ -33,8 +48,14 @@
   uint64_t epoch = 0;
   Version version = 0;
   ExpertLists map;
-  // 0 as long as the map is only to be prepared.
+  // The pass that the holder is to keep the group from; 0 while the map is only
+  // to be prepared.
+  Step hold_step = 0;
+  uint32_t holder = 0;
+  // The pass from which the map holds; 0 until it is held.
   Step arm_step = 0;
+  // Whether all ranks are armed, so that the holder lets go.
+  bool is_released = false;
 };
 
 // What is known of a rank, and when its agent said so.
@@ -55,10 +76,12 @@
   // After a switch that took its time the next one waits: where orders get lost
   // a better map gains less than a held group costs.
   TimePoint rests_until;
+  // How long it lately took from the hold until all ranks were armed.
+  Duration arming_time{};
   // How long a pass of the group takes at present.
   Duration pass = std::chrono::milliseconds(50);
   // Whether a hold may be on its way; from then on nothing is given up.
-  bool is_hold_sent = false;
+  bool is_hold_wished = false;
   // The newest version that was ever wished or seen.
   Version newest = 0;
   // An agent that stands in for a silent owner knows the ranks by reports that
@@ -77,6 +100,10 @@
 // Whether all ranks of an open group are heard and no switch is under way.
 bool is_ready_for_map(const MapSwitch& map_switch, TimePoint now);
 
+// Whether a group is held for which nothing is armed and nothing can be, so
+// that only a new switch, to whatever map, can let it go on.
+bool needs_switch(const MapSwitch& map_switch, TimePoint now);
+
 // Whether the switch under way can be replaced by one to another map: nothing
 // but copies was ordered for it.
 bool is_replaceable(const MapSwitch& map_switch);
@@ -84,8 +111,18 @@
 // Starts a switch to `map`; is_ready_for_map or is_replaceable must hold.
 void StartSwitch(MapSwitch& map_switch, ExpertLists map, TimePoint now);
 
-// Goes on. Gives the order for the own rank, if there is one now.
-std::optional<Order> Continue(MapSwitch& map_switch, TimePoint now);
+// Goes on: what the ranks are to do now is in the wish.
+void Continue(MapSwitch& map_switch, TimePoint now);
+
+// The wish as a rank may know it by now.
+Wish WishFor(const MapSwitch& map_switch, uint32_t rank);
+
+// For a deputy: takes rank 0, which it cannot reach, for armed if the owner
+// said so by naming the step before it fell silent.
+void TrustOwner(MapSwitch& map_switch,
+                const Wish& heard,
+                uint32_t size,
+                TimePoint now);
 
 // The next order of a rank's agent under its owner's wish, as its own server
 // reports its state.
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -1060,7 +1060,10 @@
   uint64_t version = 0;
   std::vector<uint16_t> experts{};
   std::vector<uint16_t> lengths{};
+  uint64_t hold_step = 0;
+  uint32_t holder = 0;
   uint64_t arm_step = 0;
+  bool is_released = false;
   std::vector<std::string> servers{};
 };
 
@@ -1074,8 +1077,11 @@
     VT_VERSION = 8,
     VT_EXPERTS = 10,
     VT_LENGTHS = 12,
-    VT_ARM_STEP = 14,
-    VT_SERVERS = 16
+    VT_HOLD_STEP = 14,
+    VT_HOLDER = 16,
+    VT_ARM_STEP = 18,
+    VT_IS_RELEASED = 20,
+    VT_SERVERS = 22
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -1092,9 +1098,18 @@
   const flatbuffers::Vector<uint16_t> *lengths() const {
     return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_LENGTHS);
   }
+  uint64_t hold_step() const {
+    return GetField<uint64_t>(VT_HOLD_STEP, 0);
+  }
+  uint32_t holder() const {
+    return GetField<uint32_t>(VT_HOLDER, 0);
+  }
   uint64_t arm_step() const {
     return GetField<uint64_t>(VT_ARM_STEP, 0);
   }
+  bool is_released() const {
+    return GetField<uint8_t>(VT_IS_RELEASED, 0) != 0;
+  }
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVERS);
   }
@@ -1108,7 +1123,10 @@
            verifier.VerifyVector(experts()) &&
            VerifyOffset(verifier, VT_LENGTHS) &&
            verifier.VerifyVector(lengths()) &&
+           VerifyField<uint64_t>(verifier, VT_HOLD_STEP, 8) &&
+           VerifyField<uint32_t>(verifier, VT_HOLDER, 4) &&
            VerifyField<uint64_t>(verifier, VT_ARM_STEP, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_RELEASED, 1) &&
            VerifyOffset(verifier, VT_SERVERS) &&
            verifier.VerifyVector(servers()) &&
            verifier.VerifyVectorOfStrings(servers()) &&
@@ -1138,9 +1156,18 @@
   void add_lengths(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths) {
     fbb_.AddOffset(MapWish::VT_LENGTHS, lengths);
   }
+  void add_hold_step(uint64_t hold_step) {
+    fbb_.AddElement<uint64_t>(MapWish::VT_HOLD_STEP, hold_step, 0);
+  }
+  void add_holder(uint32_t holder) {
+    fbb_.AddElement<uint32_t>(MapWish::VT_HOLDER, holder, 0);
+  }
   void add_arm_step(uint64_t arm_step) {
     fbb_.AddElement<uint64_t>(MapWish::VT_ARM_STEP, arm_step, 0);
   }
+  void add_is_released(bool is_released) {
+    fbb_.AddElement<uint8_t>(MapWish::VT_IS_RELEASED, static_cast<uint8_t>(is_released), 0);
+  }
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers) {
     fbb_.AddOffset(MapWish::VT_SERVERS, servers);
   }
@@ -1162,16 +1189,22 @@
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths = 0,
+    uint64_t hold_step = 0,
+    uint32_t holder = 0,
     uint64_t arm_step = 0,
+    bool is_released = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0) {
   MapWishBuilder builder_(_fbb);
   builder_.add_arm_step(arm_step);
+  builder_.add_hold_step(hold_step);
   builder_.add_version(version);
   builder_.add_epoch(epoch);
   builder_.add_servers(servers);
+  builder_.add_holder(holder);
   builder_.add_lengths(lengths);
   builder_.add_experts(experts);
   builder_.add_group(group);
+  builder_.add_is_released(is_released);
   return builder_.Finish();
 }
 
@@ -1187,7 +1220,10 @@
     uint64_t version = 0,
     const std::vector<uint16_t> *experts = nullptr,
     const std::vector<uint16_t> *lengths = nullptr,
+    uint64_t hold_step = 0,
+    uint32_t holder = 0,
     uint64_t arm_step = 0,
+    bool is_released = false,
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
@@ -1200,7 +1236,10 @@
       version,
       experts__,
       lengths__,
+      hold_step,
+      holder,
       arm_step,
+      is_released,
       servers__);
 }
 
@@ -1209,6 +1248,7 @@
 struct PlaceProbeT : public flatbuffers::NativeTable {
   typedef PlaceProbe TableType;
   uint64_t number = 0;
+  bool is_late = false;
 };
 
 struct PlaceProbe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1216,14 +1256,19 @@
   typedef PlaceProbeBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_NUMBER = 4
+    VT_NUMBER = 4,
+    VT_IS_LATE = 6
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
   }
+  bool is_late() const {
+    return GetField<uint8_t>(VT_IS_LATE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LATE, 1) &&
            verifier.EndTable();
   }
   PlaceProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1238,6 +1283,9 @@
   void add_number(uint64_t number) {
     fbb_.AddElement<uint64_t>(PlaceProbe::VT_NUMBER, number, 0);
   }
+  void add_is_late(bool is_late) {
+    fbb_.AddElement<uint8_t>(PlaceProbe::VT_IS_LATE, static_cast<uint8_t>(is_late), 0);
+  }
   explicit PlaceProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1251,9 +1299,11 @@
 
 inline flatbuffers::Offset<PlaceProbe> CreatePlaceProbe(
     flatbuffers::FlatBufferBuilder &_fbb,
-    uint64_t number = 0) {
+    uint64_t number = 0,
+    bool is_late = false) {
   PlaceProbeBuilder builder_(_fbb);
   builder_.add_number(number);
+  builder_.add_is_late(is_late);
   return builder_.Finish();
 }
 
@@ -1269,6 +1319,7 @@
   uint64_t number = 0;
   std::string address{};
   bool is_admitting = false;
+  bool is_slow = false;
   uint32_t load = 0;
   double limit = 0.0;
   uint64_t pass_microseconds = 0;
@@ -1282,9 +1333,10 @@
     VT_NUMBER = 4,
     VT_ADDRESS = 6,
     VT_IS_ADMITTING = 8,
-    VT_LOAD = 10,
-    VT_LIMIT = 12,
-    VT_PASS_MICROSECONDS = 14
+    VT_IS_SLOW = 10,
+    VT_LOAD = 12,
+    VT_LIMIT = 14,
+    VT_PASS_MICROSECONDS = 16
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1295,6 +1347,9 @@
   bool is_admitting() const {
     return GetField<uint8_t>(VT_IS_ADMITTING, 0) != 0;
   }
+  bool is_slow() const {
+    return GetField<uint8_t>(VT_IS_SLOW, 0) != 0;
+  }
   uint32_t load() const {
     return GetField<uint32_t>(VT_LOAD, 0);
   }
@@ -1310,6 +1365,7 @@
            VerifyOffset(verifier, VT_ADDRESS) &&
            verifier.VerifyString(address()) &&
            VerifyField<uint8_t>(verifier, VT_IS_ADMITTING, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_SLOW, 1) &&
            VerifyField<uint32_t>(verifier, VT_LOAD, 4) &&
            VerifyField<double>(verifier, VT_LIMIT, 8) &&
            VerifyField<uint64_t>(verifier, VT_PASS_MICROSECONDS, 8) &&
@@ -1333,6 +1389,9 @@
   void add_is_admitting(bool is_admitting) {
     fbb_.AddElement<uint8_t>(PlaceOffer::VT_IS_ADMITTING, static_cast<uint8_t>(is_admitting), 0);
   }
+  void add_is_slow(bool is_slow) {
+    fbb_.AddElement<uint8_t>(PlaceOffer::VT_IS_SLOW, static_cast<uint8_t>(is_slow), 0);
+  }
   void add_load(uint32_t load) {
     fbb_.AddElement<uint32_t>(PlaceOffer::VT_LOAD, load, 0);
   }
@@ -1358,6 +1417,7 @@
     uint64_t number = 0,
     flatbuffers::Offset<flatbuffers::String> address = 0,
     bool is_admitting = false,
+    bool is_slow = false,
     uint32_t load = 0,
     double limit = 0.0,
     uint64_t pass_microseconds = 0) {
@@ -1367,6 +1427,7 @@
   builder_.add_number(number);
   builder_.add_load(load);
   builder_.add_address(address);
+  builder_.add_is_slow(is_slow);
   builder_.add_is_admitting(is_admitting);
   return builder_.Finish();
 }
@@ -1381,6 +1442,7 @@
     uint64_t number = 0,
     const char *address = nullptr,
     bool is_admitting = false,
+    bool is_slow = false,
     uint32_t load = 0,
     double limit = 0.0,
     uint64_t pass_microseconds = 0) {
@@ -1390,6 +1452,7 @@
       number,
       address__,
       is_admitting,
+      is_slow,
       load,
       limit,
       pass_microseconds);
@@ -1885,7 +1948,10 @@
   { auto _e = version(); _o->version = _e; }
   { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->experts[_i] = _e->Get(_i); } } }
   { auto _e = lengths(); if (_e) { _o->lengths.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lengths[_i] = _e->Get(_i); } } }
+  { auto _e = hold_step(); _o->hold_step = _e; }
+  { auto _e = holder(); _o->holder = _e; }
   { auto _e = arm_step(); _o->arm_step = _e; }
+  { auto _e = is_released(); _o->is_released = _e; }
   { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = _e->Get(_i)->str(); } } }
 }
 
@@ -1902,7 +1968,10 @@
   auto _version = _o->version;
   auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
   auto _lengths = _o->lengths.size() ? _fbb.CreateVector(_o->lengths) : 0;
+  auto _hold_step = _o->hold_step;
+  auto _holder = _o->holder;
   auto _arm_step = _o->arm_step;
+  auto _is_released = _o->is_released;
   auto _servers = _o->servers.size() ? _fbb.CreateVectorOfStrings(_o->servers) : 0;
   return bramleyspan::membership::wire::CreateMapWish(
       _fbb,
@@ -1911,7 +1980,10 @@
       _version,
       _experts,
       _lengths,
+      _hold_step,
+      _holder,
       _arm_step,
+      _is_released,
       _servers);
 }
 
@@ -1925,6 +1997,7 @@
   (void)_o;
   (void)_resolver;
   { auto _e = number(); _o->number = _e; }
+  { auto _e = is_late(); _o->is_late = _e; }
 }
 
 inline flatbuffers::Offset<PlaceProbe> PlaceProbe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1936,9 +2009,11 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceProbeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _number = _o->number;
+  auto _is_late = _o->is_late;
   return bramleyspan::membership::wire::CreatePlaceProbe(
       _fbb,
-      _number);
+      _number,
+      _is_late);
 }
 
 inline PlaceOfferT *PlaceOffer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -1953,6 +2028,7 @@
   { auto _e = number(); _o->number = _e; }
   { auto _e = address(); if (_e) _o->address = _e->str(); }
   { auto _e = is_admitting(); _o->is_admitting = _e; }
+  { auto _e = is_slow(); _o->is_slow = _e; }
   { auto _e = load(); _o->load = _e; }
   { auto _e = limit(); _o->limit = _e; }
   { auto _e = pass_microseconds(); _o->pass_microseconds = _e; }
@@ -1969,6 +2045,7 @@
   auto _number = _o->number;
   auto _address = _o->address.empty() ? 0 : _fbb.CreateString(_o->address);
   auto _is_admitting = _o->is_admitting;
+  auto _is_slow = _o->is_slow;
   auto _load = _o->load;
   auto _limit = _o->limit;
   auto _pass_microseconds = _o->pass_microseconds;
@@ -1977,6 +2054,7 @@
       _number,
       _address,
       _is_admitting,
+      _is_slow,
       _load,
       _limit,
       _pass_microseconds);
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -32,10 +32,13 @@
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 // Connections that may fail before the request is given up.
 constexpr int kMostUnreached = 4;
-// The part of the objective for which a request waits for a place: after that
-// its first event would come late.
+// The part of the objective after which the first event of a request without a
+// place will come late.
 constexpr int kWaitDivisor = 2;
 constexpr Duration kLongestWait = std::chrono::milliseconds(500);
+// The part of a caller's patience for which a late stream waits for a place. It
+// is worth less than one in time and more than a refusal.
+constexpr double kPatiencePart = 0.7;
 // Agents that had no place are not asked again at once.
 constexpr Duration kFullPause = std::chrono::milliseconds(12);
 // When a place may be free again: streams last for seconds, and a caller that
@@ -78,16 +81,19 @@
 
 void ServeWaiting(GatewayState& state) {
   const TimePoint now = EventLoop::Now();
+  state.waiting.sort([now](const auto& left, const auto& right) {
+    return left->is_before(*right, now);
+  });
   // A copy, since each that is sent or refused leaves the list.
   const auto waiting = state.waiting;
-  std::set<std::string> full;
+  std::set<std::pair<std::string, bool>> full;
   for (const auto& forwarding : waiting) {
-    const bool is_sent =
-        !full.contains(forwarding->service_name()) && forwarding->TrySend();
+    const std::pair kind(forwarding->service_name(), forwarding->is_late(now));
+    const bool is_sent = !full.contains(kind) && forwarding->TrySend();
     if (is_sent || forwarding->is_asking()) {
       continue;
     }
-    full.insert(forwarding->service_name());
+    full.insert(kind);
     if (forwarding->waits_until() <= now) {
       forwarding->RefuseForLackOfPlace();
     }
@@ -126,9 +132,16 @@
     allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*left));
   }
   this->deadline = this->arrived + allowed;
-  this->wait_ends =
+  this->late_from =
       this->arrived + std::min({this->route->objective / kWaitDivisor,
                                 allowed / 2, kLongestWait});
+  this->wait_ends = this->late_from;
+  if (this->is_streaming()) {
+    this->wait_ends =
+        this->arrived +
+        std::min(allowed / 2, std::chrono::duration_cast<Duration>(
+                                  this->route->patience * kPatiencePart));
+  }
   gateway::NoteRequest(this->state.repeats, this->service, this->arrived);
   this->exchange->OnGone([self = this->weak_from_this()] {
     if (const auto forwarding = self.lock()) {
@@ -178,21 +191,31 @@
   return !this->table->has_tenants || this->route->is_public;
 }
 
-bool Forwarding::is_before(const Forwarding& other) const {
-  return this->priority < other.priority;
+bool Forwarding::is_late(TimePoint now) const {
+  return this->is_streaming() &&
+         (this->has_started_answer || now >= this->late_from);
+}
+
+// The more urgent first; then those that can still be in time.
+bool Forwarding::is_before(const Forwarding& other, TimePoint now) const {
+  if (this->priority != other.priority) {
+    return this->priority < other.priority;
+  }
+  return !this->is_late(now) && other.is_late(now);
 }
 
 void Forwarding::SendOrWait() {
   const auto& waiting = this->state.waiting;
+  const TimePoint now = EventLoop::Now();
   const bool is_first =
-      std::none_of(waiting.begin(), waiting.end(), [this](const auto& other) {
+      std::none_of(waiting.begin(), waiting.end(), [&](const auto& other) {
         return other->service == this->service && !other->is_asking() &&
-               !this->is_before(*other);
+               !this->is_before(*other, now);
       });
   if (is_first && this->TrySend()) {
     return;
   }
-  if (EventLoop::Now() >= this->wait_ends) {
+  if (now >= this->wait_ends) {
     this->RefuseForLackOfPlace();
     return;
   }
@@ -201,6 +224,7 @@
 
 void Forwarding::Wait(bool is_in_front) {
   auto& waiting = this->state.waiting;
+  const TimePoint now = EventLoop::Now();
   const auto self = this->shared_from_this();
   if (std::find(waiting.begin(), waiting.end(), self) != waiting.end()) {
     return;
@@ -208,8 +232,8 @@
   const auto behind = is_in_front
                           ? waiting.begin()
                           : std::find_if(waiting.begin(), waiting.end(),
-                                         [this](const auto& other) {
-                                           return this->is_before(*other);
+                                         [&](const auto& other) {
+                                           return this->is_before(*other, now);
                                          });
   waiting.insert(behind, self);
 }
@@ -227,12 +251,16 @@
   if (!this->has_engine()) {
     return this->TryOwnView();
   }
-  const auto full = this->state.full_until.find(this->service);
-  if (full != this->state.full_until.end() && EventLoop::Now() < full->second) {
+  const TimePoint now = EventLoop::Now();
+  const bool is_late = this->is_late(now);
+  const auto& full =
+      is_late ? this->state.full_for_late_until : this->state.full_until;
+  const auto found = full.find(this->service);
+  if (found != full.end() && now < found->second) {
     return false;
   }
   this->is_asking_agents = this->state.placing->Ask(
-      this->service, this->tried,
+      this->service, this->tried, is_late,
       [self = this->shared_from_this()](Placing::Verdict verdict,
                                         const Placing::Place& place) {
         self->HandlePlacing(verdict, place);
@@ -274,7 +302,11 @@
   }
   const TimePoint now = EventLoop::Now();
   if (verdict == Placing::Verdict::kFull) {
+    // What has no place for a late stream has none for one in time.
     this->state.full_until[this->service] = now + kFullPause;
+    if (this->is_late(now)) {
+      this->state.full_for_late_until[this->service] = now + kFullPause;
+    }
     Log(LogLevel::kInfo, "forward", "waits",
         {{"request", this->id},
          {"waiting", std::to_string(this->state.waiting.size())}});
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -45,7 +45,10 @@
   void RefuseForLackOfPlace();
 
   // Before the others, if true.
-  bool is_before(const Forwarding& other) const;
+  bool is_before(const Forwarding& other, TimePoint now) const;
+
+  // Whether a stream can no longer be in time, wherever it runs.
+  bool is_late(TimePoint now) const;
 
   TimePoint waits_until() const { return this->wait_ends; }
   const std::string& service_name() const { return this->service; }
@@ -106,7 +109,10 @@
   int priority = 0;
   TimePoint arrived;
   TimePoint deadline;
+  // When the request is given up if it has no place, and from when on it can
+  // no longer be answered in time.
   TimePoint wait_ends;
+  TimePoint late_from;
   bool is_asking_agents = false;
   std::optional<Placing::Place> place;
   TimerId deadline_timer = 0;
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -31,6 +31,7 @@
 constexpr Duration kStopReserve = std::chrono::milliseconds(400);
 constexpr Duration kStatusInterval = std::chrono::seconds(5);
 constexpr size_t kMostAddresses = 64;
+constexpr Duration kTellTargetsAfter = std::chrono::milliseconds(2);
 
 class GatewayRole : public Role {
  public:
@@ -200,7 +201,11 @@
             {"sets", engine.sets},
             {"experts", engine.experts},
             {"places_per_rank", engine.places_per_rank},
-            {"spare", engine.spare}};
+            {"spare", engine.spare},
+            {"slots", engine.slots},
+            {"least_pass_us", (engine.step * engine.stride).count()},
+            {"longest_pause_us",
+             this->ShortestPause(view.target.service).count()}};
         exchange.Respond(200, {{"content-type", "application/json"}},
                          shape.dump());
         return;
@@ -256,7 +261,16 @@
     this->peers.TellNow();
   }
 
-  void HandleTargets() { this->peers.TellNow(); }
+  // Records come in bursts, above all at the start.
+  void HandleTargets() {
+    if (std::exchange(this->is_telling_soon, true)) {
+      return;
+    }
+    this->state.loop.RunAfter(kTellTargetsAfter, [this] {
+      this->is_telling_soon = false;
+      this->peers.TellNow();
+    });
+  }
 
   void AdjustForever() {
     if (this->state.table != nullptr) {
@@ -396,6 +410,7 @@
   std::unique_ptr<http::Ingress> internal;
   std::unique_ptr<http::Ingress> metrics;
   TimePoint drain_began;
+  bool is_telling_soon = false;
 };
 
 Result<std::unique_ptr<Role>> StartGateway(EventLoop& loop,
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -47,6 +47,8 @@
   Placing* placing = nullptr;
   // Services whose ranks had no place a moment ago are not asked until then.
   std::map<std::string, TimePoint> full_until;
+  // The same for streams that are late in any case.
+  std::map<std::string, TimePoint> full_for_late_until;
   // Requests that wait for a place, the next one first.
   std::list<std::shared_ptr<Forwarding>> waiting;
   std::map<uint64_t, Forwarding*> open;
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "LibGateway/Offers.h"
 #include "LibHTTP/DirectCall.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
@@ -125,23 +126,49 @@
            kGatewaysToldToAgents, EventLoop::Now())) {
     gateways.push_back(InShort(*member));
   }
+  std::map<std::string, const MemberT*> owners_by_agent;
+  for (const std::string& ip : this->AgentIpsOfTargets()) {
+    owners_by_agent.emplace(ip, nullptr);
+  }
   for (const auto& [name, known] : this->state.members.known) {
     if (known.member.is_entry) {
       continue;
     }
+    const auto* rank = known.member.rank.get();
+    const auto owner =
+        rank == nullptr ? owners.end() : owners.find(rank->group);
+    owners_by_agent[known.member.ip] =
+        owner == owners.end() ? nullptr : owner->second;
+  }
+  for (const auto& [ip, owner] : owners_by_agent) {
     membership::wire::HeartbeatT heartbeat;
     for (const MemberT& gateway : gateways) {
       heartbeat.members.push_back(std::make_unique<MemberT>(gateway));
     }
-    const auto* rank = known.member.rank.get();
-    const auto owner =
-        rank == nullptr ? owners.end() : owners.find(rank->group);
-    if (owner != owners.end()) {
-      heartbeat.members.push_back(std::make_unique<MemberT>(*owner->second));
+    if (owner != nullptr) {
+      heartbeat.members.push_back(std::make_unique<MemberT>(*owner));
+    }
+    this->Send(ip, membership::Encode(std::move(heartbeat)));
+  }
+}
+
+// Agents that were not heard of yet are beside their targets. After a loss of
+// power nobody knows anybody, and callers press: waiting until an agent had
+// heard of this gateway from one that its settings name took a second.
+std::vector<std::string> Peers::AgentIpsOfTargets() const {
+  std::vector<std::string> ips;
+  if (this->state.table == nullptr) {
+    return ips;
+  }
+  for (const auto& [id, view] : this->state.targets.by_id) {
+    const auto service = this->state.table->services.find(view.target.service);
+    const bool has_agent = service != this->state.table->services.end() &&
+                           service->second.engine && !view.is_replaced;
+    if (has_agent) {
+      ips.push_back(gateway::AgentIpOf(view));
     }
-    this->datagrams->Send({known.member.ip, this->state.fleet().peer_port},
-                          membership::Encode(std::move(heartbeat)));
   }
+  return ips;
 }
 
 MemberT Peers::DescribeSelf() {
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -28,6 +28,7 @@
   void Tick();
   void Tell();
   void TellAgents(const membership::wire::MemberT& self);
+  std::vector<std::string> AgentIpsOfTargets() const;
   membership::wire::MemberT DescribeSelf();
   void HandleDatagram(const std::string& from_ip, std::string_view bytes);
   void HandleMember(const membership::wire::MemberT& member, bool is_direct);
--- a/Services/bramleyspand/Gateway/Placing.cc
+++ b/Services/bramleyspand/Gateway/Placing.cc
@@ -17,11 +17,14 @@
 // was lost; those that answer in time are enough.
 constexpr Duration kUsualWait = std::chrono::milliseconds(6);
 constexpr Duration kLongestWait = std::chrono::milliseconds(25);
+// Where no agent answers, requests do not wait for one each time.
+constexpr Duration kSilentPause = std::chrono::milliseconds(300);
 
 }  // namespace
 
 bool Placing::Ask(const std::string& service,
                   const std::set<std::string>& excluded,
+                  bool is_late,
                   OnDecided on_decided) {
   const TimePoint now = EventLoop::Now();
   const auto ranks =
@@ -30,17 +33,24 @@
   if (ranks.empty()) {
     return false;
   }
+  const auto silent = this->silent_until.find(service);
+  if (silent != this->silent_until.end() && now < silent->second) {
+    return false;
+  }
   const uint64_t number = ++this->last_number;
   Round& round = this->rounds[number];
   round.began = now;
+  round.service = service;
   round.on_decided = std::move(on_decided);
   membership::wire::PlaceProbeT probe;
   probe.number = number;
+  probe.is_late = is_late;
   const std::string bytes = membership::Encode(std::move(probe));
   for (const gateway::TargetView* rank : ranks) {
-    round.asked[Format(rank->target.address)] = {
-        .agent_ip = rank->rank->agent_ip, .target = rank->target.id};
-    this->send(rank->rank->agent_ip, bytes);
+    const std::string agent_ip = gateway::AgentIpOf(*rank);
+    round.asked[Format(rank->target.address)] = {.agent_ip = agent_ip,
+                                                 .target = rank->target.id};
+    this->send(agent_ip, bytes);
   }
   round.timer = this->state.loop.RunAfter(
       kUsualWait, [this, number] { this->HandleTimer(number); });
@@ -60,6 +70,7 @@
   round.offers.push_back(
       {.target = asked->second.target,
        .is_admitting = offer.is_admitting,
+       .is_slow = offer.is_slow,
        .load = offer.load,
        .limit = offer.limit,
        .pass = std::chrono::microseconds(offer.pass_microseconds)});
@@ -91,6 +102,11 @@
   this->state.loop.Cancel(round.timer);
   telemetry::Observe(kProbeTime, {}, EventLoop::Now() - round.began);
   if (round.offers.empty()) {
+    this->silent_until[round.service] = EventLoop::Now() + kSilentPause;
+    Log(LogLevel::kWarning, "forward", "no_agent_answered",
+        {{"probe", std::to_string(number)},
+         {"service", round.service},
+         {"asked", std::to_string(round.asked.size())}});
     round.on_decided(Verdict::kUnanswered, {});
     return;
   }
--- a/Services/bramleyspand/Gateway/Placing.h
+++ b/Services/bramleyspand/Gateway/Placing.h
@@ -39,6 +39,7 @@
   // Begins a round. False if there is no agent to ask.
   bool Ask(const std::string& service,
            const std::set<std::string>& excluded,
+           bool is_late,
            OnDecided on_decided);
 
   void Settle(const Place& place);
@@ -54,6 +55,7 @@
     // By the address of the rank's server.
     std::map<std::string, Asked> asked;
     std::vector<gateway::Offer> offers;
+    std::string service;
     OnDecided on_decided;
     TimerId timer = 0;
     TimePoint began;
@@ -65,6 +67,8 @@
   GatewayState& state;
   SendDatagram send;
   std::map<uint64_t, Round> rounds;
+  // Services of whose agents none answered a moment ago.
+  std::map<std::string, TimePoint> silent_until;
   uint64_t last_number = 0;
 };
 
--- a/Services/bramleyspand/Rank/Deputy.cc
+++ b/Services/bramleyspand/Rank/Deputy.cc
@@ -10,11 +10,11 @@
 using telemetry::LogLevel;
 
 // A group that begins no pass for so long is held, or a rank of it is gone.
-constexpr Duration kStuck = std::chrono::milliseconds(350);
+constexpr Duration kStuck = std::chrono::milliseconds(250);
 // Ranks step in one after the other, so that one deputy is usually enough.
-constexpr Duration kPerRank = std::chrono::milliseconds(150);
-constexpr Duration kOwnerSilent = std::chrono::milliseconds(300);
-constexpr Duration kRoundInterval = std::chrono::milliseconds(300);
+constexpr Duration kPerRank = std::chrono::milliseconds(60);
+constexpr Duration kOwnerSilent = std::chrono::milliseconds(200);
+constexpr Duration kRoundInterval = std::chrono::milliseconds(120);
 constexpr Duration kFarTimeout = std::chrono::milliseconds(250);
 
 }  // namespace
@@ -75,11 +75,13 @@
   }
   const TimePoint now = EventLoop::Now();
   mapswitch::HandleStatus(this->map_switch, status.value(), now);
-  const auto go = mapswitch::Continue(this->map_switch, now);
-  if (go) {
-    this->send_order(this->state.group_servers.front(), *go);
+  if (this->state.wish && this->state.wish->epoch == this->state.own->epoch) {
+    mapswitch::TrustOwner(this->map_switch, *this->state.wish,
+                          this->state.own->size, now);
   }
-  if (this->map_switch.phase != mapswitch::SwitchPhase::kArming) {
+  mapswitch::Continue(this->map_switch, now);
+  if (this->map_switch.phase != mapswitch::SwitchPhase::kArming &&
+      this->map_switch.phase != mapswitch::SwitchPhase::kReleasing) {
     return;
   }
   const auto order =
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -119,6 +119,7 @@
 bool is_outdated(const RankState& state) {
   const MapSwitch& map_switch = state.map_switch;
   if (!mapswitch::is_replaceable(map_switch) ||
+      state.drift.jumps == state.planned_at_jump ||
       state.drift.present.size() != map_switch.wish.map.size()) {
     return false;
   }
@@ -127,7 +128,7 @@
 }
 
 // Plans all sets and begins a switch if it gains enough.
-void StartSwitchIfWorthIt(RankState& state, TimePoint now) {
+void StartSwitchIfWorthIt(RankState& state, bool is_forced, TimePoint now) {
   const auto map = MapInForce(state);
   if (!map || state.drift.present.size() != map->size()) {
     return;
@@ -162,10 +163,13 @@
   }
   const auto sets = static_cast<double>(map->size());
   telemetry::SetGauge(kSkew, {}, before / sets);
-  if (copies == 0 || (before - after) / sets < kLeastGainOfSwitch) {
+  const bool is_worth_it =
+      copies > 0 && (before - after) / sets >= kLeastGainOfSwitch;
+  if (!is_worth_it && !is_forced) {
     return;
   }
   state.planned_skew = after / sets;
+  state.planned_at_jump = state.drift.jumps;
   mapswitch::StartSwitch(state.map_switch, std::move(next), now);
   telemetry::Count(kMapSwitches, {});
   telemetry::Count(kExpertCopies, {}, copies);
@@ -217,11 +221,11 @@
   ObserveCounts(state, news.counts);
 }
 
-std::optional<mapswitch::Order> LeadMap(RankState& state, TimePoint now) {
+void LeadMap(RankState& state, TimePoint now) {
   MapSwitch& map_switch = state.map_switch;
   const SwitchPhase phase_before = map_switch.phase;
   map_switch.pass = admission::PassOf(state.places, now);
-  auto order = mapswitch::Continue(map_switch, now);
+  mapswitch::Continue(map_switch, now);
   if (map_switch.phase != phase_before) {
     Log(LogLevel::kInfo, "map", "switch_phase",
         {{"version", std::to_string(map_switch.wish.version)},
@@ -234,12 +238,12 @@
   const bool has_work = std::any_of(
       map_switch.ranks.begin(), map_switch.ranks.end(),
       [](const auto& rank) { return rank && rank->status.running > 0; });
-  const bool may_start =
-      mapswitch::is_ready_for_map(map_switch, now) || is_outdated(state);
-  if (!order && has_work && state.shape && may_start) {
-    StartSwitchIfWorthIt(state, now);
+  const bool is_forced = mapswitch::needs_switch(map_switch, now);
+  const bool may_start = mapswitch::is_ready_for_map(map_switch, now) ||
+                         is_outdated(state) || is_forced;
+  if (has_work && state.shape && may_start) {
+    StartSwitchIfWorthIt(state, is_forced, now);
   }
-  return order;
 }
 
 }  // namespace bramleyspan::rankd
--- a/Services/bramleyspand/Rank/MapOwner.h
+++ b/Services/bramleyspand/Rank/MapOwner.h
@@ -10,8 +10,7 @@
                     const std::string& from_ip,
                     const membership::wire::RankNewsT& news);
 
-// Goes on with the switch under way, or begins one that is worth it. Gives
-// the order for the own rank, if there is one.
-std::optional<mapswitch::Order> LeadMap(RankState& state, TimePoint now);
+// Goes on with the switch under way, or begins one that is worth it.
+void LeadMap(RankState& state, TimePoint now);
 
 }  // namespace bramleyspan::rankd
--- a/Services/bramleyspand/Rank/RankMessages.cc
+++ b/Services/bramleyspand/Rank/RankMessages.cc
@@ -52,7 +52,10 @@
   wire.group = group;
   wire.epoch = wish.epoch;
   wire.version = wish.version;
+  wire.hold_step = wish.hold_step;
+  wire.holder = wish.holder;
   wire.arm_step = wish.arm_step;
+  wire.is_released = wish.is_released;
   for (const auto& set : wish.map) {
     for (const auto& list : set) {
       wire.lengths.push_back(static_cast<uint16_t>(list.size()));
@@ -64,8 +67,12 @@
 
 mapswitch::Wish FromWire(const membership::wire::MapWishT& wish,
                          uint32_t ranks) {
-  mapswitch::Wish result{
-      .epoch = wish.epoch, .version = wish.version, .arm_step = wish.arm_step};
+  mapswitch::Wish result{.epoch = wish.epoch,
+                         .version = wish.version,
+                         .hold_step = wish.hold_step,
+                         .holder = wish.holder,
+                         .arm_step = wish.arm_step,
+                         .is_released = wish.is_released};
   size_t at = 0;
   for (size_t i = 0; i < wish.lengths.size() && ranks > 0; ++i) {
     if (i % ranks == 0) {
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -200,6 +200,7 @@
                            .step = now_state.own->step,
                            .running = now_state.own->running,
                            .queued = now_state.own->queued,
+                           .pace = now_state.own->pace,
                            .is_open = now_state.own->is_open},
                           now_state.own_heard);
     now_state.own->is_losing_orders =
@@ -327,10 +328,10 @@
     const TimePoint now = EventLoop::Now();
     std::optional<Order> order;
     if (this->state.is_owner()) {
-      order = LeadMap(this->state, now);
+      LeadMap(this->state, now);
       this->TellWish(now);
     }
-    if (!order && this->state.wish) {
+    if (this->state.wish) {
       order = mapswitch::NextOrder(*this->state.wish, *this->state.own);
     }
     if (order && !this->state.is_order_underway &&
@@ -359,19 +360,22 @@
     const mapswitch::MapSwitch& map_switch = this->state.map_switch;
     // Said at each tick, and at once where it is new.
     const bool is_new = map_switch.phase != this->told_phase ||
-                        map_switch.wish.version != this->told_version;
+                        map_switch.wish.version != this->told_version ||
+                        map_switch.wish.hold_step != this->told_hold;
     if (!is_new && now - this->told_at < kTickInterval) {
       return;
     }
     this->told_at = now;
     this->told_phase = map_switch.phase;
     this->told_version = map_switch.wish.version;
+    this->told_hold = map_switch.wish.hold_step;
     if (map_switch.phase == mapswitch::SwitchPhase::kIdle) {
       this->state.wish.reset();
       return;
     }
-    this->state.wish = map_switch.wish;
-    auto wire = ToWire(map_switch.wish, this->state.own->group);
+    this->state.wish = mapswitch::WishFor(map_switch, 0);
+    auto wire =
+        ToWire(mapswitch::WishFor(map_switch, 1), this->state.own->group);
     for (const auto& [rank, info] : this->state.ranks) {
       wire.servers.push_back(Format(info.server));
     }
@@ -382,8 +386,9 @@
                                     bytes);
       }
     }
-    if (map_switch.phase == mapswitch::SwitchPhase::kArming &&
-        now - map_switch.since > kSilentAgent) {
+    const bool is_held = map_switch.phase == mapswitch::SwitchPhase::kArming ||
+                         map_switch.phase == mapswitch::SwitchPhase::kReleasing;
+    if (is_held && now - map_switch.since > kSilentAgent) {
       this->OrderSilentRanks(now);
     }
   }
@@ -478,7 +483,7 @@
     }
     const auto& body = message.value().body;
     if (const auto* probe = body.AsPlaceProbe()) {
-      this->Offer(from_ip, probe->number);
+      this->Offer(from_ip, *probe);
     } else if (const auto* taken = body.AsPlaceTaken()) {
       admission::TakenPlace place{.gateway = from_ip, .number = taken->number};
       if (taken->is_settled) {
@@ -490,8 +495,7 @@
     } else if (const auto* heartbeat = body.AsHeartbeat()) {
       for (const auto& member : heartbeat->members) {
         if (member != nullptr) {
-          membership::Learn(this->state.members, *member, member->ip == from_ip,
-                            EventLoop::Now());
+          this->HandleMember(*member, from_ip);
         }
       }
     } else if (const auto* news = body.AsRankNews()) {
@@ -507,13 +511,15 @@
   }
 
   // Answers a gateway that looks for a place for a stream.
-  void Offer(const std::string& gateway_ip, uint64_t number) {
+  void Offer(const std::string& gateway_ip,
+             const membership::wire::PlaceProbeT& probe) {
     const admission::PlaceOffer offer =
-        admission::OfferOf(this->state.places, EventLoop::Now());
+        admission::OfferOf(this->state.places, probe.is_late, EventLoop::Now());
     membership::wire::PlaceOfferT wire;
-    wire.number = number;
+    wire.number = probe.number;
     wire.address = Format(*this->state.fleet().engine);
     wire.is_admitting = offer.is_admitting;
+    wire.is_slow = offer.is_slow;
     wire.load = offer.load;
     wire.limit = offer.limit;
     wire.pass_microseconds = static_cast<uint64_t>(offer.pass.count());
@@ -521,6 +527,30 @@
                                 membership::Encode(std::move(wire)));
   }
 
+  void HandleMember(const membership::wire::MemberT& member,
+                    const std::string& from_ip) {
+    const bool is_direct = member.ip == from_ip;
+    const auto found = this->state.members.known.find(member.name);
+    const bool is_new = found == this->state.members.known.end() ||
+                        found->second.member.incarnation != member.incarnation;
+    const bool is_learnt = membership::Learn(this->state.members, member,
+                                             is_direct, EventLoop::Now());
+    // A gateway that has just started learns of this rank at once.
+    if (is_learnt && is_new && member.is_entry) {
+      this->SendHeartbeat();
+    }
+  }
+
+  void HandlePlacesShape(const nlohmann::json& body) {
+    const admission::RankPlacesSettings usual;
+    this->state.places.settings = {
+        .slots = body.value("slots", usual.slots),
+        .longest_pause = std::chrono::microseconds(
+            body.value("longest_pause_us", usual.longest_pause.count())),
+        .least_pass = std::chrono::microseconds(
+            body.value("least_pass_us", usual.least_pass.count()))};
+  }
+
   void HandleWish(const membership::wire::MapWishT& wish) {
     if (!this->state.own || wish.group != this->state.own->group ||
         wish.epoch != this->state.own->epoch || this->state.is_owner()) {
@@ -536,13 +566,17 @@
     }
     // Datagrams overtake each other: an older wish must not replace a newer.
     const auto& known = this->state.wish;
-    if (known &&
-        (known->version > wish.version ||
-         (known->version == wish.version && known->arm_step > wish.arm_step))) {
+    if (known && (known->version > wish.version ||
+                  (known->version == wish.version &&
+                   (known->arm_step > wish.arm_step ||
+                    known->hold_step > wish.hold_step ||
+                    (known->is_released && !wish.is_released))))) {
       return;
     }
     const bool is_new = !known || known->version != wish.version ||
-                        known->arm_step != wish.arm_step;
+                        known->hold_step != wish.hold_step ||
+                        known->arm_step != wish.arm_step ||
+                        known->is_released != wish.is_released;
     this->state.wish = FromWire(wish, this->state.own->size);
     if (is_new) {
       this->ReadReport();
@@ -608,6 +642,7 @@
                        .experts = body.value("experts", 0U),
                        .places_per_rank = body.value("places_per_rank", 0U),
                        .spare = body.value("spare", 0U)};
+          this->HandlePlacesShape(body);
         });
   }
 
@@ -650,6 +685,7 @@
   uint64_t news_count = 0;
   mapswitch::SwitchPhase told_phase = mapswitch::SwitchPhase::kIdle;
   mapswitch::Version told_version = 0;
+  mapswitch::Step told_hold = 0;
   std::string last_order;
   TimePoint last_order_at;
   TimePoint last_order_lost;
--- a/Services/bramleyspand/Rank/RankState.h
+++ b/Services/bramleyspand/Rank/RankState.h
@@ -74,6 +74,8 @@
   placement::Drift drift;
   // The skew that the switch under way was planned to.
   double planned_skew = 1;
+  // Jumps of demand that were seen when it was planned.
+  uint64_t planned_at_jump = 0;
   // Choices of all ranks that do not make up a sample yet.
   std::vector<std::vector<double>> choices;
   TimePoint sampled;
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -17,6 +17,25 @@
   ranks.is_hold_replaced = seed % 2 == 0;
 }
 
+bool is_any_held(const SimulatedRanks& ranks) {
+  for (uint32_t rank = 0; rank < ranks.size(); ++rank) {
+    if (ranks.status(rank).held != 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whether the group is kept from its next pass.
+bool is_waiting(const SimulatedRanks& ranks) {
+  for (uint32_t rank = 0; rank < ranks.size(); ++rank) {
+    if (ranks.status(rank).held == ranks.step + 1) {
+      return true;
+    }
+  }
+  return false;
+}
+
 // What agents do with the library, on the simulated ranks: rank 0's leads,
 // each one follows the wish that it last heard.
 struct Agents {
@@ -79,19 +98,17 @@
   }
 
   void Lead(TimePoint now) {
-    const auto order = Continue(this->owner, now);
-    if (order) {
-      this->SendOnce(0, *order);
-    } else if (is_ready_for_map(this->owner, now)) {
+    Continue(this->owner, now);
+    if (is_ready_for_map(this->owner, now) || needs_switch(this->owner, now)) {
       StartSwitch(this->owner, ExpertLists(1, {{0}, {1}, {2}, {3}}), now);
       ++this->switches;
     }
     if (this->owner.phase == SwitchPhase::kIdle) {
       return;
     }
-    for (auto& wish : this->wishes) {
-      if (!this->is_lost()) {
-        wish = this->owner.wish;
+    for (uint32_t rank = 0; rank < kRanks; ++rank) {
+      if (rank == 0 || !this->is_lost()) {
+        this->wishes[rank] = WishFor(this->owner, rank);
       }
     }
   }
@@ -108,12 +125,11 @@
     deputy.is_deputy = true;
     for (uint32_t rank = 0; rank < kRanks; ++rank) {
       HandleStatus(deputy, this->ranks.status(rank), this->ranks.now);
-      const auto go = Continue(deputy, this->ranks.now);
-      if (go) {
-        this->ranks.Send(0, *go);
-      }
+      Continue(deputy, this->ranks.now);
+      const bool may_order = deputy.phase == SwitchPhase::kArming ||
+                             deputy.phase == SwitchPhase::kReleasing;
       const auto order = NextOrder(deputy.wish, this->ranks.status(rank));
-      if (deputy.phase == SwitchPhase::kArming && order) {
+      if (may_order && order) {
         this->ranks.Send(rank, *order);
       }
     }
@@ -197,7 +213,7 @@
 TEST_CASE("A deputy lets a held group go on while its owner is frozen") {
   SimulatedRanks ranks(kRanks, 1);
   Agents agents(ranks, 1);
-  while (ranks.status(0).held == 0) {
+  while (!is_any_held(ranks)) {
     agents.Run(kTick);
   }
   const Step held_before = ranks.step;
@@ -254,7 +270,7 @@
   constexpr int kTicks = 600;
   for (int tick = 0; tick < kTicks; ++tick) {
     agents.Run(kTick);
-    held += ranks.status(0).held == ranks.step + 1 ? 1 : 0;
+    held += is_waiting(ranks) ? 1 : 0;
   }
   CHECK(held < kTicks / 8);
   CHECK_FALSE(ranks.is_split);
@@ -286,7 +302,7 @@
   StartSwitch(map_switch, ExpertLists(1), now);
   SUBCASE("The switch is given up before anything is held") {
     hear(3, 1);
-    CHECK_FALSE(Continue(map_switch, now).has_value());
+    Continue(map_switch, now);
     CHECK(map_switch.phase == SwitchPhase::kIdle);
   }
   SUBCASE("A rank or two that lose one do not matter") {
