Gateway: Ask agents not heard of yet, count own places, watch the store for longer

Cause 1: after a loss of power gateways sent 88 requests in 0.3 s to groups that were being formed: only agents that had been heard of were asked. All agents beside listed targets are asked now. Cause 2: as a group opened, all that waited asked at once and took the same empty places, 22 streams of one gateway at one rank. A round counts what others of this gateway took since it began.

--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -8,6 +8,9 @@
 namespace {
 
 constexpr double kLeastLimit = 2;
+// Streams a rank runs at once before anything is known of its passes: a group
+// that was formed anew has its first map.
+constexpr double kFirstLimit = 5;
 // Reading prompts and preparing maps need room beside the running streams.
 constexpr double kMostOfSlots = 0.7;
 // The part of the longest pause at which a pass is held, so that unusual ones
@@ -105,7 +108,7 @@
   const double least_pass = SecondsOf(places.settings.least_pass);
   const double grown = SecondsOf(PassOf(places, now)) - least_pass;
   if (grown <= 0 || places.reported.running == 0) {
-    return MostOf(places);
+    return std::min(kFirstLimit, MostOf(places));
   }
   const double per_stream = grown / places.reported.running;
   const double aimed =
@@ -121,14 +124,17 @@
   const auto load = static_cast<double>(offer.load) + 1;
   const auto longest = SecondsOf(places.settings.longest_pause);
   const double pass = SecondsOf(offer.pass);
-  const double limit = is_late ? kLateLimitPart * offer.limit : offer.limit;
-  const bool has_place = pass < kAimedPart * longest && load <= limit;
-  const bool has_late_place = is_late && offer.is_slow &&
-                              pass < kMostOfPause * longest &&
-                              load <= MostOf(places);
-  offer.is_admitting =
-      places.reported.is_open && now - places.reported_at < kStale &&
-      places.reported.pace < kSlowPace && (has_place || has_late_place);
+  double longest_pass = kAimedPart * longest;
+  if (is_late && offer.is_slow) {
+    offer.limit = MostOf(places);
+    longest_pass = kMostOfPause * longest;
+  } else if (is_late) {
+    offer.limit *= kLateLimitPart;
+  }
+  const bool has_place = pass < longest_pass && load <= offer.limit;
+  offer.is_admitting = places.reported.is_open &&
+                       now - places.reported_at < kStale &&
+                       places.reported.pace < kSlowPace && has_place;
   return offer;
 }
 
--- a/Libraries/LibGateway/Offers.cc
+++ b/Libraries/LibGateway/Offers.cc
@@ -38,11 +38,9 @@
     TimePoint now) {
   std::map<std::string, std::vector<const TargetView*>> groups;
   ForEachUsable(targets, service, excluded, [&](const TargetView& view) {
-    const bool can_be_asked =
-        view.rank && view.rank->is_open && !view.rank->agent_ip.empty() &&
-        now - view.rank->heard < kSilent && view.avoided_until <= now;
-    if (can_be_asked) {
-      groups[view.rank->group].push_back(&view);
+    const bool is_silent = view.rank && now - view.rank->heard > kSilent;
+    if (!is_silent && view.avoided_until <= now) {
+      groups[view.rank ? view.rank->group : ""].push_back(&view);
     }
   });
   std::minstd_rand random(static_cast<uint32_t>(random_bits));
--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -12,9 +12,9 @@
 // From the first arm to the new map in force at all ranks, on a good day. A
 // rest after a longer switch is a multiple of what it took.
 constexpr Duration kUsualSwitch = std::chrono::milliseconds(450);
-constexpr int kRestFactor = 8;
-constexpr Duration kShortestRest = std::chrono::seconds(4);
-constexpr Duration kLongestRest = std::chrono::seconds(12);
+constexpr int kRestFactor = 2;
+constexpr Duration kShortestRest = std::chrono::seconds(1);
+constexpr Duration kLongestRest = std::chrono::seconds(2);
 // A switch that is not prepared in this time is given up: a rank's agent may
 // have died, and nothing is held yet.
 constexpr Duration kLongestPreparation = std::chrono::seconds(5);
--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -101,6 +101,10 @@
           stop_bound_seconds,
           "",
           "after this time the platform kills a stopping process");
+ABSL_FLAG(std::string,
+          notice_bound_milliseconds,
+          "",
+          "within this time a store channel that fell silent must be noticed");
 
 namespace bramleyspan {
 
@@ -144,6 +148,8 @@
       SettingRow{"directory-lifetime-seconds",
                  &FLAGS_directory_lifetime_seconds, "1"},
       SettingRow{"stop-bound-seconds", &FLAGS_stop_bound_seconds, "8"},
+      SettingRow{"notice-bound-milliseconds", &FLAGS_notice_bound_milliseconds,
+                 "2000"},
       SettingRow{"log-level", &FLAGS_log_level, "info"},
   };
   return rows;
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -66,6 +66,17 @@
   }
 }
 
+// A watch that waits for long costs few calls; one that falls silent must be
+// noticed, and the next one answered, within the bound.
+platform::PrefixFeedSettings FeedSettings(const GatewayState& state,
+                                          const std::string& prefix) {
+  constexpr Duration kReserve = std::chrono::milliseconds(800);
+  constexpr Duration kShortest = std::chrono::milliseconds(500);
+  return {
+      .prefix = prefix,
+      .watch_wait = std::max(kShortest, state.fleet().notice_bound - kReserve)};
+}
+
 platform::FeedEvents EventsOf(
     std::string name,
     std::function<void(const platform::StoreItem&)> on_change) {
@@ -86,15 +97,14 @@
                 OnTable on_table,
                 std::function<void()> on_target) {
   state.table_feed = std::make_unique<platform::PrefixFeed>(
-      state.loop, state.store,
-      platform::PrefixFeedSettings{.prefix = state.adapter.table_prefix},
+      state.loop, state.store, FeedSettings(state, state.adapter.table_prefix),
       EventsOf("table", [&state, on_table = std::move(on_table)](
                             const platform::StoreItem& item) {
         HandleTableChange(state, item, on_table);
       }));
   state.targets_feed = std::make_unique<platform::PrefixFeed>(
       state.loop, state.store,
-      platform::PrefixFeedSettings{.prefix = state.adapter.targets_prefix},
+      FeedSettings(state, state.adapter.targets_prefix),
       EventsOf("targets", [&state, on_target = std::move(on_target)](
                               const platform::StoreItem& item) {
         HandleTargetChange(state, item);
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -187,7 +187,11 @@
   self.targets_revision = now.targets_feed->newest_revision();
   self.is_hungry = !now.waiting.empty();
   for (const auto& [id, view] : now.targets.by_id) {
-    if (view.open == 0 || self.open.size() >= kMostOpenCounts) {
+    // An agent that answers probes knows its rank's load better than these
+    // counts, which would fill a heartbeat at every gateway.
+    const bool has_agent = view.rank && EventLoop::Now() - view.rank->heard <
+                                            membership::kSuspectAfter;
+    if (view.open == 0 || has_agent || self.open.size() >= kMostOpenCounts) {
       continue;
     }
     auto count = std::make_unique<membership::wire::OpenCountT>();
--- a/Services/bramleyspand/Gateway/Placing.cc
+++ b/Services/bramleyspand/Gateway/Placing.cc
@@ -95,9 +95,28 @@
   this->Decide(number);
 }
 
+// When a group opens, all that waited ask at once, and the first rank to open
+// offered each of them the same empty places: 22 streams of one gateway went
+// there. What other rounds took since this one began counts too.
+void Placing::AddOwnTaken(Round& round) {
+  const TimePoint now = EventLoop::Now();
+  while (!this->taken.empty() && now - this->taken.front().at > kLongestWait) {
+    this->taken.pop_front();
+  }
+  for (const Taken& place : this->taken) {
+    for (gateway::Offer& offer : round.offers) {
+      if (place.at >= round.began && offer.target == place.target) {
+        ++offer.load;
+        offer.is_admitting = offer.is_admitting &&
+                             static_cast<double>(offer.load) + 1 <= offer.limit;
+      }
+    }
+  }
+}
+
 void Placing::Decide(uint64_t number) {
   const auto found = this->rounds.find(number);
-  const Round round = std::move(found->second);
+  Round round = std::move(found->second);
   this->rounds.erase(found);
   this->state.loop.Cancel(round.timer);
   telemetry::Observe(kProbeTime, {}, EventLoop::Now() - round.began);
@@ -110,6 +129,7 @@
     round.on_decided(Verdict::kUnanswered, {});
     return;
   }
+  this->AddOwnTaken(round);
   const auto chosen = gateway::ChooseOffer(round.offers);
   if (!chosen) {
     round.on_decided(Verdict::kFull, {});
@@ -122,6 +142,7 @@
   membership::wire::PlaceTakenT taken;
   taken.number = number;
   this->send(asked->second.agent_ip, membership::Encode(std::move(taken)));
+  this->taken.push_back({.target = chosen->target, .at = EventLoop::Now()});
   Log(LogLevel::kInfo, "forward", "placed",
       {{"probe", std::to_string(number)},
        {"target", chosen->target},
--- a/Services/bramleyspand/Gateway/Placing.h
+++ b/Services/bramleyspand/Gateway/Placing.h
@@ -1,6 +1,7 @@
 // Asks the agents beside a few ranks for a place for a stream.
 #pragma once
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <set>
@@ -61,6 +62,13 @@
     TimePoint began;
   };
 
+  // A place taken by this gateway a moment ago.
+  struct Taken {
+    std::string target;
+    TimePoint at;
+  };
+
+  void AddOwnTaken(Round& round);
   void HandleTimer(uint64_t number);
   void Decide(uint64_t number);
 
@@ -69,6 +77,7 @@
   std::map<uint64_t, Round> rounds;
   // Services of whose agents none answered a moment ago.
   std::map<std::string, TimePoint> silent_until;
+  std::deque<Taken> taken;
   uint64_t last_number = 0;
 };
 
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -71,6 +71,22 @@
   return Duration(std::chrono::seconds(seconds));
 }
 
+Result<Duration> RequireMilliseconds(const SettingLookup& lookup,
+                                     const std::string& name) {
+  constexpr int64_t kShortest = 1000;
+  constexpr int64_t kLongest = 60'000;
+  const SettingText given = lookup(name);
+  const char* end = given.text.data() + given.text.size();
+  int64_t milliseconds = 0;
+  const auto [stop, failure] =
+      std::from_chars(given.text.data(), end, milliseconds);
+  if (failure != std::errc{} || stop != end || milliseconds < kShortest ||
+      milliseconds > kLongest) {
+    return FailFor(name, given, "whole milliseconds from 1000 to 60000");
+  }
+  return Duration(std::chrono::milliseconds(milliseconds));
+}
+
 Result<std::string> RequireName(const SettingLookup& lookup) {
   const SettingText given = lookup("name");
   // Claim keys carry the name between dots.
@@ -146,6 +162,8 @@
   fleet.directory_lifetime = std::chrono::duration_cast<std::chrono::seconds>(
       TRY(RequireSeconds(lookup, "directory-lifetime-seconds")));
   fleet.stop_bound = TRY(RequireSeconds(lookup, "stop-bound-seconds"));
+  fleet.notice_bound =
+      TRY(RequireMilliseconds(lookup, "notice-bound-milliseconds"));
   if (role == "gateway" && !fleet.callers) {
     return FailFor("callers", lookup("callers"), "IP:PORT");
   }
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -37,6 +37,8 @@
   std::chrono::seconds directory_lifetime{1};
   // The platform kills a stopping process after this time.
   Duration stop_bound{};
+  // A store channel that fell silent must be noticed within this time.
+  Duration notice_bound{};
 };
 
 // Checked settings of one process.
