--- /dev/null
+++ b/Tests/LibAdmission/TestRankPlaces.cc
@@ -0,0 +1,136 @@
+#include <doctest/doctest.h>
+
+#include "LibAdmission/RankPlaces.h"
+
+namespace bramleyspan::admission {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const TimePoint kStart{std::chrono::seconds(100)};
+const RankPlacesSettings kSettings{.slots = 12,
+                                   .longest_pause = milliseconds(120),
+                                   .least_pass = milliseconds(18)};
+
+// A rank whose passes took `pass` for the last half second.
+RankPlaces RankAt(uint32_t running, Duration pass, TimePoint& now) {
+  RankPlaces places{.settings = kSettings};
+  RankLoad load{.epoch = 1, .step = 1, .running = running, .is_open = true};
+  for (const TimePoint end = now + milliseconds(500); now < end; now += pass) {
+    NoteReport(places, load, now);
+    ++load.step;
+  }
+  NoteReport(places, load, now);
+  return places;
+}
+
+}  // namespace
+
+// Story: twenty streams went to a rank with twelve slots within 0.3 s. Its
+// engine counts a stream only once it runs, a tenth of a second after it came.
+TEST_CASE("A place that was taken counts until its stream has begun") {
+  TimePoint now = kStart;
+  RankPlaces places = RankAt(7, milliseconds(50), now);
+  REQUIRE(OfferOf(places, false, now).is_admitting);
+  NoteTaken(places, {.gateway = "10.0.0.1", .number = 1}, now);
+  CHECK(LoadOf(places) == 8);
+  CHECK_FALSE(OfferOf(places, false, now).is_admitting);
+  SUBCASE("It is free again once the gateway says that the stream runs") {
+    NoteSettled(places, {.gateway = "10.0.0.1", .number = 1});
+    CHECK(LoadOf(places) == 7);
+  }
+  SUBCASE("Another gateway's number is another place") {
+    NoteSettled(places, {.gateway = "10.0.0.2", .number = 1});
+    CHECK(LoadOf(places) == 8);
+  }
+  SUBCASE("A gateway that died does not keep it") {
+    now += std::chrono::seconds(1);
+    NoteReport(places, places.reported, now);
+    CHECK(LoadOf(places) == 7);
+  }
+}
+
+// Story: a group whose slow rank had recovered ran two streams a rank for ten
+// seconds, while callers of the other group were refused. The limit had grown
+// by 4% a quarter second.
+TEST_CASE("The limit follows what passes take now, both ways") {
+  TimePoint now = kStart;
+  const RankPlaces slow = RankAt(6, milliseconds(200), now);
+  CHECK(LimitOf(slow, now) < 4);
+  const RankPlaces recovered = RankAt(2, milliseconds(30), now);
+  CHECK(LimitOf(recovered, now) > 7);
+}
+
+TEST_CASE("No stream in time is started where a pass lasts too long") {
+  TimePoint now = kStart;
+  const RankPlaces places = RankAt(2, milliseconds(110), now);
+  CHECK_FALSE(OfferOf(places, false, now).is_admitting);
+}
+
+TEST_CASE("A pass under way counts before it has ended") {
+  TimePoint now = kStart;
+  RankPlaces places = RankAt(3, milliseconds(50), now);
+  now += milliseconds(115);
+  places.reported_at = now;
+  CHECK_FALSE(OfferOf(places, false, now).is_admitting);
+}
+
+// Story: gateways that had only late streams waiting took every place that came
+// free, so that streams that could have been in time became late as well; half
+// a minute later all were.
+TEST_CASE("Late streams leave room for those in time") {
+  TimePoint now = kStart;
+  const RankPlaces places = RankAt(7, milliseconds(50), now);
+  CHECK(OfferOf(places, false, now).is_admitting);
+  CHECK_FALSE(OfferOf(places, true, now).is_admitting);
+}
+
+// Story: a rank turned slow for seven seconds; its group could answer nobody in
+// time and stood idle, while the other group refused callers who would have
+// been glad of a late answer.
+TEST_CASE("A slow group takes late streams only") {
+  TimePoint now = kStart;
+  RankPlaces places = RankAt(4, milliseconds(150), now);
+  SUBCASE("not at once: demand may just have jumped") {
+    CHECK_FALSE(OfferOf(places, true, now).is_admitting);
+  }
+  SUBCASE("after a while") {
+    RankLoad load = places.reported;
+    for (int pass = 0; pass < 6; ++pass) {
+      now += milliseconds(150);
+      ++load.step;
+      NoteReport(places, load, now);
+    }
+    CHECK(OfferOf(places, true, now).is_admitting);
+    CHECK(OfferOf(places, true, now).is_slow);
+    CHECK_FALSE(OfferOf(places, false, now).is_admitting);
+  }
+}
+
+TEST_CASE(
+    "A rank that is not open, slow itself or not heard of takes nothing") {
+  TimePoint now = kStart;
+  RankPlaces places = RankAt(1, milliseconds(30), now);
+  REQUIRE(OfferOf(places, false, now).is_admitting);
+  SUBCASE("not open") {
+    places.reported.is_open = false;
+  }
+  SUBCASE("slow") {
+    places.reported.pace = 6;
+  }
+  SUBCASE("not heard of") {
+    now += std::chrono::seconds(1);
+  }
+  CHECK_FALSE(OfferOf(places, false, now).is_admitting);
+}
+
+// Story: a group that was formed anew has its first map, under which the first
+// rush of callers made passes of 145 ms.
+TEST_CASE("Before a pass was seen few streams are taken") {
+  RankPlaces places{.settings = kSettings};
+  NoteReport(places, {.epoch = 2, .step = 7, .is_open = true}, kStart);
+  CHECK(LimitOf(places, kStart) == doctest::Approx(5));
+}
+
+}  // namespace bramleyspan::admission
--- /dev/null
+++ b/Tests/LibGateway/TestOffers.cc
@@ -0,0 +1,91 @@
+#include <doctest/doctest.h>
+
+#include "LibGateway/Offers.h"
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+const TimePoint kStart{std::chrono::seconds(100)};
+
+TargetTable TwoGroups() {
+  TargetTable table;
+  for (uint32_t rank = 0; rank < 16; ++rank) {
+    const std::string id = "r" + std::to_string(rank);
+    ApplyTarget(table, {.id = id,
+                        .service = "models",
+                        .address = {"10.0.0." + std::to_string(rank), 80},
+                        .slots = 12});
+    table.by_id[id].rank = RankView{.group = rank < 8 ? "a" : "b",
+                                    .rank = rank % 8,
+                                    .size = 8,
+                                    .heard = kStart};
+  }
+  return table;
+}
+
+}  // namespace
+
+TEST_CASE("The same number of ranks is asked in each group") {
+  const TargetTable table = TwoGroups();
+  for (uint64_t bits = 1; bits < 20; ++bits) {
+    size_t in_first = 0;
+    const auto ranks =
+        PickRanksToAsk(table, "models", {}, 6, bits * 7919, kStart);
+    for (const TargetView* rank : ranks) {
+      in_first += rank->rank->group == "a" ? 1 : 0;
+    }
+    CHECK(ranks.size() == 6);
+    CHECK(in_first == 3);
+  }
+}
+
+TEST_CASE("Silent, avoided, tried and leaving ranks are not asked") {
+  TargetTable table = TwoGroups();
+  for (auto& [id, view] : table.by_id) {
+    view.target.is_leaving = id != "r1" && id != "r2" && id != "r3";
+  }
+  table.by_id["r2"].rank->heard = kStart - std::chrono::seconds(2);
+  table.by_id["r3"].avoided_until = kStart + std::chrono::seconds(1);
+  const auto ranks = PickRanksToAsk(table, "models", {}, 6, 1, kStart);
+  REQUIRE(ranks.size() == 1);
+  CHECK(ranks.front()->target.id == "r1");
+  CHECK(PickRanksToAsk(table, "models", {"r1"}, 6, 1, kStart).empty());
+}
+
+// Story: after a loss of power a gateway knew all targets from the store and no
+// agent. It sent 88 requests to groups that were being formed, and all were
+// turned away.
+TEST_CASE("Ranks whose agents were not heard of yet are asked beside them") {
+  TargetTable table = TwoGroups();
+  for (auto& [id, view] : table.by_id) {
+    view.rank.reset();
+  }
+  const auto ranks = PickRanksToAsk(table, "models", {}, 6, 1, kStart);
+  REQUIRE(ranks.size() == 6);
+  CHECK(AgentIpOf(*ranks.front()) == ranks.front()->target.address.ip);
+}
+
+TEST_CASE("The rank with the most room for its limit is chosen") {
+  const auto chosen = ChooseOffer(
+      {{.target = "full", .is_admitting = false, .load = 1, .limit = 8},
+       {.target = "most", .is_admitting = true, .load = 3, .limit = 8},
+       {.target = "small", .is_admitting = true, .load = 2, .limit = 4}});
+  REQUIRE(chosen);
+  CHECK(chosen->target == "most");
+  CHECK_FALSE(ChooseOffer({{.target = "full"}}).has_value());
+}
+
+TEST_CASE("A stream that is late anyway goes to a slow group first") {
+  const auto chosen = ChooseOffer(
+      {{.target = "sound", .is_admitting = true, .load = 1, .limit = 8},
+       {.target = "slow",
+        .is_admitting = true,
+        .is_slow = true,
+        .load = 5,
+        .limit = 8}});
+  REQUIRE(chosen);
+  CHECK(chosen->target == "slow");
+}
+
+}  // namespace bramleyspan::gateway
