--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -260,6 +260,67 @@
   }
 }
 
+// Story: an owner was killed right after its hold. Its successor named the pass
+// to all agents at once, was killed as well, and a deputy that could not reach
+// rank 0 took it for armed: the group went on with two maps. Specs/MapSwitch
+// found it (variant RESUME_TELLING).
+TEST_CASE("An owner that finds a held group arms its own rank first") {
+  const TimePoint now{std::chrono::seconds(100)};
+  MapSwitch owner;
+  const auto hear = [&](Version armed) {
+    for (uint32_t rank = 0; rank < 3; ++rank) {
+      HandleStatus(owner,
+                   {.group = "g",
+                    .epoch = 1,
+                    .rank = rank,
+                    .size = 3,
+                    .is_open = true,
+                    .step = 4,
+                    .prepared = 1,
+                    .armed = rank == 0 ? armed : 0,
+                    .armed_step = rank == 0 && armed != 0 ? Step{6} : Step{0},
+                    .held = rank == 1 ? Step{6} : Step{0}},
+                   now);
+    }
+    Continue(owner, now);
+  };
+  hear(0);
+  CHECK(WishFor(owner, 0).arm_step == 6);
+  CHECK(WishFor(owner, 1).arm_step == 0);
+  hear(1);
+  CHECK(WishFor(owner, 1).arm_step == 6);
+}
+
+TEST_CASE("A deputy trusts an owner that named the pass, and only then") {
+  const TimePoint now{std::chrono::seconds(100)};
+  const auto stand_in = [&](const Wish& heard) {
+    MapSwitch deputy;
+    deputy.is_deputy = true;
+    TrustOwner(deputy, heard, 3, now);
+    for (uint32_t rank = 1; rank < 3; ++rank) {
+      HandleStatus(deputy,
+                   {.group = "g",
+                    .epoch = 1,
+                    .rank = rank,
+                    .size = 3,
+                    .is_open = true,
+                    .step = 5,
+                    .prepared = 1,
+                    .armed = 1,
+                    .armed_step = 6,
+                    .held = rank == 1 ? Step{6} : Step{0}},
+                   now);
+    }
+    Continue(deputy, now);
+    Continue(deputy, now);
+    return deputy.wish.is_released;
+  };
+  Wish heard{.epoch = 1, .version = 1, .hold_step = 6, .holder = 1};
+  CHECK_FALSE(stand_in(heard));
+  heard.arm_step = 6;
+  CHECK(stand_in(heard));
+}
+
 // Story: half of the orders got lost for a while. Each switch kept its group
 // waiting for half a second, one after the other, and no stream was on time.
 TEST_CASE("A group rests from switches after one that took its time") {
