--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -146,10 +146,10 @@
   if (is_armed || (is_same && own.prepared != 0)) {
     // A deputy trusts that an owner's rank is armed once the owner names the
     // pass; that holds for one that finds the group held, too.
-    Enter(map_switch,
-          map_switch.is_deputy ? SwitchPhase::kArming
-                               : SwitchPhase::kArmingOwner,
-          now);
+    Enter(
+        map_switch,
+        map_switch.is_deputy ? SwitchPhase::kArming : SwitchPhase::kArmingOwner,
+        now);
   }
 }
 
