Gateway: Say in a request's last line what made it late

The line 'ended' now bears the group, the time of the first event and the longest pause. No behaviour changes.

--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -541,6 +541,9 @@
       {{"request", this->id},
        {"outcome", std::string(outcome)},
        {"status", std::to_string(status)},
+       {"group", this->group},
+       {"first_event_ms", Text(this->first_event_after)},
+       {"longest_pause_ms", Text(this->longest_pause)},
        {"took_ms", Text(took)}});
 }
 
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -134,6 +134,9 @@
   bool has_started_answer = false;
   std::optional<uint64_t> last_event;
   TimePoint last_event_at;
+  // What makes a stream late, for the log.
+  Duration first_event_after{};
+  Duration longest_pause{};
   gateway::EventReader events;
   bool is_finished = false;
 };
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -1,4 +1,5 @@
 // What comes back from a target: checked, passed on, or taken for a failure.
+#include <algorithm>
 #include <utility>
 
 #include "LibTelemetry/Log.h"
@@ -70,18 +71,19 @@
   const TimePoint now = EventLoop::Now();
   if (!std::exchange(this->has_started_answer, true)) {
     this->exchange->StartStream(this->answer->status, this->AnswerHeaders());
+    this->first_event_after = now - this->arrived;
     telemetry::Observe(kFirstEventTime, {{"service", this->service}},
-                       now - this->arrived);
+                       this->first_event_after);
     Log(LogLevel::kInfo, "forward", "first_event",
         {{"request", this->id},
          {"target", this->target_id},
-         {"after_ms", Text(now - this->arrived)}});
+         {"after_ms", Text(this->first_event_after)}});
   } else {
-    gateway::NotePause(this->state.places, this->group,
-                       now - this->last_event_at, this->route->longest_pause,
-                       now);
-    telemetry::Observe(kPauseTime, {{"service", this->service}},
-                       now - this->last_event_at);
+    const Duration pause = now - this->last_event_at;
+    this->longest_pause = std::max(this->longest_pause, pause);
+    gateway::NotePause(this->state.places, this->group, pause,
+                       this->route->longest_pause, now);
+    telemetry::Observe(kPauseTime, {{"service", this->service}}, pause);
   }
   this->SettlePlace();
   this->last_event_at = now;
