LibMapSwitch: Hold a group at the next pass where the arms have time

Cause: after a jump of demand passes take 110 ms, and a group was held two passes ahead although arming takes 20 ms and the pass under way had often just begun; a switch also waited up to a tick between 'prepared' and 'hold'. Ruled out: arming itself (18 to 20 ms from hold to the last arm in the logs). Now what is left of the pass under way counts, as it was first seen, less 20 ms, and the hold is chosen in the same step. Test seen to fail first (held at 42 in place of 41).

--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -26,6 +26,8 @@
 // An order's way to the server and its effect's way back into a report.
 constexpr Duration kOrderTime = std::chrono::milliseconds(15);
 constexpr Duration kShortestPass = std::chrono::milliseconds(10);
+// How late the beginning of a pass may show in a report.
+constexpr Duration kPassSeenLate = std::chrono::milliseconds(20);
 
 bool is_fresh(const std::optional<HeardStatus>& rank, TimePoint now) {
   return rank && now - rank->heard <= kFresh;
@@ -69,18 +71,23 @@
   return losing >= std::max(kLeastRanks, map_switch.ranks.size() / 3 + 1);
 }
 
-// How many passes ahead the group is held. A group held at the very next pass
-// waits there until the last rank is armed, which made passes of 90 ms last
+// How many passes ahead the group is held. A group held at a pass that comes
+// before the last rank is armed waits there, which made passes of 90 ms last
 // 130, and every stream late; with the arms out before the pass is due, nothing
-// waits. Orders that get lost are repeated, which takes longer: as long as the
-// last switches took.
-Step PassesAhead(const MapSwitch& map_switch) {
+// waits. What is left of the pass under way may be enough. Orders that get lost
+// are repeated, which takes longer: as long as the last switches took.
+Step PassesAhead(const MapSwitch& map_switch, TimePoint now) {
   const Duration pass = std::max(map_switch.pass, kShortestPass);
   const Duration needed =
       std::clamp(map_switch.arming_time, kUsualArmingTime, kLongestArmingTime);
-  // The pass under way may end at any moment, so that it does not count.
-  const auto passes = 1 + (needed + pass - Duration(1)) / pass;
-  return static_cast<Step>(passes);
+  const Duration left = map_switch.pass_began + pass - kPassSeenLate - now;
+  if (left >= needed) {
+    return 1;
+  }
+  // A pass that is nearly over may end at any moment.
+  const Duration lacking = needed - std::max(left, Duration(0));
+  const auto further = (lacking + pass - Duration(1)) / pass;
+  return static_cast<Step>(1 + further);
 }
 
 // The rank that keeps the group from the nearest pass, if any does. Holds that
@@ -153,6 +160,8 @@
   }
 }
 
+void ContinueHolding(MapSwitch& map_switch, TimePoint now);
+
 void ContinuePreparing(MapSwitch& map_switch, TimePoint now) {
   const Version version = map_switch.wish.version;
   if (is_losing_orders(map_switch)) {
@@ -169,6 +178,7 @@
       });
   if (is_prepared) {
     Enter(map_switch, SwitchPhase::kHolding, now);
+    ContinueHolding(map_switch, now);
   }
 }
 
@@ -195,7 +205,7 @@
   const Step step = StatusOf(map_switch, 0).step;
   if (is_all_heard && wish.hold_step <= step) {
     wish.holder = ChooseHolder(map_switch, now);
-    wish.hold_step = step + PassesAhead(map_switch);
+    wish.hold_step = step + PassesAhead(map_switch, now);
     map_switch.is_hold_wished = true;
   }
 }
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -78,8 +78,10 @@
   TimePoint rests_until;
   // How long it lately took from the hold until all ranks were armed.
   Duration arming_time{};
-  // How long a pass of the group takes at present.
+  // How long a pass of the group takes at present, and when the one under way
+  // was first seen.
   Duration pass = std::chrono::milliseconds(50);
+  TimePoint pass_began;
   // Whether a hold may be on its way; from then on nothing is given up.
   bool is_hold_wished = false;
   // The newest version that was ever wished or seen.
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -383,4 +383,57 @@
   CHECK_FALSE(ranks.Execute(0, old_order));
 }
 
+namespace {
+
+// Four ranks that have all prepared a map, as their owner sees them.
+MapSwitch PreparedSwitch(TimePoint now) {
+  MapSwitch map_switch;
+  RankStatus status{.group = "g",
+                    .epoch = 1,
+                    .size = kRanks,
+                    .is_open = true,
+                    .step = 40,
+                    .map = 1};
+  for (status.rank = 0; status.rank < kRanks; ++status.rank) {
+    HandleStatus(map_switch, status, now);
+  }
+  StartSwitch(map_switch, ExpertLists(1, {{0}, {1}, {2}, {3}}), now);
+  status.prepared = map_switch.wish.version;
+  for (status.rank = 0; status.rank < kRanks; ++status.rank) {
+    HandleStatus(map_switch, status, now);
+  }
+  map_switch.pass = std::chrono::milliseconds(110);
+  return map_switch;
+}
+
+}  // namespace
+
+// Story: demand had jumped and passes took 110 ms. The copies were there, and
+// yet the old map ran for a whole further pass, since the group was held two
+// passes ahead although the one under way had just begun.
+TEST_CASE("A group is held at the next pass where the arms have time") {
+  const TimePoint now{std::chrono::seconds(1000)};
+  MapSwitch map_switch = PreparedSwitch(now);
+  SUBCASE("The pass has just begun") {
+    map_switch.pass_began = now - std::chrono::milliseconds(15);
+    Continue(map_switch, now);
+    CHECK(map_switch.wish.hold_step == 41);
+  }
+  SUBCASE("The pass is nearly over") {
+    map_switch.pass_began = now - std::chrono::milliseconds(80);
+    Continue(map_switch, now);
+    CHECK(map_switch.wish.hold_step == 42);
+  }
+  SUBCASE("Nothing is known of the pass") {
+    Continue(map_switch, now);
+    CHECK(map_switch.wish.hold_step == 42);
+  }
+  SUBCASE("Arms were lost lately and took long") {
+    map_switch.arming_time = std::chrono::milliseconds(150);
+    map_switch.pass_began = now;
+    Continue(map_switch, now);
+    CHECK(map_switch.wish.hold_step == 42);
+  }
+}
+
 }  // namespace bramleyspan::mapswitch
