--- /dev/null
+++ b/StandIns/UsersPlatform/Main.cc
@@ -0,0 +1,240 @@
+// Stand-in for the users' platform: its store, a group of model servers and two
+// servers of a plain service, all in one process, which knows of every run.
+// Its control address takes an operator's changes and tells what ran:
+//
+//   PUT /config          a new desired state, the body
+//   PUT /server?id=&state=   ready, draining or gone
+//   PUT /store?mode=     serving, down, silent or losing; forget drops history
+//   PUT /orders?lose=go  from now on such orders are lost; none: no longer
+//   GET /status          runs by attempt, splits and switches of the group
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+#include "StandIns/UsersPlatform/Ranks.h"
+
+ABSL_FLAG(std::string, net, "127.0", "the first two numbers of all addresses");
+ABSL_FLAG(int, pass_milliseconds, 40, "time of a pass, one event a stream");
+ABSL_FLAG(int, work_milliseconds, 50, "time of a plain request");
+
+namespace bramleyspan::standins {
+
+namespace {
+
+using nlohmann::json;
+
+struct PlainServer {
+  std::string id;
+  std::string service;
+  std::string address;
+};
+
+struct Platform {
+  EventLoop loop;
+  UsersStore store;
+  StandInGroup group;
+  std::vector<PlainServer> plain;
+  std::map<std::string, uint64_t> runs;
+  // Runs by server.
+  std::map<std::string, uint64_t> runs_at;
+  std::vector<std::unique_ptr<http::Ingress>> listeners;
+};
+
+std::string WriteServer(const std::string& service,
+                        const std::string& address,
+                        const std::string& state) {
+  return json{{"service", service}, {"address", address},
+              {"zone", "a"},        {"version", 1},
+              {"slots", 8},         {"state", state},
+              {"cold_left_ms", 0},  {"seq", 1}}
+      .dump();
+}
+
+void SetServer(Platform& platform,
+               const std::string& id,
+               const std::string& state) {
+  std::string service = "chat";
+  std::string address;
+  for (const StandInRank& rank : platform.group.ranks) {
+    address = rank.id == id ? rank.address : address;
+  }
+  for (const PlainServer& server : platform.plain) {
+    if (server.id == id) {
+      service = server.service;
+      address = server.address;
+    }
+  }
+  if (state == "gone") {
+    Remove(platform.store, "servers/" + id);
+  } else {
+    Put(platform.store, "servers/" + id, WriteServer(service, address, state));
+  }
+}
+
+void HandlePlain(Platform& platform,
+                 const PlainServer& server,
+                 const http::IngressRequest& request,
+                 const ExchangePointer& exchange) {
+  const std::string expected(
+      http::FindHeader(request.headers, "x-expect-instance"));
+  const std::string attempt(http::FindHeader(request.headers, "x-attempt-id"));
+  if (expected != server.id) {
+    exchange->Respond(421, {{"x-not-executed", "1"}}, "");
+    return;
+  }
+  ++platform.runs[attempt];
+  ++platform.runs_at[server.id];
+  const std::string tenant(http::FindHeader(request.headers, "x-tenant"));
+  platform.loop.RunAfter(
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_work_milliseconds)),
+      [exchange, attempt, tenant, service = server.service] {
+        exchange->Respond(
+            200,
+            {{"x-attempt-id", attempt}, {"x-server-stamp", "stamp-" + attempt}},
+            service + " " + attempt + " " + tenant);
+      });
+}
+
+void SetStore(UsersStore& store, const std::string& mode) {
+  if (mode == "forget") {
+    Forget(store);
+    return;
+  }
+  store.mode = mode == "down"     ? StoreMode::kDown
+               : mode == "silent" ? StoreMode::kSilent
+               : mode == "losing" ? StoreMode::kLosingAnswers
+                                  : StoreMode::kServing;
+}
+
+void HandleControl(Platform& platform,
+                   const http::IngressRequest& request,
+                   const ExchangePointer& exchange) {
+  if (request.path == "/config") {
+    Put(platform.store, "op/config", request.body);
+  } else if (request.path == "/server") {
+    SetServer(platform, http::FindQueryValue(request.query, "id"),
+              http::FindQueryValue(request.query, "state"));
+  } else if (request.path == "/store") {
+    SetStore(platform.store, http::FindQueryValue(request.query, "mode"));
+  }
+  if (request.path == "/orders") {
+    platform.group.is_losing_go =
+        http::FindQueryValue(request.query, "lose") == "go";
+  }
+  const auto& ranks = platform.group.ranks;
+  const auto held =
+      std::count_if(ranks.begin(), ranks.end(),
+                    [](const StandInRank& rank) { return rank.held != 0; });
+  const auto armed =
+      std::count_if(ranks.begin(), ranks.end(),
+                    [](const StandInRank& rank) { return rank.armed != 0; });
+  const json status = {{"runs", platform.runs},
+                       {"runs_at", platform.runs_at},
+                       {"splits", platform.group.splits},
+                       {"switches", platform.group.switches},
+                       {"held", held},
+                       {"armed", armed},
+                       {"step", platform.group.step}};
+  exchange->Respond(200, {{"content-type", "application/json"}},
+                    status.dump() + "\n");
+}
+
+bool Listen(Platform& platform,
+            const std::string& address,
+            http::IngressHandler handler) {
+  auto guarded = [handler = std::move(handler)](
+                     const http::IngressRequest& request,
+                     const ExchangePointer& exchange) {
+    try {
+      handler(request, exchange);
+    } catch (const std::exception& failure) {
+      exchange->Respond(400, {}, failure.what());
+    }
+  };
+  auto listener = http::Ingress::Listen(
+      platform.loop, ParseAddress(address).value(), {}, std::move(guarded));
+  if (listener.has_error()) {
+    std::cerr << Describe(listener.error()) << "\n";
+    return false;
+  }
+  platform.listeners.push_back(std::move(listener).assume_value());
+  return true;
+}
+
+bool ListenAll(Platform& platform, const std::string& net) {
+  bool is_listening =
+      Listen(platform, net + ".0.20:7000",
+             [&platform](const auto& request, const auto& exchange) {
+               HandleStoreCall(platform.store, request, exchange);
+             }) &&
+      Listen(platform, net + ".0.20:7001",
+             [&platform](const auto& request, const auto& exchange) {
+               HandleControl(platform, request, exchange);
+             });
+  for (StandInRank& rank : platform.group.ranks) {
+    is_listening =
+        is_listening &&
+        Listen(platform, rank.address,
+               [&platform, &rank](const auto& request, const auto& exchange) {
+                 HandleRankCall(platform.group, rank, request, exchange);
+               });
+  }
+  for (const PlainServer& server : platform.plain) {
+    is_listening =
+        is_listening &&
+        Listen(platform, server.address,
+               [&platform, &server](const auto& request, const auto& exchange) {
+                 HandlePlain(platform, server, request, exchange);
+               });
+  }
+  return is_listening;
+}
+
+void AdvanceForever(Platform& platform) {
+  constexpr Duration kInterval = std::chrono::milliseconds(20);
+  Advance(platform.store, EventLoop::Now());
+  platform.loop.RunAfter(kInterval, [&platform] { AdvanceForever(platform); });
+}
+
+void PassForever(Platform& platform) {
+  BeginPass(platform.group);
+  platform.loop.RunAfter(
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_pass_milliseconds)),
+      [&platform] { PassForever(platform); });
+}
+
+int Run() {
+  const std::string net = absl::GetFlag(FLAGS_net);
+  Platform platform;
+  platform.group = MakeGroup({net + ".2.1:8000", net + ".2.2:8000"});
+  platform.group.runs = &platform.runs;
+  platform.plain = {{"plain-1", "billing", net + ".3.1:8000"},
+                    {"plain-2", "billing", net + ".3.2:8000"},
+                    {"other-1", "archive", net + ".3.3:8000"}};
+  if (!ListenAll(platform, net)) {
+    return 1;
+  }
+  for (const StandInRank& rank : platform.group.ranks) {
+    SetServer(platform, rank.id, "ready");
+  }
+  for (const PlainServer& server : platform.plain) {
+    SetServer(platform, server.id, "ready");
+  }
+  AdvanceForever(platform);
+  PassForever(platform);
+  platform.loop.OnStopSignal([&platform] { platform.loop.Stop(); });
+  platform.loop.Run();
+  return 0;
+}
+
+}  // namespace
+
+}  // namespace bramleyspan::standins
+
+int main(int count, char** arguments) {
+  absl::ParseCommandLine(count, arguments);
+  return bramleyspan::standins::Run();
+}
--- /dev/null
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -0,0 +1,248 @@
+#include "StandIns/UsersPlatform/Ranks.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace bramleyspan::standins {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr Duration kCopyTime = std::chrono::milliseconds(60);
+constexpr uint64_t kEventsOfStream = 20;
+// Choices of one stream in one pass; the first expert of each set takes most.
+constexpr uint64_t kHotChoices = 200;
+constexpr uint64_t kOtherChoices = 20;
+
+void RespondJson(const ExchangePointer& exchange,
+                 int status,
+                 const json& body) {
+  exchange->Respond(status, {{"content-type", "application/json"}},
+                    body.dump());
+}
+
+size_t IndexOf(const StandInGroup& group, const StandInRank& rank) {
+  return static_cast<size_t>(&rank - group.ranks.data());
+}
+
+bool is_prepared(const StandInRank& rank) {
+  return rank.prepared != 0 && EventLoop::Now() >= rank.copied_at;
+}
+
+json Report(const StandInGroup& group, const StandInRank& rank) {
+  json report = {{"stage", "both"},
+                 {"busy", false},
+                 {"seq", rank.sequence},
+                 {"queued", 0},
+                 {"running", rank.streams.size()},
+                 {"pace", 1.0},
+                 {"group",
+                  {{"name", "g"},
+                   {"epoch", 1},
+                   {"rank", IndexOf(group, rank)},
+                   {"state", "open"},
+                   {"size", group.ranks.size()}}},
+                 {"step", group.step},
+                 {"map", rank.map_version}};
+  report["prepared"] = is_prepared(rank) ? rank.prepared : 0;
+  report["armed"] = {{"version", rank.armed}, {"step", rank.armed_step}};
+  report["held"] = rank.held;
+  return report;
+}
+
+void Picked(const StandInGroup& group,
+            const StandInRank& rank,
+            bool wants_lists,
+            const ExchangePointer& exchange) {
+  if (!wants_lists) {
+    RespondJson(exchange, 200,
+                {{"step", group.step}, {"epoch", 1}, {"counts", rank.counts}});
+    return;
+  }
+  json experts = json::array();
+  for (const auto& set : rank.map) {
+    experts.push_back(set[IndexOf(group, rank)]);
+  }
+  RespondJson(exchange, 200,
+              {{"map", {{"version", rank.map_version}, {"experts", experts}}}});
+}
+
+// The status of an order that the rank's state decides.
+int Prepare(StandInRank& rank, const json& order) {
+  const uint64_t version = order.at("version").get<uint64_t>();
+  if (version == rank.prepared) {
+    return 200;
+  }
+  if (version <= rank.newest || rank.armed != 0) {
+    return 409;
+  }
+  rank.newest = rank.prepared = version;
+  rank.prepared_map = order.at("map").get<MapLists>();
+  rank.copied_at = EventLoop::Now() + kCopyTime;
+  return 202;
+}
+
+int Arm(const StandInGroup& group, StandInRank& rank, const json& order) {
+  const uint64_t version = order.at("version").get<uint64_t>();
+  const uint64_t step = order.at("step").get<uint64_t>();
+  if (version != rank.prepared || !is_prepared(rank) || step <= group.step) {
+    return 409;
+  }
+  rank.armed = version;
+  rank.armed_step = step;
+  return 200;
+}
+
+int Hold(const StandInGroup& group, StandInRank& rank, const json& order) {
+  const uint64_t step = order.at("step").get<uint64_t>();
+  if (step <= group.step || (rank.held != 0 && rank.held != step)) {
+    return 409;
+  }
+  rank.held = step;
+  return 200;
+}
+
+int Go(StandInRank& rank, const json& order) {
+  if (rank.held == order.at("step").get<uint64_t>()) {
+    rank.held = 0;
+  }
+  return 200;
+}
+
+int Carry(const StandInGroup& group, StandInRank& rank, const json& order) {
+  if (order.value("epoch", uint64_t{1}) != 1) {
+    return 409;
+  }
+  const std::string operation = order.at("op").get<std::string>();
+  if (operation == "prepare") {
+    return Prepare(rank, order);
+  }
+  if (operation == "arm") {
+    return Arm(group, rank, order);
+  }
+  if (operation == "hold") {
+    return Hold(group, rank, order);
+  }
+  return operation == "go" ? Go(rank, order) : 400;
+}
+
+void StartStream(StandInGroup& group,
+                 StandInRank& rank,
+                 const http::IngressRequest& request,
+                 const ExchangePointer& exchange) {
+  const std::string expected(
+      http::FindHeader(request.headers, "x-expect-instance"));
+  const std::string attempt(http::FindHeader(request.headers, "x-attempt-id"));
+  if (expected != rank.id) {
+    exchange->Respond(421, {{"x-not-executed", "1"}}, "");
+    return;
+  }
+  ++(*group.runs)[attempt];
+  RunningStream stream{.exchange = exchange, .attempt = attempt};
+  const std::string resumed(http::FindHeader(request.headers, "last-event-id"));
+  if (!resumed.empty()) {
+    stream.next_event = std::stoull(resumed) + 1;
+  }
+  stream.last_event = kEventsOfStream;
+  exchange->StartStream(200, {{"content-type", "text/event-stream"},
+                              {"x-attempt-id", attempt},
+                              {"x-server-stamp", "stamp-" + attempt}});
+  const uint64_t number = ++group.last_stream;
+  exchange->OnGone([&rank, number] { rank.streams.erase(number); });
+  rank.streams.emplace(number, std::move(stream));
+}
+
+void Advance(StandInRank& rank) {
+  for (auto found = rank.streams.begin(); found != rank.streams.end();) {
+    RunningStream& stream = found->second;
+    const std::string id = std::to_string(stream.next_event);
+    stream.exchange->Write("id: " + id + "\ndata: " + stream.attempt + "#" +
+                           id + "\n\n");
+    if (stream.next_event++ < stream.last_event) {
+      ++found;
+      continue;
+    }
+    stream.exchange->Finish();
+    found = rank.streams.erase(found);
+  }
+}
+
+void Count(StandInRank& rank) {
+  for (size_t i = 0; i < rank.counts.size(); ++i) {
+    rank.counts[i] +=
+        rank.streams.size() * (i % kExperts == 0 ? kHotChoices : kOtherChoices);
+  }
+}
+
+}  // namespace
+
+StandInGroup MakeGroup(const std::vector<std::string>& addresses) {
+  StandInGroup group;
+  MapLists map(kSets, std::vector<std::vector<uint16_t>>(addresses.size()));
+  for (auto& set : map) {
+    for (uint16_t expert = 0; expert < kExperts; ++expert) {
+      set[expert % addresses.size()].push_back(expert);
+    }
+  }
+  for (const std::string& address : addresses) {
+    group.ranks.push_back({.id = "rank-" + std::to_string(group.ranks.size()),
+                           .address = address,
+                           .map = map});
+  }
+  return group;
+}
+
+void BeginPass(StandInGroup& group) {
+  const bool has_work =
+      std::any_of(group.ranks.begin(), group.ranks.end(),
+                  [](const auto& rank) { return !rank.streams.empty(); });
+  const bool is_held = std::any_of(
+      group.ranks.begin(), group.ranks.end(),
+      [&](const auto& rank) { return rank.held == group.step + 1; });
+  if (!has_work || is_held) {
+    return;
+  }
+  ++group.step;
+  for (StandInRank& rank : group.ranks) {
+    if (rank.armed != 0 && rank.armed_step == group.step) {
+      rank.map_version = rank.armed;
+      rank.map = rank.prepared_map;
+      rank.armed = rank.armed_step = rank.prepared = 0;
+      ++group.switches;
+    }
+  }
+  const auto& first = group.ranks.front();
+  const bool is_split = std::any_of(
+      group.ranks.begin(), group.ranks.end(), [&first](const auto& rank) {
+        return rank.map_version != first.map_version || rank.map != first.map;
+      });
+  group.splits += is_split ? 1 : 0;
+  for (StandInRank& rank : group.ranks) {
+    Count(rank);
+    Advance(rank);
+  }
+}
+
+void HandleRankCall(StandInGroup& group,
+                    StandInRank& rank,
+                    const http::IngressRequest& request,
+                    const ExchangePointer& exchange) {
+  if (request.path == "/report") {
+    RespondJson(exchange, 200, Report(group, rank));
+  } else if (request.path == "/picked") {
+    const bool wants_lists =
+        !http::FindQueryValue(request.query, "lists").empty();
+    Picked(group, rank, wants_lists, exchange);
+  } else if (request.path == "/order") {
+    const json order = json::parse(request.body);
+    if (group.is_losing_go && order.value("op", "") == "go") {
+      return;
+    }
+    RespondJson(exchange, Carry(group, rank, order), json::object());
+  } else {
+    StartStream(group, rank, request, exchange);
+  }
+}
+
+}  // namespace bramleyspan::standins
--- /dev/null
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -0,0 +1,69 @@
+// A group of the users' model servers: ranks that begin each pass together, on
+// maps that they take by orders. It checks the rule that the system must keep:
+// no pass begins while two ranks have different maps.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "StandIns/UsersPlatform/Store.h"
+
+namespace bramleyspan::standins {
+
+constexpr uint32_t kSets = 2;
+constexpr uint32_t kExperts = 8;
+constexpr uint32_t kPlaces = 6;
+
+// The experts of each set and rank.
+using MapLists = std::vector<std::vector<std::vector<uint16_t>>>;
+
+struct RunningStream {
+  ExchangePointer exchange;
+  std::string attempt;
+  uint64_t next_event = 1;
+  uint64_t last_event = 0;
+};
+
+struct StandInRank {
+  std::string id;
+  std::string address;
+  uint64_t sequence = 0;
+  uint64_t map_version = 0;
+  MapLists map;
+  uint64_t prepared = 0;
+  MapLists prepared_map;
+  TimePoint copied_at;
+  uint64_t newest = 0;
+  uint64_t armed = 0;
+  uint64_t armed_step = 0;
+  uint64_t held = 0;
+  std::vector<uint64_t> counts = std::vector<uint64_t>(kSets * kExperts, 0);
+  std::map<uint64_t, RunningStream> streams;
+};
+
+struct StandInGroup {
+  std::vector<StandInRank> ranks;
+  uint64_t step = 0;
+  uint64_t last_stream = 0;
+  // Passes that began while two ranks had different maps.
+  uint64_t splits = 0;
+  uint64_t switches = 0;
+  // Whether orders to go on are lost before they are carried out.
+  bool is_losing_go = false;
+  // How often each attempt began to run, at these and at plain servers.
+  std::map<std::string, uint64_t>* runs = nullptr;
+};
+
+StandInGroup MakeGroup(const std::vector<std::string>& addresses);
+
+// Begins the next pass if nothing holds the group and something runs.
+void BeginPass(StandInGroup& group);
+
+void HandleRankCall(StandInGroup& group,
+                    StandInRank& rank,
+                    const http::IngressRequest& request,
+                    const ExchangePointer& exchange);
+
+}  // namespace bramleyspan::standins
--- /dev/null
+++ b/Tests/Process/UsersPlatform.sh
@@ -0,0 +1,76 @@
+# Functions for tests of gateways and ranks' agents on a stand-in of the users'
+# platform: sourced after Prelude.sh.
+CONTROL=http://$NET.0.20:7001
+HOST=app.test
+
+# desired_state VERSION INVOICE-SERVICE [EXTRA-ROUTE]: one as operators write it.
+desired_state() {
+  local route='{"host":"app.test","timeout_ms":5000,"max_attempts":2,"priority":1'
+  local extra=""
+  if [ -n "${3:-}" ]; then
+    extra=",$route,\"name\":\"extra\",\"path_prefix\":\"/$3/\",\"route_kind\":\"idempotent\",\"service\":\"billing\",\"target_latency_ms\":500}"
+  fi
+  cat <<JSON
+{"version":$1,
+ "routes":[
+  $route,"name":"draft","path_prefix":"/draft/","route_kind":"streaming","resumable":true,
+   "service":"chat","target_latency_ms":500,"target_gap_ms":120},
+  $route,"name":"issue","path_prefix":"/issue/","route_kind":"non_idempotent",
+   "service":"$2","target_latency_ms":500}$extra],
+ "services":[{"name":"billing"},{"name":"archive"},
+  {"name":"chat","engine":{"slots":8,"stride":4,"step_ms":5,"per_seq_ms":1,"read_per_s":60000,
+   "sets":2,"experts":8,"placements":6,"spare":4,"expert_mb":10,"link_mbps":1000}}],
+ "limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":10000},
+ "tenants":[{"name":"huber","api_keys":["key-huber"]}]}
+JSON
+}
+
+# configure VERSION INVOICE-SERVICE [EXTRA-ROUTE]: the operator changes it.
+configure() { desired_state "$@" | curl -sf -X PUT "$CONTROL/config" --data-binary @- -o /dev/null; }
+set_server() { curl -sf -X PUT "$CONTROL/server?id=$1&state=$2" -o /dev/null; }
+set_store() { curl -sf -X PUT "$CONTROL/store?mode=$1" -o /dev/null; }
+platform_status() { curl -sf "$CONTROL/status"; }
+
+# runs_of ATTEMPT: how often it began to run anywhere.
+runs_of() { platform_status | grep -o "\"$1\":[0-9]*" | cut -d: -f2 || true; }
+number_of() { platform_status | grep -o "\"$1\":[0-9]*" | cut -d: -f2; }
+
+start_gateway() {
+  spawn "gateway-$1" env -u BRAMLEYSPAN_TEST_NET "$BIN/bramleyspand" --role=gateway \
+    --name="gateway-$1" --zone=a --ip="$NET.1.$1" --store="$NET.0.20:7000" \
+    --callers="$NET.1.$1:8080" --directory="$NET.1.$1:8081" --readiness="$NET.1.$1:8082" \
+    --peer_ports=7340,7355 --seeds="$NET.1.1:1,$NET.1.2:1" --repeat_ratio=0.2 --repeat_slack=10 \
+    --repeat_window_seconds=10 --stop_bound_seconds=8 --notice_bound_milliseconds=3000
+}
+
+start_rank() {
+  spawn "rank-$1" env -u BRAMLEYSPAN_TEST_NET "$BIN/bramleyspand" --role=rank --name="rank-$1" \
+    --zone=a --ip="$NET.2.$1" --store="$NET.0.20:7000" --engine="$NET.2.$1:8000" \
+    --peer_ports=7340,7355 --seeds="$NET.1.1:1,$NET.1.2:1"
+}
+
+is_ready() { curl -sf -m 1 -o /dev/null "http://$NET.1.$1:8082/readiness"; }
+
+start_platform_and_system() {
+  spawn platform "$BIN/StandInUsersPlatform" --net="$NET" ${PLATFORM_FLAGS:-}
+  wait_for "the platform" platform_status
+  configure 3 billing
+  for n in 1 2; do start_gateway "$n"; start_rank "$n"; done
+  for n in 1 2; do wait_for "gateway-$n" is_ready "$n"; done
+}
+
+# request GATEWAY ATTEMPT PATH CURL-ARGUMENTS...: a caller's request.
+request() {
+  local gateway=$1 attempt=$2 path=$3
+  shift 3
+  curl -sS -m 10 -H "Host: $HOST" -H "X-Attempt-Id: $attempt" -H "X-Api-Key: key-huber" \
+    -H "X-Deadline-Ms: 5000" "http://$NET.1.$gateway:8080$path" "$@"
+}
+
+status_of() { request "$@" -o /dev/null -w '%{http_code}'; }
+
+# is_whole_stream FILE ATTEMPT: whether all 20 events of this attempt are there,
+# each once and in order.
+is_whole_stream() {
+  diff <(grep '^data:' "$1") <(for n in $(seq 20); do echo "data: $2#$n"; done) >/dev/null
+}
