Rank, LibPlatform: Tell counts in bytes, a map once, and let watches rest

Worked out: 31 ranks told 12 x 128 counts of four bytes in each of 18 passes a second, 27 Mbit/s into the owner's link; the wish repeated a map of 3.8 KB to each rank every 30 ms; each of 67 servers' records woke a watch at 42 gateways.

Now: counts are a byte each, and in a group of 32 a quarter of the ranks tells of each pass; the map goes to those that have not said that they have it, again after 80 ms; after changes a watch rests for 0.12 s (the bound is 2 s). Tests: packing, turns, the rest. Ruled out: nothing.

--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -940,11 +940,13 @@
 struct RankNewsT : public flatbuffers::NativeTable {
   typedef RankNews TableType;
   std::unique_ptr<bramleyspan::membership::wire::RankStatusT> status{};
-  std::vector<uint32_t> counts{};
+  std::vector<uint8_t> counts{};
+  float count_unit = 0.0f;
   uint64_t counts_epoch = 0;
   uint64_t counts_step = 0;
   std::vector<uint16_t> experts{};
   std::vector<uint16_t> lengths{};
+  uint64_t wish_version = 0;
   RankNewsT() = default;
   RankNewsT(const RankNewsT &o);
   RankNewsT(RankNewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -958,16 +960,21 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_STATUS = 4,
     VT_COUNTS = 6,
-    VT_COUNTS_EPOCH = 8,
-    VT_COUNTS_STEP = 10,
-    VT_EXPERTS = 12,
-    VT_LENGTHS = 14
+    VT_COUNT_UNIT = 8,
+    VT_COUNTS_EPOCH = 10,
+    VT_COUNTS_STEP = 12,
+    VT_EXPERTS = 14,
+    VT_LENGTHS = 16,
+    VT_WISH_VERSION = 18
   };
   const bramleyspan::membership::wire::RankStatus *status() const {
     return GetPointer<const bramleyspan::membership::wire::RankStatus *>(VT_STATUS);
   }
-  const flatbuffers::Vector<uint32_t> *counts() const {
-    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_COUNTS);
+  const flatbuffers::Vector<uint8_t> *counts() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COUNTS);
+  }
+  float count_unit() const {
+    return GetField<float>(VT_COUNT_UNIT, 0.0f);
   }
   uint64_t counts_epoch() const {
     return GetField<uint64_t>(VT_COUNTS_EPOCH, 0);
@@ -981,18 +988,23 @@
   const flatbuffers::Vector<uint16_t> *lengths() const {
     return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_LENGTHS);
   }
+  uint64_t wish_version() const {
+    return GetField<uint64_t>(VT_WISH_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_STATUS) &&
            verifier.VerifyTable(status()) &&
            VerifyOffset(verifier, VT_COUNTS) &&
            verifier.VerifyVector(counts()) &&
+           VerifyField<float>(verifier, VT_COUNT_UNIT, 4) &&
            VerifyField<uint64_t>(verifier, VT_COUNTS_EPOCH, 8) &&
            VerifyField<uint64_t>(verifier, VT_COUNTS_STEP, 8) &&
            VerifyOffset(verifier, VT_EXPERTS) &&
            verifier.VerifyVector(experts()) &&
            VerifyOffset(verifier, VT_LENGTHS) &&
            verifier.VerifyVector(lengths()) &&
+           VerifyField<uint64_t>(verifier, VT_WISH_VERSION, 8) &&
            verifier.EndTable();
   }
   RankNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1007,9 +1019,12 @@
   void add_status(flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> status) {
     fbb_.AddOffset(RankNews::VT_STATUS, status);
   }
-  void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts) {
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> counts) {
     fbb_.AddOffset(RankNews::VT_COUNTS, counts);
   }
+  void add_count_unit(float count_unit) {
+    fbb_.AddElement<float>(RankNews::VT_COUNT_UNIT, count_unit, 0.0f);
+  }
   void add_counts_epoch(uint64_t counts_epoch) {
     fbb_.AddElement<uint64_t>(RankNews::VT_COUNTS_EPOCH, counts_epoch, 0);
   }
@@ -1022,6 +1037,9 @@
   void add_lengths(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths) {
     fbb_.AddOffset(RankNews::VT_LENGTHS, lengths);
   }
+  void add_wish_version(uint64_t wish_version) {
+    fbb_.AddElement<uint64_t>(RankNews::VT_WISH_VERSION, wish_version, 0);
+  }
   explicit RankNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1036,16 +1054,20 @@
 inline flatbuffers::Offset<RankNews> CreateRankNews(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> status = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> counts = 0,
+    float count_unit = 0.0f,
     uint64_t counts_epoch = 0,
     uint64_t counts_step = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths = 0,
+    uint64_t wish_version = 0) {
   RankNewsBuilder builder_(_fbb);
+  builder_.add_wish_version(wish_version);
   builder_.add_counts_step(counts_step);
   builder_.add_counts_epoch(counts_epoch);
   builder_.add_lengths(lengths);
   builder_.add_experts(experts);
+  builder_.add_count_unit(count_unit);
   builder_.add_counts(counts);
   builder_.add_status(status);
   return builder_.Finish();
@@ -1059,22 +1081,26 @@
 inline flatbuffers::Offset<RankNews> CreateRankNewsDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> status = 0,
-    const std::vector<uint32_t> *counts = nullptr,
+    const std::vector<uint8_t> *counts = nullptr,
+    float count_unit = 0.0f,
     uint64_t counts_epoch = 0,
     uint64_t counts_step = 0,
     const std::vector<uint16_t> *experts = nullptr,
-    const std::vector<uint16_t> *lengths = nullptr) {
-  auto counts__ = counts ? _fbb.CreateVector<uint32_t>(*counts) : 0;
+    const std::vector<uint16_t> *lengths = nullptr,
+    uint64_t wish_version = 0) {
+  auto counts__ = counts ? _fbb.CreateVector<uint8_t>(*counts) : 0;
   auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
   auto lengths__ = lengths ? _fbb.CreateVector<uint16_t>(*lengths) : 0;
   return bramleyspan::membership::wire::CreateRankNews(
       _fbb,
       status,
       counts__,
+      count_unit,
       counts_epoch,
       counts_step,
       experts__,
-      lengths__);
+      lengths__,
+      wish_version);
 }
 
 flatbuffers::Offset<RankNews> CreateRankNews(flatbuffers::FlatBufferBuilder &_fbb, const RankNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1913,19 +1939,23 @@
 inline RankNewsT::RankNewsT(const RankNewsT &o)
       : status((o.status) ? new bramleyspan::membership::wire::RankStatusT(*o.status) : nullptr),
         counts(o.counts),
+        count_unit(o.count_unit),
         counts_epoch(o.counts_epoch),
         counts_step(o.counts_step),
         experts(o.experts),
-        lengths(o.lengths) {
+        lengths(o.lengths),
+        wish_version(o.wish_version) {
 }
 
 inline RankNewsT &RankNewsT::operator=(RankNewsT o) FLATBUFFERS_NOEXCEPT {
   std::swap(status, o.status);
   std::swap(counts, o.counts);
+  std::swap(count_unit, o.count_unit);
   std::swap(counts_epoch, o.counts_epoch);
   std::swap(counts_step, o.counts_step);
   std::swap(experts, o.experts);
   std::swap(lengths, o.lengths);
+  std::swap(wish_version, o.wish_version);
   return *this;
 }
 
@@ -1939,11 +1969,13 @@
   (void)_o;
   (void)_resolver;
   { auto _e = status(); if (_e) _o->status = std::unique_ptr<bramleyspan::membership::wire::RankStatusT>(_e->UnPack(_resolver)); }
-  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->counts[_i] = _e->Get(_i); } } }
+  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->counts.begin()); } }
+  { auto _e = count_unit(); _o->count_unit = _e; }
   { auto _e = counts_epoch(); _o->counts_epoch = _e; }
   { auto _e = counts_step(); _o->counts_step = _e; }
   { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->experts[_i] = _e->Get(_i); } } }
   { auto _e = lengths(); if (_e) { _o->lengths.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lengths[_i] = _e->Get(_i); } } }
+  { auto _e = wish_version(); _o->wish_version = _e; }
 }
 
 inline flatbuffers::Offset<RankNews> RankNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1956,18 +1988,22 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RankNewsT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _status = _o->status ? CreateRankStatus(_fbb, _o->status.get(), _rehasher) : 0;
   auto _counts = _o->counts.size() ? _fbb.CreateVector(_o->counts) : 0;
+  auto _count_unit = _o->count_unit;
   auto _counts_epoch = _o->counts_epoch;
   auto _counts_step = _o->counts_step;
   auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
   auto _lengths = _o->lengths.size() ? _fbb.CreateVector(_o->lengths) : 0;
+  auto _wish_version = _o->wish_version;
   return bramleyspan::membership::wire::CreateRankNews(
       _fbb,
       _status,
       _counts,
+      _count_unit,
       _counts_epoch,
       _counts_step,
       _experts,
-      _lengths);
+      _lengths,
+      _wish_version);
 }
 
 inline MapWishT *MapWish::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Libraries/LibPlacement/PassChoices.cc
+++ b/Libraries/LibPlacement/PassChoices.cc
@@ -1,5 +1,7 @@
 #include "LibPlacement/PassChoices.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bramleyspan::placement {
@@ -9,6 +11,17 @@
 // Agents read their ranks every 30 ms, and datagrams take a millisecond.
 constexpr Duration kLongestWait = std::chrono::milliseconds(45);
 
+// Ranks that tell of one pass, more or less: enough for what is in demand.
+constexpr uint32_t kTellersPerPass = 8;
+
+uint32_t CountTellers(uint32_t ranks, uint64_t step) {
+  uint32_t count = 0;
+  for (uint32_t rank = 0; rank < ranks; ++rank) {
+    count += is_teller(rank, ranks, step) ? 1 : 0;
+  }
+  return count;
+}
+
 std::optional<Choices> GiveOut(PassChoices& pass) {
   if (std::exchange(pass.is_given_out, true)) {
     return std::nullopt;
@@ -40,6 +53,35 @@
 
 }  // namespace
 
+bool is_teller(uint32_t rank, uint32_t ranks, uint64_t step) {
+  const uint32_t turns = std::max(1U, ranks / kTellersPerPass);
+  return rank % turns == step % turns;
+}
+
+PackedCounts PackCounts(std::span<const uint32_t> counts) {
+  constexpr float kLargest = 255;
+  PackedCounts packed;
+  const auto most = std::max_element(counts.begin(), counts.end());
+  if (most == counts.end()) {
+    return packed;
+  }
+  packed.unit = std::max(1.0F, static_cast<float>(*most) / kLargest);
+  for (const uint32_t count : counts) {
+    packed.counts.push_back(static_cast<uint8_t>(
+        std::lround(static_cast<float>(count) / packed.unit)));
+  }
+  return packed;
+}
+
+std::vector<uint32_t> UnpackCounts(const PackedCounts& packed) {
+  std::vector<uint32_t> counts;
+  for (const uint8_t count : packed.counts) {
+    counts.push_back(static_cast<uint32_t>(
+        std::lround(static_cast<float>(count) * packed.unit)));
+  }
+  return counts;
+}
+
 std::optional<Choices> AddChoices(PassChoices& pass,
                                   const RankChoices& chosen,
                                   const ChoicesShape& shape,
@@ -62,7 +104,7 @@
   }
   Add(pass, chosen);
   // One pass at a time: of two that are due the newer says more.
-  if (pass.ranks.size() >= shape.ranks) {
+  if (pass.ranks.size() >= CountTellers(shape.ranks, pass.step)) {
     return GiveOut(pass);
   }
   return overtaken;
--- a/Libraries/LibPlacement/PassChoices.h
+++ b/Libraries/LibPlacement/PassChoices.h
@@ -21,6 +21,21 @@
 // How often each expert was chosen, by set.
 using Choices = std::vector<std::vector<double>>;
 
+// Whether it is a rank's turn to tell what it chose in a pass. All ranks see
+// the same demand, and counts of 32 ranks in every pass would fill the owner's
+// link.
+bool is_teller(uint32_t rank, uint32_t ranks, uint64_t step);
+
+// Counts as small numbers of a unit: a byte each. What is lost is less than
+// 1/255 of the most chosen expert.
+struct PackedCounts {
+  std::vector<uint8_t> counts;
+  float unit = 1;
+};
+
+PackedCounts PackCounts(std::span<const uint32_t> counts);
+std::vector<uint32_t> UnpackCounts(const PackedCounts& packed);
+
 struct PassChoices {
   uint64_t epoch = 0;
   uint64_t step = 0;
@@ -41,6 +56,7 @@
 };
 
 struct ChoicesShape {
+  // Ranks of the group; those whose turn it is tell.
   uint32_t ranks = 0;
   uint32_t sets = 0;
   uint32_t experts = 0;
--- a/Libraries/LibPlatform/PrefixFeed.cc
+++ b/Libraries/LibPlatform/PrefixFeed.cc
@@ -113,7 +113,15 @@
     }
   }
   this->watched = std::max(this->watched, answer.value().revision);
-  this->Watch();
+  if (answer.value().events.empty() || this->settings.rest == Duration(0)) {
+    this->Watch();
+    return;
+  }
+  this->loop.RunAfter(this->settings.rest, [this, asked] {
+    if (asked == this->turn) {
+      this->Watch();
+    }
+  });
 }
 
 void PrefixFeed::Retry(const Error& error) {
--- a/Libraries/LibPlatform/PrefixFeed.h
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -21,6 +21,9 @@
   Duration watch_wait = std::chrono::milliseconds(1200);
   Duration watch_slack = std::chrono::milliseconds(300);
   Duration range_timeout = std::chrono::milliseconds(700);
+  // After changes the next watch waits, since they come in bursts and each
+  // watch is a call.
+  Duration rest = Duration(0);
   Duration retry_delay = std::chrono::milliseconds(150);
   // Keys that vanish together while the store was away, or just after, may be
   // back at once: their leases ran out unrenewed. They are held this long.
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -72,9 +72,12 @@
                                           const std::string& prefix) {
   constexpr Duration kReserve = std::chrono::milliseconds(800);
   constexpr Duration kShortest = std::chrono::milliseconds(500);
+  // Changes must be in force within two seconds.
+  constexpr Duration kRest = std::chrono::milliseconds(120);
   return {
       .prefix = prefix,
-      .watch_wait = std::max(kShortest, state.fleet().notice_bound - kReserve)};
+      .watch_wait = std::max(kShortest, state.fleet().notice_bound - kReserve),
+      .rest = kRest};
 }
 
 platform::FeedEvents EventsOf(
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -79,14 +79,16 @@
   if (!state.shape || news.counts.empty()) {
     return false;
   }
-  return Observe(state, placement::AddChoices(state.choices,
-                                              {.rank = news.status->rank,
-                                               .epoch = news.counts_epoch,
-                                               .step = news.counts_step,
-                                               .counts = news.counts},
-                                              {.ranks = news.status->size,
-                                               .sets = state.shape->sets,
-                                               .experts = state.shape->experts},
+  const std::vector<uint32_t> counts =
+      placement::UnpackCounts({.counts = news.counts, .unit = news.count_unit});
+  const placement::RankChoices chosen{.rank = news.status->rank,
+                                      .epoch = news.counts_epoch,
+                                      .step = news.counts_step,
+                                      .counts = counts};
+  const placement::ChoicesShape shape{.ranks = news.status->size,
+                                      .sets = state.shape->sets,
+                                      .experts = state.shape->experts};
+  return Observe(state, placement::AddChoices(state.choices, chosen, shape,
                                               EventLoop::Now()));
 }
 
@@ -200,6 +202,7 @@
   }
   RankInfo& info = state.ranks[status.rank];
   info.ip = from_ip;
+  info.wish_version = news.wish_version;
   if (info.epoch != status.epoch) {
     info.held = {};
     info.epoch = status.epoch;
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -44,6 +44,7 @@
 constexpr Duration kRepeatLostAfter = std::chrono::milliseconds(40);
 constexpr Duration kRepeatTakenAfter = std::chrono::milliseconds(1500);
 constexpr Duration kLossRemembered = std::chrono::seconds(2);
+constexpr Duration kRepeatMapAfter = std::chrono::milliseconds(80);
 constexpr Duration kOwnOrderTimeout = std::chrono::milliseconds(40);
 constexpr Duration kFarOrderInterval = std::chrono::milliseconds(500);
 
@@ -270,12 +271,16 @@
     const auto& counts = parsed.value().counts;
     const bool goes_on = last && last->epoch == parsed.value().epoch &&
                          last->counts.size() == counts.size();
-    if (goes_on) {
+    const auto& own = this->state.own;
+    // What was not told of an earlier pass would mix with this one.
+    this->state.new_counts.clear();
+    if (goes_on && own &&
+        placement::is_teller(own->rank, own->size, parsed.value().step)) {
       this->state.new_counts.resize(counts.size(), 0);
       for (size_t i = 0; i < counts.size(); ++i) {
         // Counts start anew with the rank.
         if (counts[i] >= last->counts[i]) {
-          this->state.new_counts[i] +=
+          this->state.new_counts[i] =
               static_cast<uint32_t>(counts[i] - last->counts[i]);
         }
       }
@@ -305,7 +310,13 @@
     membership::wire::RankNewsT news;
     news.status = std::make_unique<membership::wire::RankStatusT>(
         ToWire(*this->state.own, *this->state.fleet().engine));
-    news.counts = std::exchange(this->state.new_counts, {});
+    auto packed =
+        placement::PackCounts(std::exchange(this->state.new_counts, {}));
+    news.counts = std::move(packed.counts);
+    news.count_unit = packed.unit;
+    news.wish_version = this->state.wish && !this->state.wish->map.empty()
+                            ? this->state.wish->version
+                            : 0;
     if (this->state.last_counts) {
       news.counts_epoch = this->state.last_counts->epoch;
       news.counts_step = this->state.last_counts->step;
@@ -378,18 +389,7 @@
       return;
     }
     this->state.wish = mapswitch::WishFor(map_switch, 0);
-    auto wire =
-        ToWire(mapswitch::WishFor(map_switch, 1), this->state.own->group);
-    for (const auto& [rank, info] : this->state.ranks) {
-      wire.servers.push_back(Format(info.server));
-    }
-    const std::string bytes = membership::Encode(std::move(wire));
-    for (const auto& [rank, info] : this->state.ranks) {
-      if (rank != 0) {
-        this->state.datagrams->Send({info.ip, this->state.fleet().peer_port},
-                                    bytes);
-      }
-    }
+    this->SendWish(now);
     const bool is_held = map_switch.phase == mapswitch::SwitchPhase::kArming ||
                          map_switch.phase == mapswitch::SwitchPhase::kReleasing;
     if (is_held && now - map_switch.since > kSilentAgent) {
@@ -397,6 +397,34 @@
     }
   }
 
+  // The map goes only to those that do not have it yet: it is by far the most
+  // of a wish, and a wish is said many times.
+  void SendWish(TimePoint now) {
+    mapswitch::Wish wish = mapswitch::WishFor(this->state.map_switch, 1);
+    auto with_map = ToWire(wish, this->state.own->group);
+    for (const auto& [rank, info] : this->state.ranks) {
+      with_map.servers.push_back(Format(info.server));
+    }
+    const std::string whole = membership::Encode(std::move(with_map));
+    wish.map.clear();
+    const std::string brief =
+        membership::Encode(ToWire(wish, this->state.own->group));
+    for (auto& [rank, info] : this->state.ranks) {
+      if (rank == 0) {
+        continue;
+      }
+      const bool needs_map = info.wish_version != wish.version &&
+                             (info.told_version != wish.version ||
+                              now - info.map_told > kRepeatMapAfter);
+      if (needs_map) {
+        info.told_version = wish.version;
+        info.map_told = now;
+      }
+      this->state.datagrams->Send({info.ip, this->state.fleet().peer_port},
+                                  needs_map ? whole : brief);
+    }
+  }
+
   void SendOwnOrder(const Order& order) {
     this->state.is_order_underway = true;
     this->SendOrder(*this->state.fleet().engine, order, kOwnOrderTimeout,
@@ -570,7 +598,9 @@
       return;
     }
     this->state.owner_heard = EventLoop::Now();
-    this->state.group_servers.clear();
+    if (!wish.servers.empty()) {
+      this->state.group_servers.clear();
+    }
     for (const std::string& server : wish.servers) {
       const auto address = ParseAddress(server);
       if (address.has_value()) {
@@ -590,7 +620,11 @@
                         known->hold_step != wish.hold_step ||
                         known->arm_step != wish.arm_step ||
                         known->is_released != wish.is_released;
-    this->state.wish = FromWire(wish, this->state.own->size);
+    mapswitch::Wish heard = FromWire(wish, this->state.own->size);
+    if (heard.map.empty() && known && known->version == heard.version) {
+      heard.map = known->map;
+    }
+    this->state.wish = std::move(heard);
     if (is_new) {
       this->ReadReport();
     }
--- a/Services/bramleyspand/Rank/RankState.h
+++ b/Services/bramleyspand/Rank/RankState.h
@@ -41,6 +41,11 @@
   Address server;
   uint64_t epoch = 0;
   HeldExperts held;
+  // The versions of the wish whose map its agent has and was last told, and
+  // when.
+  uint64_t wish_version = 0;
+  uint64_t told_version = 0;
+  TimePoint map_told;
 };
 
 struct RankState {
--- a/Tests/LibPlacement/TestPassChoices.cc
+++ b/Tests/LibPlacement/TestPassChoices.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <cmath>
+
 #include "LibPlacement/Drift.h"
 #include "LibPlacement/PassChoices.h"
 
@@ -93,4 +95,47 @@
   CHECK(pass.is_given_out);
 }
 
+TEST_CASE("Packed counts keep who is in demand") {
+  const std::vector<uint32_t> counts{0, 1, 80'000, 4'000, 300};
+  const PackedCounts packed = PackCounts(counts);
+  CHECK(packed.counts.size() == counts.size());
+  const std::vector<uint32_t> unpacked = UnpackCounts(packed);
+  for (size_t i = 0; i < counts.size(); ++i) {
+    CHECK(std::abs(static_cast<double>(unpacked[i]) - counts[i]) <=
+          80'000 / 255);
+  }
+  const std::vector<uint32_t> few{0, 3, 255, 17};
+  CHECK(UnpackCounts(PackCounts(few)) == few);
+  CHECK(PackCounts({}).counts.empty());
+}
+
+// Story: in groups of 32 ranks no map was ever switched. What all ranks counted
+// in every pass was four times what the owner's link carries.
+TEST_CASE("In a large group a part of the ranks tells of each pass") {
+  for (uint64_t step = 1; step <= 4; ++step) {
+    int tellers = 0;
+    for (uint32_t rank = 0; rank < 32; ++rank) {
+      tellers += is_teller(rank, 32, step) ? 1 : 0;
+    }
+    CHECK(tellers == 8);
+  }
+  for (uint32_t rank = 0; rank < 8; ++rank) {
+    CHECK(is_teller(rank, 8, 5));
+  }
+  PassChoices pass;
+  constexpr ChoicesShape kLarge{.ranks = 32, .sets = 1, .experts = 4};
+  std::optional<Choices> whole;
+  const std::vector<uint32_t> counts{1, 0, 0, 0};
+  for (uint32_t rank = 0; rank < 32; ++rank) {
+    if (is_teller(rank, 32, 6)) {
+      CHECK_FALSE(whole);
+      whole = AddChoices(
+          pass, {.rank = rank, .epoch = 1, .step = 6, .counts = counts}, kLarge,
+          kStart);
+    }
+  }
+  REQUIRE(whole);
+  CHECK(whole->front()[0] == 8);
+}
+
 }  // namespace bramleyspan::placement
--- a/Tests/LibPlatform/TestPrefixFeed.cc
+++ b/Tests/LibPlatform/TestPrefixFeed.cc
@@ -21,7 +21,7 @@
   std::vector<std::string> changes;
   std::unique_ptr<PrefixFeed> feed;
 
-  ScriptedStore() {
+  explicit ScriptedStore(Duration rest = Duration(0)) {
     this->store.range = [this](const RangeCall&, auto on_done) {
       this->ranges.push_back(std::move(on_done));
     };
@@ -34,6 +34,7 @@
       this->changes.push_back((item.is_removed ? "-" : "+") + item.key);
     };
     PrefixFeedSettings settings{.prefix = "servers/",
+                                .rest = rest,
                                 .retry_delay = std::chrono::milliseconds(1),
                                 .return_grace = std::chrono::milliseconds(40)};
     this->feed =
@@ -123,4 +124,19 @@
   CHECK(fixture.feed->items().at("servers/a").is_removed);
 }
 
+// Story: at a start each of 42 gateways asked the store anew for each of 67
+// servers that registered, and calls cost a tenth of what the day earned.
+TEST_CASE("After changes a feed rests, so that a burst costs one watch") {
+  ScriptedStore fixture(std::chrono::milliseconds(10));
+  fixture.AnswerRange({}, 9);
+  fixture.AnswerWatch({{"servers/a", "1", 11}}, 11);
+  CHECK(fixture.watched_after.size() == 1);
+  fixture.RunFor(std::chrono::milliseconds(30));
+  CHECK(fixture.watched_after == std::vector<uint64_t>{9, 11});
+  SUBCASE("An answer without changes is followed at once") {
+    fixture.AnswerWatch({}, 15);
+    CHECK(fixture.watched_after.back() == 15);
+  }
+}
+
 }  // namespace bramleyspan::platform
