Rank: Give orders and wishes files of their own

Orders to servers (own, far, of silent ranks) and what the owner's wish becomes on its way are in Orders and Wishes.

--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -12,8 +12,10 @@
 #include "LibTelemetry/Metrics.h"
 #include "Services/bramleyspand/Rank/Deputy.h"
 #include "Services/bramleyspand/Rank/MapOwner.h"
+#include "Services/bramleyspand/Rank/Orders.h"
 #include "Services/bramleyspand/Rank/RankMessages.h"
 #include "Services/bramleyspand/Rank/RankState.h"
+#include "Services/bramleyspand/Rank/Wishes.h"
 #include "Services/bramleyspand/Role.h"
 
 namespace bramleyspan::rankd {
@@ -36,24 +38,17 @@
 constexpr Duration kFirstShapeInterval = std::chrono::milliseconds(300);
 constexpr Duration kOwnCallTimeout = std::chrono::milliseconds(700);
 constexpr Duration kFarCallTimeout = std::chrono::milliseconds(700);
-// An agent that has said nothing for so long while the group is held is left
-// aside: its server gets its order from here.
+// A group that is held for so long may wait for a rank whose agent is gone.
 constexpr Duration kSilentAgent = std::chrono::milliseconds(300);
-// An order that was not answered may be lost, and the whole group may wait for
-// it: it is sent again soon. One that was accepted takes its time.
-constexpr Duration kRepeatLostAfter = std::chrono::milliseconds(40);
-constexpr Duration kRepeatTakenAfter = std::chrono::milliseconds(1500);
-constexpr Duration kLossRemembered = std::chrono::seconds(2);
-constexpr Duration kRepeatMapAfter = std::chrono::milliseconds(80);
-constexpr Duration kOwnOrderTimeout = std::chrono::milliseconds(40);
-constexpr Duration kFarOrderInterval = std::chrono::milliseconds(500);
 
 class RankRole : public Role {
  public:
   RankRole(EventLoop& loop, const Settings& settings)
       : state(loop, settings),
+        wishes(this->state),
+        orders(this->state, [this] { this->ReadReport(); }),
         deputy(this->state, [this](const Address& server, const Order& order) {
-          this->SendOrder(server, order, kFarCallTimeout, [](bool, bool) {});
+          this->orders.SendFar(server, order);
         }) {}
 
   Result<void> Start() {
@@ -208,7 +203,7 @@
                            .is_open = now_state.own->is_open},
                           now_state.own_heard);
     now_state.own->is_losing_orders =
-        now_state.own_heard - this->last_order_lost < kLossRemembered;
+        this->orders.is_losing(now_state.own_heard);
     if (now_state.own_held.sets.empty() ||
         now_state.own_held.version != now_state.own->map) {
       this->ReadLists();
@@ -341,172 +336,27 @@
 
   void Act() {
     const TimePoint now = EventLoop::Now();
-    std::optional<Order> order;
     if (this->state.is_owner()) {
       LeadMap(this->state, now);
-      this->TellWish(now);
+      this->wishes.Tell(now);
+      this->OrderSilentRanks(now);
     }
-    if (this->state.wish) {
-      order = mapswitch::NextOrder(*this->state.wish, *this->state.own);
+    if (!this->state.wish) {
+      return;
     }
-    if (order && !this->state.is_order_underway &&
-        !this->is_repeat(*order, now)) {
-      this->SendOwnOrder(*order);
+    const auto order =
+        mapswitch::NextOrder(*this->state.wish, *this->state.own);
+    if (order) {
+      this->orders.SendOwn(*order, now);
     }
   }
 
-  // Whether the same order went out a moment ago. A rank that copies reports
-  // neither that it is busy nor that the map is prepared, and would be ordered
-  // again at each reading.
-  bool is_repeat(const Order& order, TimePoint now) {
-    const std::string written = this->state.adapter.write_order(order);
-    const Duration wait =
-        this->is_last_order_taken ? kRepeatTakenAfter : kRepeatLostAfter;
-    if (written == this->last_order && now - this->last_order_at < wait) {
-      return true;
-    }
-    this->last_order = written;
-    this->last_order_at = now;
-    this->is_last_order_taken = false;
-    return false;
-  }
-
-  void TellWish(TimePoint now) {
+  void OrderSilentRanks(TimePoint now) {
     const mapswitch::MapSwitch& map_switch = this->state.map_switch;
-    // Said at each tick, and at once where it is new.
-    const bool is_new = map_switch.phase != this->told_phase ||
-                        map_switch.wish.version != this->told_version ||
-                        map_switch.wish.hold_step != this->told_hold;
-    if (!is_new && now - this->told_at < kTickInterval) {
-      return;
-    }
-    this->told_at = now;
-    this->told_phase = map_switch.phase;
-    this->told_version = map_switch.wish.version;
-    this->told_hold = map_switch.wish.hold_step;
-    if (map_switch.phase == mapswitch::SwitchPhase::kIdle) {
-      this->state.wish.reset();
-      return;
-    }
-    this->state.wish = mapswitch::WishFor(map_switch, 0);
-    this->SendWish(now);
     const bool is_held = map_switch.phase == mapswitch::SwitchPhase::kArming ||
                          map_switch.phase == mapswitch::SwitchPhase::kReleasing;
     if (is_held && now - map_switch.since > kSilentAgent) {
-      this->OrderSilentRanks(now);
-    }
-  }
-
-  // The map goes only to those that do not have it yet: it is by far the most
-  // of a wish, and a wish is said many times.
-  void SendWish(TimePoint now) {
-    mapswitch::Wish wish = mapswitch::WishFor(this->state.map_switch, 1);
-    auto with_map = ToWire(wish, this->state.own->group);
-    for (const auto& [rank, info] : this->state.ranks) {
-      with_map.servers.push_back(Format(info.server));
-    }
-    const std::string whole = membership::Encode(std::move(with_map));
-    wish.map.clear();
-    const std::string brief =
-        membership::Encode(ToWire(wish, this->state.own->group));
-    for (auto& [rank, info] : this->state.ranks) {
-      if (rank == 0) {
-        continue;
-      }
-      const bool needs_map = info.wish_version != wish.version &&
-                             (info.told_version != wish.version ||
-                              now - info.map_told > kRepeatMapAfter);
-      if (needs_map) {
-        info.told_version = wish.version;
-        info.map_told = now;
-      }
-      this->state.datagrams->Send({info.ip, this->state.fleet().peer_port},
-                                  needs_map ? whole : brief);
-    }
-  }
-
-  void SendOwnOrder(const Order& order) {
-    this->state.is_order_underway = true;
-    this->SendOrder(*this->state.fleet().engine, order, kOwnOrderTimeout,
-                    [this](bool is_taken, bool is_answered) {
-                      this->is_last_order_taken = is_taken;
-                      if (!is_answered) {
-                        this->last_order_lost = EventLoop::Now();
-                      }
-                      this->state.is_order_underway = false;
-                      this->ReadReport();
-                    });
-  }
-
-  void SendOrder(const Address& server,
-                 const Order& order,
-                 Duration timeout,
-                 std::function<void(bool is_taken, bool is_answered)> on_done) {
-    const std::string kind = mapswitch::NameOf(order.body);
-    const bool is_own = server == *this->state.fleet().engine;
-    http::DirectCall::Fetch(
-        this->state.loop,
-        {.target = server,
-         .method = "POST",
-         .path = this->state.adapter.order_path,
-         .headers = {{"host", Format(server)},
-                     {"content-type", "application/json"}},
-         .body = this->state.adapter.write_order(order),
-         .timeout = timeout,
-         .channels = is_own ? &this->state.channels : nullptr},
-        [kind, server, order, on_done = std::move(on_done)](
-            CallEnd end, const http::Response& response) {
-          Log(LogLevel::kInfo, "rank", "order_ended",
-              {{"order", kind},
-               {"server", Format(server)},
-               {"expected_sequence", std::to_string(order.expected_sequence)},
-               {"end", std::string(http::NameOf(end))},
-               {"status",
-                std::to_string(end == CallEnd::kWhole ? response.status : 0)}});
-          on_done(end == CallEnd::kWhole &&
-                      (response.status == 200 || response.status == 202),
-                  end == CallEnd::kWhole);
-        });
-  }
-
-  // The group waits for a rank whose agent is gone: its server is asked and
-  // ordered from here, which costs more and works.
-  void OrderSilentRanks(TimePoint now) {
-    if (now - this->last_far_order < kFarOrderInterval) {
-      return;
-    }
-    this->last_far_order = now;
-    for (const auto& [rank, info] : this->state.ranks) {
-      const auto& heard = this->state.map_switch.ranks.at(rank);
-      if (heard && now - heard->heard < kSilentAgent) {
-        continue;
-      }
-      http::DirectCall::Fetch(
-          this->state.loop,
-          {.target = info.server,
-           .path = this->state.adapter.report_path,
-           .headers = {{"host", Format(info.server)}},
-           .timeout = kFarCallTimeout},
-          [this, server = info.server](CallEnd end,
-                                       const http::Response& response) {
-            if (end == CallEnd::kWhole && response.status == 200) {
-              this->HandleFarReport(server, response.body);
-            }
-          });
-    }
-  }
-
-  void HandleFarReport(const Address& server, const std::string& body) {
-    const auto status = this->state.adapter.parse_report(body);
-    if (status.has_error()) {
-      return;
-    }
-    mapswitch::HandleStatus(this->state.map_switch, status.value(),
-                            EventLoop::Now());
-    const auto order =
-        mapswitch::NextOrder(this->state.map_switch.wish, status.value());
-    if (order) {
-      this->SendOrder(server, *order, kFarCallTimeout, [](bool, bool) {});
+      this->orders.OrderSilentRanks(now);
     }
   }
 
@@ -535,7 +385,9 @@
     } else if (const auto* news = body.AsRankNews()) {
       this->TakeNews(from_ip, *news);
     } else if (const auto* wish = body.AsMapWish()) {
-      this->HandleWish(*wish);
+      if (TakeWish(this->state, *wish, EventLoop::Now())) {
+        this->ReadReport();
+      }
     }
   }
 
@@ -592,44 +444,6 @@
             body.value("least_pass_us", usual.least_pass.count()))};
   }
 
-  void HandleWish(const membership::wire::MapWishT& wish) {
-    if (!this->state.own || wish.group != this->state.own->group ||
-        wish.epoch != this->state.own->epoch || this->state.is_owner()) {
-      return;
-    }
-    this->state.owner_heard = EventLoop::Now();
-    if (!wish.servers.empty()) {
-      this->state.group_servers.clear();
-    }
-    for (const std::string& server : wish.servers) {
-      const auto address = ParseAddress(server);
-      if (address.has_value()) {
-        this->state.group_servers.push_back(address.value());
-      }
-    }
-    // Datagrams overtake each other: an older wish must not replace a newer.
-    const auto& known = this->state.wish;
-    if (known && (known->version > wish.version ||
-                  (known->version == wish.version &&
-                   (known->arm_step > wish.arm_step ||
-                    known->hold_step > wish.hold_step ||
-                    (known->is_released && !wish.is_released))))) {
-      return;
-    }
-    const bool is_new = !known || known->version != wish.version ||
-                        known->hold_step != wish.hold_step ||
-                        known->arm_step != wish.arm_step ||
-                        known->is_released != wish.is_released;
-    mapswitch::Wish heard = FromWire(wish, this->state.own->size);
-    if (heard.map.empty() && known && known->version == heard.version) {
-      heard.map = known->map;
-    }
-    this->state.wish = std::move(heard);
-    if (is_new) {
-      this->ReadReport();
-    }
-  }
-
   void SendHeartbeat() {
     membership::wire::HeartbeatT heartbeat;
     auto self = std::make_unique<membership::wire::MemberT>();
@@ -715,6 +529,8 @@
   }
 
   RankState state;
+  WishTeller wishes;
+  Orders orders;
   Deputy deputy;
   std::unique_ptr<http::Ingress> metrics;
   std::unique_ptr<http::Ingress> internal;
@@ -726,17 +542,8 @@
   bool is_engine_reached = true;
   bool is_draining = false;
   TimePoint drain_began;
-  TimePoint last_far_order;
-  TimePoint told_at;
   mapswitch::Telling telling;
   uint64_t news_count = 0;
-  mapswitch::SwitchPhase told_phase = mapswitch::SwitchPhase::kIdle;
-  mapswitch::Version told_version = 0;
-  mapswitch::Step told_hold = 0;
-  std::string last_order;
-  TimePoint last_order_at;
-  TimePoint last_order_lost;
-  bool is_last_order_taken = false;
 };
 
 Result<std::unique_ptr<Role>> StartRank(EventLoop& loop,
--- a/Services/bramleyspand/Rank/RankState.h
+++ b/Services/bramleyspand/Rank/RankState.h
@@ -67,7 +67,6 @@
   std::optional<mapswitch::ExpertCounts> last_counts;
   // Choices read and not told yet.
   std::vector<uint32_t> new_counts;
-  bool is_order_underway = false;
   std::optional<mapswitch::Wish> wish;
   admission::RankPlaces places;
   // The servers of all ranks, as the owner told them, and when it last did.
