Rank: Tell maps in bytes and no sooner again than the link carries them

The owner told 31 ranks 5.3 KB each, again after 80 ms: 16 Mbit/s on a link of 8, so that neither maps nor offers of places got through.

Now experts below 256 are bytes, the servers' addresses go along twice a second, and the map is repeated after 60 ms and 5 ms for each rank.

--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -1111,7 +1111,8 @@
   uint64_t epoch = 0;
   uint64_t version = 0;
   std::vector<uint16_t> experts{};
-  std::vector<uint16_t> lengths{};
+  std::vector<uint8_t> small_experts{};
+  std::vector<uint8_t> lengths{};
   uint64_t hold_step = 0;
   uint32_t holder = 0;
   uint64_t arm_step = 0;
@@ -1128,12 +1129,13 @@
     VT_EPOCH = 6,
     VT_VERSION = 8,
     VT_EXPERTS = 10,
-    VT_LENGTHS = 12,
-    VT_HOLD_STEP = 14,
-    VT_HOLDER = 16,
-    VT_ARM_STEP = 18,
-    VT_IS_RELEASED = 20,
-    VT_SERVERS = 22
+    VT_SMALL_EXPERTS = 12,
+    VT_LENGTHS = 14,
+    VT_HOLD_STEP = 16,
+    VT_HOLDER = 18,
+    VT_ARM_STEP = 20,
+    VT_IS_RELEASED = 22,
+    VT_SERVERS = 24
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -1147,8 +1149,11 @@
   const flatbuffers::Vector<uint16_t> *experts() const {
     return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_EXPERTS);
   }
-  const flatbuffers::Vector<uint16_t> *lengths() const {
-    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_LENGTHS);
+  const flatbuffers::Vector<uint8_t> *small_experts() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_SMALL_EXPERTS);
+  }
+  const flatbuffers::Vector<uint8_t> *lengths() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_LENGTHS);
   }
   uint64_t hold_step() const {
     return GetField<uint64_t>(VT_HOLD_STEP, 0);
@@ -1173,6 +1178,8 @@
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyOffset(verifier, VT_EXPERTS) &&
            verifier.VerifyVector(experts()) &&
+           VerifyOffset(verifier, VT_SMALL_EXPERTS) &&
+           verifier.VerifyVector(small_experts()) &&
            VerifyOffset(verifier, VT_LENGTHS) &&
            verifier.VerifyVector(lengths()) &&
            VerifyField<uint64_t>(verifier, VT_HOLD_STEP, 8) &&
@@ -1205,7 +1212,10 @@
   void add_experts(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts) {
     fbb_.AddOffset(MapWish::VT_EXPERTS, experts);
   }
-  void add_lengths(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths) {
+  void add_small_experts(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> small_experts) {
+    fbb_.AddOffset(MapWish::VT_SMALL_EXPERTS, small_experts);
+  }
+  void add_lengths(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> lengths) {
     fbb_.AddOffset(MapWish::VT_LENGTHS, lengths);
   }
   void add_hold_step(uint64_t hold_step) {
@@ -1240,7 +1250,8 @@
     uint64_t epoch = 0,
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> small_experts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> lengths = 0,
     uint64_t hold_step = 0,
     uint32_t holder = 0,
     uint64_t arm_step = 0,
@@ -1254,6 +1265,7 @@
   builder_.add_servers(servers);
   builder_.add_holder(holder);
   builder_.add_lengths(lengths);
+  builder_.add_small_experts(small_experts);
   builder_.add_experts(experts);
   builder_.add_group(group);
   builder_.add_is_released(is_released);
@@ -1271,7 +1283,8 @@
     uint64_t epoch = 0,
     uint64_t version = 0,
     const std::vector<uint16_t> *experts = nullptr,
-    const std::vector<uint16_t> *lengths = nullptr,
+    const std::vector<uint8_t> *small_experts = nullptr,
+    const std::vector<uint8_t> *lengths = nullptr,
     uint64_t hold_step = 0,
     uint32_t holder = 0,
     uint64_t arm_step = 0,
@@ -1279,7 +1292,8 @@
     const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
-  auto lengths__ = lengths ? _fbb.CreateVector<uint16_t>(*lengths) : 0;
+  auto small_experts__ = small_experts ? _fbb.CreateVector<uint8_t>(*small_experts) : 0;
+  auto lengths__ = lengths ? _fbb.CreateVector<uint8_t>(*lengths) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
   return bramleyspan::membership::wire::CreateMapWish(
       _fbb,
@@ -1287,6 +1301,7 @@
       epoch,
       version,
       experts__,
+      small_experts__,
       lengths__,
       hold_step,
       holder,
@@ -2019,7 +2034,8 @@
   { auto _e = epoch(); _o->epoch = _e; }
   { auto _e = version(); _o->version = _e; }
   { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->experts[_i] = _e->Get(_i); } } }
-  { auto _e = lengths(); if (_e) { _o->lengths.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lengths[_i] = _e->Get(_i); } } }
+  { auto _e = small_experts(); if (_e) { _o->small_experts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->small_experts.begin()); } }
+  { auto _e = lengths(); if (_e) { _o->lengths.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->lengths.begin()); } }
   { auto _e = hold_step(); _o->hold_step = _e; }
   { auto _e = holder(); _o->holder = _e; }
   { auto _e = arm_step(); _o->arm_step = _e; }
@@ -2039,6 +2055,7 @@
   auto _epoch = _o->epoch;
   auto _version = _o->version;
   auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
+  auto _small_experts = _o->small_experts.size() ? _fbb.CreateVector(_o->small_experts) : 0;
   auto _lengths = _o->lengths.size() ? _fbb.CreateVector(_o->lengths) : 0;
   auto _hold_step = _o->hold_step;
   auto _holder = _o->holder;
@@ -2051,6 +2068,7 @@
       _epoch,
       _version,
       _experts,
+      _small_experts,
       _lengths,
       _hold_step,
       _holder,
--- a/Services/bramleyspand/Rank/RankMessages.cc
+++ b/Services/bramleyspand/Rank/RankMessages.cc
@@ -1,7 +1,15 @@
 #include "Services/bramleyspand/Rank/RankMessages.h"
 
+#include <algorithm>
+
 namespace bramleyspan::rankd {
 
+namespace {
+
+constexpr uint16_t kLargestSmall = 255;
+
+}  // namespace
+
 membership::wire::RankStatusT ToWire(const mapswitch::RankStatus& status,
                                      const Address& server) {
   membership::wire::RankStatusT wire;
@@ -58,10 +66,17 @@
   wire.is_released = wish.is_released;
   for (const auto& set : wish.map) {
     for (const auto& list : set) {
-      wire.lengths.push_back(static_cast<uint16_t>(list.size()));
+      wire.lengths.push_back(static_cast<uint8_t>(list.size()));
       wire.experts.insert(wire.experts.end(), list.begin(), list.end());
     }
   }
+  const bool is_small =
+      std::all_of(wire.experts.begin(), wire.experts.end(),
+                  [](uint16_t expert) { return expert <= kLargestSmall; });
+  if (is_small) {
+    wire.small_experts.assign(wire.experts.begin(), wire.experts.end());
+    wire.experts.clear();
+  }
   return wire;
 }
 
@@ -73,15 +88,17 @@
                          .holder = wish.holder,
                          .arm_step = wish.arm_step,
                          .is_released = wish.is_released};
+  std::vector<uint16_t> experts = wish.experts;
+  experts.insert(experts.end(), wish.small_experts.begin(),
+                 wish.small_experts.end());
   size_t at = 0;
   for (size_t i = 0; i < wish.lengths.size() && ranks > 0; ++i) {
     if (i % ranks == 0) {
       result.map.emplace_back();
     }
-    const size_t end = std::min(wish.experts.size(), at + wish.lengths[i]);
-    result.map.back().emplace_back(
-        wish.experts.begin() + static_cast<int64_t>(at),
-        wish.experts.begin() + static_cast<int64_t>(end));
+    const size_t end = std::min(experts.size(), at + wish.lengths[i]);
+    result.map.back().emplace_back(experts.begin() + static_cast<int64_t>(at),
+                                   experts.begin() + static_cast<int64_t>(end));
     at = end;
   }
   return result;
--- a/Services/bramleyspand/Rank/Wishes.cc
+++ b/Services/bramleyspand/Rank/Wishes.cc
@@ -9,8 +9,13 @@
 namespace {
 
 constexpr Duration kRepeatAfter = std::chrono::milliseconds(30);
-// The map may have been lost on its way.
-constexpr Duration kRepeatMapAfter = std::chrono::milliseconds(80);
+// The map may have been lost on its way. In a large group it takes a while to
+// leave: 31 maps of 2.4 KB are 75 ms of a link of 8 Mbit/s, and repeating them
+// sooner kept the link so full that no group of 32 ever prepared a map.
+constexpr Duration kRepeatMapAfter = std::chrono::milliseconds(60);
+constexpr Duration kRepeatMapPerRank = std::chrono::milliseconds(5);
+// Who is in the group changes seldom.
+constexpr Duration kServersInterval = std::chrono::milliseconds(500);
 
 // Datagrams overtake each other: an older wish must not replace a newer one.
 bool is_older(const membership::wire::MapWishT& wish,
@@ -56,9 +61,14 @@
 void WishTeller::Send(TimePoint now) {
   mapswitch::Wish wish = mapswitch::WishFor(this->state.map_switch, 1);
   auto with_map = ToWire(wish, this->state.own->group);
-  for (const auto& [rank, info] : this->state.ranks) {
-    with_map.servers.push_back(Format(info.server));
+  if (now - this->servers_told > kServersInterval) {
+    this->servers_told = now;
+    for (const auto& [rank, info] : this->state.ranks) {
+      with_map.servers.push_back(Format(info.server));
+    }
   }
+  const Duration repeat_after =
+      kRepeatMapAfter + kRepeatMapPerRank * this->state.ranks.size();
   const std::string whole = membership::Encode(std::move(with_map));
   wish.map.clear();
   const std::string brief =
@@ -68,7 +78,7 @@
       continue;
     }
     const bool was_told = info.told_version == wish.version &&
-                          now - info.map_told <= kRepeatMapAfter;
+                          now - info.map_told <= repeat_after;
     const bool needs_map = info.wish_version != wish.version && !was_told;
     if (needs_map) {
       info.told_version = wish.version;
--- a/Services/bramleyspand/Rank/Wishes.h
+++ b/Services/bramleyspand/Rank/Wishes.h
@@ -20,6 +20,7 @@
 
   RankState& state;
   TimePoint told_at;
+  TimePoint servers_told;
   mapswitch::SwitchPhase told_phase = mapswitch::SwitchPhase::kIdle;
   mapswitch::Version told_version = 0;
   mapswitch::Step told_hold = 0;
