--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -135,16 +135,16 @@
   return EncodeBody(std::move(wish));
 }
 
-std::string Encode(wire::PlaceProbeT probe) {
-  return EncodeBody(std::move(probe));
+std::string Encode(const wire::PlaceProbeT& probe) {
+  return EncodeBody(probe);
 }
 
 std::string Encode(wire::PlaceOfferT offer) {
   return EncodeBody(std::move(offer));
 }
 
-std::string Encode(wire::PlaceTakenT taken) {
-  return EncodeBody(std::move(taken));
+std::string Encode(const wire::PlaceTakenT& taken) {
+  return EncodeBody(taken);
 }
 
 Result<wire::MessageT> Decode(std::string_view bytes) {
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -80,9 +80,9 @@
 std::string Encode(wire::HeartbeatT heartbeat);
 std::string Encode(wire::RankNewsT news);
 std::string Encode(wire::MapWishT wish);
-std::string Encode(wire::PlaceProbeT probe);
+std::string Encode(const wire::PlaceProbeT& probe);
 std::string Encode(wire::PlaceOfferT offer);
-std::string Encode(wire::PlaceTakenT taken);
+std::string Encode(const wire::PlaceTakenT& taken);
 
 // Parses a datagram. Fails with kMalformedFrame.
 Result<wire::MessageT> Decode(std::string_view bytes);
--- a/Libraries/LibPlacement/SwitchPlan.cc
+++ b/Libraries/LibPlacement/SwitchPlan.cc
@@ -30,6 +30,7 @@
   }
   std::sort(sets.begin(), sets.end());
   std::vector<size_t> order;
+  order.reserve(sets.size());
   for (const auto& [skew, set] : sets) {
     order.push_back(set);
   }
--- a/Services/bramleyspand/Gateway/Placing.cc
+++ b/Services/bramleyspand/Gateway/Placing.cc
@@ -45,7 +45,7 @@
   membership::wire::PlaceProbeT probe;
   probe.number = number;
   probe.is_late = is_late;
-  const std::string bytes = membership::Encode(std::move(probe));
+  const std::string bytes = membership::Encode(probe);
   for (const gateway::TargetView* rank : ranks) {
     const std::string agent_ip = gateway::AgentIpOf(*rank);
     round.asked[Format(rank->target.address)] = {.agent_ip = agent_ip,
@@ -141,7 +141,7 @@
                                   });
   membership::wire::PlaceTakenT taken;
   taken.number = number;
-  this->send(asked->second.agent_ip, membership::Encode(std::move(taken)));
+  this->send(asked->second.agent_ip, membership::Encode(taken));
   this->taken.push_back({.target = chosen->target, .at = EventLoop::Now()});
   Log(LogLevel::kInfo, "forward", "placed",
       {{"probe", std::to_string(number)},
@@ -159,7 +159,7 @@
   membership::wire::PlaceTakenT taken;
   taken.number = place.number;
   taken.is_settled = true;
-  this->send(place.agent_ip, membership::Encode(std::move(taken)));
+  this->send(place.agent_ip, membership::Encode(taken));
 }
 
 }  // namespace bramleyspan::gatewayd
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -157,8 +157,10 @@
   for (auto found = rank.streams.begin(); found != rank.streams.end();) {
     RunningStream& stream = found->second;
     const std::string id = std::to_string(stream.next_event);
-    stream.exchange->Write("id: " + id + "\ndata: " + stream.attempt + "#" +
-                           id + "\n\n");
+    std::string event = "id: ";
+    event.append(id).append("\ndata: ").append(stream.attempt);
+    event.append("#").append(id).append("\n\n");
+    stream.exchange->Write(event);
     if (stream.next_event++ < stream.last_event) {
       ++found;
       continue;
--- a/StandIns/UsersPlatform/Ranks.h
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -39,7 +39,8 @@
   uint64_t armed = 0;
   uint64_t armed_step = 0;
   uint64_t held = 0;
-  std::vector<uint64_t> counts = std::vector<uint64_t>(kSets * kExperts, 0);
+  std::vector<uint64_t> counts =
+      std::vector<uint64_t>(size_t{kSets} * kExperts, 0);
   std::map<uint64_t, RunningStream> streams;
 };
 
