--- a/Utilities/bramleyspanctl/ExplainCommand.cc
+++ b/Utilities/bramleyspanctl/ExplainCommand.cc
@@ -89,17 +89,32 @@
   std::cout << "\n";
 }
 
+// The processes that led the maps of these groups.
+std::set<std::string> FindOwners(const std::vector<Record>& records,
+                                 const std::set<std::string>& groups) {
+  std::set<std::string> owners;
+  for (const Record& record : records) {
+    if (record.fields.value("event", "") == "group_load" &&
+        groups.contains(record.fields.value("group", ""))) {
+      owners.insert(record.fields.value("process", ""));
+    }
+  }
+  return owners;
+}
+
 }  // namespace
 
 Result<void> ExplainRequest(const std::string& request,
                             const std::vector<std::string>& paths) {
   const std::vector<Record> records = TRY(ReadRecords(paths));
   std::set<std::string> processes;
+  std::set<std::string> groups;
   std::optional<std::chrono::milliseconds> first;
   std::chrono::milliseconds last{};
   for (const Record& record : records) {
     if (record.fields.value("request", "") == request) {
       processes.insert(record.fields.value("process", ""));
+      groups.insert(record.fields.value("group", ""));
       first = first.value_or(record.time);
       last = record.time;
     }
@@ -109,13 +124,20 @@
                 "no record names this request; it may have been left out: see "
                 "left_out_before in the records of that second");
   }
+  groups.erase("");
+  const std::set<std::string> owners = FindOwners(records, groups);
   for (const Record& record : records) {
     const bool is_its = record.fields.value("request", "") == request;
     const bool is_near =
         record.time >= *first - kAround && record.time <= last + kAround;
     const bool is_of_its_process =
         processes.contains(record.fields.value("process", ""));
-    if (is_its || (is_near && is_of_its_process && is_belief(record))) {
+    const bool is_of_its_group =
+        owners.contains(record.fields.value("process", "")) &&
+        record.time >= *first && record.time <= last &&
+        record.fields.value("module", "") == "map";
+    if (is_its || is_of_its_group ||
+        (is_near && is_of_its_process && is_belief(record))) {
       Print(record, *first);
     }
   }
