--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -12,24 +12,18 @@
 
 namespace {
 
-using detail::is_own_header;
 using detail::kBadGateway;
 using detail::kGatewayTimeout;
 using detail::kNotFound;
-using detail::kStreamSilence;
 using detail::kUnauthorized;
 using detail::kUnavailable;
 using detail::Text;
 using gateway::Outcome;
-using gateway::RouteKind;
-using gateway::TargetView;
 using http::CallEnd;
 using http::FindHeader;
 using telemetry::Log;
 using telemetry::LogLevel;
 
-// A connection inside a region takes a millisecond or two.
-constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 // Connections that may fail before the request is given up.
 constexpr int kMostUnreached = 4;
 // The part of the objective after which the first event of a request without a
@@ -39,8 +33,6 @@
 // The part of a caller's patience for which a late stream waits for a place. It
 // is worth less than one in time and more than a refusal.
 constexpr double kPatiencePart = 0.7;
-// Agents that had no place are not asked again at once.
-constexpr Duration kFullPause = std::chrono::milliseconds(12);
 // When a place may be free again: streams last for seconds, and a caller that
 // comes back into the same crowd is refused for good. The part of the time
 // left leaves enough for the second attempt.
@@ -79,27 +71,6 @@
   forwarding->Start();
 }
 
-void ServeWaiting(GatewayState& state) {
-  const TimePoint now = EventLoop::Now();
-  state.waiting.sort([now](const auto& left, const auto& right) {
-    return left->is_before(*right, now);
-  });
-  // A copy, since each that is sent or refused leaves the list.
-  const auto waiting = state.waiting;
-  std::set<std::pair<std::string, bool>> full;
-  for (const auto& forwarding : waiting) {
-    const std::pair kind(forwarding->service_name(), forwarding->is_late(now));
-    const bool is_sent = !full.contains(kind) && forwarding->TrySend();
-    if (is_sent || forwarding->is_asking()) {
-      continue;
-    }
-    full.insert(kind);
-    if (forwarding->waits_until() <= now) {
-      forwarding->RefuseForLackOfPlace();
-    }
-  }
-}
-
 Forwarding::Forwarding(GatewayState& state,
                        http::IngressRequest request,
                        std::shared_ptr<http::IngressExchange> exchange)
@@ -191,258 +162,6 @@
   return !this->table->has_tenants || this->route->is_public;
 }
 
-bool Forwarding::is_late(TimePoint now) const {
-  return this->is_streaming() &&
-         (this->has_started_answer || now >= this->late_from);
-}
-
-// The more urgent first; then those that can still be in time.
-bool Forwarding::is_before(const Forwarding& other, TimePoint now) const {
-  if (this->priority != other.priority) {
-    return this->priority < other.priority;
-  }
-  return !this->is_late(now) && other.is_late(now);
-}
-
-void Forwarding::SendOrWait() {
-  const auto& waiting = this->state.waiting;
-  const TimePoint now = EventLoop::Now();
-  const bool is_first =
-      std::none_of(waiting.begin(), waiting.end(), [&](const auto& other) {
-        return other->service == this->service && !other->is_asking() &&
-               !this->is_before(*other, now);
-      });
-  if (is_first && this->TrySend()) {
-    return;
-  }
-  if (now >= this->wait_ends) {
-    this->RefuseForLackOfPlace();
-    return;
-  }
-  this->Wait(false);
-}
-
-void Forwarding::Wait(bool is_in_front) {
-  auto& waiting = this->state.waiting;
-  const TimePoint now = EventLoop::Now();
-  const auto self = this->shared_from_this();
-  if (std::find(waiting.begin(), waiting.end(), self) != waiting.end()) {
-    return;
-  }
-  const auto behind = is_in_front
-                          ? waiting.begin()
-                          : std::find_if(waiting.begin(), waiting.end(),
-                                         [&](const auto& other) {
-                                           return this->is_before(*other, now);
-                                         });
-  waiting.insert(behind, self);
-}
-
-bool Forwarding::has_engine() const {
-  const auto found = this->table->services.find(this->service);
-  return found != this->table->services.end() &&
-         found->second.engine.has_value();
-}
-
-bool Forwarding::TrySend() {
-  if (this->is_asking_agents) {
-    return false;
-  }
-  if (!this->has_engine()) {
-    return this->TryOwnView();
-  }
-  const TimePoint now = EventLoop::Now();
-  const bool is_late = this->is_late(now);
-  const auto& full =
-      is_late ? this->state.full_for_late_until : this->state.full_until;
-  const auto found = full.find(this->service);
-  if (found != full.end() && now < found->second) {
-    return false;
-  }
-  this->is_asking_agents = this->state.placing->Ask(
-      this->service, this->tried, is_late,
-      [self = this->shared_from_this()](Placing::Verdict verdict,
-                                        const Placing::Place& place) {
-        self->HandlePlacing(verdict, place);
-      });
-  return !this->is_asking_agents && this->TryOwnView();
-}
-
-void Forwarding::SettlePlace() {
-  if (this->place) {
-    this->state.placing->Settle(*this->place);
-    this->place.reset();
-  }
-}
-
-void Forwarding::HandlePlacing(Placing::Verdict verdict,
-                               const Placing::Place& place) {
-  this->is_asking_agents = false;
-  if (verdict == Placing::Verdict::kPlaced) {
-    this->place = place;
-  }
-  if (this->is_finished) {
-    this->SettlePlace();
-    return;
-  }
-  const auto found = this->state.targets.by_id.find(place.target);
-  const bool is_placed = verdict == Placing::Verdict::kPlaced &&
-                         found != this->state.targets.by_id.end() &&
-                         !found->second.target.is_leaving &&
-                         !found->second.is_replaced;
-  if (is_placed) {
-    this->state.waiting.remove(this->shared_from_this());
-    this->SendTo(found->second);
-    ServeWaiting(this->state);
-    return;
-  }
-  this->SettlePlace();
-  if (verdict == Placing::Verdict::kUnanswered && this->TryOwnView()) {
-    return;
-  }
-  const TimePoint now = EventLoop::Now();
-  if (verdict == Placing::Verdict::kFull) {
-    // What has no place for a late stream has none for one in time.
-    this->state.full_until[this->service] = now + kFullPause;
-    if (this->is_late(now)) {
-      this->state.full_for_late_until[this->service] = now + kFullPause;
-    }
-    Log(LogLevel::kInfo, "forward", "waits",
-        {{"request", this->id},
-         {"waiting", std::to_string(this->state.waiting.size())}});
-  }
-  if (now >= this->wait_ends) {
-    this->RefuseForLackOfPlace();
-  }
-}
-
-// The choice by what this gateway knows itself: for plain services, and where
-// no agent answers.
-bool Forwarding::TryOwnView() {
-  const TimePoint now = EventLoop::Now();
-  const TargetView* target = nullptr;
-  if (this->has_engine()) {
-    target = gateway::ChoosePlace(this->state.places, this->state.targets,
-                                  this->table->services.at(this->service),
-                                  SharingOf(this->state, now), this->tried,
-                                  this->state.random(), now);
-  } else {
-    target = gateway::ChooseLeastLoaded(this->state.targets, this->service,
-                                        this->tried, this->state.settings.zone,
-                                        this->state.random(), now);
-  }
-  if (target == nullptr) {
-    return false;
-  }
-  auto keep_until_return = this->shared_from_this();
-  this->state.waiting.remove(keep_until_return);
-  this->SendTo(*target);
-  return true;
-}
-
-void Forwarding::RefuseForLackOfPlace() {
-  auto keep_until_return = this->shared_from_this();
-  this->state.waiting.remove(keep_until_return);
-  if (this->has_started_answer) {
-    this->BreakOff("no place to go on");
-    return;
-  }
-  if (this->may_have_run && !this->route->is_repeatable()) {
-    this->Fail(kBadGateway, "may have run, and no target left");
-    return;
-  }
-  this->Refuse(kUnavailable, "no place in time", true);
-}
-
-http::HeaderList Forwarding::HeadersFor(const TargetView& target,
-                                        TimePoint now) const {
-  const gateway::CallHeaders& names = this->state.adapter.headers;
-  http::HeaderList headers;
-  headers.emplace_back("host", this->request.host);
-  std::string connection_words;
-  for (const auto& [name, value] : this->request.headers) {
-    if (name == "connection") {
-      connection_words += value + ",";
-    }
-  }
-  for (const auto& [name, value] : this->request.headers) {
-    const bool is_reserved =
-        std::find(names.reserved.begin(), names.reserved.end(), name) !=
-        names.reserved.end();
-    if (is_own_header(name) || is_reserved || name == names.key ||
-        name == names.tenant || name == names.deadline ||
-        name == names.expected_target || name == names.priority ||
-        http::has_token(connection_words, name)) {
-      continue;
-    }
-    if (name == names.last_event && this->last_event) {
-      continue;
-    }
-    headers.emplace_back(name, value);
-  }
-  if (this->last_event) {
-    headers.emplace_back(names.last_event, std::to_string(*this->last_event));
-  }
-  if (!this->tenant.empty()) {
-    headers.emplace_back(names.tenant, this->tenant);
-  }
-  headers.emplace_back(names.deadline, Text(this->deadline - now));
-  headers.emplace_back(names.expected_target, target.target.id);
-  return headers;
-}
-
-void Forwarding::SendTo(const TargetView& target) {
-  const TimePoint now = EventLoop::Now();
-  this->target_id = target.target.id;
-  this->group = gateway::GroupOf(target);
-  this->tried.insert(this->target_id);
-  ++this->state.targets.by_id[this->target_id].open;
-  this->answer.reset();
-  this->answer_body.clear();
-  this->events = {};
-  this->is_passing_events = false;
-  Log(LogLevel::kInfo, "forward", "sent",
-      {{"request", this->id},
-       {"target", this->target_id},
-       {"group", this->group},
-       {"open", std::to_string(target.open)},
-       {"open_elsewhere", std::to_string(target.open_elsewhere)},
-       {"waited_ms", Text(now - this->arrived)},
-       {"targets_revision",
-        std::to_string(this->state.targets_feed->newest_revision())},
-       {"targets_age_ms", Text(this->state.targets_feed->age(now))},
-       {"attempt", std::to_string(this->tried.size())}});
-  http::DirectRequest outgoing{
-      .target = target.target.address,
-      .method = this->request.method,
-      .path = this->request.target,
-      .headers = this->HeadersFor(target, now),
-      .body = this->request.body,
-      .connect_timeout = kConnectTimeout,
-      .timeout = this->deadline - now + std::chrono::seconds(1)};
-  auto self = this->shared_from_this();
-  http::DirectEvents listeners;
-  listeners.on_connected = [self] {
-    ++self->sent;
-    self->may_have_run = true;
-  };
-  listeners.on_head = [self](const http::AnswerHead& head, http::BodyFraming) {
-    self->HandleHead(head);
-  };
-  listeners.on_bytes = [self](std::string_view bytes) {
-    self->HandleBytes(bytes);
-  };
-  listeners.on_end = [self](CallEnd end) { self->HandleEnd(end); };
-  this->call = http::DirectCall::Start(this->state.loop, std::move(outgoing),
-                                       std::move(listeners));
-  if (this->is_streaming()) {
-    this->ArmSilence(kStreamSilence);
-  } else if (this->route->kind == RouteKind::kIdempotent) {
-    this->ArmSilence(std::max<Duration>(this->route->objective * 2,
-                                        (this->deadline - now) * 2 / 5));
-  }
-}
-
 bool Forwarding::TryAgain(std::string_view cause, bool has_arrived) {
   const TimePoint now = EventLoop::Now();
   constexpr Duration kLeastLeft = std::chrono::milliseconds(20);
--- /dev/null
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -0,0 +1,115 @@
+// What goes out to a target.
+#include <algorithm>
+#include <utility>
+
+#include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Gateway/Forwarding.h"
+#include "Services/bramleyspand/Gateway/ForwardingDetail.h"
+
+namespace bramleyspan::gatewayd {
+
+namespace {
+
+using detail::is_own_header;
+using detail::kStreamSilence;
+using detail::Text;
+using gateway::RouteKind;
+using gateway::TargetView;
+using http::CallEnd;
+using telemetry::Log;
+using telemetry::LogLevel;
+
+// A connection inside a region takes a millisecond or two.
+constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+}  // namespace
+
+http::HeaderList Forwarding::HeadersFor(const TargetView& target,
+                                        TimePoint now) const {
+  const gateway::CallHeaders& names = this->state.adapter.headers;
+  http::HeaderList headers;
+  headers.emplace_back("host", this->request.host);
+  std::string connection_words;
+  for (const auto& [name, value] : this->request.headers) {
+    if (name == "connection") {
+      connection_words += value + ",";
+    }
+  }
+  for (const auto& [name, value] : this->request.headers) {
+    const bool is_reserved =
+        std::find(names.reserved.begin(), names.reserved.end(), name) !=
+        names.reserved.end();
+    if (is_own_header(name) || is_reserved || name == names.key ||
+        name == names.tenant || name == names.deadline ||
+        name == names.expected_target || name == names.priority ||
+        http::has_token(connection_words, name)) {
+      continue;
+    }
+    if (name == names.last_event && this->last_event) {
+      continue;
+    }
+    headers.emplace_back(name, value);
+  }
+  if (this->last_event) {
+    headers.emplace_back(names.last_event, std::to_string(*this->last_event));
+  }
+  if (!this->tenant.empty()) {
+    headers.emplace_back(names.tenant, this->tenant);
+  }
+  headers.emplace_back(names.deadline, Text(this->deadline - now));
+  headers.emplace_back(names.expected_target, target.target.id);
+  return headers;
+}
+
+void Forwarding::SendTo(const TargetView& target) {
+  const TimePoint now = EventLoop::Now();
+  this->target_id = target.target.id;
+  this->group = gateway::GroupOf(target);
+  this->tried.insert(this->target_id);
+  ++this->state.targets.by_id[this->target_id].open;
+  this->answer.reset();
+  this->answer_body.clear();
+  this->events = {};
+  this->is_passing_events = false;
+  Log(LogLevel::kInfo, "forward", "sent",
+      {{"request", this->id},
+       {"target", this->target_id},
+       {"group", this->group},
+       {"open", std::to_string(target.open)},
+       {"open_elsewhere", std::to_string(target.open_elsewhere)},
+       {"waited_ms", Text(now - this->arrived)},
+       {"targets_revision",
+        std::to_string(this->state.targets_feed->newest_revision())},
+       {"targets_age_ms", Text(this->state.targets_feed->age(now))},
+       {"attempt", std::to_string(this->tried.size())}});
+  http::DirectRequest outgoing{
+      .target = target.target.address,
+      .method = this->request.method,
+      .path = this->request.target,
+      .headers = this->HeadersFor(target, now),
+      .body = this->request.body,
+      .connect_timeout = kConnectTimeout,
+      .timeout = this->deadline - now + std::chrono::seconds(1)};
+  auto self = this->shared_from_this();
+  http::DirectEvents listeners;
+  listeners.on_connected = [self] {
+    ++self->sent;
+    self->may_have_run = true;
+  };
+  listeners.on_head = [self](const http::AnswerHead& head, http::BodyFraming) {
+    self->HandleHead(head);
+  };
+  listeners.on_bytes = [self](std::string_view bytes) {
+    self->HandleBytes(bytes);
+  };
+  listeners.on_end = [self](CallEnd end) { self->HandleEnd(end); };
+  this->call = http::DirectCall::Start(this->state.loop, std::move(outgoing),
+                                       std::move(listeners));
+  if (this->is_streaming()) {
+    this->ArmSilence(kStreamSilence);
+  } else if (this->route->kind == RouteKind::kIdempotent) {
+    this->ArmSilence(std::max<Duration>(this->route->objective * 2,
+                                        (this->deadline - now) * 2 / 5));
+  }
+}
+
+}  // namespace bramleyspan::gatewayd
