--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -3,8 +3,7 @@
 //
 //   prepare  all ranks copy the new map's experts
 //   hold     some other rank, the holder, keeps the group from beginning pass
-//   S,
-//            a few passes ahead
+//            S, the next one or a few passes ahead
 //   arm      the owner's rank is to switch as pass S begins, then every other
 //   go       once every rank reports that it is armed for S
 //
--- a/Services/bramleyspand/Gateway/ForwardingPlaces.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPlaces.cc
@@ -19,6 +19,7 @@
 
 // Agents that had no place are not asked again at once.
 constexpr Duration kFullPause = std::chrono::milliseconds(12);
+
 }  // namespace
 
 void ServeWaiting(GatewayState& state) {
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -21,6 +21,7 @@
 
 // A connection inside a region takes a millisecond or two.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
+
 }  // namespace
 
 http::HeaderList Forwarding::HeadersFor(const TargetView& target,
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -30,6 +30,7 @@
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(30);
 constexpr uint64_t kTicksPerHeartbeat = 7;
+// In a switch the group may wait for this rank.
 constexpr int kReportsPerTickOfSwitch = 3;
 // Every eighth news tells the lists of the rank's experts: the owner needs them
 // once a map, and a lost datagram should not cost it more than a second.
@@ -39,7 +40,7 @@
 constexpr Duration kOwnCallTimeout = std::chrono::milliseconds(700);
 constexpr Duration kFarCallTimeout = std::chrono::milliseconds(700);
 // A group that is held for so long may wait for a rank whose agent is gone.
-constexpr Duration kSilentAgent = std::chrono::milliseconds(300);
+constexpr Duration kLongHold = std::chrono::milliseconds(300);
 
 class RankRole : public Role {
  public:
@@ -121,7 +122,6 @@
     if (this->ticks % kTicksPerHeartbeat == 0) {
       this->SendHeartbeat();
     }
-    // In a switch the group may wait for this rank.
     for (int part = 1; this->state.wish && part < kReportsPerTickOfSwitch;
          ++part) {
       this->state.loop.RunAfter(kTickInterval * part / kReportsPerTickOfSwitch,
@@ -355,7 +355,7 @@
     const mapswitch::MapSwitch& map_switch = this->state.map_switch;
     const bool is_held = map_switch.phase == mapswitch::SwitchPhase::kArming ||
                          map_switch.phase == mapswitch::SwitchPhase::kReleasing;
-    if (is_held && now - map_switch.since > kSilentAgent) {
+    if (is_held && now - map_switch.since > kLongHold) {
       this->orders.OrderSilentRanks(now);
     }
   }
