LibUsage, Gateway, bramleyspanctl: Tell who caused which work

Cause: "all work is attributable to the entry that caused it" was a library with tests that no process called; nobody could answer the parent's question. Change: gateways count each request as it ends, by tenant, route and service, and write the counters to the store as whole documents of their own; `bramleyspanctl usage` adds them up. LibUsage gets more units, documents that are cut below the store's megabyte, and a window that does not go back when the time of day does.

--- a/Libraries/LibPlatform/Store.h
+++ b/Libraries/LibPlatform/Store.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -61,14 +62,24 @@
   std::string key;
   std::string value;
   uint64_t lease = 0;
+  // The revision that the key must still have; 0 if it must not exist. A write
+  // that is carried out late then does not take the place of a later one.
+  std::optional<uint64_t> expected_revision;
 };
 
+// Keys that one call may remove.
+inline constexpr size_t kMostRemovedKeys = 32;
+
 struct Store {
   std::function<void(RangeCall, std::function<void(Result<RangePage>)>)> range;
   std::function<void(WatchCall, std::function<void(Result<WatchAnswer>)>)>
       watch;
-  // Writes without a condition; gives the revision.
+  // Writes; gives the revision.
   std::function<void(PutCall, std::function<void(Result<uint64_t>)>)> put;
+  // Removes keys, whether they exist or not; kMostRemovedKeys at most.
+  std::function<void(std::vector<std::string> keys,
+                     std::function<void(Result<void>)>)>
+      remove;
   // Gives the lease's number.
   std::function<void(Duration ttl, std::function<void(Result<uint64_t>)>)>
       grant_lease;
--- a/Libraries/LibUsage/Counts.cc
+++ b/Libraries/LibUsage/Counts.cc
@@ -1,31 +1,18 @@
 #include "LibUsage/Counts.h"
 
 #include <algorithm>
-#include <array>
 
 namespace bramleyspan::usage {
 
-namespace {
-
-// Every unit, so that a new one cannot be forgotten in one of the functions.
-constexpr std::array kUnits = {
-    &Counts::requests,           &Counts::tokens_in,    &Counts::tokens_out,
-    &Counts::queue_microseconds, &Counts::retries,      &Counts::hedges,
-    &Counts::cancelled,          &Counts::loaded_bytes,
-};
-static_assert(sizeof(Counts) == kUnits.size() * sizeof(uint64_t));
-
-}  // namespace
-
 void Add(Counts& counts, const Counts& more) {
-  for (const auto unit : kUnits) {
-    counts.*unit += more.*unit;
+  for (const Unit& unit : kUnits) {
+    counts.*unit.value += more.*unit.value;
   }
 }
 
 void TakeLarger(Counts& counts, const Counts& other) {
-  for (const auto unit : kUnits) {
-    counts.*unit = std::max(counts.*unit, other.*unit);
+  for (const Unit& unit : kUnits) {
+    counts.*unit.value = std::max(counts.*unit.value, other.*unit.value);
   }
 }
 
@@ -36,8 +23,8 @@
 }
 
 bool is_covered(const Counts& counts, const Counts& other) {
-  return std::all_of(kUnits.begin(), kUnits.end(), [&](const auto unit) {
-    return counts.*unit <= other.*unit;
+  return std::all_of(kUnits.begin(), kUnits.end(), [&](const Unit& unit) {
+    return counts.*unit.value <= other.*unit.value;
   });
 }
 
--- a/Libraries/LibUsage/Keeper.cc
+++ b/Libraries/LibUsage/Keeper.cc
@@ -1,6 +1,9 @@
 #include "LibUsage/Keeper.h"
 
+#include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
+#include <set>
 
 #include "Kernel/Digest.h"
 
@@ -10,12 +13,10 @@
 
 using nlohmann::json;
 
-constexpr std::string_view kKeyPrefix = "bramleyspan/usage/";
-
-std::string KeyOf(const Keeper& keeper, Window window) {
-  return std::string(kKeyPrefix) + std::to_string(window) + "/" +
+std::string KeyOf(const Keeper& keeper, const Part& part) {
+  return std::string(kDocumentPrefix) + std::to_string(part.window) + "/" +
          keeper.process + "/" + std::to_string(keeper.incarnation) + "/" +
-         std::to_string(keeper.volume);
+         std::to_string(keeper.volume) + "/" + std::to_string(part.number);
 }
 
 std::string DigestOf(const std::string& owner, const std::string& process) {
@@ -26,19 +27,26 @@
 }
 
 json ToJson(const Source& source, const Counts& counts) {
-  return json::array({source.agent, source.incarnation, source.window,
-                      source.owner, source.entry, counts.requests,
-                      counts.tokens_in, counts.tokens_out,
-                      counts.queue_microseconds, counts.retries, counts.hedges,
-                      counts.cancelled, counts.loaded_bytes});
+  json row = json::array({source.agent, source.incarnation, source.window,
+                          source.owner, source.entry, source.service});
+  for (const Unit& unit : kUnits) {
+    row.push_back(counts.*unit.value);
+  }
+  return row;
 }
 
-std::string Serialize(const Rows& rows) {
-  json document = json::array();
-  for (const auto& [source, counts] : rows) {
-    document.push_back(ToJson(source, counts));
+// The document that a row lies in, or the one that has room for it.
+Part PartFor(Keeper& keeper, const Source& source) {
+  const auto known = keeper.part_of.find(source);
+  if (known != keeper.part_of.end()) {
+    return known->second;
   }
-  return document.dump();
+  Part part{.window = source.window, .number = 0};
+  while (keeper.documents[part].rows.size() >= kMostRowsPerDocument) {
+    ++part.number;
+  }
+  keeper.part_of.emplace(source, part);
+  return part;
 }
 
 }  // namespace
@@ -60,36 +68,50 @@
 
 void TakeReport(Keeper& keeper, const Rows& report) {
   for (const auto& [source, counts] : report) {
-    Counts& held = keeper.rows[source.window][source];
+    Document& document = keeper.documents[PartFor(keeper, source)];
+    Counts& held = document.rows[source];
     // A report that tells nothing new must not cause a write: agents repeat
     // theirs until they hear that it is stored.
     if (!is_covered(counts, held)) {
       TakeLarger(held, counts);
-      keeper.unwritten.insert(source.window);
+      document.is_due = true;
     }
   }
 }
 
 std::vector<DocumentWrite> DueWrites(const Keeper& keeper) {
   std::vector<DocumentWrite> writes;
-  for (const Window window : keeper.unwritten) {
-    const Rows& rows = keeper.rows.at(window);
-    // FIXME: Cut a document that would pass the service's megabyte.
-    writes.push_back({KeyOf(keeper, window), Serialize(rows), window, rows});
+  for (const auto& [part, document] : keeper.documents) {
+    if (document.is_due) {
+      writes.push_back({KeyOf(keeper, part), SerializeDocument(document.rows),
+                        part, document.rows});
+    }
   }
   return writes;
 }
 
 void HandleWritten(Keeper& keeper, const DocumentWrite& written) {
-  const auto held = keeper.rows.find(written.window);
-  if (held != keeper.rows.end() && held->second == written.rows) {
-    keeper.unwritten.erase(written.window);
+  const auto held = keeper.documents.find(written.part);
+  if (held != keeper.documents.end() && held->second.rows == written.rows) {
+    held->second.is_due = false;
   }
 }
 
 void ForgetWindows(Keeper& keeper, Window oldest) {
-  const auto forgotten = std::erase_if(keeper.rows, [&](const auto& item) {
-    return item.first < oldest && !keeper.unwritten.contains(item.first);
+  std::set<Window> due;
+  for (const auto& [part, document] : keeper.documents) {
+    if (document.is_due) {
+      due.insert(part.window);
+    }
+  }
+  const auto is_forgotten = [&](Window window) {
+    return window < oldest && !due.contains(window);
+  };
+  const auto forgotten = std::erase_if(keeper.documents, [&](const auto& item) {
+    return is_forgotten(item.first.window);
+  });
+  std::erase_if(keeper.part_of, [&](const auto& item) {
+    return is_forgotten(item.first.window);
   });
   // A late report begins a forgotten window anew with its own rows alone.
   // Under the old key its document would take away the rows of agents that
@@ -99,20 +121,26 @@
   }
 }
 
+std::string SerializeDocument(const Rows& rows) {
+  json document = json::array();
+  for (const auto& [source, counts] : rows) {
+    document.push_back(ToJson(source, counts));
+  }
+  // Names come from operators and may be no proper UTF-8.
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 Result<Rows> ParseDocument(const std::string& text) {
+  constexpr size_t kNames = 6;
   Rows rows;
   try {
     for (const json& row : json::parse(text)) {
-      const Source source{row.at(0), row.at(1), row.at(2), row.at(3),
-                          row.at(4)};
-      rows[source] = {.requests = row.at(5),
-                      .tokens_in = row.at(6),
-                      .tokens_out = row.at(7),
-                      .queue_microseconds = row.at(8),
-                      .retries = row.at(9),
-                      .hedges = row.at(10),
-                      .cancelled = row.at(11),
-                      .loaded_bytes = row.at(12)};
+      const Source source{row.at(0), row.at(1), row.at(2),
+                          row.at(3), row.at(4), row.at(5)};
+      Counts& counts = rows[source];
+      for (size_t unit = 0; unit < kUnits.size(); ++unit) {
+        counts.*kUnits[unit].value = row.at(kNames + unit);
+      }
     }
   } catch (const json::exception& failure) {
     return Fail(ErrorCode::kMalformedDocument, "usage", failure.what());
@@ -120,4 +148,19 @@
   return rows;
 }
 
+std::optional<Window> WindowOfKey(std::string_view key) {
+  if (!key.starts_with(kDocumentPrefix)) {
+    return std::nullopt;
+  }
+  key.remove_prefix(kDocumentPrefix.size());
+  const size_t end = key.find('/');
+  Window window = 0;
+  const auto [stop, failure] = std::from_chars(
+      key.data(), key.data() + std::min(end, key.size()), window);
+  const bool is_number = failure == std::errc{} &&
+                         end != std::string_view::npos &&
+                         stop == key.data() + end;
+  return is_number ? std::optional<Window>(window) : std::nullopt;
+}
+
 }  // namespace bramleyspan::usage
--- a/Libraries/LibUsage/Keeper.h
+++ b/Libraries/LibUsage/Keeper.h
@@ -1,10 +1,11 @@
-// The keeper's side: an entry process joins the rows of the owners that it
-// keeps and writes them as one document for each window.
+// The keeper's side: a process joins rows and writes them as documents, a few
+// for each window. Where agents report, an entry keeps the rows of the owners
+// that fall to it; a gateway keeps those that it counted itself.
 #pragma once
 
 #include <optional>
-#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Kernel/Result.h"
@@ -12,6 +13,13 @@
 
 namespace bramleyspan::usage {
 
+// Under this prefix lie all documents of all keepers.
+inline constexpr std::string_view kDocumentPrefix = "bramleyspan/usage/";
+
+// Rows of one document. One of the longest names and numbers stays below 400
+// bytes, so that a document stays below the service's megabyte, in base64 too.
+inline constexpr size_t kMostRowsPerDocument = 1500;
+
 // The process that keeps an owner's usage: the highest digest of the owner's
 // and the process's names. Processes with other views may name another one
 // for a while, which costs a second copy of some rows and adds nothing.
@@ -19,22 +27,39 @@
     const std::string& owner,
     const std::vector<std::string>& processes);
 
+// Which document of a window a row lies in.
+struct Part {
+  Window window = 0;
+  uint32_t number = 0;
+
+  auto operator<=>(const Part&) const = default;
+};
+
+struct Document {
+  Rows rows;
+  // Whether rows have changed since the document was stored.
+  bool is_due = false;
+};
+
 // A write that is due. It sets the whole document under the keeper's own name
 // and incarnation, so that nobody else writes there and writing it twice, or a
-// write whose reply was lost, changes nothing.
+// write whose reply was lost, changes nothing. A write that is carried out
+// late must not take the place of a later one: whoever carries it out makes it
+// conditional on what it replaces.
 struct DocumentWrite {
   std::string key;
   std::string text;
-  Window window = 0;
+  Part part;
   Rows rows;
 };
 
 struct Keeper {
   std::string process;
   uint64_t incarnation = 0;
-  std::map<Window, Rows> rows;
-  // Windows with rows that were not written yet.
-  std::set<Window> unwritten;
+  std::map<Part, Document> documents;
+  // A row never moves to another document: while only one of the two writes
+  // was done it would be missing from the store.
+  std::map<Source, Part> part_of;
   // How often windows were forgotten. It is part of the documents' keys, so
   // that a forgotten window that is begun anew takes the place of none.
   uint64_t volume = 0;
@@ -48,14 +73,20 @@
 std::vector<DocumentWrite> DueWrites(const Keeper& keeper);
 
 // A document is stored: its agents are told of its rows (HandleStored). Rows
-// that came while it was written keep the window due.
+// that came while it was written keep the document due.
 void HandleWritten(Keeper& keeper, const DocumentWrite& written);
 
-// Forgets written windows before `oldest`. A row of such a window that is
-// reported again starts a new document and adds nothing.
+// Forgets written documents of windows before `oldest`. A row of such a window
+// that is reported again starts a new document and adds nothing.
 void ForgetWindows(Keeper& keeper, Window oldest);
 
+// Writes rows as a document.
+std::string SerializeDocument(const Rows& rows);
+
 // Parses a document. Fails with kMalformedDocument.
 Result<Rows> ParseDocument(const std::string& text);
 
+// The window of a document's key; nothing if the key is none of a document's.
+std::optional<Window> WindowOfKey(std::string_view key);
+
 }  // namespace bramleyspan::usage
--- a/Libraries/LibUsage/Ledger.cc
+++ b/Libraries/LibUsage/Ledger.cc
@@ -1,17 +1,25 @@
 #include "LibUsage/Ledger.h"
 
+#include <algorithm>
+
 namespace bramleyspan::usage {
 
 Window WindowAt(std::chrono::system_clock::time_point time) {
   return static_cast<Window>(time.time_since_epoch() / kWindowLength);
 }
 
+Window CurrentWindow(Ledger& ledger,
+                     std::chrono::system_clock::time_point time) {
+  ledger.newest = std::max(ledger.newest, WindowAt(time));
+  return ledger.newest;
+}
+
 void CountWork(Ledger& ledger,
-               const std::string& owner,
-               const std::string& entry,
+               const Cause& cause,
                Window window,
                const Counts& work) {
-  Add(ledger.rows[{ledger.agent, ledger.incarnation, window, owner, entry}],
+  Add(ledger.rows[{ledger.agent, ledger.incarnation, window, cause.owner,
+                   cause.entry, cause.service}],
       work);
 }
 
--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -105,6 +105,11 @@
           notice_bound_milliseconds,
           "",
           "within this time a store channel that fell silent must be noticed");
+ABSL_FLAG(std::string,
+          usage_interval_seconds,
+          "",
+          "how often a gateway writes who caused which work; a kill loses as "
+          "much");
 
 namespace bramleyspan {
 
@@ -150,6 +155,7 @@
       SettingRow{"stop-bound-seconds", &FLAGS_stop_bound_seconds, "8"},
       SettingRow{"notice-bound-milliseconds", &FLAGS_notice_bound_milliseconds,
                  "2000"},
+      SettingRow{"usage-interval-seconds", &FLAGS_usage_interval_seconds, "30"},
       SettingRow{"log-level", &FLAGS_log_level, "info"},
   };
   return rows;
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -7,6 +7,7 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+#include "Services/bramleyspand/Gateway/UsageKeeping.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -41,6 +42,20 @@
 constexpr std::string_view kRetryAfterStart = "0.5";
 constexpr std::string_view kRetryAfterRejection = "0.2";
 
+// Requests without a key or a route are counted under this name.
+constexpr std::string_view kNobody = "-";
+
+usage::Ending EndingOf(std::string_view outcome) {
+  if (outcome == "answered") {
+    return usage::Ending::kAnswered;
+  }
+  if (outcome == "refused") {
+    return usage::Ending::kRefused;
+  }
+  return outcome == "caller_left" ? usage::Ending::kCancelled
+                                  : usage::Ending::kFailed;
+}
+
 std::optional<int64_t> ParseNumber(std::string_view text) {
   int64_t value = 0;
   const auto [stop, failure] =
@@ -80,6 +95,7 @@
       exchange(std::move(exchange)),
       arrived(EventLoop::Now()) {
   this->state.open.emplace(this->number, this);
+  this->meter.arrived = this->arrived;
 }
 
 Forwarding::~Forwarding() {
@@ -253,6 +269,7 @@
   this->StopTimers();
   this->state.waiting.remove(this->shared_from_this());
   const Duration took = EventLoop::Now() - this->arrived;
+  this->CountUsage(outcome);
   telemetry::Count(kRequests, {{"service", this->service},
                                {"outcome", std::string(outcome)}});
   telemetry::Observe(kRequestTime, {{"service", this->service}}, took);
@@ -266,12 +283,36 @@
        {"took_ms", Text(took)}});
 }
 
+void Forwarding::CountUsage(std::string_view outcome) const {
+  if (this->state.usage == nullptr) {
+    return;
+  }
+  const auto tokens_in = ParseNumber(
+      FindHeader(this->request.headers, this->state.adapter.headers.tokens));
+  this->state.usage->Count(
+      {.owner = this->tenant.empty() ? std::string(kNobody) : this->tenant,
+       .entry =
+           this->route == nullptr ? std::string(kNobody) : this->route->name,
+       .service = this->service},
+      usage::Settle(
+          this->meter, EndingOf(outcome),
+          static_cast<uint64_t>(std::max<int64_t>(0, tokens_in.value_or(0)))));
+}
+
+uint64_t Forwarding::TokensPerEvent() const {
+  const auto found = this->table->services.find(this->service);
+  const bool has_engine =
+      found != this->table->services.end() && found->second.engine;
+  return has_engine ? found->second.engine->stride : 1;
+}
+
 // The request has nothing at its target any more, whatever came of it.
 void Forwarding::LeaveTarget(Outcome outcome) {
   this->SettlePlace();
   if (this->target_id.empty()) {
     return;
   }
+  usage::NoteLeft(this->meter, EventLoop::Now());
   const auto found = this->state.targets.by_id.find(this->target_id);
   if (found != this->state.targets.by_id.end() && found->second.open > 0) {
     --found->second.open;
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -10,6 +10,7 @@
 #include "LibGateway/EventReader.h"
 #include "LibHTTP/DirectCall.h"
 #include "LibHTTP/Ingress.h"
+#include "LibUsage/RequestMeter.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/Placing.h"
 
@@ -90,6 +91,10 @@
   void Fail(int status, std::string_view cause);
   void BreakOff(std::string_view cause);
   void Finish(std::string_view outcome, int status);
+  // Files what the request cost under who caused it.
+  void CountUsage(std::string_view outcome) const;
+  // Tokens of one of the target's events.
+  uint64_t TokensPerEvent() const;
   void LeaveTarget(gateway::Outcome outcome);
   void HandleGone();
   void HandleDeadline();
@@ -138,6 +143,7 @@
   Duration first_event_after{};
   Duration longest_pause{};
   gateway::EventReader events;
+  usage::RequestMeter meter;
   bool is_finished = false;
 };
 
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -37,5 +37,8 @@
 inline constexpr MetricName kGroupLimit{
     "bramleyspan_streams_per_rank",
     "Streams that may run at once at each rank, by group."};
+inline constexpr MetricName kUsageWrites{
+    "bramleyspan_usage_writes_total",
+    "Writes of who caused which work, by outcome."};
 
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -11,6 +11,7 @@
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/Peers.h"
 #include "Services/bramleyspand/Gateway/Placing.h"
+#include "Services/bramleyspand/Gateway/UsageKeeping.h"
 #include "Services/bramleyspand/Role.h"
 
 namespace bramleyspan::gatewayd {
@@ -41,8 +42,10 @@
         placing(this->state,
                 [this](const std::string& ip, const std::string& bytes) {
                   this->peers.Send(ip, bytes);
-                }) {
+                }),
+        usage(this->state) {
     this->state.placing = &this->placing;
+    this->state.usage = &this->usage;
   }
 
   Result<void> Start() {
@@ -62,6 +65,7 @@
         [this](const gateway::RouteTable& table) { this->HandleTable(table); },
         [this] { this->HandleTargets(); });
     TRY(this->peers.Start());
+    this->usage.Start();
     this->callers = TRY(this->Serve(*fleet.callers, HandleCaller));
     this->directory = TRY(this->Serve(fleet.directory, HandleDirectory));
     this->readiness = TRY(this->Serve(fleet.readiness, HandleReadiness));
@@ -95,6 +99,7 @@
     own.seeds = fleet.seeds;
     own.directory_lifetime = fleet.directory_lifetime;
     own.stop_bound = fleet.stop_bound;
+    own.usage_interval = fleet.usage_interval;
     this->state.repeats.settings = {.ratio = fleet.repeat_ratio,
                                     .slack = fleet.repeat_slack,
                                     .window = fleet.repeat_window};
@@ -165,6 +170,9 @@
     } else if (request.path == "/v1/engine") {
       role.RespondWithEngine(http::FindQueryValue(request.query, "address"),
                              *exchange);
+    } else if (request.path == "/v1/usage") {
+      exchange->Respond(200, {{"content-type", "application/json"}},
+                        role.usage.Serialize() + "\n");
     } else if (request.path == "/v1/dump") {
       exchange->Respond(200, {{"content-type", "application/json"}},
                         role.Dump().dump(2) + "\n");
@@ -312,19 +320,36 @@
   void StopWhenIdle() {
     const TimePoint now = EventLoop::Now();
     const Duration since = now - this->drain_began;
+    const Duration bound = this->state.fleet().stop_bound - kStopReserve;
     const bool is_idle = this->state.open.empty() &&
                          now - this->state.last_request > kQuietBeforeStop;
-    const bool is_over = since > this->state.fleet().stop_bound - kStopReserve;
-    if ((is_idle && since > kLeastDrain) || is_over) {
+    const bool is_over = since > bound;
+    const bool may_stop = is_idle && since > kLeastDrain;
+    if ((may_stop && this->is_usage_written) || is_over) {
       Log(LogLevel::kInfo, "drain", "drain_ended",
           {{"open", std::to_string(this->state.open.size())}});
       this->state.loop.Stop();
       return;
     }
+    if (may_stop || since > bound - kStopReserve) {
+      this->WriteUsageOnce();
+    }
     this->state.loop.RunAfter(kDrainCheckInterval,
                               [this] { this->StopWhenIdle(); });
   }
 
+  // What was counted since the last write would be missing from the bill. A
+  // store that does not answer holds the stop up for a moment only.
+  void WriteUsageOnce() {
+    constexpr Duration kLongestLastWrite = std::chrono::milliseconds(250);
+    if (std::exchange(this->is_writing_usage, true)) {
+      return;
+    }
+    this->state.loop.RunAfter(kLongestLastWrite,
+                              [this] { this->is_usage_written = true; });
+    this->usage.Write([this] { this->is_usage_written = true; });
+  }
+
   void UpdateGauges() const {
     const TimePoint now = EventLoop::Now();
     telemetry::SetGauge(kWaiting, {},
@@ -404,6 +429,7 @@
   GatewayState state;
   Peers peers;
   Placing placing;
+  UsageKeeping usage;
   std::unique_ptr<http::Ingress> callers;
   std::unique_ptr<http::Ingress> directory;
   std::unique_ptr<http::Ingress> readiness;
@@ -411,6 +437,8 @@
   std::unique_ptr<http::Ingress> metrics;
   TimePoint drain_began;
   bool is_telling_soon = false;
+  bool is_writing_usage = false;
+  bool is_usage_written = false;
 };
 
 Result<std::unique_ptr<Role>> StartGateway(EventLoop& loop,
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -23,6 +23,7 @@
 
 class Forwarding;
 class Placing;
+class UsageKeeping;
 
 struct GatewayState {
   GatewayState(EventLoop& loop, const Settings& settings)
@@ -45,6 +46,8 @@
 
   // Null until the gateway can ask agents.
   Placing* placing = nullptr;
+  // Null until the gateway can count.
+  UsageKeeping* usage = nullptr;
   // Services whose ranks had no place a moment ago are not asked until then.
   std::map<std::string, TimePoint> full_until;
   // The same for streams that are late in any case.
--- /dev/null
+++ b/Services/bramleyspand/Gateway/UsageKeeping.cc
@@ -0,0 +1,147 @@
+#include "Services/bramleyspand/Gateway/UsageKeeping.h"
+
+#include <utility>
+#include <vector>
+
+#include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+
+namespace bramleyspan::gatewayd {
+
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+using usage::Counts;
+using usage::DocumentWrite;
+
+// Documents older than this are removed.
+constexpr std::chrono::hours kRetention{24 * 40};
+constexpr Duration kRemovalInterval = std::chrono::hours(1);
+
+usage::Window WindowNow(usage::Ledger& ledger) {
+  return usage::CurrentWindow(ledger, std::chrono::system_clock::now());
+}
+
+}  // namespace
+
+void UsageKeeping::Start() {
+  const std::string& name = this->state.settings.name;
+  this->ledger.agent = name;
+  this->ledger.incarnation = this->state.incarnation;
+  this->keeper.process = name;
+  this->keeper.incarnation = this->state.incarnation;
+  // All gateways start together; their writes should not come together.
+  const Duration interval = this->state.fleet().usage_interval;
+  const Duration first = Duration(std::uniform_int_distribution<int64_t>(
+      interval.count() / 2, interval.count())(this->state.random));
+  this->state.loop.RunAfter(first, [this] { this->WriteForever(); });
+}
+
+void UsageKeeping::Count(const usage::Cause& cause, const usage::Counts& work) {
+  usage::CountWork(this->ledger, cause, WindowNow(this->ledger), work);
+}
+
+void UsageKeeping::WriteForever() {
+  if (this->open_writes == 0) {
+    this->Write([] {});
+  }
+  this->RemoveOld();
+  this->state.loop.RunAfter(this->state.fleet().usage_interval,
+                            [this] { this->WriteForever(); });
+}
+
+void UsageKeeping::Write(std::function<void()> on_done) {
+  if (this->open_writes > 0) {
+    // What was counted since those writes began is to be written too.
+    this->on_all_written = [this, on_done = std::move(on_done)] {
+      this->Write(on_done);
+    };
+    return;
+  }
+  usage::TakeReport(this->keeper, this->ledger.rows);
+  const auto writes = usage::DueWrites(this->keeper);
+  if (writes.empty()) {
+    on_done();
+    return;
+  }
+  this->on_all_written = std::move(on_done);
+  this->open_writes = writes.size();
+  for (const DocumentWrite& write : writes) {
+    this->WriteOne(write);
+  }
+}
+
+void UsageKeeping::WriteOne(const DocumentWrite& write) {
+  this->documents.Write(
+      write.key, write.text, [this, write](const Result<void>& written) {
+        telemetry::Count(
+            kUsageWrites,
+            {{"outcome", written.has_value() ? "done" : "failed"}});
+        if (written.has_value()) {
+          usage::HandleWritten(this->keeper, write);
+          usage::HandleStored(this->ledger, write.rows,
+                              WindowNow(this->ledger));
+        }
+        Counts total;
+        for (const auto& [source, counts] : write.rows) {
+          usage::Add(total, counts);
+        }
+        Log(written.has_value() ? LogLevel::kInfo : LogLevel::kWarning, "usage",
+            written.has_value() ? "usage_written" : "usage_not_written",
+            {{"key", write.key},
+             {"rows", std::to_string(write.rows.size())},
+             {"requests", std::to_string(total.requests)},
+             {"answered", std::to_string(total.answered)},
+             {"error", written.has_value() ? "" : Describe(written.error())}});
+        this->HandleWriteEnd();
+      });
+}
+
+void UsageKeeping::HandleWriteEnd() {
+  if (--this->open_writes > 0) {
+    return;
+  }
+  usage::ForgetWindows(this->keeper, WindowNow(this->ledger));
+  std::exchange(this->on_all_written, [] {})();
+}
+
+// Keys begin with the window's number, so that the oldest lie on the first
+// page. Whichever gateway comes first removes them.
+void UsageKeeping::RemoveOld() {
+  const TimePoint now = EventLoop::Now();
+  if (this->removed_at != TimePoint{} &&
+      now - this->removed_at < kRemovalInterval) {
+    return;
+  }
+  this->removed_at = now;
+  const usage::Window oldest =
+      WindowNow(this->ledger) -
+      static_cast<usage::Window>(kRetention / usage::kWindowLength);
+  this->state.store.range(
+      {.prefix = std::string(usage::kDocumentPrefix), .may_be_stale = true},
+      [this, oldest](const Result<platform::RangePage>& page) {
+        std::vector<std::string> old;
+        if (page.has_value()) {
+          for (const auto& item : page.value().items) {
+            const auto window = usage::WindowOfKey(item.key);
+            if (window && *window < oldest &&
+                old.size() < platform::kMostRemovedKeys) {
+              old.push_back(item.key);
+            }
+          }
+        }
+        if (!old.empty()) {
+          Log(LogLevel::kInfo, "usage", "usage_removed",
+              {{"documents", std::to_string(old.size())},
+               {"first", old.front()}});
+          this->state.store.remove(std::move(old), [](const Result<void>&) {});
+        }
+      });
+}
+
+std::string UsageKeeping::Serialize() const {
+  return usage::SerializeDocument(this->ledger.rows);
+}
+
+}  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -164,6 +164,7 @@
   fleet.stop_bound = TRY(RequireSeconds(lookup, "stop-bound-seconds"));
   fleet.notice_bound =
       TRY(RequireMilliseconds(lookup, "notice-bound-milliseconds"));
+  fleet.usage_interval = TRY(RequireSeconds(lookup, "usage-interval-seconds"));
   if (role == "gateway" && !fleet.callers) {
     return FailFor("callers", lookup("callers"), "IP:PORT");
   }
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -39,6 +39,8 @@
   Duration stop_bound{};
   // A store channel that fell silent must be noticed within this time.
   Duration notice_bound{};
+  // How often a gateway writes who caused which work.
+  Duration usage_interval{};
 };
 
 // Checked settings of one process.
--- a/Tests/LibUsage/TestUsage.cc
+++ b/Tests/LibUsage/TestUsage.cc
@@ -17,7 +17,7 @@
 // Two agents and two keepers on a network that delivers any message at any
 // time and any number of times, and a store that outlives them all.
 struct World {
-  std::vector<Ledger> agents{{"target-1", 1, {}}, {"target-2", 2, {}}};
+  std::vector<Ledger> agents{{"target-1", 1, {}, 0}, {"target-2", 2, {}, 0}};
   std::vector<Keeper> keepers{{"entry-1", 11, {}, {}}, {"entry-2", 12, {}, {}}};
   std::map<std::string, std::string> stored;
   std::vector<Rows> reports;
@@ -40,7 +40,7 @@
   }
 
   void Count(Ledger& agent) {
-    CountWork(agent, "owner", "draft", this->window, kOneRequest);
+    CountWork(agent, {"owner", "draft"}, this->window, kOneRequest);
     ++this->counted;
   }
 
@@ -60,7 +60,7 @@
       this->at_risk_in_kills +=
           counts.requests - (row == held.end() ? 0 : row->second.requests);
     }
-    agent = {agent.agent, ++this->next_incarnation, {}};
+    agent = {agent.agent, ++this->next_incarnation, {}, 0};
   }
 
   // All that live tell what they know, and it is written.
@@ -228,6 +228,70 @@
   CHECK(DueWrites(world.keepers[0]).size() == 1);
 }
 
+// The time of day jumps ten minutes ahead on a gateway, its counters of the
+// window before are stored and forgotten, and the time jumps back. Counted from
+// nothing under the same name, the next requests hide behind the larger value
+// that is stored, and the bill lacks them.
+TEST_CASE("work after a clock that jumped back is counted anew nowhere") {
+  using std::chrono::system_clock;
+  const system_clock::time_point noon(kWindowLength * kNow);
+  World world;
+  Ledger& agent = world.agents[0];
+  const auto count = [&](system_clock::time_point time) {
+    world.window = CurrentWindow(agent, time);
+    world.Count(agent);
+  };
+  count(noon);
+  count(noon);
+  count(noon + kWindowLength);
+  world.Settle();
+  HandleStored(agent, world.acknowledgements[0], world.window);
+  count(noon);
+  world.Settle();
+  CHECK(world.CountStored() == 4);
+}
+
+// 2,000 customers are served in one window: as one document their rows pass the
+// key-value service's megabyte, the write is refused for good, and the whole
+// window is missing from the bill.
+TEST_CASE("a large window is cut, and no row moves to another document") {
+  World world;
+  Ledger& agent = world.agents[0];
+  const auto count_owners = [&](int step) {
+    for (int owner = 0; owner < 2000; owner += step) {
+      CountWork(agent, {"owner-" + std::to_string(owner), "draft"}, kNow,
+                kOneRequest);
+    }
+    TakeReport(world.keepers[0], agent.rows);
+  };
+  count_owners(2);
+  world.Write(world.keepers[0]);
+  count_owners(1);
+  const auto writes = DueWrites(world.keepers[0]);
+  REQUIRE(writes.size() == 2);
+  CHECK(writes[0].rows.size() == kMostRowsPerDocument);
+  CHECK(writes[0].key != writes[1].key);
+  // Only the first write is done: nothing that was stored before may go.
+  world.stored[writes[0].key] = writes[0].text;
+  CHECK(world.CountStored() >= 1000 + 1000);
+  CHECK(WindowOfKey(writes[1].key) == kNow);
+  CHECK_FALSE(WindowOfKey("bramleyspan/usage/100").has_value());
+  CHECK_FALSE(WindowOfKey("bramleyspan/usage/10x/a").has_value());
+}
+
+// Every unit of a row survives the way through a document.
+TEST_CASE("a document holds what was counted") {
+  Keeper keeper{"entry-1", 11, {}, {}};
+  Rows rows;
+  Counts& counts = rows[{"front", 7, kNow, "owner", "draft", "drafting"}];
+  uint64_t value = 0;
+  for (const Unit& unit : kUnits) {
+    counts.*unit.value = ++value;
+  }
+  TakeReport(keeper, rows);
+  CHECK(ParseDocument(DueWrites(keeper).at(0).text).value() == rows);
+}
+
 // The parent asks for every byte that moved; rounding must not lose any.
 TEST_CASE("property: the parts of a load sum to its bytes") {
   tests::CheckProperty("no byte is lost or added", [](uint64_t bytes) {
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -35,12 +35,15 @@
 runs_of() { platform_status | grep -o "\"$1\":[0-9]*" | cut -d: -f2 || true; }
 number_of() { platform_status | grep -o "\"$1\":[0-9]*" | cut -d: -f2; }
 
+# GATEWAY_FLAGS holds further flags of gateways.
 start_gateway() {
+  # shellcheck disable=SC2086
   spawn "gateway-$1" env -u BRAMLEYSPAN_TEST_NET "$BIN/bramleyspand" --role=gateway \
     --name="gateway-$1" --zone=a --ip="$NET.1.$1" --store="$NET.0.20:7000" \
     --callers="$NET.1.$1:8080" --directory="$NET.1.$1:8081" --readiness="$NET.1.$1:8082" \
     --peer_ports=7340,7355 --seeds="$NET.1.1:1,$NET.1.2:1" --repeat_ratio=0.2 --repeat_slack=10 \
-    --repeat_window_seconds=10 --stop_bound_seconds=8 --notice_bound_milliseconds=3000
+    --repeat_window_seconds=10 --stop_bound_seconds=8 --notice_bound_milliseconds=3000 \
+    ${GATEWAY_FLAGS:-}
 }
 
 start_rank() {
--- a/Utilities/bramleyspanctl/Commands.h
+++ b/Utilities/bramleyspanctl/Commands.h
@@ -39,4 +39,18 @@
 Result<void> ExplainRequest(const std::string& request,
                             const std::vector<std::string>& paths);
 
+// Where usage is read, and how it is added up.
+struct UsageOptions {
+  std::string adapter;
+  // IP:PORT of the platform's store.
+  std::string store;
+  // IP:PORT of gateways' internal ports, for what is not stored yet.
+  std::string gateways;
+  // Columns: owner, entry, service, gateway, window.
+  std::string by;
+};
+
+// Prints who caused which work.
+Result<void> PrintUsage(const UsageOptions& options);
+
 }  // namespace bramleyspan
--- a/Utilities/bramleyspanctl/Main.cc
+++ b/Utilities/bramleyspanctl/Main.cc
@@ -31,6 +31,24 @@
           "",
           "id of the change set; give it again to learn what became of it");
 
+ABSL_FLAG(std::string,
+          adapter,
+          "kv",
+          "the adapter of the platform whose store holds the usage");
+ABSL_FLAG(std::string,
+          store,
+          "",
+          "IP:PORT of the platform's store (or BRAMLEYSPAN_STORE)");
+ABSL_FLAG(std::string,
+          gateways,
+          "",
+          "IP:PORT,... of gateways' internal ports, for usage that is not "
+          "stored yet");
+ABSL_FLAG(std::string,
+          by,
+          "owner,entry,service",
+          "columns of usage: owner, entry, service, gateway, window");
+
 namespace bramleyspan {
 
 namespace {
@@ -54,6 +72,7 @@
     "                          service that has lost it\n"
     "  status                  which revision is in force on which process\n"
     "  dump                    the whole state of one process\n"
+    "  usage                   who caused which work, from --store\n"
     "  explain REQUEST LOG...  one request's story from log files or "
     "directories\n";
 
@@ -146,6 +165,13 @@
   if (command == "dump") {
     return PrintBody("/v1/operator/dump");
   }
+  if (command == "usage") {
+    return PrintUsage({.adapter = absl::GetFlag(FLAGS_adapter),
+                       .store = FlagOrEnvironment(absl::GetFlag(FLAGS_store),
+                                                  "BRAMLEYSPAN_STORE"),
+                       .gateways = absl::GetFlag(FLAGS_gateways),
+                       .by = absl::GetFlag(FLAGS_by)});
+  }
   if (command == "explain" && words.size() > 2) {
     return ExplainRequest(verb, {words.begin() + 2, words.end()});
   }
--- /dev/null
+++ b/Utilities/bramleyspanctl/UsageCommand.cc
@@ -0,0 +1,167 @@
+// Who caused which work: reads the documents that gateways keep in the store,
+// and what gateways have counted since, and adds them up.
+#include <absl/strings/str_format.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "Kernel/EventLoop.h"
+#include "LibGateway/Adapter.h"
+#include "LibUsage/Keeper.h"
+#include "LibUsage/Totals.h"
+#include "Utilities/bramleyspanctl/Commands.h"
+
+namespace bramleyspan {
+
+namespace {
+
+using nlohmann::json;
+using usage::Counts;
+using usage::Rows;
+using usage::Source;
+
+constexpr Duration kPageTimeout = std::chrono::seconds(5);
+
+Result<platform::RangePage> ReadPage(EventLoop& loop,
+                                     const platform::Store& store,
+                                     const std::string& after) {
+  Result<platform::RangePage> page =
+      Fail(ErrorCode::kUnavailable, "store", "no answer");
+  store.range({.prefix = std::string(usage::kDocumentPrefix),
+               .after = after,
+               .timeout = kPageTimeout},
+              [&](Result<platform::RangePage> answer) {
+                page = std::move(answer);
+                loop.Stop();
+              });
+  loop.Run();
+  return page;
+}
+
+// Documents that can't be read are named and left out: one of them must not
+// hide all others.
+Result<Rows> ReadStored(const UsageOptions& options) {
+  const auto make = TRY(
+      PluginRegistry<gateway::MakeAdapter>::Instance().Find(options.adapter));
+  EventLoop loop;
+  const platform::Store store =
+      make().open_store(loop, TRY(ParseAddress(options.store)));
+  Rows rows;
+  std::string after;
+  for (bool has_more = true; has_more;) {
+    const platform::RangePage page = TRY(ReadPage(loop, store, after));
+    has_more = page.has_more && !page.items.empty();
+    for (const platform::StoreItem& item : page.items) {
+      after = item.key;
+      const auto document = usage::ParseDocument(item.value);
+      if (document.has_error()) {
+        std::cerr << item.key << ": " << Describe(document.error()) << "\n";
+        continue;
+      }
+      usage::Join(rows, document.value());
+    }
+  }
+  return rows;
+}
+
+Result<Rows> ReadGateway(const Address& gateway) {
+  const OperatorClient client{.entries = {gateway}, .key = ""};
+  const http::Response response = TRY(Ask(client, "GET", "/v1/usage", ""));
+  return usage::ParseDocument(response.body);
+}
+
+std::string TimeOf(usage::Window window) {
+  const auto begins = std::chrono::duration_cast<std::chrono::seconds>(
+      usage::kWindowLength * static_cast<int64_t>(window));
+  const std::time_t seconds = begins.count();
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  return absl::StrFormat("%04d-%02d-%02dT%02d:%02dZ", parts.tm_year + 1900,
+                         parts.tm_mon + 1, parts.tm_mday, parts.tm_hour,
+                         parts.tm_min);
+}
+
+// The names by which rows may be added up.
+Result<std::string> NameBy(const std::string& by, const Source& source) {
+  if (by == "owner") {
+    return source.owner;
+  }
+  if (by == "entry") {
+    return source.entry;
+  }
+  if (by == "service") {
+    return source.service;
+  }
+  if (by == "gateway") {
+    return source.agent;
+  }
+  if (by == "window") {
+    return TimeOf(source.window);
+  }
+  return Fail(ErrorCode::kInvalidSetting, "by",
+              "'" + by +
+                  "'; allowed: owner, entry, service, gateway, window, "
+                  "separated by commas");
+}
+
+void PrintRow(const std::vector<std::string>& names, const Counts& counts) {
+  for (const std::string& name : names) {
+    std::cout << absl::StrFormat("%-24s ", name);
+  }
+  for (const usage::Unit& unit : usage::kUnits) {
+    const int width = std::max<int>(8, static_cast<int>(unit.name.size()));
+    std::cout << absl::StrFormat(" %*d", width, counts.*unit.value);
+  }
+  std::cout << "\n";
+}
+
+void PrintHead(const std::vector<std::string>& columns) {
+  for (const std::string& column : columns) {
+    std::cout << absl::StrFormat("%-24s ", column);
+  }
+  for (const usage::Unit& unit : usage::kUnits) {
+    const int width = std::max<int>(8, static_cast<int>(unit.name.size()));
+    std::cout << absl::StrFormat(" %*s", width, unit.name);
+  }
+  std::cout << "\n";
+}
+
+}  // namespace
+
+Result<void> PrintUsage(const UsageOptions& options) {
+  const std::vector<std::string> columns = absl::StrSplit(options.by, ',');
+  for (const std::string& column : columns) {
+    TRY(NameBy(column, {}));
+  }
+  Rows rows = TRY(ReadStored(options));
+  if (!options.gateways.empty()) {
+    for (const Address& gateway : TRY(ParseEntries(options.gateways))) {
+      usage::Join(rows, TRY(ReadGateway(gateway)));
+    }
+  }
+  std::map<std::vector<std::string>, Counts> sums;
+  Counts total;
+  for (const auto& [source, counts] : rows) {
+    std::vector<std::string> names;
+    names.reserve(columns.size());
+    for (const std::string& column : columns) {
+      names.push_back(TRY(NameBy(column, source)));
+    }
+    usage::Add(sums[names], counts);
+    usage::Add(total, counts);
+  }
+  PrintHead(columns);
+  for (const auto& [names, counts] : sums) {
+    PrintRow(names, counts);
+  }
+  // Every line has as many words, for the tools that read it.
+  std::vector<std::string> all(columns.size(), "*");
+  all.front() = "total";
+  PrintRow(all, total);
+  return Succeed();
+}
+
+}  // namespace bramleyspan
