LibPlatform, LibMembership, Gateway: Let a few gateways watch the store closely

Change: three live gateways watch for 2.2 s as before and so notice a silent channel; the others watch for 8 s and hear from them. A watch that has not told 0.9 s later what a peer knew starts over. Rests after changes and retries while the store is away grow (0.12 to 0.45 s; 0.15 to 0.9 s).

--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -84,6 +84,17 @@
                                }));
 }
 
+bool is_close_watcher(const Members& members,
+                      uint64_t own_incarnation,
+                      TimePoint now) {
+  const std::vector<const KnownMember*> live = LiveEntries(members, now);
+  const auto before = std::count_if(
+      live.begin(), live.end(), [own_incarnation](const KnownMember* other) {
+        return other->member.incarnation < own_incarnation;
+      });
+  return static_cast<size_t>(before) < kCloseWatchers;
+}
+
 std::vector<std::string> PeersForHeartbeat(const Members& members,
                                            uint64_t turn) {
   std::vector<std::string> peers;
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -65,6 +65,17 @@
 // The largest number of entries that may be at work, itself among them.
 size_t CountEntries(const Members& members, TimePoint now);
 
+// Entries that ask the store often enough to notice soon if it falls silent.
+// The others hear from them; the store's calls are paid for and do not grow
+// with the fleet.
+inline constexpr size_t kCloseWatchers = 3;
+
+// Whether an entry of this incarnation is one of them. It judges by those that
+// it hears: one that hears nobody always is.
+bool is_close_watcher(const Members& members,
+                      uint64_t own_incarnation,
+                      TimePoint now);
+
 // The gateways' IP numbers to send the next heartbeat to; all as long as they
 // are few, else a part that `turn` shifts on.
 std::vector<std::string> PeersForHeartbeat(const Members& members,
--- a/Libraries/LibPlatform/PrefixFeed.cc
+++ b/Libraries/LibPlatform/PrefixFeed.cc
@@ -5,6 +5,16 @@
 
 namespace bramleyspan::platform {
 
+namespace {
+
+// `first`, doubled so many times, at most `longest`.
+Duration Doubled(Duration first, int times, Duration longest) {
+  constexpr int kMostDoublings = 10;
+  return std::min(longest, first * (1 << std::min(times, kMostDoublings)));
+}
+
+}  // namespace
+
 PrefixFeed::PrefixFeed(EventLoop& loop,
                        Store& store,
                        PrefixFeedSettings settings,
@@ -24,13 +34,30 @@
 }
 
 void PrefixFeed::Restart() {
-  if (!this->has_loaded || this->watched == 0) {
+  if (this->watched == 0) {
     return;
   }
   ++this->turn;
   this->Watch();
 }
 
+void PrefixFeed::SetWatchWait(Duration wait) {
+  const bool is_shorter = wait < this->settings.watch_wait;
+  this->settings.watch_wait = wait;
+  if (is_shorter && this->reached) {
+    this->Restart();
+  }
+}
+
+void PrefixFeed::RestartIfSilent(uint64_t revision) {
+  this->loop.RunAfter(
+      this->settings.silence_grace, [this, revision, asked = this->turn] {
+        if (asked == this->turn && this->reached && this->watched < revision) {
+          this->Restart();
+        }
+      });
+}
+
 void PrefixFeed::ReadPage(const std::string& after) {
   this->store.range({.prefix = this->settings.prefix,
                      .after = after,
@@ -114,21 +141,29 @@
   }
   this->watched = std::max(this->watched, answer.value().revision);
   if (answer.value().events.empty() || this->settings.rest == Duration(0)) {
+    this->bursts = 0;
     this->Watch();
     return;
   }
-  this->loop.RunAfter(this->settings.rest, [this, asked] {
-    if (asked == this->turn) {
-      this->Watch();
-    }
-  });
+  this->loop.RunAfter(
+      Doubled(this->settings.rest, this->bursts++, this->settings.longest_rest),
+      [this, asked] {
+        if (asked == this->turn) {
+          this->Watch();
+        }
+      });
 }
 
 void PrefixFeed::Retry(const Error& error) {
   if (std::exchange(this->reached, false) && this->events.on_reach) {
     this->events.on_reach(false, Describe(error));
   }
-  this->loop.RunAfter(this->settings.retry_delay, [this, asked = this->turn] {
+  // Until the keys were read, a process cannot serve: it asks often.
+  const Duration delay =
+      this->has_loaded ? Doubled(this->settings.retry_delay, this->failures++,
+                                 this->settings.longest_retry_delay)
+                       : this->settings.retry_delay;
+  this->loop.RunAfter(delay, [this, asked = this->turn] {
     if (asked != this->turn) {
       return;
     }
@@ -142,6 +177,7 @@
 
 void PrefixFeed::NoteAnswer() {
   this->last_answer = EventLoop::Now();
+  this->failures = 0;
   if (!std::exchange(this->reached, true)) {
     this->returned = this->last_answer;
     if (this->events.on_reach) {
@@ -196,13 +232,18 @@
 }
 
 void PrefixFeed::Merge(const std::vector<StoreItem>& items) {
+  uint64_t revision = 0;
   for (const StoreItem& item : items) {
+    revision = std::max(revision, item.revision);
     if (item.is_removed) {
       this->Remove(item.key, item.revision);
     } else {
       this->Apply(item);
     }
   }
+  if (revision > this->watched) {
+    this->RestartIfSilent(revision);
+  }
 }
 
 }  // namespace bramleyspan::platform
--- a/Libraries/LibPlatform/PrefixFeed.h
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -22,9 +22,16 @@
   Duration watch_slack = std::chrono::milliseconds(300);
   Duration range_timeout = std::chrono::milliseconds(700);
   // After changes the next watch waits, since they come in bursts and each
-  // watch is a call.
+  // watch is a call; twice as long after each that brings more of them.
   Duration rest = Duration(0);
+  Duration longest_rest = std::chrono::milliseconds(450);
+  // A store that is away is asked again after this time, and after twice as
+  // long each time that it does not answer.
   Duration retry_delay = std::chrono::milliseconds(150);
+  Duration longest_retry_delay = std::chrono::milliseconds(900);
+  // A change that a peer knows and the own watch has not told after this time
+  // shows that the watch's channel is silent.
+  Duration silence_grace = std::chrono::milliseconds(900);
   // Keys that vanish together while the store was away, or just after, may be
   // back at once: their leases ran out unrenewed. They are held this long.
   Duration return_grace = std::chrono::milliseconds(2300);
@@ -62,8 +69,9 @@
   // that are older than what is known change nothing.
   void Merge(const std::vector<StoreItem>& items);
 
-  // Asks the store anew on a new channel; a peer knows more than we do.
-  void Restart();
+  // Changes how long a watch waits; one under way that would wait for longer
+  // starts over.
+  void SetWatchWait(Duration wait);
 
   const std::map<std::string, FeedItem>& items() const { return this->held; }
 
@@ -86,6 +94,9 @@
   void Watch();
   void HandleWatch(uint64_t turn, Result<WatchAnswer> answer);
   void Retry(const Error& error);
+  // Watches anew on a new channel.
+  void Restart();
+  void RestartIfSilent(uint64_t revision);
   void NoteAnswer();
   void Apply(const StoreItem& item);
   void Remove(const std::string& key, uint64_t revision);
@@ -105,6 +116,9 @@
   uint64_t turn = 0;
   bool has_loaded = false;
   bool reached = true;
+  // Failures, and answers with changes, that followed each other.
+  int failures = 0;
+  int bursts = 0;
   TimePoint last_answer;
   // When the store last came back after it had not answered.
   TimePoint returned;
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -66,18 +66,23 @@
   }
 }
 
+// How long the watches of gateways wait that need not notice silence
+// themselves.
+constexpr Duration kRelaxedWait = std::chrono::seconds(8);
+
 // A watch that waits for long costs few calls; one that falls silent must be
 // noticed, and the next one answered, within the bound.
-platform::PrefixFeedSettings FeedSettings(const GatewayState& state,
-                                          const std::string& prefix) {
+Duration CloseWait(const GatewayState& state) {
   constexpr Duration kReserve = std::chrono::milliseconds(800);
   constexpr Duration kShortest = std::chrono::milliseconds(500);
+  return std::max(kShortest, state.fleet().notice_bound - kReserve);
+}
+
+platform::PrefixFeedSettings FeedSettings(const GatewayState& state,
+                                          const std::string& prefix) {
   // Changes must be in force within two seconds.
   constexpr Duration kRest = std::chrono::milliseconds(120);
-  return {
-      .prefix = prefix,
-      .watch_wait = std::max(kShortest, state.fleet().notice_bound - kReserve),
-      .rest = kRest};
+  return {.prefix = prefix, .watch_wait = CloseWait(state), .rest = kRest};
 }
 
 platform::FeedEvents EventsOf(
@@ -117,4 +122,19 @@
   state.targets_feed->Start();
 }
 
+void AdjustWatching(GatewayState& state, TimePoint now) {
+  const bool is_close =
+      membership::is_close_watcher(state.members, state.incarnation, now);
+  if (std::exchange(state.is_watching_closely, is_close) == is_close) {
+    return;
+  }
+  Log(LogLevel::kInfo, "feeds", "watching",
+      {{"how", is_close ? "closely" : "relaxed"},
+       {"gateways",
+        std::to_string(membership::CountEntries(state.members, now))}});
+  const Duration wait = is_close ? CloseWait(state) : kRelaxedWait;
+  state.table_feed->SetWatchWait(wait);
+  state.targets_feed->SetWatchWait(wait);
+}
+
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/Feeds.h
+++ b/Services/bramleyspand/Gateway/Feeds.h
@@ -14,4 +14,8 @@
                 OnTable on_table,
                 std::function<void()> on_target);
 
+// A few gateways watch closely, the others hear from them should their own
+// watch be silent. Called with every heartbeat.
+void AdjustWatching(GatewayState& state, TimePoint now);
+
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -37,6 +37,12 @@
 inline constexpr MetricName kGroupLimit{
     "bramleyspan_streams_per_rank",
     "Streams that may run at once at each rank, by group."};
+inline constexpr MetricName kStoreCalls{
+    "bramleyspan_store_calls_total",
+    "Calls of the platform's store that ended, by call and outcome."};
+inline constexpr MetricName kStoreCallTime{
+    "bramleyspan_store_call_seconds",
+    "Time of a store call, by call; a watch waits for changes."};
 inline constexpr MetricName kUsageWrites{
     "bramleyspan_usage_writes_total",
     "Writes of who caused which work, by outcome."};
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "Kernel/Digest.h"
+#include "LibPlatform/CountedStore.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
@@ -58,8 +59,11 @@
     this->state.repeats.settings = {.ratio = fleet.repeat_ratio,
                                     .slack = fleet.repeat_slack,
                                     .window = fleet.repeat_window};
-    this->state.store =
-        this->state.adapter.open_store(this->state.loop, fleet.store);
+    this->state.store = platform::CountCalls(
+        this->state.adapter.open_store(this->state.loop, fleet.store),
+        [this](std::string_view call, std::string_view outcome, Duration took) {
+          this->NoteStoreCall(call, outcome, took);
+        });
     StartFeeds(
         this->state,
         [this](const gateway::RouteTable& table) { this->HandleTable(table); },
@@ -350,6 +354,15 @@
     this->usage.Write([this] { this->is_usage_written = true; });
   }
 
+  void NoteStoreCall(std::string_view call,
+                     std::string_view outcome,
+                     Duration took) {
+    ++this->store_calls[std::string(call)];
+    telemetry::Count(kStoreCalls, {{"call", std::string(call)},
+                                   {"outcome", std::string(outcome)}});
+    telemetry::Observe(kStoreCallTime, {{"call", std::string(call)}}, took);
+  }
+
   void UpdateGauges() const {
     const TimePoint now = EventLoop::Now();
     telemetry::SetGauge(kWaiting, {},
@@ -421,7 +434,8 @@
         {{"open", std::to_string(this->state.open.size())},
          {"waiting", std::to_string(this->state.waiting.size())},
          {"gateways", std::to_string(SharingOf(this->state, now).gateways)},
-         {"groups", groups.dump()}});
+         {"groups", groups.dump()},
+         {"store_calls", nlohmann::json(this->store_calls).dump()}});
     this->state.loop.RunAfter(kStatusInterval,
                               [this] { this->TellStatusForever(); });
   }
@@ -436,6 +450,8 @@
   std::unique_ptr<http::Ingress> internal;
   std::unique_ptr<http::Ingress> metrics;
   TimePoint drain_began;
+  // Calls of the store by name, since the start.
+  std::map<std::string, uint64_t> store_calls;
   bool is_telling_soon = false;
   bool is_writing_usage = false;
   bool is_usage_written = false;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -35,6 +35,8 @@
   platform::Store store;
   std::unique_ptr<platform::PrefixFeed> table_feed;
   std::unique_ptr<platform::PrefixFeed> targets_feed;
+  // Whether this gateway's watches are short enough to notice silence soon.
+  bool is_watching_closely = true;
 
   // Null until a desired state is known.
   std::shared_ptr<const gateway::RouteTable> table;
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -66,6 +66,7 @@
 void Peers::Tick() {
   const TimePoint now = EventLoop::Now();
   membership::Forget(this->state.members, now);
+  AdjustWatching(this->state, now);
   // The settings name their seeds for good, whether they are up or not.
   for (const std::string& ip : this->state.fleet().seeds) {
     if (ip != this->state.settings.ip) {
@@ -350,6 +351,16 @@
   if (news.is_discarded() || !news.is_object()) {
     return;
   }
+  try {
+    this->TakeNews(news);
+  } catch (const json::exception& failure) {
+    // Whatever answers at a peer's address may be another program by now.
+    Log(LogLevel::kError, "members", "news_unreadable",
+        {{"error", failure.what()}});
+  }
+}
+
+void Peers::TakeNews(const json& news) {
   std::vector<platform::StoreItem> items;
   for (const json& source : news.value("targets", json::array())) {
     const auto& value = source.at("value").get_binary();
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 
 #include "Kernel/Datagrams.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
@@ -35,6 +36,7 @@
   void UpdateLoads();
   void FetchIfBehind(const membership::wire::MemberT& member);
   void HandleNews(const std::string& text);
+  void TakeNews(const nlohmann::json& news);
   void ReadStoredMembers();
   void KeepRecord();
   void PutRecord();
--- a/Tests/LibMembership/TestMembers.cc
+++ b/Tests/LibMembership/TestMembers.cc
@@ -95,6 +95,33 @@
   CHECK(spoken_of.size() == 340);
 }
 
+// Story: 340 gateways each asked the store every two seconds whether anything
+// had changed, which is a seventh of all calls that it takes.
+TEST_CASE("A few gateways watch closely, whoever of them dies") {
+  Members members{.own_name = "me"};
+  constexpr uint64_t kOwn = 50;
+  CHECK(is_close_watcher(members, kOwn, kStart));
+  for (uint64_t other = 1; other <= kCloseWatchers; ++other) {
+    CHECK(is_close_watcher(members, kOwn, kStart));
+    Learn(members, MemberOf(std::string(other, 'a'), other, 1), true, kStart);
+  }
+  Learn(members, MemberOf("later", kOwn + 1, 1), true, kStart);
+  CHECK_FALSE(is_close_watcher(members, kOwn, kStart));
+  SUBCASE("one of them falls silent") {
+    const TimePoint later = kStart + kSuspectAfter + Duration(1);
+    for (uint64_t other = 2; other <= kCloseWatchers; ++other) {
+      Learn(members, MemberOf(std::string(other, 'a'), other, 2), true, later);
+    }
+    CHECK(is_close_watcher(members, kOwn, later));
+  }
+  SUBCASE("one of them leaves") {
+    wire::MemberT leaving = MemberOf("a", 1, 2);
+    leaving.is_leaving = true;
+    Learn(members, leaving, true, kStart);
+    CHECK(is_close_watcher(members, kOwn, kStart));
+  }
+}
+
 TEST_CASE("A datagram that is cut or garbled is refused") {
   wire::HeartbeatT heartbeat;
   heartbeat.members.push_back(
--- a/Tests/LibPlatform/TestPrefixFeed.cc
+++ b/Tests/LibPlatform/TestPrefixFeed.cc
@@ -18,6 +18,7 @@
   std::vector<std::function<void(Result<RangePage>)>> ranges;
   std::vector<std::function<void(Result<WatchAnswer>)>> watches;
   std::vector<uint64_t> watched_after;
+  std::vector<Duration> waits;
   std::vector<std::string> changes;
   std::unique_ptr<PrefixFeed> feed;
 
@@ -27,6 +28,7 @@
     };
     this->store.watch = [this](const WatchCall& call, auto on_done) {
       this->watched_after.push_back(call.after);
+      this->waits.push_back(call.wait);
       this->watches.push_back(std::move(on_done));
     };
     FeedEvents events;
@@ -35,7 +37,9 @@
     };
     PrefixFeedSettings settings{.prefix = "servers/",
                                 .rest = rest,
+                                .longest_rest = rest * 4,
                                 .retry_delay = std::chrono::milliseconds(1),
+                                .silence_grace = std::chrono::milliseconds(20),
                                 .return_grace = std::chrono::milliseconds(40)};
     this->feed =
         std::make_unique<PrefixFeed>(this->loop, this->store, settings, events);
@@ -139,4 +143,57 @@
   }
 }
 
+// Story: desired states came every 80 ms for two seconds, and nine gateways
+// asked the store anew after each.
+TEST_CASE("A feed rests for longer while changes go on") {
+  constexpr Duration kRest = std::chrono::milliseconds(10);
+  ScriptedStore fixture(kRest);
+  fixture.AnswerRange({}, 9);
+  fixture.AnswerWatch({{"servers/a", "1", 11}}, 11);
+  fixture.RunFor(kRest * 2);
+  REQUIRE(fixture.watched_after == std::vector<uint64_t>{9, 11});
+  // The next rest is twice as long. Timers run in the order in which they are
+  // due, however late they are.
+  fixture.AnswerWatch({{"servers/a", "1", 12}}, 12);
+  size_t watches_before = 0;
+  fixture.loop.RunAfter(kRest * 3 / 2,
+                        [&] { watches_before = fixture.watched_after.size(); });
+  fixture.RunFor(kRest * 3);
+  CHECK(watches_before == 2);
+  CHECK(fixture.watched_after == std::vector<uint64_t>{9, 11, 12});
+}
+
+// Story: only a few gateways notice soon that a channel to the store has fallen
+// silent. The others' watches wait for long, and a server that left got work
+// from them for eight seconds, though they had heard of it from a peer.
+TEST_CASE("A watch that does not tell what a peer knows starts over") {
+  ScriptedStore fixture;
+  fixture.AnswerRange({{"servers/a", "1", 5}}, 9);
+  fixture.feed->Merge({{"servers/a", "", 15, true}});
+  CHECK(fixture.changes.back() == "-servers/a");
+  SUBCASE("it is silent") {
+    fixture.RunFor(std::chrono::milliseconds(40));
+    CHECK(fixture.watched_after == std::vector<uint64_t>{9, 9});
+  }
+  SUBCASE("it tells a moment later") {
+    fixture.AnswerWatch({{"servers/a", "", 15, true}}, 16);
+    fixture.RunFor(std::chrono::milliseconds(40));
+    CHECK(fixture.watched_after == std::vector<uint64_t>{9, 16});
+  }
+}
+
+// Story: the gateways that watched closely were killed, and those that took
+// over first sat out the long watch that they had begun.
+TEST_CASE("A shorter wait holds at once, a longer one with the next watch") {
+  ScriptedStore fixture;
+  fixture.AnswerRange({}, 9);
+  fixture.feed->SetWatchWait(std::chrono::seconds(8));
+  CHECK(fixture.waits.size() == 1);
+  fixture.AnswerWatch({}, 10);
+  CHECK(fixture.waits.back() == std::chrono::seconds(8));
+  fixture.feed->SetWatchWait(std::chrono::seconds(2));
+  CHECK(fixture.waits.size() == 3);
+  CHECK(fixture.waits.back() == std::chrono::seconds(2));
+}
+
 }  // namespace bramleyspan::platform
