Gateway, Rank: Say less often who runs, and answer who has just started

Change: a gateway speaks for itself once a second and answers at once an agent that has just started; agents tell gateways every 0.42 s and at once when their group opens, breaks or is formed anew; heartbeats among gateways name one other in place of two. An offer of a place counts as a sign of life.

--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -25,7 +25,7 @@
 inline constexpr Duration kForgetAfter = std::chrono::seconds(30);
 
 // Members told to one peer in one datagram, besides the sender itself.
-inline constexpr size_t kMembersPerHeartbeat = 2;
+inline constexpr size_t kMembersPerHeartbeat = 1;
 
 // Peers told at each heartbeat; a bound on the traffic of a large fleet.
 inline constexpr size_t kPeersPerHeartbeat = 24;
--- a/Libraries/LibPlatform/CountedStore.cc
+++ b/Libraries/LibPlatform/CountedStore.cc
@@ -45,7 +45,7 @@
 
 }  // namespace
 
-Store CountCalls(Store store, const OnStoreCall& on_call) {
+Store CountCalls(const Store& store, const OnStoreCall& on_call) {
   Store counted;
   counted.range = [store, on_call](RangeCall call, OnDone<RangePage> on_done) {
     store.range(std::move(call), Noted("range", on_call, std::move(on_done)));
--- a/Libraries/LibPlatform/CountedStore.h
+++ b/Libraries/LibPlatform/CountedStore.h
@@ -14,6 +14,6 @@
     void(std::string_view call, std::string_view outcome, Duration took)>;
 
 // The same store, counted.
-Store CountCalls(Store store, const OnStoreCall& on_call);
+Store CountCalls(const Store& store, const OnStoreCall& on_call);
 
 }  // namespace bramleyspan::platform
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -30,8 +30,10 @@
 constexpr Duration kFetchInterval = std::chrono::milliseconds(150);
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(700);
 constexpr size_t kMostOpenCounts = 64;
-constexpr uint64_t kTurnsPerAgentHeartbeat = 3;
-constexpr size_t kGatewaysToldToAgents = 5;
+constexpr uint64_t kTurnsPerAgentHeartbeat = 5;
+// Each gateway speaks for itself; another one's word helps where its own way
+// to an agent is cut.
+constexpr size_t kGatewaysToldToAgents = 1;
 
 MemberT InShort(const MemberT& member) {
   MemberT in_short = member;
@@ -104,14 +106,15 @@
     this->datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
   }
   if (this->turn % kTurnsPerAgentHeartbeat == 0) {
-    this->TellAgents(self);
+    this->TellAgents(self, std::nullopt);
   }
   ++this->turn;
 }
 
 // An agent needs to know the gateways and the owner of its group's map; the
 // rest would only fill its small link.
-void Peers::TellAgents(const MemberT& self) {
+void Peers::TellAgents(const MemberT& self,
+                       const std::optional<std::string>& only_ip) {
   std::map<std::string, const MemberT*> owners;
   for (const auto& [name, known] : this->state.members.known) {
     const auto* rank = known.member.rank.get();
@@ -142,6 +145,9 @@
         owner == owners.end() ? nullptr : owner->second;
   }
   for (const auto& [ip, owner] : owners_by_agent) {
+    if (only_ip && ip != *only_ip) {
+      continue;
+    }
     membership::wire::HeartbeatT heartbeat;
     for (const MemberT& gateway : gateways) {
       heartbeat.members.push_back(std::make_unique<MemberT>(gateway));
@@ -229,6 +235,9 @@
   const auto found = this->state.members.known.find(member.name);
   const bool was_alive = found != this->state.members.known.end() &&
                          membership::is_alive(found->second, now);
+  const bool is_restarted =
+      found != this->state.members.known.end() &&
+      found->second.member.incarnation != member.incarnation;
   if (!membership::Learn(this->state.members, member, is_direct, now)) {
     return;
   }
@@ -240,6 +249,9 @@
   }
   if (member.is_entry && is_direct) {
     this->FetchIfBehind(member);
+  } else if (is_direct && (!was_alive || is_restarted)) {
+    // An agent that has just started knows neither gateways nor owners.
+    this->TellAgents(this->DescribeSelf(), member.ip);
   }
 }
 
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -3,6 +3,8 @@
 
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
 
 #include "Kernel/Datagrams.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
@@ -28,7 +30,9 @@
  private:
   void Tick();
   void Tell();
-  void TellAgents(const membership::wire::MemberT& self);
+  // Tells all agents, or one.
+  void TellAgents(const membership::wire::MemberT& self,
+                  const std::optional<std::string>& only_ip);
   std::vector<std::string> AgentIpsOfTargets() const;
   membership::wire::MemberT DescribeSelf();
   void HandleDatagram(const std::string& from_ip, std::string_view bytes);
--- a/Services/bramleyspand/Gateway/Placing.cc
+++ b/Services/bramleyspand/Gateway/Placing.cc
@@ -67,6 +67,10 @@
   if (asked == round.asked.end()) {
     return;
   }
+  const auto view = this->state.targets.by_id.find(asked->second.target);
+  if (view != this->state.targets.by_id.end() && view->second.rank) {
+    view->second.rank->heard = EventLoop::Now();
+  }
   round.offers.push_back(
       {.target = asked->second.target,
        .is_admitting = offer.is_admitting,
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -29,7 +29,8 @@
 using telemetry::LogLevel;
 
 constexpr Duration kTickInterval = std::chrono::milliseconds(30);
-constexpr uint64_t kTicksPerHeartbeat = 7;
+// Gateways ask for places and hear of changes at once; this is to be known.
+constexpr uint64_t kTicksPerHeartbeat = 14;
 // In a switch the group may wait for this rank.
 constexpr int kReportsPerTickOfSwitch = 3;
 // Every eighth news tells the lists of the rank's experts: the owner needs them
@@ -181,6 +182,10 @@
     const bool is_new_map = !now_state.own ||
                             now_state.own->map != status.map ||
                             now_state.own->epoch != status.epoch;
+    const bool is_news_for_gateways = !now_state.own ||
+                                      now_state.own->epoch != status.epoch ||
+                                      now_state.own->group != status.group ||
+                                      now_state.own->is_open != status.is_open;
     if (is_new_map) {
       Log(LogLevel::kInfo, "rank", "map_in_use",
           {{"group", status.group},
@@ -215,6 +220,9 @@
     if (is_new_pass) {
       this->ReadCounts();
     }
+    if (is_news_for_gateways) {
+      this->SendHeartbeat();
+    }
     this->TellOwner();
     this->Act();
     this->deputy.HandleOwnStatus(EventLoop::Now());
