--- a/Tests/LibHTTP/TestIngress.cc
+++ b/Tests/LibHTTP/TestIngress.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <random>
+
 #include "Fixture.h"
 #include "LibHTTP/DirectCall.h"
 #include "LibHTTP/Ingress.h"
@@ -136,6 +138,64 @@
   }
 }
 
+// Story: a port scanner spoke TLS and HTTP/2 to the callers' port, and a broken
+// client cut its bodies short. Whatever such bytes are, they are no request,
+// and the callers beside them notice nothing.
+TEST_CASE("Bytes of another protocol and broken bodies are no request") {
+  for (const std::string& bytes : std::vector<std::string>{
+           std::string("\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03", 11),
+           std::string("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
+           std::string("GET /x\r\n\r\n"),
+           std::string("SSH-2.0-OpenSSH_9.2\r\n\r\n"),
+           std::string("POST /x HTTP/1.1\r\nhost: h\r\n"
+                       "transfer-encoding: chunked\r\n\r\n"
+                       "zz\r\nabc\r\n0\r\n\r\n"),
+           std::string("POST /x HTTP/1.1\r\nhost: h\r\n"
+                       "transfer-encoding: chunked\r\n\r\n"
+                       "2\r\nabcd\r\n0\r\n\r\n"),
+           std::string("POST /x HTTP/1.1\r\nhost: h\r\n"
+                       "content-length: 99999999999999999999\r\n\r\nx"),
+           std::string("GET /\0x HTTP/1.1\r\nhost: h\r\n\r\n", 29),
+       }) {
+    CAPTURE(bytes);
+    IngressFixture fixture;
+    fixture.Serve(Echo, {.head_timeout = std::chrono::milliseconds(200),
+                         .idle_timeout = std::chrono::milliseconds(200)});
+    const std::string heard = fixture.Exchange(bytes);
+    CHECK(heard.find("200 OK") == std::string::npos);
+    CHECK(fixture.seen.empty());
+    CHECK(fixture
+              .Exchange("GET /good HTTP/1.1\r\nhost: h\r\n"
+                        "connection: close\r\n\r\n")
+              .find("/good|") != std::string::npos);
+  }
+}
+
+// The same with bytes that nobody thought of: each either is no request or is
+// one that was sent whole.
+TEST_CASE("Seeded damage to a request never makes another request of it") {
+  const std::string whole =
+      "POST /pay HTTP/1.1\r\nhost: h\r\ncontent-length: 5\r\n"
+      "connection: close\r\n\r\nhello";
+  std::minstd_rand random(20261203);
+  for (int round = 0; round < 60; ++round) {
+    std::string bytes = whole;
+    const size_t at = random() % bytes.size();
+    bytes[at] = static_cast<char>(random() % 256);
+    CAPTURE(round);
+    CAPTURE(at);
+    IngressFixture fixture;
+    fixture.Serve(Echo, {.head_timeout = std::chrono::milliseconds(30),
+
+                         .idle_timeout = std::chrono::milliseconds(30)});
+    fixture.Exchange(bytes);
+    CHECK(fixture.seen.size() <= 1);
+    if (!fixture.seen.empty()) {
+      CHECK(fixture.seen[0].body.size() <= 5);
+    }
+  }
+}
+
 TEST_CASE("Heads and bodies over their limits are refused") {
   IngressFixture fixture;
   fixture.Serve(Echo, {.largest_head = 200, .largest_body = 10});
