--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -276,14 +276,8 @@
   std::unique_ptr<Listener> listener;
 };
 
-Result<std::unique_ptr<Role>> StartAgent(EventLoop& loop,
-                                         const Settings& settings) {
-  auto role = std::make_unique<AgentRole>(loop, settings);
-  TRY(role->Start());
-  return std::unique_ptr<Role>(std::move(role));
-}
-
-const PluginRegistration<StartRole> kRegistration("agent", StartAgent);
+const PluginRegistration<StartRole> kRegistration("agent",
+                                                  StartRoleOf<AgentRole>);
 
 }  // namespace
 
--- a/Services/bramleyspand/Entry/EntryRole.cc
+++ b/Services/bramleyspand/Entry/EntryRole.cc
@@ -110,14 +110,8 @@
   std::unique_ptr<Listener> listener;
 };
 
-Result<std::unique_ptr<Role>> StartEntry(EventLoop& loop,
-                                         const Settings& settings) {
-  auto role = std::make_unique<EntryRole>(loop, settings);
-  TRY(role->Start());
-  return std::unique_ptr<Role>(std::move(role));
-}
-
-const PluginRegistration<StartRole> kRegistration("entry", StartEntry);
+const PluginRegistration<StartRole> kRegistration("entry",
+                                                  StartRoleOf<EntryRole>);
 
 }  // namespace
 
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -457,14 +457,8 @@
   bool is_usage_written = false;
 };
 
-Result<std::unique_ptr<Role>> StartGateway(EventLoop& loop,
-                                           const Settings& settings) {
-  auto role = std::make_unique<GatewayRole>(loop, settings);
-  TRY(role->Start());
-  return std::unique_ptr<Role>(std::move(role));
-}
-
-const PluginRegistration<StartRole> kRegistration("gateway", StartGateway);
+const PluginRegistration<StartRole> kRegistration("gateway",
+                                                  StartRoleOf<GatewayRole>);
 
 }  // namespace
 
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -554,14 +554,8 @@
   uint64_t news_count = 0;
 };
 
-Result<std::unique_ptr<Role>> StartRank(EventLoop& loop,
-                                        const Settings& settings) {
-  auto role = std::make_unique<RankRole>(loop, settings);
-  TRY(role->Start());
-  return std::unique_ptr<Role>(std::move(role));
-}
-
-const PluginRegistration<StartRole> kRegistration("rank", StartRank);
+const PluginRegistration<StartRole> kRegistration("rank",
+                                                  StartRoleOf<RankRole>);
 
 }  // namespace
 
--- a/Services/bramleyspand/Role.h
+++ b/Services/bramleyspand/Role.h
@@ -27,4 +27,13 @@
 using StartRole = Result<std::unique_ptr<Role>> (*)(EventLoop& loop,
                                                     const Settings& settings);
 
+// Makes and starts a role of a class; what its registration needs.
+template <typename ConcreteRole>
+Result<std::unique_ptr<Role>> StartRoleOf(EventLoop& loop,
+                                          const Settings& settings) {
+  auto role = std::make_unique<ConcreteRole>(loop, settings);
+  TRY(role->Start());
+  return std::unique_ptr<Role>(std::move(role));
+}
+
 }  // namespace bramleyspan
--- a/StandIns/Common.h
+++ b/StandIns/Common.h
@@ -42,4 +42,22 @@
   return 0;
 }
 
+// What the `main` of a stand-in does: parses the flags, makes its state with
+// `make_state(loop)` and serves with `handle(state, request, exchange)` at
+// `address`, the value of its flag.
+template <typename MakeState, typename Handle>
+int Run(int argument_count,
+        char** arguments,
+        const absl::Flag<std::string>& address,
+        MakeState make_state,
+        Handle handle) {
+  absl::ParseCommandLine(argument_count, arguments);
+  EventLoop loop;
+  auto state = make_state(loop);
+  return Serve(loop, absl::GetFlag(address),
+               [&](const auto& request, const auto& exchange) {
+                 handle(state, request, exchange);
+               });
+}
+
 }  // namespace bramleyspan::standins
--- a/StandIns/KeyValueService.cc
+++ b/StandIns/KeyValueService.cc
@@ -233,12 +233,8 @@
 }  // namespace bramleyspan::standins
 
 int main(int argument_count, char** arguments) {
-  absl::ParseCommandLine(argument_count, arguments);
-  bramleyspan::EventLoop loop;
-  bramleyspan::standins::State state{loop};
-  return bramleyspan::standins::Serve(
-      loop, absl::GetFlag(FLAGS_address),
-      [&](const auto& request, const auto& exchange) {
-        bramleyspan::standins::Handle(state, request, exchange);
-      });
+  using namespace bramleyspan::standins;
+  return Run(
+      argument_count, arguments, FLAGS_address,
+      [](bramleyspan::EventLoop& loop) { return State{loop}; }, Handle);
 }
--- a/StandIns/VmList.cc
+++ b/StandIns/VmList.cc
@@ -59,15 +59,14 @@
 }  // namespace bramleyspan::standins
 
 int main(int argument_count, char** arguments) {
-  absl::ParseCommandLine(argument_count, arguments);
-  bramleyspan::EventLoop loop;
-  bramleyspan::standins::State state{
-      loop,
-      std::chrono::milliseconds(absl::GetFlag(FLAGS_lag_milliseconds)),
-      {}};
-  return bramleyspan::standins::Serve(
-      loop, absl::GetFlag(FLAGS_address),
-      [&](const auto& request, const auto& exchange) {
-        bramleyspan::standins::Handle(state, request, exchange);
-      });
+  using namespace bramleyspan::standins;
+  return Run(
+      argument_count, arguments, FLAGS_address,
+      [](bramleyspan::EventLoop& loop) {
+        return State{
+            loop,
+            std::chrono::milliseconds(absl::GetFlag(FLAGS_lag_milliseconds)),
+            {}};
+      },
+      Handle);
 }
