--- /dev/null
+++ b/Services/bramleyspand/Rank/RankReadings.h
@@ -0,0 +1,44 @@
+// Reads the rank beside this agent: its report, the lists of its experts and
+// how often they were chosen. One call of each kind at a time.
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "Services/bramleyspand/Rank/RankState.h"
+
+namespace bramleyspan::rankd {
+
+// What hears of what was read.
+struct ReadingEvents {
+  std::function<void(mapswitch::RankStatus)> on_status;
+  // New choices lie in the state.
+  std::function<void()> on_counts;
+};
+
+class RankReadings {
+ public:
+  RankReadings(RankState& state, ReadingEvents events)
+      : state(state), events(std::move(events)) {}
+
+  void ReadReport();
+  // Into the state's `own_held`.
+  void ReadLists();
+  // Into the state's `last_counts` and `new_counts`.
+  void ReadCounts();
+
+ private:
+  void CallServer(const std::string& path,
+                  std::function<void(Result<std::string>)> on_done);
+  void NoteEngine(bool is_reached, const std::string& reason);
+  void HandleCounts(const std::string& body);
+
+  RankState& state;
+  ReadingEvents events;
+  bool is_reading_report = false;
+  bool is_reading_lists = false;
+  bool is_reading_counts = false;
+  bool is_engine_reached = true;
+};
+
+}  // namespace bramleyspan::rankd
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -14,6 +14,7 @@
 #include "Services/bramleyspand/Rank/MapOwner.h"
 #include "Services/bramleyspand/Rank/Orders.h"
 #include "Services/bramleyspand/Rank/RankMessages.h"
+#include "Services/bramleyspand/Rank/RankReadings.h"
 #include "Services/bramleyspand/Rank/RankState.h"
 #include "Services/bramleyspand/Rank/Wishes.h"
 #include "Services/bramleyspand/Role.h"
@@ -38,7 +39,6 @@
 constexpr uint64_t kNewsPerLists = 8;
 constexpr Duration kShapeInterval = std::chrono::seconds(5);
 constexpr Duration kFirstShapeInterval = std::chrono::milliseconds(300);
-constexpr Duration kOwnCallTimeout = std::chrono::milliseconds(700);
 constexpr Duration kFarCallTimeout = std::chrono::milliseconds(700);
 // A group that is held for so long may wait for a rank whose agent is gone.
 constexpr Duration kLongHold = std::chrono::milliseconds(300);
@@ -47,8 +47,14 @@
  public:
   RankRole(EventLoop& loop, const Settings& settings)
       : state(loop, settings),
+        readings(this->state,
+                 {.on_status =
+                      [this](RankStatus status) {
+                        this->HandleOwnStatus(std::move(status));
+                      },
+                  .on_counts = [this] { this->TellOwner(); }}),
         wishes(this->state),
-        orders(this->state, [this] { this->ReadReport(); }),
+        orders(this->state, [this] { this->readings.ReadReport(); }),
         deputy(this->state, [this](const Address& server, const Order& order) {
           this->orders.SendFar(server, order);
         }) {}
@@ -119,61 +125,14 @@
     this->state.loop.RunAfter(kTickInterval, [this] { this->Tick(); });
     const TimePoint now = EventLoop::Now();
     membership::Forget(this->state.members, now);
-    this->ReadReport();
+    this->readings.ReadReport();
     if (this->ticks % kTicksPerHeartbeat == 0) {
       this->SendHeartbeat();
     }
     for (int part = 1; this->state.wish && part < kReportsPerTickOfSwitch;
          ++part) {
       this->state.loop.RunAfter(kTickInterval * part / kReportsPerTickOfSwitch,
-                                [this] { this->ReadReport(); });
-    }
-  }
-
-  void CallServer(const std::string& path,
-                  std::function<void(Result<std::string>)> on_done) {
-    http::DirectCall::Fetch(
-        this->state.loop,
-        {.target = *this->state.fleet().engine,
-         .path = path,
-         .headers = {{"host", Format(*this->state.fleet().engine)}},
-         .connect_timeout = kOwnCallTimeout,
-         .timeout = kOwnCallTimeout,
-         .channels = &this->state.channels},
-        [on_done = std::move(on_done)](CallEnd end,
-                                       const http::Response& response) {
-          if (end != CallEnd::kWhole || response.status != 200) {
-            on_done(Fail(ErrorCode::kTargetFailed, "engine",
-                         std::string(http::NameOf(end))));
-            return;
-          }
-          on_done(response.body);
-        });
-  }
-
-  void ReadReport() {
-    if (std::exchange(this->is_reading_report, true)) {
-      return;
-    }
-    this->CallServer(
-        this->state.adapter.report_path, [this](Result<std::string> body) {
-          this->is_reading_report = false;
-          if (body.has_error()) {
-            this->NoteEngine(false, Describe(body.error()));
-            return;
-          }
-          auto status = this->state.adapter.parse_report(body.value());
-          if (status.has_value()) {
-            this->NoteEngine(true, "");
-            this->HandleOwnStatus(std::move(status).assume_value());
-          }
-        });
-  }
-
-  void NoteEngine(bool is_reached, const std::string& reason) {
-    if (std::exchange(this->is_engine_reached, is_reached) != is_reached) {
-      Log(is_reached ? LogLevel::kInfo : LogLevel::kWarning, "rank",
-          is_reached ? "engine_regained" : "engine_lost", {{"reason", reason}});
+                                [this] { this->readings.ReadReport(); });
     }
   }
 
@@ -211,14 +170,14 @@
         this->orders.is_losing(now_state.own_heard);
     if (now_state.own_held.sets.empty() ||
         now_state.own_held.version != now_state.own->map) {
-      this->ReadLists();
+      this->readings.ReadLists();
     }
     const auto& counted = now_state.last_counts;
     const bool is_new_pass = !counted ||
                              counted->epoch != now_state.own->epoch ||
                              counted->step < now_state.own->step;
     if (is_new_pass) {
-      this->ReadCounts();
+      this->readings.ReadCounts();
     }
     if (is_news_for_gateways) {
       this->SendHeartbeat();
@@ -228,69 +187,6 @@
     this->deputy.HandleOwnStatus(EventLoop::Now());
   }
 
-  void ReadLists() {
-    if (std::exchange(this->is_reading_lists, true)) {
-      return;
-    }
-    const auto version = this->state.own->map;
-    const auto epoch = this->state.own->epoch;
-    this->CallServer(
-        this->state.adapter.lists_path,
-        [this, version, epoch](const Result<std::string>& body) {
-          this->is_reading_lists = false;
-          if (body.has_error() || !this->state.own ||
-              this->state.own->map != version ||
-              this->state.own->epoch != epoch) {
-            return;
-          }
-          auto lists = this->state.adapter.parse_lists(body.value());
-          if (lists.has_value()) {
-            this->state.own_held = {.version = version,
-                                    .sets = std::move(lists).assume_value()};
-          }
-        });
-  }
-
-  void ReadCounts() {
-    if (std::exchange(this->is_reading_counts, true)) {
-      return;
-    }
-    this->CallServer(this->state.adapter.counts_path,
-                     [this](const Result<std::string>& body) {
-                       this->is_reading_counts = false;
-                       if (body.has_value()) {
-                         this->HandleCounts(body.value());
-                         this->TellOwner();
-                       }
-                     });
-  }
-
-  void HandleCounts(const std::string& body) {
-    auto parsed = this->state.adapter.parse_counts(body);
-    if (parsed.has_error()) {
-      return;
-    }
-    auto& last = this->state.last_counts;
-    const auto& counts = parsed.value().counts;
-    const bool goes_on = last && last->epoch == parsed.value().epoch &&
-                         last->counts.size() == counts.size();
-    const auto& own = this->state.own;
-    // What was not told of an earlier pass would mix with this one.
-    this->state.new_counts.clear();
-    if (goes_on && own &&
-        placement::is_teller(own->rank, own->size, parsed.value().step)) {
-      this->state.new_counts.resize(counts.size(), 0);
-      for (size_t i = 0; i < counts.size(); ++i) {
-        // Counts start anew with the rank.
-        if (counts[i] >= last->counts[i]) {
-          this->state.new_counts[i] =
-              static_cast<uint32_t>(counts[i] - last->counts[i]);
-        }
-      }
-    }
-    last = std::move(parsed).assume_value();
-  }
-
   // The owner's agent, as the gateways tell of it.
   std::string FindOwnerIp() const {
     for (const auto& [name, known] : this->state.members.known) {
@@ -394,7 +290,7 @@
       this->TakeNews(from_ip, *news);
     } else if (const auto* wish = body.AsMapWish()) {
       if (TakeWish(this->state, *wish, EventLoop::Now())) {
-        this->ReadReport();
+        this->readings.ReadReport();
       }
     }
   }
@@ -537,6 +433,7 @@
   }
 
   RankState state;
+  RankReadings readings;
   WishTeller wishes;
   Orders orders;
   Deputy deputy;
@@ -544,10 +441,6 @@
   std::unique_ptr<http::Ingress> internal;
   uint64_t ticks = 0;
   uint64_t counter = 0;
-  bool is_reading_report = false;
-  bool is_reading_lists = false;
-  bool is_reading_counts = false;
-  bool is_engine_reached = true;
   bool is_draining = false;
   TimePoint drain_began;
   mapswitch::Telling telling;
