LibAdmission: Count places that are being offered

Nine gateways with some 130 waiting requests ask at the moment that a group opens, and until the first says what it took, each is offered the same empty places. Ruled out: one gateway's own rounds (AddOwnTaken counts those); the first limit (5). Change: an offer counts for a sixth of a place for 9 ms, since six ranks are asked and one is taken. Seen to fail first: "Places that are being offered are not offered to everybody".

--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -36,6 +36,11 @@
 // A rank that takes this many times as long as usual is left alone.
 constexpr double kSlowPace = 1.5;
 
+// A gateway asks so many ranks at once and takes one place.
+constexpr double kAskedAtOnce = 6;
+// A gateway decides within six milliseconds, and its word takes one or two.
+constexpr Duration kOfferIsOpen = std::chrono::milliseconds(9);
+
 double SecondsOf(Duration time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -44,6 +49,14 @@
   return std::max(kLeastLimit, kMostOfSlots * places.settings.slots);
 }
 
+// Places that will be taken of the offers that are open.
+double PromisedOf(const RankPlaces& places, TimePoint now) {
+  const auto open =
+      std::count_if(places.offered.begin(), places.offered.end(),
+                    [now](TimePoint at) { return now - at <= kOfferIsOpen; });
+  return static_cast<double>(open) / kAskedAtOnce;
+}
+
 void NoteSlowness(RankPlaces& places, TimePoint now) {
   if (PassOf(places, now) < places.settings.longest_pause) {
     places.slow_since.reset();
@@ -81,6 +94,14 @@
   places.taken[std::move(place)] = now;
 }
 
+void NoteOffered(RankPlaces& places, TimePoint now) {
+  while (!places.offered.empty() &&
+         now - places.offered.front() > kOfferIsOpen) {
+    places.offered.pop_front();
+  }
+  places.offered.push_back(now);
+}
+
 void NoteSettled(RankPlaces& places, const TakenPlace& place) {
   places.taken.erase(place);
 }
@@ -121,7 +142,8 @@
                    .limit = LimitOf(places, now),
                    .pass = PassOf(places, now)};
   offer.is_slow = places.slow_since && now - *places.slow_since > kSlowAfter;
-  const auto load = static_cast<double>(offer.load) + 1;
+  const double load =
+      static_cast<double>(offer.load) + PromisedOf(places, now) + 1;
   const auto longest = SecondsOf(places.settings.longest_pause);
   const double pass = SecondsOf(offer.pass);
   double longest_pass = kAimedPart * longest;
--- a/Libraries/LibAdmission/RankPlaces.h
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -63,6 +63,8 @@
   // Places that gateways took whose streams have not begun. An engine counts a
   // stream only once it runs, a tenth of a second after it came.
   std::map<TakenPlace, TimePoint> taken;
+  // When places were offered that nobody may have taken yet.
+  std::deque<TimePoint> offered;
   // Passes of the last moment, the oldest first.
   std::deque<SeenPass> passes;
   // Since when every pass has been longer than a pause may be; none if they are
@@ -87,10 +89,20 @@
 // A gateway took a place.
 void NoteTaken(RankPlaces& places, TakenPlace place, TimePoint now);
 
+// A place was offered to a gateway that asks several ranks at once.
+//
+// Failure: a group opens, and 130 requests that waited at nine gateways ask at
+// the same moment. Until the first of them says what it took, each is offered
+// the same empty places. It shows as 15 streams at a rank whose limit is 5 to
+// 8, and as passes that make every stream late. So an offer counts for the
+// part of a place that will be taken of it, until the gateway has decided.
+void NoteOffered(RankPlaces& places, TimePoint now);
+
 // The stream that took it has begun or is over.
 void NoteSettled(RankPlaces& places, const TakenPlace& place);
 
-// Streams at the rank, those on their way among them.
+// Streams at the rank, those on their way among them; offers that are open are
+// not.
 uint32_t LoadOf(const RankPlaces& places);
 
 // How long a pass took lately, the one under way included.
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -28,7 +28,7 @@
 inline constexpr size_t kMembersPerHeartbeat = 1;
 
 // Peers told at each heartbeat; a bound on the traffic of a large fleet.
-inline constexpr size_t kPeersPerHeartbeat = 24;
+inline constexpr size_t kPeersPerHeartbeat = 12;
 
 // What is known of another process.
 struct KnownMember {
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -35,9 +35,20 @@
 // to an agent is cut.
 constexpr size_t kGatewaysToldToAgents = 1;
 
-MemberT InShort(const MemberT& member) {
-  MemberT in_short = member;
-  in_short.open.clear();
+// What an agent needs of another process: who and where it is, and whether it
+// leads the group's map. Agents' links are small.
+std::unique_ptr<MemberT> ForAgents(const MemberT& member) {
+  auto in_short = std::make_unique<MemberT>();
+  in_short->name = member.name;
+  in_short->is_entry = member.is_entry;
+  in_short->ip = member.ip;
+  in_short->incarnation = member.incarnation;
+  in_short->counter = member.counter;
+  if (member.rank != nullptr) {
+    in_short->rank = std::make_unique<membership::wire::RankStatusT>();
+    in_short->rank->group = member.rank->group;
+    in_short->rank->rank = member.rank->rank;
+  }
   return in_short;
 }
 
@@ -124,11 +135,11 @@
   }
   // Every gateway, in short: an agent that knew only those that its settings
   // name would tell the others nothing of its rank.
-  std::vector<MemberT> gateways{InShort(self)};
+  std::vector<const MemberT*> gateways{&self};
   for (const MemberT* member : membership::MembersToTell(
            this->state.members, this->turn / kTurnsPerAgentHeartbeat,
            kGatewaysToldToAgents, EventLoop::Now())) {
-    gateways.push_back(InShort(*member));
+    gateways.push_back(member);
   }
   std::map<std::string, const MemberT*> owners_by_agent;
   for (const std::string& ip : this->AgentIpsOfTargets()) {
@@ -149,11 +160,11 @@
       continue;
     }
     membership::wire::HeartbeatT heartbeat;
-    for (const MemberT& gateway : gateways) {
-      heartbeat.members.push_back(std::make_unique<MemberT>(gateway));
+    for (const MemberT* gateway : gateways) {
+      heartbeat.members.push_back(ForAgents(*gateway));
     }
     if (owner != nullptr) {
-      heartbeat.members.push_back(std::make_unique<MemberT>(*owner));
+      heartbeat.members.push_back(ForAgents(*owner));
     }
     this->Send(ip, membership::Encode(std::move(heartbeat)));
   }
--- a/Services/bramleyspand/Rank/RankMessages.cc
+++ b/Services/bramleyspand/Rank/RankMessages.cc
@@ -34,6 +34,22 @@
   return wire;
 }
 
+membership::wire::RankStatusT ToWireForGateways(
+    const mapswitch::RankStatus& status,
+    const Address& server) {
+  membership::wire::RankStatusT wire;
+  wire.address = Format(server);
+  wire.group = status.group;
+  wire.epoch = status.epoch;
+  wire.rank = status.rank;
+  wire.size = status.size;
+  wire.is_open = status.is_open;
+  wire.running = status.running;
+  wire.queued = status.queued;
+  wire.pace = status.pace;
+  return wire;
+}
+
 mapswitch::RankStatus FromWire(const membership::wire::RankStatusT& status) {
   return {.group = status.group,
           .epoch = status.epoch,
--- a/Services/bramleyspand/Rank/RankMessages.h
+++ b/Services/bramleyspand/Rank/RankMessages.h
@@ -9,6 +9,11 @@
 
 membership::wire::RankStatusT ToWire(const mapswitch::RankStatus& status,
                                      const Address& server);
+// What gateways need of it to choose ranks; the map is no matter of theirs.
+membership::wire::RankStatusT ToWireForGateways(
+    const mapswitch::RankStatus& status,
+    const Address& server);
+
 mapswitch::RankStatus FromWire(const membership::wire::RankStatusT& status);
 
 membership::wire::MapWishT ToWire(const mapswitch::Wish& wish,
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -310,8 +310,12 @@
   // Answers a gateway that looks for a place for a stream.
   void Offer(const std::string& gateway_ip,
              const membership::wire::PlaceProbeT& probe) {
+    const TimePoint now = EventLoop::Now();
     const admission::PlaceOffer offer =
-        admission::OfferOf(this->state.places, probe.is_late, EventLoop::Now());
+        admission::OfferOf(this->state.places, probe.is_late, now);
+    if (offer.is_admitting) {
+      admission::NoteOffered(this->state.places, now);
+    }
     membership::wire::PlaceOfferT wire;
     wire.number = probe.number;
     wire.address = Format(*this->state.fleet().engine);
@@ -359,7 +363,7 @@
     constexpr Duration kStale = std::chrono::seconds(1);
     if (this->state.own && EventLoop::Now() - this->state.own_heard < kStale) {
       self->rank = std::make_unique<membership::wire::RankStatusT>(
-          ToWire(*this->state.own, *this->state.fleet().engine));
+          ToWireForGateways(*this->state.own, *this->state.fleet().engine));
     }
     heartbeat.members.push_back(std::move(self));
     const std::string bytes = membership::Encode(std::move(heartbeat));
--- a/Tests/LibAdmission/TestRankPlaces.cc
+++ b/Tests/LibAdmission/TestRankPlaces.cc
@@ -51,6 +51,28 @@
   }
 }
 
+// Story: power came back, two groups opened, and 130 requests that waited at
+// nine gateways asked for places within two milliseconds. Each rank offered its
+// five empty places to all of them; 15 streams came, passes took 150 ms.
+TEST_CASE("Places that are being offered are not offered to everybody") {
+  RankPlaces places{.settings = kSettings};
+  const RankLoad opened{.epoch = 2, .step = 7, .is_open = true};
+  NoteReport(places, opened, kStart);
+  int admitting = 0;
+  for (int probe = 0; probe < 50; ++probe) {
+    if (OfferOf(places, false, kStart).is_admitting) {
+      NoteOffered(places, kStart);
+      ++admitting;
+    }
+  }
+  // A sixth of the offers are taken.
+  CHECK(admitting / 6.0 <= 5);
+  CHECK(admitting / 6.0 > 4);
+  SUBCASE("They are offered again once they were not taken") {
+    CHECK(OfferOf(places, false, kStart + milliseconds(10)).is_admitting);
+  }
+}
+
 // Story: a group whose slow rank had recovered ran two streams a rank for ten
 // seconds, while callers of the other group were refused. The limit had grown
 // by 4% a quarter second.
