--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -15,7 +15,7 @@
 constexpr double kMostOfSlots = 0.7;
 // The part of the longest pause at which a pass is held, so that unusual ones
 // stay under it too.
-constexpr double kAimedPart = 0.92;
+constexpr double kAimedPart = 0.85;
 // Passes are averaged over this time.
 constexpr Duration kPassWindow = std::chrono::milliseconds(300);
 // A place whose stream was not told of any more is free again after this time:
--- a/Libraries/LibPlacement/Copies.cc
+++ b/Libraries/LibPlacement/Copies.cc
@@ -8,7 +8,7 @@
 namespace {
 
 // What a remembered demand counts against a present one.
-constexpr double kRememberedWeight = 0.6;
+constexpr double kRememberedWeight = 0.3;
 // A copy that waits behind another on its rank's link comes later; it counts
 // as this much more load.
 constexpr double kLinkWeight = 0.02;
--- a/Libraries/LibPlacement/SwitchPlan.cc
+++ b/Libraries/LibPlacement/SwitchPlan.cc
@@ -17,7 +17,7 @@
 // more the shorter they are.
 constexpr double kLeastGainOfSwitch = 0.12;
 // A pass of this part of the longest pause is long.
-constexpr double kBusyPart = 0.55;
+constexpr double kBusyPart = 0.45;
 constexpr double kGainPerIdlePart = 6;
 
 // The sets, the most uneven first.
