--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -143,6 +143,20 @@
   }
 };
 
+// Plays a case with many seeds, each in a variant of its own of what the pages
+// leave open, with so many of a hundred orders carried out late.
+template <typename Play>
+void WithSeeds(uint64_t seeds, int late_orders, Play play) {
+  for (uint64_t seed = 0; seed < seeds; ++seed) {
+    CAPTURE(seed);
+    SimulatedRanks ranks(kRanks, seed);
+    SetVariant(ranks, seed);
+    ranks.late_orders = late_orders;
+    Agents agents(ranks, seed + 1);
+    play(ranks, agents, seed);
+  }
+}
+
 }  // namespace
 
 TEST_CASE("A switch brings the map into force at all ranks in one pass") {
@@ -156,56 +170,44 @@
 // Story: a stream broke off since its group went on with two maps. An order to
 // arm was carried out seconds late, after the switch it belonged to.
 TEST_CASE("Orders that are late or unanswered never split a group") {
-  for (uint64_t seed = 0; seed < 200; ++seed) {
-    CAPTURE(seed);
-    SimulatedRanks ranks(kRanks, seed);
-    SetVariant(ranks, seed);
-    ranks.late_orders = 25;
-    Agents agents(ranks, seed + 1);
-    agents.lost_messages = 20;
-    agents.Run(std::chrono::seconds(15));
-    REQUIRE_FALSE(ranks.is_split);
-  }
+  WithSeeds(200, 25,
+            [](SimulatedRanks& ranks, Agents& agents, uint64_t /*seed*/) {
+              agents.lost_messages = 20;
+              agents.Run(std::chrono::seconds(15));
+              REQUIRE_FALSE(ranks.is_split);
+            });
 }
 
 // Story: the owner's agent was killed after each of its orders in turn; the
 // next one must finish what it finds, with late orders of the dead one about.
 TEST_CASE("An owner that restarts at any moment finishes and never splits") {
-  for (uint64_t seed = 0; seed < 200; ++seed) {
-    CAPTURE(seed);
-    SimulatedRanks ranks(kRanks, seed);
-    SetVariant(ranks, seed);
-    ranks.late_orders = 20;
-    Agents agents(ranks, seed + 1);
-    for (int kill = 0; kill < 20; ++kill) {
-      agents.Run(std::chrono::milliseconds(
-          50 + ranks.now.time_since_epoch().count() / 50 % 17 * 50));
-      agents.RestartOwner();
-    }
-    REQUIRE_FALSE(ranks.is_split);
-    // Nothing that was begun keeps the group from going on.
-    ranks.late_orders = 0;
-    const Step before = ranks.step;
-    agents.Run(std::chrono::seconds(12));
-    REQUIRE(ranks.step > before + 20);
-  }
+  WithSeeds(200, 20,
+            [](SimulatedRanks& ranks, Agents& agents, uint64_t /*seed*/) {
+              for (int kill = 0; kill < 20; ++kill) {
+                agents.Run(std::chrono::milliseconds(
+                    50 + ranks.now.time_since_epoch().count() / 50 % 17 * 50));
+                agents.RestartOwner();
+              }
+              REQUIRE_FALSE(ranks.is_split);
+              // Nothing that was begun keeps the group from going on.
+              ranks.late_orders = 0;
+              const Step before = ranks.step;
+              agents.Run(std::chrono::seconds(12));
+              REQUIRE(ranks.step > before + 20);
+            });
 }
 
 // Story: an idle group makes no passes, so that a hold and an arm that are
 // late may meet it long after the switch.
 TEST_CASE("A group that falls idle in the middle of a switch is not split") {
-  for (uint64_t seed = 0; seed < 200; ++seed) {
-    CAPTURE(seed);
-    SimulatedRanks ranks(kRanks, seed);
-    SetVariant(ranks, seed);
-    ranks.late_orders = 25;
-    Agents agents(ranks, seed + 1);
-    for (int turn = 0; turn < 10; ++turn) {
-      ranks.has_work = turn % 2 == 0;
-      agents.Run(std::chrono::milliseconds(700));
-    }
-    REQUIRE_FALSE(ranks.is_split);
-  }
+  WithSeeds(200, 25,
+            [](SimulatedRanks& ranks, Agents& agents, uint64_t /*seed*/) {
+              for (int turn = 0; turn < 10; ++turn) {
+                ranks.has_work = turn % 2 == 0;
+                agents.Run(std::chrono::milliseconds(700));
+              }
+              REQUIRE_FALSE(ranks.is_split);
+            });
 }
 
 // Story: the machine of the agent that had just held the group was frozen for
@@ -228,12 +230,7 @@
 }
 
 TEST_CASE("A deputy beside an owner that is alive or wakes never splits") {
-  for (uint64_t seed = 0; seed < 300; ++seed) {
-    CAPTURE(seed);
-    SimulatedRanks ranks(kRanks, seed);
-    SetVariant(ranks, seed);
-    ranks.late_orders = 20;
-    Agents agents(ranks, seed + 1);
+  WithSeeds(300, 20, [](SimulatedRanks& ranks, Agents& agents, uint64_t seed) {
     agents.lost_messages = 20;
     MapSwitch deputy;
     std::mt19937_64 random(seed);
@@ -257,7 +254,7 @@
       agents.Run(kTick);
     }
     REQUIRE_FALSE(ranks.is_split);
-  }
+  });
 }
 
 // Story: an owner was killed right after its hold. Its successor named the pass
