StandIns, Tests: A store that carries writes out late must not put usage back

The stand-in of the users' store gets the mode "late": writes are not answered and are carried out 2.5 s later if their conditions hold.

--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -4,7 +4,9 @@
 //
 //   PUT /config          a new desired state, the body
 //   PUT /server?id=&state=   ready, draining or gone
-//   PUT /store?mode=     serving, down, silent or losing; forget drops history
+//   PUT /store?mode=     serving, down, silent, losing (answers) or late
+//   (writes);
+//                        forget drops history
 //   PUT /orders?lose=go  from now on such orders are lost (arm: at the last
 //                        rank only); none: no longer
 //   GET /status          runs by attempt, splits and switches of the group
@@ -107,6 +109,7 @@
   store.mode = mode == "down"     ? StoreMode::kDown
                : mode == "silent" ? StoreMode::kSilent
                : mode == "losing" ? StoreMode::kLosingAnswers
+               : mode == "late"   ? StoreMode::kLateWrites
                                   : StoreMode::kServing;
 }
 
--- a/StandIns/UsersPlatform/Store.cc
+++ b/StandIns/UsersPlatform/Store.cc
@@ -48,6 +48,11 @@
   return events;
 }
 
+bool is_answering_reads(const UsersStore& store) {
+  return store.mode == StoreMode::kServing ||
+         store.mode == StoreMode::kLateWrites;
+}
+
 void Note(UsersStore& store, StoreEvent event) {
   store.history.push_back(std::move(event));
   for (auto watcher = store.watchers.begin();
@@ -57,7 +62,7 @@
       ++watcher;
       continue;
     }
-    if (store.mode == StoreMode::kServing) {
+    if (is_answering_reads(store)) {
       RespondJson(watcher->exchange, 200,
                   {{"events", events}, {"current_rev", store.revision}});
     }
@@ -104,25 +109,21 @@
        .until = EventLoop::Now() + std::chrono::milliseconds(wait)});
 }
 
-void Transact(UsersStore& store,
-              const http::IngressRequest& request,
-              const ExchangePointer& exchange) {
-  const json body = json::parse(request.body);
+// Carries a transaction out if its conditions hold; gives the status.
+int Transact(UsersStore& store, const json& body) {
   for (const json& row : body.value("expected_rev", json::array())) {
     const std::string key = row.at("key").get<std::string>();
     const auto found = store.items.find(key);
     const uint64_t present =
         found == store.items.end() ? 0 : found->second.revision;
     if (present != row.at("revision").get<uint64_t>()) {
-      RespondJson(exchange, 412, {{"items", json::array()}});
-      return;
+      return 412;
     }
   }
   for (const json& put : body.value("puts", json::array())) {
     const uint64_t lease = put.value("lease", uint64_t{0});
     if (lease != 0 && !store.leases.contains(lease)) {
-      RespondJson(exchange, 404, json::object());
-      return;
+      return 404;
     }
     std::string value;
     absl::Base64Unescape(put.at("value").get<std::string>(), &value);
@@ -131,8 +132,23 @@
   for (const json& key : body.value("deletes", json::array())) {
     Remove(store, key.get<std::string>());
   }
-  if (store.mode == StoreMode::kServing) {
-    RespondJson(exchange, 200, {{"revision", store.revision}});
+  return 200;
+}
+
+void HandleTransaction(UsersStore& store,
+                       const http::IngressRequest& request,
+                       const ExchangePointer& exchange) {
+  constexpr Duration kLateBy = std::chrono::milliseconds(2500);
+  if (store.mode == StoreMode::kLateWrites) {
+    store.late.push_back(
+        {.due = EventLoop::Now() + kLateBy, .body = request.body});
+    return;
+  }
+  const int status = Transact(store, json::parse(request.body));
+  if (status != 200) {
+    RespondJson(exchange, status, {{"items", json::array()}});
+  } else if (store.mode == StoreMode::kServing) {
+    RespondJson(exchange, status, {{"revision", store.revision}});
   }
 }
 
@@ -194,6 +210,11 @@
 }
 
 void Advance(UsersStore& store, TimePoint now) {
+  while (!store.late.empty() && store.late.front().due <= now) {
+    const std::string body = std::move(store.late.front().body);
+    store.late.pop_front();
+    Transact(store, json::parse(body));
+  }
   std::vector<std::string> expired;
   std::erase_if(store.leases,
                 [now](const auto& lease) { return lease.second < now; });
@@ -209,7 +230,7 @@
     if (watcher.until > now) {
       return false;
     }
-    if (store.mode == StoreMode::kServing) {
+    if (is_answering_reads(store)) {
       RespondJson(watcher.exchange, 200,
                   {{"events", json::array()}, {"current_rev", store.revision}});
     }
@@ -229,7 +250,7 @@
   } else if (request.path == "/kv-watch") {
     Watch(store, request, exchange);
   } else if (request.path == "/kv-txn") {
-    Transact(store, request, exchange);
+    HandleTransaction(store, request, exchange);
   } else if (request.path == "/kv-lease") {
     GrantLease(store, request, exchange);
   } else if (absl::StartsWith(request.path, "/kv-keep/")) {
--- a/StandIns/UsersPlatform/Store.h
+++ b/StandIns/UsersPlatform/Store.h
@@ -24,6 +24,15 @@
   kSilent,
   // Does what is asked and loses the answer.
   kLosingAnswers,
+  // Answers no write and carries it out seconds later, if its condition still
+  // holds then. Reads are answered.
+  kLateWrites,
+};
+
+// A write that waits to be carried out, as its call's body.
+struct LateWrite {
+  TimePoint due;
+  std::string body;
 };
 
 struct StoredItem {
@@ -56,6 +65,7 @@
   uint64_t last_lease = 0;
   std::list<Watcher> watchers;
   StoreMode mode = StoreMode::kServing;
+  std::deque<LateWrite> late;
 };
 
 void Put(UsersStore& store,
@@ -67,7 +77,7 @@
 // Drops the history, so that watches have to read everything again.
 void Forget(UsersStore& store);
 
-// Ends leases and watches whose time is over.
+// Ends leases and watches whose time is over, and carries late writes out.
 void Advance(UsersStore& store, TimePoint now);
 
 // Answers a call of the system.
