--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -7,6 +7,9 @@
 //   PUT /store?mode=     serving, down, silent, losing (answers) or late
 //   (writes);
 //                        forget drops history
+//   PUT /door?mode=      serving, refusing or silent: the store's second
+//   address
+//                        alone, to turn away whoever calls there
 //   PUT /orders?lose=go  from now on such orders are lost (arm: at the last
 //                        rank only); none: no longer
 //   GET /status          runs by attempt, splits and switches of the group
@@ -38,6 +41,8 @@
 struct Platform {
   EventLoop loop;
   UsersStore store;
+  // How the store's second address treats its callers.
+  std::string door = "serving";
   StandInGroup group;
   std::vector<PlainServer> plain;
   std::map<std::string, uint64_t> runs;
@@ -124,6 +129,9 @@
   } else if (request.path == "/store") {
     SetStore(platform.store, http::FindQueryValue(request.query, "mode"));
   }
+  if (request.path == "/door") {
+    platform.door = http::FindQueryValue(request.query, "mode");
+  }
   if (request.path == "/orders") {
     platform.group.lost_order = http::FindQueryValue(request.query, "lose");
   }
@@ -167,8 +175,22 @@
   return true;
 }
 
+void HandleSecondDoor(Platform& platform,
+                      const http::IngressRequest& request,
+                      const ExchangePointer& exchange) {
+  if (platform.door == "refusing") {
+    exchange->Respond(503, {}, "{}");
+  } else if (platform.door == "serving") {
+    HandleStoreCall(platform.store, request, exchange);
+  }
+}
+
 bool ListenAll(Platform& platform, const std::string& net) {
   bool is_listening =
+      Listen(platform, net + ".0.20:7002",
+             [&platform](const auto& request, const auto& exchange) {
+               HandleSecondDoor(platform, request, exchange);
+             }) &&
       Listen(platform, net + ".0.20:7000",
              [&platform](const auto& request, const auto& exchange) {
                HandleStoreCall(platform.store, request, exchange);
