Rank, Gateway: Give holds and the arms that matter by way of a gateway

Change: the holder's hold and arm and the owner's arm go through a gateway (POST /v1/orders on its internal port); a machine that freezes after giving one is then no rank's. Where no gateway passes an order on, the agent gives it itself as before. Late and repeated orders are as harmless as before: who gives an order is no part of Specs/MapSwitch.pml. Ruled out: a hold from the owner with a deputy that abandons it needs a grant of the holder before any arm, and a go that may run late could then meet a newer hold of the same pass.

Also: a caller that has much less time left than others of its route, or resumes a stream, is late from the start, so that those that can be in time go first.

--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -123,6 +123,15 @@
       this->arrived + std::min({this->route->objective / kWaitDivisor,
                                 allowed / 2, kLongestWait});
   this->wait_ends = this->late_from;
+  const bool is_returning =
+      gateway::NotePatience(this->state.patience[this->route->name],
+                            left ? std::chrono::milliseconds(*left) : allowed,
+                            this->arrived) ||
+      !FindHeader(this->request.headers, this->state.adapter.headers.last_event)
+           .empty();
+  if (is_returning && this->is_streaming()) {
+    this->late_from = this->arrived;
+  }
   if (this->is_streaming()) {
     this->wait_ends =
         this->arrived +
@@ -143,7 +152,8 @@
        {"service", this->service},
        {"tenant", this->tenant},
        {"table_version", std::to_string(this->table->version)},
-       {"left_ms", Text(allowed)}});
+       {"left_ms", Text(allowed)},
+       {"is_returning", is_returning ? "true" : "false"}});
   this->SendOrWait();
 }
 
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -10,6 +10,7 @@
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
+#include "Services/bramleyspand/Gateway/OrderRelay.h"
 #include "Services/bramleyspand/Gateway/Peers.h"
 #include "Services/bramleyspand/Gateway/Placing.h"
 #include "Services/bramleyspand/Gateway/UsageKeeping.h"
@@ -174,6 +175,8 @@
     } else if (request.path == "/v1/engine") {
       role.RespondWithEngine(http::FindQueryValue(request.query, "address"),
                              *exchange);
+    } else if (request.path == "/v1/orders") {
+      RelayOrder(role.state, request, exchange);
     } else if (request.path == "/v1/usage") {
       exchange->Respond(200, {{"content-type", "application/json"}},
                         role.usage.Serialize() + "\n");
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -10,6 +10,7 @@
 
 #include "Kernel/Digest.h"
 #include "LibGateway/Adapter.h"
+#include "LibGateway/Patience.h"
 #include "LibGateway/Places.h"
 #include "LibGateway/RepeatBudget.h"
 #include "LibGateway/RouteTable.h"
@@ -54,6 +55,8 @@
   std::map<std::string, TimePoint> full_until;
   // The same for streams that are late in any case.
   std::map<std::string, TimePoint> full_for_late_until;
+  // By route.
+  std::map<std::string, gateway::Patience> patience;
   // Requests that wait for a place, the next one first.
   std::list<std::shared_ptr<Forwarding>> waiting;
   std::map<uint64_t, Forwarding*> open;
--- a/Services/bramleyspand/Rank/Orders.cc
+++ b/Services/bramleyspand/Rank/Orders.cc
@@ -1,6 +1,8 @@
 #include "Services/bramleyspand/Rank/Orders.h"
 
 #include <utility>
+#include <variant>
+#include <vector>
 
 #include "LibTelemetry/Log.h"
 
@@ -23,6 +25,11 @@
 constexpr Duration kRepeatTakenAfter = std::chrono::milliseconds(1500);
 constexpr Duration kLossRemembered = std::chrono::seconds(2);
 constexpr Duration kOwnOrderTimeout = std::chrono::milliseconds(40);
+constexpr Duration kRelayedOrderTimeout = std::chrono::milliseconds(60);
+// Orders are given from here after one that a gateway did not pass on.
+constexpr Duration kRelayPause = std::chrono::milliseconds(500);
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
 constexpr Duration kFarOrderInterval = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -32,17 +39,82 @@
     return;
   }
   this->is_underway = true;
+  const auto relay =
+      this->is_relayed(order, now) ? this->PickRelay() : std::nullopt;
+  if (relay) {
+    this->SendOwnByRelay(*relay, order);
+    return;
+  }
   this->Send(*this->state.fleet().engine, order, kOwnOrderTimeout,
              [this](bool is_taken, bool is_answered) {
-               this->is_last_taken = is_taken;
-               if (!is_answered) {
-                 this->last_lost = EventLoop::Now();
-               }
-               this->is_underway = false;
-               this->on_own_ended();
+               this->HandleOwnEnded(is_taken, is_answered);
              });
 }
 
+void Orders::HandleOwnEnded(bool is_taken, bool is_answered) {
+  this->is_last_taken = is_taken;
+  if (!is_answered) {
+    this->last_lost = EventLoop::Now();
+  }
+  this->is_underway = false;
+  this->on_own_ended();
+}
+
+// The holder's hold and arm, and the owner's arm: if the machine froze right
+// after giving one, nobody could reach the rank or know how it stands.
+bool Orders::is_relayed(const Order& order, TimePoint now) const {
+  if (now < this->no_relay_until) {
+    return false;
+  }
+  const mapswitch::RankStatus& own = *this->state.own;
+  return std::holds_alternative<mapswitch::Hold>(order.body) ||
+         (std::holds_alternative<mapswitch::Arm>(order.body) &&
+          (own.held != 0 || own.rank == 0));
+}
+
+std::optional<Address> Orders::PickRelay() {
+  std::vector<std::string> ips;
+  for (const auto& [name, known] : this->state.members.known) {
+    if (known.member.is_entry) {
+      ips.push_back(known.member.ip);
+    }
+  }
+  if (ips.empty()) {
+    return std::nullopt;
+  }
+  return Address{ips[++this->relays_tried % ips.size()],
+                 this->state.fleet().peer_port};
+}
+
+void Orders::SendOwnByRelay(const Address& relay, const Order& order) {
+  const std::string kind = mapswitch::NameOf(order.body);
+  http::DirectCall::Fetch(
+      this->state.loop,
+      {.target = relay,
+       .method = "POST",
+       .path = "/v1/orders?address=" + Format(*this->state.fleet().engine),
+       .headers = {{"host", Format(relay)},
+                   {"content-type", "application/json"}},
+       .body = this->state.adapter.write_order(order),
+       .timeout = kRelayedOrderTimeout},
+      [this, kind, relay](CallEnd end, const http::Response& response) {
+        const bool is_relayed = end == CallEnd::kWhole &&
+                                response.status != kNotFound &&
+                                response.status != kBadGateway;
+        Log(LogLevel::kInfo, "rank", "relayed_order_ended",
+            {{"order", kind},
+             {"relay", Format(relay)},
+             {"end", std::string(http::NameOf(end))},
+             {"status", std::to_string(response.status)}});
+        if (!is_relayed) {
+          this->no_relay_until = EventLoop::Now() + kRelayPause;
+        }
+        this->HandleOwnEnded(
+            is_relayed && (response.status == 200 || response.status == 202),
+            response.status != kBadGateway);
+      });
+}
+
 void Orders::SendFar(const Address& server, const Order& order) {
   this->Send(server, order, kFarCallTimeout, [](bool, bool) {});
 }
--- a/Services/bramleyspand/Rank/Orders.h
+++ b/Services/bramleyspand/Rank/Orders.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "Services/bramleyspand/Rank/RankState.h"
@@ -18,7 +19,8 @@
   Orders& operator=(const Orders&) = delete;
 
   // Sends the own server an order, unless one is under way or the same one went
-  // out a moment ago.
+  // out a moment ago. One that the group would wait for if this machine froze
+  // goes by way of a gateway where one answers.
   void SendOwn(const mapswitch::Order& order, TimePoint now);
 
   // Sends another agent's server an order.
@@ -35,10 +37,16 @@
   using OnEnded = std::function<void(bool is_taken, bool is_answered)>;
 
   bool is_repeat(const mapswitch::Order& order, TimePoint now);
+  void HandleOwnEnded(bool is_taken, bool is_answered);
   void Send(const Address& server,
             const mapswitch::Order& order,
             Duration timeout,
             OnEnded on_ended);
+  bool is_relayed(const mapswitch::Order& order, TimePoint now) const;
+  // A gateway to send an order through, another one each time; none if none is
+  // known.
+  std::optional<Address> PickRelay();
+  void SendOwnByRelay(const Address& relay, const mapswitch::Order& order);
   void HandleFarReport(const Address& server, const std::string& body);
 
   RankState& state;
@@ -49,6 +57,9 @@
   TimePoint last_lost;
   bool is_last_taken = false;
   TimePoint last_far_order;
+  size_t relays_tried = 0;
+  // Until then no gateway is tried, since one gave no answer.
+  TimePoint no_relay_until;
 };
 
 }  // namespace bramleyspan::rankd
