LibAdmission: Fill a group that opens no faster than its passes tell

Cause: a group opens with its first map at a skew of 3; its first passes hold no writers and are short, so that all that waited was let in within 0.25 s: 77 streams, passes of 110 to 122 ms, all of them late. Change: a rank that has just opened takes 5 streams and 0.25 more with each pass under 0.7 of the longest pause; meanwhile each open offer counts as a whole place.

--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -11,6 +11,10 @@
 // Streams a rank runs at once before anything is known of its passes: a group
 // that was formed anew has its first map.
 constexpr double kFirstLimit = 5;
+// From there a rank takes more with each pass that is shorter than this part of
+// the longest pause.
+constexpr double kStartGrowth = 0.25;
+constexpr double kShortPart = 0.7;
 // Reading prompts and preparing maps need room beside the running streams.
 constexpr double kMostOfSlots = 0.7;
 // The part of the longest pause at which a pass is held, so that unusual ones
@@ -54,7 +58,20 @@
   const auto open =
       std::count_if(places.offered.begin(), places.offered.end(),
                     [now](TimePoint at) { return now - at <= kOfferIsOpen; });
-  return static_cast<double>(open) / kAskedAtOnce;
+  // While a group fills, the first ranks to open are the only ones to offer.
+  const bool is_filling = places.start_limit < MostOf(places);
+  return static_cast<double>(open) / (is_filling ? 1 : kAskedAtOnce);
+}
+
+// Failure: a group opens, its first passes hold no writers and are short, and
+// all that waited is let in at once; a few passes later every stream is late.
+void NoteStart(RankPlaces& places, const RankLoad& load) {
+  const RankLoad& before = places.reported;
+  const bool has_opened =
+      load.is_open && (!before.is_open || load.epoch != before.epoch);
+  if (has_opened) {
+    places.start_limit = kFirstLimit;
+  }
 }
 
 void NoteSlowness(RankPlaces& places, TimePoint now) {
@@ -74,10 +91,17 @@
   if (!goes_on) {
     places.passes.clear();
   }
+  NoteStart(places, load);
   places.reported = load;
   places.reported_at = now;
   if (has_work &&
       (places.passes.empty() || places.passes.back().step != load.step)) {
+    if (!places.passes.empty() &&
+        SecondsOf(now - places.passes.back().at) <
+            kShortPart * SecondsOf(places.settings.longest_pause)) {
+      places.start_limit =
+          std::min(MostOf(places), places.start_limit + kStartGrowth);
+    }
     places.passes.push_back({load.step, now});
   }
   while (places.passes.size() > 2 &&
@@ -131,10 +155,12 @@
   if (grown <= 0 || places.reported.running == 0) {
     return std::min(kFirstLimit, MostOf(places));
   }
+  const double most =
+      std::clamp(places.start_limit, kLeastLimit, MostOf(places));
   const double per_stream = grown / places.reported.running;
   const double aimed =
       kAimedPart * SecondsOf(places.settings.longest_pause) - least_pass;
-  return std::clamp(aimed / per_stream, kLeastLimit, MostOf(places));
+  return std::clamp(aimed / per_stream, kLeastLimit, most);
 }
 
 PlaceOffer OfferOf(const RankPlaces& places, bool is_late, TimePoint now) {
--- a/Libraries/LibAdmission/RankPlaces.h
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -67,6 +67,8 @@
   std::deque<TimePoint> offered;
   // Passes of the last moment, the oldest first.
   std::deque<SeenPass> passes;
+  // Streams taken at most while nothing is known of passes under their load.
+  double start_limit = 0;
   // Since when every pass has been longer than a pause may be; none if they are
   // not.
   std::optional<TimePoint> slow_since;
