LibAdmission: Late streams fill half of what may run

Cause: a late stream earns a quarter of one in time here and holds the same place; after a closing fault late ones took the places of those that could still be in time.

--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -36,7 +36,7 @@
 // Late streams fill no more than this part of what may run, so that those in
 // time find a place: gateways that have only late ones waiting would take every
 // place that comes free, and in a minute all streams would be late.
-constexpr double kLateLimitPart = 0.75;
+constexpr double kLateLimitPart = 0.5;
 // A rank that takes this many times as long as usual is left alone.
 constexpr double kSlowPace = 1.5;
 
