LibAdmission, Gateway: Hold the load where a jump of demand still fits

Change: a rank remembers for 8 s what a stream added to a pass at worst and runs as many as fit with that, at least half of the slots. Where no jump is dangerous nothing changes. Late streams fill three quarters of that (was half of 0.7). Among late requests those that were turned away before go first, since they come no third time; a refused caller is told a third of its time left.

--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -1,6 +1,7 @@
 #include "LibAdmission/RankPlaces.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace bramleyspan::admission {
@@ -17,6 +18,13 @@
 constexpr double kShortPart = 0.7;
 // Reading prompts and preparing maps need room beside the running streams.
 constexpr double kMostOfSlots = 0.7;
+// What may run at least where jumps of demand make passes too long.
+constexpr double kMostOfSlotsAtJumps = 0.5;
+// Until a map that fits is there, passes after a jump may take this part of the
+// longest pause.
+constexpr double kJumpPart = 0.92;
+constexpr Duration kCostRemembered = std::chrono::seconds(8);
+constexpr Duration kRunningWindow = std::chrono::seconds(2);
 // The part of the longest pause at which a pass is held, so that unusual ones
 // stay under it too.
 constexpr double kAimedPart = 0.85;
@@ -36,7 +44,7 @@
 // Late streams fill no more than this part of what may run, so that those in
 // time find a place: gateways that have only late ones waiting would take every
 // place that comes free, and in a minute all streams would be late.
-constexpr double kLateLimitPart = 0.5;
+constexpr double kLateLimitPart = 0.75;
 // A rank that takes this many times as long as usual is left alone.
 constexpr double kSlowPace = 1.5;
 
@@ -53,6 +61,59 @@
   return std::max(kLeastLimit, kMostOfSlots * places.settings.slots);
 }
 
+// How long a pass took lately, without the one under way; zero if too few were
+// seen to tell.
+Duration MeanPass(const RankPlaces& places) {
+  constexpr uint64_t kLeastPasses = 2;
+  if (places.passes.empty()) {
+    return Duration(0);
+  }
+  const SeenPass& first = places.passes.front();
+  const SeenPass& last = places.passes.back();
+  const uint64_t count = last.step - first.step;
+  return count < kLeastPasses
+             ? Duration(0)
+             : (last.at - first.at) / static_cast<int64_t>(count);
+}
+
+// Failure: passes are short enough for many streams to run, demand jumps, and
+// until copies are there each pass is longer than a pause may be. Where jumps
+// come every few seconds, most streams live to see one and are late. So the
+// dearest streams of the last seconds are remembered.
+void NoteCost(RankPlaces& places, Duration since_last, TimePoint now) {
+  const double share =
+      1 - std::exp(-SecondsOf(since_last) / SecondsOf(kRunningWindow));
+  places.usual_running +=
+      share * (places.reported.running - places.usual_running);
+  while (!places.dearest.empty() &&
+         now - places.dearest.front().at > kCostRemembered) {
+    places.dearest.pop_front();
+  }
+  const double grown =
+      SecondsOf(MeanPass(places)) - SecondsOf(places.settings.least_pass);
+  if (grown <= 0 || places.usual_running < 1) {
+    return;
+  }
+  const double cost = grown / places.usual_running;
+  while (!places.dearest.empty() && places.dearest.back().seconds <= cost) {
+    places.dearest.pop_back();
+  }
+  places.dearest.push_back({cost, now});
+}
+
+// Streams that may run for passes to stay short enough after a jump too.
+double LimitAtJumps(const RankPlaces& places, TimePoint now) {
+  const double cost = DearestCostOf(places, now);
+  if (cost <= 0) {
+    return MostOf(places);
+  }
+  const double aimed = kJumpPart * SecondsOf(places.settings.longest_pause) -
+                       SecondsOf(places.settings.least_pass);
+  const double least =
+      std::max(kLeastLimit, kMostOfSlotsAtJumps * places.settings.slots);
+  return std::clamp(aimed / cost, least, MostOf(places));
+}
+
 // Places that will be taken of the offers that are open.
 double PromisedOf(const RankPlaces& places, TimePoint now) {
   const auto open =
@@ -93,7 +154,7 @@
   }
   NoteStart(places, load);
   places.reported = load;
-  places.reported_at = now;
+  const TimePoint reported_before = std::exchange(places.reported_at, now);
   if (has_work &&
       (places.passes.empty() || places.passes.back().step != load.step)) {
     if (!places.passes.empty() &&
@@ -104,7 +165,7 @@
     }
     places.passes.push_back({load.step, now});
   }
-  while (places.passes.size() > 2 &&
+  while (places.passes.size() > 3 &&
          now - places.passes.front().at > kPassWindow) {
     places.passes.pop_front();
   }
@@ -112,6 +173,7 @@
     return now - item.second > kTakenAtMost;
   });
   NoteSlowness(places, now);
+  NoteCost(places, now - reported_before, now);
 }
 
 void NoteTaken(RankPlaces& places, TakenPlace place, TimePoint now) {
@@ -135,6 +197,15 @@
          static_cast<uint32_t>(places.taken.size());
 }
 
+double DearestCostOf(const RankPlaces& places, TimePoint now) {
+  for (const SeenCost& cost : places.dearest) {
+    if (now - cost.at <= kCostRemembered) {
+      return cost.seconds;
+    }
+  }
+  return 0;
+}
+
 Duration PassOf(const RankPlaces& places, TimePoint now) {
   if (places.passes.empty()) {
     return Duration(0);
@@ -155,8 +226,8 @@
   if (grown <= 0 || places.reported.running == 0) {
     return std::min(kFirstLimit, MostOf(places));
   }
-  const double most =
-      std::clamp(places.start_limit, kLeastLimit, MostOf(places));
+  const double most = std::max(
+      kLeastLimit, std::min(places.start_limit, LimitAtJumps(places, now)));
   const double per_stream = grown / places.reported.running;
   const double aimed =
       kAimedPart * SecondsOf(places.settings.longest_pause) - least_pass;
--- a/Libraries/LibAdmission/RankPlaces.h
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -48,6 +48,12 @@
   TimePoint at;
 };
 
+// What a running stream added to a pass, and when.
+struct SeenCost {
+  double seconds = 0;
+  TimePoint at;
+};
+
 // Names a place that was taken: the gateway's address and its own number.
 struct TakenPlace {
   std::string gateway;
@@ -67,6 +73,11 @@
   std::deque<TimePoint> offered;
   // Passes of the last moment, the oldest first.
   std::deque<SeenPass> passes;
+  // Running streams, averaged over the last seconds.
+  double usual_running = 0;
+  // The dearest streams of the last seconds, the dearest first; each is newer
+  // than the one before it.
+  std::deque<SeenCost> dearest;
   // Streams taken at most while nothing is known of passes under their load.
   double start_limit = 0;
   // Since when every pass has been longer than a pause may be; none if they are
@@ -107,6 +118,10 @@
 // not.
 uint32_t LoadOf(const RankPlaces& places);
 
+// What a stream added to a pass at the worst moment of the last seconds; zero
+// if nothing is known.
+double DearestCostOf(const RankPlaces& places, TimePoint now);
+
 // How long a pass took lately, the one under way included.
 Duration PassOf(const RankPlaces& places, TimePoint now);
 
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -37,7 +37,7 @@
 // When a place may be free again: streams last for seconds, and a caller that
 // comes back into the same crowd is refused for good. The part of the time
 // left leaves enough for the second attempt.
-constexpr int kRetryAfterDivisor = 4;
+constexpr int kRetryAfterDivisor = 3;
 constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(100);
 constexpr std::string_view kRetryAfterStart = "0.5";
 constexpr std::string_view kRetryAfterRejection = "0.2";
@@ -123,13 +123,13 @@
       this->arrived + std::min({this->route->objective / kWaitDivisor,
                                 allowed / 2, kLongestWait});
   this->wait_ends = this->late_from;
-  const bool is_returning =
+  this->is_returning =
       gateway::NotePatience(this->state.patience[this->route->name],
                             left ? std::chrono::milliseconds(*left) : allowed,
                             this->arrived) ||
       !FindHeader(this->request.headers, this->state.adapter.headers.last_event)
            .empty();
-  if (is_returning && this->is_streaming()) {
+  if (this->is_returning && this->is_streaming()) {
     this->late_from = this->arrived;
   }
   if (this->is_streaming()) {
@@ -153,7 +153,7 @@
        {"tenant", this->tenant},
        {"table_version", std::to_string(this->table->version)},
        {"left_ms", Text(allowed)},
-       {"is_returning", is_returning ? "true" : "false"}});
+       {"is_returning", this->is_returning ? "true" : "false"}});
   this->SendOrWait();
 }
 
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -118,6 +118,8 @@
   // no longer be answered in time.
   TimePoint wait_ends;
   TimePoint late_from;
+  // Whether the caller has waited before, so that it will not come once more.
+  bool is_returning = false;
   bool is_asking_agents = false;
   std::optional<Placing::Place> place;
   TimerId deadline_timer = 0;
--- a/Services/bramleyspand/Gateway/ForwardingPlaces.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPlaces.cc
@@ -48,12 +48,17 @@
          (this->has_started_answer || now >= this->late_from);
 }
 
-// The more urgent first; then those that can still be in time.
+// The more urgent first; then those that can still be in time; then those that
+// were turned away before.
 bool Forwarding::is_before(const Forwarding& other, TimePoint now) const {
   if (this->priority != other.priority) {
     return this->priority < other.priority;
   }
-  return !this->is_late(now) && other.is_late(now);
+  const bool is_other_late = other.is_late(now);
+  if (this->is_late(now) != is_other_late) {
+    return is_other_late;
+  }
+  return is_other_late && this->is_returning && !other.is_returning;
 }
 
 void Forwarding::SendOrWait() {
