--- a/Tests/LibAdmission/SimulatedLoad.cc
+++ b/Tests/LibAdmission/SimulatedLoad.cc
@@ -16,6 +16,8 @@
 constexpr Duration kFittingMap = milliseconds(1500);
 constexpr Duration kLongestWait = milliseconds(1400);
 constexpr Duration kReturnsAfter = milliseconds(2200);
+// Passes take longer while ranks copy experts.
+constexpr double kCopyingPart = 1.15;
 constexpr double kMillisecond = 1e-3;
 
 Duration Milliseconds(double count) {
@@ -122,8 +124,11 @@
   }
   const double steps = has_writers ? load.stride : 1;
   const double slowest = *std::max_element(own.begin(), own.end());
-  return Milliseconds(steps * load.step_ms + (1 - load.expert_share) * slowest +
-                      load.expert_share * this->Skew() * all / load.ranks);
+  const double skew = this->Skew();
+  const double copying = skew > load.skew_at_rest ? kCopyingPart : 1;
+  const double experts = load.expert_share * skew * all / load.ranks;
+  const double apart = (1 - load.expert_share) * slowest;
+  return Milliseconds(copying * (steps * load.step_ms + apart + experts));
 }
 
 void SimulatedLoad::EndPass() {
