--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -46,11 +46,7 @@
 // Late streams fill no more than this part of what may run, so that those in
 // time find a place: gateways that have only late ones waiting would take every
 // place that comes free, and in a minute all streams would be late.
-constexpr double kLateLimitPart = 0.9;
-// The same where streams in time were turned away a moment ago, or a group
-// fills.
-constexpr double kContendedLatePart = 0.5;
-constexpr Duration kContended = std::chrono::seconds(1);
+constexpr double kLateLimitPart = 0.75;
 // A rank that takes this many times as long as usual is left alone.
 constexpr double kSlowPace = 1.5;
 
@@ -122,22 +118,14 @@
   return std::clamp(aimed / cost, least, MostOf(places));
 }
 
-bool is_filling(const RankPlaces& places) {
-  return places.start_limit < MostOf(places);
-}
-
-bool is_contended(const RankPlaces& places, TimePoint now) {
-  return is_filling(places) ||
-         (places.turned_away_at && now - *places.turned_away_at < kContended);
-}
-
 // Places that will be taken of the offers that are open.
 double PromisedOf(const RankPlaces& places, TimePoint now) {
   const auto open =
       std::count_if(places.offered.begin(), places.offered.end(),
                     [now](TimePoint at) { return now - at <= kOfferIsOpen; });
   // While a group fills, the first ranks to open are the only ones to offer.
-  return static_cast<double>(open) / (is_filling(places) ? 1 : kAskedAtOnce);
+  const bool is_filling = places.start_limit < MostOf(places);
+  return static_cast<double>(open) / (is_filling ? 1 : kAskedAtOnce);
 }
 
 // Failure: a group opens, its first passes hold no writers and are short, and
@@ -204,10 +192,6 @@
   places.offered.push_back(now);
 }
 
-void NoteTurnedAway(RankPlaces& places, TimePoint now) {
-  places.turned_away_at = now;
-}
-
 void NoteSettled(RankPlaces& places, const TakenPlace& place) {
   places.taken.erase(place);
 }
@@ -268,8 +252,7 @@
     offer.limit = MostOf(places);
     longest_pass = kMostOfPause * longest;
   } else if (is_late) {
-    offer.limit *=
-        is_contended(places, now) ? kContendedLatePart : kLateLimitPart;
+    offer.limit *= kLateLimitPart;
   }
   const bool has_place = pass < longest_pass && load <= offer.limit;
   offer.is_admitting = places.reported.is_open &&
--- a/Libraries/LibAdmission/RankPlaces.h
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -80,8 +80,6 @@
   std::deque<SeenCost> dearest;
   // Streams taken at most while nothing is known of passes under their load.
   double start_limit = 0;
-  // When a stream in time last found no place.
-  std::optional<TimePoint> turned_away_at;
   // Since when every pass has been longer than a pause may be; none if they are
   // not.
   std::optional<TimePoint> slow_since;
@@ -113,9 +111,6 @@
 // part of a place that will be taken of it, until the gateway has decided.
 void NoteOffered(RankPlaces& places, TimePoint now);
 
-// A gateway looked for a place for a stream in time, and there was none.
-void NoteTurnedAway(RankPlaces& places, TimePoint now);
-
 // The stream that took it has begun or is over.
 void NoteSettled(RankPlaces& places, const TakenPlace& place);
 
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -315,8 +315,6 @@
         admission::OfferOf(this->state.places, probe.is_late, now);
     if (offer.is_admitting) {
       admission::NoteOffered(this->state.places, now);
-    } else if (!probe.is_late) {
-      admission::NoteTurnedAway(this->state.places, now);
     }
     membership::wire::PlaceOfferT wire;
     wire.number = probe.number;
--- a/Tests/LibAdmission/SimulatedLoad.cc
+++ b/Tests/LibAdmission/SimulatedLoad.cc
@@ -211,9 +211,6 @@
     const PlaceOffer offer =
         OfferOf(this->places[rank], this->is_late(caller), this->now);
     if (!offer.is_admitting) {
-      if (!this->is_late(caller)) {
-        NoteTurnedAway(this->places[rank], this->now);
-      }
       continue;
     }
     NoteOffered(this->places[rank], this->now);
