--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -25,7 +25,7 @@
 constexpr double kJumpPart = 0.92;
 // A rank that runs less than this part of its slots has less than its group.
 constexpr double kLeastRunningPart = 0.45;
-constexpr Duration kCostRemembered = std::chrono::seconds(8);
+constexpr Duration kCostRemembered = std::chrono::seconds(3);
 constexpr Duration kRunningWindow = std::chrono::seconds(2);
 // The part of the longest pause at which a pass is held, so that unusual ones
 // stay under it too.
