--- a/Libraries/LibAdmission/RankPlaces.h
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -73,8 +73,12 @@
   std::deque<TimePoint> offered;
   // Passes of the last moment, the oldest first.
   std::deque<SeenPass> passes;
-  // Running streams, averaged over the last seconds.
+  // Running streams and places taken in a second, averaged over the last
+  // seconds.
   double usual_running = 0;
+  double usual_taken = 0;
+  // Places taken since the last report.
+  uint32_t newly_taken = 0;
   // The dearest streams of the last seconds, the dearest first; each is newer
   // than the one before it.
   std::deque<SeenCost> dearest;
@@ -118,8 +122,8 @@
 // not.
 uint32_t LoadOf(const RankPlaces& places);
 
-// What a stream added to a pass at the worst moment of the last seconds; zero
-// if nothing is known.
+// What a stream added to a pass at the worst moment of the last few lives of a
+// stream; zero if nothing is known.
 double DearestCostOf(const RankPlaces& places, TimePoint now);
 
 // How long a pass took lately, the one under way included.
--- a/Tests/LibAdmission/TestRankPlaces.cc
+++ b/Tests/LibAdmission/TestRankPlaces.cc
@@ -108,22 +108,33 @@
 }
 
 // Failure: streams fit until demand jumps, and every one is late at each jump.
-TEST_CASE("What a jump of demand cost is remembered for some seconds") {
+TEST_CASE(
+    "What a jump of demand cost is remembered for lives of a stream") {
   TimePoint now = kStart;
   RankPlaces places = RankAt(7, milliseconds(50), now);
   REQUIRE(OfferOf(places, false, now).is_admitting);
   RankLoad load = places.reported;
+  // Seven streams run and one comes every 200 ms: a stream lives 1.4 s.
+  uint64_t number = 0;
+  TimePoint next_taken = now;
   const auto pass_for = [&](Duration time, Duration each) {
     for (const TimePoint end = now + time; now < end; now += each) {
+      if (now >= next_taken) {
+        NoteTaken(places, {.gateway = "g", .number = ++number}, now);
+        NoteSettled(places, {.gateway = "g", .number = number});
+        next_taken += milliseconds(200);
+      }
       ++load.step;
       NoteReport(places, load, now);
     }
   };
+  pass_for(std::chrono::seconds(6), milliseconds(50));
+  REQUIRE(OfferOf(places, false, now).is_admitting);
   pass_for(milliseconds(600), milliseconds(140));
-  pass_for(std::chrono::seconds(3), milliseconds(50));
+  pass_for(std::chrono::seconds(2), milliseconds(50));
   CHECK_FALSE(OfferOf(places, false, now).is_admitting);
   CHECK(LimitOf(places, now) >= 6);
-  pass_for(std::chrono::seconds(7), milliseconds(50));
+  pass_for(std::chrono::seconds(3), milliseconds(50));
   CHECK(OfferOf(places, false, now).is_admitting);
 }
 
