--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -1,7 +1,6 @@
 #include "LibAdmission/RankPlaces.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace bramleyspan::admission {
@@ -25,11 +24,6 @@
 constexpr double kJumpPart = 0.92;
 // A rank that runs less than this part of its slots has less than its group.
 constexpr double kLeastRunningPart = 0.45;
-// Jumps matter if a stream is likely to live to see one.
-constexpr double kLivesRemembered = 3;
-constexpr Duration kLeastRemembered = std::chrono::seconds(1);
-constexpr Duration kMostRemembered = std::chrono::seconds(8);
-constexpr Duration kRunningWindow = std::chrono::seconds(2);
 // The part of the longest pause at which a pass is held, so that unusual ones
 // stay under it too.
 constexpr double kAimedPart = 0.85;
@@ -81,53 +75,18 @@
              : (last.at - first.at) / static_cast<int64_t>(count);
 }
 
-// How long a jump of demand matters: some lives of a stream, which by Little's
-// law lasts as long as it takes to fill the running ones anew.
-Duration RememberedFor(const RankPlaces& places) {
-  const double life = places.usual_running / std::max(places.usual_taken, 1e-3);
-  const auto remembered =
-      std::chrono::duration<double>(kLivesRemembered * life);
-  return std::clamp<Duration>(
-      std::chrono::duration_cast<Duration>(
-          std::min(remembered, std::chrono::duration<double>(kMostRemembered))),
-      kLeastRemembered, kMostRemembered);
-}
-
-// Failure: passes are short enough for many streams to run, demand jumps, and
-// until copies are there each pass is longer than a pause may be. Where jumps
-// come every few seconds, most streams live to see one and are late. So the
-// dearest streams of the last seconds are remembered.
-void NoteCost(RankPlaces& places, Duration since_last, TimePoint now) {
-  const double share =
-      1 - std::exp(-SecondsOf(since_last) / SecondsOf(kRunningWindow));
-  places.usual_running +=
-      share * (places.reported.running - places.usual_running);
-  if (since_last > Duration(0)) {
-    const double taken = std::exchange(places.newly_taken, 0U);
-    places.usual_taken +=
-        share * (taken / SecondsOf(since_last) - places.usual_taken);
-  }
-  while (!places.dearest.empty() &&
-         now - places.dearest.front().at > kMostRemembered) {
-    places.dearest.pop_front();
-  }
-  const double grown =
-      SecondsOf(MeanPass(places)) - SecondsOf(places.settings.least_pass);
-  if (grown <= 0 || places.usual_running < 1) {
-    return;
-  }
-  const double cost =
-      grown /
-      std::max(places.usual_running, kLeastRunningPart * places.settings.slots);
-  while (!places.dearest.empty() && places.dearest.back().seconds <= cost) {
-    places.dearest.pop_back();
-  }
-  places.dearest.push_back({cost, now});
+void NoteCostOfStreams(RankPlaces& places, Duration elapsed, TimePoint now) {
+  NoteCost(places.costs,
+           {.running = places.reported.running,
+            .grown = MeanPass(places) - places.settings.least_pass,
+            .elapsed = elapsed,
+            .least_running = kLeastRunningPart * places.settings.slots},
+           now);
 }
 
 // Streams that may run for passes to stay short enough after a jump too.
 double LimitAtJumps(const RankPlaces& places, TimePoint now) {
-  const double cost = DearestCostOf(places, now);
+  const double cost = DearestCostOf(places.costs, now);
   if (cost <= 0) {
     return MostOf(places);
   }
@@ -197,12 +156,12 @@
     return now - item.second > kTakenAtMost;
   });
   NoteSlowness(places, now);
-  NoteCost(places, now - reported_before, now);
+  NoteCostOfStreams(places, now - reported_before, now);
 }
 
 void NoteTaken(RankPlaces& places, TakenPlace place, TimePoint now) {
   places.taken[std::move(place)] = now;
-  ++places.newly_taken;
+  ++places.costs.newly_taken;
 }
 
 void NoteOffered(RankPlaces& places, TimePoint now) {
@@ -222,16 +181,6 @@
          static_cast<uint32_t>(places.taken.size());
 }
 
-double DearestCostOf(const RankPlaces& places, TimePoint now) {
-  const Duration remembered = RememberedFor(places);
-  for (const SeenCost& cost : places.dearest) {
-    if (now - cost.at <= remembered) {
-      return cost.seconds;
-    }
-  }
-  return 0;
-}
-
 Duration PassOf(const RankPlaces& places, TimePoint now) {
   if (places.passes.empty()) {
     return Duration(0);
--- a/Libraries/LibAdmission/RankPlaces.h
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -17,6 +17,7 @@
 #include <string>
 
 #include "Kernel/Time.h"
+#include "LibAdmission/StreamCosts.h"
 
 namespace bramleyspan::admission {
 
@@ -48,12 +49,6 @@
   TimePoint at;
 };
 
-// What a running stream added to a pass, and when.
-struct SeenCost {
-  double seconds = 0;
-  TimePoint at;
-};
-
 // Names a place that was taken: the gateway's address and its own number.
 struct TakenPlace {
   std::string gateway;
@@ -73,15 +68,7 @@
   std::deque<TimePoint> offered;
   // Passes of the last moment, the oldest first.
   std::deque<SeenPass> passes;
-  // Running streams and places taken in a second, averaged over the last
-  // seconds.
-  double usual_running = 0;
-  double usual_taken = 0;
-  // Places taken since the last report.
-  uint32_t newly_taken = 0;
-  // The dearest streams of the last seconds, the dearest first; each is newer
-  // than the one before it.
-  std::deque<SeenCost> dearest;
+  StreamCosts costs;
   // Streams taken at most while nothing is known of passes under their load.
   double start_limit = 0;
   // Since when every pass has been longer than a pause may be; none if they are
@@ -122,10 +109,6 @@
 // not.
 uint32_t LoadOf(const RankPlaces& places);
 
-// What a stream added to a pass at the worst moment of the last few lives of a
-// stream; zero if nothing is known.
-double DearestCostOf(const RankPlaces& places, TimePoint now);
-
 // How long a pass took lately, the one under way included.
 Duration PassOf(const RankPlaces& places, TimePoint now);
 
--- a/Tests/LibAdmission/SimulatedLoad.h
+++ b/Tests/LibAdmission/SimulatedLoad.h
@@ -99,7 +99,6 @@
   TimePoint pass_began;
   TimePoint pass_ends;
   bool is_passing = false;
-  double due = 0;
 };
 
 }  // namespace bramleyspan::admission
--- a/Tests/LibAdmission/TestLoad.cc
+++ b/Tests/LibAdmission/TestLoad.cc
@@ -16,6 +16,19 @@
   return static_cast<double>(count) / second.asked;
 }
 
+LoadSettings SmallGroup(Duration jump_interval) {
+  return {.ranks = 12,
+          .slots = 12,
+          .events = 24,
+          .stride = 4,
+          .longest_pause = milliseconds(120),
+          .arrivals_per_second = 50,
+          .jump_interval = jump_interval,
+          .skew_of_jump = 3.1,
+          .skew_of_first_copies = 1.8,
+          .skew_at_rest = 1.4};
+}
+
 }  // namespace
 
 TEST_CASE("Callers below capacity are answered in time") {
@@ -46,16 +59,7 @@
 TEST_CASE("A group that opens serves those that can be in time") {
   for (uint64_t seed = 0; seed < kSeeds; ++seed) {
     CAPTURE(seed);
-    SimulatedLoad load({.ranks = 12,
-                        .slots = 12,
-                        .events = 24,
-                        .stride = 4,
-                        .longest_pause = milliseconds(120),
-                        .arrivals_per_second = 50,
-                        .skew_of_jump = 3.1,
-                        .skew_of_first_copies = 1.8,
-                        .skew_at_rest = 1.4},
-                       seed);
+    SimulatedLoad load(SmallGroup(Duration(0)), seed);
     load.Run(seconds(10));
     load.BreakUntil(load.now + milliseconds(2200));
     load.Run(milliseconds(2200));
@@ -73,17 +77,7 @@
 TEST_CASE("Two seconds after a burst callers are answered as before it") {
   for (uint64_t seed = 0; seed < kSeeds; ++seed) {
     CAPTURE(seed);
-    SimulatedLoad load({.ranks = 12,
-                        .slots = 12,
-                        .events = 24,
-                        .stride = 4,
-                        .longest_pause = milliseconds(120),
-                        .arrivals_per_second = 50,
-                        .jump_interval = milliseconds(3200),
-                        .skew_of_jump = 3.1,
-                        .skew_of_first_copies = 1.8,
-                        .skew_at_rest = 1.4},
-                       seed);
+    SimulatedLoad load(SmallGroup(milliseconds(3200)), seed);
     load.Run(seconds(10));
     load.settings.arrivals_per_second = 150;
     load.Run(seconds(6));
--- a/Tests/LibAdmission/TestRankPlaces.cc
+++ b/Tests/LibAdmission/TestRankPlaces.cc
@@ -108,8 +108,7 @@
 }
 
 // Failure: streams fit until demand jumps, and every one is late at each jump.
-TEST_CASE(
-    "What a jump of demand cost is remembered for lives of a stream") {
+TEST_CASE("What a jump of demand cost is remembered for lives of a stream") {
   TimePoint now = kStart;
   RankPlaces places = RankAt(7, milliseconds(50), now);
   REQUIRE(OfferOf(places, false, now).is_admitting);
