LibUsage, Gateway: Forget the revisions of documents that are not written any more

Cause: a gateway kept the revision of each usage document that it ever wrote, one in ten minutes. Once a window is forgotten every document has a new key, so all revisions of before can go. Tests: both failed to compile before; the key of a forgotten window is never written again.

--- a/Libraries/LibPlatform/OwnDocuments.h
+++ b/Libraries/LibPlatform/OwnDocuments.h
@@ -27,8 +27,12 @@
   // been written all the same. One write of a key at a time.
   void Write(const std::string& key, std::string value, OnDone on_done);
 
-  // A document that is not written any more.
-  void Forget(const std::string& key) { this->revisions.erase(key); }
+  // No document is written under any of the keys so far. Not while one is being
+  // written.
+  void ForgetAll() { this->revisions.clear(); }
+
+  // Documents whose revisions are kept.
+  size_t known() const { return this->revisions.size(); }
 
  private:
   void Put(const std::string& key, std::string value, OnDone on_done);
--- a/Libraries/LibUsage/Keeper.cc
+++ b/Libraries/LibUsage/Keeper.cc
@@ -97,7 +97,7 @@
   }
 }
 
-void ForgetWindows(Keeper& keeper, Window oldest) {
+bool ForgetWindows(Keeper& keeper, Window oldest) {
   std::set<Window> due;
   for (const auto& [part, document] : keeper.documents) {
     if (document.is_due) {
@@ -116,9 +116,11 @@
   // A late report begins a forgotten window anew with its own rows alone.
   // Under the old key its document would take away the rows of agents that
   // have died since; readers join all documents of a window.
-  if (forgotten > 0) {
-    ++keeper.volume;
+  if (forgotten == 0) {
+    return false;
   }
+  ++keeper.volume;
+  return true;
 }
 
 std::string SerializeDocument(const Rows& rows) {
--- a/Libraries/LibUsage/Keeper.h
+++ b/Libraries/LibUsage/Keeper.h
@@ -77,8 +77,10 @@
 void HandleWritten(Keeper& keeper, const DocumentWrite& written);
 
 // Forgets written documents of windows before `oldest`. A row of such a window
-// that is reported again starts a new document and adds nothing.
-void ForgetWindows(Keeper& keeper, Window oldest);
+// that is reported again starts a new document and adds nothing. Returns
+// whether any was forgotten; no document is written under an earlier key from
+// then on.
+bool ForgetWindows(Keeper& keeper, Window oldest);
 
 // Writes rows as a document.
 std::string SerializeDocument(const Rows& rows);
--- a/Services/bramleyspand/Gateway/UsageKeeping.cc
+++ b/Services/bramleyspand/Gateway/UsageKeeping.cc
@@ -102,9 +102,9 @@
   if (--this->open_writes > 0) {
     return;
   }
-  // FIXME: The revisions of forgotten documents stay in `documents`, one for
-  // each window; ForgetWindows does not say which keys it forgot.
-  usage::ForgetWindows(this->keeper, WindowNow(this->ledger));
+  if (usage::ForgetWindows(this->keeper, WindowNow(this->ledger))) {
+    this->documents.ForgetAll();
+  }
   std::exchange(this->on_all_written, [] {})();
 }
 
--- a/Tests/LibPlatform/TestOwnDocuments.cc
+++ b/Tests/LibPlatform/TestOwnDocuments.cc
@@ -115,6 +115,16 @@
   CHECK(world.items.at("usage/1").value == "three");
 }
 
+// Failure: a gateway keeps a revision for each document that it ever wrote.
+TEST_CASE("documents that are not written any more take no memory") {
+  LossyStore world;
+  OwnDocuments documents(world.store);
+  CHECK(world.Write(documents, "one"));
+  CHECK(documents.known() == 1);
+  documents.ForgetAll();
+  CHECK(documents.known() == 0);
+}
+
 // A store that was down has done nothing: the next write needs no read.
 TEST_CASE("an outage does not make a document unsure") {
   LossyStore world;
--- a/Tests/LibUsage/TestUsage.cc
+++ b/Tests/LibUsage/TestUsage.cc
@@ -204,6 +204,24 @@
   CHECK(world.CountStored() == 2);
 }
 
+// Failure: a key is taken for one that is not written any more, or the reverse.
+TEST_CASE("Once a window is forgotten no earlier key is written") {
+  World world;
+  Keeper& keeper = world.keepers[0];
+  world.Count(world.agents[0]);
+  TakeReport(keeper, ReportFor(world.agents[0], "owner"));
+  const auto writes = DueWrites(keeper);
+  REQUIRE(writes.size() == 1);
+  CHECK_FALSE(ForgetWindows(keeper, kNow + 1));
+  HandleWritten(keeper, writes.front());
+  CHECK_FALSE(ForgetWindows(keeper, kNow));
+  CHECK(ForgetWindows(keeper, kNow + 1));
+  TakeReport(keeper, ReportFor(world.agents[0], "owner"));
+  for (const DocumentWrite& write : DueWrites(keeper)) {
+    CHECK(write.key != writes.front().key);
+  }
+}
+
 // Agents repeat their reports; if each caused a write, the key-value service
 // would be busy with usage alone.
 TEST_CASE("a repeated report causes no write") {
