--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -193,10 +193,9 @@
   Log(LogLevel::kInfo, "forward", "sent_once_more",
       {{"request", this->id}, {"cause", std::string(cause)}});
   telemetry::Count(kRepeats, {{"service", this->service}});
-  const gateway::Wait once_more =
-      gateway::PlanWait({.objective = this->route->objective,
-                         .allowed = this->deadline - now},
-                        now);
+  const gateway::Wait once_more = gateway::PlanWait(
+      {.objective = this->route->objective, .allowed = this->deadline - now},
+      now);
   this->wait.ends = std::max(this->wait.ends, once_more.ends);
   if (!this->TrySend()) {
     this->Wait(true);
