LibAdmission: Jumps hold the load back only where nearly all runs

Change: a rank is overloaded from 0.8 of what may run until it runs less than 0.7 of what fits with jumps; only then are they counted.

--- a/Libraries/LibAdmission/RankPlaces.cc
+++ b/Libraries/LibAdmission/RankPlaces.cc
@@ -22,6 +22,11 @@
 // Until a map that fits is there, passes after a jump may take this part of the
 // longest pause.
 constexpr double kJumpPart = 0.92;
+// A rank is overloaded once it runs more than this part of what may run, until
+// it runs less than the other part of what fits with jumps: what comes and goes
+// in a moment is better let in.
+constexpr double kOverloadedPart = 0.8;
+constexpr double kRelievedPart = 0.7;
 // A rank that runs less than this part of its slots has less than its group.
 constexpr double kLeastRunningPart = 0.45;
 // The part of the longest pause at which a pass is held, so that unusual ones
@@ -75,15 +80,6 @@
              : (last.at - first.at) / static_cast<int64_t>(count);
 }
 
-void NoteCostOfStreams(RankPlaces& places, Duration elapsed, TimePoint now) {
-  NoteCost(places.costs,
-           {.running = places.reported.running,
-            .grown = MeanPass(places) - places.settings.least_pass,
-            .elapsed = elapsed,
-            .least_running = kLeastRunningPart * places.settings.slots},
-           now);
-}
-
 // Streams that may run for passes to stay short enough after a jump too.
 double LimitAtJumps(const RankPlaces& places, TimePoint now) {
   const double cost = DearestCostOf(places.costs, now);
@@ -126,6 +122,21 @@
   }
 }
 
+void NoteCostOfStreams(RankPlaces& places, Duration elapsed, TimePoint now) {
+  NoteCost(places.costs,
+           {.running = places.reported.running,
+            .grown = MeanPass(places) - places.settings.least_pass,
+            .elapsed = elapsed,
+            .least_running = kLeastRunningPart * places.settings.slots},
+           now);
+  const double running = places.costs.usual_running;
+  if (running > kOverloadedPart * MostOf(places)) {
+    places.is_overloaded = true;
+  } else if (running < kRelievedPart * LimitAtJumps(places, now)) {
+    places.is_overloaded = false;
+  }
+}
+
 }  // namespace
 
 void NoteReport(RankPlaces& places, const RankLoad& load, TimePoint now) {
@@ -201,8 +212,10 @@
   if (grown <= 0 || places.reported.running == 0) {
     return std::min(kFirstLimit, MostOf(places));
   }
-  const double most = std::max(
-      kLeastLimit, std::min(places.start_limit, LimitAtJumps(places, now)));
+  const double settled =
+      places.is_overloaded ? LimitAtJumps(places, now) : MostOf(places);
+  const double most =
+      std::max(kLeastLimit, std::min(places.start_limit, settled));
   const double per_stream = grown / places.reported.running;
   const double aimed =
       kAimedPart * SecondsOf(places.settings.longest_pause) - least_pass;
--- a/Libraries/LibAdmission/RankPlaces.h
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -69,6 +69,8 @@
   // Passes of the last moment, the oldest first.
   std::deque<SeenPass> passes;
   StreamCosts costs;
+  // Whether nearly all that may run has been running for a while.
+  bool is_overloaded = false;
   // Streams taken at most while nothing is known of passes under their load.
   double start_limit = 0;
   // Since when every pass has been longer than a pause may be; none if they are
