--- a/Libraries/LibGateway/Waiting.h
+++ b/Libraries/LibGateway/Waiting.h
@@ -20,8 +20,9 @@
   TimePoint longest_at;
 };
 
-// Takes the time that a caller has left. Returns whether it must have waited
-// before: it has much less left than others of the same route.
+// Takes the time that a caller has left, no more than its route allows. Returns
+// whether it must have waited before: it has much less left than others of the
+// same route.
 bool NotePatience(Patience& patience, Duration left, TimePoint now);
 
 // What decides how long a request may wait.
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -111,8 +111,7 @@
       !FindHeader(this->request.headers, this->state.adapter.headers.last_event)
            .empty();
   this->is_returning =
-      gateway::NotePatience(this->state.patience[this->route->name],
-                            left ? std::chrono::milliseconds(*left) : allowed,
+      gateway::NotePatience(this->state.patience[this->route->name], allowed,
                             this->arrived) ||
       is_resuming;
   this->wait = gateway::PlanWait({.is_streaming = this->is_streaming(),
