--- a/Libraries/LibAdmission/RankPlaces.h
+++ b/Libraries/LibAdmission/RankPlaces.h
@@ -5,8 +5,8 @@
 //
 // The agent reads its rank's report every few ticks from its own machine, free
 // and fresh, so that it knows the load within milliseconds; a gateway's own
-// view of what the others sent is a heartbeat old. Gateways that chose by such
-// views all sent to the same rank: 20 streams in 0.3 s to a rank with 12 slots.
+// view of what the others sent is a heartbeat old, and gateways that choose by
+// such views all send to the same rank.
 #pragma once
 
 #include <compare>
@@ -97,11 +97,11 @@
 
 // A place was offered to a gateway that asks several ranks at once.
 //
-// Failure: a group opens, and 130 requests that waited at nine gateways ask at
-// the same moment. Until the first of them says what it took, each is offered
-// the same empty places. It shows as 15 streams at a rank whose limit is 5 to
-// 8, and as passes that make every stream late. So an offer counts for the
-// part of a place that will be taken of it, until the gateway has decided.
+// Failure: all that waited ask at the same moment, and until the first of them
+// says what it took, each is offered the same empty places. It shows as ranks
+// far above their limit and passes that make every stream late. So an offer
+// counts for the part of a place that will be taken of it, until the gateway
+// has decided.
 void NoteOffered(RankPlaces& places, TimePoint now);
 
 // The stream that took it has begun or is over.
