--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -34,8 +34,6 @@
   uint32_t rank = 0;
   uint32_t size = 0;
   bool is_open = true;
-  uint32_t running = 0;
-  uint32_t queued = 0;
   // How many times as long as usual the rank's work takes.
   double pace = 1;
   // The agent that told this; it can be asked for a place.
--- a/Libraries/LibMapSwitch/Telling.cc
+++ b/Libraries/LibMapSwitch/Telling.cc
@@ -10,6 +10,14 @@
 
 }  // namespace
 
+bool is_change(const RankStatus& status, const RankStatus& told) {
+  RankStatus same_load = status;
+  same_load.step = told.step;
+  same_load.running = told.running;
+  same_load.queued = told.queued;
+  return same_load != told;
+}
+
 bool is_due(const Telling& telling,
             const RankStatus& status,
             bool has_counts,
@@ -17,11 +25,7 @@
   if (has_counts || now - telling.told_at > kLongestSilence) {
     return true;
   }
-  RankStatus told = status;
-  told.step = telling.told.step;
-  told.running = telling.told.running;
-  told.queued = telling.told.queued;
-  return told != telling.told;
+  return is_change(status, telling.told);
 }
 
 }  // namespace bramleyspan::mapswitch
--- a/Libraries/LibMapSwitch/Telling.h
+++ b/Libraries/LibMapSwitch/Telling.h
@@ -16,6 +16,9 @@
   TimePoint told_at;
 };
 
+// Whether more has changed than the pass and the load.
+bool is_change(const RankStatus& status, const RankStatus& told);
+
 // Whether the owner has to hear of the status now. A pass begins many times a
 // second; that alone is told with its counts.
 bool is_due(const Telling& telling,
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -29,14 +29,34 @@
 struct MemberBuilder;
 struct MemberT;
 
+struct SignOfLife;
+
+struct RankPlace;
+struct RankPlaceBuilder;
+struct RankPlaceT;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
 
+struct MemberQuery;
+struct MemberQueryBuilder;
+struct MemberQueryT;
+
+struct RankRow;
+
+struct GroupSummary;
+struct GroupSummaryBuilder;
+struct GroupSummaryT;
+
 struct RankNews;
 struct RankNewsBuilder;
 struct RankNewsT;
 
+struct NewsBundle;
+struct NewsBundleBuilder;
+struct NewsBundleT;
+
 struct MapWish;
 struct MapWishBuilder;
 struct MapWishT;
@@ -65,11 +85,14 @@
   PlaceProbe = 4,
   PlaceOffer = 5,
   PlaceTaken = 6,
+  GroupSummary = 7,
+  NewsBundle = 8,
+  MemberQuery = 9,
   MIN = NONE,
-  MAX = PlaceTaken
+  MAX = MemberQuery
 };
 
-inline const Body (&EnumValuesBody())[7] {
+inline const Body (&EnumValuesBody())[10] {
   static const Body values[] = {
     Body::NONE,
     Body::Heartbeat,
@@ -77,13 +100,16 @@
     Body::MapWish,
     Body::PlaceProbe,
     Body::PlaceOffer,
-    Body::PlaceTaken
+    Body::PlaceTaken,
+    Body::GroupSummary,
+    Body::NewsBundle,
+    Body::MemberQuery
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[8] = {
+  static const char * const names[11] = {
     "NONE",
     "Heartbeat",
     "RankNews",
@@ -91,13 +117,16 @@
     "PlaceProbe",
     "PlaceOffer",
     "PlaceTaken",
+    "GroupSummary",
+    "NewsBundle",
+    "MemberQuery",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::PlaceTaken)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::MemberQuery)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -130,6 +159,18 @@
   static const Body enum_value = Body::PlaceTaken;
 };
 
+template<> struct BodyTraits<bramleyspan::membership::wire::GroupSummary> {
+  static const Body enum_value = Body::GroupSummary;
+};
+
+template<> struct BodyTraits<bramleyspan::membership::wire::NewsBundle> {
+  static const Body enum_value = Body::NewsBundle;
+};
+
+template<> struct BodyTraits<bramleyspan::membership::wire::MemberQuery> {
+  static const Body enum_value = Body::MemberQuery;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -158,6 +199,18 @@
   static const Body enum_value = Body::PlaceTaken;
 };
 
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::GroupSummaryT> {
+  static const Body enum_value = Body::GroupSummary;
+};
+
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::NewsBundleT> {
+  static const Body enum_value = Body::NewsBundle;
+};
+
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::MemberQueryT> {
+  static const Body enum_value = Body::MemberQuery;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -236,11 +289,120 @@
     return type == Body::PlaceTaken ?
       reinterpret_cast<const bramleyspan::membership::wire::PlaceTakenT *>(value) : nullptr;
   }
+  bramleyspan::membership::wire::GroupSummaryT *AsGroupSummary() {
+    return type == Body::GroupSummary ?
+      reinterpret_cast<bramleyspan::membership::wire::GroupSummaryT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::GroupSummaryT *AsGroupSummary() const {
+    return type == Body::GroupSummary ?
+      reinterpret_cast<const bramleyspan::membership::wire::GroupSummaryT *>(value) : nullptr;
+  }
+  bramleyspan::membership::wire::NewsBundleT *AsNewsBundle() {
+    return type == Body::NewsBundle ?
+      reinterpret_cast<bramleyspan::membership::wire::NewsBundleT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::NewsBundleT *AsNewsBundle() const {
+    return type == Body::NewsBundle ?
+      reinterpret_cast<const bramleyspan::membership::wire::NewsBundleT *>(value) : nullptr;
+  }
+  bramleyspan::membership::wire::MemberQueryT *AsMemberQuery() {
+    return type == Body::MemberQuery ?
+      reinterpret_cast<bramleyspan::membership::wire::MemberQueryT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::MemberQueryT *AsMemberQuery() const {
+    return type == Body::MemberQuery ?
+      reinterpret_cast<const bramleyspan::membership::wire::MemberQueryT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
 bool VerifyBodyVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Body> *types);
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) SignOfLife FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t key_;
+  uint32_t counter_;
+
+ public:
+  struct Traits;
+  SignOfLife()
+      : key_(0),
+        counter_(0) {
+  }
+  SignOfLife(uint32_t _key, uint32_t _counter)
+      : key_(flatbuffers::EndianScalar(_key)),
+        counter_(flatbuffers::EndianScalar(_counter)) {
+  }
+  uint32_t key() const {
+    return flatbuffers::EndianScalar(key_);
+  }
+  uint32_t counter() const {
+    return flatbuffers::EndianScalar(counter_);
+  }
+};
+FLATBUFFERS_STRUCT_END(SignOfLife, 8);
+
+struct SignOfLife::Traits {
+  using type = SignOfLife;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) RankRow FLATBUFFERS_FINAL_CLASS {
+ private:
+  uint32_t agent_ip_;
+  uint32_t server_ip_;
+  uint32_t rank_;
+  float pace_;
+  uint16_t server_port_;
+  uint8_t is_open_;
+  int8_t padding0__;
+
+ public:
+  struct Traits;
+  RankRow()
+      : agent_ip_(0),
+        server_ip_(0),
+        rank_(0),
+        pace_(0),
+        server_port_(0),
+        is_open_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  RankRow(uint32_t _agent_ip, uint32_t _server_ip, uint32_t _rank, float _pace, uint16_t _server_port, bool _is_open)
+      : agent_ip_(flatbuffers::EndianScalar(_agent_ip)),
+        server_ip_(flatbuffers::EndianScalar(_server_ip)),
+        rank_(flatbuffers::EndianScalar(_rank)),
+        pace_(flatbuffers::EndianScalar(_pace)),
+        server_port_(flatbuffers::EndianScalar(_server_port)),
+        is_open_(flatbuffers::EndianScalar(static_cast<uint8_t>(_is_open))),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  uint32_t agent_ip() const {
+    return flatbuffers::EndianScalar(agent_ip_);
+  }
+  uint32_t server_ip() const {
+    return flatbuffers::EndianScalar(server_ip_);
+  }
+  uint32_t rank() const {
+    return flatbuffers::EndianScalar(rank_);
+  }
+  float pace() const {
+    return flatbuffers::EndianScalar(pace_);
+  }
+  uint16_t server_port() const {
+    return flatbuffers::EndianScalar(server_port_);
+  }
+  bool is_open() const {
+    return flatbuffers::EndianScalar(is_open_) != 0;
+  }
+};
+FLATBUFFERS_STRUCT_END(RankRow, 20);
+
+struct RankRow::Traits {
+  using type = RankRow;
+};
+
 struct OpenCountT : public flatbuffers::NativeTable {
   typedef OpenCount TableType;
   std::string target{};
@@ -864,9 +1026,121 @@
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RankPlaceT : public flatbuffers::NativeTable {
+  typedef RankPlace TableType;
+  std::string group{};
+  uint64_t epoch = 0;
+  uint32_t rank = 0;
+  std::string ip{};
+};
+
+struct RankPlace FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RankPlaceT NativeTableType;
+  typedef RankPlaceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GROUP = 4,
+    VT_EPOCH = 6,
+    VT_RANK = 8,
+    VT_IP = 10
+  };
+  const flatbuffers::String *group() const {
+    return GetPointer<const flatbuffers::String *>(VT_GROUP);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint32_t rank() const {
+    return GetField<uint32_t>(VT_RANK, 0);
+  }
+  const flatbuffers::String *ip() const {
+    return GetPointer<const flatbuffers::String *>(VT_IP);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_GROUP) &&
+           verifier.VerifyString(group()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint32_t>(verifier, VT_RANK, 4) &&
+           VerifyOffset(verifier, VT_IP) &&
+           verifier.VerifyString(ip()) &&
+           verifier.EndTable();
+  }
+  RankPlaceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RankPlaceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RankPlace> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankPlaceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RankPlaceBuilder {
+  typedef RankPlace Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_group(flatbuffers::Offset<flatbuffers::String> group) {
+    fbb_.AddOffset(RankPlace::VT_GROUP, group);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(RankPlace::VT_EPOCH, epoch, 0);
+  }
+  void add_rank(uint32_t rank) {
+    fbb_.AddElement<uint32_t>(RankPlace::VT_RANK, rank, 0);
+  }
+  void add_ip(flatbuffers::Offset<flatbuffers::String> ip) {
+    fbb_.AddOffset(RankPlace::VT_IP, ip);
+  }
+  explicit RankPlaceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RankPlace> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RankPlace>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RankPlace> CreateRankPlace(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> group = 0,
+    uint64_t epoch = 0,
+    uint32_t rank = 0,
+    flatbuffers::Offset<flatbuffers::String> ip = 0) {
+  RankPlaceBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_ip(ip);
+  builder_.add_rank(rank);
+  builder_.add_group(group);
+  return builder_.Finish();
+}
+
+struct RankPlace::Traits {
+  using type = RankPlace;
+  static auto constexpr Create = CreateRankPlace;
+};
+
+inline flatbuffers::Offset<RankPlace> CreateRankPlaceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *group = nullptr,
+    uint64_t epoch = 0,
+    uint32_t rank = 0,
+    const char *ip = nullptr) {
+  auto group__ = group ? _fbb.CreateString(group) : 0;
+  auto ip__ = ip ? _fbb.CreateString(ip) : 0;
+  return bramleyspan::membership::wire::CreateRankPlace(
+      _fbb,
+      group__,
+      epoch,
+      rank,
+      ip__);
+}
+
+flatbuffers::Offset<RankPlace> CreateRankPlace(flatbuffers::FlatBufferBuilder &_fbb, const RankPlaceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeartbeatT : public flatbuffers::NativeTable {
   typedef Heartbeat TableType;
   std::vector<std::unique_ptr<bramleyspan::membership::wire::MemberT>> members{};
+  std::vector<bramleyspan::membership::wire::SignOfLife> signs{};
+  std::vector<std::unique_ptr<bramleyspan::membership::wire::RankPlaceT>> ranks{};
+  bool is_asking = false;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -878,16 +1152,34 @@
   typedef HeartbeatBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_MEMBERS = 4
+    VT_MEMBERS = 4,
+    VT_SIGNS = 6,
+    VT_RANKS = 8,
+    VT_IS_ASKING = 10
   };
   const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *>(VT_MEMBERS);
   }
+  const flatbuffers::Vector<const bramleyspan::membership::wire::SignOfLife *> *signs() const {
+    return GetPointer<const flatbuffers::Vector<const bramleyspan::membership::wire::SignOfLife *> *>(VT_SIGNS);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>> *ranks() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>> *>(VT_RANKS);
+  }
+  bool is_asking() const {
+    return GetField<uint8_t>(VT_IS_ASKING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
            verifier.VerifyVector(members()) &&
            verifier.VerifyVectorOfTables(members()) &&
+           VerifyOffset(verifier, VT_SIGNS) &&
+           verifier.VerifyVector(signs()) &&
+           VerifyOffset(verifier, VT_RANKS) &&
+           verifier.VerifyVector(ranks()) &&
+           verifier.VerifyVectorOfTables(ranks()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_ASKING, 1) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -902,6 +1194,15 @@
   void add_members(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>>> members) {
     fbb_.AddOffset(Heartbeat::VT_MEMBERS, members);
   }
+  void add_signs(flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::SignOfLife *>> signs) {
+    fbb_.AddOffset(Heartbeat::VT_SIGNS, signs);
+  }
+  void add_ranks(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>> ranks) {
+    fbb_.AddOffset(Heartbeat::VT_RANKS, ranks);
+  }
+  void add_is_asking(bool is_asking) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_IS_ASKING, static_cast<uint8_t>(is_asking), 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -915,9 +1216,15 @@
 
 inline flatbuffers::Offset<Heartbeat> CreateHeartbeat(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>>> members = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>>> members = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::SignOfLife *>> signs = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>> ranks = 0,
+    bool is_asking = false) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_ranks(ranks);
+  builder_.add_signs(signs);
   builder_.add_members(members);
+  builder_.add_is_asking(is_asking);
   return builder_.Finish();
 }
 
@@ -928,15 +1235,200 @@
 
 inline flatbuffers::Offset<Heartbeat> CreateHeartbeatDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *members = nullptr) {
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *members = nullptr,
+    const std::vector<bramleyspan::membership::wire::SignOfLife> *signs = nullptr,
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>> *ranks = nullptr,
+    bool is_asking = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::Member>>(*members) : 0;
+  auto signs__ = signs ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::SignOfLife>(*signs) : 0;
+  auto ranks__ = ranks ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>(*ranks) : 0;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
-      members__);
+      members__,
+      signs__,
+      ranks__,
+      is_asking);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct MemberQueryT : public flatbuffers::NativeTable {
+  typedef MemberQuery TableType;
+  std::vector<uint32_t> keys{};
+};
+
+struct MemberQuery FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef MemberQueryT NativeTableType;
+  typedef MemberQueryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KEYS = 4
+  };
+  const flatbuffers::Vector<uint32_t> *keys() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_KEYS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KEYS) &&
+           verifier.VerifyVector(keys()) &&
+           verifier.EndTable();
+  }
+  MemberQueryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(MemberQueryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<MemberQuery> Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct MemberQueryBuilder {
+  typedef MemberQuery Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_keys(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> keys) {
+    fbb_.AddOffset(MemberQuery::VT_KEYS, keys);
+  }
+  explicit MemberQueryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<MemberQuery> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<MemberQuery>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<MemberQuery> CreateMemberQuery(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> keys = 0) {
+  MemberQueryBuilder builder_(_fbb);
+  builder_.add_keys(keys);
+  return builder_.Finish();
+}
+
+struct MemberQuery::Traits {
+  using type = MemberQuery;
+  static auto constexpr Create = CreateMemberQuery;
+};
+
+inline flatbuffers::Offset<MemberQuery> CreateMemberQueryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint32_t> *keys = nullptr) {
+  auto keys__ = keys ? _fbb.CreateVector<uint32_t>(*keys) : 0;
+  return bramleyspan::membership::wire::CreateMemberQuery(
+      _fbb,
+      keys__);
+}
+
+flatbuffers::Offset<MemberQuery> CreateMemberQuery(flatbuffers::FlatBufferBuilder &_fbb, const MemberQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct GroupSummaryT : public flatbuffers::NativeTable {
+  typedef GroupSummary TableType;
+  std::string group{};
+  uint64_t epoch = 0;
+  uint32_t size = 0;
+  std::vector<bramleyspan::membership::wire::RankRow> rows{};
+};
+
+struct GroupSummary FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef GroupSummaryT NativeTableType;
+  typedef GroupSummaryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GROUP = 4,
+    VT_EPOCH = 6,
+    VT_SIZE = 8,
+    VT_ROWS = 10
+  };
+  const flatbuffers::String *group() const {
+    return GetPointer<const flatbuffers::String *>(VT_GROUP);
+  }
+  uint64_t epoch() const {
+    return GetField<uint64_t>(VT_EPOCH, 0);
+  }
+  uint32_t size() const {
+    return GetField<uint32_t>(VT_SIZE, 0);
+  }
+  const flatbuffers::Vector<const bramleyspan::membership::wire::RankRow *> *rows() const {
+    return GetPointer<const flatbuffers::Vector<const bramleyspan::membership::wire::RankRow *> *>(VT_ROWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_GROUP) &&
+           verifier.VerifyString(group()) &&
+           VerifyField<uint64_t>(verifier, VT_EPOCH, 8) &&
+           VerifyField<uint32_t>(verifier, VT_SIZE, 4) &&
+           VerifyOffset(verifier, VT_ROWS) &&
+           verifier.VerifyVector(rows()) &&
+           verifier.EndTable();
+  }
+  GroupSummaryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(GroupSummaryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<GroupSummary> Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct GroupSummaryBuilder {
+  typedef GroupSummary Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_group(flatbuffers::Offset<flatbuffers::String> group) {
+    fbb_.AddOffset(GroupSummary::VT_GROUP, group);
+  }
+  void add_epoch(uint64_t epoch) {
+    fbb_.AddElement<uint64_t>(GroupSummary::VT_EPOCH, epoch, 0);
+  }
+  void add_size(uint32_t size) {
+    fbb_.AddElement<uint32_t>(GroupSummary::VT_SIZE, size, 0);
+  }
+  void add_rows(flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::RankRow *>> rows) {
+    fbb_.AddOffset(GroupSummary::VT_ROWS, rows);
+  }
+  explicit GroupSummaryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<GroupSummary> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<GroupSummary>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<GroupSummary> CreateGroupSummary(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> group = 0,
+    uint64_t epoch = 0,
+    uint32_t size = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::RankRow *>> rows = 0) {
+  GroupSummaryBuilder builder_(_fbb);
+  builder_.add_epoch(epoch);
+  builder_.add_rows(rows);
+  builder_.add_size(size);
+  builder_.add_group(group);
+  return builder_.Finish();
+}
+
+struct GroupSummary::Traits {
+  using type = GroupSummary;
+  static auto constexpr Create = CreateGroupSummary;
+};
+
+inline flatbuffers::Offset<GroupSummary> CreateGroupSummaryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *group = nullptr,
+    uint64_t epoch = 0,
+    uint32_t size = 0,
+    const std::vector<bramleyspan::membership::wire::RankRow> *rows = nullptr) {
+  auto group__ = group ? _fbb.CreateString(group) : 0;
+  auto rows__ = rows ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::RankRow>(*rows) : 0;
+  return bramleyspan::membership::wire::CreateGroupSummary(
+      _fbb,
+      group__,
+      epoch,
+      size,
+      rows__);
+}
+
+flatbuffers::Offset<GroupSummary> CreateGroupSummary(flatbuffers::FlatBufferBuilder &_fbb, const GroupSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RankNewsT : public flatbuffers::NativeTable {
   typedef RankNews TableType;
   std::unique_ptr<bramleyspan::membership::wire::RankStatusT> status{};
@@ -947,6 +1439,7 @@
   std::vector<uint16_t> experts{};
   std::vector<uint16_t> lengths{};
   uint64_t wish_version = 0;
+  uint64_t base_version = 0;
   RankNewsT() = default;
   RankNewsT(const RankNewsT &o);
   RankNewsT(RankNewsT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -965,7 +1458,8 @@
     VT_COUNTS_STEP = 12,
     VT_EXPERTS = 14,
     VT_LENGTHS = 16,
-    VT_WISH_VERSION = 18
+    VT_WISH_VERSION = 18,
+    VT_BASE_VERSION = 20
   };
   const bramleyspan::membership::wire::RankStatus *status() const {
     return GetPointer<const bramleyspan::membership::wire::RankStatus *>(VT_STATUS);
@@ -991,6 +1485,9 @@
   uint64_t wish_version() const {
     return GetField<uint64_t>(VT_WISH_VERSION, 0);
   }
+  uint64_t base_version() const {
+    return GetField<uint64_t>(VT_BASE_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_STATUS) &&
@@ -1005,6 +1502,7 @@
            VerifyOffset(verifier, VT_LENGTHS) &&
            verifier.VerifyVector(lengths()) &&
            VerifyField<uint64_t>(verifier, VT_WISH_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_VERSION, 8) &&
            verifier.EndTable();
   }
   RankNewsT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1040,6 +1538,9 @@
   void add_wish_version(uint64_t wish_version) {
     fbb_.AddElement<uint64_t>(RankNews::VT_WISH_VERSION, wish_version, 0);
   }
+  void add_base_version(uint64_t base_version) {
+    fbb_.AddElement<uint64_t>(RankNews::VT_BASE_VERSION, base_version, 0);
+  }
   explicit RankNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1060,8 +1561,10 @@
     uint64_t counts_step = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> lengths = 0,
-    uint64_t wish_version = 0) {
+    uint64_t wish_version = 0,
+    uint64_t base_version = 0) {
   RankNewsBuilder builder_(_fbb);
+  builder_.add_base_version(base_version);
   builder_.add_wish_version(wish_version);
   builder_.add_counts_step(counts_step);
   builder_.add_counts_epoch(counts_epoch);
@@ -1087,7 +1590,8 @@
     uint64_t counts_step = 0,
     const std::vector<uint16_t> *experts = nullptr,
     const std::vector<uint16_t> *lengths = nullptr,
-    uint64_t wish_version = 0) {
+    uint64_t wish_version = 0,
+    uint64_t base_version = 0) {
   auto counts__ = counts ? _fbb.CreateVector<uint8_t>(*counts) : 0;
   auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
   auto lengths__ = lengths ? _fbb.CreateVector<uint16_t>(*lengths) : 0;
@@ -1100,11 +1604,167 @@
       counts_step,
       experts__,
       lengths__,
-      wish_version);
+      wish_version,
+      base_version);
 }
 
 flatbuffers::Offset<RankNews> CreateRankNews(flatbuffers::FlatBufferBuilder &_fbb, const RankNewsT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct NewsBundleT : public flatbuffers::NativeTable {
+  typedef NewsBundle TableType;
+  std::string group{};
+  uint32_t size = 0;
+  std::vector<std::unique_ptr<bramleyspan::membership::wire::RankNewsT>> news{};
+  std::vector<uint8_t> counts{};
+  float count_unit = 0.0f;
+  uint64_t counts_epoch = 0;
+  uint64_t counts_step = 0;
+  NewsBundleT() = default;
+  NewsBundleT(const NewsBundleT &o);
+  NewsBundleT(NewsBundleT&&) FLATBUFFERS_NOEXCEPT = default;
+  NewsBundleT &operator=(NewsBundleT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct NewsBundle FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NewsBundleT NativeTableType;
+  typedef NewsBundleBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GROUP = 4,
+    VT_SIZE = 6,
+    VT_NEWS = 8,
+    VT_COUNTS = 10,
+    VT_COUNT_UNIT = 12,
+    VT_COUNTS_EPOCH = 14,
+    VT_COUNTS_STEP = 16
+  };
+  const flatbuffers::String *group() const {
+    return GetPointer<const flatbuffers::String *>(VT_GROUP);
+  }
+  uint32_t size() const {
+    return GetField<uint32_t>(VT_SIZE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankNews>> *news() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankNews>> *>(VT_NEWS);
+  }
+  const flatbuffers::Vector<uint8_t> *counts() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_COUNTS);
+  }
+  float count_unit() const {
+    return GetField<float>(VT_COUNT_UNIT, 0.0f);
+  }
+  uint64_t counts_epoch() const {
+    return GetField<uint64_t>(VT_COUNTS_EPOCH, 0);
+  }
+  uint64_t counts_step() const {
+    return GetField<uint64_t>(VT_COUNTS_STEP, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_GROUP) &&
+           verifier.VerifyString(group()) &&
+           VerifyField<uint32_t>(verifier, VT_SIZE, 4) &&
+           VerifyOffset(verifier, VT_NEWS) &&
+           verifier.VerifyVector(news()) &&
+           verifier.VerifyVectorOfTables(news()) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           VerifyField<float>(verifier, VT_COUNT_UNIT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_COUNTS_EPOCH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_COUNTS_STEP, 8) &&
+           verifier.EndTable();
+  }
+  NewsBundleT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(NewsBundleT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<NewsBundle> Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsBundleT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct NewsBundleBuilder {
+  typedef NewsBundle Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_group(flatbuffers::Offset<flatbuffers::String> group) {
+    fbb_.AddOffset(NewsBundle::VT_GROUP, group);
+  }
+  void add_size(uint32_t size) {
+    fbb_.AddElement<uint32_t>(NewsBundle::VT_SIZE, size, 0);
+  }
+  void add_news(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankNews>>> news) {
+    fbb_.AddOffset(NewsBundle::VT_NEWS, news);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> counts) {
+    fbb_.AddOffset(NewsBundle::VT_COUNTS, counts);
+  }
+  void add_count_unit(float count_unit) {
+    fbb_.AddElement<float>(NewsBundle::VT_COUNT_UNIT, count_unit, 0.0f);
+  }
+  void add_counts_epoch(uint64_t counts_epoch) {
+    fbb_.AddElement<uint64_t>(NewsBundle::VT_COUNTS_EPOCH, counts_epoch, 0);
+  }
+  void add_counts_step(uint64_t counts_step) {
+    fbb_.AddElement<uint64_t>(NewsBundle::VT_COUNTS_STEP, counts_step, 0);
+  }
+  explicit NewsBundleBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NewsBundle> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NewsBundle>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NewsBundle> CreateNewsBundle(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> group = 0,
+    uint32_t size = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankNews>>> news = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> counts = 0,
+    float count_unit = 0.0f,
+    uint64_t counts_epoch = 0,
+    uint64_t counts_step = 0) {
+  NewsBundleBuilder builder_(_fbb);
+  builder_.add_counts_step(counts_step);
+  builder_.add_counts_epoch(counts_epoch);
+  builder_.add_count_unit(count_unit);
+  builder_.add_counts(counts);
+  builder_.add_news(news);
+  builder_.add_size(size);
+  builder_.add_group(group);
+  return builder_.Finish();
+}
+
+struct NewsBundle::Traits {
+  using type = NewsBundle;
+  static auto constexpr Create = CreateNewsBundle;
+};
+
+inline flatbuffers::Offset<NewsBundle> CreateNewsBundleDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *group = nullptr,
+    uint32_t size = 0,
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RankNews>> *news = nullptr,
+    const std::vector<uint8_t> *counts = nullptr,
+    float count_unit = 0.0f,
+    uint64_t counts_epoch = 0,
+    uint64_t counts_step = 0) {
+  auto group__ = group ? _fbb.CreateString(group) : 0;
+  auto news__ = news ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankNews>>(*news) : 0;
+  auto counts__ = counts ? _fbb.CreateVector<uint8_t>(*counts) : 0;
+  return bramleyspan::membership::wire::CreateNewsBundle(
+      _fbb,
+      group__,
+      size,
+      news__,
+      counts__,
+      count_unit,
+      counts_epoch,
+      counts_step);
+}
+
+flatbuffers::Offset<NewsBundle> CreateNewsBundle(flatbuffers::FlatBufferBuilder &_fbb, const NewsBundleT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MapWishT : public flatbuffers::NativeTable {
   typedef MapWish TableType;
   std::string group{};
@@ -1113,6 +1773,8 @@
   std::vector<uint16_t> experts{};
   std::vector<uint8_t> small_experts{};
   std::vector<uint8_t> lengths{};
+  uint64_t base_version = 0;
+  std::vector<uint16_t> changed{};
   uint64_t hold_step = 0;
   uint32_t holder = 0;
   uint64_t arm_step = 0;
@@ -1131,11 +1793,13 @@
     VT_EXPERTS = 10,
     VT_SMALL_EXPERTS = 12,
     VT_LENGTHS = 14,
-    VT_HOLD_STEP = 16,
-    VT_HOLDER = 18,
-    VT_ARM_STEP = 20,
-    VT_IS_RELEASED = 22,
-    VT_SERVERS = 24
+    VT_BASE_VERSION = 16,
+    VT_CHANGED = 18,
+    VT_HOLD_STEP = 20,
+    VT_HOLDER = 22,
+    VT_ARM_STEP = 24,
+    VT_IS_RELEASED = 26,
+    VT_SERVERS = 28
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -1155,6 +1819,12 @@
   const flatbuffers::Vector<uint8_t> *lengths() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_LENGTHS);
   }
+  uint64_t base_version() const {
+    return GetField<uint64_t>(VT_BASE_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint16_t> *changed() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_CHANGED);
+  }
   uint64_t hold_step() const {
     return GetField<uint64_t>(VT_HOLD_STEP, 0);
   }
@@ -1182,6 +1852,9 @@
            verifier.VerifyVector(small_experts()) &&
            VerifyOffset(verifier, VT_LENGTHS) &&
            verifier.VerifyVector(lengths()) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_CHANGED) &&
+           verifier.VerifyVector(changed()) &&
            VerifyField<uint64_t>(verifier, VT_HOLD_STEP, 8) &&
            VerifyField<uint32_t>(verifier, VT_HOLDER, 4) &&
            VerifyField<uint64_t>(verifier, VT_ARM_STEP, 8) &&
@@ -1218,6 +1891,12 @@
   void add_lengths(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> lengths) {
     fbb_.AddOffset(MapWish::VT_LENGTHS, lengths);
   }
+  void add_base_version(uint64_t base_version) {
+    fbb_.AddElement<uint64_t>(MapWish::VT_BASE_VERSION, base_version, 0);
+  }
+  void add_changed(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> changed) {
+    fbb_.AddOffset(MapWish::VT_CHANGED, changed);
+  }
   void add_hold_step(uint64_t hold_step) {
     fbb_.AddElement<uint64_t>(MapWish::VT_HOLD_STEP, hold_step, 0);
   }
@@ -1252,6 +1931,8 @@
     flatbuffers::Offset<flatbuffers::Vector<uint16_t>> experts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> small_experts = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> lengths = 0,
+    uint64_t base_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> changed = 0,
     uint64_t hold_step = 0,
     uint32_t holder = 0,
     uint64_t arm_step = 0,
@@ -1260,10 +1941,12 @@
   MapWishBuilder builder_(_fbb);
   builder_.add_arm_step(arm_step);
   builder_.add_hold_step(hold_step);
+  builder_.add_base_version(base_version);
   builder_.add_version(version);
   builder_.add_epoch(epoch);
   builder_.add_servers(servers);
   builder_.add_holder(holder);
+  builder_.add_changed(changed);
   builder_.add_lengths(lengths);
   builder_.add_small_experts(small_experts);
   builder_.add_experts(experts);
@@ -1285,6 +1968,8 @@
     const std::vector<uint16_t> *experts = nullptr,
     const std::vector<uint8_t> *small_experts = nullptr,
     const std::vector<uint8_t> *lengths = nullptr,
+    uint64_t base_version = 0,
+    const std::vector<uint16_t> *changed = nullptr,
     uint64_t hold_step = 0,
     uint32_t holder = 0,
     uint64_t arm_step = 0,
@@ -1294,6 +1979,7 @@
   auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
   auto small_experts__ = small_experts ? _fbb.CreateVector<uint8_t>(*small_experts) : 0;
   auto lengths__ = lengths ? _fbb.CreateVector<uint8_t>(*lengths) : 0;
+  auto changed__ = changed ? _fbb.CreateVector<uint16_t>(*changed) : 0;
   auto servers__ = servers ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*servers) : 0;
   return bramleyspan::membership::wire::CreateMapWish(
       _fbb,
@@ -1303,6 +1989,8 @@
       experts__,
       small_experts__,
       lengths__,
+      base_version,
+      changed__,
       hold_step,
       holder,
       arm_step,
@@ -1634,6 +2322,15 @@
   const bramleyspan::membership::wire::PlaceTaken *body_as_PlaceTaken() const {
     return body_type() == bramleyspan::membership::wire::Body::PlaceTaken ? static_cast<const bramleyspan::membership::wire::PlaceTaken *>(body()) : nullptr;
   }
+  const bramleyspan::membership::wire::GroupSummary *body_as_GroupSummary() const {
+    return body_type() == bramleyspan::membership::wire::Body::GroupSummary ? static_cast<const bramleyspan::membership::wire::GroupSummary *>(body()) : nullptr;
+  }
+  const bramleyspan::membership::wire::NewsBundle *body_as_NewsBundle() const {
+    return body_type() == bramleyspan::membership::wire::Body::NewsBundle ? static_cast<const bramleyspan::membership::wire::NewsBundle *>(body()) : nullptr;
+  }
+  const bramleyspan::membership::wire::MemberQuery *body_as_MemberQuery() const {
+    return body_type() == bramleyspan::membership::wire::Body::MemberQuery ? static_cast<const bramleyspan::membership::wire::MemberQuery *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -1670,6 +2367,18 @@
   return body_as_PlaceTaken();
 }
 
+template<> inline const bramleyspan::membership::wire::GroupSummary *Message::body_as<bramleyspan::membership::wire::GroupSummary>() const {
+  return body_as_GroupSummary();
+}
+
+template<> inline const bramleyspan::membership::wire::NewsBundle *Message::body_as<bramleyspan::membership::wire::NewsBundle>() const {
+  return body_as_NewsBundle();
+}
+
+template<> inline const bramleyspan::membership::wire::MemberQuery *Message::body_as<bramleyspan::membership::wire::MemberQuery>() const {
+  return body_as_MemberQuery();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1915,13 +2624,55 @@
       _rank);
 }
 
-inline HeartbeatT::HeartbeatT(const HeartbeatT &o) {
+inline RankPlaceT *RankPlace::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RankPlaceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RankPlace::UnPackTo(RankPlaceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = group(); if (_e) _o->group = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = rank(); _o->rank = _e; }
+  { auto _e = ip(); if (_e) _o->ip = _e->str(); }
+}
+
+inline flatbuffers::Offset<RankPlace> RankPlace::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankPlaceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRankPlace(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RankPlace> CreateRankPlace(flatbuffers::FlatBufferBuilder &_fbb, const RankPlaceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RankPlaceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
+  auto _epoch = _o->epoch;
+  auto _rank = _o->rank;
+  auto _ip = _o->ip.empty() ? 0 : _fbb.CreateString(_o->ip);
+  return bramleyspan::membership::wire::CreateRankPlace(
+      _fbb,
+      _group,
+      _epoch,
+      _rank,
+      _ip);
+}
+
+inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
+      : signs(o.signs),
+        is_asking(o.is_asking) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new bramleyspan::membership::wire::MemberT(*members_) : nullptr); }
+  ranks.reserve(o.ranks.size());
+  for (const auto &ranks_ : o.ranks) { ranks.emplace_back((ranks_) ? new bramleyspan::membership::wire::RankPlaceT(*ranks_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
   std::swap(members, o.members);
+  std::swap(signs, o.signs);
+  std::swap(ranks, o.ranks);
+  std::swap(is_asking, o.is_asking);
   return *this;
 }
 
@@ -1935,6 +2686,9 @@
   (void)_o;
   (void)_resolver;
   { auto _e = members(); if (_e) { _o->members.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->members[_i] = std::unique_ptr<bramleyspan::membership::wire::MemberT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = signs(); if (_e) { _o->signs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->signs[_i] = *_e->Get(_i); } } }
+  { auto _e = ranks(); if (_e) { _o->ranks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ranks[_i] = std::unique_ptr<bramleyspan::membership::wire::RankPlaceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = is_asking(); _o->is_asking = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -1946,9 +2700,76 @@
   (void)_o;
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const HeartbeatT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _members = _o->members.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> (_o->members.size(), [](size_t i, _VectorArgs *__va) { return CreateMember(*__va->__fbb, __va->__o->members[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _signs = _o->signs.size() ? _fbb.CreateVectorOfStructs(_o->signs) : 0;
+  auto _ranks = _o->ranks.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>> (_o->ranks.size(), [](size_t i, _VectorArgs *__va) { return CreateRankPlace(*__va->__fbb, __va->__o->ranks[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _is_asking = _o->is_asking;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
-      _members);
+      _members,
+      _signs,
+      _ranks,
+      _is_asking);
+}
+
+inline MemberQueryT *MemberQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<MemberQueryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void MemberQuery::UnPackTo(MemberQueryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = keys(); if (_e) { _o->keys.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->keys[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<MemberQuery> MemberQuery::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberQueryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateMemberQuery(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<MemberQuery> CreateMemberQuery(flatbuffers::FlatBufferBuilder &_fbb, const MemberQueryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const MemberQueryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _keys = _o->keys.size() ? _fbb.CreateVector(_o->keys) : 0;
+  return bramleyspan::membership::wire::CreateMemberQuery(
+      _fbb,
+      _keys);
+}
+
+inline GroupSummaryT *GroupSummary::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<GroupSummaryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void GroupSummary::UnPackTo(GroupSummaryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = group(); if (_e) _o->group = _e->str(); }
+  { auto _e = epoch(); _o->epoch = _e; }
+  { auto _e = size(); _o->size = _e; }
+  { auto _e = rows(); if (_e) { _o->rows.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rows[_i] = *_e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<GroupSummary> GroupSummary::Pack(flatbuffers::FlatBufferBuilder &_fbb, const GroupSummaryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateGroupSummary(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<GroupSummary> CreateGroupSummary(flatbuffers::FlatBufferBuilder &_fbb, const GroupSummaryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const GroupSummaryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
+  auto _epoch = _o->epoch;
+  auto _size = _o->size;
+  auto _rows = _o->rows.size() ? _fbb.CreateVectorOfStructs(_o->rows) : 0;
+  return bramleyspan::membership::wire::CreateGroupSummary(
+      _fbb,
+      _group,
+      _epoch,
+      _size,
+      _rows);
 }
 
 inline RankNewsT::RankNewsT(const RankNewsT &o)
@@ -1959,7 +2780,8 @@
         counts_step(o.counts_step),
         experts(o.experts),
         lengths(o.lengths),
-        wish_version(o.wish_version) {
+        wish_version(o.wish_version),
+        base_version(o.base_version) {
 }
 
 inline RankNewsT &RankNewsT::operator=(RankNewsT o) FLATBUFFERS_NOEXCEPT {
@@ -1971,6 +2793,7 @@
   std::swap(experts, o.experts);
   std::swap(lengths, o.lengths);
   std::swap(wish_version, o.wish_version);
+  std::swap(base_version, o.base_version);
   return *this;
 }
 
@@ -1991,6 +2814,7 @@
   { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->experts[_i] = _e->Get(_i); } } }
   { auto _e = lengths(); if (_e) { _o->lengths.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->lengths[_i] = _e->Get(_i); } } }
   { auto _e = wish_version(); _o->wish_version = _e; }
+  { auto _e = base_version(); _o->base_version = _e; }
 }
 
 inline flatbuffers::Offset<RankNews> RankNews::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RankNewsT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2009,6 +2833,7 @@
   auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
   auto _lengths = _o->lengths.size() ? _fbb.CreateVector(_o->lengths) : 0;
   auto _wish_version = _o->wish_version;
+  auto _base_version = _o->base_version;
   return bramleyspan::membership::wire::CreateRankNews(
       _fbb,
       _status,
@@ -2018,7 +2843,74 @@
       _counts_step,
       _experts,
       _lengths,
-      _wish_version);
+      _wish_version,
+      _base_version);
+}
+
+inline NewsBundleT::NewsBundleT(const NewsBundleT &o)
+      : group(o.group),
+        size(o.size),
+        counts(o.counts),
+        count_unit(o.count_unit),
+        counts_epoch(o.counts_epoch),
+        counts_step(o.counts_step) {
+  news.reserve(o.news.size());
+  for (const auto &news_ : o.news) { news.emplace_back((news_) ? new bramleyspan::membership::wire::RankNewsT(*news_) : nullptr); }
+}
+
+inline NewsBundleT &NewsBundleT::operator=(NewsBundleT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(group, o.group);
+  std::swap(size, o.size);
+  std::swap(news, o.news);
+  std::swap(counts, o.counts);
+  std::swap(count_unit, o.count_unit);
+  std::swap(counts_epoch, o.counts_epoch);
+  std::swap(counts_step, o.counts_step);
+  return *this;
+}
+
+inline NewsBundleT *NewsBundle::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<NewsBundleT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void NewsBundle::UnPackTo(NewsBundleT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = group(); if (_e) _o->group = _e->str(); }
+  { auto _e = size(); _o->size = _e; }
+  { auto _e = news(); if (_e) { _o->news.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->news[_i] = std::unique_ptr<bramleyspan::membership::wire::RankNewsT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = counts(); if (_e) { _o->counts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->counts.begin()); } }
+  { auto _e = count_unit(); _o->count_unit = _e; }
+  { auto _e = counts_epoch(); _o->counts_epoch = _e; }
+  { auto _e = counts_step(); _o->counts_step = _e; }
+}
+
+inline flatbuffers::Offset<NewsBundle> NewsBundle::Pack(flatbuffers::FlatBufferBuilder &_fbb, const NewsBundleT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateNewsBundle(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<NewsBundle> CreateNewsBundle(flatbuffers::FlatBufferBuilder &_fbb, const NewsBundleT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const NewsBundleT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _group = _o->group.empty() ? 0 : _fbb.CreateString(_o->group);
+  auto _size = _o->size;
+  auto _news = _o->news.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankNews>> (_o->news.size(), [](size_t i, _VectorArgs *__va) { return CreateRankNews(*__va->__fbb, __va->__o->news[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _counts = _o->counts.size() ? _fbb.CreateVector(_o->counts) : 0;
+  auto _count_unit = _o->count_unit;
+  auto _counts_epoch = _o->counts_epoch;
+  auto _counts_step = _o->counts_step;
+  return bramleyspan::membership::wire::CreateNewsBundle(
+      _fbb,
+      _group,
+      _size,
+      _news,
+      _counts,
+      _count_unit,
+      _counts_epoch,
+      _counts_step);
 }
 
 inline MapWishT *MapWish::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2036,6 +2928,8 @@
   { auto _e = experts(); if (_e) { _o->experts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->experts[_i] = _e->Get(_i); } } }
   { auto _e = small_experts(); if (_e) { _o->small_experts.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->small_experts.begin()); } }
   { auto _e = lengths(); if (_e) { _o->lengths.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->lengths.begin()); } }
+  { auto _e = base_version(); _o->base_version = _e; }
+  { auto _e = changed(); if (_e) { _o->changed.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->changed[_i] = _e->Get(_i); } } }
   { auto _e = hold_step(); _o->hold_step = _e; }
   { auto _e = holder(); _o->holder = _e; }
   { auto _e = arm_step(); _o->arm_step = _e; }
@@ -2057,6 +2951,8 @@
   auto _experts = _o->experts.size() ? _fbb.CreateVector(_o->experts) : 0;
   auto _small_experts = _o->small_experts.size() ? _fbb.CreateVector(_o->small_experts) : 0;
   auto _lengths = _o->lengths.size() ? _fbb.CreateVector(_o->lengths) : 0;
+  auto _base_version = _o->base_version;
+  auto _changed = _o->changed.size() ? _fbb.CreateVector(_o->changed) : 0;
   auto _hold_step = _o->hold_step;
   auto _holder = _o->holder;
   auto _arm_step = _o->arm_step;
@@ -2070,6 +2966,8 @@
       _experts,
       _small_experts,
       _lengths,
+      _base_version,
+      _changed,
       _hold_step,
       _holder,
       _arm_step,
@@ -2237,6 +3135,18 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceTaken *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::GroupSummary: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::GroupSummary *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::NewsBundle: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::NewsBundle *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::MemberQuery: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MemberQuery *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -2280,6 +3190,18 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceTaken *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::GroupSummary: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::GroupSummary *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::NewsBundle: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::NewsBundle *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::MemberQuery: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MemberQuery *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -2311,6 +3233,18 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::PlaceTakenT *>(value);
       return CreatePlaceTaken(_fbb, ptr, _rehasher).Union();
     }
+    case Body::GroupSummary: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::GroupSummaryT *>(value);
+      return CreateGroupSummary(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::NewsBundle: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::NewsBundleT *>(value);
+      return CreateNewsBundle(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::MemberQuery: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MemberQueryT *>(value);
+      return CreateMemberQuery(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -2341,6 +3275,18 @@
       value = new bramleyspan::membership::wire::PlaceTakenT(*reinterpret_cast<bramleyspan::membership::wire::PlaceTakenT *>(u.value));
       break;
     }
+    case Body::GroupSummary: {
+      value = new bramleyspan::membership::wire::GroupSummaryT(*reinterpret_cast<bramleyspan::membership::wire::GroupSummaryT *>(u.value));
+      break;
+    }
+    case Body::NewsBundle: {
+      value = new bramleyspan::membership::wire::NewsBundleT(*reinterpret_cast<bramleyspan::membership::wire::NewsBundleT *>(u.value));
+      break;
+    }
+    case Body::MemberQuery: {
+      value = new bramleyspan::membership::wire::MemberQueryT(*reinterpret_cast<bramleyspan::membership::wire::MemberQueryT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -2378,6 +3324,21 @@
       delete ptr;
       break;
     }
+    case Body::GroupSummary: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::GroupSummaryT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::NewsBundle: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::NewsBundleT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::MemberQuery: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::MemberQueryT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -1,5 +1,7 @@
 #include "LibMembership/Members.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <memory>
 #include <utility>
@@ -18,8 +20,49 @@
           builder.GetSize()};
 }
 
+bool is_news(const wire::MemberT& record, const wire::MemberT& known) {
+  return record.incarnation != known.incarnation ||
+         record.is_ready != known.is_ready ||
+         record.is_leaving != known.is_leaving || record.ip != known.ip ||
+         record.caller_address != known.caller_address;
+}
+
+// Told of before all others for a while, but not until it was told of as often
+// as those that were known for long.
+uint64_t ToldOfNews(const Members& members) {
+  constexpr uint64_t kTimesBeforeOthers = 8;
+  uint64_t least = UINT64_MAX;
+  for (const auto& [name, known] : members.known) {
+    least = std::min(least, known.told);
+  }
+  return least == UINT64_MAX || least < kTimesBeforeOthers
+             ? 0
+             : least - kTimesBeforeOthers;
+}
+
+void Take(Members& members,
+          KnownMember& known,
+          const wire::MemberT& record,
+          TimePoint now) {
+  if (is_news(record, known.member)) {
+    known.told = ToldOfNews(members);
+  }
+  if (record.incarnation != known.member.incarnation || known.key == 0) {
+    members.names.erase(known.key);
+    known.key = KeyOf(record);
+    members.names[known.key] = record.name;
+  }
+  known.member = record;
+  known.heard = now;
+}
+
 }  // namespace
 
+uint32_t KeyOf(const wire::MemberT& member) {
+  return static_cast<uint32_t>(
+      XXH64(member.name.data(), member.name.size(), member.incarnation));
+}
+
 bool Learn(Members& members,
            const wire::MemberT& record,
            bool is_direct,
@@ -29,7 +72,7 @@
   }
   const auto found = members.known.find(record.name);
   if (found == members.known.end()) {
-    members.known.emplace(record.name, KnownMember{record, now});
+    Take(members, members.known[record.name], record, now);
     members.hints.erase(record.ip);
     return true;
   }
@@ -44,14 +87,39 @@
   if (!is_newer && !is_replacement) {
     return false;
   }
-  known.member = record;
-  known.heard = now;
+  Take(members, known, record, now);
+  return true;
+}
+
+bool Learn(Members& members, const wire::SignOfLife& sign, TimePoint now) {
+  const auto name = members.names.find(sign.key());
+  if (name == members.names.end()) {
+    return false;
+  }
+  KnownMember& known = members.known.at(name->second);
+  if (sign.counter() > known.member.counter) {
+    known.member.counter = sign.counter();
+    known.heard = now;
+  }
   return true;
 }
 
+void AddHint(Members& members, const std::string& ip, TimePoint now) {
+  const bool is_known = std::any_of(
+      members.known.begin(), members.known.end(),
+      [&ip](const auto& item) { return item.second.member.ip == ip; });
+  if (!is_known) {
+    members.hints[ip] = now;
+  }
+}
+
 void Forget(Members& members, TimePoint now) {
-  std::erase_if(members.known, [now](const auto& item) {
-    return now - item.second.heard > kForgetAfter;
+  std::erase_if(members.known, [&members, now](const auto& item) {
+    const bool is_forgotten = now - item.second.heard > kForgetAfter;
+    if (is_forgotten) {
+      members.names.erase(item.second.key);
+    }
+    return is_forgotten;
   });
   std::erase_if(members.hints, [now](const auto& item) {
     return now - item.second > kForgetAfter;
@@ -95,45 +163,6 @@
   return static_cast<size_t>(before) < kCloseWatchers;
 }
 
-std::vector<std::string> PeersForHeartbeat(const Members& members,
-                                           uint64_t turn) {
-  std::vector<std::string> peers;
-  for (const auto& [name, known] : members.known) {
-    if (known.member.is_entry) {
-      peers.push_back(known.member.ip);
-    }
-  }
-  for (const auto& [ip, since] : members.hints) {
-    peers.push_back(ip);
-  }
-  if (peers.size() <= kPeersPerHeartbeat) {
-    return peers;
-  }
-  const auto shift =
-      static_cast<int64_t>(turn * kPeersPerHeartbeat % peers.size());
-  std::rotate(peers.begin(), peers.begin() + shift, peers.end());
-  peers.resize(kPeersPerHeartbeat);
-  return peers;
-}
-
-std::vector<const wire::MemberT*> MembersToTell(const Members& members,
-                                                uint64_t turn,
-                                                size_t most,
-                                                TimePoint now) {
-  std::vector<const wire::MemberT*> live;
-  for (const auto& [name, known] : members.known) {
-    if (known.member.is_entry && is_alive(known, now)) {
-      live.push_back(&known.member);
-    }
-  }
-  if (live.size() > most) {
-    const auto shift = static_cast<int64_t>(turn * most % live.size());
-    std::rotate(live.begin(), live.begin() + shift, live.end());
-    live.resize(most);
-  }
-  return live;
-}
-
 std::string Encode(wire::HeartbeatT heartbeat) {
   return EncodeBody(std::move(heartbeat));
 }
@@ -158,6 +187,18 @@
   return EncodeBody(taken);
 }
 
+std::string Encode(wire::GroupSummaryT summary) {
+  return EncodeBody(std::move(summary));
+}
+
+std::string Encode(wire::NewsBundleT bundle) {
+  return EncodeBody(std::move(bundle));
+}
+
+std::string Encode(wire::MemberQueryT query) {
+  return EncodeBody(std::move(query));
+}
+
 Result<wire::MessageT> Decode(std::string_view bytes) {
   flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
                                  bytes.size());
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 #include <vector>
 
 #include "Kernel/Result.h"
@@ -24,26 +25,32 @@
 // A member that was not heard of for so long is forgotten.
 inline constexpr Duration kForgetAfter = std::chrono::seconds(30);
 
-// Members told to one peer in one datagram, besides the sender itself.
-inline constexpr size_t kMembersPerHeartbeat = 1;
-
-// Peers told at each heartbeat; a bound on the traffic of a large fleet.
-inline constexpr size_t kPeersPerHeartbeat = 12;
-
 // What is known of another process.
 struct KnownMember {
   wire::MemberT member;
   // When something new of it was last heard, by any way.
   TimePoint heard;
+  // Names this incarnation in signs of life.
+  uint32_t key = 0;
+  // How often it was told of since it had news.
+  uint64_t told = 0;
 };
 
 struct Members {
   std::string own_name;
+  std::string own_zone;
+  // The own key in signs of life.
+  uint32_t own_key = 0;
   std::map<std::string, KnownMember> known;
+  // Names by the keys of signs of life.
+  std::unordered_map<uint32_t, std::string> names;
   // Addresses from settings or the store of processes not heard of yet.
   std::map<std::string, TimePoint> hints;
 };
 
+// What signs of life call this incarnation of the member.
+uint32_t KeyOf(const wire::MemberT& member);
+
 // Takes a record of another process. `is_direct` if it came from that process
 // itself: such a record replaces that of an earlier incarnation, while one by
 // hearsay may be older than what is known. Returns whether it told anything
@@ -53,6 +60,13 @@
            bool is_direct,
            TimePoint now);
 
+// Takes a sign of life. Returns whether the member's record is known; of any
+// other it tells nothing.
+bool Learn(Members& members, const wire::SignOfLife& sign, TimePoint now);
+
+// Takes an address at which a process may run, unless one is known there.
+void AddHint(Members& members, const std::string& ip, TimePoint now);
+
 // Drops what was not heard of for long.
 void Forget(Members& members, TimePoint now);
 
@@ -76,17 +90,6 @@
                       uint64_t own_incarnation,
                       TimePoint now);
 
-// The gateways' IP numbers to send the next heartbeat to; all as long as they
-// are few, else a part that `turn` shifts on.
-std::vector<std::string> PeersForHeartbeat(const Members& members,
-                                           uint64_t turn);
-
-// The next gateways to speak of, so that each is spoken of in its turn.
-std::vector<const wire::MemberT*> MembersToTell(const Members& members,
-                                                uint64_t turn,
-                                                size_t most,
-                                                TimePoint now);
-
 // Serializes a message.
 std::string Encode(wire::HeartbeatT heartbeat);
 std::string Encode(wire::RankNewsT news);
@@ -94,6 +97,9 @@
 std::string Encode(const wire::PlaceProbeT& probe);
 std::string Encode(wire::PlaceOfferT offer);
 std::string Encode(const wire::PlaceTakenT& taken);
+std::string Encode(wire::GroupSummaryT summary);
+std::string Encode(wire::NewsBundleT bundle);
+std::string Encode(wire::MemberQueryT query);
 
 // Parses a datagram. Fails with kMalformedFrame.
 Result<wire::MessageT> Decode(std::string_view bytes);
--- a/Libraries/LibPlacement/PassChoices.cc
+++ b/Libraries/LibPlacement/PassChoices.cc
@@ -104,7 +104,9 @@
   }
   Add(pass, chosen);
   // One pass at a time: of two that are due the newer says more.
-  if (pass.ranks.size() >= CountTellers(shape.ranks, pass.step)) {
+  const uint32_t tellers =
+      shape.tellers != 0 ? shape.tellers : CountTellers(shape.ranks, pass.step);
+  if (pass.ranks.size() >= tellers) {
     return GiveOut(pass);
   }
   return overtaken;
--- a/Libraries/LibPlacement/PassChoices.h
+++ b/Libraries/LibPlacement/PassChoices.h
@@ -60,6 +60,8 @@
   uint32_t ranks = 0;
   uint32_t sets = 0;
   uint32_t experts = 0;
+  // How many tell of each pass, if not those that `is_teller` names.
+  uint32_t tellers = 0;
 };
 
 // Takes what a rank chose. Returns the choices of a pass that is whole, or of
--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -110,6 +110,16 @@
           "",
           "how often a gateway writes who caused which work; a kill loses as "
           "much");
+ABSL_FLAG(
+    std::string,
+    group_fan_out,
+    "",
+    "ranks of a group that one agent tells and hears itself, 2 to 64; the "
+    "same on all VMs");
+ABSL_FLAG(std::string,
+          link_megabits,
+          "",
+          "what this VM's link carries in a second; maps take half of it");
 
 namespace bramleyspan {
 
@@ -156,6 +166,8 @@
       SettingRow{"notice-bound-milliseconds", &FLAGS_notice_bound_milliseconds,
                  "2000"},
       SettingRow{"usage-interval-seconds", &FLAGS_usage_interval_seconds, "30"},
+      SettingRow{"group-fan-out", &FLAGS_group_fan_out, "12"},
+      SettingRow{"link-megabits", &FLAGS_link_megabits, "100"},
       SettingRow{"log-level", &FLAGS_log_level, "info"},
   };
   return rows;
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -56,7 +56,13 @@
         PluginRegistry<gateway::MakeAdapter>::Instance().Find(fleet.adapter));
     this->state.adapter = make();
     this->state.incarnation = RandomBits();
-    this->state.members.own_name = this->state.settings.name;
+    membership::Members& members = this->state.members;
+    members.own_name = this->state.settings.name;
+    members.own_zone = this->state.settings.zone;
+    membership::wire::MemberT self;
+    self.name = members.own_name;
+    self.incarnation = this->state.incarnation;
+    members.own_key = membership::KeyOf(self);
     this->state.repeats.settings = {.ratio = fleet.repeat_ratio,
                                     .slack = fleet.repeat_slack,
                                     .window = fleet.repeat_window};
@@ -411,6 +417,13 @@
                              {"open_elsewhere", view.open_elsewhere},
                              {"failures", gateway::FailureScore(view, now)},
                              {"group", gateway::GroupOf(view)}};
+      if (view.rank) {
+        dump["targets"][id]["rank"] = {
+            {"agent_ip", view.rank->agent_ip},
+            {"epoch", view.rank->epoch},
+            {"heard_ms", (now - view.rank->heard).count() / 1000},
+            {"rank", view.rank->rank}};
+      }
     }
     for (const auto& [name, group] : this->state.places.groups) {
       dump["groups"][name] = {
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
-#include "LibGateway/Offers.h"
 #include "LibHTTP/DirectCall.h"
+#include "LibMembership/Gossip.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
@@ -20,46 +20,11 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-constexpr std::string_view kMembersPrefix = "bramleyspan/members/";
-// Others learn a new process's address from its record in the store when no
-// process that the settings name is up.
-constexpr Duration kRecordLease = std::chrono::seconds(10);
-constexpr Duration kRenewInterval = std::chrono::seconds(3);
-constexpr Duration kStoredMembersInterval = std::chrono::seconds(3);
 // How long a gateway that is behind a peer gives the store to tell it itself.
 constexpr Duration kFetchInterval = std::chrono::milliseconds(150);
 constexpr Duration kFetchTimeout = std::chrono::milliseconds(700);
 constexpr size_t kMostOpenCounts = 64;
 constexpr uint64_t kTurnsPerAgentHeartbeat = 5;
-// Each gateway speaks for itself; another one's word helps where its own way
-// to an agent is cut.
-constexpr size_t kGatewaysToldToAgents = 1;
-
-// What an agent needs of another process: who and where it is, and whether it
-// leads the group's map. Agents' links are small.
-std::unique_ptr<MemberT> ForAgents(const MemberT& member) {
-  auto in_short = std::make_unique<MemberT>();
-  in_short->name = member.name;
-  in_short->is_entry = member.is_entry;
-  in_short->ip = member.ip;
-  in_short->incarnation = member.incarnation;
-  in_short->counter = member.counter;
-  if (member.rank != nullptr) {
-    in_short->rank = std::make_unique<membership::wire::RankStatusT>();
-    in_short->rank->group = member.rank->group;
-    in_short->rank->rank = member.rank->rank;
-  }
-  return in_short;
-}
-
-void AddHint(membership::Members& members, const std::string& ip) {
-  const bool is_known = std::any_of(
-      members.known.begin(), members.known.end(),
-      [&ip](const auto& item) { return item.second.member.ip == ip; });
-  if (!is_known) {
-    members.hints[ip] = EventLoop::Now();
-  }
-}
 
 }  // namespace
 
@@ -71,8 +36,7 @@
         this->HandleDatagram(from_ip, bytes);
       }));
   this->Tick();
-  this->ReadStoredMembers();
-  this->KeepRecord();
+  this->records.Start();
   return Succeed();
 }
 
@@ -83,7 +47,7 @@
   // The settings name their seeds for good, whether they are up or not.
   for (const std::string& ip : this->state.fleet().seeds) {
     if (ip != this->state.settings.ip) {
-      AddHint(this->state.members, ip);
+      membership::AddHint(this->state.members, ip, now);
     }
   }
   this->Tell();
@@ -107,88 +71,21 @@
   membership::wire::HeartbeatT heartbeat;
   heartbeat.members.push_back(std::make_unique<MemberT>(self));
   for (const MemberT* member :
-       membership::MembersToTell(this->state.members, this->turn,
-                                 membership::kMembersPerHeartbeat, now)) {
+       membership::NextToTell(this->state.members, now)) {
     heartbeat.members.push_back(std::make_unique<MemberT>(*member));
   }
+  heartbeat.signs = membership::SignsToTell(this->state.members, now);
   const std::string bytes = membership::Encode(std::move(heartbeat));
   for (const std::string& ip :
        membership::PeersForHeartbeat(this->state.members, this->turn)) {
     this->datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
   }
   if (this->turn % kTurnsPerAgentHeartbeat == 0) {
-    this->TellAgents(self, std::nullopt);
+    this->agents.TellAll(self);
   }
   ++this->turn;
 }
 
-// An agent needs to know the gateways and the owner of its group's map; the
-// rest would only fill its small link.
-void Peers::TellAgents(const MemberT& self,
-                       const std::optional<std::string>& only_ip) {
-  std::map<std::string, const MemberT*> owners;
-  for (const auto& [name, known] : this->state.members.known) {
-    const auto* rank = known.member.rank.get();
-    if (rank != nullptr && rank->rank == 0) {
-      owners[rank->group] = &known.member;
-    }
-  }
-  // Every gateway, in short: an agent that knew only those that its settings
-  // name would tell the others nothing of its rank.
-  std::vector<const MemberT*> gateways{&self};
-  for (const MemberT* member : membership::MembersToTell(
-           this->state.members, this->turn / kTurnsPerAgentHeartbeat,
-           kGatewaysToldToAgents, EventLoop::Now())) {
-    gateways.push_back(member);
-  }
-  std::map<std::string, const MemberT*> owners_by_agent;
-  for (const std::string& ip : this->AgentIpsOfTargets()) {
-    owners_by_agent.emplace(ip, nullptr);
-  }
-  for (const auto& [name, known] : this->state.members.known) {
-    if (known.member.is_entry) {
-      continue;
-    }
-    const auto* rank = known.member.rank.get();
-    const auto owner =
-        rank == nullptr ? owners.end() : owners.find(rank->group);
-    owners_by_agent[known.member.ip] =
-        owner == owners.end() ? nullptr : owner->second;
-  }
-  for (const auto& [ip, owner] : owners_by_agent) {
-    if (only_ip && ip != *only_ip) {
-      continue;
-    }
-    membership::wire::HeartbeatT heartbeat;
-    for (const MemberT* gateway : gateways) {
-      heartbeat.members.push_back(ForAgents(*gateway));
-    }
-    if (owner != nullptr) {
-      heartbeat.members.push_back(ForAgents(*owner));
-    }
-    this->Send(ip, membership::Encode(std::move(heartbeat)));
-  }
-}
-
-// Agents that were not heard of yet are beside their targets. After a loss of
-// power nobody knows anybody, and callers press: waiting until an agent had
-// heard of this gateway from one that its settings name took a second.
-std::vector<std::string> Peers::AgentIpsOfTargets() const {
-  std::vector<std::string> ips;
-  if (this->state.table == nullptr) {
-    return ips;
-  }
-  for (const auto& [id, view] : this->state.targets.by_id) {
-    const auto service = this->state.table->services.find(view.target.service);
-    const bool has_agent = service != this->state.table->services.end() &&
-                           service->second.engine && !view.is_replaced;
-    if (has_agent) {
-      ips.push_back(gateway::AgentIpOf(view));
-    }
-  }
-  return ips;
-}
-
 MemberT Peers::DescribeSelf() {
   const GatewayState& now = this->state;
   MemberT self;
@@ -230,15 +127,46 @@
     this->state.placing->HandleOffer(*offer);
     return;
   }
-  const auto* heartbeat = body.AsHeartbeat();
-  if (heartbeat == nullptr) {
+  if (const auto* summary = body.AsGroupSummary()) {
+    if (this->agents.HandleSummary(from_ip, *summary)) {
+      this->agents.TellOne(this->DescribeSelf(), from_ip);
+    }
     return;
   }
-  for (const auto& member : heartbeat->members) {
+  if (const auto* query = body.AsMemberQuery()) {
+    this->HandleQuery(from_ip, *query);
+    return;
+  }
+  if (const auto* heartbeat = body.AsHeartbeat()) {
+    this->HandleHeartbeat(from_ip, *heartbeat);
+  }
+}
+
+void Peers::HandleHeartbeat(const std::string& from_ip,
+                            const membership::wire::HeartbeatT& heartbeat) {
+  for (const auto& member : heartbeat.members) {
     if (member != nullptr) {
       this->HandleMember(*member, member->ip == from_ip);
     }
   }
+  membership::wire::MemberQueryT query;
+  query.keys = membership::TakeSigns(this->state.members, heartbeat.signs,
+                                     EventLoop::Now());
+  if (!query.keys.empty()) {
+    this->Send(from_ip, membership::Encode(std::move(query)));
+  }
+}
+
+void Peers::HandleQuery(const std::string& from_ip,
+                        const membership::wire::MemberQueryT& query) {
+  membership::wire::HeartbeatT answer;
+  for (const MemberT* member :
+       membership::FindByKeys(this->state.members, query.keys)) {
+    answer.members.push_back(std::make_unique<MemberT>(*member));
+  }
+  if (!answer.members.empty()) {
+    this->Send(from_ip, membership::Encode(std::move(answer)));
+  }
 }
 
 void Peers::HandleMember(const MemberT& member, bool is_direct) {
@@ -252,7 +180,7 @@
   if (!membership::Learn(this->state.members, member, is_direct, now)) {
     return;
   }
-  if (!was_alive) {
+  if (!was_alive || is_restarted) {
     Log(LogLevel::kInfo, "members", "member_heard",
         {{"member", member.name},
          {"ip", member.ip},
@@ -260,25 +188,25 @@
   }
   if (member.is_entry && is_direct) {
     this->FetchIfBehind(member);
-  } else if (is_direct && (!was_alive || is_restarted)) {
+    return;
+  }
+  if (member.is_entry || !is_direct) {
+    return;
+  }
+  this->agents.HandleHeartbeat(member);
+  if (!was_alive || is_restarted) {
     // An agent that has just started knows neither gateways nor owners.
-    this->TellAgents(this->DescribeSelf(), member.ip);
+    this->agents.TellOne(this->DescribeSelf(), member.ip);
   }
 }
 
 // Adds up what the others have at each target, and takes what the agents say.
 void Peers::UpdateLoads() {
   const TimePoint now = EventLoop::Now();
-  std::map<std::string, gateway::TargetView*> by_address;
   for (auto& [id, view] : this->state.targets.by_id) {
     view.open_elsewhere = 0;
-    if (!view.is_replaced) {
-      by_address[Format(view.target.address)] = &view;
-    }
-    if (view.rank && now - view.rank->heard > membership::kSuspectAfter) {
-      view.rank->is_open = true;
-    }
   }
+  this->agents.UpdateTargets(now);
   for (const auto& [name, known] : this->state.members.known) {
     if (!membership::is_alive(known, now)) {
       continue;
@@ -289,21 +217,6 @@
         found->second.open_elsewhere += count->open;
       }
     }
-    const auto* rank = known.member.rank.get();
-    const auto found =
-        rank == nullptr ? by_address.end() : by_address.find(rank->address);
-    if (found != by_address.end()) {
-      found->second->rank = gateway::RankView{.group = rank->group,
-                                              .epoch = rank->epoch,
-                                              .rank = rank->rank,
-                                              .size = rank->size,
-                                              .is_open = rank->is_open,
-                                              .running = rank->running,
-                                              .queued = rank->queued,
-                                              .pace = rank->pace,
-                                              .agent_ip = known.member.ip,
-                                              .heard = known.heard};
-    }
   }
 }
 
@@ -402,59 +315,4 @@
   }
 }
 
-void Peers::ReadStoredMembers() {
-  this->state.store.range(
-      {.prefix = std::string(kMembersPrefix), .may_be_stale = true},
-      [this](const Result<platform::RangePage>& page) {
-        if (page.has_value()) {
-          for (const auto& item : page.value().items) {
-            if (item.value != this->state.settings.ip) {
-              AddHint(this->state.members, item.value);
-            }
-          }
-        }
-        this->state.loop.RunAfter(kStoredMembersInterval,
-                                  [this] { this->ReadStoredMembers(); });
-      });
-}
-
-void Peers::KeepRecord() {
-  this->state.loop.RunAfter(kRenewInterval, [this] { this->KeepRecord(); });
-  if (std::exchange(this->is_keeping, true)) {
-    return;
-  }
-  if (this->lease == 0) {
-    this->state.store.grant_lease(kRecordLease,
-                                  [this](const Result<uint64_t>& granted) {
-                                    this->is_keeping = false;
-                                    if (granted.has_value()) {
-                                      this->lease = granted.value();
-                                      this->PutRecord();
-                                    }
-                                  });
-    return;
-  }
-  this->state.store.renew_lease(
-      this->lease, [this](const Result<void>& renewed) {
-        this->is_keeping = false;
-        const bool is_ended =
-            renewed.has_error() && renewed.error().code == ErrorCode::kNotFound;
-        if (is_ended) {
-          this->lease = 0;
-        }
-      });
-}
-
-void Peers::PutRecord() {
-  this->state.store.put(
-      {.key = std::string(kMembersPrefix) + this->state.settings.name,
-       .value = this->state.settings.ip,
-       .lease = this->lease},
-      [this](const Result<uint64_t>& written) {
-        if (written.has_error()) {
-          this->lease = 0;
-        }
-      });
-}
-
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -3,17 +3,23 @@
 
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
-#include <optional>
 #include <string>
 
 #include "Kernel/Datagrams.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
+#include "Services/bramleyspand/Gateway/MemberRecords.h"
+#include "Services/bramleyspand/Gateway/RankAgents.h"
 
 namespace bramleyspan::gatewayd {
 
 class Peers {
  public:
-  explicit Peers(GatewayState& state) : state(state) {}
+  explicit Peers(GatewayState& state)
+      : state(state),
+        records(state),
+        agents(state, [this](const std::string& ip, const std::string& bytes) {
+          this->Send(ip, bytes);
+        }) {}
 
   // Fails with kConnectionFailed if the port is taken.
   Result<void> Start();
@@ -30,28 +36,25 @@
  private:
   void Tick();
   void Tell();
-  // Tells all agents, or one.
-  void TellAgents(const membership::wire::MemberT& self,
-                  const std::optional<std::string>& only_ip);
-  std::vector<std::string> AgentIpsOfTargets() const;
   membership::wire::MemberT DescribeSelf();
   void HandleDatagram(const std::string& from_ip, std::string_view bytes);
+  void HandleHeartbeat(const std::string& from_ip,
+                       const membership::wire::HeartbeatT& heartbeat);
+  void HandleQuery(const std::string& from_ip,
+                   const membership::wire::MemberQueryT& query);
   void HandleMember(const membership::wire::MemberT& member, bool is_direct);
   void UpdateLoads();
   void FetchIfBehind(const membership::wire::MemberT& member);
   void HandleNews(const std::string& text);
   void TakeNews(const nlohmann::json& news);
-  void ReadStoredMembers();
-  void KeepRecord();
-  void PutRecord();
 
   GatewayState& state;
   std::unique_ptr<Datagrams> datagrams;
+  MemberRecords records;
+  RankAgents agents;
   uint64_t counter = 0;
   uint64_t turn = 0;
-  uint64_t lease = 0;
   bool is_fetching = false;
-  bool is_keeping = false;
   TimePoint last_fetch;
 };
 
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -1,6 +1,7 @@
 #include "Services/bramleyspand/Rank/MapOwner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "LibTelemetry/Log.h"
@@ -44,6 +45,11 @@
       wish.map.size() == state.shape->sets) {
     return wish.map;
   }
+  const HeldMap& held = state.map_in_force;
+  if (held.epoch == own.epoch && held.version == own.map &&
+      held.map.size() == state.shape->sets) {
+    return held.map;
+  }
   mapswitch::ExpertLists map(state.shape->sets);
   for (uint32_t rank = 0; rank < own.size; ++rank) {
     const auto found = state.ranks.find(rank);
@@ -75,19 +81,17 @@
   return true;
 }
 
-bool ObserveCounts(RankState& state, const membership::wire::RankNewsT& news) {
-  if (!state.shape || news.counts.empty()) {
+// `tellers` is 0 where each rank in its turn tells its own.
+bool ObserveCounts(RankState& state,
+                   const placement::RankChoices& chosen,
+                   uint32_t tellers) {
+  if (!state.shape || chosen.counts.empty()) {
     return false;
   }
-  const std::vector<uint32_t> counts =
-      placement::UnpackCounts({.counts = news.counts, .unit = news.count_unit});
-  const placement::RankChoices chosen{.rank = news.status->rank,
-                                      .epoch = news.counts_epoch,
-                                      .step = news.counts_step,
-                                      .counts = counts};
-  const placement::ChoicesShape shape{.ranks = news.status->size,
+  const placement::ChoicesShape shape{.ranks = state.own->size,
                                       .sets = state.shape->sets,
-                                      .experts = state.shape->experts};
+                                      .experts = state.shape->experts,
+                                      .tellers = tellers};
   return Observe(state, placement::AddChoices(state.choices, chosen, shape,
                                               EventLoop::Now()));
 }
@@ -114,24 +118,41 @@
          state.planned_skew + kOutdatedBy;
 }
 
+// Whether a plan made now would be the last one again.
+bool is_fruitless(const RankState& state, double skew, double least_gain) {
+  constexpr double kSameSkew = 0.03;
+  const auto& last = state.fruitless;
+  return last && last->map == state.own->map &&
+         last->jumps == state.drift.jumps &&
+         std::abs(last->skew - skew) < kSameSkew && last->gain < least_gain;
+}
+
 // Plans all sets and begins a switch if it gains enough.
 void StartSwitchIfWorthIt(RankState& state, bool is_forced, TimePoint now) {
   const auto map = MapInForce(state);
   if (!map || state.drift.present.size() != map->size()) {
     return;
   }
+  const double least_gain = placement::LeastGainOfSwitch(
+      state.map_switch.pass, state.places.settings.longest_pause);
+  const double skew = placement::MeanSkew(*map, state.drift, PacesOf(state));
+  telemetry::SetGauge(kSkew, {}, skew);
+  if (!is_forced && is_fruitless(state, skew, least_gain)) {
+    return;
+  }
   placement::SwitchPlan plan =
       placement::PlanSwitch(*map, state.drift,
                             {.ranks = state.own->size,
                              .places_per_rank = state.shape->places_per_rank,
                              .spare = state.shape->spare,
                              .paces = PacesOf(state)});
-  telemetry::SetGauge(kSkew, {}, plan.skew_before);
-  const double least_gain = placement::LeastGainOfSwitch(
-      state.map_switch.pass, state.places.settings.longest_pause);
   const bool is_worth_it =
       plan.copies > 0 && plan.skew_before - plan.skew_after >= least_gain;
   if (!is_worth_it && !is_forced) {
+    state.fruitless = {.map = state.own->map,
+                       .jumps = state.drift.jumps,
+                       .skew = skew,
+                       .gain = plan.skew_before - plan.skew_after};
     return;
   }
   state.planned_skew = plan.skew_after;
@@ -186,33 +207,22 @@
 
 }  // namespace
 
-bool HandleRankNews(RankState& state,
-                    const std::string& from_ip,
-                    const membership::wire::RankNewsT& news) {
-  if (news.status == nullptr || !state.is_owner() ||
-      news.status->group != state.own->group) {
-    return false;
-  }
-  const mapswitch::RankStatus status = FromWire(*news.status);
-  const TimePoint now = EventLoop::Now();
-  if (mapswitch::HandleStatus(state.map_switch, status, now)) {
-    Log(LogLevel::kWarning, "map", "group_formed_anew",
-        {{"rank", std::to_string(status.rank)},
-         {"epoch", std::to_string(status.epoch)}});
-  }
-  RankInfo& info = state.ranks[status.rank];
+void Note(RankInfo& info,
+          const std::string& from_ip,
+          const membership::wire::RankNewsT& news) {
   info.ip = from_ip;
   info.wish_version = news.wish_version;
-  if (info.epoch != status.epoch) {
+  info.base_version = news.base_version;
+  if (info.epoch != news.status->epoch) {
     info.held = {};
-    info.epoch = status.epoch;
+    info.epoch = news.status->epoch;
   }
   const auto server = ParseAddress(news.status->address);
   if (server.has_value()) {
     info.server = server.value();
   }
   if (!news.lengths.empty()) {
-    info.held = {.version = status.map, .sets = {}};
+    info.held = {.version = news.status->map, .sets = {}};
   }
   size_t at = 0;
   for (const uint16_t length : news.lengths) {
@@ -222,7 +232,57 @@
         news.experts.begin() + static_cast<int64_t>(end));
     at = end;
   }
-  return ObserveCounts(state, news);
+}
+
+bool HandleRankNews(RankState& state,
+                    const std::string& from_ip,
+                    const membership::wire::RankNewsT& news) {
+  if (news.status == nullptr || !state.is_owner() ||
+      news.status->group != state.own->group) {
+    return false;
+  }
+  const mapswitch::RankStatus status = FromWire(*news.status);
+  const TimePoint now = EventLoop::Now();
+  if (mapswitch::HandleStatus(state.map_switch, status, now)) {
+    Log(LogLevel::kWarning, "map", "group_formed_anew",
+        {{"rank", std::to_string(status.rank)},
+         {"epoch", std::to_string(status.epoch)}});
+  }
+  Note(state.ranks[status.rank], from_ip, news);
+  const std::vector<uint32_t> counts =
+      placement::UnpackCounts({.counts = news.counts, .unit = news.count_unit});
+  return ObserveCounts(state,
+                       {.rank = status.rank,
+                        .epoch = news.counts_epoch,
+                        .step = news.counts_step,
+                        .counts = counts},
+                       0);
+}
+
+bool HandleBundle(RankState& state,
+                  const std::string& from_ip,
+                  const membership::wire::NewsBundleT& bundle) {
+  const bool is_own_group = state.is_owner() &&
+                            bundle.group == state.own->group &&
+                            bundle.size == state.own->size;
+  if (!is_own_group || bundle.news.empty()) {
+    return false;
+  }
+  for (const auto& news : bundle.news) {
+    if (news == nullptr || news->status == nullptr) {
+      continue;
+    }
+    news->status->group = bundle.group;
+    news->status->size = bundle.size;
+    HandleRankNews(state, from_ip, *news);
+  }
+  const std::vector<uint32_t> counts = placement::UnpackCounts(
+      {.counts = bundle.counts, .unit = bundle.count_unit});
+  return ObserveCounts(state,
+                       {.epoch = bundle.counts_epoch,
+                        .step = bundle.counts_step,
+                        .counts = counts},
+                       1);
 }
 
 void LeadMap(RankState& state, TimePoint now) {
--- a/Services/bramleyspand/Rank/MapOwner.h
+++ b/Services/bramleyspand/Rank/MapOwner.h
@@ -11,6 +11,16 @@
                     const std::string& from_ip,
                     const membership::wire::RankNewsT& news);
 
+// Takes what a leader tells of its ranks; the same for it.
+bool HandleBundle(RankState& state,
+                  const std::string& from_ip,
+                  const membership::wire::NewsBundleT& bundle);
+
+// Takes from a rank's news what the owner and leaders keep of it.
+void Note(RankInfo& info,
+          const std::string& from_ip,
+          const membership::wire::RankNewsT& news);
+
 // Goes on with the switch under way, or begins one that is worth it.
 void LeadMap(RankState& state, TimePoint now);
 
--- a/Services/bramleyspand/Rank/RankMessages.cc
+++ b/Services/bramleyspand/Rank/RankMessages.cc
@@ -1,6 +1,11 @@
 #include "Services/bramleyspand/Rank/RankMessages.h"
 
+#include <arpa/inet.h>
+
 #include <algorithm>
+#include <utility>
+
+#include "LibMapSwitch/MapChanges.h"
 
 namespace bramleyspan::rankd {
 
@@ -8,6 +13,65 @@
 
 constexpr uint16_t kLargestSmall = 255;
 
+using Lists = std::vector<std::vector<uint16_t>>;
+
+membership::wire::MapWishT InShort(const mapswitch::Wish& wish,
+                                   const std::string& group) {
+  membership::wire::MapWishT wire;
+  wire.group = group;
+  wire.epoch = wish.epoch;
+  wire.version = wish.version;
+  wire.hold_step = wish.hold_step;
+  wire.holder = wish.holder;
+  wire.arm_step = wish.arm_step;
+  wire.is_released = wish.is_released;
+  return wire;
+}
+
+void AddLists(membership::wire::MapWishT& wire, const Lists& lists) {
+  for (const auto& list : lists) {
+    wire.lengths.push_back(static_cast<uint8_t>(list.size()));
+    wire.experts.insert(wire.experts.end(), list.begin(), list.end());
+  }
+  const bool is_small =
+      std::all_of(wire.experts.begin(), wire.experts.end(),
+                  [](uint16_t expert) { return expert <= kLargestSmall; });
+  if (is_small) {
+    wire.small_experts.assign(wire.experts.begin(), wire.experts.end());
+    wire.experts.clear();
+  }
+}
+
+Lists ReadLists(const membership::wire::MapWishT& wish) {
+  std::vector<uint16_t> experts = wish.experts;
+  experts.insert(experts.end(), wish.small_experts.begin(),
+                 wish.small_experts.end());
+  Lists lists;
+  size_t at = 0;
+  for (const uint8_t length : wish.lengths) {
+    const size_t end = std::min(experts.size(), at + length);
+    lists.emplace_back(experts.begin() + static_cast<int64_t>(at),
+                       experts.begin() + static_cast<int64_t>(end));
+    at = end;
+  }
+  return lists;
+}
+
+mapswitch::ExpertLists BySets(Lists lists, uint32_t ranks) {
+  mapswitch::ExpertLists map;
+  for (size_t i = 0; i < lists.size() && ranks > 0; ++i) {
+    if (i % ranks == 0) {
+      map.emplace_back();
+    }
+    map.back().push_back(std::move(lists[i]));
+  }
+  return map;
+}
+
+uint32_t ToNumber(const std::string& ip) {
+  return ntohl(ToSocketAddress({ip, 0}).sin_addr.s_addr);
+}
+
 }  // namespace
 
 membership::wire::RankStatusT ToWire(const mapswitch::RankStatus& status,
@@ -72,52 +136,58 @@
 
 membership::wire::MapWishT ToWire(const mapswitch::Wish& wish,
                                   const std::string& group) {
-  membership::wire::MapWishT wire;
-  wire.group = group;
-  wire.epoch = wish.epoch;
-  wire.version = wish.version;
-  wire.hold_step = wish.hold_step;
-  wire.holder = wish.holder;
-  wire.arm_step = wish.arm_step;
-  wire.is_released = wish.is_released;
+  auto wire = InShort(wish, group);
+  std::vector<std::vector<uint16_t>> lists;
   for (const auto& set : wish.map) {
-    for (const auto& list : set) {
-      wire.lengths.push_back(static_cast<uint8_t>(list.size()));
-      wire.experts.insert(wire.experts.end(), list.begin(), list.end());
-    }
+    lists.insert(lists.end(), set.begin(), set.end());
   }
-  const bool is_small =
-      std::all_of(wire.experts.begin(), wire.experts.end(),
-                  [](uint16_t expert) { return expert <= kLargestSmall; });
-  if (is_small) {
-    wire.small_experts.assign(wire.experts.begin(), wire.experts.end());
-    wire.experts.clear();
+  AddLists(wire, lists);
+  return wire;
+}
+
+std::optional<membership::wire::MapWishT> ToWireAsChanges(
+    const mapswitch::Wish& wish,
+    const std::string& group,
+    const HeldMap& base) {
+  const auto changes = mapswitch::Compare(base.map, wish.map);
+  if (!changes || base.epoch != wish.epoch || base.version == 0) {
+    return std::nullopt;
   }
+  auto wire = InShort(wish, group);
+  wire.base_version = base.version;
+  wire.changed = changes->places;
+  AddLists(wire, changes->lists);
   return wire;
 }
 
 mapswitch::Wish FromWire(const membership::wire::MapWishT& wish,
-                         uint32_t ranks) {
+                         uint32_t ranks,
+                         const HeldMap& base) {
   mapswitch::Wish result{.epoch = wish.epoch,
                          .version = wish.version,
                          .hold_step = wish.hold_step,
                          .holder = wish.holder,
                          .arm_step = wish.arm_step,
                          .is_released = wish.is_released};
-  std::vector<uint16_t> experts = wish.experts;
-  experts.insert(experts.end(), wish.small_experts.begin(),
-                 wish.small_experts.end());
-  size_t at = 0;
-  for (size_t i = 0; i < wish.lengths.size() && ranks > 0; ++i) {
-    if (i % ranks == 0) {
-      result.map.emplace_back();
-    }
-    const size_t end = std::min(experts.size(), at + wish.lengths[i]);
-    result.map.back().emplace_back(experts.begin() + static_cast<int64_t>(at),
-                                   experts.begin() + static_cast<int64_t>(end));
-    at = end;
+  auto lists = ReadLists(wish);
+  if (wish.base_version == 0) {
+    result.map = BySets(std::move(lists), ranks);
+    return result;
+  }
+  if (wish.base_version == base.version && wish.epoch == base.epoch) {
+    result.map = mapswitch::Apply(base.map, {.places = wish.changed,
+                                             .lists = std::move(lists)})
+                     .value_or(mapswitch::ExpertLists{});
   }
   return result;
 }
 
+membership::wire::RankRow ToRow(const mapswitch::RankStatus& status,
+                                const Address& server,
+                                const std::string& agent_ip) {
+  return {ToNumber(agent_ip), ToNumber(server.ip),
+          status.rank,        static_cast<float>(status.pace),
+          server.port,        status.is_open};
+}
+
 }  // namespace bramleyspan::rankd
--- a/Services/bramleyspand/Rank/RankMessages.h
+++ b/Services/bramleyspand/Rank/RankMessages.h
@@ -1,9 +1,13 @@
 // The datagrams between the agents of a group, as values of the libraries.
 #pragma once
 
+#include <optional>
+#include <string>
+
 #include "Kernel/Address.h"
 #include "LibMapSwitch/Switch.h"
 #include "LibMembership/Members.h"
+#include "Services/bramleyspand/Rank/RankState.h"
 
 namespace bramleyspan::rankd {
 
@@ -16,9 +20,22 @@
 
 mapswitch::RankStatus FromWire(const membership::wire::RankStatusT& status);
 
+// With the whole map, or what differs from the map of `base`.
 membership::wire::MapWishT ToWire(const mapswitch::Wish& wish,
                                   const std::string& group);
+std::optional<membership::wire::MapWishT> ToWireAsChanges(
+    const mapswitch::Wish& wish,
+    const std::string& group,
+    const HeldMap& base);
+// The map is empty where none is told, or where it is told against one that
+// `base` is not.
 mapswitch::Wish FromWire(const membership::wire::MapWishT& wish,
-                         uint32_t ranks);
+                         uint32_t ranks,
+                         const HeldMap& base);
+
+// A rank of a leader's as gateways need it.
+membership::wire::RankRow ToRow(const mapswitch::RankStatus& status,
+                                const Address& server,
+                                const std::string& agent_ip);
 
 }  // namespace bramleyspan::rankd
--- a/Services/bramleyspand/Rank/RankReadings.cc
+++ b/Services/bramleyspand/Rank/RankReadings.cc
@@ -102,6 +102,13 @@
                    });
 }
 
+bool RankReadings::is_teller(mapswitch::Step step) const {
+  const mapswitch::Tree tree = this->state.tree();
+  return mapswitch::CountLeaders(tree) == 0
+             ? placement::is_teller(this->state.own->rank, tree.size, step)
+             : mapswitch::is_teller(tree, this->state.own->rank, step);
+}
+
 void RankReadings::HandleCounts(const std::string& body) {
   auto parsed = this->state.adapter.parse_counts(body);
   if (parsed.has_error()) {
@@ -114,8 +121,7 @@
   const auto& own = this->state.own;
   // What was not told of an earlier pass would mix with this one.
   this->state.new_counts.clear();
-  if (goes_on && own &&
-      placement::is_teller(own->rank, own->size, parsed.value().step)) {
+  if (goes_on && own && this->is_teller(parsed.value().step)) {
     this->state.new_counts.resize(counts.size(), 0);
     for (size_t i = 0; i < counts.size(); ++i) {
       // Counts start anew with the rank.
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -11,6 +11,7 @@
 #include "LibTelemetry/Log.h"
 #include "LibTelemetry/Metrics.h"
 #include "Services/bramleyspand/Rank/Deputy.h"
+#include "Services/bramleyspand/Rank/Leader.h"
 #include "Services/bramleyspand/Rank/MapOwner.h"
 #include "Services/bramleyspand/Rank/Orders.h"
 #include "Services/bramleyspand/Rank/RankMessages.h"
@@ -40,9 +41,22 @@
 constexpr Duration kShapeInterval = std::chrono::seconds(5);
 constexpr Duration kFirstShapeInterval = std::chrono::milliseconds(300);
 constexpr Duration kFarCallTimeout = std::chrono::milliseconds(700);
+// Some heartbeats of the leader above.
+constexpr Duration kLeaderSilent =
+    3 * Leader::kHeartbeatInterval + kTickInterval;
 // A group that is held for so long may wait for a rank whose agent is gone.
 constexpr Duration kLongHold = std::chrono::milliseconds(300);
 
+// What comes next is told against the whole map that was switched to.
+void KeepMap(RankState& state, const RankStatus& status) {
+  const auto& wish = state.wish;
+  if (wish && wish->epoch == status.epoch && wish->version == status.map &&
+      !wish->map.empty()) {
+    state.map_in_force = {
+        .epoch = status.epoch, .version = status.map, .map = wish->map};
+  }
+}
+
 class RankRole : public Role {
  public:
   RankRole(EventLoop& loop, const Settings& settings)
@@ -54,6 +68,7 @@
                       },
                   .on_counts = [this] { this->TellOwner(); }}),
         wishes(this->state),
+        leader(this->state, this->wishes),
         orders(this->state, [this] { this->readings.ReadReport(); }),
         deputy(this->state, [this](const Address& server, const Order& order) {
           this->orders.SendFar(server, order);
@@ -126,8 +141,10 @@
     const TimePoint now = EventLoop::Now();
     membership::Forget(this->state.members, now);
     this->readings.ReadReport();
-    if (this->ticks % kTicksPerHeartbeat == 0) {
-      this->SendHeartbeat();
+    this->leader.Tick(now);
+    if (this->ticks % kTicksPerHeartbeat == 0 ||
+        this->leader.TakeNewsForGateways()) {
+      this->TellGateways();
     }
     for (int part = 1; this->state.wish && part < kReportsPerTickOfSwitch;
          ++part) {
@@ -153,6 +170,7 @@
            {"map", std::to_string(status.map)},
            {"step", std::to_string(status.step)}});
       now_state.own_held = {};
+      KeepMap(now_state, status);
       now_state.wish.reset();
       this->news_count = kNewsPerLists - 2;
     }
@@ -180,25 +198,13 @@
       this->readings.ReadCounts();
     }
     if (is_news_for_gateways) {
-      this->SendHeartbeat();
+      this->TellGateways();
     }
     this->TellOwner();
     this->Act();
     this->deputy.HandleOwnStatus(EventLoop::Now());
   }
 
-  // The owner's agent, as the gateways tell of it.
-  std::string FindOwnerIp() const {
-    for (const auto& [name, known] : this->state.members.known) {
-      const auto* rank = known.member.rank.get();
-      if (rank != nullptr && rank->rank == 0 &&
-          rank->group == this->state.own->group) {
-        return known.member.ip;
-      }
-    }
-    return "";
-  }
-
   void TellOwner() {
     const TimePoint now = EventLoop::Now();
     const bool has_counts = !this->state.new_counts.empty();
@@ -220,6 +226,10 @@
       news.counts_epoch = this->state.last_counts->epoch;
       news.counts_step = this->state.last_counts->step;
     }
+    const HeldMap& in_force = this->state.map_in_force;
+    const bool has_base = in_force.epoch == this->state.own->epoch &&
+                          in_force.version == this->state.own->map;
+    news.base_version = has_base ? in_force.version : 0;
     const bool is_known = this->state.own_held.version == this->state.own->map;
     if (is_known && ++this->news_count % kNewsPerLists == 0) {
       for (const auto& set : this->state.own_held.sets) {
@@ -231,11 +241,33 @@
       this->TakeNews(this->state.settings.ip, news);
       return;
     }
-    const std::string ip = this->FindOwnerIp();
-    if (!ip.empty()) {
-      this->state.datagrams->Send({ip, this->state.fleet().peer_port},
-                                  membership::Encode(std::move(news)));
+    if (this->leader.is_leading()) {
+      this->leader.HandleNews(this->state.settings.ip, std::move(news));
+      return;
+    }
+    const std::string bytes = membership::Encode(std::move(news));
+    for (const std::string& ip : this->SuperiorIps(now)) {
+      this->state.datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
+    }
+  }
+
+  // The leader above; the owner too where there is none, or none that is heard.
+  std::set<std::string> SuperiorIps(TimePoint now) const {
+    std::set<std::string> ips{this->state.FindSuperior(
+        mapswitch::SuperiorOf(this->state.tree(), this->state.own->rank))};
+    if (!this->is_spoken_for(now)) {
+      ips.insert(this->state.FindSuperior(0));
     }
+    ips.erase("");
+    return ips;
+  }
+
+  // Whether a leader tells gateways and the owner of this rank.
+  bool is_spoken_for(TimePoint now) const {
+    return this->state.own &&
+           mapswitch::SuperiorOf(this->state.tree(), this->state.own->rank) !=
+               0 &&
+           now - this->state.leader_heard <= kLeaderSilent;
   }
 
   void Act() {
@@ -281,23 +313,73 @@
                              EventLoop::Now());
       }
     } else if (const auto* heartbeat = body.AsHeartbeat()) {
-      for (const auto& member : heartbeat->members) {
-        if (member != nullptr) {
-          this->HandleMember(*member, from_ip);
-        }
-      }
+      this->HandleHeartbeat(*heartbeat, from_ip);
     } else if (const auto* news = body.AsRankNews()) {
-      this->TakeNews(from_ip, *news);
+      if (!this->leader.HandleNews(from_ip, *news)) {
+        this->TakeNews(from_ip, *news);
+      }
+    } else if (const auto* bundle = body.AsNewsBundle()) {
+      const bool has_jumped = HandleBundle(this->state, from_ip, *bundle);
+      this->ActAfterNews(has_jumped);
     } else if (const auto* wish = body.AsMapWish()) {
-      if (TakeWish(this->state, *wish, EventLoop::Now())) {
-        this->readings.ReadReport();
+      this->NoteSender(from_ip);
+      this->HandleWish(*wish);
+    }
+  }
+
+  void HandleWish(const membership::wire::MapWishT& wish) {
+    const TimePoint now = EventLoop::Now();
+    const Taking taking = TakeWish(this->state, wish, now);
+    if (taking == Taking::kRefused) {
+      return;
+    }
+    this->leader.PassWish(now);
+    if (taking == Taking::kNew) {
+      this->readings.ReadReport();
+    }
+  }
+
+  // A leader that says anything speaks for this rank.
+  void NoteSender(const std::string& from_ip) {
+    if (!this->state.own) {
+      return;
+    }
+    const uint32_t superior =
+        mapswitch::SuperiorOf(this->state.tree(), this->state.own->rank);
+    if (superior != 0 && this->state.FindSuperior(superior) == from_ip) {
+      this->state.leader_heard = EventLoop::Now();
+    }
+  }
+
+  void HandleHeartbeat(const membership::wire::HeartbeatT& heartbeat,
+                       const std::string& from_ip) {
+    this->NoteSender(from_ip);
+    for (const auto& place : heartbeat.ranks) {
+      if (place == nullptr || !this->state.own ||
+          place->group != this->state.own->group) {
+        continue;
+      }
+      Superior& known = this->state.superiors[place->rank];
+      if (place->epoch >= known.epoch) {
+        known = {.epoch = place->epoch, .ip = place->ip};
       }
     }
+    for (const auto& member : heartbeat.members) {
+      if (member != nullptr) {
+        this->HandleMember(*member, from_ip);
+      }
+    }
+    if (heartbeat.is_asking) {
+      this->SendToGateway(from_ip, this->DescribeSelf());
+    }
   }
 
   void TakeNews(const std::string& from_ip,
                 const membership::wire::RankNewsT& news) {
-    const bool has_jumped = HandleRankNews(this->state, from_ip, news);
+    this->ActAfterNews(HandleRankNews(this->state, from_ip, news));
+  }
+
+  void ActAfterNews(bool has_jumped) {
     // A switch begins and goes on with the last rank's news, not with the next
     // tick.
     const bool is_switching =
@@ -337,8 +419,9 @@
     const bool is_learnt = membership::Learn(this->state.members, member,
                                              is_direct, EventLoop::Now());
     // A gateway that has just started learns of this rank at once.
-    if (is_learnt && is_new && member.is_entry) {
-      this->SendHeartbeat();
+    if (is_learnt && is_new && member.is_entry &&
+        !this->is_spoken_for(EventLoop::Now())) {
+      this->SendToGateway(member.ip, this->TellingOfRanks());
     }
   }
 
@@ -352,7 +435,7 @@
             body.value("least_pass_us", usual.least_pass.count()))};
   }
 
-  void SendHeartbeat() {
+  std::string DescribeSelf() {
     membership::wire::HeartbeatT heartbeat;
     auto self = std::make_unique<membership::wire::MemberT>();
     self->name = this->state.settings.name;
@@ -366,9 +449,27 @@
           ToWireForGateways(*this->state.own, *this->state.fleet().engine));
     }
     heartbeat.members.push_back(std::move(self));
-    const std::string bytes = membership::Encode(std::move(heartbeat));
+    return membership::Encode(std::move(heartbeat));
+  }
+
+  // A leader tells of its ranks, any other agent of its own.
+  std::string TellingOfRanks() {
+    return this->leader.is_leading()
+               ? membership::Encode(this->leader.Summarize(EventLoop::Now()))
+               : this->DescribeSelf();
+  }
+
+  void SendToGateway(const std::string& ip, const std::string& bytes) {
+    this->state.datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
+  }
+
+  void TellGateways() {
+    if (this->is_spoken_for(EventLoop::Now())) {
+      return;
+    }
+    const std::string bytes = this->TellingOfRanks();
     for (const std::string& ip : this->GatewayIps()) {
-      this->state.datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
+      this->SendToGateway(ip, bytes);
     }
   }
 
@@ -430,6 +531,10 @@
       dump["rank_age_ms"] =
           (EventLoop::Now() - this->state.own_heard).count() / 1000;
     }
+    for (const auto& [rank, superior] : this->state.superiors) {
+      dump["superiors"][std::to_string(rank)] = superior.ip;
+    }
+    dump["is_spoken_for"] = this->is_spoken_for(EventLoop::Now());
     dump["switch"] = {
         {"phase", mapswitch::NameOf(this->state.map_switch.phase)},
         {"version", this->state.map_switch.wish.version}};
@@ -439,6 +544,7 @@
   RankState state;
   RankReadings readings;
   WishTeller wishes;
+  Leader leader;
   Orders orders;
   Deputy deputy;
   std::unique_ptr<http::Ingress> metrics;
--- a/Services/bramleyspand/Rank/Wishes.cc
+++ b/Services/bramleyspand/Rank/Wishes.cc
@@ -1,5 +1,7 @@
 #include "Services/bramleyspand/Rank/Wishes.h"
 
+#include <algorithm>
+#include <set>
 #include <utility>
 
 #include "Services/bramleyspand/Rank/RankMessages.h"
@@ -9,11 +11,10 @@
 namespace {
 
 constexpr Duration kRepeatAfter = std::chrono::milliseconds(30);
-// The map may have been lost on its way. In a large group it takes a while to
-// leave: 31 maps of 2.4 KB are 75 ms of a link of 8 Mbit/s, and repeating them
-// sooner kept the link so full that no group of 32 ever prepared a map.
+// A map may have been lost on its way: it is told again after this and the time
+// that all of them take.
 constexpr Duration kRepeatMapAfter = std::chrono::milliseconds(60);
-constexpr Duration kRepeatMapPerRank = std::chrono::milliseconds(5);
+constexpr double kMapPartOfLink = 0.5;
 // Who is in the group changes seldom.
 constexpr Duration kServersInterval = std::chrono::milliseconds(500);
 
@@ -53,52 +54,114 @@
     return;
   }
   this->state.wish = mapswitch::WishFor(map_switch, 0);
-  this->Send(now);
+  this->Pass(mapswitch::WishFor(map_switch, 1), this->state.ranks,
+             this->ServersIfDue(now), now);
 }
 
-// The map goes only to those that do not have it yet: it is by far the most of
-// a wish, and a wish is said many times.
-void WishTeller::Send(TimePoint now) {
-  mapswitch::Wish wish = mapswitch::WishFor(this->state.map_switch, 1);
-  auto with_map = ToWire(wish, this->state.own->group);
+std::vector<std::string> WishTeller::ServersIfDue(TimePoint now) {
+  std::vector<std::string> servers;
   if (now - this->servers_told > kServersInterval) {
     this->servers_told = now;
     for (const auto& [rank, info] : this->state.ranks) {
-      with_map.servers.push_back(Format(info.server));
+      servers.push_back(Format(info.server));
     }
   }
+  return servers;
+}
+
+const MapAsTold& WishTeller::Describe(const mapswitch::Wish& wish) {
+  const HeldMap& base = this->state.map_in_force;
+  const bool is_described = this->told.version == wish.version &&
+                            this->told.epoch == wish.epoch &&
+                            this->told.base == base.version;
+  if (is_described) {
+    return this->told;
+  }
+  const std::string& group = this->state.own->group;
+  this->told = {.version = wish.version,
+                .epoch = wish.epoch,
+                .base = base.version,
+                .whole = membership::Encode(ToWire(wish, group)),
+                .changes = ""};
+  auto changes = ToWireAsChanges(wish, group, base);
+  if (changes) {
+    this->told.changes = membership::Encode(*std::move(changes));
+  }
+  this->queue.clear();
+  return this->told;
+}
+
+Duration WishTeller::TimeFor(size_t count, size_t bytes) const {
+  const double rate =
+      kMapPartOfLink * this->state.fleet().link_bytes_per_second;
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      static_cast<double>(count * bytes) / std::max(1.0, rate)));
+}
+
+void WishTeller::Pass(const mapswitch::Wish& wish,
+                      std::map<uint32_t, RankInfo>& ranks,
+                      const std::vector<std::string>& servers,
+                      TimePoint now) {
+  mapswitch::Wish without_map = wish;
+  without_map.map.clear();
+  auto wire = ToWire(without_map, this->state.own->group);
+  wire.servers = servers;
+  const std::string brief = membership::Encode(std::move(wire));
+  const bool has_map = !wish.map.empty();
+  const MapAsTold* map = has_map ? &this->Describe(wish) : nullptr;
   const Duration repeat_after =
-      kRepeatMapAfter + kRepeatMapPerRank * this->state.ranks.size();
-  const std::string whole = membership::Encode(std::move(with_map));
-  wish.map.clear();
-  const std::string brief =
-      membership::Encode(ToWire(wish, this->state.own->group));
-  for (auto& [rank, info] : this->state.ranks) {
-    if (rank == 0) {
+      has_map ? kRepeatMapAfter + TimeFor(ranks.size(), map->whole.size())
+              : Duration(0);
+  std::set<std::string> told_ips;
+  for (auto& [rank, info] : ranks) {
+    // Of the ranks behind one address the leader comes first; it sees to the
+    // others.
+    if (rank == this->state.own->rank || !told_ips.insert(info.ip).second) {
       continue;
     }
+    this->state.datagrams->Send({info.ip, this->state.fleet().peer_port},
+                                brief);
     const bool was_told = info.told_version == wish.version &&
                           now - info.map_told <= repeat_after;
-    const bool needs_map = info.wish_version != wish.version && !was_told;
-    if (needs_map) {
-      info.told_version = wish.version;
-      info.map_told = now;
+    if (!has_map || info.wish_version == wish.version || was_told) {
+      continue;
     }
-    this->state.datagrams->Send({info.ip, this->state.fleet().peer_port},
-                                needs_map ? whole : brief);
+    info.told_version = wish.version;
+    info.map_told = now;
+    const bool has_base =
+        info.base_version == map->base && !map->changes.empty();
+    this->queue.push_back(
+        {.ip = info.ip, .bytes = has_base ? map->changes : map->whole});
+  }
+  if (!this->is_sending) {
+    this->SendQueued();
+  }
+}
+
+void WishTeller::SendQueued() {
+  this->is_sending = !this->queue.empty();
+  if (!this->is_sending) {
+    return;
   }
+  const QueuedMap next = std::move(this->queue.front());
+  this->queue.pop_front();
+  this->state.datagrams->Send({next.ip, this->state.fleet().peer_port},
+                              next.bytes);
+  this->state.loop.RunAfter(TimeFor(1, next.bytes.size()),
+                            [this] { this->SendQueued(); });
 }
 
-bool TakeWish(RankState& state,
-              const membership::wire::MapWishT& wish,
-              TimePoint now) {
+Taking TakeWish(RankState& state,
+                const membership::wire::MapWishT& wish,
+                TimePoint now) {
   if (!state.own || wish.group != state.own->group ||
       wish.epoch != state.own->epoch || state.is_owner()) {
-    return false;
+    return Taking::kRefused;
   }
   state.owner_heard = now;
   if (!wish.servers.empty()) {
     state.group_servers.clear();
+    state.servers_heard = wish.servers;
   }
   for (const std::string& server : wish.servers) {
     const auto address = ParseAddress(server);
@@ -108,15 +171,18 @@
   }
   const auto& known = state.wish;
   if (known && is_older(wish, *known)) {
-    return false;
+    return Taking::kRefused;
   }
-  const bool is_new = !known || is_different(wish, *known);
-  mapswitch::Wish heard = FromWire(wish, state.own->size);
+  mapswitch::Wish heard = FromWire(wish, state.own->size, state.map_in_force);
+  const bool has_gained_map =
+      !heard.map.empty() &&
+      (!known || known->version != heard.version || known->map.empty());
+  const bool is_new = !known || is_different(wish, *known) || has_gained_map;
   if (heard.map.empty() && known && known->version == heard.version) {
     heard.map = known->map;
   }
   state.wish = std::move(heard);
-  return is_new;
+  return is_new ? Taking::kNew : Taking::kKnown;
 }
 
 }  // namespace bramleyspan::rankd
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -144,6 +144,16 @@
       name);
 }
 
+Result<uint32_t> RequireFanOut(const SettingLookup& lookup) {
+  constexpr double kMost = 64;
+  const SettingText given = lookup("group-fan-out");
+  const double fan_out = TRY(RequireNumber(lookup, "group-fan-out"));
+  if (fan_out < 2 || fan_out > kMost) {
+    return FailFor("group-fan-out", given, "a number from 2 to 64");
+  }
+  return static_cast<uint32_t>(fan_out);
+}
+
 Result<FleetSettings> ParseFleetSettings(const SettingLookup& lookup,
                                          const std::string& role) {
   FleetSettings fleet;
@@ -165,6 +175,10 @@
   fleet.notice_bound =
       TRY(RequireMilliseconds(lookup, "notice-bound-milliseconds"));
   fleet.usage_interval = TRY(RequireSeconds(lookup, "usage-interval-seconds"));
+  fleet.group_fan_out = TRY(RequireFanOut(lookup));
+  constexpr double kBytesPerMegabit = 125'000;
+  fleet.link_bytes_per_second =
+      kBytesPerMegabit * TRY(RequireNumber(lookup, "link-megabits"));
   if (role == "gateway" && !fleet.callers) {
     return FailFor("callers", lookup("callers"), "IP:PORT");
   }
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -41,6 +41,10 @@
   Duration notice_bound{};
   // How often a gateway writes who caused which work.
   Duration usage_interval{};
+  // Ranks that one agent tells and hears itself.
+  uint32_t group_fan_out = 0;
+  // What this machine's link carries in a second.
+  double link_bytes_per_second = 0;
 };
 
 // Checked settings of one process.
--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -23,6 +23,7 @@
 #include "StandIns/UsersPlatform/Ranks.h"
 
 ABSL_FLAG(std::string, net, "127.0", "the first two numbers of all addresses");
+ABSL_FLAG(int, ranks, 2, "ranks of the group");
 ABSL_FLAG(int, pass_milliseconds, 40, "time of a pass, one event a stream");
 ABSL_FLAG(int, work_milliseconds, 50, "time of a plain request");
 
@@ -234,7 +235,11 @@
 int Run() {
   const std::string net = absl::GetFlag(FLAGS_net);
   Platform platform;
-  platform.group = MakeGroup({net + ".2.1:8000", net + ".2.2:8000"});
+  std::vector<std::string> ranks;
+  for (int rank = 1; rank <= absl::GetFlag(FLAGS_ranks); ++rank) {
+    ranks.push_back(net + ".2." + std::to_string(rank) + ":8000");
+  }
+  platform.group = MakeGroup(ranks);
   platform.group.runs = &platform.runs;
   platform.plain = {{"plain-1", "billing", net + ".3.1:8000"},
                     {"plain-2", "billing", net + ".3.2:8000"},
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -43,22 +43,26 @@
     --callers="$NET.1.$1:8080" --directory="$NET.1.$1:8081" --readiness="$NET.1.$1:8082" \
     --peer_ports=7340,7355 --seeds="$NET.1.1:1,$NET.1.2:1" --repeat_ratio=0.2 --repeat_slack=10 \
     --repeat_window_seconds=10 --stop_bound_seconds=8 --notice_bound_milliseconds=3000 \
-    ${GATEWAY_FLAGS:-}
+    --group_fan_out="${FAN_OUT:-12}" ${GATEWAY_FLAGS:-}
 }
 
 start_rank() {
   spawn "rank-$1" env -u BRAMLEYSPAN_TEST_NET "$BIN/bramleyspand" --role=rank --name="rank-$1" \
     --zone=a --ip="$NET.2.$1" --store="$NET.0.20:7000" --engine="$NET.2.$1:8000" \
-    --peer_ports=7340,7355 --seeds="$NET.1.1:1,$NET.1.2:1"
+    --peer_ports=7340,7355 --seeds="$NET.1.1:1,$NET.1.2:1" --group_fan_out="${FAN_OUT:-12}"
 }
 
 is_ready() { curl -sf -m 1 -o /dev/null "http://$NET.1.$1:8082/readiness"; }
 
+# RANKS in the group, 2 if not set; FAN_OUT of their agents.
 start_platform_and_system() {
-  spawn platform "$BIN/StandInUsersPlatform" --net="$NET" ${PLATFORM_FLAGS:-}
+  # shellcheck disable=SC2086
+  spawn platform "$BIN/StandInUsersPlatform" --net="$NET" --ranks="${RANKS:-2}" \
+    ${PLATFORM_FLAGS:-}
   wait_for "the platform" platform_status
   configure 3 billing
-  for n in 1 2; do start_gateway "$n"; start_rank "$n"; done
+  for n in 1 2; do start_gateway "$n"; done
+  for n in $(seq "${RANKS:-2}"); do start_rank "$n"; done
   for n in 1 2; do wait_for "gateway-$n" is_ready "$n"; done
 }
 
