Rank: Ask another gateway before giving an order from here

Cause: an agent whose order a gateway passed on without an answer gave orders itself for 0.5 s.

Change: a gateway that says that the server did not answer has done its part, the next order goes by a gateway again. Another one is asked where one gave no answer; only after three in a row does the agent give orders itself for 0.5 s.

--- a/Services/bramleyspand/Rank/Orders.cc
+++ b/Services/bramleyspand/Rank/Orders.cc
@@ -26,7 +26,8 @@
 constexpr Duration kLossRemembered = std::chrono::seconds(2);
 constexpr Duration kOwnOrderTimeout = std::chrono::milliseconds(40);
 constexpr Duration kRelayedOrderTimeout = std::chrono::milliseconds(60);
-// Orders are given from here after one that a gateway did not pass on.
+// Orders are given from here after so many gateways in a row passed none on.
+constexpr int kRelaysTried = 3;
 constexpr Duration kRelayPause = std::chrono::milliseconds(500);
 constexpr int kNotFound = 404;
 constexpr int kBadGateway = 502;
@@ -98,15 +99,17 @@
        .body = this->state.adapter.write_order(order),
        .timeout = kRelayedOrderTimeout},
       [this, kind, relay](CallEnd end, const http::Response& response) {
-        const bool is_relayed = end == CallEnd::kWhole &&
-                                response.status != kNotFound &&
-                                response.status != kBadGateway;
+        // A gateway that says that the server did not answer has done its part.
+        const bool is_relayed =
+            end == CallEnd::kWhole && response.status != kNotFound;
         Log(LogLevel::kInfo, "rank", "relayed_order_ended",
             {{"order", kind},
              {"relay", Format(relay)},
              {"end", std::string(http::NameOf(end))},
              {"status", std::to_string(response.status)}});
-        if (!is_relayed) {
+        this->relays_failed = is_relayed ? 0 : this->relays_failed + 1;
+        if (this->relays_failed >= kRelaysTried) {
+          this->relays_failed = 0;
           this->no_relay_until = EventLoop::Now() + kRelayPause;
         }
         this->HandleOwnEnded(
--- a/Services/bramleyspand/Rank/Orders.h
+++ b/Services/bramleyspand/Rank/Orders.h
@@ -58,7 +58,9 @@
   bool is_last_taken = false;
   TimePoint last_far_order;
   size_t relays_tried = 0;
-  // Until then no gateway is tried, since one gave no answer.
+  // Gateways in a row that passed nothing on.
+  int relays_failed = 0;
+  // Until then no gateway is tried.
   TimePoint no_relay_until;
 };
 
