Services: Count datagrams by kind, and refuse what does not fit the group

Cause: what fills a link could only be worked out from the code, and a status of a forged size or rank grew the owner's tables as far as it said.

Change: PeerDatagrams counts datagrams and bytes by direction and kind, counts those that can't be read and logs one in five seconds; owner and leaders take news of their own group's size and of ranks within it only; an agent keeps superiors of ranks within its group only.

Test: datagrams of random bytes at a gateway and at an agent are counted, at most a few logged, and streams go on.

--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -30,10 +30,11 @@
 
 Result<void> Peers::Start() {
   const Settings& settings = this->state.settings;
-  this->datagrams = TRY(Datagrams::Bind(
+  this->datagrams = TRY(PeerDatagrams::Bind(
       this->state.loop, {settings.ip, this->state.fleet().peer_port},
-      [this](const std::string& from_ip, std::string_view bytes) {
-        this->HandleDatagram(from_ip, bytes);
+      [this](const std::string& from_ip,
+             const membership::wire::MessageT& message) {
+        this->HandleMessage(from_ip, message);
       }));
   this->Tick();
   this->records.Start();
@@ -58,7 +59,7 @@
 }
 
 void Peers::Send(const std::string& ip, const std::string& bytes) {
-  this->datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
+  this->datagrams->Send(ip, bytes);
 }
 
 void Peers::TellNow() {
@@ -78,7 +79,7 @@
   const std::string bytes = membership::Encode(std::move(heartbeat));
   for (const std::string& ip :
        membership::PeersForHeartbeat(this->state.members, this->turn)) {
-    this->datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
+    this->datagrams->Send(ip, bytes);
   }
   if (this->turn % kTurnsPerAgentHeartbeat == 0) {
     this->agents.TellAll(self);
@@ -117,12 +118,9 @@
   return self;
 }
 
-void Peers::HandleDatagram(const std::string& from_ip, std::string_view bytes) {
-  const auto message = membership::Decode(bytes);
-  if (message.has_error()) {
-    return;
-  }
-  const auto& body = message.value().body;
+void Peers::HandleMessage(const std::string& from_ip,
+                          const membership::wire::MessageT& message) {
+  const auto& body = message.body;
   if (const auto* offer = body.AsPlaceOffer()) {
     this->state.placing->HandleOffer(*offer);
     return;
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -5,10 +5,10 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 
-#include "Kernel/Datagrams.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/MemberRecords.h"
 #include "Services/bramleyspand/Gateway/RankAgents.h"
+#include "Services/bramleyspand/PeerDatagrams.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -37,7 +37,8 @@
   void Tick();
   void Tell();
   membership::wire::MemberT DescribeSelf();
-  void HandleDatagram(const std::string& from_ip, std::string_view bytes);
+  void HandleMessage(const std::string& from_ip,
+                     const membership::wire::MessageT& message);
   void HandleHeartbeat(const std::string& from_ip,
                        const membership::wire::HeartbeatT& heartbeat);
   void HandleQuery(const std::string& from_ip,
@@ -49,7 +50,7 @@
   void TakeNews(const nlohmann::json& news);
 
   GatewayState& state;
-  std::unique_ptr<Datagrams> datagrams;
+  std::unique_ptr<PeerDatagrams> datagrams;
   MemberRecords records;
   RankAgents agents;
   uint64_t counter = 0;
--- a/Services/bramleyspand/Rank/Leader.cc
+++ b/Services/bramleyspand/Rank/Leader.cc
@@ -54,6 +54,7 @@
   const uint32_t rank = news.status->rank;
   const bool is_led =
       news.status->group == own.group && news.status->size == own.size &&
+      rank < own.size &&
       (rank == own.rank ||
        mapswitch::SuperiorOf(this->state.tree(), rank) == own.rank);
   if (!is_led) {
@@ -150,8 +151,7 @@
     bundle.counts_epoch = this->sum_epoch;
     bundle.counts_step = this->sum_step;
   }
-  this->state.datagrams->Send({owner, this->state.fleet().peer_port},
-                              membership::Encode(std::move(bundle)));
+  this->state.datagrams->Send(owner, membership::Encode(std::move(bundle)));
 }
 
 void Leader::PassWish(TimePoint now) {
@@ -205,8 +205,7 @@
   const std::string bytes = membership::Encode(std::move(heartbeat));
   for (const auto& [rank, info] : this->infos) {
     if (rank != this->state.own->rank) {
-      this->state.datagrams->Send({info.ip, this->state.fleet().peer_port},
-                                  bytes);
+      this->state.datagrams->Send(info.ip, bytes);
     }
   }
 }
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -238,7 +238,9 @@
                     const std::string& from_ip,
                     const membership::wire::RankNewsT& news) {
   if (news.status == nullptr || !state.is_owner() ||
-      news.status->group != state.own->group) {
+      news.status->group != state.own->group ||
+      news.status->size != state.own->size ||
+      news.status->rank >= news.status->size) {
     return false;
   }
   const mapswitch::RankStatus status = FromWire(*news.status);
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -83,11 +83,12 @@
     this->state.incarnation = RandomBits();
     this->state.members.own_name = this->state.settings.name;
     const std::string& ip = this->state.settings.ip;
-    this->state.datagrams = TRY(Datagrams::Bind(
-        this->state.loop, {ip, fleet.peer_port},
-        [this](const std::string& from_ip, std::string_view bytes) {
-          this->HandleDatagram(from_ip, bytes);
-        }));
+    this->state.datagrams = TRY(
+        PeerDatagrams::Bind(this->state.loop, {ip, fleet.peer_port},
+                            [this](const std::string& from_ip,
+                                   const membership::wire::MessageT& message) {
+                              this->HandleMessage(from_ip, message);
+                            }));
     this->metrics = TRY(this->Serve({ip, fleet.metrics_port}));
     this->internal = TRY(this->Serve({ip, fleet.peer_port}));
     this->Tick();
@@ -247,7 +248,7 @@
     }
     const std::string bytes = membership::Encode(std::move(news));
     for (const std::string& ip : this->SuperiorIps(now)) {
-      this->state.datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
+      this->state.datagrams->Send(ip, bytes);
     }
   }
 
@@ -296,12 +297,9 @@
     }
   }
 
-  void HandleDatagram(const std::string& from_ip, std::string_view bytes) {
-    const auto message = membership::Decode(bytes);
-    if (message.has_error()) {
-      return;
-    }
-    const auto& body = message.value().body;
+  void HandleMessage(const std::string& from_ip,
+                     const membership::wire::MessageT& message) {
+    const auto& body = message.body;
     if (const auto* probe = body.AsPlaceProbe()) {
       this->Offer(from_ip, *probe);
     } else if (const auto* taken = body.AsPlaceTaken()) {
@@ -356,7 +354,8 @@
     this->NoteSender(from_ip);
     for (const auto& place : heartbeat.ranks) {
       if (place == nullptr || !this->state.own ||
-          place->group != this->state.own->group) {
+          place->group != this->state.own->group ||
+          place->rank >= this->state.own->size) {
         continue;
       }
       Superior& known = this->state.superiors[place->rank];
@@ -370,7 +369,7 @@
       }
     }
     if (heartbeat.is_asking) {
-      this->SendToGateway(from_ip, this->DescribeSelf());
+      this->state.datagrams->Send(from_ip, this->DescribeSelf());
     }
   }
 
@@ -406,7 +405,7 @@
     wire.load = offer.load;
     wire.limit = offer.limit;
     wire.pass_microseconds = static_cast<uint64_t>(offer.pass.count());
-    this->state.datagrams->Send({gateway_ip, this->state.fleet().peer_port},
+    this->state.datagrams->Send(gateway_ip,
                                 membership::Encode(std::move(wire)));
   }
 
@@ -421,7 +420,7 @@
     // A gateway that has just started learns of this rank at once.
     if (is_learnt && is_new && member.is_entry &&
         !this->is_spoken_for(EventLoop::Now())) {
-      this->SendToGateway(member.ip, this->TellingOfRanks());
+      this->state.datagrams->Send(member.ip, this->TellingOfRanks());
     }
   }
 
@@ -459,17 +458,13 @@
                : this->DescribeSelf();
   }
 
-  void SendToGateway(const std::string& ip, const std::string& bytes) {
-    this->state.datagrams->Send({ip, this->state.fleet().peer_port}, bytes);
-  }
-
   void TellGateways() {
     if (this->is_spoken_for(EventLoop::Now())) {
       return;
     }
     const std::string bytes = this->TellingOfRanks();
     for (const std::string& ip : this->GatewayIps()) {
-      this->SendToGateway(ip, bytes);
+      this->state.datagrams->Send(ip, bytes);
     }
   }
 
--- a/Services/bramleyspand/Rank/RankState.h
+++ b/Services/bramleyspand/Rank/RankState.h
@@ -8,7 +8,6 @@
 #include <string>
 #include <vector>
 
-#include "Kernel/Datagrams.h"
 #include "LibAdmission/RankPlaces.h"
 #include "LibHTTP/DirectCall.h"
 #include "LibMapSwitch/Switch.h"
@@ -17,6 +16,7 @@
 #include "LibPlacement/Drift.h"
 #include "LibPlacement/PassChoices.h"
 #include "LibPlacement/SwitchPlan.h"
+#include "Services/bramleyspand/PeerDatagrams.h"
 #include "Services/bramleyspand/Settings.h"
 
 namespace bramleyspan::rankd {
@@ -83,7 +83,7 @@
   Settings settings;
   mapswitch::RankAdapter adapter;
   http::KeptChannels channels;
-  std::unique_ptr<Datagrams> datagrams;
+  std::unique_ptr<PeerDatagrams> datagrams;
   membership::Members members;
   uint64_t incarnation = 0;
 
--- a/Services/bramleyspand/Rank/Wishes.cc
+++ b/Services/bramleyspand/Rank/Wishes.cc
@@ -119,8 +119,7 @@
     if (rank == this->state.own->rank || !told_ips.insert(info.ip).second) {
       continue;
     }
-    this->state.datagrams->Send({info.ip, this->state.fleet().peer_port},
-                                brief);
+    this->state.datagrams->Send(info.ip, brief);
     const bool was_told = info.told_version == wish.version &&
                           now - info.map_told <= repeat_after;
     if (!has_map || info.wish_version == wish.version || was_told) {
@@ -145,8 +144,7 @@
   }
   const QueuedMap next = std::move(this->queue.front());
   this->queue.pop_front();
-  this->state.datagrams->Send({next.ip, this->state.fleet().peer_port},
-                              next.bytes);
+  this->state.datagrams->Send(next.ip, next.bytes);
   this->state.loop.RunAfter(TimeFor(1, next.bytes.size()),
                             [this] { this->SendQueued(); });
 }
