LibPlatform, Gateway: Ask peers for what is held back here, and tell callers when to return

Change: news are asked for from the older of the own watch and the newest change held. What stands in a refused request's way decides when it is told to come back: a state that is being read 0.5 s, a target without a slot 0.2 s, anything else a third of the caller's time.

--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -97,6 +97,14 @@
   }
 }
 
+bool is_any_open(const TargetTable& table, std::string_view service) {
+  bool is_any = false;
+  ForEachUsable(table, service, {}, [&is_any](const TargetView& view) {
+    is_any = is_any || (view.rank && view.rank->is_open);
+  });
+  return is_any;
+}
+
 const TargetView* ChooseLeastLoaded(const TargetTable& table,
                                     std::string_view service,
                                     const std::set<std::string>& excluded,
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -80,6 +80,9 @@
 // Failures as they count now.
 double FailureScore(const TargetView& view, TimePoint now);
 
+// Whether any of a service's ranks is known to be in an open group.
+bool is_any_open(const TargetTable& table, std::string_view service);
+
 // Targets of a service that may get work; `excluded` were tried already.
 using TargetVisitor = std::function<void(const TargetView&)>;
 void ForEachUsable(const TargetTable& table,
--- a/Libraries/LibGateway/Waiting.cc
+++ b/Libraries/LibGateway/Waiting.cc
@@ -22,6 +22,8 @@
 // refused for good. Callers heed no more than this part of their time.
 constexpr int kReturnDivisor = 3;
 constexpr Duration kShortestReturn = std::chrono::milliseconds(100);
+constexpr Duration kReturnToStarted = std::chrono::milliseconds(500);
+constexpr Duration kReturnToTarget = std::chrono::milliseconds(200);
 
 }  // namespace
 
@@ -59,8 +61,18 @@
   return left.is_late && left.is_returning && !right.is_returning;
 }
 
-Duration ReturnAfter(Duration left) {
-  return std::max(kShortestReturn, left / kReturnDivisor);
+Duration ReturnAfter(Obstacle obstacle, Duration left) {
+  const Duration heeded = std::max(kShortestReturn, left / kReturnDivisor);
+  switch (obstacle) {
+    case Obstacle::kStarting:
+      return std::min(heeded, kReturnToStarted);
+    case Obstacle::kRejected:
+      return std::min(heeded, kReturnToTarget);
+    case Obstacle::kNoPlace:
+    case Obstacle::kStoreAway:
+      return heeded;
+  }
+  return heeded;
 }
 
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/Waiting.h
+++ b/Libraries/LibGateway/Waiting.h
@@ -58,8 +58,23 @@
 // time, then those that were turned away before.
 bool is_before(const Urgency& left, const Urgency& right);
 
-// When a caller that was refused for lack of a place is told to come back, as a
-// part of the time that it has left.
-Duration ReturnAfter(Duration left);
+// What stands in a refused request's way.
+enum class Obstacle {
+  // All places are taken, or the group is closed.
+  kNoPlace,
+  // The target had no slot a moment ago.
+  kRejected,
+  // The desired state is being read.
+  kStarting,
+  // It can't be read: the store does not answer.
+  kStoreAway,
+};
+
+// When a refused caller is told to come back. What may be over in a moment is
+// worth a try then; of anything else most is over as late as callers heed.
+//
+// Failure: callers come back once. After a loss of power those that were told
+// to come back in half a second met a store that was still away.
+Duration ReturnAfter(Obstacle obstacle, Duration left);
 
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibPlatform/PrefixFeed.h
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -85,8 +85,9 @@
   // The newest change known.
   uint64_t newest_revision() const { return this->newest; }
 
-  // The change from which peers' news are to go on.
-  uint64_t watched_revision() const { return this->watched; }
+  // After which change peers' news are to begin: they tell of what is held back
+  // here, too.
+  uint64_t news_from() const { return std::min(this->watched, this->newest); }
 
   // Whether the keys were ever read whole, from the store or a peer.
   bool is_loaded() const { return this->has_loaded; }
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -27,8 +27,8 @@
 
 // Connections that may fail before the request is given up.
 constexpr int kMostUnreached = 4;
-constexpr std::string_view kRetryAfterStart = "0.5";
-constexpr std::string_view kRetryAfterRejection = "0.2";
+// Where a caller names no time.
+constexpr Duration kUsualTime = std::chrono::seconds(2);
 
 // Requests without a key or a route are counted under this name.
 constexpr std::string_view kNobody = "-";
@@ -219,15 +219,30 @@
   this->Finish("refused", status);
 }
 
-std::string Forwarding::RetryAfter() const {
-  if (this->table == nullptr) {
-    return std::string(kRetryAfterStart);
+Duration Forwarding::TimeLeft() const {
+  if (this->deadline != TimePoint{}) {
+    return this->deadline - EventLoop::Now();
   }
-  if (this->sent > 0) {
-    return std::string(kRetryAfterRejection);
+  const auto left = ParseNumber(
+      FindHeader(this->request.headers, this->state.adapter.headers.deadline));
+  return left ? std::chrono::milliseconds(*left) : kUsualTime;
+}
+
+gateway::Obstacle Forwarding::FindObstacle() const {
+  if (this->table == nullptr) {
+    return this->state.table_feed->is_reached() ? gateway::Obstacle::kStarting
+                                                : gateway::Obstacle::kStoreAway;
   }
+  const bool is_closed =
+      this->has_engine() &&
+      !gateway::is_any_open(this->state.targets, this->service);
+  return this->sent > 0 && !is_closed ? gateway::Obstacle::kRejected
+                                      : gateway::Obstacle::kNoPlace;
+}
+
+std::string Forwarding::RetryAfter() const {
   const auto after = std::chrono::duration_cast<std::chrono::milliseconds>(
-      gateway::ReturnAfter(this->deadline - EventLoop::Now()));
+      gateway::ReturnAfter(this->FindObstacle(), this->TimeLeft()));
   constexpr int64_t kMillisecondsPerSecond = 1000;
   std::string fraction = std::to_string(after.count() % kMillisecondsPerSecond);
   fraction.insert(0, 3 - fraction.size(), '0');
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -88,6 +88,9 @@
   void Refuse(int status, std::string_view cause, bool says_when);
   // Seconds after which the caller is told to come back.
   std::string RetryAfter() const;
+  gateway::Obstacle FindObstacle() const;
+  // What is left of the caller's time, or of the route's if that is less.
+  Duration TimeLeft() const;
   void Fail(int status, std::string_view cause);
   void BreakOff(std::string_view cause);
   void Finish(std::string_view outcome, int status);
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -236,7 +236,7 @@
   this->last_fetch = now;
   const std::string query =
       "/v1/news?table=" + std::to_string(own_version) +
-      "&targets=" + std::to_string(now_state.targets_feed->watched_revision());
+      "&targets=" + std::to_string(now_state.targets_feed->news_from());
   http::DirectCall::Fetch(
       this->state.loop,
       {.target = {member.ip, this->state.fleet().peer_port},
--- a/Tests/LibGateway/TestWaiting.cc
+++ b/Tests/LibGateway/TestWaiting.cc
@@ -65,8 +65,18 @@
 }
 
 TEST_CASE("A refused caller returns with enough time for a second try") {
-  CHECK(ReturnAfter(milliseconds(6600)) == milliseconds(2200));
-  CHECK(ReturnAfter(milliseconds(30)) == milliseconds(100));
+  CHECK(ReturnAfter(Obstacle::kNoPlace, milliseconds(6600)) ==
+        milliseconds(2200));
+  CHECK(ReturnAfter(Obstacle::kNoPlace, milliseconds(30)) == milliseconds(100));
+}
+
+TEST_CASE("A refused caller returns once what stood in its way may be over") {
+  constexpr Duration kLeft = seconds(6);
+  CHECK(ReturnAfter(Obstacle::kStoreAway, kLeft) == seconds(2));
+  CHECK(ReturnAfter(Obstacle::kStarting, kLeft) == milliseconds(500));
+  CHECK(ReturnAfter(Obstacle::kRejected, kLeft) == milliseconds(200));
+  CHECK(ReturnAfter(Obstacle::kStarting, milliseconds(900)) ==
+        milliseconds(300));
 }
 
 }  // namespace bramleyspan::gateway
--- a/Tests/LibPlatform/TestPrefixFeed.cc
+++ b/Tests/LibPlatform/TestPrefixFeed.cc
@@ -258,6 +258,9 @@
                             std::chrono::milliseconds(10));
   fixture.AnswerWatch({{"servers/a", "", 12, true}}, 12);
   CHECK(fixture.changes.back() == "+servers/a");
+  // Failure: news were asked for from where the own watch stood, past what was
+  // held back, and a server that was gone got work for two seconds.
+  CHECK(fixture.feed->news_from() < 12);
   SUBCASE("it is back") {
     fixture.feed->Merge({{"servers/a", "1", 13}}, 0);
     fixture.RunFor(std::chrono::milliseconds(60));
