LibPlatform, Gateway: A pausing feed asks a store that is away no oftener

Change: a feed that pauses waits as long after a failure; the pause is 15 s. One that is to watch closely begins at once, also while the store is away.

--- a/Libraries/LibPlatform/PrefixFeed.cc
+++ b/Libraries/LibPlatform/PrefixFeed.cc
@@ -42,11 +42,12 @@
 }
 
 void PrefixFeed::SetWatching(Duration wait, Duration pause) {
-  const bool is_closer =
-      wait < this->settings.watch_wait || pause < this->settings.pause;
+  const bool is_shorter = wait < this->settings.watch_wait && this->reached;
+  const bool was_pausing =
+      this->settings.pause > Duration(0) && pause == Duration(0);
   this->settings.watch_wait = wait;
   this->settings.pause = pause;
-  if (is_closer && pause == Duration(0) && this->reached) {
+  if (was_pausing || (is_shorter && pause == Duration(0))) {
     this->Restart();
   }
 }
@@ -167,9 +168,11 @@
   }
   // Until the keys were read, a process cannot serve: it asks often.
   const Duration delay =
-      this->has_loaded ? Doubled(this->settings.retry_delay, this->failures++,
-                                 this->settings.longest_retry_delay)
-                       : this->settings.retry_delay;
+      this->has_loaded
+          ? std::max(this->settings.pause,
+                     Doubled(this->settings.retry_delay, this->failures++,
+                             this->settings.longest_retry_delay))
+          : this->settings.retry_delay;
   this->loop.RunAfter(delay, [this, asked = this->turn] {
     if (asked != this->turn) {
       return;
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -73,6 +73,7 @@
 // In a large fleet they hear of each change from several peers; a watch that
 // told them too would be a call for each change at each gateway.
 constexpr Duration kShortWait = std::chrono::milliseconds(20);
+constexpr Duration kPause = std::chrono::seconds(15);
 
 // A watch that waits for long costs few calls; one that falls silent must be
 // noticed, and the next one answered, within the bound.
@@ -140,7 +141,7 @@
   Duration pause{};
   if (!is_close && membership::is_large(state.members)) {
     wait = kShortWait;
-    pause = kRelaxedWait;
+    pause = kPause;
   } else if (!is_close) {
     wait = kRelaxedWait;
   }
--- a/Tests/LibPlatform/TestPrefixFeed.cc
+++ b/Tests/LibPlatform/TestPrefixFeed.cc
@@ -219,6 +219,20 @@
     fixture.RunFor(std::chrono::milliseconds(25));
     CHECK(fixture.watched_after == std::vector<uint64_t>{9, 10});
   }
+  SUBCASE("also where the store does not answer") {
+    fixture.RunFor(kPause * 2);
+    fixture.FailWatch(ErrorCode::kConnectionFailed);
+    fixture.RunFor(kPause / 2);
+    CHECK(fixture.watched_after == std::vector<uint64_t>{9, 10});
+    SUBCASE("after the pause") {
+      fixture.RunFor(kPause);
+      CHECK(fixture.watched_after == std::vector<uint64_t>{9, 10, 10});
+    }
+    SUBCASE("and at once where it is to watch closely") {
+      fixture.feed->SetWatching(std::chrono::seconds(2), Duration(0));
+      CHECK(fixture.watched_after == std::vector<uint64_t>{9, 10, 10});
+    }
+  }
   SUBCASE("at once where it is to watch closely") {
     fixture.feed->SetWatching(std::chrono::seconds(2), Duration(0));
     CHECK(fixture.watched_after == std::vector<uint64_t>{9, 10});
