--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -7,16 +7,15 @@
 
 #include "Kernel/Digest.h"
 #include "LibHTTP/Ingress.h"
-#include "LibMapSwitch/Telling.h"
 #include "LibTelemetry/Log.h"
 #include "LibTelemetry/Metrics.h"
 #include "Services/bramleyspand/Rank/Deputy.h"
 #include "Services/bramleyspand/Rank/Leader.h"
 #include "Services/bramleyspand/Rank/MapOwner.h"
 #include "Services/bramleyspand/Rank/Orders.h"
-#include "Services/bramleyspand/Rank/RankMessages.h"
 #include "Services/bramleyspand/Rank/RankReadings.h"
 #include "Services/bramleyspand/Rank/RankState.h"
+#include "Services/bramleyspand/Rank/RankTeller.h"
 #include "Services/bramleyspand/Rank/Wishes.h"
 #include "Services/bramleyspand/Role.h"
 
@@ -35,15 +34,9 @@
 constexpr uint64_t kTicksPerHeartbeat = 14;
 // In a switch the group may wait for this rank.
 constexpr int kReportsPerTickOfSwitch = 3;
-// Every eighth news tells the lists of the rank's experts: the owner needs them
-// once a map, and a lost datagram should not cost it more than a second.
-constexpr uint64_t kNewsPerLists = 8;
 constexpr Duration kShapeInterval = std::chrono::seconds(5);
 constexpr Duration kFirstShapeInterval = std::chrono::milliseconds(300);
 constexpr Duration kFarCallTimeout = std::chrono::milliseconds(700);
-// Some heartbeats of the leader above.
-constexpr Duration kLeaderSilent =
-    3 * Leader::kHeartbeatInterval + kTickInterval;
 // A group that is held for so long may wait for a rank whose agent is gone.
 constexpr Duration kLongHold = std::chrono::milliseconds(300);
 
@@ -66,9 +59,14 @@
                       [this](RankStatus status) {
                         this->HandleOwnStatus(std::move(status));
                       },
-                  .on_counts = [this] { this->TellOwner(); }}),
+                  .on_counts = [this] { this->teller.TellSuperior(); }}),
         wishes(this->state),
         leader(this->state, this->wishes),
+        teller(this->state,
+               this->leader,
+               [this](const membership::wire::RankNewsT& news) {
+                 this->TakeNews(this->state.settings.ip, news);
+               }),
         orders(this->state, [this] { this->readings.ReadReport(); }),
         deputy(this->state, [this](const Address& server, const Order& order) {
           this->orders.SendFar(server, order);
@@ -145,7 +143,7 @@
     this->leader.Tick(now);
     if (this->ticks % kTicksPerHeartbeat == 0 ||
         this->leader.TakeNewsForGateways()) {
-      this->TellGateways();
+      this->teller.TellGateways();
     }
     for (int part = 1; this->state.wish && part < kReportsPerTickOfSwitch;
          ++part) {
@@ -173,7 +171,7 @@
       now_state.own_held = {};
       KeepMap(now_state, status);
       now_state.wish.reset();
-      this->news_count = kNewsPerLists - 2;
+      this->teller.TellListsSoon();
     }
     now_state.own = std::move(status);
     now_state.own_heard = EventLoop::Now();
@@ -199,78 +197,13 @@
       this->readings.ReadCounts();
     }
     if (is_news_for_gateways) {
-      this->TellGateways();
+      this->teller.TellGateways();
     }
-    this->TellOwner();
+    this->teller.TellSuperior();
     this->Act();
     this->deputy.HandleOwnStatus(EventLoop::Now());
   }
 
-  void TellOwner() {
-    const TimePoint now = EventLoop::Now();
-    const bool has_counts = !this->state.new_counts.empty();
-    if (!mapswitch::is_due(this->telling, *this->state.own, has_counts, now)) {
-      return;
-    }
-    this->telling = {.told = *this->state.own, .told_at = now};
-    membership::wire::RankNewsT news;
-    news.status = std::make_unique<membership::wire::RankStatusT>(
-        ToWire(*this->state.own, *this->state.fleet().engine));
-    auto packed =
-        placement::PackCounts(std::exchange(this->state.new_counts, {}));
-    news.counts = std::move(packed.counts);
-    news.count_unit = packed.unit;
-    news.wish_version = this->state.wish && !this->state.wish->map.empty()
-                            ? this->state.wish->version
-                            : 0;
-    if (this->state.last_counts) {
-      news.counts_epoch = this->state.last_counts->epoch;
-      news.counts_step = this->state.last_counts->step;
-    }
-    const HeldMap& in_force = this->state.map_in_force;
-    const bool has_base = in_force.epoch == this->state.own->epoch &&
-                          in_force.version == this->state.own->map;
-    news.base_version = has_base ? in_force.version : 0;
-    const bool is_known = this->state.own_held.version == this->state.own->map;
-    if (is_known && ++this->news_count % kNewsPerLists == 0) {
-      for (const auto& set : this->state.own_held.sets) {
-        news.lengths.push_back(static_cast<uint16_t>(set.size()));
-        news.experts.insert(news.experts.end(), set.begin(), set.end());
-      }
-    }
-    if (this->state.is_owner()) {
-      this->TakeNews(this->state.settings.ip, news);
-      return;
-    }
-    if (this->leader.is_leading()) {
-      this->leader.HandleNews(this->state.settings.ip, std::move(news));
-      return;
-    }
-    const std::string bytes = membership::Encode(std::move(news));
-    for (const std::string& ip : this->SuperiorIps(now)) {
-      this->state.datagrams->Send(ip, bytes);
-    }
-  }
-
-  // The leader above; the owner too where there is none, or none that is heard.
-  std::set<std::string> SuperiorIps(TimePoint now) const {
-    std::set<std::string> ips{this->state.FindSuperior(
-        mapswitch::SuperiorOf(this->state.tree(), this->state.own->rank))};
-    if (!this->is_spoken_for(now)) {
-      ips.insert(this->state.FindSuperior(0));
-    }
-    ips.erase("");
-    return ips;
-  }
-
-  // Whether a leader tells gateways and the owner of this rank.
-  bool is_spoken_for(TimePoint now) const {
-    return this->state.own &&
-           mapswitch::SuperiorOf(this->state.tree(), this->state.own->rank) !=
-               0 &&
-           now - this->state.leader_heard <= kLeaderSilent;
-  }
-
   void Act() {
     const TimePoint now = EventLoop::Now();
     if (this->state.is_owner()) {
@@ -320,7 +253,7 @@
       const bool has_jumped = HandleBundle(this->state, from_ip, *bundle);
       this->ActAfterNews(has_jumped);
     } else if (const auto* wish = body.AsMapWish()) {
-      this->NoteSender(from_ip);
+      this->teller.NoteSender(from_ip);
       this->HandleWish(*wish);
     }
   }
@@ -333,27 +266,14 @@
     }
     this->leader.PassWish(now);
     if (taking == Taking::kNew) {
-      this->telling = {};
-      this->TellOwner();
+      this->teller.TellSuperiorNow();
       this->readings.ReadReport();
     }
   }
 
-  // A leader that says anything speaks for this rank.
-  void NoteSender(const std::string& from_ip) {
-    if (!this->state.own) {
-      return;
-    }
-    const uint32_t superior =
-        mapswitch::SuperiorOf(this->state.tree(), this->state.own->rank);
-    if (superior != 0 && this->state.FindSuperior(superior) == from_ip) {
-      this->state.leader_heard = EventLoop::Now();
-    }
-  }
-
   void HandleHeartbeat(const membership::wire::HeartbeatT& heartbeat,
                        const std::string& from_ip) {
-    this->NoteSender(from_ip);
+    this->teller.NoteSender(from_ip);
     for (const auto& place : heartbeat.ranks) {
       if (place == nullptr || !this->state.own ||
           place->group != this->state.own->group ||
@@ -371,7 +291,7 @@
       }
     }
     if (heartbeat.is_asking) {
-      this->state.datagrams->Send(from_ip, this->DescribeSelf());
+      this->teller.TellOfOwnRank(from_ip);
     }
   }
 
@@ -420,9 +340,8 @@
     const bool is_learnt = membership::Learn(this->state.members, member,
                                              is_direct, EventLoop::Now());
     // A gateway that has just started learns of this rank at once.
-    if (is_learnt && is_new && member.is_entry &&
-        !this->is_spoken_for(EventLoop::Now())) {
-      this->state.datagrams->Send(member.ip, this->TellingOfRanks());
+    if (is_learnt && is_new && member.is_entry) {
+      this->teller.TellGateway(member.ip);
     }
   }
 
@@ -436,56 +355,11 @@
             body.value("least_pass_us", usual.least_pass.count()))};
   }
 
-  std::string DescribeSelf() {
-    membership::wire::HeartbeatT heartbeat;
-    auto self = std::make_unique<membership::wire::MemberT>();
-    self->name = this->state.settings.name;
-    self->zone = this->state.settings.zone;
-    self->ip = this->state.settings.ip;
-    self->incarnation = this->state.incarnation;
-    self->counter = ++this->counter;
-    constexpr Duration kStale = std::chrono::seconds(1);
-    if (this->state.own && EventLoop::Now() - this->state.own_heard < kStale) {
-      self->rank = std::make_unique<membership::wire::RankStatusT>(
-          ToWireForGateways(*this->state.own, *this->state.fleet().engine));
-    }
-    heartbeat.members.push_back(std::move(self));
-    return membership::Encode(std::move(heartbeat));
-  }
-
-  // A leader tells of its ranks, any other agent of its own.
-  std::string TellingOfRanks() {
-    return this->leader.is_leading()
-               ? membership::Encode(this->leader.Summarize(EventLoop::Now()))
-               : this->DescribeSelf();
-  }
-
-  void TellGateways() {
-    if (this->is_spoken_for(EventLoop::Now())) {
-      return;
-    }
-    const std::string bytes = this->TellingOfRanks();
-    for (const std::string& ip : this->GatewayIps()) {
-      this->state.datagrams->Send(ip, bytes);
-    }
-  }
-
-  std::set<std::string> GatewayIps() const {
-    std::set<std::string> ips(this->state.fleet().seeds.begin(),
-                              this->state.fleet().seeds.end());
-    for (const auto& [name, known] : this->state.members.known) {
-      if (known.member.is_entry) {
-        ips.insert(known.member.ip);
-      }
-    }
-    return ips;
-  }
-
   void AskForShape() {
     const bool is_known = this->state.shape.has_value();
     this->state.loop.RunAfter(is_known ? kShapeInterval : kFirstShapeInterval,
                               [this] { this->AskForShape(); });
-    const std::set<std::string> ips = this->GatewayIps();
+    const std::set<std::string> ips = this->teller.GatewayIps();
     if (ips.empty()) {
       return;
     }
@@ -531,7 +405,7 @@
     for (const auto& [rank, superior] : this->state.superiors) {
       dump["superiors"][std::to_string(rank)] = superior.ip;
     }
-    dump["is_spoken_for"] = this->is_spoken_for(EventLoop::Now());
+    dump["is_spoken_for"] = this->teller.is_spoken_for(EventLoop::Now());
     dump["switch"] = {
         {"phase", mapswitch::NameOf(this->state.map_switch.phase)},
         {"version", this->state.map_switch.wish.version}};
@@ -542,16 +416,14 @@
   RankReadings readings;
   WishTeller wishes;
   Leader leader;
+  RankTeller teller;
   Orders orders;
   Deputy deputy;
   std::unique_ptr<http::Ingress> metrics;
   std::unique_ptr<http::Ingress> internal;
   uint64_t ticks = 0;
-  uint64_t counter = 0;
   bool is_draining = false;
   TimePoint drain_began;
-  mapswitch::Telling telling;
-  uint64_t news_count = 0;
 };
 
 const PluginRegistration<StartRole> kRegistration("rank",
