LibMapSwitch: No two owners use one version for two maps

Cause, found in a reading of maps as changes: the stand-in ranks of the tests compared versions only, and every plan of theirs was the same map. An owner that dies while ranks copy the map of a version leaves no rank that reports it; the next owner gave the same version to another map. A rank that has the first one refuses the second (its version is not higher), reports the version as prepared, and the group goes on with two maps. An agent that had heard the first wish took the second for the same and kept the first map.

Change: an owner that starts puts its first version at random, up to 2^24, beyond the newest that it has seen.

Tests: plans differ, and the simulated ranks compare what maps hold.

--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -341,7 +341,13 @@
   return map_switch.phase == SwitchPhase::kPreparing;
 }
 
+Version DrawVersionOffset(uint64_t random_bits) {
+  constexpr uint64_t kLargest = 1U << 24U;
+  return random_bits % kLargest;
+}
+
 void StartSwitch(MapSwitch& map_switch, ExpertLists map, TimePoint now) {
+  map_switch.newest += std::exchange(map_switch.version_offset, 0);
   map_switch.wish = Wish{.epoch = map_switch.ranks.front()->status.epoch,
                          .version = ++map_switch.newest,
                          .map = std::move(map)};
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -85,6 +85,13 @@
   bool is_hold_wished = false;
   // The newest version that was ever wished or seen.
   Version newest = 0;
+  // Random, at each start of the owner's process: its first version lies so far
+  // beyond the newest that it has seen.
+  //
+  // Failure: an owner dies while ranks copy the map of version 7, and nobody
+  // reports that version yet. The next owner gives it to another map, and the
+  // group goes on with both.
+  Version version_offset = 0;
   // An agent that stands in for a silent owner knows the ranks by reports that
   // are old and of different moments, so that it only ever finishes a switch
   // that all ranks have prepared.
@@ -109,6 +116,9 @@
 // but copies was ordered for it.
 bool is_replaceable(const MapSwitch& map_switch);
 
+// A random offset for an owner that starts.
+Version DrawVersionOffset(uint64_t random_bits);
+
 // Starts a switch to `map`; is_ready_for_map or is_replaceable must hold.
 void StartSwitch(MapSwitch& map_switch, ExpertLists map, TimePoint now);
 
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -79,6 +79,8 @@
             fleet.adapter));
     this->state.adapter = make();
     this->state.incarnation = RandomBits();
+    this->state.map_switch.version_offset =
+        mapswitch::DrawVersionOffset(RandomBits());
     this->state.members.own_name = this->state.settings.name;
     const std::string& ip = this->state.settings.ip;
     this->state.datagrams = TRY(
--- a/Tests/LibMapSwitch/SimulatedRanks.cc
+++ b/Tests/LibMapSwitch/SimulatedRanks.cc
@@ -15,6 +15,7 @@
     : random(seed),
       ranks(size),
       newest(size, 0),
+      contents(size),
       copied_at(size),
       copying(size, 0),
       pass_due(this->now) {
@@ -40,6 +41,7 @@
       return false;
     }
     this->newest[rank] = prepare->version;
+    this->contents[rank][prepare->version] = prepare->map;
     this->copying[rank] = prepare->version;
     this->copied_at[rank] = this->now + kCopy;
     own.prepared = 0;
@@ -116,8 +118,11 @@
       rank.prepared = 0;
     }
   }
-  for (const RankStatus& rank : this->ranks) {
-    this->is_split = this->is_split || rank.map != this->ranks.front().map;
+  const Version in_force = this->ranks.front().map;
+  for (uint32_t rank = 0; rank < this->size(); ++rank) {
+    this->is_split =
+        this->is_split || this->ranks[rank].map != in_force ||
+        this->contents[rank][in_force] != this->contents.front()[in_force];
   }
 }
 
@@ -127,6 +132,7 @@
     ++own.epoch;
     own.map = own.prepared = own.armed = own.armed_step = own.held = 0;
     this->copying[rank] = 0;
+    this->contents[rank].clear();
     if (rank == restarted) {
       own.sequence = 0;
       this->newest[rank] = 0;
--- a/Tests/LibMapSwitch/SimulatedRanks.h
+++ b/Tests/LibMapSwitch/SimulatedRanks.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <optional>
 #include <random>
 #include <vector>
@@ -32,7 +33,8 @@
   const RankStatus& status(uint32_t rank) const { return this->ranks[rank]; }
   uint32_t size() const { return static_cast<uint32_t>(this->ranks.size()); }
 
-  // Whether a pass ever began while two ranks had different maps.
+  // Whether a pass ever began while two ranks had different maps, by version or
+  // by content.
   bool is_split = false;
   Step step = 0;
   TimePoint now{std::chrono::seconds(1000)};
@@ -56,6 +58,8 @@
   std::mt19937_64 random;
   std::vector<RankStatus> ranks;
   std::vector<Version> newest;
+  // By rank: what a map of a version holds, as it was ordered there.
+  std::vector<std::map<Version, ExpertLists>> contents;
   std::vector<TimePoint> copied_at;
   std::vector<Version> copying;
   std::deque<LateOrder> late;
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -100,8 +100,10 @@
   void Lead(TimePoint now) {
     Continue(this->owner, now);
     if (is_ready_for_map(this->owner, now) || needs_switch(this->owner, now)) {
-      StartSwitch(this->owner, ExpertLists(1, {{0}, {1}, {2}, {3}}), now);
       ++this->switches;
+      // Each plan is another map.
+      const auto plan = static_cast<uint16_t>(this->switches);
+      StartSwitch(this->owner, ExpertLists(1, {{0}, {1}, {2}, {plan}}), now);
     }
     if (this->owner.phase == SwitchPhase::kIdle) {
       return;
@@ -115,7 +117,7 @@
 
   // The owner's process dies and another starts beside the same rank.
   void RestartOwner() {
-    this->owner = {};
+    this->owner = {.version_offset = DrawVersionOffset(this->random())};
     this->wishes[0].reset();
     this->last_orders.erase(0);
   }
