--- a/Services/bramleyspand/Gateway/RankAgents.h
+++ b/Services/bramleyspand/Gateway/RankAgents.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "LibMapSwitch/Tree.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
--- a/Services/bramleyspand/Rank/Leader.cc
+++ b/Services/bramleyspand/Rank/Leader.cc
@@ -73,7 +73,7 @@
                                 status.is_open != known.status.is_open ||
                                 status.epoch != known.status.epoch;
   // Lists wait for the next bundle.
-  if (news.lengths.empty() && is_new == false) {
+  if (news.lengths.empty() && !is_new) {
     news.lengths = std::move(known.news.lengths);
     news.experts = std::move(known.news.experts);
   }
--- a/Services/bramleyspand/Rank/RankTeller.h
+++ b/Services/bramleyspand/Rank/RankTeller.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "LibMapSwitch/Telling.h"
 #include "Services/bramleyspand/Rank/Leader.h"
