LibPlatform, Gateway: Tell each call that a feed gave up, and who told a change

Change: store_unanswered (call, took_ms, next_in_ms, reason); store_lost and store_regained say for how long nothing was heard; table_in_force says heard_from. One line for each failed call, a few a minute. No logic changed.

--- a/Libraries/LibPlatform/PrefixFeed.cc
+++ b/Libraries/LibPlatform/PrefixFeed.cc
@@ -15,6 +15,16 @@
 
 }  // namespace
 
+std::string_view NameOf(FeedSource source) {
+  switch (source) {
+    case FeedSource::kStore:
+      return "store";
+    case FeedSource::kPeer:
+      return "peer";
+  }
+  return "store";
+}
+
 PrefixFeed::PrefixFeed(EventLoop& loop,
                        Store& store,
                        PrefixFeedSettings settings,
@@ -62,6 +72,7 @@
 }
 
 void PrefixFeed::ReadPage(const std::string& after) {
+  this->last_call = EventLoop::Now();
   this->store.range({.prefix = this->settings.prefix,
                      .after = after,
                      .timeout = this->settings.range_timeout},
@@ -75,7 +86,7 @@
     return;
   }
   if (page.has_error()) {
-    this->Retry(page.error());
+    this->Retry("range", page.error());
     return;
   }
   this->NoteAnswer();
@@ -85,7 +96,7 @@
   }
   for (const StoreItem& item : page.value().items) {
     this->in_range[item.key] = item.revision;
-    this->Apply(item);
+    this->Apply(item, FeedSource::kStore);
   }
   if (page.value().has_more && !page.value().items.empty()) {
     this->ReadPage(page.value().items.back().key);
@@ -112,6 +123,7 @@
 }
 
 void PrefixFeed::Watch() {
+  this->last_call = EventLoop::Now();
   this->store.watch({.prefix = this->settings.prefix,
                      .after = this->watched,
                      .wait = this->settings.watch_wait,
@@ -131,7 +143,7 @@
       this->Start();
       return;
     }
-    this->Retry(answer.error());
+    this->Retry("watch", answer.error());
     return;
   }
   this->NoteAnswer();
@@ -139,7 +151,7 @@
     if (item.is_removed) {
       this->HoldRemoval(item.key, item.revision);
     } else {
-      this->Apply(item);
+      this->Apply(item, FeedSource::kStore);
     }
   }
   this->watched = std::max(this->watched, answer.value().revision);
@@ -162,9 +174,12 @@
   });
 }
 
-void PrefixFeed::Retry(const Error& error) {
+void PrefixFeed::Retry(std::string_view call, const Error& error) {
+  const TimePoint now = EventLoop::Now();
   if (std::exchange(this->reached, false) && this->events.on_reach) {
-    this->events.on_reach(false, Describe(error));
+    this->events.on_reach({.is_reached = false,
+                           .reason = Describe(error),
+                           .unheard = now - this->last_answer});
   }
   // Until the keys were read, a process cannot serve: it asks often.
   const Duration delay =
@@ -173,6 +188,12 @@
                      Doubled(this->settings.retry_delay, this->failures++,
                              this->settings.longest_retry_delay))
           : this->settings.retry_delay;
+  if (this->events.on_failure) {
+    this->events.on_failure({.call = call,
+                             .took = now - this->last_call,
+                             .next_in = delay,
+                             .reason = Describe(error)});
+  }
   this->loop.RunAfter(delay, [this, asked = this->turn] {
     if (asked != this->turn) {
       return;
@@ -186,12 +207,16 @@
 }
 
 void PrefixFeed::NoteAnswer() {
-  this->last_answer = EventLoop::Now();
-  this->failures = 0;
+  const TimePoint now = EventLoop::Now();
+  const Duration unheard = now - std::exchange(this->last_answer, now);
+  const int failed = std::exchange(this->failures, 0);
   if (!std::exchange(this->reached, true)) {
-    this->returned = this->last_answer;
+    this->returned = now;
     if (this->events.on_reach) {
-      this->events.on_reach(true, "it answers");
+      this->events.on_reach({.is_reached = true,
+                             .reason = "it answers",
+                             .unheard = unheard,
+                             .failures = failed});
     }
   }
 }
@@ -201,7 +226,7 @@
          EventLoop::Now() - this->returned < this->settings.return_grace;
 }
 
-void PrefixFeed::Apply(const StoreItem& item) {
+void PrefixFeed::Apply(const StoreItem& item, FeedSource source) {
   FeedItem& known = this->held[item.key];
   if (known.revision >= item.revision) {
     return;
@@ -212,7 +237,7 @@
            .heard = EventLoop::Now()};
   this->newest = std::max(this->newest, item.revision);
   if (this->events.on_change) {
-    this->events.on_change(item);
+    this->events.on_change(item, source);
   }
 }
 
@@ -221,13 +246,13 @@
   const bool may_be_back =
       this->is_returning() || this->settings.pause > Duration(0);
   if (!may_be_back) {
-    this->Remove(key, revision);
+    this->Remove(key, revision, FeedSource::kStore);
     return;
   }
   ++this->removals_held;
   this->loop.RunAfter(this->settings.return_grace, [this, key, revision] {
     --this->removals_held;
-    this->Remove(key, revision);
+    this->Remove(key, revision, FeedSource::kStore);
   });
 }
 
@@ -237,7 +262,9 @@
   return is_complete ? this->watched : 0;
 }
 
-void PrefixFeed::Remove(const std::string& key, uint64_t revision) {
+void PrefixFeed::Remove(const std::string& key,
+                        uint64_t revision,
+                        FeedSource source) {
   FeedItem& known = this->held[key];
   if (known.revision > revision || known.is_removed) {
     return;
@@ -249,7 +276,8 @@
   this->newest = std::max(this->newest, revision);
   if (this->events.on_change) {
     this->events.on_change(
-        {.key = key, .value = "", .revision = revision, .is_removed = true});
+        {.key = key, .value = "", .revision = revision, .is_removed = true},
+        source);
   }
 }
 
@@ -259,9 +287,9 @@
   for (const StoreItem& item : items) {
     revision = std::max(revision, item.revision);
     if (item.is_removed) {
-      this->Remove(item.key, item.revision);
+      this->Remove(item.key, item.revision, FeedSource::kPeer);
     } else {
-      this->Apply(item);
+      this->Apply(item, FeedSource::kPeer);
     }
   }
   if (this->watched != 0) {
--- a/Libraries/LibPlatform/PrefixFeed.h
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "Kernel/EventLoop.h"
@@ -50,11 +51,35 @@
   TimePoint heard;
 };
 
+enum class FeedSource { kStore, kPeer };
+
+// The stable name of a source, such as "store".
+std::string_view NameOf(FeedSource source);
+
+// A call to the store that failed or was given up.
+struct FailedCall {
+  std::string_view call;
+  Duration took{};
+  // When the next call follows.
+  Duration next_in{};
+  std::string reason;
+};
+
+// The store answers again, or no longer does.
+struct ReachChange {
+  bool is_reached = false;
+  std::string reason;
+  // How long the store was not heard.
+  Duration unheard{};
+  // Calls that failed meanwhile.
+  int failures = 0;
+};
+
 struct FeedEvents {
   // Something was written or removed.
-  std::function<void(const StoreItem&)> on_change;
-  // The store answers again, or no longer does.
-  std::function<void(bool is_reached, const std::string& reason)> on_reach;
+  std::function<void(const StoreItem&, FeedSource)> on_change;
+  std::function<void(const ReachChange&)> on_reach;
+  std::function<void(const FailedCall&)> on_failure;
 };
 
 class PrefixFeed {
@@ -104,13 +129,13 @@
   void FinishRange();
   void Watch();
   void HandleWatch(uint64_t turn, Result<WatchAnswer> answer);
-  void Retry(const Error& error);
+  void Retry(std::string_view call, const Error& error);
   // Watches anew on a new channel.
   void Restart();
   void RestartIfSilent(uint64_t revision);
   void NoteAnswer();
-  void Apply(const StoreItem& item);
-  void Remove(const std::string& key, uint64_t revision);
+  void Apply(const StoreItem& item, FeedSource source);
+  void Remove(const std::string& key, uint64_t revision, FeedSource source);
   void HoldRemoval(const std::string& key, uint64_t revision);
   bool is_returning() const;
 
@@ -133,6 +158,7 @@
   // Removals that are held back.
   int removals_held = 0;
   TimePoint last_answer;
+  TimePoint last_call;
   // When the store last came back after it had not answered.
   TimePoint returned;
 };
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -14,6 +14,7 @@
 
 void HandleTableChange(GatewayState& state,
                        const platform::StoreItem& item,
+                       platform::FeedSource source,
                        const OnTable& on_table) {
   if (item.key != state.adapter.table_key || item.is_removed) {
     return;
@@ -35,6 +36,7 @@
   Log(LogLevel::kInfo, "feeds", "table_in_force",
       {{"version", std::to_string(state.table->version)},
        {"revision", std::to_string(item.revision)},
+       {"heard_from", std::string(platform::NameOf(source))},
        {"hosts", std::to_string(state.table->hosts.size())},
        {"keys", std::to_string(state.table->tenants_by_key.size())}});
   on_table(*state.table);
@@ -90,16 +92,32 @@
   return {.prefix = prefix, .watch_wait = CloseWait(state), .rest = kRest};
 }
 
+std::string Milliseconds(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 platform::FeedEvents EventsOf(
-    std::string name,
-    std::function<void(const platform::StoreItem&)> on_change) {
+    const std::string& name,
+    std::function<void(const platform::StoreItem&, platform::FeedSource)>
+        on_change) {
   platform::FeedEvents events;
   events.on_change = std::move(on_change);
-  events.on_reach = [name = std::move(name)](bool is_reached,
-                                             const std::string& reason) {
-    Log(is_reached ? LogLevel::kInfo : LogLevel::kWarning, "feeds",
-        is_reached ? "store_regained" : "store_lost",
-        {{"feed", name}, {"reason", reason}});
+  events.on_reach = [name](const platform::ReachChange& change) {
+    Log(change.is_reached ? LogLevel::kInfo : LogLevel::kWarning, "feeds",
+        change.is_reached ? "store_regained" : "store_lost",
+        {{"feed", name},
+         {"reason", change.reason},
+         {"unheard_ms", Milliseconds(change.unheard)},
+         {"failed_calls", std::to_string(change.failures)}});
+  };
+  events.on_failure = [name](const platform::FailedCall& failed) {
+    Log(LogLevel::kInfo, "feeds", "store_unanswered",
+        {{"feed", name},
+         {"call", std::string(failed.call)},
+         {"took_ms", Milliseconds(failed.took)},
+         {"next_in_ms", Milliseconds(failed.next_in)},
+         {"reason", failed.reason}});
   };
   return events;
 }
@@ -112,17 +130,19 @@
   state.table_feed = std::make_unique<platform::PrefixFeed>(
       state.loop, state.store, FeedSettings(state, state.adapter.table_prefix),
       EventsOf("table", [&state, on_table = std::move(on_table)](
-                            const platform::StoreItem& item) {
-        HandleTableChange(state, item, on_table);
+                            const platform::StoreItem& item,
+                            platform::FeedSource source) {
+        HandleTableChange(state, item, source, on_table);
       }));
   state.targets_feed = std::make_unique<platform::PrefixFeed>(
       state.loop, state.store,
       FeedSettings(state, state.adapter.targets_prefix),
-      EventsOf("targets", [&state, on_target = std::move(on_target)](
-                              const platform::StoreItem& item) {
-        HandleTargetChange(state, item);
-        on_target();
-      }));
+      EventsOf("targets",
+               [&state, on_target = std::move(on_target)](
+                   const platform::StoreItem& item, platform::FeedSource) {
+                 HandleTargetChange(state, item);
+                 on_target();
+               }));
   state.table_feed->Start();
   state.targets_feed->Start();
 }
--- a/Tests/LibPlatform/TestPrefixFeed.cc
+++ b/Tests/LibPlatform/TestPrefixFeed.cc
@@ -32,7 +32,7 @@
       this->watches.push_back(std::move(on_done));
     };
     FeedEvents events;
-    events.on_change = [this](const StoreItem& item) {
+    events.on_change = [this](const StoreItem& item, FeedSource) {
       this->changes.push_back((item.is_removed ? "-" : "+") + item.key);
     };
     PrefixFeedSettings settings{.prefix = "servers/",
