LibPlatform: Drive a feed's timers in virtual time; its times follow from one bound

Cause: what a feed waits for in sum (its watch, the slack, the pause after a failure) could not be played: its timers were the loop's, and the times of a gateway's feed were put together in the gateway.

Change: PrefixFeed takes Timers (now, run_after), TestPrefixFeed passes its own, so that these tests no longer wait; CloseFeedSettings makes the times from the bound within which silence must show.

--- a/Kernel/EventLoop.cc
+++ b/Kernel/EventLoop.cc
@@ -117,4 +117,12 @@
       std::clamp<int64_t>(rounded_up, 0, kLongestWaitInMilliseconds));
 }
 
+Timers TimersOf(EventLoop& loop) {
+  return {.now = [] { return EventLoop::Now(); },
+          .run_after =
+              [&loop](Duration delay, std::function<void()> callback) {
+                loop.RunAfter(delay, std::move(callback));
+              }};
+}
+
 }  // namespace bramleyspan
--- a/Kernel/EventLoop.h
+++ b/Kernel/EventLoop.h
@@ -62,4 +62,12 @@
   bool is_stopped = false;
 };
 
+// What a part that waits needs of a loop; tests pass time themselves.
+struct Timers {
+  std::function<TimePoint()> now;
+  std::function<void(Duration, std::function<void()>)> run_after;
+};
+
+Timers TimersOf(EventLoop& loop);
+
 }  // namespace bramleyspan
--- a/Libraries/LibPlatform/PrefixFeed.cc
+++ b/Libraries/LibPlatform/PrefixFeed.cc
@@ -15,6 +15,20 @@
 
 }  // namespace
 
+Duration CloseWatchWait(Duration notice_bound) {
+  constexpr Duration kReserve = std::chrono::milliseconds(800);
+  constexpr Duration kShortest = std::chrono::milliseconds(500);
+  return std::max(kShortest, notice_bound - kReserve);
+}
+
+PrefixFeedSettings CloseFeedSettings(std::string prefix,
+                                     Duration notice_bound) {
+  constexpr Duration kRest = std::chrono::milliseconds(120);
+  return {.prefix = std::move(prefix),
+          .watch_wait = CloseWatchWait(notice_bound),
+          .rest = kRest};
+}
+
 std::string_view NameOf(FeedSource source) {
   switch (source) {
     case FeedSource::kStore:
@@ -25,15 +39,15 @@
   return "store";
 }
 
-PrefixFeed::PrefixFeed(EventLoop& loop,
+PrefixFeed::PrefixFeed(Timers timers,
                        Store& store,
                        PrefixFeedSettings settings,
                        FeedEvents events)
-    : loop(loop),
+    : timers(std::move(timers)),
       store(store),
       settings(std::move(settings)),
       events(std::move(events)),
-      last_answer(EventLoop::Now()),
+      last_answer(this->timers.now()),
       returned(TimePoint::min()) {}
 
 void PrefixFeed::Start() {
@@ -63,7 +77,7 @@
 }
 
 void PrefixFeed::RestartIfSilent(uint64_t revision) {
-  this->loop.RunAfter(
+  this->timers.run_after(
       this->settings.silence_grace, [this, revision, asked = this->turn] {
         if (asked == this->turn && this->reached && this->watched < revision) {
           this->Restart();
@@ -72,7 +86,7 @@
 }
 
 void PrefixFeed::ReadPage(const std::string& after) {
-  this->last_call = EventLoop::Now();
+  this->last_call = this->timers.now();
   this->store.range({.prefix = this->settings.prefix,
                      .after = after,
                      .timeout = this->settings.range_timeout},
@@ -123,7 +137,7 @@
 }
 
 void PrefixFeed::Watch() {
-  this->last_call = EventLoop::Now();
+  this->last_call = this->timers.now();
   this->store.watch({.prefix = this->settings.prefix,
                      .after = this->watched,
                      .wait = this->settings.watch_wait,
@@ -167,7 +181,7 @@
     this->Watch();
     return;
   }
-  this->loop.RunAfter(pause, [this, asked] {
+  this->timers.run_after(pause, [this, asked] {
     if (asked == this->turn) {
       this->Watch();
     }
@@ -175,7 +189,7 @@
 }
 
 void PrefixFeed::Retry(std::string_view call, const Error& error) {
-  const TimePoint now = EventLoop::Now();
+  const TimePoint now = this->timers.now();
   if (std::exchange(this->reached, false) && this->events.on_reach) {
     this->events.on_reach({.is_reached = false,
                            .reason = Describe(error),
@@ -194,7 +208,7 @@
                              .next_in = delay,
                              .reason = Describe(error)});
   }
-  this->loop.RunAfter(delay, [this, asked = this->turn] {
+  this->timers.run_after(delay, [this, asked = this->turn] {
     if (asked != this->turn) {
       return;
     }
@@ -207,7 +221,7 @@
 }
 
 void PrefixFeed::NoteAnswer() {
-  const TimePoint now = EventLoop::Now();
+  const TimePoint now = this->timers.now();
   const Duration unheard = now - std::exchange(this->last_answer, now);
   const int failed = std::exchange(this->failures, 0);
   if (!std::exchange(this->reached, true)) {
@@ -223,7 +237,7 @@
 
 bool PrefixFeed::is_returning() const {
   return this->returned != TimePoint::min() &&
-         EventLoop::Now() - this->returned < this->settings.return_grace;
+         this->timers.now() - this->returned < this->settings.return_grace;
 }
 
 void PrefixFeed::Apply(const StoreItem& item, FeedSource source) {
@@ -234,7 +248,7 @@
   known = {.value = item.value,
            .revision = item.revision,
            .is_removed = false,
-           .heard = EventLoop::Now()};
+           .heard = this->timers.now()};
   this->newest = std::max(this->newest, item.revision);
   if (this->events.on_change) {
     this->events.on_change(item, source);
@@ -250,7 +264,7 @@
     return;
   }
   ++this->removals_held;
-  this->loop.RunAfter(this->settings.return_grace, [this, key, revision] {
+  this->timers.run_after(this->settings.return_grace, [this, key, revision] {
     --this->removals_held;
     this->Remove(key, revision, FeedSource::kStore);
   });
@@ -272,7 +286,7 @@
   known = {.value = "",
            .revision = revision,
            .is_removed = true,
-           .heard = EventLoop::Now()};
+           .heard = this->timers.now()};
   this->newest = std::max(this->newest, revision);
   if (this->events.on_change) {
     this->events.on_change(
--- a/Libraries/LibPlatform/PrefixFeed.h
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -41,6 +41,13 @@
   Duration return_grace = std::chrono::milliseconds(2300);
 };
 
+// How long a watch waits where silence must show within the bound.
+Duration CloseWatchWait(Duration notice_bound);
+
+// Those of a feed that hears the store again within the bound, however long it
+// was silent.
+PrefixFeedSettings CloseFeedSettings(std::string prefix, Duration notice_bound);
+
 // What a feed holds of a key; a removed one is kept as its revision, so that
 // news that are late do not bring it back.
 struct FeedItem {
@@ -84,7 +91,7 @@
 
 class PrefixFeed {
  public:
-  PrefixFeed(EventLoop& loop,
+  PrefixFeed(Timers timers,
              Store& store,
              PrefixFeedSettings settings,
              FeedEvents events);
@@ -139,7 +146,7 @@
   void HoldRemoval(const std::string& key, uint64_t revision);
   bool is_returning() const;
 
-  EventLoop& loop;
+  Timers timers;
   Store& store;
   PrefixFeedSettings settings;
   FeedEvents events;
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -77,21 +77,6 @@
 constexpr Duration kShortWait = std::chrono::milliseconds(20);
 constexpr Duration kPause = std::chrono::seconds(15);
 
-// A watch that waits for long costs few calls; one that falls silent must be
-// noticed, and the next one answered, within the bound.
-Duration CloseWait(const GatewayState& state) {
-  constexpr Duration kReserve = std::chrono::milliseconds(800);
-  constexpr Duration kShortest = std::chrono::milliseconds(500);
-  return std::max(kShortest, state.fleet().notice_bound - kReserve);
-}
-
-platform::PrefixFeedSettings FeedSettings(const GatewayState& state,
-                                          const std::string& prefix) {
-  // Changes must be in force within two seconds.
-  constexpr Duration kRest = std::chrono::milliseconds(120);
-  return {.prefix = prefix, .watch_wait = CloseWait(state), .rest = kRest};
-}
-
 std::string Milliseconds(Duration duration) {
   return std::to_string(
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
@@ -128,15 +113,18 @@
                 OnTable on_table,
                 std::function<void()> on_target) {
   state.table_feed = std::make_unique<platform::PrefixFeed>(
-      state.loop, state.store, FeedSettings(state, state.adapter.table_prefix),
+      TimersOf(state.loop), state.store,
+      platform::CloseFeedSettings(state.adapter.table_prefix,
+                                  state.fleet().notice_bound),
       EventsOf("table", [&state, on_table = std::move(on_table)](
                             const platform::StoreItem& item,
                             platform::FeedSource source) {
         HandleTableChange(state, item, source, on_table);
       }));
   state.targets_feed = std::make_unique<platform::PrefixFeed>(
-      state.loop, state.store,
-      FeedSettings(state, state.adapter.targets_prefix),
+      TimersOf(state.loop), state.store,
+      platform::CloseFeedSettings(state.adapter.targets_prefix,
+                                  state.fleet().notice_bound),
       EventsOf("targets",
                [&state, on_target = std::move(on_target)](
                    const platform::StoreItem& item, platform::FeedSource) {
@@ -157,7 +145,7 @@
       {{"how", is_close ? "closely" : "relaxed"},
        {"gateways",
         std::to_string(membership::CountEntries(state.members, now))}});
-  Duration wait = CloseWait(state);
+  Duration wait = platform::CloseWatchWait(state.fleet().notice_bound);
   Duration pause{};
   if (!is_close && membership::is_large(state.members)) {
     wait = kShortWait;
--- a/Tests/LibPlatform/TestPrefixFeed.cc
+++ b/Tests/LibPlatform/TestPrefixFeed.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "LibPlatform/PrefixFeed.h"
+#include "VirtualTime.h"
 
 namespace bramleyspan::platform {
 
@@ -13,7 +14,7 @@
 
 // A store whose answers the test gives.
 struct ScriptedStore {
-  EventLoop loop;
+  VirtualTime time;
   Store store;
   std::vector<std::function<void(Result<RangePage>)>> ranges;
   std::vector<std::function<void(Result<WatchAnswer>)>> watches;
@@ -41,8 +42,8 @@
                                 .retry_delay = std::chrono::milliseconds(1),
                                 .silence_grace = std::chrono::milliseconds(20),
                                 .return_grace = std::chrono::milliseconds(40)};
-    this->feed =
-        std::make_unique<PrefixFeed>(this->loop, this->store, settings, events);
+    this->feed = std::make_unique<PrefixFeed>(this->time.timers(), this->store,
+                                              settings, events);
     this->feed->Start();
   }
 
@@ -61,10 +62,7 @@
     answer(Fail(code, "store", "test"));
   }
 
-  void RunFor(Duration time) {
-    this->loop.RunAfter(time, [this] { this->loop.Stop(); });
-    this->loop.Run();
-  }
+  void RunFor(Duration span) { this->time.RunFor(span); }
 };
 
 }  // namespace
@@ -152,14 +150,11 @@
   fixture.AnswerWatch({{"servers/a", "1", 11}}, 11);
   fixture.RunFor(kRest * 2);
   REQUIRE(fixture.watched_after == std::vector<uint64_t>{9, 11});
-  // The next rest is twice as long. Timers run in the order in which they are
-  // due, however late they are.
+  // The next rest is twice as long.
   fixture.AnswerWatch({{"servers/a", "1", 12}}, 12);
-  size_t watches_before = 0;
-  fixture.loop.RunAfter(kRest * 3 / 2,
-                        [&] { watches_before = fixture.watched_after.size(); });
-  fixture.RunFor(kRest * 3);
-  CHECK(watches_before == 2);
+  fixture.RunFor(kRest * 3 / 2);
+  CHECK(fixture.watched_after.size() == 2);
+  fixture.RunFor(kRest * 3 / 2);
   CHECK(fixture.watched_after == std::vector<uint64_t>{9, 11, 12});
 }
 
