LibPlatform: Ask a store that does not answer briefly, so that its return shows in time

Cause: a feed sat out a watch of 2.5 s that it had sent while the store was silent (33.936 to 36.436 s; the store was back before 34.32), and then a pause of 0.9 s, which had grown with each failure: 3.4 s where 3 are allowed. The watch's wait was made from the bound; the pause was not. Gateways that rely on peers sat out 8.3 s each time.

Change: while the store does not answer a watch waits 20 ms and is given up 0.7 s later; the longest pause follows from the bound, so that call and pause fit it together.

The same call answers at once if the store is back, events included, so that nothing is lost by the short wait.

--- a/Libraries/LibPlatform/PrefixFeed.cc
+++ b/Libraries/LibPlatform/PrefixFeed.cc
@@ -24,9 +24,17 @@
 PrefixFeedSettings CloseFeedSettings(std::string prefix,
                                      Duration notice_bound) {
   constexpr Duration kRest = std::chrono::milliseconds(120);
-  return {.prefix = std::move(prefix),
-          .watch_wait = CloseWatchWait(notice_bound),
-          .rest = kRest};
+  constexpr Duration kReserve = std::chrono::milliseconds(100);
+  PrefixFeedSettings settings{.prefix = std::move(prefix),
+                              .watch_wait = CloseWatchWait(notice_bound),
+                              .rest = kRest};
+  // The store may return just after it was asked: that call and the pause
+  // behind it are both waited for.
+  const Duration longest_pause =
+      notice_bound - kReserve - settings.probe_wait - settings.answer_timeout;
+  settings.longest_retry_delay = std::clamp(longest_pause, settings.retry_delay,
+                                            settings.longest_retry_delay);
+  return settings;
 }
 
 std::string_view NameOf(FeedSource source) {
@@ -89,7 +97,7 @@
   this->last_call = this->timers.now();
   this->store.range({.prefix = this->settings.prefix,
                      .after = after,
-                     .timeout = this->settings.range_timeout},
+                     .timeout = this->settings.answer_timeout},
                     [this, asked = this->turn](Result<RangePage> page) {
                       this->HandlePage(asked, std::move(page));
                     });
@@ -138,10 +146,14 @@
 
 void PrefixFeed::Watch() {
   this->last_call = this->timers.now();
+  const Duration wait =
+      this->reached ? this->settings.watch_wait : this->settings.probe_wait;
+  const Duration slack = this->reached ? this->settings.watch_slack
+                                       : this->settings.answer_timeout;
   this->store.watch({.prefix = this->settings.prefix,
                      .after = this->watched,
-                     .wait = this->settings.watch_wait,
-                     .slack = this->settings.watch_slack},
+                     .wait = wait,
+                     .slack = slack},
                     [this, asked = this->turn](Result<WatchAnswer> answer) {
                       this->HandleWatch(asked, std::move(answer));
                     });
--- a/Libraries/LibPlatform/PrefixFeed.h
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -24,7 +24,11 @@
   // Between one watch and the next. A feed that pauses relies on the news of
   // peers, and asks the store only lest they all be wrong.
   Duration pause = Duration(0);
-  Duration range_timeout = std::chrono::milliseconds(700);
+  // An answer for which nothing has to happen first takes no longer.
+  Duration answer_timeout = std::chrono::milliseconds(700);
+  // How long a watch waits while the store does not answer. One that was sent
+  // to a silent store is never answered, and the next one waits for its end.
+  Duration probe_wait = std::chrono::milliseconds(20);
   // After changes the next watch waits, since they come in bursts and each
   // watch is a call; twice as long after each that brings more of them.
   Duration rest = Duration(0);
