LibMembership, Gateway: Relieve close watchers that the store turns away

What callers would see: a change that is not in force for up to 15 s in a fleet of more than 12 gateways, where those that watch the store closely (3 and one more for 12) are alive and turned away by it, and the others, which it serves, ask each 15 s and rely on them. With 35 in 100 turned away it takes all 6 of 42, two in a thousand such spells.

Change: a gateway's record says whether the store answers it; those that it answers join the close watchers until as many as planned are answered. The first ones go on, so that a store that is down for all is asked as before.

Test: 'Close watchers that the store turns away are relieved' failed before.

Ruled out: counting only those that are answered (while the store is down for all the watchers would move on by turns, and at its return wait out their watches); telling it as news of a record (it changes the keys of signs of life at all gateways at once, which then take each other for dead).

--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -792,6 +792,7 @@
   std::vector<std::unique_ptr<bramleyspan::membership::wire::OpenCountT>> open{};
   bool is_hungry = false;
   std::unique_ptr<bramleyspan::membership::wire::RankStatusT> rank{};
+  bool hears_store = true;
   MemberT() = default;
   MemberT(const MemberT &o);
   MemberT(MemberT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -817,7 +818,8 @@
     VT_TARGETS_REVISION = 26,
     VT_OPEN = 28,
     VT_IS_HUNGRY = 30,
-    VT_RANK = 32
+    VT_RANK = 32,
+    VT_HEARS_STORE = 34
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -864,6 +866,9 @@
   const bramleyspan::membership::wire::RankStatus *rank() const {
     return GetPointer<const bramleyspan::membership::wire::RankStatus *>(VT_RANK);
   }
+  bool hears_store() const {
+    return GetField<uint8_t>(VT_HEARS_STORE, 1) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -888,6 +893,7 @@
            VerifyField<uint8_t>(verifier, VT_IS_HUNGRY, 1) &&
            VerifyOffset(verifier, VT_RANK) &&
            verifier.VerifyTable(rank()) &&
+           VerifyField<uint8_t>(verifier, VT_HEARS_STORE, 1) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -944,6 +950,9 @@
   void add_rank(flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank) {
     fbb_.AddOffset(Member::VT_RANK, rank);
   }
+  void add_hears_store(bool hears_store) {
+    fbb_.AddElement<uint8_t>(Member::VT_HEARS_STORE, static_cast<uint8_t>(hears_store), 1);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -971,7 +980,8 @@
     uint64_t targets_revision = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::OpenCount>>> open = 0,
     bool is_hungry = false,
-    flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0) {
+    flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0,
+    bool hears_store = true) {
   MemberBuilder builder_(_fbb);
   builder_.add_targets_revision(targets_revision);
   builder_.add_table_version(table_version);
@@ -984,6 +994,7 @@
   builder_.add_ip(ip);
   builder_.add_zone(zone);
   builder_.add_name(name);
+  builder_.add_hears_store(hears_store);
   builder_.add_is_hungry(is_hungry);
   builder_.add_is_leaving(is_leaving);
   builder_.add_is_ready(is_ready);
@@ -1012,7 +1023,8 @@
     uint64_t targets_revision = 0,
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::OpenCount>> *open = nullptr,
     bool is_hungry = false,
-    flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0) {
+    flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0,
+    bool hears_store = true) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
@@ -1034,7 +1046,8 @@
       targets_revision,
       open__,
       is_hungry,
-      rank);
+      rank,
+      hears_store);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2550,7 +2563,8 @@
         table_version(o.table_version),
         targets_revision(o.targets_revision),
         is_hungry(o.is_hungry),
-        rank((o.rank) ? new bramleyspan::membership::wire::RankStatusT(*o.rank) : nullptr) {
+        rank((o.rank) ? new bramleyspan::membership::wire::RankStatusT(*o.rank) : nullptr),
+        hears_store(o.hears_store) {
   open.reserve(o.open.size());
   for (const auto &open_ : o.open) { open.emplace_back((open_) ? new bramleyspan::membership::wire::OpenCountT(*open_) : nullptr); }
 }
@@ -2571,6 +2585,7 @@
   std::swap(open, o.open);
   std::swap(is_hungry, o.is_hungry);
   std::swap(rank, o.rank);
+  std::swap(hears_store, o.hears_store);
   return *this;
 }
 
@@ -2598,6 +2613,7 @@
   { auto _e = open(); if (_e) { _o->open.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->open[_i] = std::unique_ptr<bramleyspan::membership::wire::OpenCountT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = is_hungry(); _o->is_hungry = _e; }
   { auto _e = rank(); if (_e) _o->rank = std::unique_ptr<bramleyspan::membership::wire::RankStatusT>(_e->UnPack(_resolver)); }
+  { auto _e = hears_store(); _o->hears_store = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2623,6 +2639,7 @@
   auto _open = _o->open.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::OpenCount>> (_o->open.size(), [](size_t i, _VectorArgs *__va) { return CreateOpenCount(*__va->__fbb, __va->__o->open[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _is_hungry = _o->is_hungry;
   auto _rank = _o->rank ? CreateRankStatus(_fbb, _o->rank.get(), _rehasher) : 0;
+  auto _hears_store = _o->hears_store;
   return bramleyspan::membership::wire::CreateMember(
       _fbb,
       _name,
@@ -2639,7 +2656,8 @@
       _targets_revision,
       _open,
       _is_hungry,
-      _rank);
+      _rank,
+      _hears_store);
 }
 
 inline RankPlaceT *RankPlace::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -176,12 +176,18 @@
                       uint64_t own_incarnation,
                       TimePoint now) {
   const std::vector<const KnownMember*> live = LiveEntries(members, now);
-  const auto before = std::count_if(
-      live.begin(), live.end(), [own_incarnation](const KnownMember* other) {
-        return other->member.incarnation < own_incarnation;
-      });
-  return static_cast<size_t>(before) <
-         kCloseWatchers + live.size() / kEntriesPerCloseWatcher;
+  size_t before = 0;
+  size_t before_that_hear = 0;
+  for (const KnownMember* other : live) {
+    if (other->member.incarnation < own_incarnation) {
+      ++before;
+      before_that_hear += other->member.hears_store ? 1 : 0;
+    }
+  }
+  const size_t watchers =
+      kCloseWatchers + live.size() / kEntriesPerCloseWatcher;
+  const bool is_relief = members.own.hears_store && before_that_hear < watchers;
+  return before < watchers || is_relief;
 }
 
 std::string Encode(wire::HeartbeatT heartbeat) {
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -89,7 +89,8 @@
 inline constexpr size_t kEntriesPerCloseWatcher = 12;
 
 // Whether an entry of this incarnation is one of them. It judges by those that
-// it hears: one that hears nobody always is.
+// it hears: one that hears nobody always is. Where the store turns some of them
+// away others join them until it answers again.
 bool is_close_watcher(const Members& members,
                       uint64_t own_incarnation,
                       TimePoint now);
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -101,6 +101,8 @@
   self.table_version = now.table == nullptr ? 0 : now.table->version;
   self.targets_revision = now.targets_feed->newest_revision();
   self.is_hungry = !now.waiting.empty();
+  self.hears_store =
+      now.table_feed->is_reached() && now.targets_feed->is_reached();
   for (const auto& [id, view] : now.targets.by_id) {
     // An agent that answers probes knows its rank's load better than these
     // counts, which would fill a heartbeat at every gateway.
--- a/Tests/LibMembership/TestMembers.cc
+++ b/Tests/LibMembership/TestMembers.cc
@@ -94,6 +94,36 @@
   }
 }
 
+// Failure: the store turned all close watchers away, and gateways that it
+// served asked it 15 s later whether anything had changed.
+TEST_CASE("Close watchers that the store turns away are relieved") {
+  Members members{.own_name = "me"};
+  constexpr uint64_t kOwn = 50;
+  for (uint64_t other = 1; other <= kCloseWatchers; ++other) {
+    Learn(members, MemberOf(std::string(other, 'a'), other, 1), true, kStart);
+  }
+  REQUIRE_FALSE(is_close_watcher(members, kOwn, kStart));
+  wire::MemberT lost = MemberOf("a", 1, 2);
+  lost.hears_store = false;
+  Learn(members, lost, true, kStart);
+  CHECK(is_close_watcher(members, kOwn, kStart));
+  SUBCASE("not by one that is turned away itself") {
+    members.own.hears_store = false;
+    CHECK_FALSE(is_close_watcher(members, kOwn, kStart));
+  }
+  SUBCASE("but go on themselves, lest nobody asks") {
+    Members of_lost{.own_name = "a"};
+    of_lost.own.hears_store = false;
+    Learn(of_lost, MemberOf("me", kOwn, 1), true, kStart);
+    CHECK(is_close_watcher(of_lost, 1, kStart));
+  }
+  SUBCASE("until they hear it again") {
+    wire::MemberT back = MemberOf("a", 1, 3);
+    Learn(members, back, true, kStart);
+    CHECK_FALSE(is_close_watcher(members, kOwn, kStart));
+  }
+}
+
 TEST_CASE("A datagram that is cut or garbled is refused") {
   wire::HeartbeatT heartbeat;
   heartbeat.members.push_back(
