LibPlacement: Relieve ranks that are equally loaded together

Cause: a copy counted only if it lowered the load of the most loaded rank below that of all others, by 0.04. With many ranks several are loaded alike, and no single copy lowers the skew: the search stopped.

Change: steps are chosen by how much they lower the sum of the eighth powers of the ranks' times, which each relieved rank does; copies that lower the skew only together are kept together, as many as gain a third of a skew for a copy at each rank. A step is rated by the ranks that it changes alone.

--- a/Libraries/LibPlacement/Copies.cc
+++ b/Libraries/LibPlacement/Copies.cc
@@ -1,7 +1,9 @@
 #include "LibPlacement/Copies.h"
 
 #include <algorithm>
+#include <numeric>
 #include <optional>
+#include <utility>
 
 namespace bramleyspan::placement {
 
@@ -65,21 +67,46 @@
   std::optional<uint16_t> dropped;
   // The rank that gives the expert up altogether; another one keeps it.
   std::optional<size_t> moved_from;
-  double skew = 0;
-  double cost = 0;
+  double gain = 0;
 };
 
+struct LoadChange {
+  size_t rank = 0;
+  double by = 0;
+};
+
+// Of several ranks that are equally loaded none lowers the skew by itself. The
+// sum of these weights falls with each, and is ruled by the most loaded ones.
+double WeightOf(double load) {
+  const double square = load * load;
+  return square * square * square * square;
+}
+
+void MakeIn(RankLists& lists, const Step& step) {
+  if (step.dropped) {
+    std::erase(lists[step.rank], *step.dropped);
+  }
+  if (step.moved_from) {
+    std::erase(lists[*step.moved_from], step.expert);
+  }
+  lists[step.rank].push_back(step.expert);
+}
+
+// A placement of one set that is changed step by step.
 struct Search {
   const Shares& shares;
   const Shares& remembered;
   const CopyLimits& limits;
   const std::vector<uint32_t>& new_elsewhere;
   RankLists lists;
+  std::vector<uint32_t> holders;
   std::vector<std::vector<uint16_t>> added;
-  // The ranks that hold each expert, and the loads; they follow `lists`.
+  // The ranks that hold each expert, and the loads, 1 being the mean; they
+  // follow `lists`.
   std::vector<std::vector<size_t>> ranks_of = {};
   std::vector<double> loads = {};
-  std::vector<double> loads_after = {};
+  double scale = 0;
+  std::vector<LoadChange> changes = {};
 
   void Index() {
     this->ranks_of.assign(this->shares.size(), {});
@@ -90,39 +117,82 @@
         }
       }
     }
-    this->loads = LoadsOf(this->lists, this->shares,
-                          CountHolders(this->lists, this->shares.size()));
+    this->loads = LoadsOf(this->lists, this->shares, this->holders);
+    const double total =
+        std::accumulate(this->loads.begin(), this->loads.end(), 0.0);
+    this->scale =
+        total == 0 ? 0 : static_cast<double>(this->loads.size()) / total;
+    for (double& load : this->loads) {
+      load *= this->scale;
+    }
+  }
+
+  double TimeOf(size_t rank, double load) const {
+    return load * PaceOf(this->limits.paces, rank);
+  }
+
+  double skew() const {
+    double most = 1;
+    for (size_t rank = 0; rank < this->loads.size(); ++rank) {
+      most = std::max(most, this->TimeOf(rank, this->loads[rank]));
+    }
+    return most;
+  }
+
+  void Change(size_t rank, double by) {
+    for (LoadChange& change : this->changes) {
+      if (change.rank == rank) {
+        change.by += by;
+        return;
+      }
+    }
+    this->changes.push_back({rank, by});
   }
 
   // Takes the expert's part from its holders, and gives the new part to those
   // that hold it after the step.
   void Share(uint16_t expert,
-             uint32_t before,
              uint32_t after,
              std::optional<size_t> comes,
              std::optional<size_t> leaves) {
-    const double part_before = this->shares[expert] / std::max(1U, before);
-    const double part_after = this->shares[expert] / std::max(1U, after);
+    const double all = this->shares[expert] * this->scale;
+    const double part_before = all / std::max(1U, this->holders[expert]);
+    const double part_after = all / std::max(1U, after);
     for (const size_t rank : this->ranks_of[expert]) {
-      this->loads_after[rank] -= part_before;
-      this->loads_after[rank] += rank == leaves ? 0 : part_after;
+      this->Change(rank, (rank == leaves ? 0 : part_after) - part_before);
     }
     if (comes) {
-      this->loads_after[*comes] += part_after;
+      this->Change(*comes, part_after);
     }
   }
 
-  // The skew after a step; only the ranks that hold its experts change.
-  double SkewAfter(const Step& step, const std::vector<uint32_t>& holders) {
-    this->loads_after = this->loads;
-    const uint32_t before = holders[step.expert];
-    this->Share(step.expert, before, step.moved_from ? before : before + 1,
-                step.rank, step.moved_from);
+  // Finds what the step changes; only the ranks that hold its experts do.
+  void FindChanges(const Step& step) {
+    this->changes.clear();
+    const uint32_t before = this->holders[step.expert];
+    this->Share(step.expert, step.moved_from ? before : before + 1, step.rank,
+                step.moved_from);
     if (step.dropped) {
-      const uint32_t count = holders[*step.dropped];
-      this->Share(*step.dropped, count, count - 1, std::nullopt, step.rank);
+      this->Share(*step.dropped, this->holders[*step.dropped] - 1, std::nullopt,
+                  step.rank);
     }
-    return SkewOfLoads(this->loads_after, this->limits.paces);
+  }
+
+  // How much lower the weights are after a step that brings a rank a copy
+  // behind `queued` others.
+  double GainOf(const Step& step, size_t queued) {
+    this->FindChanges(step);
+    double gain = 0;
+    for (const LoadChange& change : this->changes) {
+      const double before = this->loads[change.rank];
+      double after = before + change.by;
+      if (change.rank == step.rank) {
+        after += kLinkWeight * static_cast<double>(queued);
+      }
+      gain += WeightOf(this->TimeOf(change.rank, before)) -
+              WeightOf(this->TimeOf(change.rank, after));
+    }
+    return gain;
   }
 
   double ValueOf(uint16_t expert) const {
@@ -133,15 +203,14 @@
   }
 
   // The copy that a full rank gives up; none if it cannot.
-  std::optional<uint16_t> FindDrop(size_t rank,
-                                   const std::vector<uint32_t>& holders) const {
+  std::optional<uint16_t> FindDrop(size_t rank) const {
     std::optional<uint16_t> found;
     for (const uint16_t expert : this->lists[rank]) {
-      if (holders[expert] < 2 || is_held(this->added[rank], expert)) {
+      if (this->holders[expert] < 2 || is_held(this->added[rank], expert)) {
         continue;
       }
-      if (!found || this->ValueOf(expert) / holders[expert] <
-                        this->ValueOf(*found) / holders[*found]) {
+      if (!found || this->ValueOf(expert) / this->holders[expert] <
+                        this->ValueOf(*found) / this->holders[*found]) {
         found = expert;
       }
     }
@@ -150,8 +219,7 @@
 
   std::optional<Step> TryCopy(uint16_t expert,
                               size_t rank,
-                              std::optional<size_t> moved_from,
-                              const std::vector<uint32_t>& holders) {
+                              std::optional<size_t> moved_from) {
     const size_t queued = this->new_elsewhere[rank] + this->added[rank].size();
     const bool is_link_taken = this->limits.most_new_on_rank != 0 &&
                                queued >= this->limits.most_new_on_rank;
@@ -161,66 +229,89 @@
     }
     Step step{.expert = expert, .rank = rank, .moved_from = moved_from};
     if (this->lists[rank].size() >= this->limits.places_per_rank) {
-      step.dropped = this->FindDrop(rank, holders);
+      step.dropped = this->FindDrop(rank);
       if (!step.dropped) {
         return std::nullopt;
       }
     }
-    step.skew = this->SkewAfter(step, holders);
-    step.cost = step.skew + kLinkWeight * static_cast<double>(queued);
+    step.gain = this->GainOf(step, queued);
     return step;
   }
 
-  void Make(const Step& step, std::vector<uint32_t>& holders) {
-    auto& list = this->lists[step.rank];
-    if (step.dropped) {
-      std::erase(list, *step.dropped);
-      --holders[*step.dropped];
-    }
-    list.push_back(step.expert);
-    ++holders[step.expert];
-    if (step.moved_from) {
-      std::erase(this->lists[*step.moved_from], step.expert);
-      --holders[step.expert];
-    }
+  // The ranks by the time they take, the slowest first.
+  std::vector<size_t> SlowestRanks(size_t most) const {
+    std::vector<size_t> ranks(this->loads.size());
+    std::iota(ranks.begin(), ranks.end(), 0);
+    most = std::min(most, ranks.size());
+    std::partial_sort(ranks.begin(), ranks.begin() + static_cast<int64_t>(most),
+                      ranks.end(), [this](size_t left, size_t right) {
+                        return this->TimeOf(left, this->loads[left]) >
+                               this->TimeOf(right, this->loads[right]);
+                      });
+    ranks.resize(most);
+    return ranks;
   }
-};
 
-std::optional<Step> FindBestStep(Search& search,
-                                 const std::vector<uint32_t>& holders) {
-  search.Index();
-  const std::vector<double>& loads = search.loads;
-  size_t most = 0;
-  for (size_t rank = 1; rank < loads.size(); ++rank) {
-    const auto& paces = search.limits.paces;
-    if (loads[rank] * PaceOf(paces, rank) > loads[most] * PaceOf(paces, most)) {
-      most = rank;
-    }
-  }
-  std::optional<Step> best;
-  // Only a copy of what the most loaded rank holds lowers its load.
-  const std::vector<uint16_t> candidates = search.lists[most];
-  for (const uint16_t expert : candidates) {
-    for (size_t rank = 0; rank < search.lists.size(); ++rank) {
-      if (rank == most) {
-        continue;
-      }
-      const bool is_new = is_held(search.added[most], expert);
-      for (const bool is_move : {false, true}) {
-        if (is_move && is_new) {
+  // Only a copy of what a rank holds lowers its load.
+  std::optional<Step> FindRelief(size_t slow) {
+    std::optional<Step> best;
+    const std::vector<uint16_t> candidates = this->lists[slow];
+    for (const uint16_t expert : candidates) {
+      const bool is_new = is_held(this->added[slow], expert);
+      for (size_t rank = 0; rank < this->lists.size(); ++rank) {
+        if (rank == slow || this->TimeOf(rank, this->loads[rank]) >=
+                                this->TimeOf(slow, this->loads[slow])) {
           continue;
         }
-        const auto step = search.TryCopy(
-            expert, rank, is_move ? std::optional<size_t>(most) : std::nullopt,
-            holders);
-        if (step && (!best || step->cost < best->cost)) {
-          best = step;
+        for (const bool is_move : {false, true}) {
+          if (is_move && is_new) {
+            continue;
+          }
+          const auto step = this->TryCopy(
+              expert, rank,
+              is_move ? std::optional<size_t>(slow) : std::nullopt);
+          if (step && step->gain > 0 && (!best || step->gain > best->gain)) {
+            best = step;
+          }
         }
       }
     }
+    return best;
+  }
+
+  // The best step for the slowest rank that has one.
+  std::optional<Step> FindBestStep() {
+    constexpr size_t kRanksTried = 3;
+    for (const size_t slow : this->SlowestRanks(kRanksTried)) {
+      if (const auto step = this->FindRelief(slow)) {
+        return step;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void Make(const Step& step) {
+    MakeIn(this->lists, step);
+    this->FindChanges(step);
+    for (const LoadChange& change : this->changes) {
+      this->loads[change.rank] += change.by;
+    }
+    if (step.dropped) {
+      this->TakeAway(*step.dropped, step.rank);
+    }
+    if (step.moved_from) {
+      this->TakeAway(step.expert, *step.moved_from);
+    }
+    this->ranks_of[step.expert].push_back(step.rank);
+    ++this->holders[step.expert];
+    this->added[step.rank].push_back(step.expert);
   }
-  return best;
-}
+
+  void TakeAway(uint16_t expert, size_t rank) {
+    std::erase(this->ranks_of[expert], rank);
+    --this->holders[expert];
+  }
+};
 
 }  // namespace
 
@@ -236,33 +327,38 @@
                     const Shares& remembered,
                     const CopyLimits& limits,
                     std::vector<uint32_t>& new_on_rank) {
-  CopyPlan plan;
-  plan.skew_before = SkewOf(lists, shares, limits.paces);
-  plan.skew_after = plan.skew_before;
   new_on_rank.resize(lists.size(), 0);
   Search search{.shares = shares,
                 .remembered = remembered,
                 .limits = limits,
                 .new_elsewhere = new_on_rank,
                 .lists = lists,
+                .holders = CountHolders(lists, shares.size()),
                 .added = std::vector<std::vector<uint16_t>>(lists.size())};
-  std::vector<uint32_t> holders = CountHolders(lists, shares.size());
-  std::vector<uint32_t> copies_on_rank(lists.size(), 0);
-  while (plan.copies < limits.most_copies) {
-    const auto step = FindBestStep(search, holders);
-    if (!step || plan.skew_after - step->skew < limits.least_gain) {
+  search.Index();
+  CopyPlan plan{.lists = lists, .skew_before = search.skew()};
+  plan.skew_after = plan.skew_before;
+  // Some copies lower the skew only together with those that follow.
+  std::vector<Step> steps;
+  while (steps.size() < limits.most_copies) {
+    const auto step = search.FindBestStep();
+    if (!step) {
       break;
     }
-    search.Make(*step, holders);
-    search.added[step->rank].push_back(step->expert);
-    ++copies_on_rank[step->rank];
-    plan.skew_after = step->skew;
-    ++plan.copies;
+    search.Make(*step);
+    steps.push_back(*step);
+    const double skew = search.skew();
+    const auto more = static_cast<double>(steps.size() - plan.copies);
+    if (plan.skew_after - skew >= more * limits.least_gain) {
+      plan.skew_after = skew;
+      plan.copies = static_cast<uint32_t>(steps.size());
+    }
   }
-  for (size_t rank = 0; rank < lists.size(); ++rank) {
-    new_on_rank[rank] += copies_on_rank[rank];
+  steps.resize(plan.copies);
+  for (const Step& step : steps) {
+    MakeIn(plan.lists, step);
+    ++new_on_rank[step.rank];
   }
-  plan.lists = std::move(search.lists);
   return plan;
 }
 
--- a/Libraries/LibPlacement/Copies.h
+++ b/Libraries/LibPlacement/Copies.h
@@ -1,6 +1,7 @@
-// Evens out a set's rank loads by a few more copies of its hottest experts.
-// While demand jumps every few seconds, few copies that are there at once gain
-// more than the best map that comes late.
+// Evens out a set's rank loads by a few more copies of its hottest experts,
+// step by step where it helps the most loaded ranks most. While demand jumps
+// every few seconds, few copies that are there at once gain more than the best
+// map that comes late.
 #pragma once
 
 #include <cstdint>
@@ -22,7 +23,7 @@
   // New experts that a rank can take in all sets together; copies share its
   // link, and the map waits for the last one. 0: any number.
   uint32_t most_new_on_rank = 0;
-  // A copy must lower the skew by this much.
+  // Copies must lower the skew by this much each; some do so only together.
   double least_gain = 0.03;
   // How many times as long as usual each rank takes; empty if none is slow. A
   // slow rank is relieved of experts, since all others wait for it.
--- a/Libraries/LibPlacement/SwitchPlan.cc
+++ b/Libraries/LibPlacement/SwitchPlan.cc
@@ -11,8 +11,8 @@
 constexpr uint32_t kCopiesPerSwitchOfSlow = 4;
 // From this pace on a rank counts as slow.
 constexpr double kSlow = 1.3;
-// A copy must lower its set's skew by this much.
-constexpr double kLeastGainOfCopy = 0.04;
+// A copy at each rank must lower its set's skew by this much.
+constexpr double kLeastGainOfCopies = 0.32;
 // A switch must lower the mean skew by this much where passes are long, and by
 // more the shorter they are.
 constexpr double kLeastGainOfSwitch = 0.12;
@@ -65,7 +65,7 @@
                             ? kCopiesPerSwitchOfSlow
                             : CopiesInTurn(turn, limits.ranks, order.size()),
          .most_new_on_rank = is_any_slow ? 0U : 1U,
-         .least_gain = kLeastGainOfCopy,
+         .least_gain = kLeastGainOfCopies / limits.ranks,
          .paces = limits.paces},
         new_on_rank);
     const auto sets = static_cast<double>(order.size());
--- a/Tests/LibPlacement/TestCopies.cc
+++ b/Tests/LibPlacement/TestCopies.cc
@@ -69,6 +69,31 @@
   }
 }
 
+// Failure: two ranks of 96 were loaded alike, a copy that relieved one of them
+// lowered no skew, and no copy was made at all.
+TEST_CASE("Ranks that are equally loaded are relieved together") {
+  constexpr uint16_t kManyRanks = 24;
+  constexpr uint16_t kManyExperts = 48;
+  RankLists lists(kManyRanks);
+  Shares shares(kManyExperts, 0.4 / 36);
+  for (uint16_t expert = 0; expert < kManyExperts; ++expert) {
+    lists[expert % kManyRanks].push_back(expert);
+  }
+  for (uint16_t hot = 0; hot < 12; ++hot) {
+    shares[hot] = 0.6 / 12;
+  }
+  std::vector<uint32_t> new_on_rank;
+  const CopyPlan plan = PlanCopies(lists, shares, {},
+                                   {.places_per_rank = 3,
+                                    .spare = 2,
+                                    .most_copies = 12,
+                                    .least_gain = 0.3 / kManyRanks},
+                                   new_on_rank);
+  CHECK(plan.skew_before > 1.4);
+  CHECK(plan.skew_after < 1.15);
+  CHECK(plan.copies == 12);
+}
+
 // Story: one rank of a group took seven times as long as the others, and all
 // of them waited for it in every step.
 TEST_CASE("A slow rank is relieved of its experts") {
