--- a/Measurements/MeasureCopies.cc
+++ b/Measurements/MeasureCopies.cc
@@ -31,7 +31,7 @@
 };
 
 // Shares by Zipf's law, the experts in another order for each topic.
-Shares MixOfTopics(const Shape &shape, std::mt19937_64 &random) {
+Shares MixOfTopics(const Shape& shape, std::mt19937_64& random) {
   Shares shares(shape.experts, 0);
   std::vector<double> parts;
   for (uint16_t place = 1; place <= shape.experts; ++place) {
@@ -49,9 +49,9 @@
   return shares;
 }
 
-SetLists InTurn(const Shape &shape) {
+SetLists InTurn(const Shape& shape) {
   SetLists lists(shape.sets, RankLists(shape.ranks));
-  for (RankLists &set : lists) {
+  for (RankLists& set : lists) {
     for (uint16_t expert = 0; expert < shape.experts; ++expert) {
       set[expert % shape.ranks].push_back(expert);
     }
@@ -59,7 +59,7 @@
   return lists;
 }
 
-void Measure(const Shape &shape) {
+void Measure(const Shape& shape) {
   constexpr uint64_t kSeed = 1;
   std::mt19937_64 random(kSeed);
   SetLists lists = InTurn(shape);
@@ -70,7 +70,7 @@
     for (uint32_t set = 0; set < shape.sets; ++set) {
       demand.present.push_back(MixOfTopics(shape, random));
     }
-    for (double &skew : skews) {
+    for (double& skew : skews) {
       const auto began = std::chrono::steady_clock::now();
       SwitchPlan plan = PlanSwitch(lists, demand,
                                    {.ranks = shape.ranks,
@@ -92,9 +92,9 @@
   std::printf(" | %.1f |\n", longest.count());
 }
 
-} // namespace
+}  // namespace
 
-} // namespace bramleyspan::placement
+}  // namespace bramleyspan::placement
 
 int main() {
   std::printf(
