--- a/Tests/LibPlatform/SimulatedStore.cc
+++ b/Tests/LibPlatform/SimulatedStore.cc
@@ -71,9 +71,8 @@
   WatchAnswer answer{.events = this->EventsAfter(call->after),
                      .revision = this->last_revision};
   this->time.timers().run_after(this->one_way,
-                                [this, call, answer = std::move(answer)] {
+                                [call, answer = std::move(answer)] {
                                   if (!std::exchange(call->is_ended, true)) {
-                                    ++this->answered_calls;
                                     call->on_done(answer);
                                   }
                                 });
--- a/Tests/LibPlatform/SimulatedStore.h
+++ b/Tests/LibPlatform/SimulatedStore.h
@@ -4,6 +4,8 @@
 #include <cstdint>
 #include <functional>
 #include <list>
+#include <memory>
+#include <string>
 #include <vector>
 
 #include "LibPlatform/Store.h"
@@ -24,9 +26,6 @@
   // Writes a key and answers the watches that wait for it.
   void Write(const std::string& key);
 
-  int calls() const { return this->answered_calls; }
-  uint64_t revision() const { return this->last_revision; }
-
  private:
   struct Call {
     uint64_t after = 0;
@@ -45,7 +44,6 @@
   std::vector<StoreItem> history;
   std::list<std::shared_ptr<Call>> waiting;
   uint64_t last_revision = 9;
-  int answered_calls = 0;
   bool is_silent = false;
 };
 
