--- a/Libraries/LibPlatform/PrefixFeed.cc
+++ b/Libraries/LibPlatform/PrefixFeed.cc
@@ -16,6 +16,7 @@
 }  // namespace
 
 Duration CloseWatchWait(Duration notice_bound) {
+  // For giving the watch up and asking anew.
   constexpr Duration kReserve = std::chrono::milliseconds(800);
   constexpr Duration kShortest = std::chrono::milliseconds(500);
   return std::max(kShortest, notice_bound - kReserve);
@@ -24,6 +25,7 @@
 PrefixFeedSettings CloseFeedSettings(std::string prefix,
                                      Duration notice_bound) {
   constexpr Duration kRest = std::chrono::milliseconds(120);
+  // For the way of the next call and its answer.
   constexpr Duration kReserve = std::chrono::milliseconds(100);
   PrefixFeedSettings settings{.prefix = std::move(prefix),
                               .watch_wait = CloseWatchWait(notice_bound),
--- a/Libraries/LibPlatform/PrefixFeed.h
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -48,8 +48,8 @@
 // How long a watch waits where silence must show within the bound.
 Duration CloseWatchWait(Duration notice_bound);
 
-// Those of a feed that hears the store again within the bound, however long it
-// was silent.
+// The settings of a feed that hears the store within the bound after it was
+// silent, however long that was.
 PrefixFeedSettings CloseFeedSettings(std::string prefix, Duration notice_bound);
 
 // What a feed holds of a key; a removed one is kept as its revision, so that
--- a/Tests/LibMembership/TestMembers.cc
+++ b/Tests/LibMembership/TestMembers.cc
@@ -94,8 +94,7 @@
   }
 }
 
-// Failure: the store turned all close watchers away, and gateways that it
-// served asked it 15 s later whether anything had changed.
+// Failure: nobody whom the store answers asks it soon.
 TEST_CASE("Close watchers that the store turns away are relieved") {
   Members members{.own_name = "me"};
   constexpr uint64_t kOwn = 50;
--- a/Tests/LibPlacement/TestCopies.cc
+++ b/Tests/LibPlacement/TestCopies.cc
@@ -69,8 +69,7 @@
   }
 }
 
-// Failure: two ranks of 96 were loaded alike, a copy that relieved one of them
-// lowered no skew, and no copy was made at all.
+// Failure: a copy that relieves one of several lowers no skew, so none is made.
 TEST_CASE("Ranks that are equally loaded are relieved together") {
   constexpr uint16_t kManyRanks = 24;
   constexpr uint16_t kManyExperts = 48;
--- a/Tests/LibPlacement/TestSwitchPlan.cc
+++ b/Tests/LibPlacement/TestSwitchPlan.cc
@@ -64,8 +64,7 @@
   CHECK(plan.skew_after < plan.skew_before - 0.5);
 }
 
-// Failure: copies that take 18 ms each came one a rank and switch, and 96 ranks
-// ran on an uneven map for five switches after a jump of demand.
+// Failure: a map stays uneven for many switches, each with one copy a rank.
 TEST_CASE("A switch brings several copies where each takes no time") {
   CHECK(CopiesPerRank(std::chrono::milliseconds(400)) == 1);
   CHECK(CopiesPerRank(std::chrono::milliseconds(18)) > 1);
--- a/Tests/LibPlatform/TestSilentStore.cc
+++ b/Tests/LibPlatform/TestSilentStore.cc
@@ -60,8 +60,7 @@
 
 }  // namespace
 
-// Failure: a change is not in force, since a watch that the silent store never
-// answered is waited for, and then a pause, after the store is back.
+// Failure: a lost watch and a grown pause are waited for after the return.
 TEST_CASE("A change after a silent spell of the store is heard in time") {
   for (const Duration bound :
        {seconds(1), seconds(2), seconds(3), seconds(5)}) {
@@ -81,8 +80,7 @@
   }
 }
 
-// Failure: a gateway that relies on its peers sat out a watch of eight seconds
-// again and again, and heard nothing from the store for 35 s.
+// Failure: long watches were sat out one after the other, for half a minute.
 TEST_CASE(
     "A feed that knows the store to be silent asks soon after its return") {
   constexpr Duration kBound = seconds(3);
