Entry: Route a call again if its target left after the probe

The call was sent nowhere, so another group could take it. A second round also probed candidates by links that might be gone.

Change: answers of targets that can no longer be reached are dropped before the choice; if none is left, the others are probed again. Each round excludes one target more, so this ends.

Ruled out: sending to the dead target and waiting for the broken link, which spends an attempt and the retry budget.

--- a/Services/bramleyspand/Entry/Calls.cc
+++ b/Services/bramleyspand/Entry/Calls.cc
@@ -109,19 +109,6 @@
   state.calls.erase(id);
 }
 
-void Retry(EntryState& state, uint64_t id) {
-  OpenCall& open = state.calls.at(id);
-  open.tried.insert(std::exchange(open.target, {}));
-  const auto& entries = state.feed.current().entries;
-  const auto entry = entries.find(open.call.catalogue_entry);
-  if (entry == entries.end()) {
-    RefuseCall(state, id, ErrorCode::kForbidden, "the entry was removed",
-               Duration::zero());
-    return;
-  }
-  RouteByProbes(state, entry->second, id);
-}
-
 void EndAttempt(EntryState& state, uint64_t id, const calls::Ending& ending) {
   OpenCall& open = state.calls.at(id);
   state.call_of_attempt.erase(open.call.call);
@@ -138,7 +125,7 @@
   switch (next) {
     case calls::NextStep::kRetry:
       open.attempt.may_have_run |= ending.verdict != calls::Verdict::kNotRun;
-      Retry(state, id);
+      RouteToAnother(state, id, std::exchange(open.target, {}));
       return;
     case calls::NextStep::kFinish:
       open.exchange->Finish();
@@ -237,6 +224,19 @@
   CloseCall(state, id);
 }
 
+void RouteToAnother(EntryState& state, uint64_t id, const std::string& target) {
+  OpenCall& open = state.calls.at(id);
+  open.tried.insert(target);
+  const auto& entries = state.feed.current().entries;
+  const auto entry = entries.find(open.call.catalogue_entry);
+  if (entry == entries.end()) {
+    RefuseCall(state, id, ErrorCode::kForbidden, "the entry was removed",
+               Duration::zero());
+    return;
+  }
+  RouteByProbes(state, entry->second, id);
+}
+
 void SendCall(EntryState& state, uint64_t id, const std::string& target) {
   OpenCall& open = state.calls.at(id);
   const auto link = state.links.find(target);
--- a/Services/bramleyspand/Entry/Calls.h
+++ b/Services/bramleyspand/Entry/Calls.h
@@ -56,6 +56,9 @@
 void RouteByProbes(EntryState& state,
                    const catalogue::Entry& entry,
                    uint64_t id);
+
+// Probes candidates other than `target` and those tried before (Calls.cc).
+void RouteToAnother(EntryState& state, uint64_t id, const std::string& target);
 void HandleEstimate(EntryState& state, const wire::EstimateT& estimate);
 
 // Compares the first token that an attempt's target estimated with the actual
--- a/Services/bramleyspand/Entry/Probing.cc
+++ b/Services/bramleyspand/Entry/Probing.cc
@@ -66,13 +66,23 @@
   }
 }
 
-// Returns the candidates that a round without answers did not probe.
-std::vector<routing::Candidate> UnprobedCandidates(const ProbeRound& round) {
+bool is_reachable(const EntryState& state,
+                  const routing::Candidate& candidate) {
+  return FindUsableLink(state.links, candidate.target) != nullptr;
+}
+
+// Returns the reachable candidates that a round did not probe.
+std::vector<routing::Candidate> UnprobedCandidates(const EntryState& state,
+                                                   const ProbeRound& round) {
   std::vector<routing::Candidate> others = round.all;
   std::erase_if(others, [&](const routing::Candidate& candidate) {
-    return std::ranges::any_of(round.outstanding, [&](const auto& item) {
-      return item.second == candidate;
-    });
+    const bool is_unanswered = std::ranges::any_of(
+        round.outstanding,
+        [&](const auto& item) { return item.second == candidate; });
+    const bool is_answered = std::ranges::any_of(
+        round.answers,
+        [&](const auto& answer) { return answer.candidate == candidate; });
+    return is_unanswered || is_answered || !is_reachable(state, candidate);
   });
   return others;
 }
@@ -86,10 +96,20 @@
 }
 
 void FinishRound(EntryState& state, uint64_t round_id) {
-  const ProbeRound round = std::move(state.rounds.at(round_id));
+  ProbeRound round = std::move(state.rounds.at(round_id));
   state.rounds.erase(round_id);
   state.loop.Cancel(round.timer);
   RecordUnansweredProbes(state, round);
+  auto others = UnprobedCandidates(state, round);
+  const auto lost = std::ranges::find_if(
+      round.answers, [&state](const routing::ProbeAnswer& answer) {
+        return !is_reachable(state, answer.candidate);
+      });
+  const std::string lost_target =
+      lost == round.answers.end() ? "" : lost->candidate.target;
+  std::erase_if(round.answers, [&state](const routing::ProbeAnswer& answer) {
+    return !is_reachable(state, answer.candidate);
+  });
   const auto call = state.calls.find(round.call);
   if (call == state.calls.end()) {
     return;
@@ -103,7 +123,12 @@
     SendTo(state, round.call, *choice);
     return;
   }
-  auto others = UnprobedCandidates(round);
+  // Failure: a target stops after it has answered its probe. The call has not
+  // been sent anywhere, so another target may take it.
+  if (round.answers.empty() && !lost_target.empty()) {
+    RouteToAnother(state, round.call, lost_target);
+    return;
+  }
   if (round.answers.empty() && !round.is_second && !others.empty()) {
     StartRound(state, round.call, std::move(others), /*is_second=*/true);
     return;
