--- a/Libraries/LibHTTP/Ingress.cc
+++ b/Libraries/LibHTTP/Ingress.cc
@@ -1,7 +1,6 @@
 #include "LibHTTP/Ingress.h"
 
 #include <utility>
-#include <vector>
 
 #include "LibHTTP/IngressConnection.h"
 
@@ -23,9 +22,10 @@
   server->handler = std::move(handler);
   server->listener =
       TRY(Listener::Listen(loop, address, [server](h2o_socket_t* accepted) {
+        const uint64_t number = ++server->last_connection;
         auto connection =
-            std::make_shared<IngressConnection>(*server, accepted);
-        server->connections.insert(connection);
+            std::make_shared<IngressConnection>(*server, number, accepted);
+        server->connections.emplace(number, connection);
         connection->Start();
       }));
   server->CheckTimeouts();
@@ -35,7 +35,7 @@
 Ingress::~Ingress() {
   this->loop.Cancel(this->timer);
   const auto open = std::exchange(this->connections, {});
-  for (const auto& connection : open) {
+  for (const auto& [number, connection] : open) {
     connection->Close();
   }
 }
@@ -43,7 +43,7 @@
 void Ingress::CloseIdle() {
   this->listener = nullptr;
   const auto open = this->connections;
-  for (const auto& connection : open) {
+  for (const auto& [number, connection] : open) {
     if (connection->is_idle()) {
       connection->Close();
     }
@@ -54,9 +54,8 @@
 // for each connection would cost more than handling the requests.
 void Ingress::CheckTimeouts() {
   const TimePoint now = EventLoop::Now();
-  const std::vector<std::shared_ptr<IngressConnection>> open(
-      this->connections.begin(), this->connections.end());
-  for (const auto& connection : open) {
+  const auto open = this->connections;
+  for (const auto& [number, connection] : open) {
     connection->CheckTimeout(now);
   }
   this->timer =
--- a/Libraries/LibHTTP/Ingress.h
+++ b/Libraries/LibHTTP/Ingress.h
@@ -3,9 +3,10 @@
 // that a caller has disconnected. Its limits can change while it runs.
 #pragma once
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 #include "Kernel/Address.h"
@@ -116,7 +117,9 @@
   IngressLimits limits;
   IngressHandler handler;
   std::unique_ptr<Listener> listener;
-  std::set<std::shared_ptr<IngressConnection>> connections;
+  // By number: an order by address would differ between two runs.
+  std::map<uint64_t, std::shared_ptr<IngressConnection>> connections;
+  uint64_t last_connection = 0;
   TimerId timer = 0;
   bool is_draining = false;
 };
--- a/Libraries/LibHTTP/IngressConnection.cc
+++ b/Libraries/LibHTTP/IngressConnection.cc
@@ -66,8 +66,10 @@
 
 }  // namespace
 
-IngressConnection::IngressConnection(Ingress& server, h2o_socket_t* socket)
-    : server(server), socket(socket), since(EventLoop::Now()) {}
+IngressConnection::IngressConnection(Ingress& server,
+                                     uint64_t number,
+                                     h2o_socket_t* socket)
+    : server(server), number(number), socket(socket), since(EventLoop::Now()) {}
 
 void IngressConnection::Start() {
   this->socket->data = this;
@@ -91,7 +93,7 @@
   this->phase = Phase::kClosed;
   h2o_socket_read_stop(this->socket);
   h2o_socket_close(std::exchange(this->socket, nullptr));
-  this->server.connections.erase(keep_until_return);
+  this->server.connections.erase(this->number);
   if (auto open = std::exchange(this->exchange, nullptr)) {
     open->connection = nullptr;
     auto callback = std::exchange(open->disconnect_callback, nullptr);
--- a/Libraries/LibHTTP/IngressConnection.h
+++ b/Libraries/LibHTTP/IngressConnection.h
@@ -12,7 +12,7 @@
 class IngressConnection
     : public std::enable_shared_from_this<IngressConnection> {
  public:
-  IngressConnection(Ingress& server, h2o_socket_t* socket);
+  IngressConnection(Ingress& server, uint64_t number, h2o_socket_t* socket);
 
   void Start();
   void Close();
@@ -44,6 +44,7 @@
                             std::string_view framing) const;
 
   Ingress& server;
+  uint64_t number = 0;
   h2o_socket_t* socket = nullptr;
   Phase phase = Phase::kHead;
   std::string input;
