LibGateway, Gateway: Reject at once while no group of a service can open

Callers waited 1.4 s, retried, waited and were refused; gateways and agents probed each other all the while.

Change: LibGateway/Availability. If every known rank of a service has reported a closed group for over 6 s, streams are rejected on arrival with the longest Retry-After that callers accept; a group that opens ends it, an unknown rank too. Logged when it changes (service_unavailable with reported ranks and size), shown in the dump.

Ruled out: rejecting as soon as groups are closed: after a loss of power callers that wait are served within 1 to 2 s. 6 s lies beyond a rank's crash and forming.

--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -61,6 +61,12 @@
 void Forwarding::SendOrWait() {
   const auto& waiting = this->state.waiting;
   const TimePoint now = EventLoop::Now();
+  const auto availability = this->state.availability.find(this->service);
+  if (this->has_engine() && availability != this->state.availability.end() &&
+      gateway::is_unavailable(availability->second, now)) {
+    this->Refuse(kUnavailable, "no group of the service can open", true);
+    return;
+  }
   const bool is_first =
       std::none_of(waiting.begin(), waiting.end(), [&](const auto& other) {
         return other->service == this->service && !other->is_probing() &&
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -1,6 +1,7 @@
 // The role of an entry VM on a platform whose targets have no forwarding agent:
 // the gateway accepts callers and sends requests straight to the targets.
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "Kernel/Digest.h"
@@ -293,10 +294,30 @@
     });
   }
 
+  // Logs when a service becomes unavailable or available.
+  void UpdateAvailabilityOf(const std::string& service) {
+    const TimePoint now = EventLoop::Now();
+    gateway::Availability& availability = this->state.availability[service];
+    gateway::UpdateAvailability(availability, this->state.targets, service,
+                                now);
+    const bool is_unavailable = gateway::is_unavailable(availability, now);
+    if (is_unavailable != this->unavailable_services.contains(service)) {
+      if (is_unavailable) {
+        this->unavailable_services.insert(service);
+      } else {
+        this->unavailable_services.erase(service);
+      }
+      Log(is_unavailable ? LogLevel::kWarning : LogLevel::kInfo, "forward",
+          is_unavailable ? "service_unavailable" : "service_available",
+          {{"service", service}, {"groups", gateway::Describe(availability)}});
+    }
+  }
+
   void AdjustPeriodically() {
     if (this->state.table != nullptr) {
       for (const auto& [name, service] : this->state.table->services) {
         if (service.engine) {
+          this->UpdateAvailabilityOf(name);
           gateway::AdjustLimits(this->state.permits, this->state.targets,
                                 service, this->ShortestPause(name));
         }
@@ -434,6 +455,11 @@
           {"per_rank", group.streams_per_rank},
           {"usual_pause_ms", group.pause_quantile.count() / 1000}};
     }
+    for (const auto& [name, availability] : this->state.availability) {
+      dump["services"][name] = {
+          {"is_unavailable", gateway::is_unavailable(availability, now)},
+          {"groups", gateway::Describe(availability)}};
+    }
     for (const auto& [name, known] : this->state.members.known) {
       dump["members"][name] = {
           {"ip", known.member.ip},
@@ -474,6 +500,7 @@
   TimePoint drain_began;
   // Store calls by name since the start.
   std::map<std::string, uint64_t> store_calls;
+  std::set<std::string> unavailable_services;
   bool is_heartbeat_scheduled = false;
   bool is_writing_usage = false;
   bool is_usage_written = false;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -10,6 +10,7 @@
 
 #include "Kernel/Digest.h"
 #include "LibGateway/Adapter.h"
+#include "LibGateway/Availability.h"
 #include "LibGateway/Permits.h"
 #include "LibGateway/RepeatBudget.h"
 #include "LibGateway/RouteTable.h"
@@ -43,6 +44,8 @@
   // Null until a desired state is known.
   std::shared_ptr<const gateway::RouteTable> table;
   gateway::TargetTable targets;
+  // By name of the service.
+  std::map<std::string, gateway::Availability> availability;
   gateway::Permits permits;
   gateway::RepeatBudget repeats;
   membership::Members members;
