--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -281,6 +281,7 @@
   this->state.waiting.remove(this->shared_from_this());
   const Duration took = EventLoop::Now() - this->arrived;
   this->CountUsage(outcome);
+  this->LogIfLate();
   telemetry::Count(kRequests, {{"service", this->service},
                                {"outcome", std::string(outcome)}});
   telemetry::Observe(kRequestTime, {{"service", this->service}}, took);
@@ -294,6 +295,29 @@
        {"took_ms", ToMillisecondsText(took)}});
 }
 
+void Forwarding::LogIfLate() const {
+  if (!this->has_started_answer) {
+    return;
+  }
+  const bool is_first_event = this->first_event_after > this->route->objective;
+  const bool is_pause = this->longest_pause > this->route->longest_pause;
+  if (!is_first_event && !is_pause) {
+    return;
+  }
+  const TimePoint at = is_first_event ? this->arrived + this->first_event_after
+                                      : this->longest_pause_ended;
+  const Duration took =
+      is_first_event ? this->first_event_after : this->longest_pause;
+  Log(LogLevel::kInfo, "forward", "late",
+      {{"request", this->id},
+       {"what", is_first_event ? "first_event" : "pause"},
+       {"group", this->group},
+       {"ago_ms", ToMillisecondsText(EventLoop::Now() - at)},
+       {"late_ms", ToMillisecondsText(took)},
+       {"waited_ms", ToMillisecondsText(this->waited)},
+       {"attempts", std::to_string(this->tried.size())}});
+}
+
 void Forwarding::CountUsage(std::string_view outcome) const {
   if (this->state.usage == nullptr) {
     return;
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -100,6 +100,8 @@
   void Finish(std::string_view outcome, int status);
   // Counts the usage of the request under its tenant, route and service.
   void CountUsage(std::string_view outcome) const;
+  // Logs a stream whose first event or longest pause was late.
+  void LogIfLate() const;
   // Returns the number of tokens in one event of the target.
   uint64_t TokensPerEvent() const;
   // Ends the attempt at the present target and records its outcome.
@@ -133,6 +135,8 @@
   std::shared_ptr<http::DirectCall> call;
   std::string target_id;
   std::string group;
+  // Time that the request waited for the permit of its last target.
+  Duration waited{};
   std::set<std::string> tried;
   // Targets that the request was sent to, and connections that failed.
   int sent = 0;
@@ -149,6 +153,7 @@
   // Time to the first event and longest pause between two, for the log.
   Duration first_event_after{};
   Duration longest_pause{};
+  TimePoint longest_pause_ended;
   gateway::EventReader events;
   usage::RequestMeter meter;
   bool is_finished = false;
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -82,7 +82,10 @@
          {"after_ms", ToMillisecondsText(this->first_event_after)}});
   } else {
     const Duration pause = now - this->last_event_at;
-    this->longest_pause = std::max(this->longest_pause, pause);
+    if (pause > this->longest_pause) {
+      this->longest_pause = pause;
+      this->longest_pause_ended = now;
+    }
     gateway::RecordPause(this->state.permits, this->group, pause,
                          this->route->longest_pause, now);
     telemetry::Observe(kPauseTime, {{"service", this->service}}, pause);
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -65,6 +65,7 @@
 void Forwarding::SendTo(const TargetView& target) {
   const TimePoint now = EventLoop::Now();
   this->target_id = target.target.id;
+  this->waited = now - this->arrived;
   this->group = gateway::GroupOf(target);
   this->tried.insert(this->target_id);
   usage::RecordSent(this->meter, now);
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -190,6 +190,7 @@
       most = std::max(most, rank->status.running + rank->status.queued);
     }
   }
+  const std::vector<double> paces = PacesOf(state);
   const auto map = MapInForce(state);
   const bool is_skew_known =
       map && state.drift.present.size() == map->size() && !map->empty();
@@ -202,9 +203,10 @@
        {"queued", std::to_string(queued)},
        {"most_at_a_rank", std::to_string(most)},
        {"phase", std::string(mapswitch::NameOf(state.map_switch.phase))},
-       {"skew", is_skew_known ? Rounded(placement::MeanSkew(*map, state.drift,
-                                                            PacesOf(state)))
-                              : "unknown"},
+       {"skew", is_skew_known
+                    ? Rounded(placement::MeanSkew(*map, state.drift, paces))
+                    : "unknown"},
+       {"slowest_pace", Rounded(*std::max_element(paces.begin(), paces.end()))},
        {"jumps", std::to_string(state.drift.shifts)}});
 }
 
@@ -301,7 +303,8 @@
   mapswitch::Continue(map_switch, now);
   if (map_switch.phase != phase_before) {
     Log(LogLevel::kInfo, "map", "switch_phase",
-        {{"version", std::to_string(map_switch.desired_map.version)},
+        {{"group", state.own->group},
+         {"version", std::to_string(map_switch.desired_map.version)},
          {"phase", std::string(mapswitch::NameOf(map_switch.phase))},
          {"arm_step", std::to_string(map_switch.desired_map.arm_step)},
          {"step", std::to_string(state.own->step)},
--- a/Utilities/bramleyspanctl/Commands.h
+++ b/Utilities/bramleyspanctl/Commands.h
@@ -41,6 +41,12 @@
 Result<void> ExplainRequest(const std::string& request,
                             const std::vector<std::string>& paths);
 
+// Prints how many streams were late by cause, in each 2 s, and with
+// `prints_streams` a line for each. `paths` are log files or directories of
+// them.
+Result<void> PrintCauses(const std::vector<std::string>& paths,
+                         bool prints_streams);
+
 // Where usage is read from, and by which columns it is summed.
 struct UsageOptions {
   // Name of the platform adapter that reads the store.
--- a/Utilities/bramleyspanctl/ExplainCommand.cc
+++ b/Utilities/bramleyspanctl/ExplainCommand.cc
@@ -3,21 +3,18 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
-#include <filesystem>
-#include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
 
 #include "Utilities/bramleyspanctl/Commands.h"
+#include "Utilities/bramleyspanctl/Records.h"
 
 namespace bramleyspan {
 
 namespace {
 
-using nlohmann::json;
-
 // State changes of a process within this time before or after the request may
 // have influenced how it was handled.
 constexpr std::chrono::milliseconds kContextTime{1500};
@@ -27,55 +24,12 @@
 constexpr std::array<std::string_view, 6> kStateModules{
     "feeds", "members", "map", "rank", "main", "drain"};
 
-struct Record {
-  std::chrono::milliseconds time{};
-  json fields;
-};
-
 bool is_state_record(const Record& record) {
   const std::string module = record.fields.value("module", "");
   return std::find(kStateModules.begin(), kStateModules.end(), module) !=
          kStateModules.end();
 }
 
-// Reads one JSON record from each line. A log collector may have put a prefix
-// before the record.
-void ReadFile(const std::filesystem::path& path, std::vector<Record>& records) {
-  std::ifstream file(path);
-  for (std::string line; std::getline(file, line);) {
-    const size_t begin = line.find('{');
-    if (begin == std::string::npos) {
-      continue;
-    }
-    json fields = json::parse(line.substr(begin), nullptr, false);
-    if (fields.is_object() && fields.contains("event")) {
-      const std::chrono::milliseconds time(fields.value("time_ms", int64_t{0}));
-      records.push_back({time, std::move(fields)});
-    }
-  }
-}
-
-Result<std::vector<Record>> ReadRecords(const std::vector<std::string>& paths) {
-  std::vector<Record> records;
-  for (const std::string& path : paths) {
-    if (!std::filesystem::exists(path)) {
-      return Fail(ErrorCode::kNotFound, path, "no such file or directory");
-    }
-    if (!std::filesystem::is_directory(path)) {
-      ReadFile(path, records);
-      continue;
-    }
-    for (const auto& entry : std::filesystem::directory_iterator(path)) {
-      ReadFile(entry.path(), records);
-    }
-  }
-  std::stable_sort(records.begin(), records.end(),
-                   [](const Record& left, const Record& right) {
-                     return left.time < right.time;
-                   });
-  return records;
-}
-
 void Print(const Record& record, std::chrono::milliseconds start) {
   std::cout << (record.time - start).count() << " ms  "
             << record.fields.value("process", "") << "  "
--- a/Utilities/bramleyspanctl/Main.cc
+++ b/Utilities/bramleyspanctl/Main.cc
@@ -44,6 +44,7 @@
           "",
           "IP:PORT,... of gateways' internal ports, for usage that is not "
           "stored yet");
+ABSL_FLAG(bool, streams, false, "causes: print a line for each late stream");
 ABSL_FLAG(std::string,
           by,
           "owner,entry,service",
@@ -73,6 +74,9 @@
     "  status                  which revision is in force on which process\n"
     "  dump                    the whole state of one process\n"
     "  usage                   requests and tokens by owner, from --store\n"
+    "  causes LOG...           why streams were late, by 2 s; with --streams a "
+    "line\n"
+    "                          for each\n"
     "  explain REQUEST LOG...  all records about a request, from log files or "
     "directories\n";
 
@@ -172,6 +176,10 @@
                        .gateways = absl::GetFlag(FLAGS_gateways),
                        .by = absl::GetFlag(FLAGS_by)});
   }
+  if (command == "causes" && words.size() > 1) {
+    return PrintCauses({words.begin() + 1, words.end()},
+                       absl::GetFlag(FLAGS_streams));
+  }
   if (command == "explain" && words.size() > 2) {
     return ExplainRequest(verb, {words.begin() + 2, words.end()});
   }
