LibMapSwitch: Count the hold in the time to arm a group, and lost orders

The time that was expected (50 ms, or what the last switches took) began at the arming; the hold before it takes 25 to 40 ms more (holding to releasing 70 to 101 ms here). And while orders get lost nothing showed that before a first slow switch.

Change: the time counts from the request for the hold. As soon as a rank reports a lost order, 200 ms are allowed: its order is repeated once or twice.

Ruled out: no switches while orders are lost (the standing rule from a third of the ranks on stays): the first switch after a demand shift is worth most then.

--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -23,6 +23,9 @@
 // armed.
 constexpr Duration kUsualArmingTime = std::chrono::milliseconds(50);
 constexpr Duration kLongestArmingTime = std::chrono::milliseconds(500);
+// Expected arming time while a rank loses orders: its order is repeated once or
+// twice.
+constexpr Duration kArmingTimeUnderLoss = std::chrono::milliseconds(200);
 // Factor by which a long arming time decays with each switch.
 constexpr double kArmingTimeDecay = 0.7;
 // Time for an order to reach the model server and for its effect to be
@@ -77,15 +80,25 @@
   return losing >= std::max(kLeastRanks, map_switch.ranks.size() / 3 + 1);
 }
 
+// Whether any rank has lost an order recently.
+bool has_lost_orders(const MapSwitch& map_switch) {
+  return std::any_of(
+      map_switch.ranks.begin(), map_switch.ranks.end(),
+      [](const auto& rank) { return rank && rank->status.is_losing_orders; });
+}
+
 // Returns how many passes ahead the group is held. If a pass is due before the
 // last rank is armed, the group waits there: passes of 90 ms took 130 ms, and
 // every stream was late. If all ranks are armed before the pass is due, nothing
 // waits; the rest of the running pass may be enough time. Lost orders are
-// repeated, so as much time is allowed as the last switches took.
+// repeated, so as much time is allowed as the last switches took, and more as
+// soon as a rank loses orders.
 Step PassesAhead(const MapSwitch& map_switch, TimePoint now) {
   const Duration pass = std::max(map_switch.pass, kShortestPass);
+  const Duration least =
+      has_lost_orders(map_switch) ? kArmingTimeUnderLoss : kUsualArmingTime;
   const Duration needed =
-      std::clamp(map_switch.arming_time, kUsualArmingTime, kLongestArmingTime);
+      std::clamp(map_switch.arming_time, least, kLongestArmingTime);
   const Duration left = map_switch.pass_began + pass - kPassReportDelay - now;
   if (left >= needed) {
     return 1;
@@ -161,6 +174,7 @@
     }
   }
   if (is_armed || (is_same && own.prepared != 0)) {
+    map_switch.hold_requested_at = now;
     // A standby owner may assume that the owner's rank is armed once the owner
     // names the pass; that also holds if it finds the group held.
     EnterPhase(map_switch,
@@ -196,6 +210,9 @@
   DesiredMap& desired_map = map_switch.desired_map;
   const auto current_holder = FindHolder(map_switch, now);
   if (current_holder) {
+    if (!map_switch.is_hold_requested) {
+      map_switch.hold_requested_at = now;
+    }
     desired_map.holder = *current_holder;
     desired_map.hold_step = StatusOf(map_switch, *current_holder).held;
     desired_map.arm_step = desired_map.hold_step;
@@ -217,6 +234,7 @@
   if (has_all_statuses && desired_map.hold_step <= step) {
     desired_map.holder = ChooseHolder(map_switch, now);
     desired_map.hold_step = step + PassesAhead(map_switch, now);
+    map_switch.hold_requested_at = now;
     map_switch.is_hold_requested = true;
   }
 }
@@ -241,7 +259,7 @@
     const auto decayed = std::chrono::duration_cast<Duration>(
         kArmingTimeDecay * map_switch.arming_time);
     map_switch.arming_time =
-        std::max(now - map_switch.arming_since + kOrderRoundTrip, decayed);
+        std::max(now - map_switch.hold_requested_at + kOrderRoundTrip, decayed);
     desired_map.is_released = true;
     EnterPhase(map_switch, SwitchPhase::kReleasing, now);
   }
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -76,11 +76,13 @@
   TimePoint since;
   // When arming began; from then on the switch may keep the group waiting.
   TimePoint arming_since;
+  // When the hold of the present step was requested.
+  TimePoint hold_requested_at;
   // No switch starts before this time. After a slow switch the next one is
   // delayed: where orders are lost, a better map gains less than a held group
   // costs.
   TimePoint cooldown_until;
-  // Recent time from the hold until all ranks were armed.
+  // Recent time from the request for a hold until all ranks were armed.
   Duration arming_time{};
   // Current duration of a pass of the group, and when the running pass was
   // first seen.
--- a/Tests/LibMapSwitch/SimulatedRanks.cc
+++ b/Tests/LibMapSwitch/SimulatedRanks.cc
@@ -19,6 +19,7 @@
       copied_at(size),
       copying(size, 0),
       pass_due(this->now) {
+  this->pass_began = this->now;
   for (uint32_t rank = 0; rank < size; ++rank) {
     this->ranks[rank] = {.group = "g",
                          .epoch = 1,
@@ -71,11 +72,13 @@
   if (static_cast<int>(this->random() % 100) < this->late_order_percent) {
     const auto delay = std::chrono::milliseconds(50 + this->random() % 4000);
     this->delayed.push_back({this->now + delay, rank, order});
+    this->is_answered = false;
     return false;
   }
   const bool is_done = this->Execute(rank, order);
   const bool is_answer_lost =
       static_cast<int>(this->random() % 100) < this->late_order_percent;
+  this->is_answered = !is_answer_lost;
   return is_done && !is_answer_lost;
 }
 
@@ -109,6 +112,9 @@
   }
   this->step = next;
   this->pass_due = this->now + kPass;
+  this->longest_pass =
+      std::max(this->longest_pass, this->now - this->pass_began);
+  this->pass_began = this->now;
   for (RankStatus& rank : this->ranks) {
     rank.step = next;
     if (rank.armed_step == next) {
--- a/Tests/LibMapSwitch/SimulatedRanks.h
+++ b/Tests/LibMapSwitch/SimulatedRanks.h
@@ -37,7 +37,12 @@
   // Whether a pass ever began while two ranks had different maps, by version or
   // by content.
   bool is_split = false;
+  // Whether the last order that was sent was answered.
+  bool is_answered = true;
   Step step = 0;
+  TimePoint pass_began;
+  // The longest time between the beginnings of two passes.
+  Duration longest_pass{};
   TimePoint now{std::chrono::seconds(1000)};
   int late_order_percent = 0;
   bool has_work = true;
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -42,8 +42,7 @@
 struct Agents {
   SimulatedRanks& ranks;
   MapSwitch owner;
-  std::vector<std::optional<DesiredMap>> desired_maps =
-      std::vector<std::optional<DesiredMap>>(kRanks);
+  std::vector<std::optional<DesiredMap>> desired_maps;
   // Until then the owner sends and does nothing.
   TimePoint owner_frozen_until{};
   int lost_message_percent = 0;
@@ -51,41 +50,60 @@
   int switches = 0;
   std::map<uint32_t, std::pair<std::string, TimePoint>> last_orders;
 
+  Duration tick = kTick;
+  Duration repeat_after = std::chrono::milliseconds(100);
+  // Whether agents report that they lose orders.
+  bool has_loss_reports = false;
+  std::map<uint32_t, TimePoint> lost_at;
+
   explicit Agents(SimulatedRanks& ranks, uint64_t seed)
-      : ranks(ranks), random(seed) {}
+      : ranks(ranks), desired_maps(ranks.size()), random(seed) {}
+
+  // Returns what the rank's agent reports to the owner.
+  RankStatus ReportOf(uint32_t rank) const {
+    constexpr Duration kLossWindow = std::chrono::seconds(2);
+    RankStatus status = this->ranks.status(rank);
+    const auto lost = this->lost_at.find(rank);
+    status.is_losing_orders = this->has_loss_reports &&
+                              lost != this->lost_at.end() &&
+                              this->ranks.now - lost->second < kLossWindow;
+    return status;
+  }
 
   bool is_lost() {
     return static_cast<int>(this->random() % 100) < this->lost_message_percent;
   }
 
   void SendOnce(uint32_t rank, const Order& order) {
-    constexpr Duration kRepeat = std::chrono::milliseconds(100);
     constexpr Duration kRepeatPrepare = std::chrono::milliseconds(1500);
     const std::string name = NameOf(order.body) + std::to_string(order.epoch) +
                              "." + std::to_string(order.expected_sequence);
     auto& [last, at] = this->last_orders[rank];
     const Duration wait =
-        NameOf(order.body) == "prepare" ? kRepeatPrepare : kRepeat;
+        NameOf(order.body) == "prepare" ? kRepeatPrepare : this->repeat_after;
     if (last == name && this->ranks.now - at < wait) {
       return;
     }
     last = name;
     at = this->ranks.now;
     this->ranks.Send(rank, order);
+    if (!this->ranks.is_answered) {
+      this->lost_at[rank] = this->ranks.now;
+    }
   }
 
   void Tick() {
     const TimePoint now = this->ranks.now;
     const bool is_frozen = now < this->owner_frozen_until;
-    for (uint32_t rank = 0; rank < kRanks && !is_frozen; ++rank) {
+    for (uint32_t rank = 0; rank < this->ranks.size() && !is_frozen; ++rank) {
       if (rank == 0 || !this->is_lost()) {
-        HandleStatus(this->owner, this->ranks.status(rank), now);
+        HandleStatus(this->owner, this->ReportOf(rank), now);
       }
     }
     if (!is_frozen) {
       this->RunOwner(now);
     }
-    for (uint32_t rank = 0; rank < kRanks; ++rank) {
+    for (uint32_t rank = 0; rank < this->ranks.size(); ++rank) {
       if (!this->desired_maps[rank] || (rank == 0 && is_frozen)) {
         continue;
       }
@@ -108,7 +126,7 @@
     if (this->owner.phase == SwitchPhase::kIdle) {
       return;
     }
-    for (uint32_t rank = 0; rank < kRanks; ++rank) {
+    for (uint32_t rank = 0; rank < this->ranks.size(); ++rank) {
       if (rank == 0 || !this->is_lost()) {
         this->desired_maps[rank] = DesiredMapFor(this->owner, rank);
       }
@@ -125,7 +143,7 @@
   // The agent of another rank polls all ranks and completes the switch.
   void TakeOver(MapSwitch& standby) {
     standby.is_standby = true;
-    for (uint32_t rank = 0; rank < kRanks; ++rank) {
+    for (uint32_t rank = 0; rank < this->ranks.size(); ++rank) {
       HandleStatus(standby, this->ranks.status(rank), this->ranks.now);
       Continue(standby, this->ranks.now);
       const bool may_order = standby.phase == SwitchPhase::kArming ||
@@ -140,7 +158,7 @@
 
   void Run(Duration time) {
     for (const TimePoint end = this->ranks.now + time; this->ranks.now < end;) {
-      this->ranks.Advance(kTick);
+      this->ranks.Advance(this->tick);
       this->Tick();
     }
   }
@@ -344,6 +362,52 @@
   CHECK_FALSE(ranks.is_split);
 }
 
+// Failure: one order in ten is not answered. The group waits until each of 32
+// ranks has got its order to arm again, and all its streams are late by one
+// pass.
+TEST_CASE("A switch while orders are lost does not make a group's pass late") {
+  constexpr Duration kLongestPause = std::chrono::milliseconds(120);
+  constexpr int kSwitches = 100;
+  int late = 0;
+  for (uint64_t seed = 0; seed < kSwitches; ++seed) {
+    SimulatedRanks ranks(32, seed);
+    ranks.late_order_percent = 6;
+    Agents agents(ranks, seed);
+    agents.tick = std::chrono::milliseconds(10);
+    agents.repeat_after = std::chrono::milliseconds(50);
+    agents.has_loss_reports = true;
+    while (ranks.status(0).map == 0 &&
+           ranks.now < TimePoint(std::chrono::seconds(1010))) {
+      agents.Run(agents.tick);
+      agents.owner.pass = std::chrono::milliseconds(60);
+      agents.owner.pass_began = ranks.pass_began;
+    }
+    REQUIRE(ranks.status(0).map != 0);
+    REQUIRE_FALSE(ranks.is_split);
+    late += ranks.longest_pass > kLongestPause ? 1 : 0;
+  }
+  MESSAGE("late ", late);
+  // 95 in 100 of all pauses are in time.
+  CHECK(late <= kSwitches / 20);
+}
+
+// Failure: the hold itself takes a third of the time until all ranks are armed;
+// left out of the estimate, it let the next pass be held where all ranks were
+// armed 30 ms after it was due.
+TEST_CASE("The time to arm a group counts from the request for its hold") {
+  SimulatedRanks ranks(8, 1);
+  Agents agents(ranks, 1);
+  agents.tick = std::chrono::milliseconds(30);
+  TimePoint requested_at{};
+  while (agents.owner.phase != SwitchPhase::kReleasing) {
+    agents.Run(agents.tick);
+    if (requested_at == TimePoint{} && agents.owner.is_hold_requested) {
+      requested_at = ranks.now;
+    }
+  }
+  CHECK(agents.owner.arming_time >= ranks.now - requested_at);
+}
+
 // Failure: half of the orders were lost and the owner's machine froze while its
 // group was held. Only the owner's machine could have released the group, and
 // servers worked on for callers that had left.
@@ -436,6 +500,14 @@
     Continue(map_switch, now);
     CHECK(map_switch.desired_map.hold_step == 42);
   }
+  SUBCASE("A rank loses orders") {
+    RankStatus status = map_switch.ranks[2]->status;
+    status.is_losing_orders = true;
+    HandleStatus(map_switch, status, now);
+    map_switch.pass_began = now;
+    Continue(map_switch, now);
+    CHECK(map_switch.desired_map.hold_step == 42);
+  }
   SUBCASE("Recent switches took long to arm") {
     map_switch.arming_time = std::chrono::milliseconds(150);
     map_switch.pass_began = now;
