LibAdmission, LibPlacement: Name the two paces by what they decide

They answer two questions: from which pace on a rank gets no streams, and from which it is relieved of experts without the usual number of copies. The second costs copies only, the first a rank's slots, so it may come later.

Change: kMaxPaceForPermits (1.5) and kMaxUsualPace (1.3); values as they were.

No measurement: nothing changes.

--- a/Libraries/LibAdmission/RankAdmission.cc
+++ b/Libraries/LibAdmission/RankAdmission.cc
@@ -53,8 +53,9 @@
 // for streams in time. Gateways with only late requests waiting would otherwise
 // take every free permit, and within a minute all streams would be late.
 constexpr double kLateLimitFraction = 0.75;
-// A rank whose pace reaches this grants no permits.
-constexpr double kSlowPace = 1.5;
+// A rank whose pace reaches this grants no permits. Experts leave a rank at a
+// lower pace already: moving them costs less than a rank without streams.
+constexpr double kMaxPaceForPermits = 1.5;
 
 // A gateway probes this many ranks at once and takes one permit.
 constexpr double kProbesPerPermit = 6;
@@ -260,7 +261,7 @@
   const bool has_permit = pass < longest_pass && load <= offer.limit;
   offer.is_admitting = admission.reported.is_open &&
                        now - admission.reported_at < kMaxReportAge &&
-                       admission.reported.pace < kSlowPace && has_permit;
+                       admission.reported.pace < kMaxPaceForPermits && has_permit;
   return offer;
 }
 
--- a/Libraries/LibPlacement/SwitchPlan.cc
+++ b/Libraries/LibPlacement/SwitchPlan.cc
@@ -9,8 +9,8 @@
 
 // Copies per set that a switch allows at least if a rank is slow.
 constexpr uint32_t kMinCopiesPerSetIfSlow = 4;
-// A rank whose pace exceeds this counts as slow.
-constexpr double kSlowPace = 1.3;
+// A rank whose pace exceeds this is relieved of experts at once.
+constexpr double kMaxUsualPace = 1.3;
 // The skew of a set that one copy at each rank must remove in total.
 constexpr double kMinGainOfCopies = 0.32;
 // The mean skew that a switch must remove where passes are long; shorter passes
@@ -62,7 +62,7 @@
                       const SwitchLimits& limits) {
   const bool is_any_slow =
       std::any_of(limits.paces.begin(), limits.paces.end(),
-                  [](double pace) { return pace > kSlowPace; });
+                  [](double pace) { return pace > kMaxUsualPace; });
   SwitchPlan plan{.lists = lists, .skew_before = 0, .skew_after = 0};
   std::vector<uint32_t> new_on_rank;
   const std::vector<size_t> order = OrderBySkew(lists, demand, limits.paces);
