--- a/Libraries/LibAdmission/RankAdmission.cc
+++ b/Libraries/LibAdmission/RankAdmission.cc
@@ -53,10 +53,6 @@
 // for streams in time. Gateways with only late requests waiting would otherwise
 // take every free permit, and within a minute all streams would be late.
 constexpr double kLateLimitFraction = 0.75;
-// The same while no stream in time has been turned down: a late answer is worth
-// more to a caller than a refusal while permits are left.
-constexpr double kLateLimitFractionIfIdle = 0.95;
-constexpr Duration kTurnedDownWindow = std::chrono::seconds(1);
 // A rank whose pace reaches this grants no permits. Experts leave a rank at a
 // lower pace already: moving them costs less than a rank without streams.
 constexpr double kMaxPaceForPermits = 1.5;
@@ -127,12 +123,6 @@
   }
 }
 
-// Returns the fraction of the limit that late streams may fill.
-double LateLimitFraction(const RankAdmission& admission, TimePoint now) {
-  const bool is_contended = now - admission.turned_down_at < kTurnedDownWindow;
-  return is_contended ? kLateLimitFraction : kLateLimitFractionIfIdle;
-}
-
 void UpdateSlowness(RankAdmission& admission, TimePoint now) {
   if (PassOf(admission, now) < admission.settings.longest_pause) {
     admission.slow_since.reset();
@@ -199,10 +189,6 @@
   ++admission.costs.new_reservations;
 }
 
-void RecordTurnedDown(RankAdmission& admission, TimePoint now) {
-  admission.turned_down_at = now;
-}
-
 void RecordOffer(RankAdmission& admission, TimePoint now) {
   while (!admission.open_offers.empty() &&
          now - admission.open_offers.front() > kOfferLifetime) {
@@ -270,7 +256,7 @@
     offer.limit = MaxLimitOf(admission);
     longest_pass = kMaxSlowPassFactor * longest;
   } else if (is_late) {
-    offer.limit *= LateLimitFraction(admission, now);
+    offer.limit *= kLateLimitFraction;
   }
   const bool has_permit = pass < longest_pass && load <= offer.limit;
   offer.is_admitting = admission.reported.is_open &&
--- a/Libraries/LibAdmission/RankAdmission.h
+++ b/Libraries/LibAdmission/RankAdmission.h
@@ -74,8 +74,6 @@
   StreamCosts costs;
   // Whether the mean number of running streams has been close to the maximum.
   bool is_overloaded = false;
-  // When a stream in time was last turned down for lack of a permit.
-  TimePoint turned_down_at;
   // The limit on streams while no passes under their load have been observed.
   double start_limit = 0;
   // The time since which every pass has exceeded the longest pause; none if
@@ -114,9 +112,6 @@
 // until the gateway has decided.
 void RecordOffer(RankAdmission& admission, TimePoint now);
 
-// Records that a stream in time got no permit here.
-void RecordTurnedDown(RankAdmission& admission, TimePoint now);
-
 // Removes a reservation whose stream has begun or ended.
 void RemoveReservation(RankAdmission& admission,
                        const Reservation& reservation);
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -325,8 +325,6 @@
         admission::OfferOf(this->state.rank_admission, probe.is_late, now);
     if (offer.is_admitting) {
       admission::RecordOffer(this->state.rank_admission, now);
-    } else if (!probe.is_late) {
-      admission::RecordTurnedDown(this->state.rank_admission, now);
     }
     membership::wire::PlaceOfferT wire;
     wire.number = probe.number;
--- a/Tests/LibAdmission/SimulatedLoad.cc
+++ b/Tests/LibAdmission/SimulatedLoad.cc
@@ -64,14 +64,14 @@
   }
 }
 
-void SimulatedLoad::ReformUntil(TimePoint opens_at, Duration noticed_after) {
+void SimulatedLoad::ReformUntil(TimePoint opens_at) {
   this->is_open = false;
   this->is_pass_running = false;
   this->opens_at = opens_at;
   for (const Stream& stream : this->streams) {
     Caller caller = stream.caller;
     caller.is_retry = true;
-    caller.arrived_at = this->now + noticed_after;
+    caller.arrived_at = this->now;
     this->retrying.push_back(caller);
   }
   this->streams.clear();
@@ -213,9 +213,6 @@
     const PermitOffer offer =
         OfferOf(this->admissions[rank], this->is_late(caller), this->now);
     if (!offer.is_admitting) {
-      if (!this->is_late(caller)) {
-        RecordTurnedDown(this->admissions[rank], this->now);
-      }
       continue;
     }
     RecordOffer(this->admissions[rank], this->now);
@@ -266,9 +263,6 @@
                   .running = running[rank],
                   .is_open = this->is_open},
                  this->now);
-    if (this->settings.is_always_contended) {
-      RecordTurnedDown(this->admissions[rank], this->now);
-    }
   }
 }
 
--- a/Tests/LibAdmission/SimulatedLoad.h
+++ b/Tests/LibAdmission/SimulatedLoad.h
@@ -38,8 +38,6 @@
   double skew_after_shift = 3.3;
   double skew_with_first_copies = 2.1;
   double steady_skew = 1.7;
-  // Whether ranks leave permits to streams in time at any load.
-  bool is_always_contended = false;
 };
 
 // The outcomes of callers by the second of their first request.
@@ -56,9 +54,9 @@
 
   void Run(Duration time);
 
-  // Re-forms the group until `opens_at`: its streams end, and their callers
-  // retry once they have noticed that, after `noticed_after`.
-  void ReformUntil(TimePoint opens_at, Duration noticed_after = Duration(0));
+  // Re-forms the group until `opens_at`: its streams end and their callers
+  // retry.
+  void ReformUntil(TimePoint opens_at);
 
   CallerCounts Sum(size_t from_second, size_t to_second) const;
 
