LibMapSwitch: Take no pass for known just after a switch

Change: within 0.3 s after a switch the running pass may end at any moment, so the group is held one pass further.

Ruled out: scaling the mean by the planned skew: prompts that are read change a pass as much. The first switch after a shift, where the old map hurts, is planned as before.

Test: a subcase of the hold's distance; fails without the change.

--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -32,6 +32,9 @@
 // reported.
 constexpr Duration kOrderRoundTrip = std::chrono::milliseconds(15);
 constexpr Duration kShortestPass = std::chrono::milliseconds(10);
+// Time after a switch in which the recent passes are mostly those of the map
+// before it, which took longer.
+constexpr Duration kPassUnknownAfterSwitch = std::chrono::milliseconds(300);
 // How late the beginning of a pass may be reported.
 constexpr Duration kPassReportDelay = std::chrono::milliseconds(20);
 
@@ -99,7 +102,11 @@
       has_lost_orders(map_switch) ? kArmingTimeUnderLoss : kUsualArmingTime;
   const Duration needed =
       std::clamp(map_switch.arming_time, least, kLongestArmingTime);
-  const Duration left = map_switch.pass_began + pass - kPassReportDelay - now;
+  const bool is_pass_known =
+      now - map_switch.in_force_since > kPassUnknownAfterSwitch;
+  const Duration left =
+      is_pass_known ? map_switch.pass_began + pass - kPassReportDelay - now
+                    : Duration(0);
   if (left >= needed) {
     return 1;
   }
@@ -278,6 +285,7 @@
       map_switch, now,
       [version](const RankStatus& rank) { return rank.map == version; });
   if (is_in_force) {
+    map_switch.in_force_since = now;
     const Duration switch_time = now - map_switch.arming_since;
     if (switch_time > kUsualSwitchTime) {
       map_switch.cooldown_until =
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -84,8 +84,10 @@
   TimePoint cooldown_until;
   // Recent time from the request for a hold until all ranks were armed.
   Duration arming_time{};
-  // Current duration of a pass of the group, and when the running pass was
-  // first seen.
+  // When the last switch was completed.
+  TimePoint in_force_since;
+  // Recent duration of a pass of the group, and when the running pass was first
+  // seen.
   Duration pass = std::chrono::milliseconds(50);
   TimePoint pass_began;
   // Whether a hold was requested and may still arrive; from then on the switch
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -500,6 +500,12 @@
     Continue(map_switch, now);
     CHECK(map_switch.desired_map.hold_step == 42);
   }
+  SUBCASE("The map has just changed, so that this pass is shorter") {
+    map_switch.pass_began = now - std::chrono::milliseconds(15);
+    map_switch.in_force_since = map_switch.pass_began;
+    Continue(map_switch, now);
+    CHECK(map_switch.desired_map.hold_step == 42);
+  }
   SUBCASE("A rank loses orders") {
     RankStatus status = map_switch.ranks[2]->status;
     status.is_losing_orders = true;
