--- a/Libraries/LibAdmission/RankAdmission.cc
+++ b/Libraries/LibAdmission/RankAdmission.cc
@@ -261,7 +261,8 @@
   const bool has_permit = pass < longest_pass && load <= offer.limit;
   offer.is_admitting = admission.reported.is_open &&
                        now - admission.reported_at < kMaxReportAge &&
-                       admission.reported.pace < kMaxPaceForPermits && has_permit;
+                       admission.reported.pace < kMaxPaceForPermits &&
+                       has_permit;
   return offer;
 }
 
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -301,20 +301,32 @@
     gateway::UpdateAvailability(availability, this->state.targets, service,
                                 now);
     const bool is_unavailable = gateway::is_unavailable(availability, now);
-    if (is_unavailable != this->unavailable_services.contains(service)) {
-      if (is_unavailable) {
-        this->unavailable_services.insert(service);
-      } else {
-        this->unavailable_services.erase(service);
-      }
-      Log(is_unavailable ? LogLevel::kWarning : LogLevel::kInfo, "forward",
-          is_unavailable ? "service_unavailable" : "service_available",
+    const bool was_unavailable = this->unavailable_services.contains(service);
+    if (is_unavailable && !was_unavailable) {
+      this->unavailable_services.insert(service);
+      Log(LogLevel::kWarning, "forward", "service_unavailable",
+          {{"service", service}, {"groups", gateway::Describe(availability)}});
+    } else if (!is_unavailable && was_unavailable) {
+      this->unavailable_services.erase(service);
+      Log(LogLevel::kInfo, "forward", "service_available",
           {{"service", service}, {"groups", gateway::Describe(availability)}});
     }
   }
 
+  // Forgets the services that the desired state no longer has.
+  void RemoveUnknownServices() {
+    const auto& services = this->state.table->services;
+    std::erase_if(this->state.availability, [&services](const auto& item) {
+      return !services.contains(item.first);
+    });
+    std::erase_if(this->unavailable_services, [&services](const auto& name) {
+      return !services.contains(name);
+    });
+  }
+
   void AdjustPeriodically() {
     if (this->state.table != nullptr) {
+      this->RemoveUnknownServices();
       for (const auto& [name, service] : this->state.table->services) {
         if (service.engine) {
           this->UpdateAvailabilityOf(name);
