--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -10,6 +10,8 @@
 //   address alone, so that a test can cut off one process.
 // - PUT /orders?lose=KIND: from now on orders of this kind are lost (arm: at
 //   the last rank only); none ends it.
+// - PUT /group?state=: the group reports this state, open or broken, and runs
+//   on nevertheless.
 // - GET /status: runs by attempt and by server, splits and switches of the
 //   group, and its held and armed ranks.
 #include <absl/flags/flag.h>
@@ -137,6 +139,9 @@
   if (request.path == "/orders") {
     platform.group.lost_order = http::FindQueryValue(request.query, "lose");
   }
+  if (request.path == "/group") {
+    platform.group.state = http::FindQueryValue(request.query, "state");
+  }
   const auto& ranks = platform.group.ranks;
   const auto held =
       std::count_if(ranks.begin(), ranks.end(),
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -42,7 +42,7 @@
                   {{"name", "g"},
                    {"epoch", 1},
                    {"rank", IndexOf(group, rank)},
-                   {"state", "open"},
+                   {"state", group.state},
                    {"size", group.ranks.size()}}},
                  {"step", group.step},
                  {"map", rank.map_version}};
--- a/StandIns/UsersPlatform/Ranks.h
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -55,6 +55,8 @@
   // Orders of this kind are dropped without an answer; arm orders only at the
   // last rank.
   std::string lost_order;
+  // What each rank reports as the state of the group.
+  std::string state = "open";
   // How often each attempt began to run, at the ranks and at plain servers.
   std::map<std::string, uint64_t>* runs = nullptr;
 };
