Gateway: Log the rate limits that targets name, count what is sent to them

Cause of the gap: no line said what a server had named, when a gateway heard it, or how much it sent there afterwards, so that "nobody acts on it" and "each keeps it for itself" looked alike.

A limit ends with an answer to a request that was sent after the last answer that named it; an unreadable one changes nothing. No request is held back yet.

--- /dev/null
+++ b/Libraries/LibGateway/TargetSignals.h
@@ -0,0 +1,46 @@
+// What targets ask of their callers in the heads of their answers. The adapter
+// names the headers.
+#pragma once
+
+#include <optional>
+
+#include "Kernel/Time.h"
+#include "LibGateway/CallHeaders.h"
+#include "LibHTTP/Message.h"
+
+namespace bramleyspan::gateway {
+
+// What one answer says.
+struct AnswerSignals {
+  // Requests a second that the target takes from all gateways together. None if
+  // the answer names no limit.
+  std::optional<double> rate_limit;
+  // The answer names a limit that is no decimal number of 0 or more.
+  bool is_rate_limit_unreadable = false;
+};
+
+AnswerSignals ParseSignals(const CallHeaders& names,
+                           const http::HeaderList& headers);
+
+// The rate limit of a target, as far as it is known.
+struct RateLimit {
+  // Requests a second, for all gateways together. None if the target names no
+  // limit any more.
+  std::optional<double> per_second;
+  // When this began to hold, and when an answer last confirmed it.
+  TimePoint since;
+  TimePoint confirmed_at;
+};
+
+// Records what the answer to a request says that was sent at `sent_at`. Returns
+// whether the limit changed. An unreadable limit changes nothing.
+bool RecordRateLimit(RateLimit& limit,
+                     const AnswerSignals& signals,
+                     TimePoint sent_at,
+                     TimePoint now);
+
+struct TargetSignals {
+  RateLimit rate_limit;
+};
+
+}  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -20,6 +20,8 @@
 constexpr double kJitterWeight = 0.01;
 // Factor on the failure count after each request that did not fail.
 constexpr double kSuccessDecay = 0.9;
+// Time for which the signals of a target are kept that is not listed.
+constexpr Duration kSignalsLifetime = std::chrono::minutes(1);
 
 double JitterOf(uint64_t bits, const std::string& id) {
   const uint64_t mixed =
@@ -49,6 +51,13 @@
   table.by_id.erase(id);
 }
 
+void RemoveOldSignals(TargetTable& table, TimePoint now) {
+  std::erase_if(table.signals, [&table, now](const auto& item) {
+    return !table.by_id.contains(item.first) &&
+           now - item.second.rate_limit.confirmed_at > kSignalsLifetime;
+  });
+}
+
 double FailureScore(const TargetView& view, TimePoint now) {
   if (view.failures == 0) {
     return 0;
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -12,6 +12,7 @@
 
 #include "Kernel/Address.h"
 #include "Kernel/Time.h"
+#include "LibGateway/TargetSignals.h"
 
 namespace bramleyspan::gateway {
 
@@ -63,6 +64,8 @@
 
 struct TargetTable {
   std::map<std::string, TargetView> by_id;
+  // By id of the target; kept while its record is missing.
+  std::map<std::string, TargetSignals> signals;
 };
 
 // Adds or updates a target that the platform lists; the state of a known target
@@ -79,6 +82,10 @@
                    Outcome outcome,
                    TimePoint now);
 
+// Forgets the signals of targets that are no longer listed and have sent none
+// for a while.
+void RemoveOldSignals(TargetTable& table, TimePoint now);
+
 // Returns the decayed number of failures as of `now`.
 double FailureScore(const TargetView& view, TimePoint now);
 
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -76,6 +76,8 @@
   http::HeaderList HeadersFor(const gateway::TargetView& target,
                               TimePoint now) const;
   void HandleHead(const http::AnswerHead& head);
+  // Records what the head of the target's own answer asks of its callers.
+  void RecordSignals(const http::AnswerHead& head);
   void HandleBytes(std::string_view bytes);
   void HandleEvent(const gateway::StreamEvent& event);
   void HandleEnd(http::CallEnd end);
@@ -135,6 +137,8 @@
   std::shared_ptr<http::DirectCall> call;
   std::string target_id;
   std::string group;
+  // When the request was sent to its last target.
+  TimePoint sent_at;
   // Time that the request waited for the permit of its last target.
   Duration waited{};
   std::set<std::string> tried;
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -7,6 +7,7 @@
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+#include "Services/bramleyspand/Gateway/SignalRecorder.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -38,8 +39,17 @@
   return echoed.empty() || echoed == this->id;
 }
 
+void Forwarding::RecordSignals(const http::AnswerHead& head) {
+  // An answer of another server at the address says nothing of the target.
+  if (this->is_own_answer(head) && head.status != kMisdirected) {
+    this->state.signals->RecordAnswer(this->target_id, this->service, head,
+                                      this->sent_at);
+  }
+}
+
 void Forwarding::HandleHead(const http::AnswerHead& head) {
   this->answer = head;
+  this->RecordSignals(head);
   const bool has_stamp =
       !FindHeader(head.headers, this->state.adapter.headers.stamp).empty();
   const bool is_encoded = !FindHeader(head.headers, "content-encoding").empty();
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -5,6 +5,7 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
+#include "Services/bramleyspand/Gateway/SignalRecorder.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -65,6 +66,7 @@
 void Forwarding::SendTo(const TargetView& target) {
   const TimePoint now = EventLoop::Now();
   this->target_id = target.target.id;
+  this->sent_at = now;
   this->waited = now - this->arrived;
   this->group = gateway::GroupOf(target);
   this->tried.insert(this->target_id);
@@ -86,6 +88,7 @@
        {"targets_age_ms",
         ToMillisecondsText(this->state.targets_feed->age(now))},
        {"attempt", std::to_string(this->tried.size())}});
+  this->state.signals->CountSent(this->target_id, this->service);
   http::DirectRequest outgoing{
       .target = target.target.address,
       .method = this->request.method,
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -22,6 +22,12 @@
 inline constexpr MetricName kRepeats{
     "bramleyspan_repeats_total",
     "Requests sent to a further target, by service."};
+inline constexpr MetricName kLimitedTargets{
+    "bramleyspan_limited_targets",
+    "Targets that name a rate limit in their answers, by service."};
+inline constexpr MetricName kSentToLimited{
+    "bramleyspan_sent_to_limited_total",
+    "Requests sent to targets that name a rate limit, by service."};
 inline constexpr MetricName kProbeTime{
     "bramleyspan_probe_seconds",
     "Time from asking agents for a place to the decision."};
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -14,6 +14,7 @@
 #include "Services/bramleyspand/Gateway/OrderRelay.h"
 #include "Services/bramleyspand/Gateway/Peers.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
+#include "Services/bramleyspand/Gateway/SignalRecorder.h"
 #include "Services/bramleyspand/Gateway/UsageRecorder.h"
 #include "Services/bramleyspand/Role.h"
 
@@ -47,7 +48,9 @@
             [this](const std::string& ip, const std::string& bytes) {
               this->peers.Send(ip, bytes);
             }),
+        signals(this->state),
         usage(this->state) {
+    this->state.signals = &this->signals;
     this->state.permit_requests = &this->permit_requests;
     this->state.usage = &this->usage;
   }
@@ -335,6 +338,7 @@
         }
       }
     }
+    gateway::RemoveOldSignals(this->state.targets, EventLoop::Now());
     ServeWaiting(this->state);
     this->state.loop.RunAfter(kAdjustInterval,
                               [this] { this->AdjustPeriodically(); });
@@ -426,6 +430,7 @@
           kFeedAge, {{"feed", name}},
           std::chrono::duration<double>(feed->age(now)).count());
     }
+    this->signals.UpdateGauges();
     for (const auto& [name, group] : this->state.permits.groups) {
       telemetry::SetGauge(kGroupLimit, {{"group", name}},
                           group.streams_per_rank);
@@ -454,6 +459,10 @@
                              {"open_elsewhere", view.open_elsewhere},
                              {"failures", gateway::FailureScore(view, now)},
                              {"group", gateway::GroupOf(view)}};
+      const nlohmann::json asked = this->signals.Dump(id);
+      if (!asked.is_null()) {
+        dump["targets"][id]["signals"] = asked;
+      }
       if (view.rank) {
         dump["targets"][id]["rank"] = {
             {"agent_ip", view.rank->agent_ip},
@@ -503,6 +512,7 @@
   GatewayState state;
   Peers peers;
   PermitRequests permit_requests;
+  SignalRecorder signals;
   UsageRecorder usage;
   std::unique_ptr<http::Ingress> callers;
   std::unique_ptr<http::Ingress> directory;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -25,6 +25,7 @@
 
 class Forwarding;
 class PermitRequests;
+class SignalRecorder;
 class UsageRecorder;
 
 struct GatewayState {
@@ -53,6 +54,8 @@
 
   // Null until the gateway can probe agents.
   PermitRequests* permit_requests = nullptr;
+  // Null until the gateway handles callers.
+  SignalRecorder* signals = nullptr;
   // Null until the gateway can count usage.
   UsageRecorder* usage = nullptr;
   // Services are not probed for permits until then, because their ranks had
--- /dev/null
+++ b/Services/bramleyspand/Gateway/SignalRecorder.cc
@@ -0,0 +1,99 @@
+#include "Services/bramleyspand/Gateway/SignalRecorder.h"
+
+#include <map>
+#include <nlohmann/json.hpp>
+
+#include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+
+namespace bramleyspan::gatewayd {
+
+namespace {
+
+using telemetry::Log;
+using telemetry::LogLevel;
+
+std::string Milliseconds(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+}  // namespace
+
+void SignalRecorder::RecordAnswer(const std::string& target,
+                                  const std::string& service,
+                                  const http::AnswerHead& head,
+                                  TimePoint sent_at) {
+  const TimePoint now = EventLoop::Now();
+  const gateway::CallHeaders& names = this->state.adapter.headers;
+  const gateway::AnswerSignals signals =
+      gateway::ParseSignals(names, head.headers);
+  if (signals.is_rate_limit_unreadable) {
+    Log(LogLevel::kWarning, "targets", "rate_limit_unreadable",
+        {{"target", target},
+         {"value",
+          std::string(http::FindHeader(head.headers, names.rate_limit))}});
+  }
+  auto& known = this->state.targets.signals;
+  if (!signals.rate_limit && !known.contains(target)) {
+    return;
+  }
+  gateway::RateLimit& limit = known[target].rate_limit;
+  const gateway::RateLimit before = limit;
+  if (!gateway::RecordRateLimit(limit, signals, sent_at, now)) {
+    return;
+  }
+  if (limit.per_second) {
+    Log(LogLevel::kWarning, "targets", "rate_limit_named",
+        {{"target", target},
+         {"service", service},
+         {"per_second", std::to_string(*limit.per_second)}});
+  } else {
+    Log(LogLevel::kInfo, "targets", "rate_limit_ended",
+        {{"target", target},
+         {"service", service},
+         {"after_ms", Milliseconds(now - before.since)}});
+  }
+}
+
+void SignalRecorder::CountSent(const std::string& target,
+                               const std::string& service) const {
+  const auto found = this->state.targets.signals.find(target);
+  if (found != this->state.targets.signals.end() &&
+      found->second.rate_limit.per_second) {
+    telemetry::Count(kSentToLimited, {{"service", service}});
+  }
+}
+
+void SignalRecorder::UpdateGauges() const {
+  std::map<std::string, uint64_t> limited;
+  for (const auto& [id, view] : this->state.targets.by_id) {
+    const auto found = this->state.targets.signals.find(id);
+    const bool is_limited = found != this->state.targets.signals.end() &&
+                            found->second.rate_limit.per_second.has_value();
+    limited[view.target.service] += is_limited ? 1 : 0;
+  }
+  for (const auto& [service, count] : limited) {
+    telemetry::SetGauge(kLimitedTargets, {{"service", service}},
+                        static_cast<double>(count));
+  }
+}
+
+nlohmann::json SignalRecorder::Dump(const std::string& target) const {
+  const auto found = this->state.targets.signals.find(target);
+  if (found == this->state.targets.signals.end()) {
+    return nullptr;
+  }
+  const TimePoint now = EventLoop::Now();
+  const gateway::RateLimit& limit = found->second.rate_limit;
+  nlohmann::json dump;
+  if (limit.per_second) {
+    dump["rate_limit"] = {
+        {"per_second", *limit.per_second},
+        {"age_ms", (now - limit.since).count() / 1000},
+        {"confirmed_ms", (now - limit.confirmed_at).count() / 1000}};
+  }
+  return dump;
+}
+
+}  // namespace bramleyspan::gatewayd
