--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -12,6 +12,10 @@
 //   the last rank only); none ends it.
 // - PUT /group?state=: the group reports this state, open or broken, and runs
 //   on nevertheless.
+// - PUT /signals?id=&limit=: from now on the answers of a server name this
+// limit.
+// - GET /arrivals?id=&span_ms=&after_ms=: the most requests that reached a
+//   server in a span that begins so long after its signals changed.
 // - GET /status: runs by attempt and by server, splits and switches of the
 //   group, and its held and armed ranks.
 #include <absl/flags/flag.h>
@@ -52,6 +56,7 @@
   std::vector<PlainServer> plain;
   std::map<std::string, uint64_t> runs;
   std::map<std::string, uint64_t> runs_by_server;
+  Signals signals;
   std::vector<std::unique_ptr<http::Ingress>> listeners;
 };
 
@@ -93,20 +98,22 @@
   const std::string expected(
       http::FindHeader(request.headers, "x-expect-instance"));
   const std::string attempt(http::FindHeader(request.headers, "x-attempt-id"));
+  ServerSignals& signals = platform.signals[server.id];
   if (expected != server.id) {
     exchange->Respond(421, {{"x-not-executed", "1"}}, "");
     return;
   }
+  signals.arrivals.push_back(EventLoop::Now());
   ++platform.runs[attempt];
   ++platform.runs_by_server[server.id];
   const std::string tenant(http::FindHeader(request.headers, "x-tenant"));
   platform.loop.RunAfter(
       std::chrono::milliseconds(absl::GetFlag(FLAGS_work_milliseconds)),
-      [exchange, attempt, tenant, service = server.service] {
-        exchange->Respond(
-            200,
-            {{"x-attempt-id", attempt}, {"x-server-stamp", "stamp-" + attempt}},
-            service + " " + attempt + " " + tenant);
+      [exchange, attempt, tenant, &signals, service = server.service] {
+        http::HeaderList headers = SignalHeaders(signals);
+        headers.emplace_back("x-attempt-id", attempt);
+        headers.emplace_back("x-server-stamp", "stamp-" + attempt);
+        exchange->Respond(200, headers, service + " " + attempt + " " + tenant);
       });
 }
 
@@ -122,9 +129,35 @@
                                   : StoreMode::kServing;
 }
 
+Duration MillisecondsIn(const std::string& query, std::string_view name) {
+  return std::chrono::milliseconds(
+      std::stoll(http::FindQueryValue(query, name)));
+}
+
+void HandleSignals(Platform& platform,
+                   const http::IngressRequest& request,
+                   const ExchangePointer& exchange) {
+  ServerSignals& server =
+      platform.signals[http::FindQueryValue(request.query, "id")];
+  if (request.path == "/signals") {
+    server.limit = http::FindQueryValue(request.query, "limit");
+    server.changed_at = EventLoop::Now();
+    exchange->Respond(200, {}, "");
+    return;
+  }
+  const size_t arrivals =
+      CountArrivals(server, MillisecondsIn(request.query, "span_ms"),
+                    MillisecondsIn(request.query, "after_ms"));
+  exchange->Respond(200, {}, std::to_string(arrivals) + "\n");
+}
+
 void HandleControl(Platform& platform,
                    const http::IngressRequest& request,
                    const ExchangePointer& exchange) {
+  if (request.path == "/signals" || request.path == "/arrivals") {
+    HandleSignals(platform, request, exchange);
+    return;
+  }
   if (request.path == "/config") {
     Put(platform.store, "op/config", request.body);
   } else if (request.path == "/server") {
@@ -248,6 +281,7 @@
   }
   platform.group = MakeGroup(ranks);
   platform.group.runs = &platform.runs;
+  platform.group.signals = &platform.signals;
   platform.plain = {{"plain-1", "billing", net + ".3.1:8000"},
                     {"plain-2", "billing", net + ".3.2:8000"},
                     {"other-1", "archive", net + ".3.3:8000"}};
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -143,6 +143,8 @@
     exchange->Respond(421, {{"x-not-executed", "1"}}, "");
     return;
   }
+  ServerSignals& signals = (*group.signals)[rank.id];
+  signals.arrivals.push_back(EventLoop::Now());
   ++(*group.runs)[attempt];
   RunningStream stream{.exchange = exchange, .attempt = attempt};
   const std::string resumed(http::FindHeader(request.headers, "last-event-id"));
@@ -150,9 +152,11 @@
     stream.next_event = std::stoull(resumed) + 1;
   }
   stream.last_event = kEventsOfStream;
-  exchange->StartStream(200, {{"content-type", "text/event-stream"},
-                              {"x-attempt-id", attempt},
-                              {"x-server-stamp", "stamp-" + attempt}});
+  http::HeaderList headers = SignalHeaders(signals);
+  headers.insert(headers.end(), {{"content-type", "text/event-stream"},
+                                 {"x-attempt-id", attempt},
+                                 {"x-server-stamp", "stamp-" + attempt}});
+  exchange->StartStream(200, headers);
   const uint64_t number = ++group.last_stream;
   exchange->OnDisconnect([&rank, number] { rank.streams.erase(number); });
   rank.streams.emplace(number, std::move(stream));
--- a/StandIns/UsersPlatform/Ranks.h
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "StandIns/UsersPlatform/Signals.h"
 #include "StandIns/UsersPlatform/Store.h"
 
 namespace bramleyspan::standins {
@@ -59,6 +60,7 @@
   std::string state = "open";
   // How often each attempt began to run, at the ranks and at plain servers.
   std::map<std::string, uint64_t>* runs = nullptr;
+  Signals* signals = nullptr;
 };
 
 StandInGroup MakeGroup(const std::vector<std::string>& addresses);
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -31,6 +31,11 @@
 configure() { desired_state "$@" | curl -sf -X PUT "$CONTROL/config" --data-binary @- -o /dev/null; }
 set_server() { curl -sf -X PUT "$CONTROL/server?id=$1&state=$2" -o /dev/null; }
 set_store() { curl -sf -X PUT "$CONTROL/store?mode=$1" -o /dev/null; }
+# set_signals SERVER QUERY: sets what the server asks of its callers, such as
+# limit=1. arrivals_at SERVER SPAN AFTER: prints the most requests that reached
+# it within SPAN ms, in spans that begin AFTER ms after that or later.
+set_signals() { curl -sf -X PUT "$CONTROL/signals?id=$1&$2" -o /dev/null; }
+arrivals_at() { curl -sf "$CONTROL/arrivals?id=$1&span_ms=$2&after_ms=$3"; }
 platform_status() { curl -sf "$CONTROL/status"; }
 
 # runs_of ATTEMPT: prints how often the attempt began to run on any server;
@@ -78,6 +83,19 @@
     -H "X-Deadline-Ms: 5000" "http://$NET.1.$gateway:8080$path" "$@"
 }
 
+# send_at_rate PER-SECOND SECONDS GATEWAYS PREFIX PATH: sends requests to the
+# gateways in turn without waiting for answers, then waits for all of them.
+# Their statuses go to $LOGS/PREFIX.statuses.
+send_at_rate() {
+  local n count=$(($1 * $2)) pids=()
+  for n in $(seq "$count"); do
+    echo "$(status_of "$((n % $3 + 1))" "$4-$n" "$5" -d x)" >>"$LOGS/$4.statuses" &
+    pids+=($!)
+    sleep "$(bc -l <<<"1/$1")"
+  done
+  wait "${pids[@]}" || true
+}
+
 status_of() { request "$@" -o /dev/null -w '%{http_code}'; }
 
 # is_whole_stream FILE ATTEMPT: whether the file has exactly the 20 events of
