LibLimits: Count a use once, when it is admitted

A finding of the reading, mended before a process calls the library: Spend recorded a use on arrival and again after the allocator's reply, and for refused ones too, so that an entry process asked for up to twice what it could spend; what is granted and not spent is lost to the others.

The new test failed before: a rate of 20 and 21 where 10 were spent; passes.

--- a/Libraries/LibLimits/Grants.cc
+++ b/Libraries/LibLimits/Grants.cc
@@ -26,6 +26,7 @@
     return {SpendOutcome::kRefuse, TimeUntil(share.fallback, cost)};
   }
   share.fallback.level -= cost;
+  RecordUse(share, cost, now);
   return {.outcome = SpendOutcome::kAdmit};
 }
 
@@ -89,9 +90,9 @@
                     const GrantSettings& settings,
                     double cost,
                     TimePoint now) {
-  RecordUse(share, cost, now);
   if (now < share.granted_until && share.granted >= cost) {
     share.granted -= cost;
+    RecordUse(share, cost, now);
     return {.outcome = SpendOutcome::kAdmit};
   }
   if (now < share.refused_until) {
--- a/Libraries/LibLimits/Grants.h
+++ b/Libraries/LibLimits/Grants.h
@@ -79,8 +79,8 @@
   bool is_requesting = false;
   TimePoint requested_at;
   uint64_t request_number = 0;
-  // Decayed use in units a second; it determines how much is requested in
-  // advance.
+  // Decayed use in units a second, of admitted requests; it determines how much
+  // is requested in advance.
   double rate = 0;
   TimePoint rate_at;
 };
--- a/Tests/LibLimits/TestGrants.cc
+++ b/Tests/LibLimits/TestGrants.cc
@@ -32,6 +32,22 @@
         SpendOutcome::kRequestGrant);
 }
 
+// Failure: a request that waited for a grant counted twice in the rate by which
+// an entry process requests ahead, and a refused one counted as well.
+TEST_CASE("a use is counted once, when it is admitted") {
+  Share share;
+  for (int i = 0; i < 10; ++i) {
+    Spend(share, kSettings, 1, kBegin);
+    StartGrantRequest(share, kSettings, 1, kBegin);
+    Grant(share, share.request_number, 1);
+    CHECK(Spend(share, kSettings, 1, kBegin).outcome == SpendOutcome::kAdmit);
+  }
+  CHECK(share.rate == doctest::Approx(10));
+  Grant(share, share.request_number, 0);
+  Spend(share, kSettings, 1, kBegin);
+  CHECK(share.rate == doctest::Approx(10));
+}
+
 // Failure: an owner exceeds its limit during a network partition. Entry
 // processes that lost the allocator use their fallback share and still spend
 // what it granted before.
