--- a/Libraries/LibGateway/Offers.cc
+++ b/Libraries/LibGateway/Offers.cc
@@ -37,13 +37,14 @@
     uint64_t random_bits,
     TimePoint now) {
   std::map<std::string, std::vector<const TargetView*>> groups;
-  ForEachUsable(targets, service, excluded, [&](const TargetView& view) {
-    const bool is_unresponsive =
-        view.rank && now - view.rank->received_at > kUnresponsiveAfter;
-    if (!is_unresponsive && view.avoided_until <= now) {
-      groups[view.rank ? view.rank->group : ""].push_back(&view);
-    }
-  });
+  ForEachAdmitting(
+      targets, service, excluded, now, [&](const TargetView& view) {
+        const bool is_unresponsive =
+            view.rank && now - view.rank->received_at > kUnresponsiveAfter;
+        if (!is_unresponsive && view.avoided_until <= now) {
+          groups[view.rank ? view.rank->group : ""].push_back(&view);
+        }
+      });
   std::minstd_rand random(static_cast<uint32_t>(random_bits));
   std::vector<std::vector<const TargetView*>> shuffled;
   for (auto& [name, ranks] : groups) {
--- a/Libraries/LibGateway/Permits.cc
+++ b/Libraries/LibGateway/Permits.cc
@@ -145,20 +145,21 @@
   std::uniform_real_distribution<double> jitter(0, kJitter);
   const TargetView* best = nullptr;
   double best_cost = 0;
-  ForEachUsable(targets, service.name, excluded, [&](const TargetView& view) {
-    if (group.empty() || GroupOf(view) != group ||
-        view.load() >= std::max<uint32_t>(1, view.target.slots)) {
-      return;
-    }
-    const double pace = view.rank ? std::max(1.0, view.rank->pace) : 1;
-    const double cost = (view.load() + 1) * pace + FailureScore(view, now) +
-                        (view.avoided_until > now ? 1000.0 : 0.0) +
-                        jitter(random);
-    if (best == nullptr || cost < best_cost) {
-      best = &view;
-      best_cost = cost;
-    }
-  });
+  ForEachAdmitting(
+      targets, service.name, excluded, now, [&](const TargetView& view) {
+        if (group.empty() || GroupOf(view) != group ||
+            view.load() >= std::max<uint32_t>(1, view.target.slots)) {
+          return;
+        }
+        const double pace = view.rank ? std::max(1.0, view.rank->pace) : 1;
+        const double cost = (view.load() + 1) * pace + FailureScore(view, now) +
+                            (view.avoided_until > now ? 1000.0 : 0.0) +
+                            jitter(random);
+        if (best == nullptr || cost < best_cost) {
+          best = &view;
+          best_cost = cost;
+        }
+      });
   return best;
 }
 
--- /dev/null
+++ b/Libraries/LibGateway/RateLimits.cc
@@ -0,0 +1,157 @@
+#include "LibGateway/RateLimits.h"
+
+#include <algorithm>
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+constexpr limits::GrantSettings kGrantSettings;
+// Requests a second that are granted whatever the limit.
+constexpr double kMinRate = 0.25;
+// Two answers within this time may reach the gateways in either order.
+constexpr Duration kOrderTolerance = std::chrono::milliseconds(50);
+// How often a change is reported in a row, and how often all else.
+constexpr uint32_t kReportsAfterChange = 5;
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+// How long the end of a limit is reported.
+constexpr Duration kEndReportTime = std::chrono::seconds(10);
+
+bool is_lower(const std::optional<double>& left,
+              const std::optional<double>& right) {
+  return left && (!right || *left < *right);
+}
+
+void Apply(RateLimit& limit,
+           std::optional<double> per_second,
+           TimePoint confirmed_at,
+           TimePoint now) {
+  limit.per_second = per_second;
+  limit.confirmed_at = confirmed_at;
+  limit.since = now;
+  limit.reports = 0;
+  if (!per_second) {
+    limit.share = {};
+    limit.allocator = {};
+  }
+}
+
+}  // namespace
+
+bool RecordRateLimit(RateLimit& limit,
+                     const AnswerSignals& signals,
+                     TimePoint sent_at,
+                     TimePoint now) {
+  if (signals.is_rate_limit_unreadable) {
+    return false;
+  }
+  const bool is_named = signals.rate_limit.has_value();
+  // The answer to an earlier request may have been written before the target
+  // began to name its limit.
+  if (!is_named && (!limit.per_second || sent_at <= limit.confirmed_at)) {
+    return false;
+  }
+  if (limit.per_second == signals.rate_limit) {
+    limit.confirmed_at = now;
+    return false;
+  }
+  Apply(limit, signals.rate_limit, now, now);
+  return true;
+}
+
+bool MergeRateLimit(RateLimit& limit,
+                    std::optional<double> per_second,
+                    TimePoint confirmed_at,
+                    TimePoint now) {
+  confirmed_at = std::min(confirmed_at, now);
+  if (limit.per_second == per_second) {
+    limit.confirmed_at = std::max(limit.confirmed_at, confirmed_at);
+    return false;
+  }
+  const bool is_newer = confirmed_at > limit.confirmed_at + kOrderTolerance;
+  const bool is_older = limit.confirmed_at > confirmed_at + kOrderTolerance;
+  if (is_older || (!is_newer && !is_lower(per_second, limit.per_second))) {
+    return false;
+  }
+  Apply(limit, per_second, confirmed_at, now);
+  return true;
+}
+
+bool TakeRateReport(RateLimit& limit, TimePoint now) {
+  const bool is_over = !limit.per_second && now - limit.since > kEndReportTime;
+  const bool is_due = limit.reports < kReportsAfterChange ||
+                      now - limit.reported_at >= kReportInterval;
+  if (limit.confirmed_at == TimePoint{} || is_over || !is_due) {
+    return false;
+  }
+  ++limit.reports;
+  limit.reported_at = now;
+  return true;
+}
+
+RateVerdict AdmitByRate(RateLimit& limit, TimePoint now) {
+  switch (limits::Spend(limit.share, kGrantSettings, 1, now).outcome) {
+    case limits::SpendOutcome::kAdmit:
+      return RateVerdict::kAdmitted;
+    case limits::SpendOutcome::kRefuse:
+      return RateVerdict::kHeldBack;
+    case limits::SpendOutcome::kRequestGrant:
+      return RateVerdict::kAskAllocator;
+  }
+  return RateVerdict::kHeldBack;
+}
+
+RateGrant GrantRate(RateLimit& limit,
+                    double wanted,
+                    const RateSharing& sharing,
+                    TimePoint now) {
+  limits::SetLimit(limit.allocator, kGrantSettings, GrantedRate(limit),
+                   sharing.reached, sharing.all, now);
+  RateGrant grant;
+  grant.granted =
+      limits::HandleGrantRequest(limit.allocator, wanted, sharing.reached, now);
+  grant.retry_after = limits::RetryAfterOf(limit.allocator);
+  return grant;
+}
+
+double StartRateRequest(RateLimit& limit, double pending, TimePoint now) {
+  return limits::StartGrantRequest(limit.share, kGrantSettings, pending, now);
+}
+
+void HandleRateGrant(RateLimit& limit,
+                     uint64_t number,
+                     const RateGrant& grant,
+                     const RateSharing& sharing,
+                     TimePoint now) {
+  if (!grant.is_allocator && limit.share.is_requesting &&
+      limit.share.request_number == number) {
+    HandleRateTimeout(limit, sharing, now);
+    return;
+  }
+  limits::HandleGrant(limit.share, kGrantSettings, number, grant.granted,
+                      grant.retry_after, now);
+}
+
+void HandleRateTimeout(RateLimit& limit,
+                       const RateSharing& sharing,
+                       TimePoint now) {
+  limits::HandleGrantRequestTimeout(limit.share, kGrantSettings,
+                                    limit.per_second.value_or(0), sharing.all,
+                                    now);
+}
+
+Duration RateRequestTimeout() {
+  return kGrantSettings.request_timeout;
+}
+
+TimePoint RateHeldUntil(const RateLimit& limit, TimePoint now) {
+  return limit.per_second
+             ? limits::HeldUntil(limit.share, kGrantSettings, 1, now)
+             : now;
+}
+
+double GrantedRate(const RateLimit& limit) {
+  return std::max(limit.per_second.value_or(0), kMinRate);
+}
+
+}  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/TargetSignals.cc
+++ b/Libraries/LibGateway/TargetSignals.cc
@@ -30,26 +30,4 @@
   return signals;
 }
 
-bool RecordRateLimit(RateLimit& limit,
-                     const AnswerSignals& signals,
-                     TimePoint sent_at,
-                     TimePoint now) {
-  if (signals.is_rate_limit_unreadable) {
-    return false;
-  }
-  const bool is_named = signals.rate_limit.has_value();
-  // The answer to an earlier request may have been written before the target
-  // began to name its limit.
-  if (!is_named && (!limit.per_second || sent_at <= limit.confirmed_at)) {
-    return false;
-  }
-  const bool is_changed = limit.per_second != signals.rate_limit;
-  limit.per_second = signals.rate_limit;
-  limit.confirmed_at = now;
-  if (is_changed) {
-    limit.since = now;
-  }
-  return is_changed;
-}
-
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/TargetSignals.h
+++ b/Libraries/LibGateway/TargetSignals.h
@@ -2,11 +2,13 @@
 // names the headers.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 
 #include "Kernel/Time.h"
 #include "LibGateway/CallHeaders.h"
 #include "LibHTTP/Message.h"
+#include "LibLimits/Grants.h"
 
 namespace bramleyspan::gateway {
 
@@ -30,15 +32,14 @@
   // When this began to hold, and when an answer last confirmed it.
   TimePoint since;
   TimePoint confirmed_at;
+  // This gateway's part, and what it grants to all as the target's allocator.
+  limits::Share share;
+  limits::Allocator allocator;
+  // How often this state was reported to other gateways, and when last.
+  uint32_t reports = 0;
+  TimePoint reported_at;
 };
 
-// Records what the answer to a request says that was sent at `sent_at`. Returns
-// whether the limit changed. An unreadable limit changes nothing.
-bool RecordRateLimit(RateLimit& limit,
-                     const AnswerSignals& signals,
-                     TimePoint sent_at,
-                     TimePoint now);
-
 struct TargetSignals {
   RateLimit rate_limit;
 };
--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <utility>
 
+#include "LibGateway/RateLimits.h"
+
 namespace bramleyspan::gateway {
 
 namespace {
@@ -107,6 +109,27 @@
   }
 }
 
+TimePoint HeldUntil(const TargetTable& table,
+                    const std::string& target,
+                    TimePoint now) {
+  const auto found = table.signals.find(target);
+  return found == table.signals.end()
+             ? now
+             : RateHeldUntil(found->second.rate_limit, now);
+}
+
+void ForEachAdmitting(const TargetTable& table,
+                      std::string_view service,
+                      const std::set<std::string>& excluded,
+                      TimePoint now,
+                      const TargetVisitor& visit) {
+  ForEachUsable(table, service, excluded, [&](const TargetView& view) {
+    if (HeldUntil(table, view.target.id, now) <= now) {
+      visit(view);
+    }
+  });
+}
+
 bool is_any_open(const TargetTable& table, std::string_view service) {
   bool is_any = false;
   ForEachUsable(table, service, {}, [&is_any](const TargetView& view) {
@@ -123,7 +146,7 @@
                                     TimePoint now) {
   const TargetView* best = nullptr;
   double best_cost = 0;
-  ForEachUsable(table, service, excluded, [&](const TargetView& view) {
+  ForEachAdmitting(table, service, excluded, now, [&](const TargetView& view) {
     double cost = static_cast<double>(view.load()) /
                   std::max<uint32_t>(1, view.target.slots);
     cost += kFailureWeight * FailureScore(view, now);
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -100,6 +100,19 @@
                    const std::set<std::string>& excluded,
                    const TargetVisitor& visit);
 
+// Returns until when no request is sent to the target because it asked for
+// that; not later than `now` if one may be sent.
+TimePoint HeldUntil(const TargetTable& table,
+                    const std::string& target,
+                    TimePoint now);
+
+// Visits the usable targets that hold no requests back.
+void ForEachAdmitting(const TargetTable& table,
+                      std::string_view service,
+                      const std::set<std::string>& excluded,
+                      TimePoint now,
+                      const TargetVisitor& visit);
+
 // Returns the target of a service without engine that has the lowest load
 // relative to its slots, with failures counted as load; null if there is none.
 const TargetView* ChooseLeastLoaded(const TargetTable& table,
--- a/Libraries/LibLimits/Grants.cc
+++ b/Libraries/LibLimits/Grants.cc
@@ -105,6 +105,26 @@
   return {.outcome = SpendOutcome::kRequestGrant};
 }
 
+TimePoint HeldUntil(const Share& share,
+                    const GrantSettings& settings,
+                    double cost,
+                    TimePoint now) {
+  if (now < share.granted_until && share.granted >= cost) {
+    return now;
+  }
+  if (now < share.refused_until) {
+    return share.refused_until;
+  }
+  const TimePoint next_request =
+      share.requested_at + settings.request_retry_interval;
+  if (!share.is_using_fallback || now >= next_request) {
+    return now;
+  }
+  TokenBucket fallback = share.fallback;
+  Fill(fallback, now);
+  return std::min(next_request, now + TimeUntil(fallback, cost));
+}
+
 double StartGrantRequest(Share& share,
                          const GrantSettings& settings,
                          double pending,
--- a/Libraries/LibLimits/Grants.h
+++ b/Libraries/LibLimits/Grants.h
@@ -106,6 +106,13 @@
                     double cost,
                     TimePoint now);
 
+// Returns until when Spend refuses `cost` units; not later than `now` if it
+// admits them or wants a grant.
+TimePoint HeldUntil(const Share& share,
+                    const GrantSettings& settings,
+                    double cost,
+                    TimePoint now);
+
 // Returns how much to request from the allocator while `pending` units wait
 // here, and marks the request as outstanding. The reply must carry the same
 // request_number.
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -35,6 +35,10 @@
 struct RankPlaceBuilder;
 struct RankPlaceT;
 
+struct RateLimitReport;
+struct RateLimitReportBuilder;
+struct RateLimitReportT;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -73,6 +77,14 @@
 struct PlaceTakenBuilder;
 struct PlaceTakenT;
 
+struct RateRequest;
+struct RateRequestBuilder;
+struct RateRequestT;
+
+struct RateGrant;
+struct RateGrantBuilder;
+struct RateGrantT;
+
 struct Message;
 struct MessageBuilder;
 struct MessageT;
@@ -88,11 +100,13 @@
   GroupSummary = 7,
   NewsBundle = 8,
   MemberQuery = 9,
+  RateRequest = 10,
+  RateGrant = 11,
   MIN = NONE,
-  MAX = MemberQuery
+  MAX = RateGrant
 };
 
-inline const Body (&EnumValuesBody())[10] {
+inline const Body (&EnumValuesBody())[12] {
   static const Body values[] = {
     Body::NONE,
     Body::Heartbeat,
@@ -103,13 +117,15 @@
     Body::PlaceTaken,
     Body::GroupSummary,
     Body::NewsBundle,
-    Body::MemberQuery
+    Body::MemberQuery,
+    Body::RateRequest,
+    Body::RateGrant
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[11] = {
+  static const char * const names[13] = {
     "NONE",
     "Heartbeat",
     "RankNews",
@@ -120,13 +136,15 @@
     "GroupSummary",
     "NewsBundle",
     "MemberQuery",
+    "RateRequest",
+    "RateGrant",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::MemberQuery)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RateGrant)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -171,6 +189,14 @@
   static const Body enum_value = Body::MemberQuery;
 };
 
+template<> struct BodyTraits<bramleyspan::membership::wire::RateRequest> {
+  static const Body enum_value = Body::RateRequest;
+};
+
+template<> struct BodyTraits<bramleyspan::membership::wire::RateGrant> {
+  static const Body enum_value = Body::RateGrant;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -211,6 +237,14 @@
   static const Body enum_value = Body::MemberQuery;
 };
 
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::RateRequestT> {
+  static const Body enum_value = Body::RateRequest;
+};
+
+template<> struct BodyUnionTraits<bramleyspan::membership::wire::RateGrantT> {
+  static const Body enum_value = Body::RateGrant;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -313,6 +347,22 @@
     return type == Body::MemberQuery ?
       reinterpret_cast<const bramleyspan::membership::wire::MemberQueryT *>(value) : nullptr;
   }
+  bramleyspan::membership::wire::RateRequestT *AsRateRequest() {
+    return type == Body::RateRequest ?
+      reinterpret_cast<bramleyspan::membership::wire::RateRequestT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::RateRequestT *AsRateRequest() const {
+    return type == Body::RateRequest ?
+      reinterpret_cast<const bramleyspan::membership::wire::RateRequestT *>(value) : nullptr;
+  }
+  bramleyspan::membership::wire::RateGrantT *AsRateGrant() {
+    return type == Body::RateGrant ?
+      reinterpret_cast<bramleyspan::membership::wire::RateGrantT *>(value) : nullptr;
+  }
+  const bramleyspan::membership::wire::RateGrantT *AsRateGrant() const {
+    return type == Body::RateGrant ?
+      reinterpret_cast<const bramleyspan::membership::wire::RateGrantT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -793,6 +843,7 @@
   bool is_hungry = false;
   std::unique_ptr<bramleyspan::membership::wire::RankStatusT> rank{};
   bool hears_store = true;
+  bool grants_rates = false;
   MemberT() = default;
   MemberT(const MemberT &o);
   MemberT(MemberT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -819,7 +870,8 @@
     VT_OPEN = 28,
     VT_IS_HUNGRY = 30,
     VT_RANK = 32,
-    VT_HEARS_STORE = 34
+    VT_HEARS_STORE = 34,
+    VT_GRANTS_RATES = 36
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -869,6 +921,9 @@
   bool hears_store() const {
     return GetField<uint8_t>(VT_HEARS_STORE, 1) != 0;
   }
+  bool grants_rates() const {
+    return GetField<uint8_t>(VT_GRANTS_RATES, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -894,6 +949,7 @@
            VerifyOffset(verifier, VT_RANK) &&
            verifier.VerifyTable(rank()) &&
            VerifyField<uint8_t>(verifier, VT_HEARS_STORE, 1) &&
+           VerifyField<uint8_t>(verifier, VT_GRANTS_RATES, 1) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -953,6 +1009,9 @@
   void add_hears_store(bool hears_store) {
     fbb_.AddElement<uint8_t>(Member::VT_HEARS_STORE, static_cast<uint8_t>(hears_store), 1);
   }
+  void add_grants_rates(bool grants_rates) {
+    fbb_.AddElement<uint8_t>(Member::VT_GRANTS_RATES, static_cast<uint8_t>(grants_rates), 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -981,7 +1040,8 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::OpenCount>>> open = 0,
     bool is_hungry = false,
     flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0,
-    bool hears_store = true) {
+    bool hears_store = true,
+    bool grants_rates = false) {
   MemberBuilder builder_(_fbb);
   builder_.add_targets_revision(targets_revision);
   builder_.add_table_version(table_version);
@@ -994,6 +1054,7 @@
   builder_.add_ip(ip);
   builder_.add_zone(zone);
   builder_.add_name(name);
+  builder_.add_grants_rates(grants_rates);
   builder_.add_hears_store(hears_store);
   builder_.add_is_hungry(is_hungry);
   builder_.add_is_leaving(is_leaving);
@@ -1024,7 +1085,8 @@
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::OpenCount>> *open = nullptr,
     bool is_hungry = false,
     flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0,
-    bool hears_store = true) {
+    bool hears_store = true,
+    bool grants_rates = false) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
@@ -1047,7 +1109,8 @@
       open__,
       is_hungry,
       rank,
-      hears_store);
+      hears_store,
+      grants_rates);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1161,12 +1224,107 @@
 
 flatbuffers::Offset<RankPlace> CreateRankPlace(flatbuffers::FlatBufferBuilder &_fbb, const RankPlaceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RateLimitReportT : public flatbuffers::NativeTable {
+  typedef RateLimitReport TableType;
+  std::string target{};
+  double per_second = -1.0;
+  uint64_t age_microseconds = 0;
+};
+
+struct RateLimitReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateLimitReportT NativeTableType;
+  typedef RateLimitReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_PER_SECOND = 6,
+    VT_AGE_MICROSECONDS = 8
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, -1.0);
+  }
+  uint64_t age_microseconds() const {
+    return GetField<uint64_t>(VT_AGE_MICROSECONDS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint64_t>(verifier, VT_AGE_MICROSECONDS, 8) &&
+           verifier.EndTable();
+  }
+  RateLimitReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RateLimitReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RateLimitReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RateLimitReportBuilder {
+  typedef RateLimitReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(RateLimitReport::VT_TARGET, target);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(RateLimitReport::VT_PER_SECOND, per_second, -1.0);
+  }
+  void add_age_microseconds(uint64_t age_microseconds) {
+    fbb_.AddElement<uint64_t>(RateLimitReport::VT_AGE_MICROSECONDS, age_microseconds, 0);
+  }
+  explicit RateLimitReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateLimitReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateLimitReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateLimitReport> CreateRateLimitReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    double per_second = -1.0,
+    uint64_t age_microseconds = 0) {
+  RateLimitReportBuilder builder_(_fbb);
+  builder_.add_age_microseconds(age_microseconds);
+  builder_.add_per_second(per_second);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct RateLimitReport::Traits {
+  using type = RateLimitReport;
+  static auto constexpr Create = CreateRateLimitReport;
+};
+
+inline flatbuffers::Offset<RateLimitReport> CreateRateLimitReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    double per_second = -1.0,
+    uint64_t age_microseconds = 0) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return bramleyspan::membership::wire::CreateRateLimitReport(
+      _fbb,
+      target__,
+      per_second,
+      age_microseconds);
+}
+
+flatbuffers::Offset<RateLimitReport> CreateRateLimitReport(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeartbeatT : public flatbuffers::NativeTable {
   typedef Heartbeat TableType;
   std::vector<std::unique_ptr<bramleyspan::membership::wire::MemberT>> members{};
   std::vector<bramleyspan::membership::wire::SignOfLife> signs{};
   std::vector<std::unique_ptr<bramleyspan::membership::wire::RankPlaceT>> ranks{};
   bool is_asking = false;
+  std::vector<std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT>> rate_limits{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1181,7 +1339,8 @@
     VT_MEMBERS = 4,
     VT_SIGNS = 6,
     VT_RANKS = 8,
-    VT_IS_ASKING = 10
+    VT_IS_ASKING = 10,
+    VT_RATE_LIMITS = 12
   };
   const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *>(VT_MEMBERS);
@@ -1195,6 +1354,9 @@
   bool is_asking() const {
     return GetField<uint8_t>(VT_IS_ASKING, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> *rate_limits() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> *>(VT_RATE_LIMITS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
@@ -1206,6 +1368,9 @@
            verifier.VerifyVector(ranks()) &&
            verifier.VerifyVectorOfTables(ranks()) &&
            VerifyField<uint8_t>(verifier, VT_IS_ASKING, 1) &&
+           VerifyOffset(verifier, VT_RATE_LIMITS) &&
+           verifier.VerifyVector(rate_limits()) &&
+           verifier.VerifyVectorOfTables(rate_limits()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1229,6 +1394,9 @@
   void add_is_asking(bool is_asking) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_IS_ASKING, static_cast<uint8_t>(is_asking), 0);
   }
+  void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>> rate_limits) {
+    fbb_.AddOffset(Heartbeat::VT_RATE_LIMITS, rate_limits);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1245,8 +1413,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>>> members = 0,
     flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::SignOfLife *>> signs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>> ranks = 0,
-    bool is_asking = false) {
+    bool is_asking = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>> rate_limits = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_rate_limits(rate_limits);
   builder_.add_ranks(ranks);
   builder_.add_signs(signs);
   builder_.add_members(members);
@@ -1264,16 +1434,19 @@
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *members = nullptr,
     const std::vector<bramleyspan::membership::wire::SignOfLife> *signs = nullptr,
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>> *ranks = nullptr,
-    bool is_asking = false) {
+    bool is_asking = false,
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> *rate_limits = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::Member>>(*members) : 0;
   auto signs__ = signs ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::SignOfLife>(*signs) : 0;
   auto ranks__ = ranks ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>(*ranks) : 0;
+  auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>(*rate_limits) : 0;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
       members__,
       signs__,
       ranks__,
-      is_asking);
+      is_asking,
+      rate_limits__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2310,6 +2483,198 @@
 
 flatbuffers::Offset<PlaceTaken> CreatePlaceTaken(flatbuffers::FlatBufferBuilder &_fbb, const PlaceTakenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RateRequestT : public flatbuffers::NativeTable {
+  typedef RateRequest TableType;
+  uint64_t number = 0;
+  double wanted = 0.0;
+  std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT> limit{};
+  RateRequestT() = default;
+  RateRequestT(const RateRequestT &o);
+  RateRequestT(RateRequestT&&) FLATBUFFERS_NOEXCEPT = default;
+  RateRequestT &operator=(RateRequestT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RateRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateRequestT NativeTableType;
+  typedef RateRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_WANTED = 6,
+    VT_LIMIT = 8
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  double wanted() const {
+    return GetField<double>(VT_WANTED, 0.0);
+  }
+  const bramleyspan::membership::wire::RateLimitReport *limit() const {
+    return GetPointer<const bramleyspan::membership::wire::RateLimitReport *>(VT_LIMIT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<double>(verifier, VT_WANTED, 8) &&
+           VerifyOffset(verifier, VT_LIMIT) &&
+           verifier.VerifyTable(limit()) &&
+           verifier.EndTable();
+  }
+  RateRequestT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RateRequestT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RateRequest> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RateRequestBuilder {
+  typedef RateRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RateRequest::VT_NUMBER, number, 0);
+  }
+  void add_wanted(double wanted) {
+    fbb_.AddElement<double>(RateRequest::VT_WANTED, wanted, 0.0);
+  }
+  void add_limit(flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport> limit) {
+    fbb_.AddOffset(RateRequest::VT_LIMIT, limit);
+  }
+  explicit RateRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateRequest> CreateRateRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    double wanted = 0.0,
+    flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport> limit = 0) {
+  RateRequestBuilder builder_(_fbb);
+  builder_.add_wanted(wanted);
+  builder_.add_number(number);
+  builder_.add_limit(limit);
+  return builder_.Finish();
+}
+
+struct RateRequest::Traits {
+  using type = RateRequest;
+  static auto constexpr Create = CreateRateRequest;
+};
+
+flatbuffers::Offset<RateRequest> CreateRateRequest(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RateGrantT : public flatbuffers::NativeTable {
+  typedef RateGrant TableType;
+  uint64_t number = 0;
+  bool is_allocator = false;
+  double granted = 0.0;
+  uint64_t retry_after_microseconds = 0;
+  std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT> limit{};
+  RateGrantT() = default;
+  RateGrantT(const RateGrantT &o);
+  RateGrantT(RateGrantT&&) FLATBUFFERS_NOEXCEPT = default;
+  RateGrantT &operator=(RateGrantT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RateGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RateGrantT NativeTableType;
+  typedef RateGrantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_IS_ALLOCATOR = 6,
+    VT_GRANTED = 8,
+    VT_RETRY_AFTER_MICROSECONDS = 10,
+    VT_LIMIT = 12
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  bool is_allocator() const {
+    return GetField<uint8_t>(VT_IS_ALLOCATOR, 0) != 0;
+  }
+  double granted() const {
+    return GetField<double>(VT_GRANTED, 0.0);
+  }
+  uint64_t retry_after_microseconds() const {
+    return GetField<uint64_t>(VT_RETRY_AFTER_MICROSECONDS, 0);
+  }
+  const bramleyspan::membership::wire::RateLimitReport *limit() const {
+    return GetPointer<const bramleyspan::membership::wire::RateLimitReport *>(VT_LIMIT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_ALLOCATOR, 1) &&
+           VerifyField<double>(verifier, VT_GRANTED, 8) &&
+           VerifyField<uint64_t>(verifier, VT_RETRY_AFTER_MICROSECONDS, 8) &&
+           VerifyOffset(verifier, VT_LIMIT) &&
+           verifier.VerifyTable(limit()) &&
+           verifier.EndTable();
+  }
+  RateGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RateGrantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RateGrant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RateGrantBuilder {
+  typedef RateGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(RateGrant::VT_NUMBER, number, 0);
+  }
+  void add_is_allocator(bool is_allocator) {
+    fbb_.AddElement<uint8_t>(RateGrant::VT_IS_ALLOCATOR, static_cast<uint8_t>(is_allocator), 0);
+  }
+  void add_granted(double granted) {
+    fbb_.AddElement<double>(RateGrant::VT_GRANTED, granted, 0.0);
+  }
+  void add_retry_after_microseconds(uint64_t retry_after_microseconds) {
+    fbb_.AddElement<uint64_t>(RateGrant::VT_RETRY_AFTER_MICROSECONDS, retry_after_microseconds, 0);
+  }
+  void add_limit(flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport> limit) {
+    fbb_.AddOffset(RateGrant::VT_LIMIT, limit);
+  }
+  explicit RateGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RateGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RateGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RateGrant> CreateRateGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool is_allocator = false,
+    double granted = 0.0,
+    uint64_t retry_after_microseconds = 0,
+    flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport> limit = 0) {
+  RateGrantBuilder builder_(_fbb);
+  builder_.add_retry_after_microseconds(retry_after_microseconds);
+  builder_.add_granted(granted);
+  builder_.add_number(number);
+  builder_.add_limit(limit);
+  builder_.add_is_allocator(is_allocator);
+  return builder_.Finish();
+}
+
+struct RateGrant::Traits {
+  using type = RateGrant;
+  static auto constexpr Create = CreateRateGrant;
+};
+
+flatbuffers::Offset<RateGrant> CreateRateGrant(flatbuffers::FlatBufferBuilder &_fbb, const RateGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MessageT : public flatbuffers::NativeTable {
   typedef Message TableType;
   bramleyspan::membership::wire::BodyUnion body{};
@@ -2357,6 +2722,12 @@
   const bramleyspan::membership::wire::MemberQuery *body_as_MemberQuery() const {
     return body_type() == bramleyspan::membership::wire::Body::MemberQuery ? static_cast<const bramleyspan::membership::wire::MemberQuery *>(body()) : nullptr;
   }
+  const bramleyspan::membership::wire::RateRequest *body_as_RateRequest() const {
+    return body_type() == bramleyspan::membership::wire::Body::RateRequest ? static_cast<const bramleyspan::membership::wire::RateRequest *>(body()) : nullptr;
+  }
+  const bramleyspan::membership::wire::RateGrant *body_as_RateGrant() const {
+    return body_type() == bramleyspan::membership::wire::Body::RateGrant ? static_cast<const bramleyspan::membership::wire::RateGrant *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -2405,6 +2776,14 @@
   return body_as_MemberQuery();
 }
 
+template<> inline const bramleyspan::membership::wire::RateRequest *Message::body_as<bramleyspan::membership::wire::RateRequest>() const {
+  return body_as_RateRequest();
+}
+
+template<> inline const bramleyspan::membership::wire::RateGrant *Message::body_as<bramleyspan::membership::wire::RateGrant>() const {
+  return body_as_RateGrant();
+}
+
 struct MessageBuilder {
   typedef Message Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2564,7 +2943,8 @@
         targets_revision(o.targets_revision),
         is_hungry(o.is_hungry),
         rank((o.rank) ? new bramleyspan::membership::wire::RankStatusT(*o.rank) : nullptr),
-        hears_store(o.hears_store) {
+        hears_store(o.hears_store),
+        grants_rates(o.grants_rates) {
   open.reserve(o.open.size());
   for (const auto &open_ : o.open) { open.emplace_back((open_) ? new bramleyspan::membership::wire::OpenCountT(*open_) : nullptr); }
 }
@@ -2586,6 +2966,7 @@
   std::swap(is_hungry, o.is_hungry);
   std::swap(rank, o.rank);
   std::swap(hears_store, o.hears_store);
+  std::swap(grants_rates, o.grants_rates);
   return *this;
 }
 
@@ -2614,6 +2995,7 @@
   { auto _e = is_hungry(); _o->is_hungry = _e; }
   { auto _e = rank(); if (_e) _o->rank = std::unique_ptr<bramleyspan::membership::wire::RankStatusT>(_e->UnPack(_resolver)); }
   { auto _e = hears_store(); _o->hears_store = _e; }
+  { auto _e = grants_rates(); _o->grants_rates = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2640,6 +3022,7 @@
   auto _is_hungry = _o->is_hungry;
   auto _rank = _o->rank ? CreateRankStatus(_fbb, _o->rank.get(), _rehasher) : 0;
   auto _hears_store = _o->hears_store;
+  auto _grants_rates = _o->grants_rates;
   return bramleyspan::membership::wire::CreateMember(
       _fbb,
       _name,
@@ -2657,7 +3040,8 @@
       _open,
       _is_hungry,
       _rank,
-      _hears_store);
+      _hears_store,
+      _grants_rates);
 }
 
 inline RankPlaceT *RankPlace::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -2695,6 +3079,38 @@
       _ip);
 }
 
+inline RateLimitReportT *RateLimitReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RateLimitReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RateLimitReport::UnPackTo(RateLimitReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = age_microseconds(); _o->age_microseconds = _e; }
+}
+
+inline flatbuffers::Offset<RateLimitReport> RateLimitReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRateLimitReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RateLimitReport> CreateRateLimitReport(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RateLimitReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _per_second = _o->per_second;
+  auto _age_microseconds = _o->age_microseconds;
+  return bramleyspan::membership::wire::CreateRateLimitReport(
+      _fbb,
+      _target,
+      _per_second,
+      _age_microseconds);
+}
+
 inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
       : signs(o.signs),
         is_asking(o.is_asking) {
@@ -2702,6 +3118,8 @@
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new bramleyspan::membership::wire::MemberT(*members_) : nullptr); }
   ranks.reserve(o.ranks.size());
   for (const auto &ranks_ : o.ranks) { ranks.emplace_back((ranks_) ? new bramleyspan::membership::wire::RankPlaceT(*ranks_) : nullptr); }
+  rate_limits.reserve(o.rate_limits.size());
+  for (const auto &rate_limits_ : o.rate_limits) { rate_limits.emplace_back((rate_limits_) ? new bramleyspan::membership::wire::RateLimitReportT(*rate_limits_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -2709,6 +3127,7 @@
   std::swap(signs, o.signs);
   std::swap(ranks, o.ranks);
   std::swap(is_asking, o.is_asking);
+  std::swap(rate_limits, o.rate_limits);
   return *this;
 }
 
@@ -2725,6 +3144,7 @@
   { auto _e = signs(); if (_e) { _o->signs.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->signs[_i] = *_e->Get(_i); } } }
   { auto _e = ranks(); if (_e) { _o->ranks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ranks[_i] = std::unique_ptr<bramleyspan::membership::wire::RankPlaceT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = is_asking(); _o->is_asking = _e; }
+  { auto _e = rate_limits(); if (_e) { _o->rate_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rate_limits[_i] = std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -2739,12 +3159,14 @@
   auto _signs = _o->signs.size() ? _fbb.CreateVectorOfStructs(_o->signs) : 0;
   auto _ranks = _o->ranks.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>> (_o->ranks.size(), [](size_t i, _VectorArgs *__va) { return CreateRankPlace(*__va->__fbb, __va->__o->ranks[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _is_asking = _o->is_asking;
+  auto _rate_limits = _o->rate_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> (_o->rate_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRateLimitReport(*__va->__fbb, __va->__o->rate_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
       _members,
       _signs,
       _ranks,
-      _is_asking);
+      _is_asking,
+      _rate_limits);
 }
 
 inline MemberQueryT *MemberQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3113,6 +3535,106 @@
       _is_settled);
 }
 
+inline RateRequestT::RateRequestT(const RateRequestT &o)
+      : number(o.number),
+        wanted(o.wanted),
+        limit((o.limit) ? new bramleyspan::membership::wire::RateLimitReportT(*o.limit) : nullptr) {
+}
+
+inline RateRequestT &RateRequestT::operator=(RateRequestT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(wanted, o.wanted);
+  std::swap(limit, o.limit);
+  return *this;
+}
+
+inline RateRequestT *RateRequest::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RateRequestT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RateRequest::UnPackTo(RateRequestT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = wanted(); _o->wanted = _e; }
+  { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<RateRequest> RateRequest::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRateRequest(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RateRequest> CreateRateRequest(flatbuffers::FlatBufferBuilder &_fbb, const RateRequestT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RateRequestT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _wanted = _o->wanted;
+  auto _limit = _o->limit ? CreateRateLimitReport(_fbb, _o->limit.get(), _rehasher) : 0;
+  return bramleyspan::membership::wire::CreateRateRequest(
+      _fbb,
+      _number,
+      _wanted,
+      _limit);
+}
+
+inline RateGrantT::RateGrantT(const RateGrantT &o)
+      : number(o.number),
+        is_allocator(o.is_allocator),
+        granted(o.granted),
+        retry_after_microseconds(o.retry_after_microseconds),
+        limit((o.limit) ? new bramleyspan::membership::wire::RateLimitReportT(*o.limit) : nullptr) {
+}
+
+inline RateGrantT &RateGrantT::operator=(RateGrantT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(number, o.number);
+  std::swap(is_allocator, o.is_allocator);
+  std::swap(granted, o.granted);
+  std::swap(retry_after_microseconds, o.retry_after_microseconds);
+  std::swap(limit, o.limit);
+  return *this;
+}
+
+inline RateGrantT *RateGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RateGrantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RateGrant::UnPackTo(RateGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = number(); _o->number = _e; }
+  { auto _e = is_allocator(); _o->is_allocator = _e; }
+  { auto _e = granted(); _o->granted = _e; }
+  { auto _e = retry_after_microseconds(); _o->retry_after_microseconds = _e; }
+  { auto _e = limit(); if (_e) _o->limit = std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT>(_e->UnPack(_resolver)); }
+}
+
+inline flatbuffers::Offset<RateGrant> RateGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RateGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRateGrant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RateGrant> CreateRateGrant(flatbuffers::FlatBufferBuilder &_fbb, const RateGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RateGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _number = _o->number;
+  auto _is_allocator = _o->is_allocator;
+  auto _granted = _o->granted;
+  auto _retry_after_microseconds = _o->retry_after_microseconds;
+  auto _limit = _o->limit ? CreateRateLimitReport(_fbb, _o->limit.get(), _rehasher) : 0;
+  return bramleyspan::membership::wire::CreateRateGrant(
+      _fbb,
+      _number,
+      _is_allocator,
+      _granted,
+      _retry_after_microseconds,
+      _limit);
+}
+
 inline MessageT *Message::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<MessageT>();
   UnPackTo(_o.get(), _resolver);
@@ -3183,6 +3705,14 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MemberQuery *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::RateRequest: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::RateRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::RateGrant: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::RateGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -3238,6 +3768,14 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MemberQuery *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::RateRequest: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::RateRequest *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::RateGrant: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::RateGrant *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -3281,6 +3819,14 @@
       auto ptr = reinterpret_cast<const bramleyspan::membership::wire::MemberQueryT *>(value);
       return CreateMemberQuery(_fbb, ptr, _rehasher).Union();
     }
+    case Body::RateRequest: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::RateRequestT *>(value);
+      return CreateRateRequest(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::RateGrant: {
+      auto ptr = reinterpret_cast<const bramleyspan::membership::wire::RateGrantT *>(value);
+      return CreateRateGrant(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -3323,6 +3869,14 @@
       value = new bramleyspan::membership::wire::MemberQueryT(*reinterpret_cast<bramleyspan::membership::wire::MemberQueryT *>(u.value));
       break;
     }
+    case Body::RateRequest: {
+      value = new bramleyspan::membership::wire::RateRequestT(*reinterpret_cast<bramleyspan::membership::wire::RateRequestT *>(u.value));
+      break;
+    }
+    case Body::RateGrant: {
+      value = new bramleyspan::membership::wire::RateGrantT(*reinterpret_cast<bramleyspan::membership::wire::RateGrantT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -3375,6 +3929,16 @@
       delete ptr;
       break;
     }
+    case Body::RateRequest: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::RateRequestT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::RateGrant: {
+      auto ptr = reinterpret_cast<bramleyspan::membership::wire::RateGrantT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -231,6 +231,14 @@
   return EncodeBody(std::move(query));
 }
 
+std::string Encode(wire::RateRequestT request) {
+  return EncodeBody(std::move(request));
+}
+
+std::string Encode(wire::RateGrantT grant) {
+  return EncodeBody(std::move(grant));
+}
+
 Result<wire::MessageT> Decode(std::string_view bytes) {
   flatbuffers::Verifier verifier(reinterpret_cast<const uint8_t*>(bytes.data()),
                                  bytes.size());
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -117,6 +117,8 @@
 std::string Encode(wire::GroupSummaryT summary);
 std::string Encode(wire::NewsBundleT bundle);
 std::string Encode(wire::MemberQueryT query);
+std::string Encode(wire::RateRequestT request);
+std::string Encode(wire::RateGrantT grant);
 
 // Parses a datagram. Fails with kMalformedFrame.
 Result<wire::MessageT> Decode(std::string_view bytes);
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -245,8 +245,12 @@
 }
 
 std::string Forwarding::RetryAfter() const {
-  const auto after = std::chrono::duration_cast<std::chrono::milliseconds>(
-      gateway::RetryDelayFor(this->FindRefusalReason(), this->TimeLeft()));
+  const Duration delay =
+      this->held_back_until
+          ? *this->held_back_until - EventLoop::Now()
+          : gateway::RetryDelayFor(this->FindRefusalReason(), this->TimeLeft());
+  const auto after = std::chrono::ceil<std::chrono::milliseconds>(
+      std::max<Duration>(delay, Duration(0)));
   constexpr int64_t kMillisecondsPerSecond = 1000;
   std::string fraction = std::to_string(after.count() % kMillisecondsPerSecond);
   fraction.insert(0, 3 - fraction.size(), '0');
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -39,11 +39,19 @@
   // not sent; agents may have been probed for a permit.
   bool TrySend();
 
-  // Whether a probe of agents is under way.
-  bool is_probing() const { return this->is_awaiting_offers; }
+  // Whether a probe of agents or a question to a target's allocator is under
+  // way.
+  bool is_probing() const {
+    return this->is_awaiting_offers || this->is_awaiting_rate;
+  }
+
+  // Refuses the request because no permit was obtained in time, or for another
+  // cause why it can be sent to no target.
+  void RefuseForLackOfPermit(std::string_view cause);
 
-  // Refuses the request because no permit was obtained in time.
-  void RefuseForLackOfPermit();
+  // Refuses the request if all targets hold it back for longer than it may
+  // wait. Returns whether it was refused.
+  bool RefuseIfHeldBack();
 
   // Whether this request is served before `other`.
   bool is_before(const Forwarding& other, TimePoint now) const;
@@ -62,6 +70,8 @@
   // as a failure.
   enum class Verdict { kForward, kRejected, kInvalid };
 
+  enum class SendVerdict { kSent, kHeldBack, kPending };
+
   bool FindRouteAndTenant();
   bool is_allowed_by_key();
   void SendOrWait();
@@ -72,6 +82,17 @@
   void HandlePermitDecision(PermitRequests::Verdict verdict,
                             const PermitRequests::Permit& permit);
   void SettlePermit();
+  // Sends the request to the target of its permit.
+  void SendWithPermit();
+  const gateway::TargetView* ChooseByLocalView(
+      const std::set<std::string>& excluded);
+  // Sends the request unless the target's rate limit holds it back. Every
+  // request to a target passes here, also repeats and resumed streams. If the
+  // verdict is kPending, HandleRateReply is called later.
+  SendVerdict SendIfAdmitted(const gateway::TargetView& target);
+  void HandleRateReply();
+  // Returns when the request can be sent, if all targets hold it back.
+  std::optional<TimePoint> HeldBackUntil(TimePoint now) const;
   void SendTo(const gateway::TargetView& target);
   http::HeaderList HeadersFor(const gateway::TargetView& target,
                               TimePoint now) const;
@@ -130,6 +151,9 @@
   // Whether the caller retries already, and will not retry again.
   bool is_retry = false;
   bool is_awaiting_offers = false;
+  bool is_awaiting_rate = false;
+  // When the targets that hold the refused request back take it again.
+  std::optional<TimePoint> held_back_until;
   std::optional<PermitRequests::Permit> permit;
   TimerId deadline_timer = 0;
   TimerId attempt_timer = 0;
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -42,8 +42,7 @@
 void Forwarding::RecordSignals(const http::AnswerHead& head) {
   // An answer of another server at the address says nothing of the target.
   if (this->is_own_answer(head) && head.status != kMisdirected) {
-    this->state.signals->RecordAnswer(this->target_id, this->service, head,
-                                      this->sent_at);
+    this->state.signals->RecordAnswer(this->target_id, head, this->sent_at);
   }
 }
 
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -1,12 +1,16 @@
 // Chooses the target of a request, and lets the request wait while no permit is
 // available.
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
+#include "LibGateway/HoldOutlook.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
+#include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+#include "Services/bramleyspand/Gateway/RateLimiter.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -14,6 +18,7 @@
 
 using detail::kBadGateway;
 using detail::kUnavailable;
+using detail::ToMillisecondsText;
 using gateway::TargetView;
 using telemetry::Log;
 using telemetry::LogLevel;
@@ -31,6 +36,8 @@
   // Copied because each request that is sent or refused leaves the list.
   const auto waiting = state.waiting;
   std::set<std::pair<std::string, bool>> full;
+  // By service: whether all of its targets hold requests back.
+  std::map<std::string, bool> held_back;
   for (const auto& forwarding : waiting) {
     const std::pair kind(forwarding->service_name(), forwarding->is_late(now));
     const bool is_sent = !full.contains(kind) && forwarding->TrySend();
@@ -39,7 +46,18 @@
     }
     full.insert(kind);
     if (forwarding->waits_until() <= now) {
-      forwarding->RefuseForLackOfPermit();
+      forwarding->RefuseForLackOfPermit("no permit in time");
+      continue;
+    }
+    const auto [known, is_new] =
+        held_back.try_emplace(forwarding->service_name());
+    if (is_new) {
+      known->second =
+          gateway::FindHoldOutlook(state.targets, known->first, {}, now)
+              .has_value();
+    }
+    if (known->second) {
+      forwarding->RefuseIfHeldBack();
     }
   }
 }
@@ -76,10 +94,12 @@
     return;
   }
   if (now >= this->wait.ends) {
-    this->RefuseForLackOfPermit();
+    this->RefuseForLackOfPermit("no permit in time");
     return;
   }
-  this->Wait(false);
+  if (this->is_probing() || !this->RefuseIfHeldBack()) {
+    this->Wait(false);
+  }
 }
 
 void Forwarding::Wait(bool is_in_front) {
@@ -105,7 +125,7 @@
 }
 
 bool Forwarding::TrySend() {
-  if (this->is_awaiting_offers) {
+  if (this->is_probing()) {
     return false;
   }
   if (!this->has_engine()) {
@@ -145,18 +165,10 @@
     this->SettlePermit();
     return;
   }
-  const auto found = this->state.targets.by_id.find(permit.target);
-  const bool is_granted = verdict == PermitRequests::Verdict::kGranted &&
-                          found != this->state.targets.by_id.end() &&
-                          !found->second.target.is_leaving &&
-                          !found->second.is_replaced;
-  if (is_granted) {
-    this->state.waiting.remove(this->shared_from_this());
-    this->SendTo(found->second);
-    ServeWaiting(this->state);
+  if (this->permit) {
+    this->SendWithPermit();
     return;
   }
-  this->SettlePermit();
   if (verdict == PermitRequests::Verdict::kUnanswered &&
       this->TrySendByLocalView()) {
     return;
@@ -172,36 +184,132 @@
         {{"request", this->id},
          {"waiting", std::to_string(this->state.waiting.size())}});
   }
-  if (now >= this->wait.ends) {
-    this->RefuseForLackOfPermit();
+  if (now >= this->wait.ends && !this->is_probing()) {
+    this->RefuseForLackOfPermit("no permit in time");
+  }
+}
+
+void Forwarding::SendWithPermit() {
+  const auto found = this->state.targets.by_id.find(this->permit->target);
+  const bool is_usable = found != this->state.targets.by_id.end() &&
+                         !found->second.target.is_leaving &&
+                         !found->second.is_replaced;
+  if (is_usable) {
+    switch (this->SendIfAdmitted(found->second)) {
+      case SendVerdict::kSent:
+        ServeWaiting(this->state);
+        return;
+      case SendVerdict::kPending:
+        return;
+      case SendVerdict::kHeldBack:
+        break;
+    }
+  }
+  this->SettlePermit();
+  if (this->TrySend() || this->is_probing()) {
+    return;
+  }
+  if (EventLoop::Now() >= this->wait.ends) {
+    this->RefuseForLackOfPermit("no permit in time");
+  } else {
+    this->RefuseIfHeldBack();
+  }
+}
+
+Forwarding::SendVerdict Forwarding::SendIfAdmitted(const TargetView& target) {
+  const std::string id = target.target.id;
+  auto self = this->shared_from_this();
+  switch (this->state.rate_limiter->Admit(
+      id, [self] { self->HandleRateReply(); })) {
+    case RateLimiter::Verdict::kAdmitted:
+      this->state.waiting.remove(self);
+      this->SendTo(target);
+      return SendVerdict::kSent;
+    case RateLimiter::Verdict::kPending:
+      this->is_awaiting_rate = true;
+      return SendVerdict::kPending;
+    case RateLimiter::Verdict::kHeldBack:
+      break;
+  }
+  telemetry::Count(kHeldBack, {{"service", this->service}, {"by", "rate"}});
+  Log(LogLevel::kInfo, "forward", "held_back",
+      {{"request", this->id},
+       {"target", id},
+       {"for_ms", ToMillisecondsText(gateway::HeldUntil(this->state.targets, id,
+                                                        EventLoop::Now()) -
+                                     EventLoop::Now())}});
+  return SendVerdict::kHeldBack;
+}
+
+void Forwarding::HandleRateReply() {
+  this->is_awaiting_rate = false;
+  if (this->is_finished) {
+    return;
   }
+  if (this->permit) {
+    this->SendWithPermit();
+  } else if (!this->TrySend() && !this->is_probing()) {
+    this->RefuseIfHeldBack();
+  }
+}
+
+std::optional<TimePoint> Forwarding::HeldBackUntil(TimePoint now) const {
+  const auto outlook = gateway::FindHoldOutlook(
+      this->state.targets, this->service, this->tried, now);
+  if (!outlook) {
+    return std::nullopt;
+  }
+  const auto& waiting = this->state.waiting;
+  const auto ahead =
+      std::count_if(waiting.begin(), waiting.end(), [&](const auto& other) {
+        return other.get() != this && other->service == this->service &&
+               !this->is_before(*other, now);
+      });
+  return gateway::ReleaseOf(*outlook, static_cast<size_t>(ahead),
+                            SharingOf(this->state, now).gateways);
+}
+
+bool Forwarding::RefuseIfHeldBack() {
+  const std::optional<TimePoint> until = this->HeldBackUntil(EventLoop::Now());
+  if (!until || *until <= this->wait.ends) {
+    return false;
+  }
+  this->held_back_until = until;
+  this->RefuseForLackOfPermit("all targets hold requests back");
+  return true;
 }
 
 // Sends by the local view alone: for services without engine, and if no agent
 // answers.
 bool Forwarding::TrySendByLocalView() {
+  auto keep_until_return = this->shared_from_this();
+  std::set<std::string> excluded = this->tried;
+  while (const TargetView* target = this->ChooseByLocalView(excluded)) {
+    const std::string id = target->target.id;
+    const SendVerdict verdict = this->SendIfAdmitted(*target);
+    if (verdict != SendVerdict::kHeldBack) {
+      return verdict == SendVerdict::kSent;
+    }
+    excluded.insert(id);
+  }
+  return false;
+}
+
+const TargetView* Forwarding::ChooseByLocalView(
+    const std::set<std::string>& excluded) {
   const TimePoint now = EventLoop::Now();
-  const TargetView* target = nullptr;
   if (this->has_engine()) {
-    target = gateway::ChooseTargetWithPermit(
+    return gateway::ChooseTargetWithPermit(
         this->state.permits, this->state.targets,
         this->table->services.at(this->service), SharingOf(this->state, now),
-        this->tried, this->state.random(), now);
-  } else {
-    target = gateway::ChooseLeastLoaded(this->state.targets, this->service,
-                                        this->tried, this->state.settings.zone,
-                                        this->state.random(), now);
-  }
-  if (target == nullptr) {
-    return false;
+        excluded, this->state.random(), now);
   }
-  auto keep_until_return = this->shared_from_this();
-  this->state.waiting.remove(keep_until_return);
-  this->SendTo(*target);
-  return true;
+  return gateway::ChooseLeastLoaded(this->state.targets, this->service,
+                                    excluded, this->state.settings.zone,
+                                    this->state.random(), now);
 }
 
-void Forwarding::RefuseForLackOfPermit() {
+void Forwarding::RefuseForLackOfPermit(std::string_view cause) {
   auto keep_until_return = this->shared_from_this();
   this->state.waiting.remove(keep_until_return);
   if (this->has_started_answer) {
@@ -212,7 +320,7 @@
     this->Fail(kBadGateway, "may have run, and no target is left");
     return;
   }
-  this->Refuse(kUnavailable, "no permit in time", true);
+  this->Refuse(kUnavailable, cause, true);
 }
 
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -28,6 +28,10 @@
 inline constexpr MetricName kSentToLimited{
     "bramleyspan_sent_to_limited_total",
     "Requests sent to targets that name a rate limit, by service."};
+inline constexpr MetricName kHeldBack{
+    "bramleyspan_held_back_total",
+    "Requests not sent to a target because it asked for that, by service and "
+    "what it asked for."};
 inline constexpr MetricName kProbeTime{
     "bramleyspan_probe_seconds",
     "Time from asking agents for a place to the decision."};
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -14,6 +14,7 @@
 #include "Services/bramleyspand/Gateway/OrderRelay.h"
 #include "Services/bramleyspand/Gateway/Peers.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
+#include "Services/bramleyspand/Gateway/RateLimiter.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
 #include "Services/bramleyspand/Gateway/UsageRecorder.h"
 #include "Services/bramleyspand/Role.h"
@@ -36,7 +37,7 @@
 constexpr Duration kStopReserve = std::chrono::milliseconds(400);
 constexpr Duration kStatusInterval = std::chrono::seconds(5);
 constexpr size_t kMaxAddresses = 64;
-constexpr Duration kTargetsHeartbeatDelay = std::chrono::milliseconds(2);
+constexpr Duration kHeartbeatDelay = std::chrono::milliseconds(2);
 
 class GatewayRole : public Role {
  public:
@@ -48,9 +49,14 @@
             [this](const std::string& ip, const std::string& bytes) {
               this->peers.Send(ip, bytes);
             }),
-        signals(this->state),
+        signals(this->state, [this] { this->ScheduleHeartbeats(); }),
+        rate_limiter(this->state,
+                     [this](const std::string& ip, const std::string& bytes) {
+                       this->peers.Send(ip, bytes);
+                     }),
         usage(this->state) {
     this->state.signals = &this->signals;
+    this->state.rate_limiter = &this->rate_limiter;
     this->state.permit_requests = &this->permit_requests;
     this->state.usage = &this->usage;
   }
@@ -75,7 +81,7 @@
     StartFeeds(
         this->state,
         [this](const gateway::RouteTable& table) { this->HandleTable(table); },
-        [this] { this->HandleTargets(); });
+        [this] { this->ScheduleHeartbeats(); });
     TRY(this->peers.Start());
     this->usage.Start();
     this->callers = TRY(this->Serve(*fleet.callers, HandleCaller));
@@ -287,11 +293,11 @@
 
   // Target records change in bursts, mostly at the start; one heartbeat reports
   // them all.
-  void HandleTargets() {
+  void ScheduleHeartbeats() {
     if (std::exchange(this->is_heartbeat_scheduled, true)) {
       return;
     }
-    this->state.loop.RunAfter(kTargetsHeartbeatDelay, [this] {
+    this->state.loop.RunAfter(kHeartbeatDelay, [this] {
       this->is_heartbeat_scheduled = false;
       this->peers.SendHeartbeatsNow();
     });
@@ -513,6 +519,7 @@
   Peers peers;
   PermitRequests permit_requests;
   SignalRecorder signals;
+  RateLimiter rate_limiter;
   UsageRecorder usage;
   std::unique_ptr<http::Ingress> callers;
   std::unique_ptr<http::Ingress> directory;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -25,6 +25,7 @@
 
 class Forwarding;
 class PermitRequests;
+class RateLimiter;
 class SignalRecorder;
 class UsageRecorder;
 
@@ -56,6 +57,7 @@
   PermitRequests* permit_requests = nullptr;
   // Null until the gateway handles callers.
   SignalRecorder* signals = nullptr;
+  RateLimiter* rate_limiter = nullptr;
   // Null until the gateway can count usage.
   UsageRecorder* usage = nullptr;
   // Services are not probed for permits until then, because their ranks had
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -10,6 +10,7 @@
 #include "Services/bramleyspand/Gateway/Feeds.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
+#include "Services/bramleyspand/Gateway/RateLimiter.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -77,6 +78,7 @@
     heartbeat.members.push_back(std::make_unique<MemberT>(*member));
   }
   heartbeat.signs = membership::DigestsToSend(this->state.members, now);
+  heartbeat.rate_limits = this->state.rate_limiter->ReportsToSend();
   const std::string bytes = membership::Encode(std::move(heartbeat));
   for (const std::string& ip :
        membership::PeersForHeartbeat(this->state.members, this->round)) {
@@ -102,6 +104,7 @@
   self.table_version = own.table == nullptr ? 0 : own.table->version;
   self.targets_revision = own.targets_feed->newest_revision();
   self.is_hungry = !own.waiting.empty();
+  self.grants_rates = true;
   self.hears_store =
       own.table_feed->is_reachable() && own.targets_feed->is_reachable();
   for (const auto& [id, view] : own.targets.by_id) {
@@ -139,6 +142,14 @@
     this->HandleQuery(from_ip, *query);
     return;
   }
+  if (const auto* request = body.AsRateRequest()) {
+    this->state.rate_limiter->HandleRequest(from_ip, *request);
+    return;
+  }
+  if (const auto* grant = body.AsRateGrant()) {
+    this->state.rate_limiter->HandleGrant(*grant);
+    return;
+  }
   if (const auto* heartbeat = body.AsHeartbeat()) {
     this->HandleHeartbeat(from_ip, *heartbeat);
   }
@@ -151,6 +162,11 @@
       this->HandleMember(*member, member->ip == from_ip);
     }
   }
+  for (const auto& report : heartbeat.rate_limits) {
+    if (report != nullptr) {
+      this->state.rate_limiter->HandleReport(*report);
+    }
+  }
   membership::wire::MemberQueryT query;
   query.keys = membership::ApplyDigests(this->state.members, heartbeat.signs,
                                         EventLoop::Now());
--- a/Services/bramleyspand/Gateway/SignalRecorder.cc
+++ b/Services/bramleyspand/Gateway/SignalRecorder.cc
@@ -3,8 +3,10 @@
 #include <map>
 #include <nlohmann/json.hpp>
 
+#include "LibGateway/RateLimits.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+#include "Services/bramleyspand/Gateway/RateLimiter.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -21,10 +23,8 @@
 }  // namespace
 
 void SignalRecorder::RecordAnswer(const std::string& target,
-                                  const std::string& service,
                                   const http::AnswerHead& head,
                                   TimePoint sent_at) {
-  const TimePoint now = EventLoop::Now();
   const gateway::CallHeaders& names = this->state.adapter.headers;
   const gateway::AnswerSignals signals =
       gateway::ParseSignals(names, head.headers);
@@ -40,22 +40,39 @@
   }
   gateway::RateLimit& limit = known[target].rate_limit;
   const gateway::RateLimit before = limit;
-  if (!gateway::RecordRateLimit(limit, signals, sent_at, now)) {
-    return;
+  if (gateway::RecordRateLimit(limit, signals, sent_at, EventLoop::Now())) {
+    this->LogRateLimit(target, before, "answer");
+    this->on_change();
   }
+}
+
+void SignalRecorder::LogRateLimit(const std::string& target,
+                                  const gateway::RateLimit& before,
+                                  std::string_view heard_from) const {
+  const gateway::RateLimit& limit =
+      this->state.targets.signals.at(target).rate_limit;
   if (limit.per_second) {
     Log(LogLevel::kWarning, "targets", "rate_limit_named",
         {{"target", target},
-         {"service", service},
-         {"per_second", std::to_string(*limit.per_second)}});
-  } else {
+         {"service", this->ServiceOf(target)},
+         {"per_second", std::to_string(*limit.per_second)},
+         {"heard_from", std::string(heard_from)}});
+  } else if (before.per_second) {
     Log(LogLevel::kInfo, "targets", "rate_limit_ended",
         {{"target", target},
-         {"service", service},
-         {"after_ms", Milliseconds(now - before.since)}});
+         {"service", this->ServiceOf(target)},
+         {"after_ms", Milliseconds(limit.since - before.since)},
+         {"heard_from", std::string(heard_from)}});
   }
 }
 
+std::string SignalRecorder::ServiceOf(const std::string& target) const {
+  const auto found = this->state.targets.by_id.find(target);
+  return found == this->state.targets.by_id.end()
+             ? std::string()
+             : found->second.target.service;
+}
+
 void SignalRecorder::CountSent(const std::string& target,
                                const std::string& service) const {
   const auto found = this->state.targets.signals.find(target);
@@ -91,7 +108,11 @@
     dump["rate_limit"] = {
         {"per_second", *limit.per_second},
         {"age_ms", (now - limit.since).count() / 1000},
-        {"confirmed_ms", (now - limit.confirmed_at).count() / 1000}};
+        {"confirmed_ms", (now - limit.confirmed_at).count() / 1000},
+        {"allocator", this->state.rate_limiter->AllocatorOf(target)},
+        {"held_for_ms",
+         (gateway::HeldUntil(this->state.targets, target, now) - now).count() /
+             1000}};
   }
   return dump;
 }
--- a/Services/bramleyspand/Gateway/SignalRecorder.h
+++ b/Services/bramleyspand/Gateway/SignalRecorder.h
@@ -2,8 +2,11 @@
 // changes.
 #pragma once
 
+#include <functional>
 #include <nlohmann/json_fwd.hpp>
 #include <string>
+#include <string_view>
+#include <utility>
 
 #include "LibHTTP/Parser.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
@@ -12,14 +15,20 @@
 
 class SignalRecorder {
  public:
-  explicit SignalRecorder(GatewayState& state) : state(state) {}
+  // `on_change` is called when an answer changes what is known.
+  SignalRecorder(GatewayState& state, std::function<void()> on_change)
+      : state(state), on_change(std::move(on_change)) {}
 
   // Handles the head of a target's own answer to a request sent at `sent_at`.
   void RecordAnswer(const std::string& target,
-                    const std::string& service,
                     const http::AnswerHead& head,
                     TimePoint sent_at);
 
+  // Logs that a target's limit has changed; `heard_from` is "answer" or "peer".
+  void LogRateLimit(const std::string& target,
+                    const gateway::RateLimit& before,
+                    std::string_view heard_from) const;
+
   // Counts a request that is sent to a target.
   void CountSent(const std::string& target, const std::string& service) const;
 
@@ -29,7 +38,10 @@
   nlohmann::json Dump(const std::string& target) const;
 
  private:
+  std::string ServiceOf(const std::string& target) const;
+
   GatewayState& state;
+  std::function<void()> on_change;
 };
 
 }  // namespace bramleyspan::gatewayd
