Gateway: Log the backoffs that targets ask for

Cause of the gap: a rejection was logged with its status alone, so that a server that asks for 3 s without requests looked like one that is full for a moment.

A time that can't be read changes nothing and is logged. No request is held back yet.

--- a/Libraries/LibGateway/TargetSignals.cc
+++ b/Libraries/LibGateway/TargetSignals.cc
@@ -1,33 +1,44 @@
 #include "LibGateway/TargetSignals.h"
 
-#include <charconv>
-#include <cmath>
+#include <algorithm>
 #include <string_view>
 
+#include "LibHTTP/HeaderValues.h"
+
 namespace bramleyspan::gateway {
 
 namespace {
 
-// Parses a decimal number of 0 or more, without sign and exponent.
-std::optional<double> ParseDecimal(std::string_view text) {
-  double value = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, failure] =
-      std::from_chars(text.data(), end, value, std::chars_format::fixed);
-  const bool is_number = failure == std::errc{} && stop == end &&
-                         std::isfinite(value) && value >= 0;
-  return is_number ? std::optional<double>(value) : std::nullopt;
-}
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 
 }  // namespace
 
 AnswerSignals ParseSignals(const CallHeaders& names,
+                           int status,
                            const http::HeaderList& headers) {
   AnswerSignals signals;
   const std::string_view limit = http::FindHeader(headers, names.rate_limit);
-  signals.rate_limit = ParseDecimal(limit);
+  signals.rate_limit = http::ParseDecimal(limit);
   signals.is_rate_limit_unreadable = !limit.empty() && !signals.rate_limit;
+  const std::string_view after = http::FindHeader(headers, "retry-after");
+  const bool is_rejection =
+      status == kUnavailable || status == kTooManyRequests;
+  if (!is_rejection || after.empty()) {
+    return signals;
+  }
+  signals.backoff = http::ParseRetryAfter(after);
+  signals.is_backoff_unreadable = !signals.backoff.has_value();
   return signals;
 }
 
+bool RecordBackoff(Backoff& backoff, Duration asked, TimePoint now) {
+  const bool is_new = backoff.until <= now;
+  if (is_new) {
+    backoff.since = now;
+  }
+  backoff.until = std::max(backoff.until, now + asked);
+  return is_new && asked > Duration(0);
+}
+
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/TargetSignals.h
+++ b/Libraries/LibGateway/TargetSignals.h
@@ -19,9 +19,15 @@
   std::optional<double> rate_limit;
   // The answer names a limit that is no decimal number of 0 or more.
   bool is_rate_limit_unreadable = false;
+  // Time for which the target wants no requests from this gateway, with a
+  // rejection.
+  std::optional<Duration> backoff;
+  // The rejection names a time that is no number of seconds of 0 or more.
+  bool is_backoff_unreadable = false;
 };
 
 AnswerSignals ParseSignals(const CallHeaders& names,
+                           int status,
                            const http::HeaderList& headers);
 
 // The rate limit of a target, as far as it is known.
@@ -40,8 +46,19 @@
   TimePoint reported_at;
 };
 
+// The time for which a target wants no requests from this gateway.
+struct Backoff {
+  TimePoint since;
+  TimePoint until;
+};
+
+// Records that a target asks for a backoff. Of overlapping ones the one that
+// ends last counts. Returns whether none was in force.
+bool RecordBackoff(Backoff& backoff, Duration asked, TimePoint now);
+
 struct TargetSignals {
   RateLimit rate_limit;
+  Backoff backoff;
 };
 
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -55,8 +55,9 @@
 
 void RemoveOldSignals(TargetTable& table, TimePoint now) {
   std::erase_if(table.signals, [&table, now](const auto& item) {
-    return !table.by_id.contains(item.first) &&
-           now - item.second.rate_limit.confirmed_at > kSignalsLifetime;
+    const TimePoint last = std::max(item.second.rate_limit.confirmed_at,
+                                    item.second.backoff.until);
+    return !table.by_id.contains(item.first) && now - last > kSignalsLifetime;
   });
 }
 
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -197,7 +197,9 @@
   Log(LogLevel::kWarning, "forward", "rejected",
       {{"request", this->id},
        {"target", this->target_id},
-       {"status", std::to_string(this->answer->status)}});
+       {"status", std::to_string(this->answer->status)},
+       {"retry_after",
+        std::string(FindHeader(this->answer->headers, "retry-after"))}});
   if (!is_misdirected) {
     gateway::RecordRejection(this->state.permits, this->group,
                              EventLoop::Now());
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -25,6 +25,9 @@
 inline constexpr MetricName kLimitedTargets{
     "bramleyspan_limited_targets",
     "Targets that name a rate limit in their answers, by service."};
+inline constexpr MetricName kBackingOffTargets{
+    "bramleyspan_backing_off_targets",
+    "Targets that want no requests from this gateway for a time, by service."};
 inline constexpr MetricName kSentToLimited{
     "bramleyspan_sent_to_limited_total",
     "Requests sent to targets that name a rate limit, by service."};
--- a/Services/bramleyspand/Gateway/SignalRecorder.cc
+++ b/Services/bramleyspand/Gateway/SignalRecorder.cc
@@ -27,7 +27,8 @@
                                   TimePoint sent_at) {
   const gateway::CallHeaders& names = this->state.adapter.headers;
   const gateway::AnswerSignals signals =
-      gateway::ParseSignals(names, head.headers);
+      gateway::ParseSignals(names, head.status, head.headers);
+  this->RecordBackoff(target, signals);
   if (signals.is_rate_limit_unreadable) {
     Log(LogLevel::kWarning, "targets", "rate_limit_unreadable",
         {{"target", target},
@@ -46,6 +47,25 @@
   }
 }
 
+void SignalRecorder::RecordBackoff(const std::string& target,
+                                   const gateway::AnswerSignals& signals) {
+  if (signals.is_backoff_unreadable) {
+    Log(LogLevel::kWarning, "targets", "backoff_unreadable",
+        {{"target", target}});
+  }
+  if (!signals.backoff) {
+    return;
+  }
+  gateway::Backoff& backoff = this->state.targets.signals[target].backoff;
+  const TimePoint now = EventLoop::Now();
+  if (gateway::RecordBackoff(backoff, *signals.backoff, now)) {
+    Log(LogLevel::kWarning, "targets", "backoff_began",
+        {{"target", target},
+         {"service", this->ServiceOf(target)},
+         {"for_ms", Milliseconds(backoff.until - now)}});
+  }
+}
+
 void SignalRecorder::LogRateLimit(const std::string& target,
                                   const gateway::RateLimit& before,
                                   std::string_view heard_from) const {
@@ -83,12 +103,21 @@
 }
 
 void SignalRecorder::UpdateGauges() const {
+  const TimePoint now = EventLoop::Now();
   std::map<std::string, uint64_t> limited;
+  std::map<std::string, uint64_t> backing_off;
   for (const auto& [id, view] : this->state.targets.by_id) {
     const auto found = this->state.targets.signals.find(id);
-    const bool is_limited = found != this->state.targets.signals.end() &&
-                            found->second.rate_limit.per_second.has_value();
+    const bool is_known = found != this->state.targets.signals.end();
+    const bool is_limited =
+        is_known && found->second.rate_limit.per_second.has_value();
+    const bool is_backing_off = is_known && found->second.backoff.until > now;
     limited[view.target.service] += is_limited ? 1 : 0;
+    backing_off[view.target.service] += is_backing_off ? 1 : 0;
+  }
+  for (const auto& [service, count] : backing_off) {
+    telemetry::SetGauge(kBackingOffTargets, {{"service", service}},
+                        static_cast<double>(count));
   }
   for (const auto& [service, count] : limited) {
     telemetry::SetGauge(kLimitedTargets, {{"service", service}},
@@ -114,6 +143,11 @@
          (gateway::HeldUntil(this->state.targets, target, now) - now).count() /
              1000}};
   }
+  const gateway::Backoff& backoff = found->second.backoff;
+  if (backoff.until > now) {
+    dump["backoff"] = {{"left_ms", (backoff.until - now).count() / 1000},
+                       {"age_ms", (now - backoff.since).count() / 1000}};
+  }
   return dump;
 }
 
--- a/Services/bramleyspand/Gateway/SignalRecorder.h
+++ b/Services/bramleyspand/Gateway/SignalRecorder.h
@@ -38,6 +38,8 @@
   nlohmann::json Dump(const std::string& target) const;
 
  private:
+  void RecordBackoff(const std::string& target,
+                     const gateway::AnswerSignals& signals);
   std::string ServiceOf(const std::string& target) const;
 
   GatewayState& state;
