--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -103,7 +103,9 @@
     exchange->Respond(421, {{"x-not-executed", "1"}}, "");
     return;
   }
-  signals.arrivals.push_back(EventLoop::Now());
+  if (RecordArrival(signals, *exchange)) {
+    return;
+  }
   ++platform.runs[attempt];
   ++platform.runs_by_server[server.id];
   const std::string tenant(http::FindHeader(request.headers, "x-tenant"));
@@ -141,6 +143,7 @@
       platform.signals[http::FindQueryValue(request.query, "id")];
   if (request.path == "/signals") {
     server.limit = http::FindQueryValue(request.query, "limit");
+    server.backoff = http::FindQueryValue(request.query, "backoff");
     server.changed_at = EventLoop::Now();
     exchange->Respond(200, {}, "");
     return;
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -144,7 +144,9 @@
     return;
   }
   ServerSignals& signals = (*group.signals)[rank.id];
-  signals.arrivals.push_back(EventLoop::Now());
+  if (RecordArrival(signals, *exchange)) {
+    return;
+  }
   ++(*group.runs)[attempt];
   RunningStream stream{.exchange = exchange, .attempt = attempt};
   const std::string resumed(http::FindHeader(request.headers, "last-event-id"));
--- a/StandIns/UsersPlatform/Signals.cc
+++ b/StandIns/UsersPlatform/Signals.cc
@@ -12,6 +12,18 @@
   return headers;
 }
 
+bool RecordArrival(ServerSignals& server, http::IngressExchange& exchange) {
+  server.arrivals.push_back(EventLoop::Now());
+  if (server.backoff.empty()) {
+    return false;
+  }
+  http::HeaderList headers = SignalHeaders(server);
+  headers.emplace_back("x-not-executed", "1");
+  headers.emplace_back("retry-after", server.backoff);
+  exchange.Respond(503, headers, "");
+  return true;
+}
+
 size_t CountArrivals(const ServerSignals& server,
                      Duration span,
                      Duration after) {
