Gateway: Send a target nothing for the time that it asks for

Cause: a signal in band that nobody acts on, as a class.

Change: until the time is over no request is sent there, by any path; then one at a time until one is taken, since all that were held back would come at once. The rejection counts neither as a failure nor against the rank's group. If all targets of a service back off, callers are rejected at once, without using up the budget of repeats, and their Retry-After is when the first target takes requests again.

--- a/Libraries/LibGateway/HoldOutlook.cc
+++ b/Libraries/LibGateway/HoldOutlook.cc
@@ -17,16 +17,21 @@
   bool is_any_free = false;
   HoldOutlook outlook{.release = TimePoint::max(), .rate = 0};
   ForEachUsable(table, service, excluded, [&](const TargetView& view) {
-    const TimePoint until = HeldUntil(table, view.target.id, now);
+    const auto found = table.signals.find(view.target.id);
+    if (found == table.signals.end()) {
+      is_any_free = true;
+      return;
+    }
+    const RateLimit& limit = found->second.rate_limit;
+    // A trial after a backoff ends as soon as it is answered.
+    const TimePoint until =
+        std::max(RateHeldUntil(limit, now), found->second.backoff.until);
     is_any_free = is_any_free || until <= now;
     outlook.release = std::min(outlook.release, until);
-    const auto found = table.signals.find(view.target.id);
-    const bool is_limited = found != table.signals.end() &&
-                            found->second.rate_limit.per_second.has_value();
-    if (!is_limited) {
+    if (!limit.per_second) {
       outlook.rate = std::nullopt;
     } else if (outlook.rate) {
-      *outlook.rate += GrantedRate(found->second.rate_limit);
+      *outlook.rate += GrantedRate(limit);
     }
   });
   const bool has_targets = outlook.release != TimePoint::max();
--- a/Libraries/LibGateway/TargetSignals.h
+++ b/Libraries/LibGateway/TargetSignals.h
@@ -46,16 +46,32 @@
   TimePoint reported_at;
 };
 
-// The time for which a target wants no requests from this gateway.
+// The time for which a target wants no requests from this gateway. After it,
+// requests are sent one at a time until one is not rejected: all that could not
+// be sent meanwhile would come at once.
 struct Backoff {
   TimePoint since;
   TimePoint until;
+  // Whether no request after the backoff has been answered yet.
+  bool is_on_trial = false;
+  // While a request is on trial, no other is sent until then.
+  TimePoint trial_until;
 };
 
 // Records that a target asks for a backoff. Of overlapping ones the one that
 // ends last counts. Returns whether none was in force.
 bool RecordBackoff(Backoff& backoff, Duration asked, TimePoint now);
 
+// Records that a request is sent to the target.
+void RecordSentAfterBackoff(Backoff& backoff, TimePoint now);
+
+// Records that the target answered a request without a backoff that was sent at
+// `sent_at`. Returns whether the trial ended.
+bool RecordAnswerAfterBackoff(Backoff& backoff, TimePoint sent_at);
+
+// Returns until when no request is sent to the target.
+TimePoint BackoffHeldUntil(const Backoff& backoff);
+
 struct TargetSignals {
   RateLimit rate_limit;
   Backoff backoff;
--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -88,6 +88,8 @@
     case Outcome::kFailed:
       view.failures += 1;
       return;
+    case Outcome::kBackedOff:
+      return;
     case Outcome::kMisdirected:
       view.is_replaced = true;
       return;
@@ -116,7 +118,8 @@
   const auto found = table.signals.find(target);
   return found == table.signals.end()
              ? now
-             : RateHeldUntil(found->second.rate_limit, now);
+             : std::max(RateHeldUntil(found->second.rate_limit, now),
+                        BackoffHeldUntil(found->second.backoff));
 }
 
 void ForEachAdmitting(const TargetTable& table,
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -76,7 +76,14 @@
 void RemoveTarget(TargetTable& table, const std::string& id);
 
 // Outcome of a request at a target, by which the next targets are chosen.
-enum class Outcome { kGood, kFailed, kUnreachable, kMisdirected };
+enum class Outcome {
+  kGood,
+  kFailed,
+  kUnreachable,
+  kMisdirected,
+  // The target rejected the request and asked for a backoff; it is not failing.
+  kBackedOff,
+};
 void RecordOutcome(TargetTable& table,
                    const std::string& id,
                    Outcome outcome,
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -184,6 +184,14 @@
       this->failed_connections > kMaxFailedConnections) {
     return false;
   }
+  const gateway::Wait repeat_wait = gateway::PlanWait(
+      {.objective = this->route->objective, .allowed = this->deadline - now},
+      now);
+  this->wait.ends = std::max(this->wait.ends, repeat_wait.ends);
+  const auto held_back_until = this->HeldBackUntil(this->tried);
+  if (held_back_until && *held_back_until > this->wait.ends) {
+    return false;
+  }
   const size_t gateways = membership::CountGateways(this->state.members, now);
   if (has_reached_target &&
       !gateway::TakeRepeat(this->state.repeats, this->service, gateways, now)) {
@@ -193,10 +201,6 @@
   Log(LogLevel::kInfo, "forward", "sent_once_more",
       {{"request", this->id}, {"cause", std::string(cause)}});
   telemetry::Count(kRepeats, {{"service", this->service}});
-  const gateway::Wait repeat_wait = gateway::PlanWait(
-      {.objective = this->route->objective, .allowed = this->deadline - now},
-      now);
-  this->wait.ends = std::max(this->wait.ends, repeat_wait.ends);
   if (!this->TrySend()) {
     this->Wait(true);
   }
@@ -245,9 +249,12 @@
 }
 
 std::string Forwarding::RetryAfter() const {
+  // The caller's next attempt may use all targets.
+  const std::optional<TimePoint> held_back_until =
+      this->service.empty() ? std::nullopt : this->HeldBackUntil({});
   const Duration delay =
-      this->held_back_until
-          ? *this->held_back_until - EventLoop::Now()
+      held_back_until
+          ? *held_back_until - EventLoop::Now()
           : gateway::RetryDelayFor(this->FindRefusalReason(), this->TimeLeft());
   const auto after = std::chrono::ceil<std::chrono::milliseconds>(
       std::max<Duration>(delay, Duration(0)));
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -86,13 +86,15 @@
   void SendWithPermit();
   const gateway::TargetView* ChooseByLocalView(
       const std::set<std::string>& excluded);
-  // Sends the request unless the target's rate limit holds it back. Every
+  // Sends the request unless the target holds it back. Every
   // request to a target passes here, also repeats and resumed streams. If the
   // verdict is kPending, HandleRateReply is called later.
   SendVerdict SendIfAdmitted(const gateway::TargetView& target);
   void HandleRateReply();
-  // Returns when the request can be sent, if all targets hold it back.
-  std::optional<TimePoint> HeldBackUntil(TimePoint now) const;
+  // Returns when the request can be sent, if all targets but the excluded ones
+  // hold it back.
+  std::optional<TimePoint> HeldBackUntil(
+      const std::set<std::string>& excluded) const;
   void SendTo(const gateway::TargetView& target);
   http::HeaderList HeadersFor(const gateway::TargetView& target,
                               TimePoint now) const;
@@ -152,8 +154,6 @@
   bool is_retry = false;
   bool is_awaiting_offers = false;
   bool is_awaiting_rate = false;
-  // When the targets that hold the refused request back take it again.
-  std::optional<TimePoint> held_back_until;
   std::optional<PermitRequests::Permit> permit;
   TimerId deadline_timer = 0;
   TimerId attempt_timer = 0;
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -200,12 +200,17 @@
        {"status", std::to_string(this->answer->status)},
        {"retry_after",
         std::string(FindHeader(this->answer->headers, "retry-after"))}});
-  if (!is_misdirected) {
+  const gateway::AnswerSignals signals = gateway::ParseSignals(
+      this->state.adapter.headers, this->answer->status, this->answer->headers);
+  // A backoff says when the target takes requests again, so that it is neither
+  // failing nor a sign that its group is full.
+  if (!is_misdirected && !signals.backoff) {
     gateway::RecordRejection(this->state.permits, this->group,
                              EventLoop::Now());
   }
-  this->ReleaseTarget(is_misdirected ? Outcome::kMisdirected
-                                     : Outcome::kFailed);
+  this->ReleaseTarget(is_misdirected    ? Outcome::kMisdirected
+                      : signals.backoff ? Outcome::kBackedOff
+                                        : Outcome::kFailed);
   if (this->TryRepeat("rejected", true)) {
     return;
   }
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -11,6 +11,7 @@
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/RateLimiter.h"
+#include "Services/bramleyspand/Gateway/SignalRecorder.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -79,6 +80,7 @@
 void Forwarding::SendOrWait() {
   const auto& waiting = this->state.waiting;
   const TimePoint now = EventLoop::Now();
+  this->state.signals->CountHeldBack(this->service);
   const auto availability = this->state.availability.find(this->service);
   if (this->has_engine() && availability != this->state.availability.end() &&
       gateway::is_unavailable(availability->second, now)) {
@@ -218,9 +220,15 @@
 
 Forwarding::SendVerdict Forwarding::SendIfAdmitted(const TargetView& target) {
   const std::string id = target.target.id;
+  const TimePoint now = EventLoop::Now();
   auto self = this->shared_from_this();
-  switch (this->state.rate_limiter->Admit(
-      id, [self] { self->HandleRateReply(); })) {
+  // The target may have asked for a backoff while the permit was awaited.
+  const bool is_held = gateway::HeldUntil(this->state.targets, id, now) > now;
+  const RateLimiter::Verdict verdict =
+      is_held ? RateLimiter::Verdict::kHeldBack
+              : this->state.rate_limiter->Admit(
+                    id, [self] { self->HandleRateReply(); });
+  switch (verdict) {
     case RateLimiter::Verdict::kAdmitted:
       this->state.waiting.remove(self);
       this->SendTo(target);
@@ -231,13 +239,12 @@
     case RateLimiter::Verdict::kHeldBack:
       break;
   }
-  telemetry::Count(kHeldBack, {{"service", this->service}, {"by", "rate"}});
+  const TimePoint until = gateway::HeldUntil(this->state.targets, id, now);
+  telemetry::Count(kHeldBack, {{"service", this->service}, {"by", "target"}});
   Log(LogLevel::kInfo, "forward", "held_back",
       {{"request", this->id},
        {"target", id},
-       {"for_ms", ToMillisecondsText(gateway::HeldUntil(this->state.targets, id,
-                                                        EventLoop::Now()) -
-                                     EventLoop::Now())}});
+       {"for_ms", ToMillisecondsText(until - now)}});
   return SendVerdict::kHeldBack;
 }
 
@@ -253,9 +260,11 @@
   }
 }
 
-std::optional<TimePoint> Forwarding::HeldBackUntil(TimePoint now) const {
-  const auto outlook = gateway::FindHoldOutlook(
-      this->state.targets, this->service, this->tried, now);
+std::optional<TimePoint> Forwarding::HeldBackUntil(
+    const std::set<std::string>& excluded) const {
+  const TimePoint now = EventLoop::Now();
+  const auto outlook = gateway::FindHoldOutlook(this->state.targets,
+                                                this->service, excluded, now);
   if (!outlook) {
     return std::nullopt;
   }
@@ -270,11 +279,10 @@
 }
 
 bool Forwarding::RefuseIfHeldBack() {
-  const std::optional<TimePoint> until = this->HeldBackUntil(EventLoop::Now());
+  const std::optional<TimePoint> until = this->HeldBackUntil(this->tried);
   if (!until || *until <= this->wait.ends) {
     return false;
   }
-  this->held_back_until = until;
   this->RefuseForLackOfPermit("all targets hold requests back");
   return true;
 }
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -88,7 +88,7 @@
        {"targets_age_ms",
         ToMillisecondsText(this->state.targets_feed->age(now))},
        {"attempt", std::to_string(this->tried.size())}});
-  this->state.signals->CountSent(this->target_id, this->service);
+  this->state.signals->RecordSent(this->target_id, this->service);
   http::DirectRequest outgoing{
       .target = target.target.address,
       .method = this->request.method,
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -33,8 +33,9 @@
     "Requests sent to targets that name a rate limit, by service."};
 inline constexpr MetricName kHeldBack{
     "bramleyspan_held_back_total",
-    "Requests not sent to a target because it asked for that, by service and "
-    "what it asked for."};
+    "Requests that targets held back, by service: by=target if one was not "
+    "sent to the target that was chosen, by=backoff if one came while a target "
+    "backed off."};
 inline constexpr MetricName kProbeTime{
     "bramleyspan_probe_seconds",
     "Time from asking agents for a place to the decision."};
--- a/Services/bramleyspand/Gateway/SignalRecorder.cc
+++ b/Services/bramleyspand/Gateway/SignalRecorder.cc
@@ -1,5 +1,6 @@
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
 
+#include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
 
@@ -28,7 +29,7 @@
   const gateway::CallHeaders& names = this->state.adapter.headers;
   const gateway::AnswerSignals signals =
       gateway::ParseSignals(names, head.status, head.headers);
-  this->RecordBackoff(target, signals);
+  this->RecordBackoff(target, signals, sent_at);
   if (signals.is_rate_limit_unreadable) {
     Log(LogLevel::kWarning, "targets", "rate_limit_unreadable",
         {{"target", target},
@@ -48,16 +49,25 @@
 }
 
 void SignalRecorder::RecordBackoff(const std::string& target,
-                                   const gateway::AnswerSignals& signals) {
+                                   const gateway::AnswerSignals& signals,
+                                   TimePoint sent_at) {
   if (signals.is_backoff_unreadable) {
     Log(LogLevel::kWarning, "targets", "backoff_unreadable",
         {{"target", target}});
   }
+  const TimePoint now = EventLoop::Now();
   if (!signals.backoff) {
+    const auto found = this->state.targets.signals.find(target);
+    if (found != this->state.targets.signals.end() &&
+        gateway::RecordAnswerAfterBackoff(found->second.backoff, sent_at)) {
+      Log(LogLevel::kInfo, "targets", "backoff_ended",
+          {{"target", target},
+           {"service", this->ServiceOf(target)},
+           {"after_ms", Milliseconds(now - found->second.backoff.since)}});
+    }
     return;
   }
   gateway::Backoff& backoff = this->state.targets.signals[target].backoff;
-  const TimePoint now = EventLoop::Now();
   if (gateway::RecordBackoff(backoff, *signals.backoff, now)) {
     Log(LogLevel::kWarning, "targets", "backoff_began",
         {{"target", target},
@@ -93,15 +103,30 @@
              : found->second.target.service;
 }
 
-void SignalRecorder::CountSent(const std::string& target,
-                               const std::string& service) const {
+void SignalRecorder::RecordSent(const std::string& target,
+                                const std::string& service) {
   const auto found = this->state.targets.signals.find(target);
-  if (found != this->state.targets.signals.end() &&
-      found->second.rate_limit.per_second) {
+  if (found == this->state.targets.signals.end()) {
+    return;
+  }
+  gateway::RecordSentAfterBackoff(found->second.backoff, EventLoop::Now());
+  if (found->second.rate_limit.per_second) {
     telemetry::Count(kSentToLimited, {{"service", service}});
   }
 }
 
+void SignalRecorder::CountHeldBack(const std::string& service) const {
+  const TimePoint now = EventLoop::Now();
+  const bool is_any_backing_off =
+      std::ranges::any_of(this->state.targets.signals, [&](const auto& item) {
+        return gateway::BackoffHeldUntil(item.second.backoff) > now &&
+               this->ServiceOf(item.first) == service;
+      });
+  if (is_any_backing_off) {
+    telemetry::Count(kHeldBack, {{"service", service}, {"by", "backoff"}});
+  }
+}
+
 void SignalRecorder::UpdateGauges() const {
   const TimePoint now = EventLoop::Now();
   std::map<std::string, uint64_t> limited;
--- a/Services/bramleyspand/Gateway/SignalRecorder.h
+++ b/Services/bramleyspand/Gateway/SignalRecorder.h
@@ -29,8 +29,11 @@
                     const gateway::RateLimit& before,
                     std::string_view heard_from) const;
 
-  // Counts a request that is sent to a target.
-  void CountSent(const std::string& target, const std::string& service) const;
+  // Records that a request is sent to a target.
+  void RecordSent(const std::string& target, const std::string& service);
+
+  // Counts a request of a caller if a target of its service backs off.
+  void CountHeldBack(const std::string& service) const;
 
   void UpdateGauges() const;
 
@@ -39,7 +42,8 @@
 
  private:
   void RecordBackoff(const std::string& target,
-                     const gateway::AnswerSignals& signals);
+                     const gateway::AnswerSignals& signals,
+                     TimePoint sent_at);
   std::string ServiceOf(const std::string& target) const;
 
   GatewayState& state;
