Gateway: Send nothing to a target that says it leaves

Cause: the same class as the rate limit: a statement in the answers that nobody read. Leaving was known from the store only, which lags and has outages.

Change: a target's own answer with Server-Leaving takes it out of every choice at this gateway at once, also where a permit was granted before; streams run on. Only a record that lists it as usable after one that listed it as leaving, or after its removal, brings it back: a repeated or stale one does not. Log, dump and a gauge show it. Other gateways are not told: a report that comes after the target was listed anew would take it out for good.

--- a/Libraries/LibGateway/CallHeaders.h
+++ b/Libraries/LibGateway/CallHeaders.h
@@ -31,6 +31,8 @@
   // Requests a second that a target takes from all gateways together; in its
   // answers.
   std::string rate_limit;
+  // Whether a target leaves; in all of its answers.
+  std::string leaving;
   // Further headers that only the gateway may set; those of a caller are
   // removed.
   std::vector<std::string> reserved;
--- a/Libraries/LibGateway/TargetSignals.cc
+++ b/Libraries/LibGateway/TargetSignals.cc
@@ -23,6 +23,7 @@
   const std::string_view limit = http::FindHeader(headers, names.rate_limit);
   signals.rate_limit = http::ParseDecimal(limit);
   signals.is_rate_limit_unreadable = !limit.empty() && !signals.rate_limit;
+  signals.is_leaving = http::FindHeader(headers, names.leaving) == "1";
   const std::string_view after = http::FindHeader(headers, "retry-after");
   const bool is_rejection =
       status == kUnavailable || status == kTooManyRequests;
--- a/Libraries/LibGateway/TargetSignals.h
+++ b/Libraries/LibGateway/TargetSignals.h
@@ -24,6 +24,7 @@
   std::optional<Duration> backoff;
   // The rejection names a time that is no number of seconds of 0 or more.
   bool is_backoff_unreadable = false;
+  bool is_leaving = false;
 };
 
 AnswerSignals ParseSignals(const CallHeaders& names,
@@ -72,9 +73,19 @@
 // Returns until when no request is sent to the target.
 TimePoint BackoffHeldUntil(const Backoff& backoff);
 
+// What a target says of its leaving. It counts whatever the store lists: a
+// store that lags, or a read that is stale, lists the target as usable.
+struct Leaving {
+  bool is_announced = false;
+  TimePoint since;
+  // Whether the store has listed the target as leaving, or no longer listed it.
+  bool is_listed = false;
+};
+
 struct TargetSignals {
   RateLimit rate_limit;
   Backoff backoff;
+  Leaving leaving;
 };
 
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -44,6 +44,15 @@
     }
     other.is_replaced = true;
   }
+  const auto signals = table.signals.find(id);
+  if (signals != table.signals.end()) {
+    Leaving& leaving = signals->second.leaving;
+    if (target.is_leaving) {
+      leaving.is_listed = true;
+    } else if (leaving.is_listed) {
+      leaving = {};
+    }
+  }
   TargetView& view = table.by_id[id];
   view.is_replaced = false;
   view.target = std::move(target);
@@ -51,12 +60,39 @@
 
 void RemoveTarget(TargetTable& table, const std::string& id) {
   table.by_id.erase(id);
+  const auto signals = table.signals.find(id);
+  if (signals != table.signals.end()) {
+    signals->second.leaving.is_listed = true;
+  }
+}
+
+bool RecordLeaving(TargetTable& table, const std::string& id, TimePoint now) {
+  Leaving& leaving = table.signals[id].leaving;
+  if (leaving.is_announced) {
+    return false;
+  }
+  const auto view = table.by_id.find(id);
+  const bool is_listed =
+      view == table.by_id.end() || view->second.target.is_leaving;
+  leaving = {.is_announced = true, .since = now, .is_listed = is_listed};
+  return true;
+}
+
+bool has_announced_leaving(const TargetTable& table, const std::string& id) {
+  const auto found = table.signals.find(id);
+  return found != table.signals.end() && found->second.leaving.is_announced;
+}
+
+bool is_usable(const TargetTable& table, const TargetView& view) {
+  return !view.target.is_leaving && !view.is_replaced &&
+         !has_announced_leaving(table, view.target.id);
 }
 
 void RemoveOldSignals(TargetTable& table, TimePoint now) {
   std::erase_if(table.signals, [&table, now](const auto& item) {
-    const TimePoint last = std::max(item.second.rate_limit.confirmed_at,
-                                    item.second.backoff.until);
+    const TimePoint last =
+        std::max({item.second.rate_limit.confirmed_at,
+                  item.second.backoff.until, item.second.leaving.since});
     return !table.by_id.contains(item.first) && now - last > kSignalsLifetime;
   });
 }
@@ -105,8 +141,8 @@
                    const std::set<std::string>& excluded,
                    const TargetVisitor& visit) {
   for (const auto& [id, view] : table.by_id) {
-    if (view.target.service == service && !view.target.is_leaving &&
-        !view.is_replaced && !excluded.contains(id)) {
+    if (view.target.service == service && is_usable(table, view) &&
+        !excluded.contains(id)) {
       visit(view);
     }
   }
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -75,6 +75,16 @@
 void ApplyTarget(TargetTable& table, Target target);
 void RemoveTarget(TargetTable& table, const std::string& id);
 
+// Records that a target says in its answers that it leaves. It gets no further
+// requests until the store has listed it as leaving or gone and then as usable.
+// Returns whether that is new.
+bool RecordLeaving(TargetTable& table, const std::string& id, TimePoint now);
+
+bool has_announced_leaving(const TargetTable& table, const std::string& id);
+
+// Whether requests may be sent to the target at all.
+bool is_usable(const TargetTable& table, const TargetView& view);
+
 // Outcome of a request at a target, by which the next targets are chosen.
 enum class Outcome {
   kGood,
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -48,6 +48,7 @@
   if (!item.is_removed) {
     target = state.adapter.parse_target(item.key, item.value);
   }
+  const bool was_announced = gateway::has_announced_leaving(state.targets, id);
   const auto known = state.targets.by_id.find(id);
   const bool was_usable =
       known != state.targets.by_id.end() && !known->second.target.is_leaving;
@@ -67,6 +68,9 @@
   } else {
     gateway::RemoveTarget(state.targets, id);
   }
+  if (was_announced && !gateway::has_announced_leaving(state.targets, id)) {
+    Log(LogLevel::kInfo, "targets", "leaving_ended", {{"target", id}});
+  }
 }
 
 // Wait of the watches of a passive watcher, which need not notice by itself
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -194,8 +194,7 @@
 void Forwarding::SendWithPermit() {
   const auto found = this->state.targets.by_id.find(this->permit->target);
   const bool is_usable = found != this->state.targets.by_id.end() &&
-                         !found->second.target.is_leaving &&
-                         !found->second.is_replaced;
+                         gateway::is_usable(this->state.targets, found->second);
   if (is_usable) {
     switch (this->SendIfAdmitted(found->second)) {
       case SendVerdict::kSent:
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -28,6 +28,9 @@
 inline constexpr MetricName kBackingOffTargets{
     "bramleyspan_backing_off_targets",
     "Targets that want no requests from this gateway for a time, by service."};
+inline constexpr MetricName kLeavingTargets{
+    "bramleyspan_leaving_targets",
+    "Listed targets that say in their answers that they leave, by service."};
 inline constexpr MetricName kSentToLimited{
     "bramleyspan_sent_to_limited_total",
     "Requests sent to targets that name a rate limit, by service."};
--- a/Services/bramleyspand/Gateway/SignalRecorder.cc
+++ b/Services/bramleyspand/Gateway/SignalRecorder.cc
@@ -30,6 +30,11 @@
   const gateway::AnswerSignals signals =
       gateway::ParseSignals(names, head.status, head.headers);
   this->RecordBackoff(target, signals, sent_at);
+  if (signals.is_leaving &&
+      gateway::RecordLeaving(this->state.targets, target, EventLoop::Now())) {
+    Log(LogLevel::kInfo, "targets", "leaving_announced",
+        {{"target", target}, {"service", this->ServiceOf(target)}});
+  }
   if (signals.is_rate_limit_unreadable) {
     Log(LogLevel::kWarning, "targets", "rate_limit_unreadable",
         {{"target", target},
@@ -131,6 +136,7 @@
   const TimePoint now = EventLoop::Now();
   std::map<std::string, uint64_t> limited;
   std::map<std::string, uint64_t> backing_off;
+  std::map<std::string, uint64_t> leaving;
   for (const auto& [id, view] : this->state.targets.by_id) {
     const auto found = this->state.targets.signals.find(id);
     const bool is_known = found != this->state.targets.signals.end();
@@ -139,6 +145,12 @@
     const bool is_backing_off = is_known && found->second.backoff.until > now;
     limited[view.target.service] += is_limited ? 1 : 0;
     backing_off[view.target.service] += is_backing_off ? 1 : 0;
+    leaving[view.target.service] +=
+        gateway::has_announced_leaving(this->state.targets, id) ? 1 : 0;
+  }
+  for (const auto& [service, count] : leaving) {
+    telemetry::SetGauge(kLeavingTargets, {{"service", service}},
+                        static_cast<double>(count));
   }
   for (const auto& [service, count] : backing_off) {
     telemetry::SetGauge(kBackingOffTargets, {{"service", service}},
@@ -173,6 +185,10 @@
     dump["backoff"] = {{"left_ms", (backoff.until - now).count() / 1000},
                        {"age_ms", (now - backoff.since).count() / 1000}};
   }
+  const gateway::Leaving& leaving = found->second.leaving;
+  if (leaving.is_announced) {
+    dump["leaving"] = {{"age_ms", (now - leaving.since).count() / 1000}};
+  }
   return dump;
 }
 
--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -144,6 +144,7 @@
   if (request.path == "/signals") {
     server.limit = http::FindQueryValue(request.query, "limit");
     server.backoff = http::FindQueryValue(request.query, "backoff");
+    server.is_leaving = !http::FindQueryValue(request.query, "leaving").empty();
     server.changed_at = EventLoop::Now();
     exchange->Respond(200, {}, "");
     return;
--- a/StandIns/UsersPlatform/Signals.cc
+++ b/StandIns/UsersPlatform/Signals.cc
@@ -9,6 +9,9 @@
   if (!server.limit.empty()) {
     headers.emplace_back("server-limit", server.limit);
   }
+  if (server.is_leaving) {
+    headers.emplace_back("server-leaving", "1");
+  }
   return headers;
 }
 
--- a/StandIns/UsersPlatform/Signals.h
+++ b/StandIns/UsersPlatform/Signals.h
@@ -18,6 +18,8 @@
   // The Retry-After header, in seconds; while it is set the server rejects all
   // requests with 503.
   std::string backoff;
+  // Whether all answers have Server-Leaving.
+  bool is_leaving = false;
   // When the signals were last changed.
   TimePoint changed_at;
   std::vector<TimePoint> arrivals;
--- a/Tests/LibGateway/TestTargets.cc
+++ b/Tests/LibGateway/TestTargets.cc
@@ -96,4 +96,28 @@
       "b");
 }
 
+// Failure: a target says that it leaves, and a late or stale record of the
+// store brings it back.
+TEST_CASE("A target that says it leaves gets nothing until it has left") {
+  TargetTable table;
+  ApplyTarget(table, TargetOf("a", 80, 1));
+  CHECK(RecordLeaving(table, "a", kStart));
+  CHECK_FALSE(RecordLeaving(table, "a", kStart));
+  CHECK(Usable(table).empty());
+  ApplyTarget(table, TargetOf("a", 80, 2));
+  CHECK(Usable(table).empty());
+  SUBCASE("It leaves and is listed anew") {
+    Target leaving = TargetOf("a", 80, 3);
+    leaving.is_leaving = true;
+    ApplyTarget(table, leaving);
+    ApplyTarget(table, TargetOf("a", 80, 4));
+    CHECK(Usable(table) == std::set<std::string>{"a"});
+  }
+  SUBCASE("It is removed and listed anew") {
+    RemoveTarget(table, "a");
+    ApplyTarget(table, TargetOf("a", 80, 4));
+    CHECK(Usable(table) == std::set<std::string>{"a"});
+  }
+}
+
 }  // namespace bramleyspan::gateway
