Agent, LibLimits: Take no calls while the back end wants none

What callers saw: nothing yet. An agent passed a back end's 503 on and sent the next call at once, whatever Retry-After said; with one agent before each back end, nobody else could keep it.

Change: the decisions about a backoff move to LibLimits, which both sides use; the agent refuses calls until the time is over, with not_run and the time that is left (the key of a call that may not be repeated is invalidated first, as with every refusal), calls that wait in its queue too; probes count the time, so that entries choose other targets; then one call at a time until one is taken. The dump and two log lines show it.

--- a/Libraries/LibGateway/TargetSignals.h
+++ b/Libraries/LibGateway/TargetSignals.h
@@ -8,6 +8,7 @@
 #include "Kernel/Time.h"
 #include "LibGateway/CallHeaders.h"
 #include "LibHTTP/Message.h"
+#include "LibLimits/Backoff.h"
 #include "LibLimits/Grants.h"
 
 namespace bramleyspan::gateway {
@@ -47,32 +48,6 @@
   TimePoint reported_at;
 };
 
-// The time for which a target wants no requests from this gateway. After it,
-// requests are sent one at a time until one is not rejected: all that could not
-// be sent meanwhile would come at once.
-struct Backoff {
-  TimePoint since;
-  TimePoint until;
-  // Whether no request after the backoff has been answered yet.
-  bool is_on_trial = false;
-  // While a request is on trial, no other is sent until then.
-  TimePoint trial_until;
-};
-
-// Records that a target asks for a backoff. Of overlapping ones the one that
-// ends last counts. Returns whether none was in force.
-bool RecordBackoff(Backoff& backoff, Duration asked, TimePoint now);
-
-// Records that a request is sent to the target.
-void RecordSentAfterBackoff(Backoff& backoff, TimePoint now);
-
-// Records that the target answered a request without a backoff that was sent at
-// `sent_at`. Returns whether the trial ended.
-bool RecordAnswerAfterBackoff(Backoff& backoff, TimePoint sent_at);
-
-// Returns until when no request is sent to the target.
-TimePoint BackoffHeldUntil(const Backoff& backoff);
-
 // What a target says of its leaving. It counts whatever the store lists: a
 // store that lags, or a read that is stale, lists the target as usable.
 struct Leaving {
@@ -84,7 +59,8 @@
 
 struct TargetSignals {
   RateLimit rate_limit;
-  Backoff backoff;
+  // The time for which the target wants no requests from this gateway.
+  limits::Backoff backoff;
   Leaving leaving;
 };
 
--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -155,7 +155,7 @@
   return found == table.signals.end()
              ? now
              : std::max(RateHeldUntil(found->second.rate_limit, now),
-                        BackoffHeldUntil(found->second.backoff));
+                        limits::BackoffHeldUntil(found->second.backoff));
 }
 
 void ForEachAdmitting(const TargetTable& table,
--- a/Services/bramleyspand/Agent/Admission.cc
+++ b/Services/bramleyspand/Agent/Admission.cc
@@ -21,11 +21,30 @@
                      "the target cannot answer in time", retry_after));
 }
 
+// Returns the time for which the back end takes no call; zero if it takes one.
+Duration BackoffLeft(const AgentState& state) {
+  return std::max<Duration>(
+      Duration(0), limits::BackoffHeldUntil(state.backoff) - EventLoop::Now());
+}
+
+void RefuseForBackoff(AgentState& state, uint64_t forward) {
+  Perform(state,
+          calls::RefuseForward(state.calls, forward, ErrorCode::kUnavailable,
+                               "the back end takes no calls for a time",
+                               BackoffLeft(state)));
+}
+
 void StartWaitingCall(AgentState& state, uint64_t forward) {
   const auto waiting = state.waiting.extract(forward);
-  if (!waiting.empty()) {
-    Forward(state, waiting.mapped(), forward);
+  if (waiting.empty()) {
+    return;
   }
+  if (BackoffLeft(state) > Duration(0)) {
+    RefuseForBackoff(state, forward);
+    ReleaseSlot(state, forward, /*is_measured=*/false);
+    return;
+  }
+  Forward(state, waiting.mapped(), forward);
 }
 
 void PerformAdmission(AgentState& state, const admission::Effects& effects) {
@@ -41,6 +60,10 @@
 }  // namespace
 
 void SubmitCall(AgentState& state, const wire::CallT& call, uint64_t forward) {
+  if (BackoffLeft(state) > Duration(0)) {
+    RefuseForBackoff(state, forward);
+    return;
+  }
   const TimePoint now = EventLoop::Now();
   const admission::Decision decision = admission::Decide(
       state.admission,
@@ -92,7 +115,8 @@
   frame.probe = probe.probe;
   frame.is_admitting = !state.is_leaving;
   frame.in_flight = estimate.in_flight;
-  frame.first_token_microseconds = estimate.first_token.count();
+  frame.first_token_microseconds =
+      (estimate.first_token + BackoffLeft(state)).count();
   frame.cached_tokens = estimate.cached_tokens;
   return frame;
 }
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -30,19 +30,25 @@
 constexpr size_t kSecretBytes = 32;
 
 nlohmann::json DumpOf(const AgentState& state) {
-  return {{"process", state.settings.name},
-          {"role", "agent"},
-          {"zone", state.settings.zone},
-          {"revision", state.feed.revision()},
-          {"incarnation", state.calls.claims.incarnation},
-          {"is_leaving", state.is_leaving},
-          {"entries_linked", state.connections.size()},
-          {"in_flight", state.calls.forwarded.size()},
-          {"waiting", state.waiting.size()},
-          {"slots", state.admission.settings.slots},
-          {"is_stalled", state.admission.is_stalled},
-          {"remembered_claims", state.calls.claims.record_count},
-          {"kept_answer_bytes", state.calls.claims.answer_bytes}};
+  return {
+      {"process", state.settings.name},
+      {"role", "agent"},
+      {"zone", state.settings.zone},
+      {"revision", state.feed.revision()},
+      {"incarnation", state.calls.claims.incarnation},
+      {"is_leaving", state.is_leaving},
+      {"entries_linked", state.connections.size()},
+      {"in_flight", state.calls.forwarded.size()},
+      {"waiting", state.waiting.size()},
+      {"slots", state.admission.settings.slots},
+      {"is_stalled", state.admission.is_stalled},
+      {"backoff_left_ms",
+       std::max<Duration>(Duration(0), limits::BackoffHeldUntil(state.backoff) -
+                                           EventLoop::Now())
+               .count() /
+           1000},
+      {"remembered_claims", state.calls.claims.record_count},
+      {"kept_answer_bytes", state.calls.claims.answer_bytes}};
 }
 
 void SendLeaving(wire::Connection& connection, const std::string& reason) {
--- a/Services/bramleyspand/Agent/AgentState.h
+++ b/Services/bramleyspand/Agent/AgentState.h
@@ -11,6 +11,7 @@
 #include "LibCalls/AgentCalls.h"
 #include "LibHTTP/Client.h"
 #include "LibHTTP/Server.h"
+#include "LibLimits/Backoff.h"
 #include "Services/bramleyspand/CatalogueFeed.h"
 #include "Services/bramleyspand/Link.h"
 #include "Services/bramleyspand/Settings.h"
@@ -34,6 +35,8 @@
   std::map<uint64_t, std::weak_ptr<wire::Connection>> callers;
   // Exchanges with the back end, by forward id.
   std::map<uint64_t, std::shared_ptr<http::ClientCall>> exchanges;
+  // The time for which the back end wants no calls.
+  limits::Backoff backoff;
   bool is_leaving = false;
 };
 
--- a/Services/bramleyspand/Agent/Calls.cc
+++ b/Services/bramleyspand/Agent/Calls.cc
@@ -1,5 +1,6 @@
 #include "Kernel/Digest.h"
 #include "LibClaims/ClosingRecord.h"
+#include "LibHTTP/HeaderValues.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Agent/Admission.h"
 
@@ -9,6 +10,8 @@
 
 constexpr Duration kDeadlineCheckInterval = std::chrono::milliseconds(20);
 constexpr size_t kNonceBytes = 12;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 // A closing record of more keys would exceed the maximum size of a frame.
 constexpr size_t kMostClosingRecordKeys = 50'000;
 
@@ -94,9 +97,36 @@
               !http::FindHeader(head.headers, "transfer-encoding").empty()};
 }
 
+// Records the time for which the back end wants no calls, if its answer to a
+// call that was sent at `sent_at` names one.
+void RecordBackoffOf(AgentState& state,
+                     const http::ResponseHead& head,
+                     TimePoint sent_at) {
+  const TimePoint now = EventLoop::Now();
+  const bool is_rejection =
+      head.status == kUnavailable || head.status == kTooManyRequests;
+  const std::optional<Duration> asked =
+      is_rejection
+          ? http::ParseRetryAfter(http::FindHeader(head.headers, "retry-after"))
+          : std::nullopt;
+  if (asked) {
+    if (limits::RecordBackoff(state.backoff, *asked, now)) {
+      telemetry::Log(telemetry::LogLevel::kWarning, "calls", "backoff_began",
+                     {{"for_ms", std::to_string(asked->count() / 1000)}});
+    }
+  } else if (limits::RecordAnswerAfterBackoff(state.backoff, sent_at)) {
+    telemetry::Log(
+        telemetry::LogLevel::kInfo, "calls", "backoff_ended",
+        {{"after_ms",
+          std::to_string((now - state.backoff.since).count() / 1000)}});
+  }
+}
+
 http::ClientEvents EventsFor(AgentState& state, uint64_t forward) {
   http::ClientEvents events;
-  events.on_head = [&state, forward](const http::ResponseHead& head) {
+  events.on_head = [&state, forward, sent_at = EventLoop::Now()](
+                       const http::ResponseHead& head) {
+    RecordBackoffOf(state, head, sent_at);
     Perform(state, calls::ReceiveHead(state.calls, forward, ParseHead(head),
                                       EventLoop::Now()));
   };
@@ -119,6 +149,7 @@
 }  // namespace
 
 void Forward(AgentState& state, const wire::CallT& call, uint64_t forward) {
+  limits::RecordSentAfterBackoff(state.backoff, EventLoop::Now());
   http::ClientRequest request{
       .target = *state.settings.target,
       .method = call.method,
--- a/Services/bramleyspand/Gateway/SignalRecorder.cc
+++ b/Services/bramleyspand/Gateway/SignalRecorder.cc
@@ -64,7 +64,7 @@
   if (!signals.backoff) {
     const auto found = this->state.targets.signals.find(target);
     if (found != this->state.targets.signals.end() &&
-        gateway::RecordAnswerAfterBackoff(found->second.backoff, sent_at)) {
+        limits::RecordAnswerAfterBackoff(found->second.backoff, sent_at)) {
       Log(LogLevel::kInfo, "targets", "backoff_ended",
           {{"target", target},
            {"service", this->ServiceOf(target)},
@@ -72,8 +72,8 @@
     }
     return;
   }
-  gateway::Backoff& backoff = this->state.targets.signals[target].backoff;
-  if (gateway::RecordBackoff(backoff, *signals.backoff, now)) {
+  limits::Backoff& backoff = this->state.targets.signals[target].backoff;
+  if (limits::RecordBackoff(backoff, *signals.backoff, now)) {
     Log(LogLevel::kWarning, "targets", "backoff_began",
         {{"target", target},
          {"service", this->ServiceOf(target)},
@@ -114,7 +114,7 @@
   if (found == this->state.targets.signals.end()) {
     return;
   }
-  gateway::RecordSentAfterBackoff(found->second.backoff, EventLoop::Now());
+  limits::RecordSentAfterBackoff(found->second.backoff, EventLoop::Now());
   if (found->second.rate_limit.per_second) {
     telemetry::Count(kSentToLimited, {{"service", service}});
   }
@@ -124,7 +124,7 @@
   const TimePoint now = EventLoop::Now();
   const bool is_any_backing_off =
       std::ranges::any_of(this->state.targets.signals, [&](const auto& item) {
-        return gateway::BackoffHeldUntil(item.second.backoff) > now &&
+        return limits::BackoffHeldUntil(item.second.backoff) > now &&
                this->ServiceOf(item.first) == service;
       });
   if (is_any_backing_off) {
@@ -180,7 +180,7 @@
          (gateway::HeldUntil(this->state.targets, target, now) - now).count() /
              1000}};
   }
-  const gateway::Backoff& backoff = found->second.backoff;
+  const limits::Backoff& backoff = found->second.backoff;
   if (backoff.until > now) {
     dump["backoff"] = {{"left_ms", (backoff.until - now).count() / 1000},
                        {"age_ms", (now - backoff.since).count() / 1000}};
--- a/Tests/LibGateway/TestTargetSignals.cc
+++ b/Tests/LibGateway/TestTargetSignals.cc
@@ -47,50 +47,6 @@
   }
 }
 
-TEST_CASE("Of overlapping backoffs the one that ends last counts") {
-  const TimePoint start{std::chrono::seconds(100)};
-  Backoff backoff;
-  CHECK(RecordBackoff(backoff, std::chrono::seconds(3), start));
-  CHECK_FALSE(RecordBackoff(backoff, std::chrono::seconds(1),
-                            start + std::chrono::seconds(1)));
-  CHECK(backoff.until == start + std::chrono::seconds(3));
-  CHECK_FALSE(RecordBackoff(backoff, std::chrono::seconds(3),
-                            start + std::chrono::seconds(1)));
-  CHECK(backoff.until == start + std::chrono::seconds(4));
-  CHECK(backoff.since == start);
-  CHECK(RecordBackoff(backoff, std::chrono::seconds(1),
-                      start + std::chrono::seconds(5)));
-}
-
-// Failure: all requests that could not be sent during a backoff are sent at its
-// end, and the target rejects them again.
-TEST_CASE(
-    "After a backoff requests are sent one at a time until one is taken") {
-  const TimePoint start{std::chrono::seconds(100)};
-  Backoff backoff;
-  RecordBackoff(backoff, std::chrono::seconds(3), start);
-  const TimePoint end = start + std::chrono::seconds(3);
-  CHECK(BackoffHeldUntil(backoff) == end);
-  RecordSentAfterBackoff(backoff, end);
-  CHECK(BackoffHeldUntil(backoff) > end);
-  // An answer to a request that was sent before the backoff proves nothing.
-  CHECK_FALSE(RecordAnswerAfterBackoff(backoff, start));
-  CHECK(BackoffHeldUntil(backoff) > end);
-  SUBCASE("It is taken") {
-    CHECK(RecordAnswerAfterBackoff(backoff, end));
-    RecordSentAfterBackoff(backoff, end);
-    CHECK(BackoffHeldUntil(backoff) == end);
-  }
-  SUBCASE("It is rejected with another backoff") {
-    const TimePoint later = end + std::chrono::milliseconds(5);
-    CHECK(RecordBackoff(backoff, std::chrono::seconds(2), later));
-    CHECK(BackoffHeldUntil(backoff) == later + std::chrono::seconds(2));
-  }
-  SUBCASE("It is not answered") {
-    CHECK(BackoffHeldUntil(backoff) == end + std::chrono::seconds(1));
-  }
-}
-
 // Failure: a target that rejects requests for a time counts as failing or slow
 // long after it.
 TEST_CASE("A target that backed off is chosen like others afterwards") {
@@ -102,7 +58,8 @@
                         .address = {"10.0.0.1", port}});
   }
   table.by_id["b"].open = 1;
-  RecordBackoff(table.signals["a"].backoff, std::chrono::seconds(2), now);
+  limits::RecordBackoff(table.signals["a"].backoff, std::chrono::seconds(2),
+                        now);
   RecordOutcome(table, "a", Outcome::kBackedOff, now);
   const auto choose = [&table](TimePoint at) {
     return ChooseLeastLoaded(table, "invoices", {}, "", 1, at)->target.id;
@@ -110,7 +67,8 @@
   CHECK(choose(now + std::chrono::milliseconds(1999)) == "b");
   CHECK(choose(now + std::chrono::seconds(2)) == "a");
   CHECK_FALSE(FindHoldOutlook(table, "invoices", {}, now).has_value());
-  RecordBackoff(table.signals["b"].backoff, std::chrono::seconds(1), now);
+  limits::RecordBackoff(table.signals["b"].backoff, std::chrono::seconds(1),
+                        now);
   const auto outlook = FindHoldOutlook(table, "invoices", {}, now);
   REQUIRE(outlook.has_value());
   CHECK(ReleaseOf(*outlook, 5, 6) == now + std::chrono::seconds(1));
