--- a/Tests/LibGateway/SimulatedGateways.cc
+++ b/Tests/LibGateway/SimulatedGateways.cc
@@ -45,6 +45,12 @@
   this->gateways[gateway].is_alive = false;
 }
 
+void SimulatedGateways::Restart(size_t gateway) {
+  RateLimit& limit = this->gateways[gateway].limit;
+  limit = {};
+  MergeRateLimit(limit, this->load.limit, this->now, this->now);
+}
+
 void SimulatedGateways::KillAllocator() {
   for (size_t i = 0; i < this->gateways.size(); ++i) {
     if (this->gateways[i].is_alive) {
--- a/Tests/LibGateway/SimulatedGateways.h
+++ b/Tests/LibGateway/SimulatedGateways.h
@@ -38,6 +38,10 @@
   // later.
   void Kill(size_t gateway);
 
+  // Restarts the gateway: it has forgotten all but the limit, which the others
+  // report.
+  void Restart(size_t gateway);
+
   // Kills the gateway that grants the target's requests.
   void KillAllocator();
 
--- a/Tests/LibGateway/TestRateLimits.cc
+++ b/Tests/LibGateway/TestRateLimits.cc
@@ -82,6 +82,24 @@
   }
 }
 
+// Failure: each gateway that restarts brings a full bucket, or grants anew what
+// it had granted before.
+TEST_CASE("A limit is kept while all gateways are restarted one by one") {
+  for (uint64_t seed = 1; seed <= 5; ++seed) {
+    for (const double limit : {0.5, 1.0, 20.0}) {
+      const SimulatedLoad load{.limit = limit, .requests = 100, .seed = seed};
+      SimulatedGateways gateways(load);
+      for (size_t i = 0; i < load.gateways; ++i) {
+        gateways.At(seconds(4) + i * milliseconds(700),
+                    [&gateways, i] { gateways.Restart(i); });
+      }
+      gateways.Run();
+      CheckIsKept(load, gateways);
+      CHECK(static_cast<double>(gateways.sent().size()) >= 0.6 * limit * 30);
+    }
+  }
+}
+
 // Failure: both sides of a partition grant the whole limit.
 TEST_CASE("A limit is kept by both sides of a partition together") {
   for (uint64_t seed = 1; seed <= 10; ++seed) {
