--- a/Libraries/LibGateway/RateLimits.cc
+++ b/Libraries/LibGateway/RateLimits.cc
@@ -26,12 +26,17 @@
            std::optional<double> per_second,
            TimePoint confirmed_at,
            TimePoint now) {
+  // What was granted under a higher limit is no longer spent.
+  if (is_lower(per_second, limit.per_second)) {
+    limit.share.granted = 0;
+  }
   limit.per_second = per_second;
   limit.confirmed_at = confirmed_at;
   limit.since = now;
   limit.reports = 0;
   if (!per_second) {
-    limit.share = {};
+    // The number goes on, so that no late reply is taken for a later one.
+    limit.share = {.request_number = limit.share.request_number};
     limit.allocator = {};
   }
 }
--- a/Tests/LibGateway/TestRateLimits.cc
+++ b/Tests/LibGateway/TestRateLimits.cc
@@ -154,6 +154,29 @@
   CHECK_FALSE(limit.per_second.has_value());
 }
 
+// Failure: a target lowers its limit, and gateways go on spending what was
+// granted before.
+TEST_CASE("What was granted is void once the limit falls or ends") {
+  RateLimit limit;
+  RecordRateLimit(limit, Named(20), kStart, kStart);
+  StartRateRequest(limit, 5, kStart);
+  const uint64_t number = limit.share.request_number;
+  HandleRateGrant(limit, number, {.granted = 5}, {}, kStart);
+  CHECK(AdmitByRate(limit, kStart) == RateVerdict::kAdmitted);
+  RecordRateLimit(limit, Named(1), kStart, kStart);
+  CHECK(AdmitByRate(limit, kStart) == RateVerdict::kAskAllocator);
+  SUBCASE("A late reply is void after the limit has ended and begun again") {
+    StartRateRequest(limit, 5, kStart);
+    const uint64_t late = limit.share.request_number;
+    RecordRateLimit(limit, {}, kStart + seconds(1), kStart + seconds(1));
+    RecordRateLimit(limit, Named(1), kStart, kStart + seconds(1));
+    StartRateRequest(limit, 1, kStart + seconds(1));
+    HandleRateGrant(limit, late, {.granted = 5}, {}, kStart + seconds(1));
+    CHECK(AdmitByRate(limit, kStart + seconds(1)) ==
+          RateVerdict::kAskAllocator);
+  }
+}
+
 // Failure: two gateways exchange two states for ever, each newer by the delay
 // of the message.
 TEST_CASE("Gateways agree on the lower of two limits of the same moment") {
