--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -86,9 +86,9 @@
   void SendWithPermit();
   const gateway::TargetView* ChooseByLocalView(
       const std::set<std::string>& excluded);
-  // Sends the request unless the target holds it back. Every
-  // request to a target passes here, also repeats and resumed streams. If the
-  // verdict is kPending, HandleRateReply is called later.
+  // Sends the request unless the target holds it back. Every request to a
+  // target passes here, also repeats and resumed streams. If the verdict is
+  // kPending, HandleRateReply is called later.
   SendVerdict SendIfAdmitted(const gateway::TargetView& target);
   void HandleRateReply();
   // Returns when the request can be sent, if all targets but the excluded ones
