--- a/Libraries/LibHTTP/HeaderValues.cc
+++ b/Libraries/LibHTTP/HeaderValues.cc
@@ -28,8 +28,8 @@
   if (!seconds) {
     return std::nullopt;
   }
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      std::min(*seconds, kMaxRetryAfterSeconds)));
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(std::min(*seconds, kMaxRetryAfterSeconds)));
 }
 
 }  // namespace bramleyspan::http
