Gateway: Report all of many rate limits, the longest unsent first

Now those that were sent longest ago come first, changed ones before them. The new test plays 200 limits; that the code before would fail it was read and not run, since the function took one limit.

--- a/Libraries/LibGateway/RateLimits.cc
+++ b/Libraries/LibGateway/RateLimits.cc
@@ -1,6 +1,7 @@
 #include "LibGateway/RateLimits.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace bramleyspan::gateway {
 
@@ -22,6 +23,13 @@
   return left && (!right || *left < *right);
 }
 
+bool is_report_due(const RateLimit& limit, TimePoint now) {
+  const bool is_over = !limit.per_second && now - limit.since > kEndReportTime;
+  const bool is_due = limit.reports < kReportsAfterChange ||
+                      now - limit.reported_at >= kReportInterval;
+  return limit.confirmed_at != TimePoint{} && !is_over && is_due;
+}
+
 void Apply(RateLimit& limit,
            std::optional<double> per_second,
            TimePoint confirmed_at,
@@ -34,6 +42,7 @@
   limit.confirmed_at = confirmed_at;
   limit.since = now;
   limit.reports = 0;
+  limit.reported_at = {};
   if (!per_second) {
     // The number goes on, so that no late reply is taken for a later one.
     limit.share = {.request_number = limit.share.request_number};
@@ -82,16 +91,27 @@
   return true;
 }
 
-bool TakeRateReport(RateLimit& limit, TimePoint now) {
-  const bool is_over = !limit.per_second && now - limit.since > kEndReportTime;
-  const bool is_due = limit.reports < kReportsAfterChange ||
-                      now - limit.reported_at >= kReportInterval;
-  if (limit.confirmed_at == TimePoint{} || is_over || !is_due) {
-    return false;
+std::vector<std::string> TakeRateReports(TargetTable& table,
+                                         size_t max_count,
+                                         TimePoint now) {
+  std::vector<std::pair<TimePoint, std::string>> due;
+  for (const auto& [target, signals] : table.signals) {
+    if (is_report_due(signals.rate_limit, now)) {
+      due.emplace_back(signals.rate_limit.reported_at, target);
+    }
   }
-  ++limit.reports;
-  limit.reported_at = now;
-  return true;
+  std::ranges::sort(due);
+  std::vector<std::string> taken;
+  for (const auto& [reported_at, target] : due) {
+    if (taken.size() == max_count) {
+      break;
+    }
+    RateLimit& limit = table.signals[target].rate_limit;
+    ++limit.reports;
+    limit.reported_at = now;
+    taken.push_back(target);
+  }
+  return taken;
 }
 
 RateVerdict AdmitByRate(RateLimit& limit, TimePoint now) {
--- a/Libraries/LibGateway/RateLimits.h
+++ b/Libraries/LibGateway/RateLimits.h
@@ -10,8 +10,11 @@
 
 #include <cstdint>
 #include <optional>
+#include <string>
+#include <vector>
 
 #include "LibGateway/TargetSignals.h"
+#include "LibGateway/Targets.h"
 
 namespace bramleyspan::gateway {
 
@@ -82,10 +85,13 @@
                     TimePoint confirmed_at,
                     TimePoint now);
 
-// Whether the limit is in the next message to other gateways. Marks it as sent
-// if so. A limit that has just changed is sent several times in a row, since
-// datagrams get lost.
-bool TakeRateReport(RateLimit& limit, TimePoint now);
+// Returns the targets, `max_count` at most, whose limits are in the next
+// message to other gateways, and marks these as sent. Those that were sent
+// longest ago come first. A limit that has just changed is sent several times
+// in a row, since datagrams get lost.
+std::vector<std::string> TakeRateReports(TargetTable& table,
+                                         size_t max_count,
+                                         TimePoint now);
 
 // Returns until when the limit holds requests back at this gateway; not later
 // than `now` if one may be admitted.
--- a/Services/bramleyspand/Gateway/RateLimiter.cc
+++ b/Services/bramleyspand/Gateway/RateLimiter.cc
@@ -201,11 +201,11 @@
 std::vector<std::unique_ptr<RateLimitReportT>> RateLimiter::ReportsToSend() {
   const TimePoint now = EventLoop::Now();
   std::vector<std::unique_ptr<RateLimitReportT>> reports;
-  for (auto& [target, signals] : this->state.targets.signals) {
-    if (reports.size() < kReportsPerHeartbeat &&
-        gateway::TakeRateReport(signals.rate_limit, now)) {
-      reports.push_back(MakeReport(target, signals.rate_limit, now));
-    }
+  gateway::TargetTable& targets = this->state.targets;
+  for (const std::string& target :
+       gateway::TakeRateReports(targets, kReportsPerHeartbeat, now)) {
+    reports.push_back(
+        MakeReport(target, targets.signals.at(target).rate_limit, now));
   }
   return reports;
 }
--- a/Tests/LibGateway/TestRateLimits.cc
+++ b/Tests/LibGateway/TestRateLimits.cc
@@ -192,17 +192,35 @@
 }
 
 TEST_CASE("A changed limit is reported several times, then once a second") {
-  RateLimit limit;
-  CHECK_FALSE(TakeRateReport(limit, kStart));
-  RecordRateLimit(limit, Named(2), kStart, kStart);
-  int reports = 0;
+  TargetTable table;
+  CHECK(TakeRateReports(table, 8, kStart).empty());
+  RecordRateLimit(table.signals["a"].rate_limit, Named(2), kStart, kStart);
+  size_t reports = 0;
   for (int i = 0; i < 50; ++i) {
-    reports += TakeRateReport(limit, kStart + i * milliseconds(200)) ? 1 : 0;
+    reports += TakeRateReports(table, 8, kStart + i * milliseconds(200)).size();
   }
   CHECK(reports >= 12);
   CHECK(reports <= 15);
 }
 
+// Failure: so many targets name limits that the reports of the first ones are
+// due again before those of the last ones were sent.
+TEST_CASE("All of many limits are reported") {
+  TargetTable table;
+  for (int i = 0; i < 200; ++i) {
+    RecordRateLimit(table.signals["t" + std::to_string(i)].rate_limit, Named(2),
+                    kStart, kStart);
+  }
+  std::set<std::string> reported;
+  for (int i = 0; i < 30; ++i) {
+    for (const auto& target :
+         TakeRateReports(table, 8, kStart + i * milliseconds(200))) {
+      reported.insert(target);
+    }
+  }
+  CHECK(reported.size() == 200);
+}
+
 // Failure: callers wait for a target that takes one request a second, and are
 // refused in the end.
 TEST_CASE("Targets that all hold requests back tell when they take them") {
