--- a/Libraries/LibGateway/HoldOutlook.cc
+++ b/Libraries/LibGateway/HoldOutlook.cc
@@ -23,7 +23,7 @@
       return;
     }
     const RateLimit& limit = found->second.rate_limit;
-    // A trial after a backoff ends as soon as it is answered.
+    // The first request after a backoff ends the wait once it is answered.
     const TimePoint until =
         std::max(RateHeldUntil(limit, now), found->second.backoff.until);
     is_any_free = is_any_free || until <= now;
--- a/Libraries/LibLimits/Backoff.cc
+++ b/Libraries/LibLimits/Backoff.cc
@@ -6,7 +6,8 @@
 
 namespace {
 
-// A request on trial without an answer for this long is followed by another.
+// If the first request after a backoff has no answer for this long, another is
+// sent.
 constexpr Duration kTrialTimeout = std::chrono::seconds(1);
 
 }  // namespace
--- a/Libraries/LibLimits/Backoff.h
+++ b/Libraries/LibLimits/Backoff.h
@@ -14,7 +14,8 @@
   TimePoint until;
   // Whether no request after the backoff has been answered yet.
   bool is_on_trial = false;
-  // While a request is on trial, no other is sent until then.
+  // While the first request after the backoff is open, no other is sent until
+  // then.
   TimePoint trial_until;
 };
 
@@ -26,7 +27,8 @@
 void RecordSentAfterBackoff(Backoff& backoff, TimePoint now);
 
 // Records that the server answered a request without a backoff that was sent at
-// `sent_at`. Returns whether the trial ended.
+// `sent_at`. Returns whether all
+// requests may be sent again.
 bool RecordAnswerAfterBackoff(Backoff& backoff, TimePoint sent_at);
 
 // Returns until when no request is sent to the server.
