--- a/Libraries/LibLimits/Backoff.h
+++ b/Libraries/LibLimits/Backoff.h
@@ -27,8 +27,7 @@
 void RecordSentAfterBackoff(Backoff& backoff, TimePoint now);
 
 // Records that the server answered a request without a backoff that was sent at
-// `sent_at`. Returns whether all
-// requests may be sent again.
+// `sent_at`. Returns whether all requests may be sent again.
 bool RecordAnswerAfterBackoff(Backoff& backoff, TimePoint sent_at);
 
 // Returns until when no request is sent to the server.
