Gateway: Log which targets end, and which parts their requests shared

Cause of the gap: a target that ends under a request was logged as a failed attempt like any other, so that a server's end, a reset channel and a group that stalls looked the same, and no log named the parts of a prompt. Hypotheses 1 (a fault that travels with requests) and 2 (only repeats do it) could not be told apart.

Change: after a request is lost, the gateway opens one connection to its target and closes it again. If it is refused, the target has ended: target_ended names it and the parts of the requests there that had not been answered, lost_with_target each request. bramleyspan_target_ends_total counts them. No decision changes.

Ruled out: to judge by the closed connection alone, since the other ranks of a group close theirs too when one rank ends.

--- a/Libraries/LibGateway/CallHeaders.h
+++ b/Libraries/LibGateway/CallHeaders.h
@@ -28,6 +28,8 @@
   std::string priority;
   // Token counts of the prompt and of the longest answer, separated by a comma.
   std::string tokens;
+  // Ids and token counts of the parts of the prompt, see PromptParts.h.
+  std::string parts;
   // Requests a second that a target takes from all gateways together; in its
   // answers.
   std::string rate_limit;
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -4,6 +4,7 @@
 #include <charconv>
 #include <utility>
 
+#include "LibGateway/PromptParts.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
@@ -100,6 +101,8 @@
   this->service = gateway::PickService(
       *this->route,
       std::uniform_real_distribution<double>(0, 1)(this->state.random));
+  this->parts = gateway::ParseSharedParts(
+      FindHeader(this->request.headers, this->state.adapter.headers.parts));
   const auto left = ParseNumber(
       FindHeader(this->request.headers, this->state.adapter.headers.deadline));
   Duration allowed = this->route->timeout;
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "LibGateway/EventReader.h"
 #include "LibHTTP/DirectCall.h"
@@ -109,6 +110,10 @@
   bool is_own_answer(const http::AnswerHead& head) const;
   void HandleRejected();
   void HandleFailed(http::CallEnd end);
+  // Lets the target be checked if the request was lost there, which shows
+  // whether the target has ended.
+  void CheckTarget(http::CallEnd end);
+  bool is_answered_by_target(TimePoint now) const;
   // Sends the request to a further target. Returns false if the remaining time,
   // the route or the repeat budget does not allow that.
   bool TryRepeat(std::string_view cause, bool has_reached_target);
@@ -161,8 +166,10 @@
   std::shared_ptr<http::DirectCall> call;
   std::string target_id;
   std::string group;
-  // When the request was sent to its last target.
+  // When the request was sent to its last target, and when that began to
+  // answer.
   TimePoint sent_at;
+  std::optional<TimePoint> answer_began;
   // Time that the request waited for the permit of its last target.
   Duration waited{};
   std::set<std::string> tried;
@@ -182,6 +189,8 @@
   Duration first_event_after{};
   Duration longest_pause{};
   TimePoint longest_pause_ended;
+  // The parts that the prompt shares with other requests.
+  std::vector<std::string> parts;
   gateway::EventReader events;
   usage::RequestMeter meter;
   bool is_finished = false;
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -8,6 +8,7 @@
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
+#include "Services/bramleyspand/Gateway/TargetEnds.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -31,6 +32,10 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
+// A target that ends under a request does so before its answer has gone on for
+// this long.
+constexpr Duration kAnsweredAfter = std::chrono::milliseconds(500);
+
 }  // namespace
 
 bool Forwarding::is_own_answer(const http::AnswerHead& head) const {
@@ -74,6 +79,9 @@
   if (this->is_finished) {
     return;
   }
+  if (!this->answer_began) {
+    this->answer_began = EventLoop::Now();
+  }
   // A run that is resumed at another target may start with events that the
   // caller already has.
   if (event.id && this->last_event && *event.id <= *this->last_event) {
@@ -230,6 +238,7 @@
        {"target", this->target_id},
        {"end", std::string(http::NameOf(end))},
        {"after_ms", ToMillisecondsText(EventLoop::Now() - this->arrived)}});
+  this->CheckTarget(end);
   this->ReleaseTarget(is_unreachable ? Outcome::kUnreachable
                                      : Outcome::kFailed);
   if (is_unreachable) {
@@ -249,6 +258,28 @@
   }
 }
 
+void Forwarding::CheckTarget(CallEnd end) {
+  const bool is_lost = end == CallEnd::kClosed || end == CallEnd::kTruncated ||
+                       end == CallEnd::kMalformed;
+  const auto found = this->state.targets.by_id.find(this->target_id);
+  if (!is_lost || this->parts.empty() ||
+      found == this->state.targets.by_id.end()) {
+    return;
+  }
+  this->state.target_ends->Check(
+      {.id = this->id,
+       .target = this->target_id,
+       .service = this->service,
+       .address = found->second.target.address,
+       .parts = this->parts,
+       .is_answered = this->is_answered_by_target(EventLoop::Now())},
+      [] {});
+}
+
+bool Forwarding::is_answered_by_target(TimePoint now) const {
+  return this->answer_began && now - *this->answer_began >= kAnsweredAfter;
+}
+
 void Forwarding::HandleStreamEnd(CallEnd end) {
   const bool is_whole =
       end == CallEnd::kWhole && !this->events.has_partial_event();
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -74,6 +74,7 @@
   ++this->state.targets.by_id[this->target_id].open;
   this->answer.reset();
   this->answer_body.clear();
+  this->answer_began.reset();
   this->events = {};
   this->is_forwarding_events = false;
   Log(LogLevel::kInfo, "forward", "sent",
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -39,6 +39,10 @@
     "Requests that targets held back, by service: by=target if one was not "
     "sent to the target that was chosen, by=backoff if one came while a target "
     "backed off."};
+inline constexpr MetricName kTargetEnds{
+    "bramleyspan_target_ends_total",
+    "Targets that ended while requests of this gateway were there, by "
+    "service."};
 inline constexpr MetricName kProbeTime{
     "bramleyspan_probe_seconds",
     "Time from asking agents for a place to the decision."};
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -16,6 +16,7 @@
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
 #include "Services/bramleyspand/Gateway/RateLimiter.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
+#include "Services/bramleyspand/Gateway/TargetEnds.h"
 #include "Services/bramleyspand/Gateway/UsageRecorder.h"
 #include "Services/bramleyspand/Role.h"
 
@@ -54,9 +55,11 @@
                      [this](const std::string& ip, const std::string& bytes) {
                        this->peers.Send(ip, bytes);
                      }),
+        target_ends(this->state),
         usage(this->state) {
     this->state.signals = &this->signals;
     this->state.rate_limiter = &this->rate_limiter;
+    this->state.target_ends = &this->target_ends;
     this->state.permit_requests = &this->permit_requests;
     this->state.usage = &this->usage;
   }
@@ -520,6 +523,7 @@
   PermitRequests permit_requests;
   SignalRecorder signals;
   RateLimiter rate_limiter;
+  TargetEnds target_ends;
   UsageRecorder usage;
   std::unique_ptr<http::Ingress> callers;
   std::unique_ptr<http::Ingress> directory;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -27,6 +27,7 @@
 class PermitRequests;
 class RateLimiter;
 class SignalRecorder;
+class TargetEnds;
 class UsageRecorder;
 
 struct GatewayState {
@@ -58,6 +59,7 @@
   // Null until the gateway handles callers.
   SignalRecorder* signals = nullptr;
   RateLimiter* rate_limiter = nullptr;
+  TargetEnds* target_ends = nullptr;
   // Null until the gateway can count usage.
   UsageRecorder* usage = nullptr;
   // Services are not probed for permits until then, because their ranks had
--- /dev/null
+++ b/Services/bramleyspand/Gateway/TargetEnds.h
@@ -0,0 +1,57 @@
+// Finds out whether a target has ended when requests there end without their
+// answers. A target that refuses connections has ended; one that accepts them
+// has only closed or lost the request's connection.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "LibHTTP/ConnectCheck.h"
+#include "Services/bramleyspand/Gateway/GatewayState.h"
+
+namespace bramleyspan::gatewayd {
+
+// A request whose connection to its target ended before the whole answer.
+struct LostRequest {
+  std::string id;
+  std::string target;
+  std::string service;
+  Address address;
+  // The parts that its prompt shares with others.
+  std::vector<std::string> parts;
+  // Whether its answer had begun, and had gone on for a while.
+  bool is_answered = false;
+};
+
+class TargetEnds {
+ public:
+  using OnChecked = std::function<void()>;
+
+  explicit TargetEnds(GatewayState& state) : state(state) {}
+
+  // Records a lost request and checks its target, unless a check is under way
+  // or has just been made. `on_checked` is called later, within kCheckTimeout.
+  void Check(LostRequest lost, OnChecked on_checked);
+
+ private:
+  // The check of one target, and its outcome for as long as that holds.
+  struct TargetCheck {
+    bool is_done = false;
+    bool has_ended = false;
+    TimePoint began;
+    std::vector<LostRequest> lost;
+    std::vector<OnChecked> on_checked;
+  };
+
+  void HandleOutcome(const std::string& target, http::ConnectOutcome outcome);
+  static void LogLost(const LostRequest& lost);
+  void LogEnd(const TargetCheck& check) const;
+  void RemoveOldChecks(TimePoint now);
+
+  GatewayState& state;
+  std::map<std::string, TargetCheck> checks;
+};
+
+}  // namespace bramleyspan::gatewayd
