StandIns, Tests: Servers that end under a part of a prompt, which gateways do not notice

The stand-in's servers end that begin to answer a request with a set part, plain ones and ranks, whose group stops with them, and return after some seconds, with or without a new id. It counts the requests with the part that arrive.

--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -16,6 +16,12 @@
 // limit.
 // - GET /arrivals?id=&span_ms=&after_ms=: the most requests that reached a
 //   server in a span that begins so long after its signals changed.
+// - PUT /crashes?part=&delay_ms=&down_ms=&renames=: from now on a server ends
+// that
+//   begins to answer a request with this part in its prompt, and is back after
+//   down_ms; with renames=1 under a new id. GET /crashes?after_ms=: the number
+//   of ends, and of requests with the part that reached servers later than
+//   after_ms past the fifth end.
 // - GET /status: runs by attempt and by server, splits and switches of the
 //   group, and its held and armed ranks.
 #include <absl/flags/flag.h>
@@ -29,6 +35,7 @@
 
 ABSL_FLAG(std::string, net, "127.0", "first two numbers of all addresses");
 ABSL_FLAG(int, ranks, 2, "ranks of the group");
+ABSL_FLAG(int, plain_servers, 2, "servers of the service billing");
 ABSL_FLAG(int,
           pass_milliseconds,
           40,
@@ -57,7 +64,9 @@
   std::map<std::string, uint64_t> runs;
   std::map<std::string, uint64_t> runs_by_server;
   Signals signals;
-  std::vector<std::unique_ptr<http::Ingress>> listeners;
+  Crashes crashes;
+  // By address.
+  std::map<std::string, std::unique_ptr<http::Ingress>> listeners;
 };
 
 std::string WriteServer(const std::string& service,
@@ -91,8 +100,65 @@
   }
 }
 
+// Ends a server: its connections close, and none is accepted until it is back.
+void StopServer(Platform& platform,
+                std::string& id,
+                const std::string& address,
+                std::function<void()> on_return) {
+  platform.crashes.ends.push_back(EventLoop::Now());
+  const auto stopped = platform.listeners.extract(address);
+  platform.loop.RunAfter(
+      platform.crashes.down,
+      [&platform, &id, on_return = std::move(on_return)] {
+        if (platform.crashes.renames) {
+          SetServer(platform, id, "gone");
+          id.append("-").append(std::to_string(platform.crashes.ends.size()));
+          SetServer(platform, id, "ready");
+        }
+        on_return();
+      });
+}
+
+void HandlePlain(Platform& platform,
+                 PlainServer& server,
+                 const http::IngressRequest& request,
+                 const ExchangePointer& exchange);
+bool Listen(Platform& platform,
+            const std::string& address,
+            http::IngressHandler handler);
+
+bool ListenAsPlain(Platform& platform, PlainServer& server) {
+  return Listen(
+      platform, server.address,
+      [&platform, &server](const auto& request, const auto& exchange) {
+        HandlePlain(platform, server, request, exchange);
+      });
+}
+
+bool ListenAsRank(Platform& platform, StandInRank& rank) {
+  return Listen(platform, rank.address,
+                [&platform, &rank](const auto& request, const auto& exchange) {
+                  HandleRankCall(platform.group, rank, request, exchange);
+                });
+}
+
+void StopPlainServer(Platform& platform, PlainServer& server) {
+  if (platform.listeners.contains(server.address)) {
+    StopServer(platform, server.id, server.address,
+               [&platform, &server] { ListenAsPlain(platform, server); });
+  }
+}
+
+void StopRank(Platform& platform, StandInRank& rank) {
+  BreakGroup(platform.group, rank);
+  StopServer(platform, rank.id, rank.address, [&platform, &rank] {
+    ListenAsRank(platform, rank);
+    ReturnRank(platform.group, rank);
+  });
+}
+
 void HandlePlain(Platform& platform,
-                 const PlainServer& server,
+                 PlainServer& server,
                  const http::IngressRequest& request,
                  const ExchangePointer& exchange) {
   const std::string expected(
@@ -103,11 +169,21 @@
     exchange->Respond(421, {{"x-not-executed", "1"}}, "");
     return;
   }
+  const bool is_killing = has_part(platform.crashes, request);
+  if (is_killing) {
+    platform.crashes.arrivals.push_back(EventLoop::Now());
+  }
   if (RecordArrival(signals, *exchange)) {
     return;
   }
   ++platform.runs[attempt];
   ++platform.runs_by_server[server.id];
+  if (is_killing) {
+    platform.loop.RunAfter(platform.crashes.delay, [&platform, &server] {
+      StopPlainServer(platform, server);
+    });
+    return;
+  }
   const std::string tenant(http::FindHeader(request.headers, "x-tenant"));
   platform.loop.RunAfter(
       std::chrono::milliseconds(absl::GetFlag(FLAGS_work_milliseconds)),
@@ -155,6 +231,26 @@
   exchange->Respond(200, {}, std::to_string(arrivals) + "\n");
 }
 
+void HandleCrashes(Platform& platform,
+                   const http::IngressRequest& request,
+                   const ExchangePointer& exchange) {
+  Crashes& crashes = platform.crashes;
+  if (request.method == "PUT") {
+    crashes.part = http::FindQueryValue(request.query, "part");
+    crashes.delay = MillisecondsIn(request.query, "delay_ms");
+    crashes.down = MillisecondsIn(request.query, "down_ms");
+    crashes.renames = !http::FindQueryValue(request.query, "renames").empty();
+    exchange->Respond(200, {}, "");
+    return;
+  }
+  const json counts = {
+      {"ends", crashes.ends.size()},
+      {"arrivals", crashes.arrivals.size()},
+      {"late",
+       CountLateArrivals(crashes, MillisecondsIn(request.query, "after_ms"))}};
+  exchange->Respond(200, {}, counts.dump() + "\n");
+}
+
 void HandleControl(Platform& platform,
                    const http::IngressRequest& request,
                    const ExchangePointer& exchange) {
@@ -162,6 +258,10 @@
     HandleSignals(platform, request, exchange);
     return;
   }
+  if (request.path == "/crashes") {
+    HandleCrashes(platform, request, exchange);
+    return;
+  }
   if (request.path == "/config") {
     Put(platform.store, "op/config", request.body);
   } else if (request.path == "/server") {
@@ -215,7 +315,7 @@
     std::cerr << Describe(listener.error()) << "\n";
     return false;
   }
-  platform.listeners.push_back(std::move(listener).assume_value());
+  platform.listeners[address] = std::move(listener).assume_value();
   return true;
 }
 
@@ -244,20 +344,10 @@
                HandleControl(platform, request, exchange);
              });
   for (StandInRank& rank : platform.group.ranks) {
-    is_listening =
-        is_listening &&
-        Listen(platform, rank.address,
-               [&platform, &rank](const auto& request, const auto& exchange) {
-                 HandleRankCall(platform.group, rank, request, exchange);
-               });
+    is_listening = is_listening && ListenAsRank(platform, rank);
   }
-  for (const PlainServer& server : platform.plain) {
-    is_listening =
-        is_listening &&
-        Listen(platform, server.address,
-               [&platform, &server](const auto& request, const auto& exchange) {
-                 HandlePlain(platform, server, request, exchange);
-               });
+  for (PlainServer& server : platform.plain) {
+    is_listening = is_listening && ListenAsPlain(platform, server);
   }
   return is_listening;
 }
@@ -270,6 +360,7 @@
 }
 
 void BeginPassesRepeatedly(Platform& platform) {
+  EndRanksUnderStreams(platform.group);
   BeginPass(platform.group);
   platform.loop.RunAfter(
       std::chrono::milliseconds(absl::GetFlag(FLAGS_pass_milliseconds)),
@@ -286,9 +377,18 @@
   platform.group = MakeGroup(ranks);
   platform.group.runs = &platform.runs;
   platform.group.signals = &platform.signals;
-  platform.plain = {{"plain-1", "billing", net + ".3.1:8000"},
-                    {"plain-2", "billing", net + ".3.2:8000"},
-                    {"other-1", "archive", net + ".3.3:8000"}};
+  platform.group.crashes = &platform.crashes;
+  platform.group.stop_rank = [&platform](StandInRank& rank) {
+    StopRank(platform, rank);
+  };
+  const int plain_servers = absl::GetFlag(FLAGS_plain_servers);
+  for (int number = 1; number <= plain_servers; ++number) {
+    platform.plain.push_back({"plain-" + std::to_string(number), "billing",
+                              net + ".3." + std::to_string(number) + ":8000"});
+  }
+  platform.plain.push_back(
+      {"other-1", "archive",
+       net + ".3." + std::to_string(plain_servers + 1) + ":8000"});
   if (!ListenAll(platform, net)) {
     return 1;
   }
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 namespace bramleyspan::standins {
 
@@ -11,6 +12,10 @@
 
 constexpr Duration kCopyTime = std::chrono::milliseconds(60);
 constexpr uint64_t kEventsOfStream = 20;
+// Time after which the other ranks cut their streams when a rank has ended, and
+// time that a group takes to open once all ranks are back.
+constexpr Duration kStall = std::chrono::milliseconds(500);
+constexpr Duration kFormTime = std::chrono::milliseconds(300);
 // How often one stream chooses an expert in one pass: the first expert of each
 // set, and each other one.
 constexpr uint64_t kHotChoices = 200;
@@ -40,7 +45,7 @@
                  {"pace", 1.0},
                  {"group",
                   {{"name", "g"},
-                   {"epoch", 1},
+                   {"epoch", group.epoch},
                    {"rank", IndexOf(group, rank)},
                    {"state", group.state},
                    {"size", group.ranks.size()}}},
@@ -58,7 +63,9 @@
                   const ExchangePointer& exchange) {
   if (!wants_lists) {
     RespondJson(exchange, 200,
-                {{"step", group.step}, {"epoch", 1}, {"counts", rank.counts}});
+                {{"step", group.step},
+                 {"epoch", group.epoch},
+                 {"counts", rank.counts}});
     return;
   }
   json experts = json::array();
@@ -116,7 +123,7 @@
 int ExecuteOrder(const StandInGroup& group,
                  StandInRank& rank,
                  const json& order) {
-  if (order.value("epoch", uint64_t{1}) != 1) {
+  if (order.value("epoch", group.epoch) != group.epoch) {
     return 409;
   }
   const std::string operation = order.at("op").get<std::string>();
@@ -132,6 +139,45 @@
   return operation == "go" ? Go(rank, order) : 400;
 }
 
+MapLists MakeFirstMap(size_t ranks) {
+  MapLists map(kSets, std::vector<std::vector<uint16_t>>(ranks));
+  for (auto& set : map) {
+    for (uint16_t expert = 0; expert < kExperts; ++expert) {
+      set[expert % ranks].push_back(expert);
+    }
+  }
+  return map;
+}
+
+bool is_broken(const StandInGroup& group) {
+  return group.broken_at != TimePoint{};
+}
+
+// Cuts the streams of a broken group, and opens it when all ranks are back.
+void AdvanceBrokenGroup(StandInGroup& group, const MapLists& first_map) {
+  const TimePoint now = EventLoop::Now();
+  if (now - group.broken_at > kStall) {
+    for (StandInRank& rank : group.ranks) {
+      for (auto& [number, stream] : std::exchange(rank.streams, {})) {
+        stream.exchange->Abort();
+      }
+    }
+  }
+  const bool is_any_down = std::ranges::any_of(
+      group.ranks, [](const StandInRank& rank) { return rank.is_down; });
+  if (is_any_down || now < group.opens_at) {
+    return;
+  }
+  group.broken_at = {};
+  group.state = "open";
+  ++group.epoch;
+  for (StandInRank& rank : group.ranks) {
+    rank.map = first_map;
+    rank.map_version = rank.prepared = rank.newest = 0;
+    rank.armed = rank.armed_step = rank.held = 0;
+  }
+}
+
 void StartStream(StandInGroup& group,
                  StandInRank& rank,
                  const http::IngressRequest& request,
@@ -144,11 +190,22 @@
     return;
   }
   ServerSignals& signals = (*group.signals)[rank.id];
+  const bool is_killing = has_part(*group.crashes, request);
+  if (is_killing) {
+    group.crashes->arrivals.push_back(EventLoop::Now());
+  }
   if (RecordArrival(signals, *exchange)) {
     return;
   }
+  if (is_broken(group)) {
+    exchange->Respond(503, {{"x-not-executed", "1"}}, "");
+    return;
+  }
   ++(*group.runs)[attempt];
   RunningStream stream{.exchange = exchange, .attempt = attempt};
+  if (is_killing) {
+    stream.ends_rank_at = EventLoop::Now() + group.crashes->delay;
+  }
   const std::string resumed(http::FindHeader(request.headers, "last-event-id"));
   if (!resumed.empty()) {
     stream.next_event = std::stoull(resumed) + 1;
@@ -167,6 +224,10 @@
 void Advance(StandInRank& rank) {
   for (auto found = rank.streams.begin(); found != rank.streams.end();) {
     RunningStream& stream = found->second;
+    if (stream.ends_rank_at) {
+      ++found;
+      continue;
+    }
     const std::string id = std::to_string(stream.next_event);
     std::string event = "id: ";
     event.append(id).append("\ndata: ").append(stream.attempt);
@@ -192,12 +253,7 @@
 
 StandInGroup MakeGroup(const std::vector<std::string>& addresses) {
   StandInGroup group;
-  MapLists map(kSets, std::vector<std::vector<uint16_t>>(addresses.size()));
-  for (auto& set : map) {
-    for (uint16_t expert = 0; expert < kExperts; ++expert) {
-      set[expert % addresses.size()].push_back(expert);
-    }
-  }
+  const MapLists map = MakeFirstMap(addresses.size());
   for (const std::string& address : addresses) {
     group.ranks.push_back({.id = "rank-" + std::to_string(group.ranks.size()),
                            .address = address,
@@ -206,7 +262,39 @@
   return group;
 }
 
+void BreakGroup(StandInGroup& group, StandInRank& rank) {
+  rank.is_down = true;
+  rank.streams.clear();
+  group.state = "broken";
+  if (!is_broken(group)) {
+    group.broken_at = EventLoop::Now();
+  }
+}
+
+void ReturnRank(StandInGroup& group, StandInRank& rank) {
+  rank.is_down = false;
+  group.opens_at = EventLoop::Now() + kFormTime;
+}
+
+void EndRanksUnderStreams(StandInGroup& group) {
+  const TimePoint now = EventLoop::Now();
+  for (StandInRank& rank : group.ranks) {
+    const bool is_due =
+        std::ranges::any_of(rank.streams, [now](const auto& item) {
+          const auto& ends_at = item.second.ends_rank_at;
+          return ends_at && now >= *ends_at;
+        });
+    if (is_due && !rank.is_down) {
+      group.stop_rank(rank);
+    }
+  }
+}
+
 void BeginPass(StandInGroup& group) {
+  if (is_broken(group)) {
+    AdvanceBrokenGroup(group, MakeFirstMap(group.ranks.size()));
+    return;
+  }
   const bool has_work =
       std::any_of(group.ranks.begin(), group.ranks.end(),
                   [](const auto& rank) { return !rank.streams.empty(); });
--- a/StandIns/UsersPlatform/Ranks.h
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -5,10 +5,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "StandIns/UsersPlatform/Crashes.h"
 #include "StandIns/UsersPlatform/Signals.h"
 #include "StandIns/UsersPlatform/Store.h"
 
@@ -26,11 +29,14 @@
   std::string attempt;
   uint64_t next_event = 1;
   uint64_t last_event = 0;
+  // When the rank ends under it.
+  std::optional<TimePoint> ends_rank_at;
 };
 
 struct StandInRank {
   std::string id;
   std::string address;
+  bool is_down = false;
   uint64_t sequence = 0;
   uint64_t map_version = 0;
   MapLists map;
@@ -48,6 +54,10 @@
 
 struct StandInGroup {
   std::vector<StandInRank> ranks;
+  // Advances when the group opens again after a rank had ended.
+  uint64_t epoch = 1;
+  TimePoint broken_at;
+  TimePoint opens_at;
   uint64_t step = 0;
   uint64_t last_stream = 0;
   // Passes that began while two ranks had different maps.
@@ -61,6 +71,9 @@
   // How often each attempt began to run, at the ranks and at plain servers.
   std::map<std::string, uint64_t>* runs = nullptr;
   Signals* signals = nullptr;
+  Crashes* crashes = nullptr;
+  // Ends a rank at once.
+  std::function<void(StandInRank&)> stop_rank;
 };
 
 StandInGroup MakeGroup(const std::vector<std::string>& addresses);
@@ -69,6 +82,15 @@
 // running.
 void BeginPass(StandInGroup& group);
 
+// Ends the ranks whose time has come under streams with the killing part.
+void EndRanksUnderStreams(StandInGroup& group);
+
+// The group stops as one of its ranks ends; streams at the others are cut after
+// a while, and new requests are rejected. It opens again some time after all
+// ranks are back.
+void BreakGroup(StandInGroup& group, StandInRank& rank);
+void ReturnRank(StandInGroup& group, StandInRank& rank);
+
 void HandleRankCall(StandInGroup& group,
                     StandInRank& rank,
                     const http::IngressRequest& request,
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -96,6 +96,49 @@
   wait "${pids[@]}" || true
 }
 
+# send_prompts PER-SECOND SECONDS GATEWAYS PREFIX PATH PARTS: as send_at_rate,
+# with prompts of these parts and one of each request's own. Each line of
+# $LOGS/PREFIX.statuses has the status and the second it was sent in.
+send_prompts() {
+  local n count=$(($1 * $2)) pids=() start=$SECONDS
+  for n in $(seq "$count"); do
+    echo "$(status_of "$((n % $3 + 1))" "$4-$n" "$5" -d x -H "X-Prompt-Prefix: $6,own$4$n:60") $((SECONDS - start))" \
+      >>"$LOGS/$4.statuses" &
+    pids+=($!)
+    sleep "$(bc -l <<<"1/$1")"
+  done
+  wait "${pids[@]}" || true
+}
+
+# end_servers_under PART DELAY-MS DOWN-MS [RENAMES]: from now on a server ends
+# that begins to answer a request with this part in its prompt. ends_under: how
+# many have ended. late_arrivals AFTER-MS: requests with the part that reached
+# servers later than that past the fifth end.
+end_servers_under() {
+  curl -sf -X PUT "$CONTROL/crashes?part=$1&delay_ms=$2&down_ms=$3&renames=${4:-}" -o /dev/null
+}
+ends_under() { curl -sf "$CONTROL/crashes?after_ms=0" | grep -o '"ends":[0-9]*' | cut -d: -f2; }
+late_arrivals() { curl -sf "$CONTROL/crashes?after_ms=$1" | grep -o '"late":[0-9]*' | cut -d: -f2; }
+
+# expect_servers_kept_from_part: at most three requests with the part reached
+# servers later than 3 s after the fifth end.
+expect_servers_kept_from_part() {
+  local late
+  late=$(late_arrivals 3000)
+  echo "$(ends_under) servers ended under the part, $late requests with it came later"
+  ((late <= 3)) || fail "$late requests with a part under which servers end reached servers later than 3 s after the fifth end"
+}
+
+# expect_half_served PREFIX FROM: at least half of the prompts sent in second
+# FROM or later were answered with 200.
+expect_half_served() {
+  local sent served
+  sent=$(awk -v from="$2" '$2 >= from' "$LOGS/$1.statuses" | wc -l)
+  served=$(awk -v from="$2" '$2 >= from && $1 == 200' "$LOGS/$1.statuses" | wc -l)
+  echo "$served of $sent $1 requests served from second $2"
+  ((sent >= 20 && 2 * served >= sent)) || fail "only $served of $sent sound requests were served from second $2"
+}
+
 status_of() { request "$@" -o /dev/null -w '%{http_code}'; }
 
 # is_whole_stream FILE ATTEMPT: whether the file has exactly the 20 events of
