--- /dev/null
+++ b/Libraries/LibGateway/Quarantine.cc
@@ -0,0 +1,492 @@
+#include "LibGateway/Quarantine.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+// A part is not suspected for this time after a request with it was answered.
+constexpr Duration kTrustDuration = std::chrono::seconds(30);
+// Ends within this time of the first are those of one failure, such as that of
+// an availability zone.
+constexpr Duration kSameMoment = std::chrono::milliseconds(20);
+// Reports of one target's end differ by less than this. A target that has ended
+// is back later.
+constexpr Duration kSameEnd = std::chrono::seconds(1);
+// A part is quarantined after so many ends, if they are at least half of all
+// ends of its service's targets since the first of them, or after
+// kCertainEnds in any case.
+constexpr size_t kMinEnds = 2;
+constexpr size_t kCertainEnds = 4;
+constexpr size_t kMaxEndsPerPart = 4;
+constexpr size_t kMaxEndsPerService = 64;
+constexpr size_t kMaxRecentAnswers = 16;
+constexpr size_t kMaxRecords = 256;
+constexpr size_t kMaxQuarantined = 128;
+constexpr size_t kMaxAnsweredParts = 4096;
+// A quarantined part is tried after kFirstHold, and after a time kHoldFactor
+// times as long with each failed trial.
+constexpr Duration kFirstHold = std::chrono::seconds(60);
+constexpr int kHoldFactor = 4;
+constexpr Duration kMaxHold = std::chrono::hours(1);
+constexpr Duration kEvidenceLifetime = std::chrono::hours(24);
+// A record without evidence is kept for this time, until others know of it.
+constexpr Duration kSettledLifetime = std::chrono::minutes(1);
+// A state that has just changed is reported several times in a row, since
+// datagrams get lost; quarantines also periodically, to new gateways.
+constexpr uint32_t kReportsOfChange = 3;
+constexpr Duration kReportInterval = std::chrono::seconds(1);
+
+uint64_t HashOf(const PartKey& key) {
+  return XXH64(key.part.data(), key.part.size(),
+               XXH64(key.service.data(), key.service.size(), 0));
+}
+
+bool is_same_end(const TargetEnd& left, const TargetEnd& right) {
+  return left.target == right.target &&
+         std::chrono::abs(left.at - right.at) < kSameEnd;
+}
+
+// Adds an end to a list in order of time. Returns whether it is new.
+template <typename Ends>
+bool AddEnd(Ends& ends, const TargetEnd& end, size_t max_count) {
+  const bool is_known = std::ranges::any_of(
+      ends, [&end](const auto& known) { return is_same_end(known, end); });
+  const bool is_too_old = ends.size() == max_count && end.at <= ends.front().at;
+  if (is_known || is_too_old) {
+    return false;
+  }
+  ends.insert(
+      std::ranges::upper_bound(ends, end.at, std::less<>(), &TargetEnd::at),
+      end);
+  if (ends.size() > max_count) {
+    ends.erase(ends.begin());
+  }
+  return true;
+}
+
+// Returns the number of ends that begin at `from` or later, those of one moment
+// counted once.
+template <typename Ends>
+size_t CountMoments(const Ends& ends, TimePoint from) {
+  size_t count = 0;
+  std::optional<TimePoint> moment;
+  for (const TargetEnd& end : ends) {
+    if (end.at >= from && (!moment || end.at - *moment > kSameMoment)) {
+      ++count;
+      moment = end.at;
+    }
+  }
+  return count;
+}
+
+// Whether the end is evidence against the part: no request with it was answered
+// afterwards or shortly before.
+bool is_evidence(const PartRecord& record, const TargetEnd& end) {
+  return !record.answered_at || end.at > *record.answered_at + kTrustDuration;
+}
+
+bool has_evidence(const PartRecord& record) {
+  return std::ranges::any_of(record.ends, [&record](const TargetEnd& end) {
+    return is_evidence(record, end);
+  });
+}
+
+// Whether another part that is quarantined explains the end.
+bool is_explained(const Quarantine& quarantine,
+                  const PartKey& key,
+                  const TargetEnd& end) {
+  return std::ranges::any_of(quarantine.records, [&](const auto& item) {
+    const auto& [other, record] = item;
+    return other.service == key.service && other.part != key.part &&
+           is_quarantined(record) &&
+           std::ranges::any_of(record.ends, [&end](const TargetEnd& known) {
+             return is_same_end(known, end);
+           });
+  });
+}
+
+std::vector<TargetEnd> EvidenceOf(const Quarantine& quarantine,
+                                  const PartKey& key,
+                                  const PartRecord& record) {
+  std::vector<TargetEnd> ends;
+  for (const TargetEnd& end : record.ends) {
+    const bool counts =
+        is_evidence(record, end) &&
+        (is_quarantined(record) || !is_explained(quarantine, key, end));
+    if (counts) {
+      ends.push_back(end);
+    }
+  }
+  return ends;
+}
+
+// Whether requests without the part are answered. If none is, as after a loss
+// of power, something else may be the cause.
+bool has_other_answers(const ServiceHistory& history,
+                       const std::string& part,
+                       TimePoint now) {
+  return std::ranges::any_of(history.answers, [&](const RecentAnswer& answer) {
+    return now - answer.at < kTrustDuration &&
+           std::ranges::find(answer.parts, part) == answer.parts.end();
+  });
+}
+
+// Returns the number of ends under the part if they suffice for a quarantine,
+// otherwise 0.
+size_t EndsForQuarantine(const Quarantine& quarantine,
+                         const PartKey& key,
+                         const PartRecord& record,
+                         TimePoint now) {
+  if (record.ends.size() < kMinEnds || !record.has_own_end ||
+      is_quarantined(record)) {
+    return 0;
+  }
+  const std::vector<TargetEnd> ends = EvidenceOf(quarantine, key, record);
+  const size_t count = CountMoments(ends, TimePoint{});
+  const auto history = quarantine.services.find(key.service);
+  if (count < kMinEnds || history == quarantine.services.end() ||
+      !has_other_answers(history->second, key.part, now)) {
+    return 0;
+  }
+  const size_t all =
+      CountMoments(history->second.ends, ends.front().at - kSameMoment);
+  return all <= 2 * count || count >= kCertainEnds ? count : 0;
+}
+
+void MarkChanged(PartRecord& record, TimePoint now) {
+  record.changed_at = now;
+  record.reports = 0;
+}
+
+// Quarantines the parts that explain the most ends, until none is left that
+// explains enough.
+std::vector<PartKey> QuarantineParts(Quarantine& quarantine, TimePoint now) {
+  std::vector<PartKey> quarantined;
+  while (true) {
+    size_t most = 0;
+    std::vector<PartKey> found;
+    for (const auto& [key, record] : quarantine.records) {
+      const size_t ends = EndsForQuarantine(quarantine, key, record, now);
+      if (ends > most) {
+        most = ends;
+        found.clear();
+      }
+      if (ends > 0 && ends == most) {
+        found.push_back(key);
+      }
+    }
+    const auto in_force = std::ranges::count_if(
+        quarantine.records,
+        [](const auto& item) { return is_quarantined(item.second); });
+    if (found.empty() || in_force + found.size() > kMaxQuarantined) {
+      return quarantined;
+    }
+    for (const PartKey& key : found) {
+      PartRecord& record = quarantine.records.at(key);
+      record.quarantined_at = now;
+      record.failed_trials = 0;
+      MarkChanged(record, now);
+      quarantined.push_back(key);
+    }
+  }
+}
+
+std::optional<TimePoint> AnsweredAt(const AnsweredParts& answered,
+                                    const PartKey& key) {
+  const uint64_t hash = HashOf(key);
+  for (const auto* half : {&answered.newer, &answered.older}) {
+    const auto found = half->find(hash);
+    if (found != half->end()) {
+      return found->second;
+    }
+  }
+  return std::nullopt;
+}
+
+void RecordAnswered(AnsweredParts& answered,
+                    const PartKey& key,
+                    TimePoint now) {
+  if (answered.newer.size() >= kMaxAnsweredParts / 2) {
+    answered.older = std::exchange(answered.newer, {});
+  }
+  answered.newer[HashOf(key)] = now;
+}
+
+// Returns the record of a part, or null if there is no room. A new record takes
+// the place of the one with the least evidence, never of a quarantined one.
+PartRecord* FindOrAdd(Quarantine& quarantine, const PartKey& key) {
+  const auto found = quarantine.records.find(key);
+  if (found != quarantine.records.end()) {
+    return &found->second;
+  }
+  if (quarantine.records.size() >= kMaxRecords) {
+    auto least = quarantine.records.end();
+    for (auto item = quarantine.records.begin();
+         item != quarantine.records.end(); ++item) {
+      const auto weight_of = [](const PartRecord& record) {
+        return std::pair(has_evidence(record) ? record.ends.size() : 0,
+                         record.changed_at);
+      };
+      if (!is_quarantined(item->second) &&
+          (least == quarantine.records.end() ||
+           weight_of(item->second) < weight_of(least->second))) {
+        least = item;
+      }
+    }
+    if (least == quarantine.records.end() || least->second.ends.size() > 1) {
+      return nullptr;
+    }
+    quarantine.records.erase(least);
+  }
+  PartRecord& record = quarantine.records[key];
+  record.answered_at = AnsweredAt(quarantine.answered, key);
+  return &record;
+}
+
+template <typename Value>
+bool TakeLater(std::optional<Value>& own, const std::optional<Value>& other) {
+  if (!other || (own && *own >= *other)) {
+    return false;
+  }
+  own = other;
+  return true;
+}
+
+}  // namespace
+
+bool is_quarantined(const PartRecord& record) {
+  return record.quarantined_at.has_value() && has_evidence(record);
+}
+
+bool is_answered_lately(const Quarantine& quarantine,
+                        const PartKey& key,
+                        TimePoint now) {
+  const auto answered_at = AnsweredAt(quarantine.answered, key);
+  return answered_at && now - *answered_at < kTrustDuration;
+}
+
+size_t CountEnds(const Quarantine& quarantine, const PartKey& key) {
+  const auto found = quarantine.records.find(key);
+  return found == quarantine.records.end()
+             ? 0
+             : CountMoments(EvidenceOf(quarantine, key, found->second),
+                            TimePoint{});
+}
+
+std::vector<PartKey> RecordTargetEnd(Quarantine& quarantine,
+                                     const std::string& service,
+                                     const TargetEnd& end,
+                                     const std::vector<std::string>& parts,
+                                     TimePoint now) {
+  AddEnd(quarantine.services[service].ends, end, kMaxEndsPerService);
+  for (const std::string& part : parts) {
+    const PartKey key{service, part};
+    if (is_answered_lately(quarantine, key, end.at)) {
+      continue;
+    }
+    PartRecord* record = FindOrAdd(quarantine, key);
+    if (record == nullptr) {
+      continue;
+    }
+    record->has_own_end = true;
+    if (std::exchange(record->is_trial_open, false)) {
+      ++record->failed_trials;
+      MarkChanged(*record, now);
+    }
+    if (AddEnd(record->ends, end, kMaxEndsPerPart)) {
+      MarkChanged(*record, now);
+    }
+  }
+  return QuarantineParts(quarantine, now);
+}
+
+std::vector<PartKey> RecordAnswerBegin(Quarantine& quarantine,
+                                       const std::string& service,
+                                       const std::vector<std::string>& parts,
+                                       TimePoint now) {
+  auto& answers = quarantine.services[service].answers;
+  answers.push_back({.at = now, .parts = parts});
+  if (answers.size() > kMaxRecentAnswers) {
+    answers.pop_front();
+  }
+  return quarantine.records.empty() ? std::vector<PartKey>()
+                                    : QuarantineParts(quarantine, now);
+}
+
+std::vector<PartKey> RecordAnswer(Quarantine& quarantine,
+                                  const std::string& service,
+                                  const std::vector<std::string>& parts,
+                                  TimePoint now) {
+  std::vector<PartKey> cleared;
+  for (const std::string& part : parts) {
+    const PartKey key{service, part};
+    RecordAnswered(quarantine.answered, key, now);
+    const auto found = quarantine.records.find(key);
+    if (found == quarantine.records.end()) {
+      continue;
+    }
+    PartRecord& record = found->second;
+    if (has_evidence(record)) {
+      cleared.push_back(key);
+      MarkChanged(record, now);
+    }
+    record.answered_at = now;
+    record.is_trial_open = false;
+  }
+  return cleared;
+}
+
+TimePoint QuarantinedUntil(const PartRecord& record) {
+  Duration hold = kFirstHold;
+  for (uint32_t trial = 0; trial < record.failed_trials && hold < kMaxHold;
+       ++trial) {
+    hold *= kHoldFactor;
+  }
+  TimePoint since = record.ends.empty() ? TimePoint{} : record.ends.back().at;
+  since = std::max(since, record.quarantined_at.value_or(since));
+  since = std::max(since, record.trial_at.value_or(since));
+  return since + std::min(hold, kMaxHold);
+}
+
+PartDecision AdmitParts(const Quarantine& quarantine,
+                        const std::string& service,
+                        const std::vector<std::string>& parts,
+                        TimePoint now) {
+  PartDecision decision;
+  if (quarantine.records.empty()) {
+    return decision;
+  }
+  for (const std::string& part : parts) {
+    const auto found = quarantine.records.find({service, part});
+    if (found == quarantine.records.end() || !is_quarantined(found->second)) {
+      continue;
+    }
+    const TimePoint until = QuarantinedUntil(found->second);
+    if (decision.verdict == PartVerdict::kAdmitted || until > decision.until) {
+      decision = {
+          .verdict = until > now ? PartVerdict::kRejected : PartVerdict::kTrial,
+          .part = part,
+          .until = until};
+    }
+  }
+  return decision;
+}
+
+void RecordTrial(Quarantine& quarantine,
+                 const std::string& service,
+                 const std::vector<std::string>& parts,
+                 TimePoint now) {
+  for (const std::string& part : parts) {
+    const auto found = quarantine.records.find({service, part});
+    if (found != quarantine.records.end() && is_quarantined(found->second)) {
+      found->second.trial_at = now;
+      found->second.is_trial_open = true;
+      MarkChanged(found->second, now);
+    }
+  }
+}
+
+bool may_repeat(const Quarantine& quarantine,
+                const std::string& service,
+                const std::vector<std::string>& parts) {
+  return std::ranges::none_of(parts, [&](const std::string& part) {
+    return CountEnds(quarantine, {service, part}) >= kMinEnds;
+  });
+}
+
+MergeResult MergePart(Quarantine& quarantine,
+                      const PartKey& key,
+                      const PartRecord& reported,
+                      TimePoint now) {
+  MergeResult result;
+  PartRecord* record = FindOrAdd(quarantine, key);
+  if (record == nullptr) {
+    return result;
+  }
+  const bool was_quarantined = is_quarantined(*record);
+  const bool had_evidence = has_evidence(*record);
+  for (const TargetEnd& end : reported.ends) {
+    AddEnd(quarantine.services[key.service].ends, end, kMaxEndsPerService);
+    result.is_changed |= AddEnd(record->ends, end, kMaxEndsPerPart);
+  }
+  TakeLater(record->answered_at, reported.answered_at);
+  if (!was_quarantined) {
+    result.is_changed |=
+        TakeLater(record->quarantined_at, reported.quarantined_at);
+  }
+  if (reported.trial_at &&
+      (!record->trial_at ||
+       *reported.trial_at - *record->trial_at > kSameEnd)) {
+    record->trial_at = reported.trial_at;
+    result.is_changed = true;
+  }
+  if (reported.failed_trials > record->failed_trials) {
+    record->failed_trials = reported.failed_trials;
+    result.is_changed = true;
+  }
+  result.is_changed |= had_evidence != has_evidence(*record);
+  if (result.is_changed) {
+    MarkChanged(*record, now);
+  }
+  result.quarantined_here = QuarantineParts(quarantine, now);
+  const PartRecord& merged = quarantine.records.at(key);
+  result.is_quarantined = !was_quarantined && is_quarantined(merged);
+  result.is_released = was_quarantined && !is_quarantined(merged);
+  return result;
+}
+
+std::vector<PartKey> TakePartReports(Quarantine& quarantine,
+                                     size_t max_count,
+                                     TimePoint now) {
+  std::vector<std::pair<std::pair<uint32_t, TimePoint>, PartKey>> due;
+  for (const auto& [key, record] : quarantine.records) {
+    const bool is_changed = record.reports < kReportsOfChange;
+    const bool is_periodic =
+        is_quarantined(record) && now - record.reported_at >= kReportInterval;
+    if (is_changed || is_periodic) {
+      due.emplace_back(std::pair(std::min(record.reports, kReportsOfChange),
+                                 record.reported_at),
+                       key);
+    }
+  }
+  std::ranges::sort(due);
+  std::vector<PartKey> keys;
+  for (const auto& [order, key] : due) {
+    if (keys.size() == max_count) {
+      break;
+    }
+    PartRecord& record = quarantine.records.at(key);
+    ++record.reports;
+    record.reported_at = now;
+    keys.push_back(key);
+  }
+  return keys;
+}
+
+bool ReleasePart(Quarantine& quarantine, const PartKey& key, TimePoint now) {
+  const auto found = quarantine.records.find(key);
+  const bool was_quarantined =
+      found != quarantine.records.end() && is_quarantined(found->second);
+  if (was_quarantined) {
+    // Unlike an answer this says nothing of ends to come.
+    found->second.answered_at = now - kTrustDuration;
+    MarkChanged(found->second, now);
+  }
+  return was_quarantined;
+}
+
+void RemoveOldParts(Quarantine& quarantine, TimePoint now) {
+  std::erase_if(quarantine.records, [now](const auto& item) {
+    const PartRecord& record = item.second;
+    const Duration lifetime =
+        has_evidence(record) ? kEvidenceLifetime : kSettledLifetime;
+    return now - record.changed_at > lifetime;
+  });
+}
+
+}  // namespace bramleyspan::gateway
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -39,6 +39,14 @@
 struct RateLimitReportBuilder;
 struct RateLimitReportT;
 
+struct TargetEnd;
+struct TargetEndBuilder;
+struct TargetEndT;
+
+struct PartReport;
+struct PartReportBuilder;
+struct PartReportT;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -1318,6 +1326,242 @@
 
 flatbuffers::Offset<RateLimitReport> CreateRateLimitReport(flatbuffers::FlatBufferBuilder &_fbb, const RateLimitReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TargetEndT : public flatbuffers::NativeTable {
+  typedef TargetEnd TableType;
+  std::string target{};
+  int64_t age_microseconds = 0;
+};
+
+struct TargetEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TargetEndT NativeTableType;
+  typedef TargetEndBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_TARGET = 4,
+    VT_AGE_MICROSECONDS = 6
+  };
+  const flatbuffers::String *target() const {
+    return GetPointer<const flatbuffers::String *>(VT_TARGET);
+  }
+  int64_t age_microseconds() const {
+    return GetField<int64_t>(VT_AGE_MICROSECONDS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_TARGET) &&
+           verifier.VerifyString(target()) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MICROSECONDS, 8) &&
+           verifier.EndTable();
+  }
+  TargetEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TargetEndT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TargetEnd> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetEndT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TargetEndBuilder {
+  typedef TargetEnd Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_target(flatbuffers::Offset<flatbuffers::String> target) {
+    fbb_.AddOffset(TargetEnd::VT_TARGET, target);
+  }
+  void add_age_microseconds(int64_t age_microseconds) {
+    fbb_.AddElement<int64_t>(TargetEnd::VT_AGE_MICROSECONDS, age_microseconds, 0);
+  }
+  explicit TargetEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TargetEnd> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TargetEnd>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TargetEnd> CreateTargetEnd(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> target = 0,
+    int64_t age_microseconds = 0) {
+  TargetEndBuilder builder_(_fbb);
+  builder_.add_age_microseconds(age_microseconds);
+  builder_.add_target(target);
+  return builder_.Finish();
+}
+
+struct TargetEnd::Traits {
+  using type = TargetEnd;
+  static auto constexpr Create = CreateTargetEnd;
+};
+
+inline flatbuffers::Offset<TargetEnd> CreateTargetEndDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *target = nullptr,
+    int64_t age_microseconds = 0) {
+  auto target__ = target ? _fbb.CreateString(target) : 0;
+  return bramleyspan::membership::wire::CreateTargetEnd(
+      _fbb,
+      target__,
+      age_microseconds);
+}
+
+flatbuffers::Offset<TargetEnd> CreateTargetEnd(flatbuffers::FlatBufferBuilder &_fbb, const TargetEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct PartReportT : public flatbuffers::NativeTable {
+  typedef PartReport TableType;
+  std::string service{};
+  std::string part{};
+  std::vector<std::unique_ptr<bramleyspan::membership::wire::TargetEndT>> ends{};
+  int64_t answered_age_microseconds = -1LL;
+  int64_t quarantined_age_microseconds = -1LL;
+  int64_t trial_age_microseconds = -1LL;
+  uint32_t failed_trials = 0;
+  PartReportT() = default;
+  PartReportT(const PartReportT &o);
+  PartReportT(PartReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  PartReportT &operator=(PartReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct PartReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PartReportT NativeTableType;
+  typedef PartReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_PART = 6,
+    VT_ENDS = 8,
+    VT_ANSWERED_AGE_MICROSECONDS = 10,
+    VT_QUARANTINED_AGE_MICROSECONDS = 12,
+    VT_TRIAL_AGE_MICROSECONDS = 14,
+    VT_FAILED_TRIALS = 16
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *part() const {
+    return GetPointer<const flatbuffers::String *>(VT_PART);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::TargetEnd>> *ends() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::TargetEnd>> *>(VT_ENDS);
+  }
+  int64_t answered_age_microseconds() const {
+    return GetField<int64_t>(VT_ANSWERED_AGE_MICROSECONDS, -1LL);
+  }
+  int64_t quarantined_age_microseconds() const {
+    return GetField<int64_t>(VT_QUARANTINED_AGE_MICROSECONDS, -1LL);
+  }
+  int64_t trial_age_microseconds() const {
+    return GetField<int64_t>(VT_TRIAL_AGE_MICROSECONDS, -1LL);
+  }
+  uint32_t failed_trials() const {
+    return GetField<uint32_t>(VT_FAILED_TRIALS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_PART) &&
+           verifier.VerifyString(part()) &&
+           VerifyOffset(verifier, VT_ENDS) &&
+           verifier.VerifyVector(ends()) &&
+           verifier.VerifyVectorOfTables(ends()) &&
+           VerifyField<int64_t>(verifier, VT_ANSWERED_AGE_MICROSECONDS, 8) &&
+           VerifyField<int64_t>(verifier, VT_QUARANTINED_AGE_MICROSECONDS, 8) &&
+           VerifyField<int64_t>(verifier, VT_TRIAL_AGE_MICROSECONDS, 8) &&
+           VerifyField<uint32_t>(verifier, VT_FAILED_TRIALS, 4) &&
+           verifier.EndTable();
+  }
+  PartReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(PartReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<PartReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct PartReportBuilder {
+  typedef PartReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(PartReport::VT_SERVICE, service);
+  }
+  void add_part(flatbuffers::Offset<flatbuffers::String> part) {
+    fbb_.AddOffset(PartReport::VT_PART, part);
+  }
+  void add_ends(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::TargetEnd>>> ends) {
+    fbb_.AddOffset(PartReport::VT_ENDS, ends);
+  }
+  void add_answered_age_microseconds(int64_t answered_age_microseconds) {
+    fbb_.AddElement<int64_t>(PartReport::VT_ANSWERED_AGE_MICROSECONDS, answered_age_microseconds, -1LL);
+  }
+  void add_quarantined_age_microseconds(int64_t quarantined_age_microseconds) {
+    fbb_.AddElement<int64_t>(PartReport::VT_QUARANTINED_AGE_MICROSECONDS, quarantined_age_microseconds, -1LL);
+  }
+  void add_trial_age_microseconds(int64_t trial_age_microseconds) {
+    fbb_.AddElement<int64_t>(PartReport::VT_TRIAL_AGE_MICROSECONDS, trial_age_microseconds, -1LL);
+  }
+  void add_failed_trials(uint32_t failed_trials) {
+    fbb_.AddElement<uint32_t>(PartReport::VT_FAILED_TRIALS, failed_trials, 0);
+  }
+  explicit PartReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PartReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PartReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PartReport> CreatePartReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> part = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::TargetEnd>>> ends = 0,
+    int64_t answered_age_microseconds = -1LL,
+    int64_t quarantined_age_microseconds = -1LL,
+    int64_t trial_age_microseconds = -1LL,
+    uint32_t failed_trials = 0) {
+  PartReportBuilder builder_(_fbb);
+  builder_.add_trial_age_microseconds(trial_age_microseconds);
+  builder_.add_quarantined_age_microseconds(quarantined_age_microseconds);
+  builder_.add_answered_age_microseconds(answered_age_microseconds);
+  builder_.add_failed_trials(failed_trials);
+  builder_.add_ends(ends);
+  builder_.add_part(part);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct PartReport::Traits {
+  using type = PartReport;
+  static auto constexpr Create = CreatePartReport;
+};
+
+inline flatbuffers::Offset<PartReport> CreatePartReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *part = nullptr,
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::TargetEnd>> *ends = nullptr,
+    int64_t answered_age_microseconds = -1LL,
+    int64_t quarantined_age_microseconds = -1LL,
+    int64_t trial_age_microseconds = -1LL,
+    uint32_t failed_trials = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto part__ = part ? _fbb.CreateString(part) : 0;
+  auto ends__ = ends ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::TargetEnd>>(*ends) : 0;
+  return bramleyspan::membership::wire::CreatePartReport(
+      _fbb,
+      service__,
+      part__,
+      ends__,
+      answered_age_microseconds,
+      quarantined_age_microseconds,
+      trial_age_microseconds,
+      failed_trials);
+}
+
+flatbuffers::Offset<PartReport> CreatePartReport(flatbuffers::FlatBufferBuilder &_fbb, const PartReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeartbeatT : public flatbuffers::NativeTable {
   typedef Heartbeat TableType;
   std::vector<std::unique_ptr<bramleyspan::membership::wire::MemberT>> members{};
@@ -1325,6 +1569,7 @@
   std::vector<std::unique_ptr<bramleyspan::membership::wire::RankPlaceT>> ranks{};
   bool is_asking = false;
   std::vector<std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT>> rate_limits{};
+  std::vector<std::unique_ptr<bramleyspan::membership::wire::PartReportT>> parts{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1340,7 +1585,8 @@
     VT_SIGNS = 6,
     VT_RANKS = 8,
     VT_IS_ASKING = 10,
-    VT_RATE_LIMITS = 12
+    VT_RATE_LIMITS = 12,
+    VT_PARTS = 14
   };
   const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *>(VT_MEMBERS);
@@ -1357,6 +1603,9 @@
   const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> *rate_limits() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> *>(VT_RATE_LIMITS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *parts() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *>(VT_PARTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
@@ -1371,6 +1620,9 @@
            VerifyOffset(verifier, VT_RATE_LIMITS) &&
            verifier.VerifyVector(rate_limits()) &&
            verifier.VerifyVectorOfTables(rate_limits()) &&
+           VerifyOffset(verifier, VT_PARTS) &&
+           verifier.VerifyVector(parts()) &&
+           verifier.VerifyVectorOfTables(parts()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1397,6 +1649,9 @@
   void add_rate_limits(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>> rate_limits) {
     fbb_.AddOffset(Heartbeat::VT_RATE_LIMITS, rate_limits);
   }
+  void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>> parts) {
+    fbb_.AddOffset(Heartbeat::VT_PARTS, parts);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1414,8 +1669,10 @@
     flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::SignOfLife *>> signs = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>> ranks = 0,
     bool is_asking = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>> rate_limits = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>> rate_limits = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>> parts = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_parts(parts);
   builder_.add_rate_limits(rate_limits);
   builder_.add_ranks(ranks);
   builder_.add_signs(signs);
@@ -1435,18 +1692,21 @@
     const std::vector<bramleyspan::membership::wire::SignOfLife> *signs = nullptr,
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>> *ranks = nullptr,
     bool is_asking = false,
-    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> *rate_limits = nullptr) {
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> *rate_limits = nullptr,
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *parts = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::Member>>(*members) : 0;
   auto signs__ = signs ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::SignOfLife>(*signs) : 0;
   auto ranks__ = ranks ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>(*ranks) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>(*rate_limits) : 0;
+  auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>(*parts) : 0;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
       members__,
       signs__,
       ranks__,
       is_asking,
-      rate_limits__);
+      rate_limits__,
+      parts__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3111,6 +3371,101 @@
       _age_microseconds);
 }
 
+inline TargetEndT *TargetEnd::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TargetEndT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TargetEnd::UnPackTo(TargetEndT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = target(); if (_e) _o->target = _e->str(); }
+  { auto _e = age_microseconds(); _o->age_microseconds = _e; }
+}
+
+inline flatbuffers::Offset<TargetEnd> TargetEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTargetEnd(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TargetEnd> CreateTargetEnd(flatbuffers::FlatBufferBuilder &_fbb, const TargetEndT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TargetEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
+  auto _age_microseconds = _o->age_microseconds;
+  return bramleyspan::membership::wire::CreateTargetEnd(
+      _fbb,
+      _target,
+      _age_microseconds);
+}
+
+inline PartReportT::PartReportT(const PartReportT &o)
+      : service(o.service),
+        part(o.part),
+        answered_age_microseconds(o.answered_age_microseconds),
+        quarantined_age_microseconds(o.quarantined_age_microseconds),
+        trial_age_microseconds(o.trial_age_microseconds),
+        failed_trials(o.failed_trials) {
+  ends.reserve(o.ends.size());
+  for (const auto &ends_ : o.ends) { ends.emplace_back((ends_) ? new bramleyspan::membership::wire::TargetEndT(*ends_) : nullptr); }
+}
+
+inline PartReportT &PartReportT::operator=(PartReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(service, o.service);
+  std::swap(part, o.part);
+  std::swap(ends, o.ends);
+  std::swap(answered_age_microseconds, o.answered_age_microseconds);
+  std::swap(quarantined_age_microseconds, o.quarantined_age_microseconds);
+  std::swap(trial_age_microseconds, o.trial_age_microseconds);
+  std::swap(failed_trials, o.failed_trials);
+  return *this;
+}
+
+inline PartReportT *PartReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<PartReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void PartReport::UnPackTo(PartReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = part(); if (_e) _o->part = _e->str(); }
+  { auto _e = ends(); if (_e) { _o->ends.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ends[_i] = std::unique_ptr<bramleyspan::membership::wire::TargetEndT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = answered_age_microseconds(); _o->answered_age_microseconds = _e; }
+  { auto _e = quarantined_age_microseconds(); _o->quarantined_age_microseconds = _e; }
+  { auto _e = trial_age_microseconds(); _o->trial_age_microseconds = _e; }
+  { auto _e = failed_trials(); _o->failed_trials = _e; }
+}
+
+inline flatbuffers::Offset<PartReport> PartReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PartReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreatePartReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<PartReport> CreatePartReport(flatbuffers::FlatBufferBuilder &_fbb, const PartReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PartReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _part = _o->part.empty() ? 0 : _fbb.CreateString(_o->part);
+  auto _ends = _o->ends.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::TargetEnd>> (_o->ends.size(), [](size_t i, _VectorArgs *__va) { return CreateTargetEnd(*__va->__fbb, __va->__o->ends[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _answered_age_microseconds = _o->answered_age_microseconds;
+  auto _quarantined_age_microseconds = _o->quarantined_age_microseconds;
+  auto _trial_age_microseconds = _o->trial_age_microseconds;
+  auto _failed_trials = _o->failed_trials;
+  return bramleyspan::membership::wire::CreatePartReport(
+      _fbb,
+      _service,
+      _part,
+      _ends,
+      _answered_age_microseconds,
+      _quarantined_age_microseconds,
+      _trial_age_microseconds,
+      _failed_trials);
+}
+
 inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
       : signs(o.signs),
         is_asking(o.is_asking) {
@@ -3120,6 +3475,8 @@
   for (const auto &ranks_ : o.ranks) { ranks.emplace_back((ranks_) ? new bramleyspan::membership::wire::RankPlaceT(*ranks_) : nullptr); }
   rate_limits.reserve(o.rate_limits.size());
   for (const auto &rate_limits_ : o.rate_limits) { rate_limits.emplace_back((rate_limits_) ? new bramleyspan::membership::wire::RateLimitReportT(*rate_limits_) : nullptr); }
+  parts.reserve(o.parts.size());
+  for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new bramleyspan::membership::wire::PartReportT(*parts_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -3128,6 +3485,7 @@
   std::swap(ranks, o.ranks);
   std::swap(is_asking, o.is_asking);
   std::swap(rate_limits, o.rate_limits);
+  std::swap(parts, o.parts);
   return *this;
 }
 
@@ -3145,6 +3503,7 @@
   { auto _e = ranks(); if (_e) { _o->ranks.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->ranks[_i] = std::unique_ptr<bramleyspan::membership::wire::RankPlaceT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = is_asking(); _o->is_asking = _e; }
   { auto _e = rate_limits(); if (_e) { _o->rate_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rate_limits[_i] = std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<bramleyspan::membership::wire::PartReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3160,13 +3519,15 @@
   auto _ranks = _o->ranks.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>> (_o->ranks.size(), [](size_t i, _VectorArgs *__va) { return CreateRankPlace(*__va->__fbb, __va->__o->ranks[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _is_asking = _o->is_asking;
   auto _rate_limits = _o->rate_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> (_o->rate_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRateLimitReport(*__va->__fbb, __va->__o->rate_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _parts = _o->parts.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreatePartReport(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va ) : 0;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
       _members,
       _signs,
       _ranks,
       _is_asking,
-      _rate_limits);
+      _rate_limits,
+      _parts);
 }
 
 inline MemberQueryT *MemberQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -8,6 +8,7 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+#include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/UsageRecorder.h"
 
 namespace bramleyspan::gatewayd {
@@ -139,7 +140,9 @@
        {"table_version", std::to_string(this->table->version)},
        {"left_ms", ToMillisecondsText(allowed)},
        {"is_returning", this->is_retry ? "true" : "false"}});
-  this->SendOrWait();
+  if (!this->EndIfQuarantined()) {
+    this->SendOrWait();
+  }
 }
 
 bool Forwarding::FindRouteAndTenant() {
@@ -217,6 +220,13 @@
   if (has_retry_after) {
     headers.emplace_back("retry-after", this->RetryAfter());
   }
+  this->RespondRefusal(status, cause, headers, "");
+}
+
+void Forwarding::RespondRefusal(int status,
+                                std::string_view cause,
+                                const http::HeaderList& headers,
+                                std::string_view text) {
   Log(LogLevel::kWarning, "forward", "refused",
       {{"request", this->id},
        {"status", std::to_string(status)},
@@ -225,10 +235,65 @@
        {"waiting", std::to_string(this->state.waiting.size())},
        {"table_version",
         std::to_string(this->table == nullptr ? 0 : this->table->version)}});
-  this->exchange->Respond(status, headers, "");
+  this->exchange->Respond(status, headers, text);
   this->Finish("refused", status);
 }
 
+bool Forwarding::EndIfQuarantined() {
+  const gateway::PartDecision decision =
+      this->state.quarantine->Admit(this->service, this->parts);
+  this->is_trial = decision.verdict == gateway::PartVerdict::kTrial;
+  if (decision.verdict != gateway::PartVerdict::kRejected) {
+    return false;
+  }
+  auto keep_until_return = this->shared_from_this();
+  this->SettlePermit();
+  this->state.quarantine->RecordRejected(this->service, decision.part);
+  const std::string cause =
+      "targets end under the part " + decision.part + " of the prompt";
+  if (this->has_started_answer) {
+    this->AbortAnswer(cause);
+  } else if (this->may_have_run) {
+    this->Fail(kBadGateway, cause);
+  } else {
+    this->RespondRefusal(
+        kUnavailable, cause,
+        {{"content-type", "text/plain"},
+         {"retry-after", FormatRetryAfter(decision.until - EventLoop::Now())}},
+        "not run: " + cause + "\n");
+  }
+  return true;
+}
+
+void EndRequestsWithPart(GatewayState& state, const gateway::PartKey& key) {
+  std::vector<std::shared_ptr<Forwarding>> open;
+  for (const auto& [number, forwarding] : state.open) {
+    open.push_back(forwarding->shared_from_this());
+  }
+  for (const auto& forwarding : open) {
+    forwarding->HandleQuarantine(key);
+  }
+}
+
+void Forwarding::HandleQuarantine(const gateway::PartKey& key) {
+  const bool has_part =
+      std::ranges::find(this->parts, key.part) != this->parts.end();
+  const bool is_waiting_or_sent =
+      this->call != nullptr || this->is_probing() ||
+      std::ranges::find(this->state.waiting, this->shared_from_this()) !=
+          this->state.waiting.end();
+  if (!has_part || this->service != key.service || this->is_finished ||
+      this->is_trial || !is_waiting_or_sent ||
+      this->is_answered_by_target(EventLoop::Now())) {
+    return;
+  }
+  if (this->call != nullptr) {
+    std::exchange(this->call, nullptr)->Cancel();
+    this->ReleaseTarget(Outcome::kGood);
+  }
+  this->EndIfQuarantined();
+}
+
 Duration Forwarding::TimeLeft() const {
   if (this->deadline != TimePoint{}) {
     return this->deadline - EventLoop::Now();
@@ -259,6 +324,10 @@
       held_back_until
           ? *held_back_until - EventLoop::Now()
           : gateway::RetryDelayFor(this->FindRefusalReason(), this->TimeLeft());
+  return FormatRetryAfter(delay);
+}
+
+std::string Forwarding::FormatRetryAfter(Duration delay) {
   const auto after = std::chrono::ceil<std::chrono::milliseconds>(
       std::max<Duration>(delay, Duration(0)));
   constexpr int64_t kMillisecondsPerSecond = 1000;
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -9,11 +9,13 @@
 #include <vector>
 
 #include "LibGateway/EventReader.h"
+#include "LibGateway/Quarantine.h"
 #include "LibHTTP/DirectCall.h"
 #include "LibHTTP/Ingress.h"
 #include "LibUsage/RequestMeter.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
+#include "Services/bramleyspand/Gateway/TargetEnds.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -22,6 +24,10 @@
                   http::IngressRequest request,
                   const std::shared_ptr<http::IngressExchange>& exchange);
 
+// Ends the requests with a part that is quarantined from now on, unless their
+// targets have answered them.
+void EndRequestsWithPart(GatewayState& state, const gateway::PartKey& key);
+
 // Tries to send the waiting requests and refuses those that waited too long.
 void ServeWaiting(GatewayState& state);
 
@@ -36,8 +42,9 @@
 
   void Start();
 
-  // Tries to obtain a permit and to send the request. Returns false if it was
-  // not sent; agents may have been probed for a permit.
+  // Tries to obtain a permit and to send the request, or ends it if a part of
+  // its prompt is quarantined. Returns false if neither happened; agents may
+  // have been probed for a permit.
   bool TrySend();
 
   // Whether a probe of agents or a question to a target's allocator is under
@@ -60,6 +67,10 @@
   // Whether a stream can no longer be in time, on any target.
   bool is_late(TimePoint now) const;
 
+  // Ends the request if a part of its prompt is quarantined and its target has
+  // not answered it.
+  void HandleQuarantine(const gateway::PartKey& key);
+
   TimePoint waits_until() const { return this->wait.ends; }
   const std::string& service_name() const { return this->service; }
   bool is_streaming() const {
@@ -71,6 +82,7 @@
   // as a failure.
   enum class Verdict { kForward, kRejected, kInvalid };
 
+  // kSent includes a request that was ended since a part is quarantined.
   enum class SendVerdict { kSent, kHeldBack, kPending };
 
   bool FindRouteAndTenant();
@@ -105,14 +117,27 @@
   void HandleBytes(std::string_view bytes);
   void HandleEvent(const gateway::StreamEvent& event);
   void HandleEnd(http::CallEnd end);
+  // Handles the end of an answer that is either whole or known not to be.
+  void HandleKnownEnd(http::CallEnd end);
   void HandleStreamEnd(http::CallEnd end);
   Verdict CheckAnswer() const;
   bool is_own_answer(const http::AnswerHead& head) const;
   void HandleRejected();
   void HandleFailed(http::CallEnd end);
+  // Repeats the request or ends it, after its target was checked.
+  void RepeatOrEnd(http::CallEnd end);
   // Lets the target be checked if the request was lost there, which shows
-  // whether the target has ended.
-  void CheckTarget(http::CallEnd end);
+  // whether the target has ended. Returns whether RepeatOrEnd is called after
+  // that.
+  bool CheckTarget(http::CallEnd end);
+  // Lets the target be checked after an answer that ended with its connection,
+  // as it does when the target ends. Returns whether HandleKnownEnd is called
+  // after that.
+  bool CheckUnframedAnswer();
+  LostRequest DescribeLost(bool is_answered) const;
+  // Records that the target writes an answer, and once it has gone on for a
+  // while that it has not ended under the request.
+  void RecordAnswerProgress(bool is_whole);
   bool is_answered_by_target(TimePoint now) const;
   // Sends the request to a further target. Returns false if the remaining time,
   // the route or the repeat budget does not allow that.
@@ -120,8 +145,16 @@
   void ForwardAnswer();
   http::HeaderList AnswerHeaders() const;
   void Refuse(int status, std::string_view cause, bool has_retry_after);
+  void RespondRefusal(int status,
+                      std::string_view cause,
+                      const http::HeaderList& headers,
+                      std::string_view text);
+  // Ends the request if a part of its prompt is quarantined. Every request
+  // passes here before it is sent to a target. Returns whether it was ended.
+  bool EndIfQuarantined();
   // Returns the value of the Retry-After header, in seconds.
   std::string RetryAfter() const;
+  static std::string FormatRetryAfter(Duration delay);
   gateway::RefusalReason FindRefusalReason() const;
   // Returns the smaller of the time that the caller and the route still allow.
   Duration TimeLeft() const;
@@ -170,6 +203,9 @@
   // answer.
   TimePoint sent_at;
   std::optional<TimePoint> answer_began;
+  bool is_answer_recorded = false;
+  // Whether the request was let through to try a quarantined part.
+  bool is_trial = false;
   // Time that the request waited for the permit of its last target.
   Duration waited{};
   std::set<std::string> tried;
@@ -181,6 +217,9 @@
 
   std::optional<http::AnswerHead> answer;
   std::string answer_body;
+  // Whether the answer says where it ends, and does not end with its
+  // connection.
+  bool is_framed = true;
   bool is_forwarding_events = false;
   bool has_started_answer = false;
   std::optional<uint64_t> last_event;
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -7,6 +7,7 @@
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+#include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
 #include "Services/bramleyspand/Gateway/TargetEnds.h"
 
@@ -79,9 +80,7 @@
   if (this->is_finished) {
     return;
   }
-  if (!this->answer_began) {
-    this->answer_began = EventLoop::Now();
-  }
+  this->RecordAnswerProgress(false);
   // A run that is resumed at another target may start with events that the
   // caller already has.
   if (event.id && this->last_event && *event.id <= *this->last_event) {
@@ -124,6 +123,13 @@
   if (this->is_finished) {
     return;
   }
+  const bool is_doubtful = end == CallEnd::kWhole && !this->is_framed;
+  if (!is_doubtful || !this->CheckUnframedAnswer()) {
+    this->HandleKnownEnd(end);
+  }
+}
+
+void Forwarding::HandleKnownEnd(CallEnd end) {
   if (this->is_forwarding_events) {
     this->HandleStreamEnd(end);
     return;
@@ -171,6 +177,7 @@
 }
 
 void Forwarding::ForwardAnswer() {
+  this->RecordAnswerProgress(true);
   const int status = this->answer->status;
   const bool is_failure = status >= kFirstServerFailure;
   this->ReleaseTarget(is_failure ? Outcome::kFailed : Outcome::kGood);
@@ -238,13 +245,26 @@
        {"target", this->target_id},
        {"end", std::string(http::NameOf(end))},
        {"after_ms", ToMillisecondsText(EventLoop::Now() - this->arrived)}});
-  this->CheckTarget(end);
+  const bool is_checked = this->CheckTarget(end);
   this->ReleaseTarget(is_unreachable ? Outcome::kUnreachable
                                      : Outcome::kFailed);
   if (is_unreachable) {
     ++this->failed_connections;
   }
-  const bool may_repeat = is_unreachable || this->route->is_repeatable();
+  if (!is_checked) {
+    this->RepeatOrEnd(end);
+  }
+}
+
+void Forwarding::RepeatOrEnd(CallEnd end) {
+  if (this->is_finished) {
+    return;
+  }
+  const bool is_unreachable = end == CallEnd::kNotSent;
+  const bool may_repeat =
+      is_unreachable ||
+      (this->route->is_repeatable() && !this->is_trial &&
+       this->state.quarantine->may_repeat(this->service, this->parts));
   if (may_repeat && this->TryRepeat(http::NameOf(end), !is_unreachable)) {
     return;
   }
@@ -258,22 +278,70 @@
   }
 }
 
-void Forwarding::CheckTarget(CallEnd end) {
+bool Forwarding::CheckTarget(CallEnd end) {
   const bool is_lost = end == CallEnd::kClosed || end == CallEnd::kTruncated ||
                        end == CallEnd::kMalformed;
   const auto found = this->state.targets.by_id.find(this->target_id);
+  // A target that leaves is expected to end.
   if (!is_lost || this->parts.empty() ||
-      found == this->state.targets.by_id.end()) {
-    return;
+      found == this->state.targets.by_id.end() ||
+      !gateway::is_usable(this->state.targets, found->second)) {
+    return false;
   }
+  const bool is_answered = this->is_answered_by_target(EventLoop::Now());
+  const bool is_awaited = !is_answered && this->state.quarantine->may_be_cause(
+                                              this->service, this->parts);
   this->state.target_ends->Check(
-      {.id = this->id,
-       .target = this->target_id,
-       .service = this->service,
-       .address = found->second.target.address,
-       .parts = this->parts,
-       .is_answered = this->is_answered_by_target(EventLoop::Now())},
-      [] {});
+      this->DescribeLost(is_answered),
+      [self = this->shared_from_this(), is_awaited, end](bool) {
+        if (is_awaited) {
+          self->RepeatOrEnd(end);
+        }
+      });
+  return is_awaited;
+}
+
+bool Forwarding::CheckUnframedAnswer() {
+  const bool is_known = this->state.targets.by_id.contains(this->target_id) &&
+                        !this->is_answered_by_target(EventLoop::Now());
+  if (!is_known ||
+      !this->state.quarantine->may_be_cause(this->service, this->parts)) {
+    return false;
+  }
+  this->state.target_ends->Check(
+      this->DescribeLost(false),
+      [self = this->shared_from_this()](bool has_ended) {
+        if (!self->is_finished) {
+          self->HandleKnownEnd(has_ended ? CallEnd::kTruncated
+                                         : CallEnd::kWhole);
+        }
+      });
+  return true;
+}
+
+LostRequest Forwarding::DescribeLost(bool is_answered) const {
+  return {
+      .id = this->id,
+      .target = this->target_id,
+      .service = this->service,
+      .address = this->state.targets.by_id.at(this->target_id).target.address,
+      .parts = this->parts,
+      .is_answered = is_answered};
+}
+
+void Forwarding::RecordAnswerProgress(bool is_whole) {
+  if (this->parts.empty() || this->is_answer_recorded) {
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  if (!this->answer_began) {
+    this->answer_began = now;
+    this->state.quarantine->RecordAnswerBegin(this->service, this->parts);
+  }
+  if (is_whole || this->is_answered_by_target(now)) {
+    this->is_answer_recorded = true;
+    this->state.quarantine->RecordAnswer(this->service, this->parts);
+  }
 }
 
 bool Forwarding::is_answered_by_target(TimePoint now) const {
@@ -284,6 +352,7 @@
   const bool is_whole =
       end == CallEnd::kWhole && !this->events.has_partial_event();
   if (is_whole && this->has_started_answer) {
+    this->RecordAnswerProgress(true);
     this->ReleaseTarget(Outcome::kGood);
     this->exchange->Finish();
     this->Finish("answered", kOk);
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -130,6 +130,9 @@
   if (this->is_probing()) {
     return false;
   }
+  if (this->EndIfQuarantined()) {
+    return true;
+  }
   if (!this->has_engine()) {
     return this->TrySendByLocalView();
   }
@@ -218,9 +221,13 @@
 }
 
 Forwarding::SendVerdict Forwarding::SendIfAdmitted(const TargetView& target) {
+  auto self = this->shared_from_this();
+  // A part may have been quarantined, or tried, while the permit was awaited.
+  if (this->EndIfQuarantined()) {
+    return SendVerdict::kSent;
+  }
   const std::string id = target.target.id;
   const TimePoint now = EventLoop::Now();
-  auto self = this->shared_from_this();
   // The target may have asked for a backoff while the permit was awaited.
   const bool is_held = gateway::HeldUntil(this->state.targets, id, now) > now;
   const RateLimiter::Verdict verdict =
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -5,6 +5,7 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
+#include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
 
 namespace bramleyspan::gatewayd {
@@ -75,6 +76,7 @@
   this->answer.reset();
   this->answer_body.clear();
   this->answer_began.reset();
+  this->is_answer_recorded = false;
   this->events = {};
   this->is_forwarding_events = false;
   Log(LogLevel::kInfo, "forward", "sent",
@@ -103,8 +105,13 @@
   listeners.on_connected = [self] {
     ++self->sent;
     self->may_have_run = true;
+    if (self->is_trial) {
+      self->state.quarantine->RecordTrial(self->id, self->service, self->parts);
+    }
   };
-  listeners.on_head = [self](const http::AnswerHead& head, http::BodyFraming) {
+  listeners.on_head = [self](const http::AnswerHead& head,
+                             http::BodyFraming framing) {
+    self->is_framed = framing != http::BodyFraming::kUntilClose;
     self->HandleHead(head);
   };
   listeners.on_bytes = [self](std::string_view bytes) {
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -38,7 +38,11 @@
     "bramleyspan_held_back_total",
     "Requests that targets held back, by service: by=target if one was not "
     "sent to the target that was chosen, by=backoff if one came while a target "
-    "backed off."};
+    "backed off, by=part if one was rejected because of a quarantined part of "
+    "its prompt."};
+inline constexpr MetricName kQuarantinedParts{
+    "bramleyspan_quarantined_parts",
+    "Parts of prompts that are kept from all targets, by service."};
 inline constexpr MetricName kTargetEnds{
     "bramleyspan_target_ends_total",
     "Targets that ended while requests of this gateway were there, by "
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -12,6 +12,7 @@
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/OrderRelay.h"
+#include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/Peers.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
 #include "Services/bramleyspand/Gateway/RateLimiter.h"
@@ -56,10 +57,15 @@
                        this->peers.Send(ip, bytes);
                      }),
         target_ends(this->state),
+        quarantine(this->state,
+                   [this](const std::string& bytes) {
+                     this->peers.SendToGateways(bytes);
+                   }),
         usage(this->state) {
     this->state.signals = &this->signals;
     this->state.rate_limiter = &this->rate_limiter;
     this->state.target_ends = &this->target_ends;
+    this->state.quarantine = &this->quarantine;
     this->state.permit_requests = &this->permit_requests;
     this->state.usage = &this->usage;
   }
@@ -85,6 +91,7 @@
         this->state,
         [this](const gateway::RouteTable& table) { this->HandleTable(table); },
         [this] { this->ScheduleHeartbeats(); });
+    this->quarantine.Start();
     TRY(this->peers.Start());
     this->usage.Start();
     this->callers = TRY(this->Serve(*fleet.callers, HandleCaller));
@@ -196,6 +203,14 @@
     } else if (request.path == "/v1/usage") {
       exchange->Respond(200, {{"content-type", "application/json"}},
                         role.usage.Serialize() + "\n");
+    } else if (request.path == "/v1/quarantine") {
+      exchange->Respond(200, {{"content-type", "application/json"}},
+                        role.quarantine.Dump().dump(2) + "\n");
+    } else if (request.path == "/v1/quarantine/release") {
+      const bool is_released = role.quarantine.Release(
+          {.service = http::FindQueryValue(request.query, "service"),
+           .part = http::FindQueryValue(request.query, "part")});
+      exchange->Respond(is_released ? 200 : 404, {}, "");
     } else if (request.path == "/v1/dump") {
       exchange->Respond(200, {{"content-type", "application/json"}},
                         role.Dump().dump(2) + "\n");
@@ -348,6 +363,7 @@
       }
     }
     gateway::RemoveOldSignals(this->state.targets, EventLoop::Now());
+    this->quarantine.RemoveOld();
     ServeWaiting(this->state);
     this->state.loop.RunAfter(kAdjustInterval,
                               [this] { this->AdjustPeriodically(); });
@@ -440,6 +456,7 @@
           std::chrono::duration<double>(feed->age(now)).count());
     }
     this->signals.UpdateGauges();
+    this->quarantine.UpdateGauges();
     for (const auto& [name, group] : this->state.permits.groups) {
       telemetry::SetGauge(kGroupLimit, {{"group", name}},
                           group.streams_per_rank);
@@ -480,6 +497,7 @@
             {"rank", view.rank->rank}};
       }
     }
+    dump["parts"] = this->quarantine.Dump();
     for (const auto& [name, group] : this->state.permits.groups) {
       dump["groups"][name] = {
           {"per_rank", group.streams_per_rank},
@@ -524,6 +542,7 @@
   SignalRecorder signals;
   RateLimiter rate_limiter;
   TargetEnds target_ends;
+  PartQuarantine quarantine;
   UsageRecorder usage;
   std::unique_ptr<http::Ingress> callers;
   std::unique_ptr<http::Ingress> directory;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -24,6 +24,7 @@
 namespace bramleyspan::gatewayd {
 
 class Forwarding;
+class PartQuarantine;
 class PermitRequests;
 class RateLimiter;
 class SignalRecorder;
@@ -60,6 +61,7 @@
   SignalRecorder* signals = nullptr;
   RateLimiter* rate_limiter = nullptr;
   TargetEnds* target_ends = nullptr;
+  PartQuarantine* quarantine = nullptr;
   // Null until the gateway can count usage.
   UsageRecorder* usage = nullptr;
   // Services are not probed for permits until then, because their ranks had
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -9,6 +9,7 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
+#include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
 #include "Services/bramleyspand/Gateway/RateLimiter.h"
 
@@ -64,6 +65,13 @@
   this->datagrams->Send(ip, bytes);
 }
 
+void Peers::SendToGateways(const std::string& bytes) {
+  for (const auto* known :
+       membership::LiveGateways(this->state.members, EventLoop::Now())) {
+    this->Send(known->member.ip, bytes);
+  }
+}
+
 void Peers::SendHeartbeatsNow() {
   this->SendHeartbeats();
 }
@@ -79,6 +87,7 @@
   }
   heartbeat.signs = membership::DigestsToSend(this->state.members, now);
   heartbeat.rate_limits = this->state.rate_limiter->ReportsToSend();
+  heartbeat.parts = this->state.quarantine->ReportsToSend();
   const std::string bytes = membership::Encode(std::move(heartbeat));
   for (const std::string& ip :
        membership::PeersForHeartbeat(this->state.members, this->round)) {
@@ -167,6 +176,11 @@
       this->state.rate_limiter->HandleReport(*report);
     }
   }
+  for (const auto& report : heartbeat.parts) {
+    if (report != nullptr) {
+      this->state.quarantine->HandleReport(*report);
+    }
+  }
   membership::wire::MemberQueryT query;
   query.keys = membership::ApplyDigests(this->state.members, heartbeat.signs,
                                         EventLoop::Now());
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -30,6 +30,9 @@
   // delay.
   void SendHeartbeatsNow();
 
+  // Sends a datagram to all live gateways.
+  void SendToGateways(const std::string& bytes);
+
   // Returns the body of /v1/news, which a peer fetches that received a newer
   // version or revision: the desired state if it is newer than `table_version`,
   // and the targets that changed after `targets_revision`.
--- /dev/null
+++ b/Services/bramleyspand/Gateway/QuarantineDocuments.h
@@ -0,0 +1,46 @@
+// Keeps the quarantines in the store, which outlives the gateways. One document
+// a part; requests do not wait for the writes.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "LibGateway/Quarantine.h"
+#include "Services/bramleyspand/Gateway/GatewayState.h"
+
+namespace bramleyspan::gatewayd {
+
+class QuarantineDocuments {
+ public:
+  using OnRead = std::function<void(const gateway::PartKey& key,
+                                    const gateway::PartRecord& record)>;
+
+  explicit QuarantineDocuments(GatewayState& state) : state(state) {}
+
+  // Reads all documents, repeatedly until the store answers.
+  void Read(OnRead on_read);
+
+  // Writes or removes the document of a part, repeatedly until the store has
+  // done so or the part changes again.
+  void Write(const gateway::PartKey& key, const gateway::PartRecord& record);
+  void Remove(const gateway::PartKey& key);
+
+ private:
+  // What a document is to be; it is removed if the value is empty.
+  struct Pending {
+    std::string value;
+    uint64_t number = 0;
+  };
+
+  void ReadPage(const std::string& after, const OnRead& on_read);
+  void Store(const std::string& key, std::string value);
+  void Send(const std::string& key, uint64_t number);
+  void HandleDone(const std::string& key, uint64_t number, bool is_done);
+
+  GatewayState& state;
+  std::map<std::string, Pending> pending;
+  uint64_t last_number = 0;
+};
+
+}  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/TargetEnds.cc
+++ b/Services/bramleyspand/Gateway/TargetEnds.cc
@@ -6,6 +6,7 @@
 
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+#include "Services/bramleyspand/Gateway/PartQuarantine.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -44,11 +45,11 @@
   const Address address = lost.address;
   const auto [found, is_new] = this->checks.try_emplace(target);
   TargetCheck& check = found->second;
-  if (!is_new && check.is_done) {
-    if (check.has_ended) {
-      LogLost(lost);
-    }
-    this->state.loop.RunAfter(Duration(0), std::move(on_checked));
+  if (check.is_done) {
+    this->RecordLost(lost, check.began);
+    this->state.loop.RunAfter(
+        Duration(0),
+        [on_checked = std::move(on_checked)] { on_checked(true); });
     return;
   }
   check.lost.push_back(std::move(lost));
@@ -65,17 +66,20 @@
 
 void TargetEnds::HandleOutcome(const std::string& target,
                                ConnectOutcome outcome) {
-  TargetCheck& check = this->checks.at(target);
-  check.is_done = true;
-  check.has_ended = outcome == ConnectOutcome::kRefused;
-  if (check.has_ended) {
+  const bool has_ended = outcome == ConnectOutcome::kRefused;
+  // A target that runs now may end before the next request is lost there, so
+  // that only an end is remembered.
+  const TargetCheck check = std::move(this->checks.at(target));
+  this->checks.erase(target);
+  if (has_ended) {
+    this->checks[target] = {.is_done = true, .began = check.began};
     this->LogEnd(check);
-    std::ranges::for_each(check.lost, LogLost);
+    for (const LostRequest& lost : check.lost) {
+      this->RecordLost(lost, check.began);
+    }
   }
-  check.lost.clear();
-  // A callback may start a check of another target.
-  for (const OnChecked& on_checked : std::exchange(check.on_checked, {})) {
-    on_checked();
+  for (const OnChecked& on_checked : check.on_checked) {
+    on_checked(has_ended);
   }
 }
 
@@ -101,7 +105,12 @@
         std::to_string((EventLoop::Now() - check.began).count() / 1000)}});
 }
 
-void TargetEnds::LogLost(const LostRequest& lost) {
+void TargetEnds::RecordLost(const LostRequest& lost, TimePoint ended_at) const {
+  // Requests that had been answered are no suspects, but their target's end
+  // counts.
+  this->state.quarantine->RecordTargetEnd(
+      lost.service, lost.target, ended_at,
+      lost.is_answered ? std::vector<std::string>() : lost.parts);
   Log(LogLevel::kInfo, "forward", "lost_with_target",
       {{"request", lost.id},
        {"target", lost.target},
--- a/Services/bramleyspand/Gateway/TargetEnds.h
+++ b/Services/bramleyspand/Gateway/TargetEnds.h
@@ -27,26 +27,27 @@
 
 class TargetEnds {
  public:
-  using OnChecked = std::function<void()>;
+  using OnChecked = std::function<void(bool has_ended)>;
 
   explicit TargetEnds(GatewayState& state) : state(state) {}
 
-  // Records a lost request and checks its target, unless a check is under way
-  // or has just been made. `on_checked` is called later, within kCheckTimeout.
+  // Checks the target of a request that may be lost, unless a check is under
+  // way or has just shown that the target has ended. Records the request if so.
+  // `on_checked` is called later, within kCheckTimeout.
   void Check(LostRequest lost, OnChecked on_checked);
 
  private:
-  // The check of one target, and its outcome for as long as that holds.
+  // The check of one target.
   struct TargetCheck {
+    // Whether it has shown that the target has ended.
     bool is_done = false;
-    bool has_ended = false;
     TimePoint began;
     std::vector<LostRequest> lost;
     std::vector<OnChecked> on_checked;
   };
 
   void HandleOutcome(const std::string& target, http::ConnectOutcome outcome);
-  static void LogLost(const LostRequest& lost);
+  void RecordLost(const LostRequest& lost, TimePoint ended_at) const;
   void LogEnd(const TargetCheck& check) const;
   void RemoveOldChecks(TimePoint now);
 
