--- a/Libraries/LibGateway/Quarantine.cc
+++ b/Libraries/LibGateway/Quarantine.cc
@@ -17,14 +17,16 @@
 // Reports of one target's end differ by less than this. A target that has ended
 // is back later.
 constexpr Duration kSameEnd = std::chrono::seconds(1);
-// A part is quarantined after so many ends, if they are at least half of all
-// ends of its service's targets since the first of them, or after
-// kCertainEnds in any case.
+// A part is quarantined after so many ends, if their square is at least the
+// number of all ends of its service's targets since kLookBack before the first
+// of them: the more targets end, the more parts are at two of them by chance.
+// It is quarantined after kCertainEnds in any case.
 constexpr size_t kMinEnds = 2;
 constexpr size_t kCertainEnds = 4;
+constexpr Duration kLookBack = std::chrono::seconds(10);
 constexpr size_t kMaxEndsPerPart = 4;
 constexpr size_t kMaxEndsPerService = 64;
-constexpr size_t kMaxRecentAnswers = 16;
+constexpr size_t kMaxRecentAnswers = 64;
 constexpr size_t kMaxRecords = 256;
 constexpr size_t kMaxQuarantined = 128;
 constexpr size_t kMaxAnsweredParts = 4096;
@@ -69,14 +71,12 @@
   return true;
 }
 
-// Returns the number of ends that begin at `from` or later, those of one moment
-// counted once.
-template <typename Ends>
-size_t CountMoments(const Ends& ends, TimePoint from) {
+// Returns the number of ends, those of one moment counted once.
+size_t CountMoments(const std::vector<TargetEnd>& ends) {
   size_t count = 0;
   std::optional<TimePoint> moment;
   for (const TargetEnd& end : ends) {
-    if (end.at >= from && (!moment || end.at - *moment > kSameMoment)) {
+    if (!moment || end.at - *moment > kSameMoment) {
       ++count;
       moment = end.at;
     }
@@ -125,17 +125,30 @@
   return ends;
 }
 
-// Whether requests without the part are answered. If none is, as after a loss
-// of power, something else may be the cause.
-bool has_other_answers(const ServiceHistory& history,
-                       const std::string& part,
-                       TimePoint now) {
+// Whether answers to requests with the part, or without it, began lately.
+bool has_begun(const ServiceHistory& history,
+               const std::string& part,
+               bool is_with_part,
+               TimePoint now) {
   return std::ranges::any_of(history.answers, [&](const RecentAnswer& answer) {
-    return now - answer.at < kTrustDuration &&
-           std::ranges::find(answer.parts, part) == answer.parts.end();
+    const bool has_part =
+        std::ranges::find(answer.parts, part) != answer.parts.end();
+    return now - answer.at < kTrustDuration && has_part == is_with_part;
   });
 }
 
+// Returns how many ends quarantine the part. Without other answers, as after a
+// loss of power, something else may be the cause. An answer that began may
+// still end its target, but speaks for the part.
+std::optional<size_t> MinEndsOf(const ServiceHistory& history,
+                                const std::string& part,
+                                TimePoint now) {
+  if (!has_begun(history, part, false, now)) {
+    return std::nullopt;
+  }
+  return has_begun(history, part, true, now) ? kCertainEnds : kMinEnds;
+}
+
 // Returns the number of ends under the part if they suffice for a quarantine,
 // otherwise 0.
 size_t EndsForQuarantine(const Quarantine& quarantine,
@@ -147,15 +160,24 @@
     return 0;
   }
   const std::vector<TargetEnd> ends = EvidenceOf(quarantine, key, record);
-  const size_t count = CountMoments(ends, TimePoint{});
+  const size_t count = CountMoments(ends);
   const auto history = quarantine.services.find(key.service);
-  if (count < kMinEnds || history == quarantine.services.end() ||
-      !has_other_answers(history->second, key.part, now)) {
+  const std::optional<size_t> min_ends =
+      history == quarantine.services.end()
+          ? std::nullopt
+          : MinEndsOf(history->second, key.part, now);
+  if (!min_ends || count < *min_ends) {
     return 0;
   }
-  const size_t all =
-      CountMoments(history->second.ends, ends.front().at - kSameMoment);
-  return all <= 2 * count || count >= kCertainEnds ? count : 0;
+  std::vector<TargetEnd> others;
+  for (const TargetEnd& end : history->second.ends) {
+    if (end.at > ends.front().at - kLookBack &&
+        !is_explained(quarantine, key, end)) {
+      others.push_back(end);
+    }
+  }
+  const size_t all = CountMoments(others);
+  return all <= count * count || count >= kCertainEnds ? count : 0;
 }
 
 void MarkChanged(PartRecord& record, TimePoint now) {
@@ -274,8 +296,7 @@
   const auto found = quarantine.records.find(key);
   return found == quarantine.records.end()
              ? 0
-             : CountMoments(EvidenceOf(quarantine, key, found->second),
-                            TimePoint{});
+             : CountMoments(EvidenceOf(quarantine, key, found->second));
 }
 
 std::vector<PartKey> RecordTargetEnd(Quarantine& quarantine,
@@ -437,6 +458,7 @@
   const PartRecord& merged = quarantine.records.at(key);
   result.is_quarantined = !was_quarantined && is_quarantined(merged);
   result.is_released = was_quarantined && !is_quarantined(merged);
+  result.is_refuted = has_evidence(reported) && !has_evidence(merged);
   return result;
 }
 
--- a/Libraries/LibGateway/Quarantine.h
+++ b/Libraries/LibGateway/Quarantine.h
@@ -152,6 +152,9 @@
   bool is_changed = false;
   bool is_quarantined = false;
   bool is_released = false;
+  // Whether an answer that the sender does not know of clears the part. It
+  // should be told soon.
+  bool is_refuted = false;
   std::vector<PartKey> quarantined_here;
 };
 
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -283,8 +283,7 @@
       std::ranges::find(this->state.waiting, this->shared_from_this()) !=
           this->state.waiting.end();
   if (!has_part || this->service != key.service || this->is_finished ||
-      this->is_trial || !is_waiting_or_sent ||
-      this->is_answered_by_target(EventLoop::Now())) {
+      this->is_trial || !is_waiting_or_sent || this->answer_began) {
     return;
   }
   if (this->call != nullptr) {
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -25,7 +25,7 @@
                   const std::shared_ptr<http::IngressExchange>& exchange);
 
 // Ends the requests with a part that is quarantined from now on, unless their
-// targets have answered them.
+// targets have begun to answer: such an answer may clear the part.
 void EndRequestsWithPart(GatewayState& state, const gateway::PartKey& key);
 
 // Tries to send the waiting requests and refuses those that waited too long.
@@ -67,8 +67,7 @@
   // Whether a stream can no longer be in time, on any target.
   bool is_late(TimePoint now) const;
 
-  // Ends the request if a part of its prompt is quarantined and its target has
-  // not answered it.
+  // Ends the request if it has the part and its target has not begun to answer.
   void HandleQuarantine(const gateway::PartKey& key);
 
   TimePoint waits_until() const { return this->wait.ends; }
--- a/Services/bramleyspand/Gateway/PartQuarantine.cc
+++ b/Services/bramleyspand/Gateway/PartQuarantine.cc
@@ -230,6 +230,9 @@
     this->HandleRelease(key, heard_from);
   }
   this->Begin(here);
+  if (result.is_refuted) {
+    this->ScheduleReports();
+  }
 }
 
 void PartQuarantine::HandleReport(const PartReportT& report) {
--- a/Tests/LibGateway/TestQuarantine.cc
+++ b/Tests/LibGateway/TestQuarantine.cc
@@ -132,6 +132,28 @@
   CHECK(gateway.Admit({"first", "dead"}, now) == PartVerdict::kRejected);
 }
 
+// Failure: gateways that have just started know no part that is answered, and
+// hold back what sound requests share with those under which targets end.
+TEST_CASE("A part whose answers begin is quarantined after more ends only") {
+  Gateway gateway;
+  RecordAnswerBegin(gateway.quarantine, kService, {"rare"}, kStart);
+  for (int i = 1; i <= 3; ++i) {
+    gateway.End("t" + std::to_string(i), kStart + seconds(i), {"dead", "rare"});
+  }
+  CHECK(gateway.Admit({"dead"}, kStart + seconds(3)) == PartVerdict::kRejected);
+  CHECK(gateway.Admit({"rare"}, kStart + seconds(3)) == PartVerdict::kAdmitted);
+}
+
+TEST_CASE("A part under which targets end only after a first event is found") {
+  Gateway gateway;
+  for (int i = 1; i <= 4; ++i) {
+    const TimePoint now = kStart + seconds(i);
+    RecordAnswerBegin(gateway.quarantine, kService, {"dead"}, now);
+    gateway.End("t" + std::to_string(i), now, {"dead"});
+  }
+  CHECK(gateway.Admit({"dead"}, kStart + seconds(4)) == PartVerdict::kRejected);
+}
+
 TEST_CASE("Ends that a quarantined part explains suspect no other part") {
   Gateway gateway;
   gateway.End("a", kStart + seconds(1), {"dead"});
