Rank, LibAdmission: Offer no permit while the server refuses connections

Cause: an agent whose poll was refused only logged that; its offers were made by the last report until that was 500 ms old.

Change: a refused poll (not one that times out or is cut) takes the permits away until the next report.

Evidence: 'A rank whose server has ended offers no permit' fails with an empty RecordServerEnd, as the code was, and passes with it.

--- a/Libraries/LibAdmission/RankAdmission.cc
+++ b/Libraries/LibAdmission/RankAdmission.cc
@@ -182,6 +182,10 @@
   UpdateCosts(admission, now - previous_report_at, now);
 }
 
+void RecordServerEnd(RankAdmission& admission) {
+  admission.reported.is_open = false;
+}
+
 void RecordReservation(RankAdmission& admission,
                        Reservation reservation,
                        TimePoint now) {
--- a/Libraries/LibAdmission/RankAdmission.h
+++ b/Libraries/LibAdmission/RankAdmission.h
@@ -98,6 +98,10 @@
                   const RankLoad& load,
                   TimePoint now);
 
+// Records that the rank's server refuses connections. No permit is granted until
+// its next report.
+void RecordServerEnd(RankAdmission& admission);
+
 // Records a permit that a gateway took.
 void RecordReservation(RankAdmission& admission,
                        Reservation reservation,
--- a/Services/bramleyspand/Rank/RankPoller.cc
+++ b/Services/bramleyspand/Rank/RankPoller.cc
@@ -30,8 +30,9 @@
       [on_done = std::move(on_done)](CallEnd end,
                                      const http::Response& response) {
         if (end != CallEnd::kWhole || response.status != 200) {
-          on_done(Fail(ErrorCode::kTargetFailed, "engine",
-                       std::string(http::NameOf(end))));
+          on_done(Fail(end == CallEnd::kNotSent ? ErrorCode::kConnectionFailed
+                                                : ErrorCode::kTargetFailed,
+                       "engine", std::string(http::NameOf(end))));
           return;
         }
         on_done(response.body);
@@ -46,6 +47,9 @@
       this->state.adapter.report_path, [this](Result<std::string> body) {
         this->is_polling_report = false;
         if (body.has_error()) {
+          if (body.error().code == ErrorCode::kConnectionFailed) {
+            admission::RecordServerEnd(this->state.rank_admission);
+          }
           this->RecordEngineState(false, Describe(body.error()));
           return;
         }
--- a/Tests/LibAdmission/TestRankAdmission.cc
+++ b/Tests/LibAdmission/TestRankAdmission.cc
@@ -32,6 +32,18 @@
 
 }  // namespace
 
+// Failure: a rank whose server has ended runs nothing, and its agent offers
+// permits for the emptiest rank until its last report is old.
+TEST_CASE("A rank whose server has ended offers no permit") {
+  TimePoint now = kStart;
+  RankAdmission admission = RankAt(0, milliseconds(20), now);
+  REQUIRE(OfferOf(admission, false, now).is_admitting);
+  RecordServerEnd(admission);
+  CHECK_FALSE(OfferOf(admission, false, now).is_admitting);
+  RecordReport(admission, {.epoch = 2, .is_open = true}, now);
+  CHECK(OfferOf(admission, false, now).is_admitting);
+}
+
 // An engine counts a stream only once it runs, 0.1 s after it arrived. If
 // reservations do not count, twenty streams go to a rank with twelve slots
 // within 0.3 s.
