LibCalls: Send no call to a third target after two were lost under it

Cause: an entry repeats a repeatable call when its agent reports that the back end ended, up to three attempts, whatever the call itself does: a call under which back ends end took three of them.

Change: a call whose second attempt is lost too is refused; attempts that did not run are repeated as before.

Ruled out: to recognise other calls with the same content here. The own interface names no parts of prompts, and bodies are opaque to entries.

--- a/Libraries/LibCalls/Retry.cc
+++ b/Libraries/LibCalls/Retry.cc
@@ -11,7 +11,10 @@
                       const Attempt& attempt,
                       const Ending& ending) {
   const bool is_transient = ending.retry_after > Duration(0);
-  return attempt.is_repeatable && is_transient &&
+  // A call that was lost at two targets may be what ends them.
+  const bool is_lost_again =
+      attempt.may_have_run && ending.verdict == Verdict::kUnknown;
+  return attempt.is_repeatable && is_transient && !is_lost_again &&
          attempt.attempts < policy.max_attempts &&
          attempt.remaining >= policy.min_remaining;
 }
--- a/Tests/LibCalls/TestRetry.cc
+++ b/Tests/LibCalls/TestRetry.cc
@@ -34,6 +34,17 @@
         NextStep::kRefuse);
 }
 
+// Failure: a call under which its back end ends is sent to one back end after
+// the other, and ends them all.
+TEST_CASE("a call that was lost at two targets is not sent to a third") {
+  Attempt second = Repeatable();
+  second.attempts = 2;
+  CHECK(DecideNextStep({}, second, kLost, kAllow) == NextStep::kRetry);
+  second.may_have_run = true;
+  CHECK(DecideNextStep({}, second, kLost, kAllow) == NextStep::kRefuse);
+  CHECK(DecideNextStep({}, second, kLeaving, kAllow) == NextStep::kRetry);
+}
+
 // Guards against running a call twice: an agent dies with an at-most-once call,
 // and the entry sends the call to another agent.
 TEST_CASE("a call that must not be repeated is never retried") {
