Tests, StandIns: Answers that end with their connection

The project's own interface stays stricter: its agents take no answer without a length for whole (TestAgentCalls), since their HTTP client reports a reset as an end in good order.

--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -32,6 +32,7 @@
 #include <nlohmann/json.hpp>
 
 #include "StandIns/UsersPlatform/Ranks.h"
+#include "StandIns/UsersPlatform/RawServer.h"
 
 ABSL_FLAG(std::string, net, "127.0", "first two numbers of all addresses");
 ABSL_FLAG(int, ranks, 2, "ranks of the group");
@@ -67,6 +68,7 @@
   Crashes crashes;
   // By address.
   std::map<std::string, std::unique_ptr<http::Ingress>> listeners;
+  std::unique_ptr<RawServer> raw;
 };
 
 std::string WriteServer(const std::string& service,
@@ -330,6 +332,13 @@
 }
 
 bool ListenAll(Platform& platform, const std::string& net) {
+  auto raw = RawServer::Listen(platform.loop,
+                               ParseAddress(net + ".3.250:8000").value());
+  if (raw.has_error()) {
+    std::cerr << Describe(raw.error()) << "\n";
+    return false;
+  }
+  platform.raw = std::move(raw).assume_value();
   bool is_listening =
       Listen(platform, net + ".0.20:7002",
              [&platform](const auto& request, const auto& exchange) {
@@ -398,6 +407,8 @@
   for (const PlainServer& server : platform.plain) {
     SetServer(platform, server.id, "ready");
   }
+  Put(platform.store, "servers/raw-1",
+      WriteServer("raw", net + ".3.250:8000", "ready"));
   AdvanceStoreRepeatedly(platform);
   BeginPassesRepeatedly(platform);
   platform.loop.OnStopSignal([&platform] { platform.loop.Stop(); });
--- /dev/null
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -0,0 +1,86 @@
+#include "StandIns/UsersPlatform/RawServer.h"
+
+#include <sys/socket.h>
+
+#include "LibHTTP/Parser.h"
+
+namespace bramleyspan::standins {
+
+namespace {
+
+constexpr std::string_view kReset = "/reset";
+constexpr std::string_view kInside = "/inside";
+
+std::string FindValue(const std::string& request, const std::string& name) {
+  const size_t begin = request.find("\r\n" + name + ": ");
+  if (begin == std::string::npos) {
+    return "";
+  }
+  const size_t value = begin + name.size() + 4;
+  return request.substr(value, request.find("\r\n", value) - value);
+}
+
+// Returns the path of the request's first line.
+std::string PathOf(const std::string& request) {
+  const size_t begin = request.find(' ') + 1;
+  return request.substr(begin, request.find(' ', begin) - begin);
+}
+
+std::string AnswerTo(const std::string& request) {
+  const std::string attempt = FindValue(request, "x-attempt-id");
+  const std::string path = PathOf(request);
+  std::string answer =
+      "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-attempt-id: " +
+      attempt + "\r\nx-server-stamp: stamp-" + attempt + "\r\n\r\n";
+  for (int id = 1; id <= 3; ++id) {
+    const std::string number = std::to_string(id);
+    answer.append("id: ").append(number).append("\ndata: ").append(attempt);
+    answer.append("#").append(number).append("\n\n");
+  }
+  return path.ends_with(kInside) ? answer + "id: 4\nda" : answer;
+}
+
+}  // namespace
+
+Result<std::unique_ptr<RawServer>> RawServer::Listen(EventLoop& loop,
+                                                     const Address& address) {
+  std::unique_ptr<RawServer> server(new RawServer());
+  server->listener = TRY(Listener::Listen(
+      loop, address, [raw = server.get()](h2o_socket_t* socket) {
+        socket->data = raw;
+        h2o_socket_read_start(socket,
+                              [](h2o_socket_t* source, const char* failure) {
+                                static_cast<RawServer*>(source->data)
+                                    ->HandleReadable(source, failure);
+                              });
+      }));
+  return server;
+}
+
+void RawServer::HandleReadable(h2o_socket_t* socket, const char* failure) {
+  if (failure != nullptr) {
+    h2o_socket_close(socket);
+    return;
+  }
+  const std::string request(socket->input->bytes, socket->input->size);
+  // Requests have a short body; all of it must be read, or the close is a
+  // reset.
+  if (!request.ends_with("\r\n\r\nx")) {
+    return;
+  }
+  h2o_buffer_consume(&socket->input, socket->input->size);
+  h2o_socket_read_stop(socket);
+  if (PathOf(request).ends_with(kReset)) {
+    const linger reset{.l_onoff = 1, .l_linger = 0};
+    setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset,
+               sizeof reset);
+  }
+  std::string& answer = this->answers[socket] = AnswerTo(request);
+  h2o_iovec_t bytes = h2o_iovec_init(answer.data(), answer.size());
+  h2o_socket_write(socket, &bytes, 1, [](h2o_socket_t* source, const char*) {
+    static_cast<RawServer*>(source->data)->answers.erase(source);
+    h2o_socket_close(source);
+  });
+}
+
+}  // namespace bramleyspan::standins
--- a/Tests/LibHTTP/Fixture.h
+++ b/Tests/LibHTTP/Fixture.h
@@ -68,6 +68,8 @@
   }
 
   std::string received;
+  // Whether the server closed the connection, and did not reset it.
+  bool is_closed_in_order = false;
 
  private:
   void Send() {
@@ -80,6 +82,7 @@
           self->received.append(source->input->bytes, source->input->size);
           h2o_buffer_consume(&source->input, source->input->size);
           if (failure != nullptr) {
+            self->is_closed_in_order = failure == h2o_socket_error_closed;
             self->Close();
             self->loop.Stop();
           }
--- a/Tests/LibHTTP/TestIngress.cc
+++ b/Tests/LibHTTP/TestIngress.cc
@@ -48,8 +48,13 @@
 
 // A server that answers any input with the same bytes.
 struct RawServer {
-  RawServer(EventLoop& loop, std::string answer, bool is_closing)
-      : answer(std::move(answer)), is_closing(is_closing) {
+  RawServer(EventLoop& loop,
+            std::string answer,
+            bool is_closing,
+            bool is_resetting = false)
+      : answer(std::move(answer)),
+        is_closing(is_closing),
+        is_resetting(is_resetting) {
     auto listening =
         Listener::Listen(loop, {"127.0.0.1", 0}, [this](h2o_socket_t* socket) {
           socket->data = this;
@@ -68,6 +73,11 @@
       return;
     }
     h2o_buffer_consume(&socket->input, socket->input->size);
+    if (this->is_resetting) {
+      const linger reset{.l_onoff = 1, .l_linger = 0};
+      setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset,
+                 sizeof reset);
+    }
     h2o_iovec_t bytes =
         h2o_iovec_init(this->answer.data(), this->answer.size());
     h2o_socket_write(socket, &bytes, 1, [](h2o_socket_t* source, const char*) {
@@ -79,13 +89,17 @@
 
   std::string answer;
   bool is_closing;
+  bool is_resetting;
   std::unique_ptr<Listener> listener;
 };
 
 // Returns how a call ends if the server answers with these bytes.
-CallEnd EndOf(const std::string& answer, bool is_closing, std::string& body) {
+CallEnd EndOf(const std::string& answer,
+              bool is_closing,
+              std::string& body,
+              bool is_resetting = false) {
   EventLoop loop;
-  RawServer server(loop, answer, is_closing);
+  RawServer server(loop, answer, is_closing, is_resetting);
   CallEnd outcome = CallEnd::kNotSent;
   DirectCall::Fetch(loop,
                     {.target = {"127.0.0.1", server.listener->port()},
@@ -280,6 +294,43 @@
   CHECK(EndOf("HTTP/1.1 200 OK\r\n\r\nok", true, body) == CallEnd::kWhole);
 }
 
+// Failure: an answer without length that was reset on the way looks complete.
+TEST_CASE(
+    "An answer without length is whole only if its connection is closed") {
+  std::string body;
+  for (const std::string version : {"HTTP/1.1", "HTTP/1.0"}) {
+    const std::string answer = version + " 200 OK\r\n\r\nok";
+    CHECK(EndOf(answer, true, body) == CallEnd::kWhole);
+    CHECK(body == "ok");
+    CHECK(EndOf(answer, true, body, /*is_resetting=*/true) ==
+          CallEnd::kTruncated);
+    CHECK(EndOf(answer, false, body) == CallEnd::kTimeout);
+  }
+}
+
+// Failure: a caller of HTTP/1.0, whose streams end with the connection, takes a
+// stream that was broken off for a complete one.
+TEST_CASE(
+    "A stream to an HTTP/1.0 caller is closed if whole, reset if aborted") {
+  for (const bool is_whole : {true, false}) {
+    IngressFixture fixture;
+    fixture.Serve([is_whole](const IngressRequest&,
+                             const std::shared_ptr<IngressExchange>& exchange) {
+      exchange->StartStream(200, {});
+      exchange->Write("id: 1\n\n");
+      if (is_whole) {
+        exchange->Finish();
+      } else {
+        exchange->Abort();
+      }
+    });
+    RawCaller caller(fixture.loop, fixture.address(), "GET / HTTP/1.0\r\n\r\n");
+    fixture.loop.Run();
+    CHECK(caller.is_closed_in_order == is_whole);
+    CHECK(caller.received.find("transfer-encoding") == std::string::npos);
+  }
+}
+
 // Guards against taking a truncated answer for a complete one: a server died
 // while it wrote an answer with status 200.
 TEST_CASE("Each kind of failed answer ends with its own outcome") {
