--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -206,7 +206,8 @@
     } else if (request.path == "/v1/quarantine") {
       exchange->Respond(200, {{"content-type", "application/json"}},
                         role.quarantine.Dump().dump(2) + "\n");
-    } else if (request.path == "/v1/quarantine/release") {
+    } else if (request.path == "/v1/quarantine/release" &&
+               request.method == "POST") {
       const bool is_released = role.quarantine.Release(
           {.service = http::FindQueryValue(request.query, "service"),
            .part = http::FindQueryValue(request.query, "part")});
--- a/Utilities/bramleyspanctl/Commands.h
+++ b/Utilities/bramleyspanctl/Commands.h
@@ -64,4 +64,13 @@
 // and their total.
 Result<void> PrintUsage(const UsageOptions& options);
 
+// Prints the parts of prompts that gateways suspect or keep from all targets.
+// `gateways` are IP:PORT,... of their internal ports.
+Result<void> PrintQuarantine(const std::string& gateways);
+
+// Ends the quarantine of a part. Fails with kNotFound if no gateway has it.
+Result<void> ReleaseFromQuarantine(const std::string& gateways,
+                                   const std::string& service,
+                                   const std::string& part);
+
 }  // namespace bramleyspan
--- a/Utilities/bramleyspanctl/ExplainCommand.cc
+++ b/Utilities/bramleyspanctl/ExplainCommand.cc
@@ -21,8 +21,9 @@
 
 // Modules whose records describe a process's own state and its view of the
 // fleet.
-constexpr std::array<std::string_view, 7> kStateModules{
-    "feeds", "members", "map", "rank", "main", "drain", "targets"};
+constexpr std::array<std::string_view, 8> kStateModules{
+    "feeds", "members", "map",     "rank",
+    "main",  "drain",   "targets", "quarantine"};
 
 bool is_state_record(const Record& record) {
   const std::string module = record.fields.value("module", "");
--- a/Utilities/bramleyspanctl/Main.cc
+++ b/Utilities/bramleyspanctl/Main.cc
@@ -42,8 +42,8 @@
 ABSL_FLAG(std::string,
           gateways,
           "",
-          "IP:PORT,... of gateways' internal ports, for usage that is not "
-          "stored yet");
+          "IP:PORT,... of gateways' internal ports, for quarantine, and for "
+          "usage that is not stored yet");
 ABSL_FLAG(bool, streams, false, "causes: print a line for each late stream");
 ABSL_FLAG(std::string,
           by,
@@ -77,6 +77,10 @@
     "  causes LOG...           why streams were late, by 2 s; with --streams a "
     "line\n"
     "                          for each\n"
+    "  quarantine              parts of prompts kept from all targets, from "
+    "--gateways\n"
+    "  quarantine release SERVICE PART\n"
+    "                          let requests with the part through again\n"
     "  explain REQUEST LOG...  all records about a request, from log files or "
     "directories\n";
 
@@ -180,6 +184,13 @@
     return PrintCauses({words.begin() + 1, words.end()},
                        absl::GetFlag(FLAGS_streams));
   }
+  if (command == "quarantine" && words.size() == 1) {
+    return PrintQuarantine(absl::GetFlag(FLAGS_gateways));
+  }
+  if (command == "quarantine" && verb == "release" && words.size() == 4) {
+    return ReleaseFromQuarantine(absl::GetFlag(FLAGS_gateways), words[2],
+                                 words[3]);
+  }
   if (command == "explain" && words.size() > 2) {
     return ExplainRequest(verb, {words.begin() + 2, words.end()});
   }
