Gateway: Withdraw no request for a part that is due for a trial

Found by reading: a gateway that hears of a quarantine whose trial is due cancelled its request at the target and then, since the request may be the trial, did not end it; its caller would have waited until its deadline. The decision is now asked before anything is cancelled. No test: it needs a report of a quarantine of a minute ago, which no stand-in sends.

--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -286,6 +286,12 @@
       this->is_trial || !is_waiting_or_sent || this->answer_began) {
     return;
   }
+  // A quarantine that another gateway reports may be due for a trial.
+  const gateway::PartDecision decision =
+      this->state.quarantine->Admit(this->service, this->parts);
+  if (decision.verdict != gateway::PartVerdict::kRejected) {
+    return;
+  }
   if (this->call != nullptr) {
     std::exchange(this->call, nullptr)->Cancel();
     this->ReleaseTarget(Outcome::kGood);
