Tests: An answer that its server does not survive

A server that ends closes its connection in good order, so that an answer without a length looks whole. The test passes; without the check of the target (CheckUnframedAnswer) it fails: 'passed on as 200 0'.

--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -10,6 +10,7 @@
 
 constexpr std::string_view kReset = "/reset";
 constexpr std::string_view kInside = "/inside";
+constexpr std::string_view kEnds = "/ends";
 
 std::string FindValue(const std::string& request, const std::string& name) {
   const size_t begin = request.find("\r\n" + name + ": ");
@@ -75,6 +76,9 @@
     setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset,
                sizeof reset);
   }
+  if (PathOf(request).ends_with(kEnds)) {
+    this->listener = nullptr;
+  }
   std::string& answer = this->answers[socket] = AnswerTo(request);
   h2o_iovec_t bytes = h2o_iovec_init(answer.data(), answer.size());
   h2o_socket_write(socket, &bytes, 1, [](h2o_socket_t* source, const char*) {
--- a/StandIns/UsersPlatform/RawServer.h
+++ b/StandIns/UsersPlatform/RawServer.h
@@ -1,6 +1,7 @@
 // A server whose answers have neither a length nor chunks and end with their
 // connection. The last part of a request's path says how an answer ends: whole,
-// inside (in the middle of an event, in good order) or reset.
+// inside (in the middle of an event, in good order), reset, or ends (whole, and
+// the server with it).
 #pragma once
 
 #include <map>
