Tests: A part is found where requests are rare

A doubt while reading, refuted: without other answers shortly before the ends a part waits for the next one, which quarantines it. Passes on the code as it is.

--- a/Tests/LibGateway/TestQuarantine.cc
+++ b/Tests/LibGateway/TestQuarantine.cc
@@ -154,6 +154,18 @@
   CHECK(gateway.Admit({"dead"}, kStart + seconds(4)) == PartVerdict::kRejected);
 }
 
+// Failure: a service has so few requests that no other one is answered shortly
+// before its targets end.
+TEST_CASE("A part is found where requests are rare") {
+  Gateway gateway;
+  const TimePoint now = kStart + minutes(10);
+  gateway.End("a", now, {"dead"});
+  gateway.End("b", now + seconds(1), {"dead"});
+  CHECK(gateway.Admit({"dead"}, now + seconds(1)) == PartVerdict::kAdmitted);
+  RecordAnswerBegin(gateway.quarantine, kService, {"first"}, now + seconds(5));
+  CHECK(gateway.Admit({"dead"}, now + seconds(5)) == PartVerdict::kRejected);
+}
+
 TEST_CASE("Ends that a quarantined part explains suspect no other part") {
   Gateway gateway;
   gateway.End("a", kStart + seconds(1), {"dead"});
