--- a/Libraries/LibAdmission/RankAdmission.h
+++ b/Libraries/LibAdmission/RankAdmission.h
@@ -98,8 +98,8 @@
                   const RankLoad& load,
                   TimePoint now);
 
-// Records that the rank's server refuses connections. No permit is granted until
-// its next report.
+// Records that the rank's server refuses connections. No permit is granted
+// until its next report.
 void RecordServerEnd(RankAdmission& admission);
 
 // Records a permit that a gateway took.
