LibGateway, Gateway: Let no part hide another that explains as many ends

Found by reading: of two parts that explain the same two ends the first to be known was quarantined and then explained these ends for the other. If that was the part under which targets go on to end, two more had to end before it was found. The order in which reports arrive, or in which the requests of one end are recorded, decided.

Change: a quarantined part explains an end only if it explains more ends than the other part; the parts of all requests that one check finds lost are recorded together.

Evidence: 'A part hides no other one that explains as many ends' failed before (admitted, where it must be rejected) and passes now.

--- a/Libraries/LibGateway/Quarantine.cc
+++ b/Libraries/LibGateway/Quarantine.cc
@@ -90,20 +90,27 @@
   return !record.answered_at || end.at > *record.answered_at + kTrustDuration;
 }
 
+size_t CountEvidence(const PartRecord& record) {
+  return static_cast<size_t>(std::ranges::count_if(
+      record.ends,
+      [&record](const TargetEnd& end) { return is_evidence(record, end); }));
+}
+
 bool has_evidence(const PartRecord& record) {
-  return std::ranges::any_of(record.ends, [&record](const TargetEnd& end) {
-    return is_evidence(record, end);
-  });
+  return CountEvidence(record) > 0;
 }
 
-// Whether another part that is quarantined explains the end.
+// Whether another part that is quarantined explains the end of a target, and
+// more ends than this part does.
 bool is_explained(const Quarantine& quarantine,
                   const PartKey& key,
+                  const PartRecord& own,
                   const TargetEnd& end) {
   return std::ranges::any_of(quarantine.records, [&](const auto& item) {
     const auto& [other, record] = item;
     return other.service == key.service && other.part != key.part &&
            is_quarantined(record) &&
+           CountEvidence(record) > CountEvidence(own) &&
            std::ranges::any_of(record.ends, [&end](const TargetEnd& known) {
              return is_same_end(known, end);
            });
@@ -117,7 +124,7 @@
   for (const TargetEnd& end : record.ends) {
     const bool counts =
         is_evidence(record, end) &&
-        (is_quarantined(record) || !is_explained(quarantine, key, end));
+        (is_quarantined(record) || !is_explained(quarantine, key, record, end));
     if (counts) {
       ends.push_back(end);
     }
@@ -172,7 +179,7 @@
   std::vector<TargetEnd> others;
   for (const TargetEnd& end : history->second.ends) {
     if (end.at > ends.front().at - kLookBack &&
-        !is_explained(quarantine, key, end)) {
+        !is_explained(quarantine, key, record, end)) {
       others.push_back(end);
     }
   }
--- a/Services/bramleyspand/Gateway/TargetEnds.cc
+++ b/Services/bramleyspand/Gateway/TargetEnds.cc
@@ -46,7 +46,10 @@
   const auto [found, is_new] = this->checks.try_emplace(target);
   TargetCheck& check = found->second;
   if (check.is_done) {
-    this->RecordLost(lost, check.began);
+    LogLost(lost);
+    this->state.quarantine->RecordTargetEnd(
+        lost.service, target, check.began,
+        lost.is_answered ? std::vector<std::string>() : lost.parts);
     this->state.loop.RunAfter(
         Duration(0),
         [on_checked = std::move(on_checked)] { on_checked(true); });
@@ -73,18 +76,17 @@
   this->checks.erase(target);
   if (has_ended) {
     this->checks[target] = {.is_done = true, .began = check.began};
-    this->LogEnd(check);
-    for (const LostRequest& lost : check.lost) {
-      this->RecordLost(lost, check.began);
-    }
+    this->RecordEnd(check);
   }
   for (const OnChecked& on_checked : check.on_checked) {
     on_checked(has_ended);
   }
 }
 
-void TargetEnds::LogEnd(const TargetCheck& check) const {
+void TargetEnds::RecordEnd(const TargetCheck& check) const {
   const LostRequest& first = check.lost.front();
+  // Requests that had been answered are no suspects, but their target's end
+  // counts.
   std::set<std::string> parts;
   size_t unanswered = 0;
   for (const LostRequest& lost : check.lost) {
@@ -103,14 +105,12 @@
        {"unanswered_parts", Join(parts)},
        {"checked_after_ms",
         std::to_string((EventLoop::Now() - check.began).count() / 1000)}});
+  std::ranges::for_each(check.lost, LogLost);
+  this->state.quarantine->RecordTargetEnd(
+      first.service, first.target, check.began, {parts.begin(), parts.end()});
 }
 
-void TargetEnds::RecordLost(const LostRequest& lost, TimePoint ended_at) const {
-  // Requests that had been answered are no suspects, but their target's end
-  // counts.
-  this->state.quarantine->RecordTargetEnd(
-      lost.service, lost.target, ended_at,
-      lost.is_answered ? std::vector<std::string>() : lost.parts);
+void TargetEnds::LogLost(const LostRequest& lost) {
   Log(LogLevel::kInfo, "forward", "lost_with_target",
       {{"request", lost.id},
        {"target", lost.target},
--- a/Services/bramleyspand/Gateway/TargetEnds.h
+++ b/Services/bramleyspand/Gateway/TargetEnds.h
@@ -47,8 +47,8 @@
   };
 
   void HandleOutcome(const std::string& target, http::ConnectOutcome outcome);
-  void RecordLost(const LostRequest& lost, TimePoint ended_at) const;
-  void LogEnd(const TargetCheck& check) const;
+  void RecordEnd(const TargetCheck& check) const;
+  static void LogLost(const LostRequest& lost);
   void RemoveOldChecks(TimePoint now);
 
   GatewayState& state;
--- a/Tests/LibGateway/TestQuarantine.cc
+++ b/Tests/LibGateway/TestQuarantine.cc
@@ -175,6 +175,21 @@
   CHECK(gateway.Admit({"rare"}, kStart + seconds(3)) == PartVerdict::kAdmitted);
 }
 
+// Failure: of two parts that explain the same ends the wrong one is known
+// first, and hides the one under which targets go on to end.
+TEST_CASE("A part hides no other one that explains as many ends") {
+  Gateway gateway;
+  Gateway other;
+  gateway.End("a", kStart + seconds(1), {"dead", "rare"});
+  other.End("b", kStart + seconds(2), {"dead", "rare"});
+  const TimePoint now = kStart + seconds(2);
+  for (const char* part : {"rare", "dead"}) {
+    MergePart(gateway.quarantine, KeyOf(part), other.record(part), now);
+  }
+  CHECK(gateway.Admit({"rare"}, now) == PartVerdict::kRejected);
+  CHECK(gateway.Admit({"dead"}, now) == PartVerdict::kRejected);
+}
+
 TEST_CASE("A quarantined part is tried by one request after a growing time") {
   Gateway gateway;
   gateway.End("a", kStart + seconds(1), {"dead"});
