Gateway: Show parts in the dump only if there are any

Meta/test-mixed-fleet: 'the dumps of the builds have other keys': a key that the build before does not have stood in every dump, as no other signal does.

--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -498,7 +498,10 @@
             {"rank", view.rank->rank}};
       }
     }
-    dump["parts"] = this->quarantine.Dump();
+    const nlohmann::json parts = this->quarantine.Dump();
+    if (!parts.empty()) {
+      dump["parts"] = parts;
+    }
     for (const auto& [name, group] : this->state.permits.groups) {
       dump["groups"][name] = {
           {"per_rank", group.streams_per_rank},
