Tests: Read all of a dump before judging it

Cause, shown by a run that printed the statuses: grep found the line (0), curl failed (23), since grep -q left before curl had written all; with pipefail that counts as not found. The dump has passed 4 KB with the stand-in's new server. The checks are the same, by a function that reads its input to the end.

--- a/Tests/Process/Prelude.sh
+++ b/Tests/Process/Prelude.sh
@@ -25,3 +25,7 @@
 dump() {
   curl -sf -m 2 -H "Authorization: Bearer $OPERATOR_KEY" "http://$1:8080/v1/operator/dump"
 }
+
+# contains PATTERN: whether the standard input has a line that matches. Reads all
+# of it, so that the writer of a pipe does not fail, as with grep -q.
+contains() { grep -c -- "$1" >/dev/null; }
