--- a/Services/bramleyspand/Gateway/QuarantineDocuments.cc
+++ b/Services/bramleyspand/Gateway/QuarantineDocuments.cc
@@ -69,7 +69,7 @@
 
 }  // namespace
 
-void QuarantineDocuments::Read(OnRead on_read) {
+void QuarantineDocuments::Read(const OnRead& on_read) {
   this->ReadPage("", on_read);
 }
 
--- a/Services/bramleyspand/Gateway/QuarantineDocuments.h
+++ b/Services/bramleyspand/Gateway/QuarantineDocuments.h
@@ -19,7 +19,7 @@
   explicit QuarantineDocuments(GatewayState& state) : state(state) {}
 
   // Reads all documents, repeatedly until the store answers.
-  void Read(OnRead on_read);
+  void Read(const OnRead& on_read);
 
   // Writes or removes the document of a part, repeatedly until the store has
   // done so or the part changes again.
--- a/Utilities/bramleyspanctl/QuarantineCommand.cc
+++ b/Utilities/bramleyspanctl/QuarantineCommand.cc
@@ -63,12 +63,12 @@
 Result<void> ReleaseFromQuarantine(const std::string& gateways,
                                    const std::string& service,
                                    const std::string& part) {
+  std::string path = "/v1/quarantine/release?service=";
+  path.append(service).append("&part=").append(part);
   bool is_released = false;
   for (const Address& gateway : TRY(ParseGateways(gateways))) {
     const OperatorClient client{.entries = {gateway}, .key = ""};
-    const http::Response response = TRY(SendRequest(
-        client, "POST",
-        "/v1/quarantine/release?service=" + service + "&part=" + part, ""));
+    const http::Response response = TRY(SendRequest(client, "POST", path, ""));
     if (response.status != kOk && response.status != kNotFound) {
       return Fail(ErrorCode::kUnavailable, Format(gateway),
                   "status " + std::to_string(response.status));
