--- a/Libraries/LibGateway/RepeatBudget.cc
+++ b/Libraries/LibGateway/RepeatBudget.cc
@@ -25,22 +25,31 @@
   history.requests.push_back(now);
 }
 
-bool TakeRepeat(RepeatBudget& budget,
-                const std::string& service,
-                size_t gateways,
-                TimePoint now) {
+RepeatUse FindRepeatUse(RepeatBudget& budget,
+                        const std::string& service,
+                        size_t gateways,
+                        TimePoint now) {
   auto& history = budget.services[service];
   DropBefore(history.requests, now - budget.settings.window);
   DropBefore(history.repeats,
              now - budget.settings.window - std::chrono::seconds(1));
-  const double allowed =
-      kUsableFraction *
-      (budget.settings.ratio * static_cast<double>(history.requests.size()) +
-       budget.settings.slack / static_cast<double>(gateways));
-  if (static_cast<double>(history.repeats.size()) + 1 > allowed) {
+  return {.requests = history.requests.size(),
+          .repeats = history.repeats.size(),
+          .allowed = kUsableFraction *
+                     (budget.settings.ratio *
+                          static_cast<double>(history.requests.size()) +
+                      budget.settings.slack / static_cast<double>(gateways))};
+}
+
+bool TakeRepeat(RepeatBudget& budget,
+                const std::string& service,
+                size_t gateways,
+                TimePoint now) {
+  const RepeatUse use = FindRepeatUse(budget, service, gateways, now);
+  if (static_cast<double>(use.repeats) + 1 > use.allowed) {
     return false;
   }
-  history.repeats.push_back(now);
+  budget.services[service].repeats.push_back(now);
   return true;
 }
 
--- a/Libraries/LibGateway/RepeatBudget.h
+++ b/Libraries/LibGateway/RepeatBudget.h
@@ -34,6 +34,19 @@
                    const std::string& service,
                    TimePoint now);
 
+// What this gateway has used of its share of the budget of a service.
+struct RepeatUse {
+  size_t requests = 0;
+  size_t repeats = 0;
+  // Repeats that the share allows with these requests.
+  double allowed = 0;
+};
+
+RepeatUse FindRepeatUse(RepeatBudget& budget,
+                        const std::string& service,
+                        size_t gateways,
+                        TimePoint now);
+
 // Takes one repeat from this gateway's share of the budget, which is one of
 // `gateways` shares. Returns false if none is left.
 bool TakeRepeat(RepeatBudget& budget,
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -199,14 +199,27 @@
     return false;
   }
   const size_t gateways = membership::CountGateways(this->state.members, now);
-  if (has_reached_target &&
-      !gateway::TakeRepeat(this->state.repeats, this->service, gateways, now)) {
-    Log(LogLevel::kWarning, "forward", "no_budget", {{"request", this->id}});
+  const gateway::RepeatUse use =
+      gateway::FindRepeatUse(this->state.repeats, this->service, gateways, now);
+  const bool is_taken =
+      !has_reached_target ||
+      gateway::TakeRepeat(this->state.repeats, this->service, gateways, now);
+  Log(is_taken ? LogLevel::kInfo : LogLevel::kWarning, "forward",
+      is_taken ? "sent_once_more" : "no_budget",
+      {{"request", this->id},
+       {"service", this->service},
+       {"cause", std::string(cause)},
+       {"repeats", std::to_string(use.repeats)},
+       {"allowed", std::to_string(use.allowed)},
+       {"requests", std::to_string(use.requests)},
+       {"gateways", std::to_string(gateways)},
+       {"running_ms", ToMillisecondsText(now - this->state.started)}});
+  telemetry::Count(is_taken ? kRepeats : kRefusedRepeats,
+                   {{"service", this->service}});
+  if (!is_taken) {
     return false;
   }
-  Log(LogLevel::kInfo, "forward", "sent_once_more",
-      {{"request", this->id}, {"cause", std::string(cause)}});
-  telemetry::Count(kRepeats, {{"service", this->service}});
+  this->repeat_decided = now;
   if (!this->TrySend()) {
     this->Wait(true);
   }
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -207,6 +207,8 @@
   bool is_trial = false;
   // Time that the request waited for the permit of its last target.
   Duration waited{};
+  // When the latest repeat was allowed, until it is sent.
+  std::optional<TimePoint> repeat_decided;
   std::set<std::string> tried;
   // Targets that the request was sent to, and connections that failed.
   int sent = 0;
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -86,11 +86,14 @@
        {"open", std::to_string(target.open)},
        {"open_elsewhere", std::to_string(target.open_elsewhere)},
        {"waited_ms", ToMillisecondsText(now - this->arrived)},
+       {"repeat_waited_ms",
+        ToMillisecondsText(now - this->repeat_decided.value_or(now))},
        {"targets_revision",
         std::to_string(this->state.targets_feed->newest_revision())},
        {"targets_age_ms",
         ToMillisecondsText(this->state.targets_feed->age(now))},
        {"attempt", std::to_string(this->tried.size())}});
+  this->repeat_decided.reset();
   this->state.signals->RecordSent(this->target_id, this->service);
   http::DirectRequest outgoing{
       .target = target.target.address,
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -22,6 +22,13 @@
 inline constexpr MetricName kRepeats{
     "bramleyspan_repeats_total",
     "Requests sent to a further target, by service."};
+inline constexpr MetricName kRefusedRepeats{
+    "bramleyspan_repeats_refused_total",
+    "Requests not sent to a further target for lack of repeats, by service."};
+inline constexpr MetricName kRepeatsInWindow{
+    "bramleyspan_repeats_in_window",
+    "Repeats in the window of their budget, by service: of=used are those that "
+    "this gateway has sent, of=allowed those that it may send."};
 inline constexpr MetricName kLimitedTargets{
     "bramleyspan_limited_targets",
     "Targets that name a rate limit in their answers, by service."};
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -438,7 +438,7 @@
     telemetry::Observe(kStoreCallTime, {{"call", std::string(call)}}, took);
   }
 
-  void UpdateGauges() const {
+  void UpdateGauges() {
     const TimePoint now = EventLoop::Now();
     telemetry::SetGauge(kWaiting, {},
                         static_cast<double>(this->state.waiting.size()));
@@ -456,6 +456,17 @@
           kFeedAge, {{"feed", name}},
           std::chrono::duration<double>(feed->age(now)).count());
     }
+    const size_t gateways = membership::CountGateways(this->state.members, now);
+    for (const auto& [service, history] : this->state.repeats.services) {
+      const gateway::RepeatUse use =
+          gateway::FindRepeatUse(this->state.repeats, service, gateways, now);
+      telemetry::SetGauge(kRepeatsInWindow,
+                          {{"service", service}, {"of", "used"}},
+                          static_cast<double>(use.repeats));
+      telemetry::SetGauge(kRepeatsInWindow,
+                          {{"service", service}, {"of", "allowed"}},
+                          use.allowed);
+    }
     this->signals.UpdateGauges();
     this->quarantine.UpdateGauges();
     for (const auto& [name, group] : this->state.permits.groups) {
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -54,6 +54,7 @@
   gateway::RepeatBudget repeats;
   membership::Members members;
   uint64_t incarnation = 0;
+  const TimePoint started = EventLoop::Now();
 
   // Null until the gateway can probe agents.
   PermitRequests* permit_requests = nullptr;
