Tests: Repeats of a fleet whose gateways start anew, known to fail

Fleets in virtual time run the daemon's decision on repeats while gateways are killed, stopped, added and cut off; the judge is the users' window. On this code up to 433 repeats come where 250 are allowed. As processes: 42 repeats for 120 requests, 34 allowed, with both gateways killed twice. Three faults: history that ends with the process, a count that forgets gateways that are cut off, repeats counted before they are sent.

--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -193,7 +193,8 @@
         http::HeaderList headers = SignalHeaders(signals);
         headers.emplace_back("x-attempt-id", attempt);
         headers.emplace_back("x-server-stamp", "stamp-" + attempt);
-        exchange->Respond(200, headers, service + " " + attempt + " " + tenant);
+        exchange->Respond(signals.fails ? 500 : 200, headers,
+                          service + " " + attempt + " " + tenant);
       });
 }
 
@@ -223,6 +224,7 @@
     server.limit = http::FindQueryValue(request.query, "limit");
     server.backoff = http::FindQueryValue(request.query, "backoff");
     server.is_leaving = !http::FindQueryValue(request.query, "leaving").empty();
+    server.fails = !http::FindQueryValue(request.query, "fails").empty();
     server.changed_at = EventLoop::Now();
     exchange->Respond(200, {}, "");
     return;
--- a/StandIns/UsersPlatform/Signals.h
+++ b/StandIns/UsersPlatform/Signals.h
@@ -20,6 +20,8 @@
   std::string backoff;
   // Whether all answers have Server-Leaving.
   bool is_leaving = false;
+  // Whether it answers 500 to all requests, which it has run.
+  bool fails = false;
   // When the signals were last changed.
   TimePoint changed_at;
   std::vector<TimePoint> arrivals;
--- /dev/null
+++ b/Tests/LibGateway/SimulatedRepeats.cc
@@ -0,0 +1,234 @@
+#include "SimulatedRepeats.h"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace bramleyspan::gateway {
+
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr Duration kHeartbeat = std::chrono::milliseconds(200);
+constexpr Duration kCountedFor = std::chrono::seconds(10);
+constexpr const char* kService = "a";
+
+// One life of a gateway's process.
+struct Gateway {
+  size_t number = 0;
+  bool is_draining = false;
+  RepeatBudget budget;
+  // When each other gateway was last heard.
+  std::map<size_t, TimePoint> heard;
+};
+
+class Fleet {
+ public:
+  explicit Fleet(const SimulatedRepeats& settings)
+      : settings(settings), random(settings.seed) {}
+
+  RepeatsResult Run() {
+    for (size_t number = 0; number < this->settings.gateways; ++number) {
+      this->Start(number);
+    }
+    const TimePoint end = kBegin + this->settings.run_time;
+    for (this->now = kBegin; this->now < end; this->now += kStep) {
+      this->ApplyEvents();
+      this->SendHeartbeats();
+      this->HandleRequests();
+      this->SendWaiting();
+    }
+    return this->Judge();
+  }
+
+ private:
+  static constexpr TimePoint kBegin = TimePoint(std::chrono::hours(1));
+
+  void Start(size_t number) {
+    Gateway gateway;
+    gateway.number = number;
+    gateway.budget.settings = {.ratio = this->settings.ratio,
+                               .slack = this->settings.slack,
+                               .window = std::chrono::seconds(10)};
+    this->running[number] = std::make_unique<Gateway>(std::move(gateway));
+  }
+
+  bool is_now(Duration at) const { return this->now == kBegin + at; }
+
+  void ApplyEvents() {
+    for (const FleetEvent& event : this->settings.events) {
+      for (const size_t number : event.gateways) {
+        this->Apply(event, number);
+      }
+    }
+  }
+
+  void Apply(const FleetEvent& event, size_t number) {
+    switch (event.kind) {
+      case FleetEvent::Kind::kKilled:
+        if (this->is_now(event.at)) {
+          this->running.erase(number);
+        } else if (this->is_now(event.at + event.down)) {
+          this->Start(number);
+        }
+        return;
+      case FleetEvent::Kind::kDrained:
+        if (this->is_now(event.at)) {
+          this->running.at(number)->is_draining = true;
+        } else if (this->is_now(event.at + event.down)) {
+          this->running.erase(number);
+          this->Start(number);
+        }
+        return;
+      case FleetEvent::Kind::kAdded:
+        if (this->is_now(event.at)) {
+          this->Start(number);
+        }
+        return;
+      case FleetEvent::Kind::kCutOff:
+        if (this->is_now(event.at)) {
+          this->cut_off.insert(number);
+        } else if (this->is_now(event.at + event.down)) {
+          this->cut_off.erase(number);
+        }
+        return;
+    }
+  }
+
+  bool is_delivered(size_t from, size_t to) {
+    return this->cut_off.contains(from) == this->cut_off.contains(to) &&
+           this->Draw() >= this->settings.loss;
+  }
+
+  void SendHeartbeats() {
+    const auto since = this->now - kBegin;
+    for (auto& [number, gateway] : this->running) {
+      // Gateways send at moments of their own.
+      if ((since + kStep * number) % kHeartbeat != Duration(0)) {
+        continue;
+      }
+      for (auto& [other_number, other] : this->running) {
+        if (other_number != number &&
+            this->is_delivered(number, other_number)) {
+          other->heard[number] = this->now;
+        }
+      }
+    }
+  }
+
+  size_t CountGateways(const Gateway& gateway) const {
+    return 1 + static_cast<size_t>(std::ranges::count_if(
+                   gateway.heard, [this](const auto& item) {
+                     return this->now - item.second <= kCountedFor;
+                   }));
+  }
+
+  bool TakeRepeat(Gateway& gateway) {
+    return gateway::TakeRepeat(gateway.budget, kService,
+                               this->CountGateways(gateway), this->now);
+  }
+
+  void HandleRequests() {
+    std::vector<Gateway*> open;
+    for (auto& [number, gateway] : this->running) {
+      if (!gateway->is_draining) {
+        open.push_back(gateway.get());
+      }
+    }
+    this->owed +=
+        this->settings.rate * std::chrono::duration<double>(kStep).count();
+    const bool is_failing = this->now >= kBegin + this->settings.errors_from;
+    for (; this->owed >= 1; this->owed -= 1) {
+      this->requests.push_back(this->now);
+      if (open.empty()) {
+        continue;
+      }
+      Gateway& gateway = *open[this->random() % open.size()];
+      RecordRequest(gateway.budget, kService, this->now);
+      if (is_failing && this->Draw() < this->settings.failing) {
+        ++this->wanted;
+        if (this->TakeRepeat(gateway)) {
+          this->waiting.push_back(gateway.number);
+        }
+      }
+    }
+  }
+
+  // Sends the repeats that were allowed; those of a gateway that was killed are
+  // lost.
+  void SendWaiting() {
+    const TimePoint errors_from = kBegin + this->settings.errors_from;
+    if (this->now < errors_from + this->settings.hold) {
+      return;
+    }
+    for (const size_t number : this->waiting) {
+      if (this->running.contains(number)) {
+        this->repeats.push_back(this->now);
+      }
+    }
+    this->waiting.clear();
+  }
+
+  double Draw() {
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+  }
+
+  static double CountBetween(const std::vector<TimePoint>& times,
+                             TimePoint from,
+                             TimePoint to) {
+    return static_cast<double>(std::ranges::lower_bound(times, to) -
+                               std::ranges::lower_bound(times, from));
+  }
+
+  // What is allowed in a window is that of the users: by the requests of the
+  // window, of the one before it or of the one half a window before it.
+  RepeatsResult Judge() const {
+    constexpr Duration kWindow = std::chrono::seconds(10);
+    RepeatsResult result{.repeats = this->repeats.size(),
+                         .wanted = this->wanted};
+    double worst = -1e9;
+    for (const TimePoint from : this->repeats) {
+      const double sent = CountBetween(this->repeats, from, from + kWindow);
+      const double requests =
+          std::max({CountBetween(this->requests, from, from + kWindow),
+                    CountBetween(this->requests, from - kWindow, from),
+                    CountBetween(this->requests, from - kWindow / 2,
+                                 from + kWindow / 2)});
+      const double allowed =
+          this->settings.ratio * requests + this->settings.slack;
+      result.broken_windows += sent > allowed ? 1 : 0;
+      result.used = std::max(result.used, sent / allowed);
+      if (sent - allowed > worst) {
+        worst = sent - allowed;
+        result.most = static_cast<size_t>(sent);
+        result.allowed_then = allowed;
+        result.most_at = from - kBegin;
+      }
+    }
+    return result;
+  }
+
+  SimulatedRepeats settings;
+  std::mt19937_64 random;
+  TimePoint now;
+  std::map<size_t, std::unique_ptr<Gateway>> running;
+  std::set<size_t> cut_off;
+  double owed = 0;
+  size_t wanted = 0;
+  // Gateways of the repeats that were allowed and not sent yet.
+  std::vector<size_t> waiting;
+  std::vector<TimePoint> requests;
+  std::vector<TimePoint> repeats;
+};
+
+}  // namespace
+
+RepeatsResult Play(const SimulatedRepeats& fleet) {
+  return Fleet(fleet).Run();
+}
+
+}  // namespace bramleyspan::gateway
