--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -47,6 +47,14 @@
 struct PartReportBuilder;
 struct PartReportT;
 
+struct RepeatSlices;
+struct RepeatSlicesBuilder;
+struct RepeatSlicesT;
+
+struct RepeatReport;
+struct RepeatReportBuilder;
+struct RepeatReportT;
+
 struct Heartbeat;
 struct HeartbeatBuilder;
 struct HeartbeatT;
@@ -1562,6 +1570,298 @@
 
 flatbuffers::Offset<PartReport> CreatePartReport(flatbuffers::FlatBufferBuilder &_fbb, const PartReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct RepeatSlicesT : public flatbuffers::NativeTable {
+  typedef RepeatSlices TableType;
+  std::string service{};
+  int64_t slice_microseconds = 0;
+  int64_t newest_age_microseconds = 0;
+  std::vector<uint16_t> requests{};
+  std::vector<uint16_t> repeats{};
+};
+
+struct RepeatSlices FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RepeatSlicesT NativeTableType;
+  typedef RepeatSlicesBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_SLICE_MICROSECONDS = 6,
+    VT_NEWEST_AGE_MICROSECONDS = 8,
+    VT_REQUESTS = 10,
+    VT_REPEATS = 12
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  int64_t slice_microseconds() const {
+    return GetField<int64_t>(VT_SLICE_MICROSECONDS, 0);
+  }
+  int64_t newest_age_microseconds() const {
+    return GetField<int64_t>(VT_NEWEST_AGE_MICROSECONDS, 0);
+  }
+  const flatbuffers::Vector<uint16_t> *requests() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_REQUESTS);
+  }
+  const flatbuffers::Vector<uint16_t> *repeats() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_REPEATS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<int64_t>(verifier, VT_SLICE_MICROSECONDS, 8) &&
+           VerifyField<int64_t>(verifier, VT_NEWEST_AGE_MICROSECONDS, 8) &&
+           VerifyOffset(verifier, VT_REQUESTS) &&
+           verifier.VerifyVector(requests()) &&
+           VerifyOffset(verifier, VT_REPEATS) &&
+           verifier.VerifyVector(repeats()) &&
+           verifier.EndTable();
+  }
+  RepeatSlicesT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RepeatSlicesT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RepeatSlices> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RepeatSlicesT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RepeatSlicesBuilder {
+  typedef RepeatSlices Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RepeatSlices::VT_SERVICE, service);
+  }
+  void add_slice_microseconds(int64_t slice_microseconds) {
+    fbb_.AddElement<int64_t>(RepeatSlices::VT_SLICE_MICROSECONDS, slice_microseconds, 0);
+  }
+  void add_newest_age_microseconds(int64_t newest_age_microseconds) {
+    fbb_.AddElement<int64_t>(RepeatSlices::VT_NEWEST_AGE_MICROSECONDS, newest_age_microseconds, 0);
+  }
+  void add_requests(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> requests) {
+    fbb_.AddOffset(RepeatSlices::VT_REQUESTS, requests);
+  }
+  void add_repeats(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> repeats) {
+    fbb_.AddOffset(RepeatSlices::VT_REPEATS, repeats);
+  }
+  explicit RepeatSlicesBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RepeatSlices> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RepeatSlices>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RepeatSlices> CreateRepeatSlices(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    int64_t slice_microseconds = 0,
+    int64_t newest_age_microseconds = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> requests = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> repeats = 0) {
+  RepeatSlicesBuilder builder_(_fbb);
+  builder_.add_newest_age_microseconds(newest_age_microseconds);
+  builder_.add_slice_microseconds(slice_microseconds);
+  builder_.add_repeats(repeats);
+  builder_.add_requests(requests);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct RepeatSlices::Traits {
+  using type = RepeatSlices;
+  static auto constexpr Create = CreateRepeatSlices;
+};
+
+inline flatbuffers::Offset<RepeatSlices> CreateRepeatSlicesDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    int64_t slice_microseconds = 0,
+    int64_t newest_age_microseconds = 0,
+    const std::vector<uint16_t> *requests = nullptr,
+    const std::vector<uint16_t> *repeats = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto requests__ = requests ? _fbb.CreateVector<uint16_t>(*requests) : 0;
+  auto repeats__ = repeats ? _fbb.CreateVector<uint16_t>(*repeats) : 0;
+  return bramleyspan::membership::wire::CreateRepeatSlices(
+      _fbb,
+      service__,
+      slice_microseconds,
+      newest_age_microseconds,
+      requests__,
+      repeats__);
+}
+
+flatbuffers::Offset<RepeatSlices> CreateRepeatSlices(flatbuffers::FlatBufferBuilder &_fbb, const RepeatSlicesT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RepeatReportT : public flatbuffers::NativeTable {
+  typedef RepeatReport TableType;
+  std::string gateway{};
+  uint64_t incarnation = 0;
+  int64_t started_age_microseconds = 0;
+  int64_t age_microseconds = 0;
+  bool is_own = false;
+  bool is_final = false;
+  std::vector<uint64_t> heard{};
+  std::vector<std::unique_ptr<bramleyspan::membership::wire::RepeatSlicesT>> services{};
+  RepeatReportT() = default;
+  RepeatReportT(const RepeatReportT &o);
+  RepeatReportT(RepeatReportT&&) FLATBUFFERS_NOEXCEPT = default;
+  RepeatReportT &operator=(RepeatReportT o) FLATBUFFERS_NOEXCEPT;
+};
+
+struct RepeatReport FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RepeatReportT NativeTableType;
+  typedef RepeatReportBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_GATEWAY = 4,
+    VT_INCARNATION = 6,
+    VT_STARTED_AGE_MICROSECONDS = 8,
+    VT_AGE_MICROSECONDS = 10,
+    VT_IS_OWN = 12,
+    VT_IS_FINAL = 14,
+    VT_HEARD = 16,
+    VT_SERVICES = 18
+  };
+  const flatbuffers::String *gateway() const {
+    return GetPointer<const flatbuffers::String *>(VT_GATEWAY);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  int64_t started_age_microseconds() const {
+    return GetField<int64_t>(VT_STARTED_AGE_MICROSECONDS, 0);
+  }
+  int64_t age_microseconds() const {
+    return GetField<int64_t>(VT_AGE_MICROSECONDS, 0);
+  }
+  bool is_own() const {
+    return GetField<uint8_t>(VT_IS_OWN, 0) != 0;
+  }
+  bool is_final() const {
+    return GetField<uint8_t>(VT_IS_FINAL, 0) != 0;
+  }
+  const flatbuffers::Vector<uint64_t> *heard() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_HEARD);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatSlices>> *services() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatSlices>> *>(VT_SERVICES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_GATEWAY) &&
+           verifier.VerifyString(gateway()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyField<int64_t>(verifier, VT_STARTED_AGE_MICROSECONDS, 8) &&
+           VerifyField<int64_t>(verifier, VT_AGE_MICROSECONDS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_OWN, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_FINAL, 1) &&
+           VerifyOffset(verifier, VT_HEARD) &&
+           verifier.VerifyVector(heard()) &&
+           VerifyOffset(verifier, VT_SERVICES) &&
+           verifier.VerifyVector(services()) &&
+           verifier.VerifyVectorOfTables(services()) &&
+           verifier.EndTable();
+  }
+  RepeatReportT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RepeatReportT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RepeatReport> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RepeatReportT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RepeatReportBuilder {
+  typedef RepeatReport Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_gateway(flatbuffers::Offset<flatbuffers::String> gateway) {
+    fbb_.AddOffset(RepeatReport::VT_GATEWAY, gateway);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(RepeatReport::VT_INCARNATION, incarnation, 0);
+  }
+  void add_started_age_microseconds(int64_t started_age_microseconds) {
+    fbb_.AddElement<int64_t>(RepeatReport::VT_STARTED_AGE_MICROSECONDS, started_age_microseconds, 0);
+  }
+  void add_age_microseconds(int64_t age_microseconds) {
+    fbb_.AddElement<int64_t>(RepeatReport::VT_AGE_MICROSECONDS, age_microseconds, 0);
+  }
+  void add_is_own(bool is_own) {
+    fbb_.AddElement<uint8_t>(RepeatReport::VT_IS_OWN, static_cast<uint8_t>(is_own), 0);
+  }
+  void add_is_final(bool is_final) {
+    fbb_.AddElement<uint8_t>(RepeatReport::VT_IS_FINAL, static_cast<uint8_t>(is_final), 0);
+  }
+  void add_heard(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> heard) {
+    fbb_.AddOffset(RepeatReport::VT_HEARD, heard);
+  }
+  void add_services(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatSlices>>> services) {
+    fbb_.AddOffset(RepeatReport::VT_SERVICES, services);
+  }
+  explicit RepeatReportBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RepeatReport> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RepeatReport>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RepeatReport> CreateRepeatReport(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> gateway = 0,
+    uint64_t incarnation = 0,
+    int64_t started_age_microseconds = 0,
+    int64_t age_microseconds = 0,
+    bool is_own = false,
+    bool is_final = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> heard = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatSlices>>> services = 0) {
+  RepeatReportBuilder builder_(_fbb);
+  builder_.add_age_microseconds(age_microseconds);
+  builder_.add_started_age_microseconds(started_age_microseconds);
+  builder_.add_incarnation(incarnation);
+  builder_.add_services(services);
+  builder_.add_heard(heard);
+  builder_.add_gateway(gateway);
+  builder_.add_is_final(is_final);
+  builder_.add_is_own(is_own);
+  return builder_.Finish();
+}
+
+struct RepeatReport::Traits {
+  using type = RepeatReport;
+  static auto constexpr Create = CreateRepeatReport;
+};
+
+inline flatbuffers::Offset<RepeatReport> CreateRepeatReportDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *gateway = nullptr,
+    uint64_t incarnation = 0,
+    int64_t started_age_microseconds = 0,
+    int64_t age_microseconds = 0,
+    bool is_own = false,
+    bool is_final = false,
+    const std::vector<uint64_t> *heard = nullptr,
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatSlices>> *services = nullptr) {
+  auto gateway__ = gateway ? _fbb.CreateString(gateway) : 0;
+  auto heard__ = heard ? _fbb.CreateVector<uint64_t>(*heard) : 0;
+  auto services__ = services ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatSlices>>(*services) : 0;
+  return bramleyspan::membership::wire::CreateRepeatReport(
+      _fbb,
+      gateway__,
+      incarnation,
+      started_age_microseconds,
+      age_microseconds,
+      is_own,
+      is_final,
+      heard__,
+      services__);
+}
+
+flatbuffers::Offset<RepeatReport> CreateRepeatReport(flatbuffers::FlatBufferBuilder &_fbb, const RepeatReportT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct HeartbeatT : public flatbuffers::NativeTable {
   typedef Heartbeat TableType;
   std::vector<std::unique_ptr<bramleyspan::membership::wire::MemberT>> members{};
@@ -1570,6 +1870,9 @@
   bool is_asking = false;
   std::vector<std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT>> rate_limits{};
   std::vector<std::unique_ptr<bramleyspan::membership::wire::PartReportT>> parts{};
+  std::vector<std::unique_ptr<bramleyspan::membership::wire::RepeatReportT>> repeats{};
+  int64_t repeats_known_microseconds = -1LL;
+  bool are_all_repeats = false;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1586,7 +1889,10 @@
     VT_RANKS = 8,
     VT_IS_ASKING = 10,
     VT_RATE_LIMITS = 12,
-    VT_PARTS = 14
+    VT_PARTS = 14,
+    VT_REPEATS = 16,
+    VT_REPEATS_KNOWN_MICROSECONDS = 18,
+    VT_ARE_ALL_REPEATS = 20
   };
   const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *>(VT_MEMBERS);
@@ -1606,6 +1912,15 @@
   const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *parts() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *>(VT_PARTS);
   }
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>> *repeats() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>> *>(VT_REPEATS);
+  }
+  int64_t repeats_known_microseconds() const {
+    return GetField<int64_t>(VT_REPEATS_KNOWN_MICROSECONDS, -1LL);
+  }
+  bool are_all_repeats() const {
+    return GetField<uint8_t>(VT_ARE_ALL_REPEATS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
@@ -1623,6 +1938,11 @@
            VerifyOffset(verifier, VT_PARTS) &&
            verifier.VerifyVector(parts()) &&
            verifier.VerifyVectorOfTables(parts()) &&
+           VerifyOffset(verifier, VT_REPEATS) &&
+           verifier.VerifyVector(repeats()) &&
+           verifier.VerifyVectorOfTables(repeats()) &&
+           VerifyField<int64_t>(verifier, VT_REPEATS_KNOWN_MICROSECONDS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ARE_ALL_REPEATS, 1) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1652,6 +1972,15 @@
   void add_parts(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>> parts) {
     fbb_.AddOffset(Heartbeat::VT_PARTS, parts);
   }
+  void add_repeats(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>>> repeats) {
+    fbb_.AddOffset(Heartbeat::VT_REPEATS, repeats);
+  }
+  void add_repeats_known_microseconds(int64_t repeats_known_microseconds) {
+    fbb_.AddElement<int64_t>(Heartbeat::VT_REPEATS_KNOWN_MICROSECONDS, repeats_known_microseconds, -1LL);
+  }
+  void add_are_all_repeats(bool are_all_repeats) {
+    fbb_.AddElement<uint8_t>(Heartbeat::VT_ARE_ALL_REPEATS, static_cast<uint8_t>(are_all_repeats), 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1670,13 +1999,19 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>> ranks = 0,
     bool is_asking = false,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>> rate_limits = 0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>> parts = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>> parts = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>>> repeats = 0,
+    int64_t repeats_known_microseconds = -1LL,
+    bool are_all_repeats = false) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_repeats_known_microseconds(repeats_known_microseconds);
+  builder_.add_repeats(repeats);
   builder_.add_parts(parts);
   builder_.add_rate_limits(rate_limits);
   builder_.add_ranks(ranks);
   builder_.add_signs(signs);
   builder_.add_members(members);
+  builder_.add_are_all_repeats(are_all_repeats);
   builder_.add_is_asking(is_asking);
   return builder_.Finish();
 }
@@ -1693,12 +2028,16 @@
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>> *ranks = nullptr,
     bool is_asking = false,
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> *rate_limits = nullptr,
-    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *parts = nullptr) {
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *parts = nullptr,
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>> *repeats = nullptr,
+    int64_t repeats_known_microseconds = -1LL,
+    bool are_all_repeats = false) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::Member>>(*members) : 0;
   auto signs__ = signs ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::SignOfLife>(*signs) : 0;
   auto ranks__ = ranks ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>(*ranks) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>(*rate_limits) : 0;
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>(*parts) : 0;
+  auto repeats__ = repeats ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>>(*repeats) : 0;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
       members__,
@@ -1706,7 +2045,10 @@
       ranks__,
       is_asking,
       rate_limits__,
-      parts__);
+      parts__,
+      repeats__,
+      repeats_known_microseconds,
+      are_all_repeats);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3466,9 +3808,120 @@
       _failed_trials);
 }
 
+inline RepeatSlicesT *RepeatSlices::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RepeatSlicesT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RepeatSlices::UnPackTo(RepeatSlicesT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = slice_microseconds(); _o->slice_microseconds = _e; }
+  { auto _e = newest_age_microseconds(); _o->newest_age_microseconds = _e; }
+  { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = _e->Get(_i); } } }
+  { auto _e = repeats(); if (_e) { _o->repeats.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->repeats[_i] = _e->Get(_i); } } }
+}
+
+inline flatbuffers::Offset<RepeatSlices> RepeatSlices::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RepeatSlicesT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRepeatSlices(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RepeatSlices> CreateRepeatSlices(flatbuffers::FlatBufferBuilder &_fbb, const RepeatSlicesT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RepeatSlicesT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _slice_microseconds = _o->slice_microseconds;
+  auto _newest_age_microseconds = _o->newest_age_microseconds;
+  auto _requests = _o->requests.size() ? _fbb.CreateVector(_o->requests) : 0;
+  auto _repeats = _o->repeats.size() ? _fbb.CreateVector(_o->repeats) : 0;
+  return bramleyspan::membership::wire::CreateRepeatSlices(
+      _fbb,
+      _service,
+      _slice_microseconds,
+      _newest_age_microseconds,
+      _requests,
+      _repeats);
+}
+
+inline RepeatReportT::RepeatReportT(const RepeatReportT &o)
+      : gateway(o.gateway),
+        incarnation(o.incarnation),
+        started_age_microseconds(o.started_age_microseconds),
+        age_microseconds(o.age_microseconds),
+        is_own(o.is_own),
+        is_final(o.is_final),
+        heard(o.heard) {
+  services.reserve(o.services.size());
+  for (const auto &services_ : o.services) { services.emplace_back((services_) ? new bramleyspan::membership::wire::RepeatSlicesT(*services_) : nullptr); }
+}
+
+inline RepeatReportT &RepeatReportT::operator=(RepeatReportT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(gateway, o.gateway);
+  std::swap(incarnation, o.incarnation);
+  std::swap(started_age_microseconds, o.started_age_microseconds);
+  std::swap(age_microseconds, o.age_microseconds);
+  std::swap(is_own, o.is_own);
+  std::swap(is_final, o.is_final);
+  std::swap(heard, o.heard);
+  std::swap(services, o.services);
+  return *this;
+}
+
+inline RepeatReportT *RepeatReport::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RepeatReportT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RepeatReport::UnPackTo(RepeatReportT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = gateway(); if (_e) _o->gateway = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = started_age_microseconds(); _o->started_age_microseconds = _e; }
+  { auto _e = age_microseconds(); _o->age_microseconds = _e; }
+  { auto _e = is_own(); _o->is_own = _e; }
+  { auto _e = is_final(); _o->is_final = _e; }
+  { auto _e = heard(); if (_e) { _o->heard.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->heard[_i] = _e->Get(_i); } } }
+  { auto _e = services(); if (_e) { _o->services.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->services[_i] = std::unique_ptr<bramleyspan::membership::wire::RepeatSlicesT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<RepeatReport> RepeatReport::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RepeatReportT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRepeatReport(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RepeatReport> CreateRepeatReport(flatbuffers::FlatBufferBuilder &_fbb, const RepeatReportT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RepeatReportT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _gateway = _o->gateway.empty() ? 0 : _fbb.CreateString(_o->gateway);
+  auto _incarnation = _o->incarnation;
+  auto _started_age_microseconds = _o->started_age_microseconds;
+  auto _age_microseconds = _o->age_microseconds;
+  auto _is_own = _o->is_own;
+  auto _is_final = _o->is_final;
+  auto _heard = _o->heard.size() ? _fbb.CreateVector(_o->heard) : 0;
+  auto _services = _o->services.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatSlices>> (_o->services.size(), [](size_t i, _VectorArgs *__va) { return CreateRepeatSlices(*__va->__fbb, __va->__o->services[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return bramleyspan::membership::wire::CreateRepeatReport(
+      _fbb,
+      _gateway,
+      _incarnation,
+      _started_age_microseconds,
+      _age_microseconds,
+      _is_own,
+      _is_final,
+      _heard,
+      _services);
+}
+
 inline HeartbeatT::HeartbeatT(const HeartbeatT &o)
       : signs(o.signs),
-        is_asking(o.is_asking) {
+        is_asking(o.is_asking),
+        repeats_known_microseconds(o.repeats_known_microseconds),
+        are_all_repeats(o.are_all_repeats) {
   members.reserve(o.members.size());
   for (const auto &members_ : o.members) { members.emplace_back((members_) ? new bramleyspan::membership::wire::MemberT(*members_) : nullptr); }
   ranks.reserve(o.ranks.size());
@@ -3477,6 +3930,8 @@
   for (const auto &rate_limits_ : o.rate_limits) { rate_limits.emplace_back((rate_limits_) ? new bramleyspan::membership::wire::RateLimitReportT(*rate_limits_) : nullptr); }
   parts.reserve(o.parts.size());
   for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new bramleyspan::membership::wire::PartReportT(*parts_) : nullptr); }
+  repeats.reserve(o.repeats.size());
+  for (const auto &repeats_ : o.repeats) { repeats.emplace_back((repeats_) ? new bramleyspan::membership::wire::RepeatReportT(*repeats_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -3486,6 +3941,9 @@
   std::swap(is_asking, o.is_asking);
   std::swap(rate_limits, o.rate_limits);
   std::swap(parts, o.parts);
+  std::swap(repeats, o.repeats);
+  std::swap(repeats_known_microseconds, o.repeats_known_microseconds);
+  std::swap(are_all_repeats, o.are_all_repeats);
   return *this;
 }
 
@@ -3504,6 +3962,9 @@
   { auto _e = is_asking(); _o->is_asking = _e; }
   { auto _e = rate_limits(); if (_e) { _o->rate_limits.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->rate_limits[_i] = std::unique_ptr<bramleyspan::membership::wire::RateLimitReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = parts(); if (_e) { _o->parts.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->parts[_i] = std::unique_ptr<bramleyspan::membership::wire::PartReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = repeats(); if (_e) { _o->repeats.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->repeats[_i] = std::unique_ptr<bramleyspan::membership::wire::RepeatReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = repeats_known_microseconds(); _o->repeats_known_microseconds = _e; }
+  { auto _e = are_all_repeats(); _o->are_all_repeats = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3520,6 +3981,9 @@
   auto _is_asking = _o->is_asking;
   auto _rate_limits = _o->rate_limits.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>> (_o->rate_limits.size(), [](size_t i, _VectorArgs *__va) { return CreateRateLimitReport(*__va->__fbb, __va->__o->rate_limits[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _parts = _o->parts.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> (_o->parts.size(), [](size_t i, _VectorArgs *__va) { return CreatePartReport(*__va->__fbb, __va->__o->parts[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _repeats = _o->repeats.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>> (_o->repeats.size(), [](size_t i, _VectorArgs *__va) { return CreateRepeatReport(*__va->__fbb, __va->__o->repeats[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _repeats_known_microseconds = _o->repeats_known_microseconds;
+  auto _are_all_repeats = _o->are_all_repeats;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
       _members,
@@ -3527,7 +3991,10 @@
       _ranks,
       _is_asking,
       _rate_limits,
-      _parts);
+      _parts,
+      _repeats,
+      _repeats_known_microseconds,
+      _are_all_repeats);
 }
 
 inline MemberQueryT *MemberQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -176,6 +176,18 @@
                  }));
 }
 
+std::set<std::string> GatewaysHeardWithin(const Members& members,
+                                          Duration within,
+                                          TimePoint now) {
+  std::set<std::string> names;
+  for (const auto& [name, known] : members.known) {
+    if (known.member.is_entry && now - known.received_at <= within) {
+      names.insert(name);
+    }
+  }
+  return names;
+}
+
 bool is_active_watcher(const Members& members,
                        uint64_t own_incarnation,
                        TimePoint now) {
--- a/Libraries/LibMembership/Members.h
+++ b/Libraries/LibMembership/Members.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -91,6 +92,12 @@
 // gateway counts for ten seconds after its last update.
 size_t CountGateways(const Members& members, TimePoint now);
 
+// Returns the names of the other gateways that may be running: those with an
+// update no older than `within`.
+std::set<std::string> GatewaysHeardWithin(const Members& members,
+                                          Duration within,
+                                          TimePoint now);
+
 // Active watchers are gateways that watch the store with short waits, so that
 // they notice soon when it stops responding. The other gateways receive changes
 // from them, since each call to the store is paid for. There are
--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -95,6 +95,10 @@
           repeat_window_seconds,
           "",
           "the window in which repeats are counted");
+ABSL_FLAG(std::string,
+          first_start,
+          "",
+          "true if no process of the system ran before: nothing was repeated");
 ABSL_FLAG(std::string,
           directory_lifetime_seconds,
           "",
@@ -164,6 +168,7 @@
       SettingRow{"repeat-ratio", &FLAGS_repeat_ratio, "0.1"},
       SettingRow{"repeat-slack", &FLAGS_repeat_slack, "0"},
       SettingRow{"repeat-window-seconds", &FLAGS_repeat_window_seconds, "10"},
+      SettingRow{"first-start", &FLAGS_first_start, "false"},
       SettingRow{"directory-lifetime-seconds",
                  &FLAGS_directory_lifetime_seconds, "1"},
       SettingRow{"stop-bound-seconds", &FLAGS_stop_bound_seconds, "8"},
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -9,6 +9,7 @@
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/PartQuarantine.h"
+#include "Services/bramleyspand/Gateway/Repeats.h"
 #include "Services/bramleyspand/Gateway/UsageRecorder.h"
 
 namespace bramleyspan::gatewayd {
@@ -124,7 +125,7 @@
                                   .allowed = allowed,
                                   .event_timeout = this->route->event_timeout},
                                  this->arrived);
-  gateway::RecordRequest(this->state.repeats, this->service, this->arrived);
+  this->state.repeats->RecordRequest(this->service);
   this->exchange->OnDisconnect([self = this->weak_from_this()] {
     if (const auto forwarding = self.lock()) {
       forwarding->HandleCallerGone();
@@ -198,28 +199,18 @@
   if (held_back_until && *held_back_until > this->wait.ends) {
     return false;
   }
-  const size_t gateways = membership::CountGateways(this->state.members, now);
-  const gateway::RepeatUse use =
-      gateway::FindRepeatUse(this->state.repeats, this->service, gateways, now);
-  const bool is_taken =
-      !has_reached_target ||
-      gateway::TakeRepeat(this->state.repeats, this->service, gateways, now);
-  Log(is_taken ? LogLevel::kInfo : LogLevel::kWarning, "forward",
-      is_taken ? "sent_once_more" : "no_budget",
-      {{"request", this->id},
-       {"service", this->service},
-       {"cause", std::string(cause)},
-       {"repeats", std::to_string(use.repeats)},
-       {"allowed", std::to_string(use.allowed)},
-       {"requests", std::to_string(use.requests)},
-       {"gateways", std::to_string(gateways)},
-       {"running_ms", ToMillisecondsText(now - this->state.started)}});
-  telemetry::Count(is_taken ? kRepeats : kRefusedRepeats,
-                   {{"service", this->service}});
-  if (!is_taken) {
-    return false;
+  if (has_reached_target) {
+    if (!this->state.repeats->Reserve(this->id, this->service, cause)) {
+      return false;
+    }
+    this->state.repeats->RecordSent(this->service);
   }
   this->repeat_decided = now;
+  if (!has_reached_target) {
+    Log(LogLevel::kInfo, "forward", "sent_once_more",
+        {{"request", this->id}, {"cause", std::string(cause)}});
+    telemetry::Count(kRepeats, {{"service", this->service}});
+  }
   if (!this->TrySend()) {
     this->Wait(true);
   }
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -27,8 +27,9 @@
     "Requests not sent to a further target for lack of repeats, by service."};
 inline constexpr MetricName kRepeatsInWindow{
     "bramleyspan_repeats_in_window",
-    "Repeats in the window of their budget, by service: of=used are those that "
-    "this gateway has sent, of=allowed those that it may send."};
+    "Repeats in the window of their budget, by service: of=own are those of "
+    "this gateway, of=all those that it knows of, of=allowed those that all "
+    "gateways may send."};
 inline constexpr MetricName kLimitedTargets{
     "bramleyspan_limited_targets",
     "Targets that name a rate limit in their answers, by service."};
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -16,6 +16,7 @@
 #include "Services/bramleyspand/Gateway/Peers.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
 #include "Services/bramleyspand/Gateway/RateLimiter.h"
+#include "Services/bramleyspand/Gateway/Repeats.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
 #include "Services/bramleyspand/Gateway/TargetEnds.h"
 #include "Services/bramleyspand/Gateway/UsageRecorder.h"
@@ -56,6 +57,14 @@
                      [this](const std::string& ip, const std::string& bytes) {
                        this->peers.Send(ip, bytes);
                      }),
+        repeats(
+            this->state,
+            [this](const std::string& ip, const std::string& bytes) {
+              this->peers.Send(ip, bytes);
+            },
+            [this](const std::string& bytes) {
+              this->peers.SendToGateways(bytes);
+            }),
         target_ends(this->state),
         quarantine(this->state,
                    [this](const std::string& bytes) {
@@ -64,6 +73,7 @@
         usage(this->state) {
     this->state.signals = &this->signals;
     this->state.rate_limiter = &this->rate_limiter;
+    this->state.repeats = &this->repeats;
     this->state.target_ends = &this->target_ends;
     this->state.quarantine = &this->quarantine;
     this->state.permit_requests = &this->permit_requests;
@@ -79,9 +89,7 @@
     membership::Members& members = this->state.members;
     members.own_name = this->state.settings.name;
     members.own_zone = this->state.settings.zone;
-    this->state.repeats.settings = {.ratio = fleet.repeat_ratio,
-                                    .slack = fleet.repeat_slack,
-                                    .window = fleet.repeat_window};
+    this->repeats.Start();
     this->state.store = platform::CountCalls(
         this->state.adapter.open_store(this->state.loop, fleet.store),
         [this](std::string_view call, std::string_view outcome, Duration took) {
@@ -128,9 +136,10 @@
     own.directory_lifetime = fleet.directory_lifetime;
     own.stop_bound = fleet.stop_bound;
     own.usage_interval = fleet.usage_interval;
-    this->state.repeats.settings = {.ratio = fleet.repeat_ratio,
-                                    .slack = fleet.repeat_slack,
-                                    .window = fleet.repeat_window};
+    own.repeat_ratio = fleet.repeat_ratio;
+    own.repeat_slack = fleet.repeat_slack;
+    own.repeat_window = fleet.repeat_window;
+    this->repeats.HandleSettings();
   }
 
  private:
@@ -407,6 +416,7 @@
     if ((may_stop && this->is_usage_written) || is_over) {
       Log(LogLevel::kInfo, "drain", "drain_ended",
           {{"open", std::to_string(this->state.open.size())}});
+      this->repeats.SendFinalReport();
       this->state.loop.Stop();
       return;
     }
@@ -438,7 +448,7 @@
     telemetry::Observe(kStoreCallTime, {{"call", std::string(call)}}, took);
   }
 
-  void UpdateGauges() {
+  void UpdateGauges() const {
     const TimePoint now = EventLoop::Now();
     telemetry::SetGauge(kWaiting, {},
                         static_cast<double>(this->state.waiting.size()));
@@ -456,17 +466,7 @@
           kFeedAge, {{"feed", name}},
           std::chrono::duration<double>(feed->age(now)).count());
     }
-    const size_t gateways = membership::CountGateways(this->state.members, now);
-    for (const auto& [service, history] : this->state.repeats.services) {
-      const gateway::RepeatUse use =
-          gateway::FindRepeatUse(this->state.repeats, service, gateways, now);
-      telemetry::SetGauge(kRepeatsInWindow,
-                          {{"service", service}, {"of", "used"}},
-                          static_cast<double>(use.repeats));
-      telemetry::SetGauge(kRepeatsInWindow,
-                          {{"service", service}, {"of", "allowed"}},
-                          use.allowed);
-    }
+    this->repeats.UpdateGauges();
     this->signals.UpdateGauges();
     this->quarantine.UpdateGauges();
     for (const auto& [name, group] : this->state.permits.groups) {
@@ -509,6 +509,10 @@
             {"rank", view.rank->rank}};
       }
     }
+    const nlohmann::json repeats = this->repeats.Dump();
+    if (!repeats.is_null()) {
+      dump["repeats"] = repeats;
+    }
     const nlohmann::json parts = this->quarantine.Dump();
     if (!parts.empty()) {
       dump["parts"] = parts;
@@ -556,6 +560,7 @@
   PermitRequests permit_requests;
   SignalRecorder signals;
   RateLimiter rate_limiter;
+  Repeats repeats;
   TargetEnds target_ends;
   PartQuarantine quarantine;
   UsageRecorder usage;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -12,7 +12,6 @@
 #include "LibGateway/Adapter.h"
 #include "LibGateway/Availability.h"
 #include "LibGateway/Permits.h"
-#include "LibGateway/RepeatBudget.h"
 #include "LibGateway/RouteTable.h"
 #include "LibGateway/Targets.h"
 #include "LibGateway/Waiting.h"
@@ -27,6 +26,7 @@
 class PartQuarantine;
 class PermitRequests;
 class RateLimiter;
+class Repeats;
 class SignalRecorder;
 class TargetEnds;
 class UsageRecorder;
@@ -51,16 +51,15 @@
   // By name of the service.
   std::map<std::string, gateway::Availability> availability;
   gateway::Permits permits;
-  gateway::RepeatBudget repeats;
   membership::Members members;
   uint64_t incarnation = 0;
-  const TimePoint started = EventLoop::Now();
 
   // Null until the gateway can probe agents.
   PermitRequests* permit_requests = nullptr;
   // Null until the gateway handles callers.
   SignalRecorder* signals = nullptr;
   RateLimiter* rate_limiter = nullptr;
+  Repeats* repeats = nullptr;
   TargetEnds* target_ends = nullptr;
   PartQuarantine* quarantine = nullptr;
   // Null until the gateway can count usage.
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -12,6 +12,7 @@
 #include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
 #include "Services/bramleyspand/Gateway/RateLimiter.h"
+#include "Services/bramleyspand/Gateway/Repeats.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -88,6 +89,7 @@
   heartbeat.signs = membership::DigestsToSend(this->state.members, now);
   heartbeat.rate_limits = this->state.rate_limiter->ReportsToSend();
   heartbeat.parts = this->state.quarantine->ReportsToSend();
+  this->state.repeats->AddReport(heartbeat);
   const std::string bytes = membership::Encode(std::move(heartbeat));
   for (const std::string& ip :
        membership::PeersForHeartbeat(this->state.members, this->round)) {
@@ -181,6 +183,7 @@
       this->state.quarantine->HandleReport(*report);
     }
   }
+  this->state.repeats->HandleHeartbeat(from_ip, heartbeat);
   membership::wire::MemberQueryT query;
   query.keys = membership::ApplyDigests(this->state.members, heartbeat.signs,
                                         EventLoop::Now());
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -108,6 +108,14 @@
   return value;
 }
 
+Result<bool> RequireBool(const SettingLookup& lookup, const std::string& name) {
+  const SettingText given = lookup(name);
+  if (given.text != "true" && given.text != "false") {
+    return FailFor(name, given, "true or false");
+  }
+  return given.text == "true";
+}
+
 Result<std::optional<Address>> FindAddress(const SettingLookup& lookup,
                                            const std::string& name) {
   if (lookup(name).text.empty()) {
@@ -169,6 +177,7 @@
   fleet.repeat_ratio = TRY(RequireNumber(lookup, "repeat-ratio"));
   fleet.repeat_slack = TRY(RequireNumber(lookup, "repeat-slack"));
   fleet.repeat_window = TRY(RequireSeconds(lookup, "repeat-window-seconds"));
+  fleet.is_first_start = TRY(RequireBool(lookup, "first-start"));
   fleet.directory_lifetime = std::chrono::duration_cast<std::chrono::seconds>(
       TRY(RequireSeconds(lookup, "directory-lifetime-seconds")));
   fleet.stop_bound = TRY(RequireSeconds(lookup, "stop-bound-seconds"));
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -34,6 +34,8 @@
   double repeat_ratio = 0;
   double repeat_slack = 0;
   Duration repeat_window{};
+  // Whether no process of the system ran before.
+  bool is_first_start = false;
   // How long callers may use an answer of the directory.
   std::chrono::seconds directory_lifetime{1};
   // The platform kills a stopping process after this time.
--- a/Tests/LibGateway/SimulatedRepeats.cc
+++ b/Tests/LibGateway/SimulatedRepeats.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <utility>
@@ -14,7 +15,12 @@
 
 constexpr Duration kStep = std::chrono::milliseconds(10);
 constexpr Duration kHeartbeat = std::chrono::milliseconds(200);
-constexpr Duration kCountedFor = std::chrono::seconds(10);
+// Gateways report repeats this long after the first one that is not reported.
+constexpr Duration kReportDelay = std::chrono::milliseconds(50);
+// A gateway counts as running for this long after it was last heard.
+constexpr Duration kCountedFor = std::chrono::seconds(12);
+// In larger fleets gateways don't report to each other.
+constexpr size_t kMaxReportingGateways = 13;
 constexpr const char* kService = "a";
 
 // One life of a gateway's process.
@@ -24,14 +30,20 @@
   RepeatBudget budget;
   // When each other gateway was last heard.
   std::map<size_t, TimePoint> heard;
+  std::optional<TimePoint> reports_at;
 };
 
+std::string NameOf(size_t number) {
+  return "gateway-" + std::to_string(number);
+}
+
 class Fleet {
  public:
   explicit Fleet(const SimulatedRepeats& settings)
       : settings(settings), random(settings.seed) {}
 
   RepeatsResult Run() {
+    this->now = kBegin;
     for (size_t number = 0; number < this->settings.gateways; ++number) {
       this->Start(number);
     }
@@ -54,6 +66,8 @@
     gateway.budget.settings = {.ratio = this->settings.ratio,
                                .slack = this->settings.slack,
                                .window = std::chrono::seconds(10)};
+    StartRepeats(gateway.budget, NameOf(number), this->random(),
+                 this->now == kBegin, this->now);
     this->running[number] = std::make_unique<Gateway>(std::move(gateway));
   }
 
@@ -80,6 +94,8 @@
         if (this->is_now(event.at)) {
           this->running.at(number)->is_draining = true;
         } else if (this->is_now(event.at + event.down)) {
+          this->running.at(number)->budget.own.is_final = true;
+          this->Send(*this->running.at(number));
           this->running.erase(number);
           this->Start(number);
         }
@@ -108,28 +124,61 @@
     const auto since = this->now - kBegin;
     for (auto& [number, gateway] : this->running) {
       // Gateways send at moments of their own.
-      if ((since + kStep * number) % kHeartbeat != Duration(0)) {
+      const bool is_heartbeat =
+          (since + kStep * number) % kHeartbeat == Duration(0);
+      const bool is_report =
+          gateway->reports_at && *gateway->reports_at <= this->now;
+      if (is_heartbeat || is_report) {
+        gateway->reports_at.reset();
+        this->Send(*gateway);
+      }
+    }
+  }
+
+  void Send(Gateway& from) {
+    RemoveOldRepeats(from.budget, this->now);
+    const bool is_reporting = this->running.size() <= kMaxReportingGateways;
+    const RepeatRecord record = is_reporting
+                                    ? DescribeOwnRepeats(from.budget, this->now)
+                                    : RepeatRecord{};
+    for (auto& [number, to] : this->running) {
+      if (number == from.number || !this->is_delivered(from.number, number)) {
         continue;
       }
-      for (auto& [other_number, other] : this->running) {
-        if (other_number != number &&
-            this->is_delivered(number, other_number)) {
-          other->heard[number] = this->now;
-        }
+      to->heard[from.number] = this->now;
+      if (is_reporting) {
+        this->Receive(*to, from, record);
       }
     }
   }
 
-  size_t CountGateways(const Gateway& gateway) const {
-    return 1 + static_cast<size_t>(std::ranges::count_if(
-                   gateway.heard, [this](const auto& item) {
-                     return this->now - item.second <= kCountedFor;
-                   }));
+  // Merges a report, and tells its sender all if that knows less.
+  void Receive(Gateway& to, Gateway& from, RepeatRecord record) {
+    const auto known = from.budget.others.find(to.budget.own.incarnation);
+    record.hears_us =
+        known != from.budget.others.end() && is_heard(known->second, this->now);
+    MergeRepeats(to.budget, record, true, this->now);
+    const bool knows_more = !is_window_known(from.budget, this->now) &&
+                            is_window_known(to.budget, this->now);
+    if (!knows_more || !this->is_delivered(to.number, from.number)) {
+      return;
+    }
+    for (const auto& [incarnation, other] : to.budget.others) {
+      MergeRepeats(from.budget, other, false, this->now);
+    }
+    MergeRepeats(from.budget, DescribeOwnRepeats(to.budget, this->now), false,
+                 this->now);
+    LearnRepeatsSince(from.budget, to.budget.known_since);
   }
 
-  bool TakeRepeat(Gateway& gateway) {
-    return gateway::TakeRepeat(gateway.budget, kService,
-                               this->CountGateways(gateway), this->now);
+  std::set<std::string> OthersOf(const Gateway& gateway) const {
+    std::set<std::string> others;
+    for (const auto& [number, heard_at] : gateway.heard) {
+      if (this->now - heard_at <= kCountedFor) {
+        others.insert(NameOf(number));
+      }
+    }
+    return others;
   }
 
   void HandleRequests() {
@@ -151,8 +200,13 @@
       RecordRequest(gateway.budget, kService, this->now);
       if (is_failing && this->Draw() < this->settings.failing) {
         ++this->wanted;
-        if (this->TakeRepeat(gateway)) {
-          this->waiting.push_back(gateway.number);
+        if (ReserveRepeat(gateway.budget, kService, this->OthersOf(gateway),
+                          this->now)) {
+          RecordRepeatSent(gateway.budget, kService, this->now);
+          gateway.reports_at =
+              gateway.reports_at.value_or(this->now + kReportDelay);
+          this->waiting.emplace_back(gateway.number,
+                                     gateway.budget.own.incarnation);
         }
       }
     }
@@ -165,10 +219,13 @@
     if (this->now < errors_from + this->settings.hold) {
       return;
     }
-    for (const size_t number : this->waiting) {
-      if (this->running.contains(number)) {
-        this->repeats.push_back(this->now);
+    for (const auto& [number, incarnation] : this->waiting) {
+      const auto found = this->running.find(number);
+      if (found == this->running.end() ||
+          found->second->budget.own.incarnation != incarnation) {
+        continue;
       }
+      this->repeats.push_back(this->now);
     }
     this->waiting.clear();
   }
@@ -219,8 +276,9 @@
   std::set<size_t> cut_off;
   double owed = 0;
   size_t wanted = 0;
-  // Gateways of the repeats that were allowed and not sent yet.
-  std::vector<size_t> waiting;
+  // Gateways of the repeats that were allowed and not sent yet, and their
+  // incarnations.
+  std::vector<std::pair<size_t, uint64_t>> waiting;
   std::vector<TimePoint> requests;
   std::vector<TimePoint> repeats;
 };
--- a/Tests/LibGateway/TestEventsAndRepeats.cc
+++ b/Tests/LibGateway/TestEventsAndRepeats.cc
@@ -9,6 +9,17 @@
 
 const TimePoint kStart{std::chrono::seconds(100)};
 
+bool TakeRepeat(RepeatBudget& budget,
+                const std::string& service,
+                const std::set<std::string>& others,
+                TimePoint now) {
+  const bool is_taken = ReserveRepeat(budget, service, others, now);
+  if (is_taken) {
+    RecordRepeatSent(budget, service, now);
+  }
+  return is_taken;
+}
+
 }  // namespace
 
 // Failure: a server crashes in the middle of an event. The caller received its
@@ -51,11 +62,13 @@
       RepeatBudget{.settings = {.ratio = 0.2,
                                 .slack = 88,
                                 .window = std::chrono::seconds(10)}});
+  const std::set<std::string> others{"1", "2", "3", "4", "5"};
   int taken = 0;
   for (RepeatBudget& budget : gateways) {
+    StartRepeats(budget, "0", 1, true, kStart);
     for (int i = 0; i < 100; ++i) {
       RecordRequest(budget, "invoices", kStart + std::chrono::milliseconds(i));
-      if (TakeRepeat(budget, "invoices", kGateways,
+      if (TakeRepeat(budget, "invoices", others,
                      kStart + std::chrono::milliseconds(i))) {
         ++taken;
       }
@@ -67,14 +80,15 @@
 
 TEST_CASE("Repeats expire with their window and are counted per service") {
   RepeatBudget budget{.settings = {.ratio = 0, .slack = 5}};
+  StartRepeats(budget, "0", 1, true, kStart);
   const auto take = [&budget](Duration after) {
-    return TakeRepeat(budget, "a", 1, kStart + after);
+    return TakeRepeat(budget, "a", {}, kStart + after);
   };
   for (int i = 0; i < 4; ++i) {
     CHECK(take(Duration(0)));
   }
   CHECK_FALSE(take(std::chrono::seconds(9)));
-  CHECK(TakeRepeat(budget, "b", 1, kStart));
+  CHECK(TakeRepeat(budget, "b", {}, kStart));
   CHECK(take(std::chrono::seconds(12)));
 }
 
--- a/Tests/LibGateway/TestRepeatsOfFleet.cc
+++ b/Tests/LibGateway/TestRepeatsOfFleet.cc
@@ -111,17 +111,20 @@
 
 TEST_CASE("Gateways that are cut off from each other share one budget") {
   for (const size_t gateways : {2, 7, 9}) {
-    SimulatedRepeats fleet{.gateways = gateways};
-    fleet.errors_from = seconds(32);
-    fleet.events.push_back({.kind = Kind::kCutOff,
-                            .at = seconds(20),
-                            .down = seconds(30),
-                            .gateways = Range(0, gateways / 2)});
-    CheckKept(fleet);
-    // One of them starts anew meanwhile, and hears nobody.
-    fleet.events.push_back(
-        {.kind = Kind::kKilled, .at = seconds(31), .gateways = {0}});
-    CheckKept(fleet);
+    for (const int after : {12, 26}) {
+      SimulatedRepeats fleet{.gateways = gateways};
+      fleet.errors_from = seconds(20 + after);
+      fleet.events.push_back({.kind = Kind::kCutOff,
+                              .at = seconds(20),
+                              .down = seconds(60),
+                              .gateways = Range(0, gateways / 2)});
+      CheckKept(fleet);
+      // One of them starts anew meanwhile, and hears nobody.
+      fleet.events.push_back({.kind = Kind::kKilled,
+                              .at = fleet.errors_from - seconds(1),
+                              .gateways = {0}});
+      CheckKept(fleet);
+    }
   }
 }
 
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -48,15 +48,18 @@
 runs_of() { platform_status | grep -o "\"$1\":[0-9]*" | cut -d: -f2 || true; }
 number_of() { platform_status | grep -o "\"$1\":[0-9]*" | cut -d: -f2; }
 
-# start_gateway NUMBER: starts a gateway; GATEWAY_FLAGS holds further flags.
+# start_gateway NUMBER [FLAGS...]: starts a gateway; GATEWAY_FLAGS holds further
+# flags.
 start_gateway() {
+  local number=$1
+  shift
   # shellcheck disable=SC2086
-  spawn "gateway-$1" env -u BRAMLEYSPAN_TEST_NET "$BIN/bramleyspand" --role=gateway \
-    --name="gateway-$1" --zone=a --ip="$NET.1.$1" --store="$NET.0.20:7000" \
-    --callers="$NET.1.$1:8080" --directory="$NET.1.$1:8081" --readiness="$NET.1.$1:8082" \
+  spawn "gateway-$number" env -u BRAMLEYSPAN_TEST_NET "$BIN/bramleyspand" --role=gateway \
+    --name="gateway-$number" --zone=a --ip="$NET.1.$number" --store="$NET.0.20:7000" \
+    --callers="$NET.1.$number:8080" --directory="$NET.1.$number:8081" --readiness="$NET.1.$number:8082" \
     --peer_ports=7340,7355 --seeds="$NET.1.1:1,$NET.1.2:1" --repeat_ratio=0.2 --repeat_slack=10 \
     --repeat_window_seconds=10 --stop_bound_seconds=8 --notice_bound_milliseconds=3000 \
-    --group_fan_out="${FAN_OUT:-12}" ${GATEWAY_FLAGS:-}
+    --group_fan_out="${FAN_OUT:-12}" ${GATEWAY_FLAGS:-} "$@"
 }
 
 start_rank() {
@@ -75,7 +78,7 @@
     ${PLATFORM_FLAGS:-}
   wait_for "the platform" platform_status
   configure 3 billing
-  for n in 1 2; do start_gateway "$n"; done
+  for n in 1 2; do start_gateway "$n" --first_start=true; done
   for n in $(seq "${RANKS:-2}"); do start_rank "$n"; done
   for n in 1 2; do wait_for "gateway-$n" is_ready "$n"; done
 }
