Gateway: Count a repeat when it is sent

What callers saw: repeats that wait for a permit, while no group takes streams, arrive together when one opens, beside the repeats of a later window.

Cause: a repeat was counted at the decision to repeat, and may wait up to its deadline after that, where one second of margin stands in the window. One that ended refused had spent its place.

Change: the decision reserves a repeat, which counts for as long as it waits; sending it counts it then, and the end of the request releases it.

--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -199,13 +199,14 @@
   if (held_back_until && *held_back_until > this->wait.ends) {
     return false;
   }
-  if (has_reached_target) {
-    if (!this->state.repeats->Reserve(this->id, this->service, cause)) {
+  if (has_reached_target && !this->has_reserved_repeat) {
+    this->has_reserved_repeat =
+        this->state.repeats->Reserve(this->id, this->service, cause);
+    if (!this->has_reserved_repeat) {
       return false;
     }
-    this->state.repeats->RecordSent(this->service);
+    this->repeat_reserved_at = now;
   }
-  this->repeat_decided = now;
   if (!has_reached_target) {
     Log(LogLevel::kInfo, "forward", "sent_once_more",
         {{"request", this->id}, {"cause", std::string(cause)}});
@@ -371,6 +372,9 @@
   }
   this->StopTimers();
   this->state.waiting.remove(this->shared_from_this());
+  if (std::exchange(this->has_reserved_repeat, false)) {
+    this->state.repeats->Release(this->service);
+  }
   const Duration took = EventLoop::Now() - this->arrived;
   this->CountUsage(outcome);
   this->LogIfLate();
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -207,8 +207,9 @@
   bool is_trial = false;
   // Time that the request waited for the permit of its last target.
   Duration waited{};
-  // When the latest repeat was allowed, until it is sent.
-  std::optional<TimePoint> repeat_decided;
+  // Whether a repeat is reserved that was not sent yet, and since when.
+  bool has_reserved_repeat = false;
+  TimePoint repeat_reserved_at;
   std::set<std::string> tried;
   // Targets that the request was sent to, and connections that failed.
   int sent = 0;
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -6,6 +6,7 @@
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/PartQuarantine.h"
+#include "Services/bramleyspand/Gateway/Repeats.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
 
 namespace bramleyspan::gatewayd {
@@ -87,13 +88,17 @@
        {"open_elsewhere", std::to_string(target.open_elsewhere)},
        {"waited_ms", ToMillisecondsText(now - this->arrived)},
        {"repeat_waited_ms",
-        ToMillisecondsText(now - this->repeat_decided.value_or(now))},
+        ToMillisecondsText(this->has_reserved_repeat
+                               ? now - this->repeat_reserved_at
+                               : Duration(0))},
        {"targets_revision",
         std::to_string(this->state.targets_feed->newest_revision())},
        {"targets_age_ms",
         ToMillisecondsText(this->state.targets_feed->age(now))},
        {"attempt", std::to_string(this->tried.size())}});
-  this->repeat_decided.reset();
+  if (std::exchange(this->has_reserved_repeat, false)) {
+    this->state.repeats->RecordSent(this->service);
+  }
   this->state.signals->RecordSent(this->target_id, this->service);
   http::DirectRequest outgoing{
       .target = target.target.address,
--- a/Tests/LibGateway/SimulatedRepeats.cc
+++ b/Tests/LibGateway/SimulatedRepeats.cc
@@ -202,9 +202,6 @@
         ++this->wanted;
         if (ReserveRepeat(gateway.budget, kService, this->OthersOf(gateway),
                           this->now)) {
-          RecordRepeatSent(gateway.budget, kService, this->now);
-          gateway.reports_at =
-              gateway.reports_at.value_or(this->now + kReportDelay);
           this->waiting.emplace_back(gateway.number,
                                      gateway.budget.own.incarnation);
         }
@@ -225,6 +222,10 @@
           found->second->budget.own.incarnation != incarnation) {
         continue;
       }
+      Gateway& gateway = *found->second;
+      RecordRepeatSent(gateway.budget, kService, this->now);
+      gateway.reports_at =
+          gateway.reports_at.value_or(this->now + kReportDelay);
       this->repeats.push_back(this->now);
     }
     this->waiting.clear();
