Gateway: Let gateways that are cut off from each other share one budget

What callers saw: during a cut between gateways that outlasts a window of repeats, each side sends what all together may send.

A gateway whose record remains after its end, for 45 s at most, keeps its even share for so long.

--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 
 #include "Kernel/Digest.h"
@@ -53,6 +54,9 @@
   gateway::Permits permits;
   membership::Members members;
   uint64_t incarnation = 0;
+  // Names of all gateways with a record in the store when it was last read;
+  // they may be running though this gateway does not hear them.
+  std::set<std::string> listed_gateways;
 
   // Null until the gateway can probe agents.
   PermitRequests* permit_requests = nullptr;
--- a/Services/bramleyspand/Gateway/MemberRecords.cc
+++ b/Services/bramleyspand/Gateway/MemberRecords.cc
@@ -37,7 +37,10 @@
       {.prefix = std::string(kPrefix), .may_be_stale = true},
       [this](const Result<platform::RangePage>& page) {
         if (page.has_value()) {
+          this->state.listed_gateways.clear();
           for (const auto& item : page.value().items) {
+            this->state.listed_gateways.insert(
+                item.key.substr(std::min(kPrefix.size(), item.key.size())));
             if (item.value != this->state.settings.ip) {
               membership::AddSeedAddress(this->state.members, item.value,
                                          EventLoop::Now());
--- a/Services/bramleyspand/Gateway/Repeats.cc
+++ b/Services/bramleyspand/Gateway/Repeats.cc
@@ -104,9 +104,13 @@
 }
 
 std::set<std::string> Repeats::OtherGateways() const {
-  return membership::GatewaysHeardWithin(
+  std::set<std::string> others = membership::GatewaysHeardWithin(
       this->state.members, gateway::CountedFor(this->budget.settings),
       EventLoop::Now());
+  others.insert(this->state.listed_gateways.begin(),
+                this->state.listed_gateways.end());
+  others.erase(this->state.settings.name);
+  return others;
 }
 
 gateway::RepeatUse Repeats::FindUse(const std::string& service) const {
--- a/Tests/LibGateway/SimulatedRepeats.cc
+++ b/Tests/LibGateway/SimulatedRepeats.cc
@@ -19,6 +19,8 @@
 constexpr Duration kReportDelay = std::chrono::milliseconds(50);
 // A gateway counts as running for this long after it was last heard.
 constexpr Duration kCountedFor = std::chrono::seconds(12);
+// The store lists a gateway for this long after it has ended.
+constexpr Duration kListedFor = std::chrono::seconds(45);
 // In larger fleets gateways don't report to each other.
 constexpr size_t kMaxReportingGateways = 13;
 constexpr const char* kService = "a";
@@ -123,6 +125,7 @@
   void SendHeartbeats() {
     const auto since = this->now - kBegin;
     for (auto& [number, gateway] : this->running) {
+      this->last_running[number] = this->now;
       // Gateways send at moments of their own.
       const bool is_heartbeat =
           (since + kStep * number) % kHeartbeat == Duration(0);
@@ -178,6 +181,11 @@
         others.insert(NameOf(number));
       }
     }
+    for (const auto& [number, ran_at] : this->last_running) {
+      if (number != gateway.number && this->now - ran_at <= kListedFor) {
+        others.insert(NameOf(number));
+      }
+    }
     return others;
   }
 
@@ -275,6 +283,8 @@
   TimePoint now;
   std::map<size_t, std::unique_ptr<Gateway>> running;
   std::set<size_t> cut_off;
+  // By gateway: when it was last running.
+  std::map<size_t, TimePoint> last_running;
   double owed = 0;
   size_t wanted = 0;
   // Gateways of the repeats that were allowed and not sent yet, and their
