LibPlatform: Request a deferred removal from peers whatever came after it

Cause, by reading: a gateway of a large fleet watches every 15 s and puts a removal that it reads itself off by 2.3 s, since the store may be coming back. A later change in the same answer made its newest revision as high as that of its peers, so that it neither asked them nor, asking, asked from before the removal.

Change: the revision that a feed has, and from which it asks peers, stays below a deferred removal until a peer, the store or the time says what became of the key. Before, only the revision of the own watch was looked at.

Evidence: the test failed before (13 where less than 12 is right, twice).

--- a/Libraries/LibPlatform/PrefixFeed.cc
+++ b/Libraries/LibPlatform/PrefixFeed.cc
@@ -143,7 +143,8 @@
     }
   }
   for (const std::string& key : missing) {
-    this->HandleRemoval(key, this->range_revision);
+    this->HandleRemoval(key, this->range_revision,
+                        this->items_by_key[key].revision);
   }
   this->has_loaded = true;
   this->watched_revision = this->range_revision;
@@ -183,7 +184,7 @@
   this->RecordAnswer();
   for (const StoreItem& item : answer.value().events) {
     if (item.is_removed) {
-      this->HandleRemoval(item.key, item.revision);
+      this->HandleRemoval(item.key, item.revision, item.revision - 1);
     } else {
       this->Apply(item, FeedSource::kStore);
     }
@@ -267,6 +268,11 @@
 }
 
 void PrefixFeed::Apply(const StoreItem& item, FeedSource source) {
+  const auto waiting = this->deferred.find(item.key);
+  if (waiting != this->deferred.end() &&
+      item.revision >= waiting->second.revision) {
+    this->deferred.erase(waiting);
+  }
   FeedItem& known = this->items_by_key[item.key];
   if (known.revision >= item.revision) {
     return;
@@ -281,7 +287,9 @@
   }
 }
 
-void PrefixFeed::HandleRemoval(const std::string& key, uint64_t revision) {
+void PrefixFeed::HandleRemoval(const std::string& key,
+                               uint64_t revision,
+                               uint64_t before) {
   // A feed that pauses may not have noticed an outage of the store.
   const bool may_reappear =
       this->is_recovering() || this->settings.pause > Duration(0);
@@ -289,22 +297,33 @@
     this->Remove(key, revision, FeedSource::kStore);
     return;
   }
-  ++this->deferred_removals;
+  this->deferred[key] = {.revision = revision, .before = before};
   this->timers.run_after(this->settings.recovery_grace, [this, key, revision] {
-    --this->deferred_removals;
     this->Remove(key, revision, FeedSource::kStore);
   });
 }
 
+uint64_t PrefixFeed::BeforeDeferred() const {
+  uint64_t before = UINT64_MAX;
+  for (const auto& [key, removal] : this->deferred) {
+    before = std::min(before, removal.before);
+  }
+  return before;
+}
+
 uint64_t PrefixFeed::complete_to() const {
   const bool is_complete =
-      this->deferred_removals == 0 && !this->is_recovering() && this->reachable;
+      this->deferred.empty() && !this->is_recovering() && this->reachable;
   return is_complete ? this->watched_revision : 0;
 }
 
 void PrefixFeed::Remove(const std::string& key,
                         uint64_t revision,
                         FeedSource source) {
+  const auto waiting = this->deferred.find(key);
+  if (waiting != this->deferred.end() && revision > waiting->second.before) {
+    this->deferred.erase(waiting);
+  }
   FeedItem& known = this->items_by_key[key];
   if (known.revision > revision || known.is_removed) {
     return;
--- a/Libraries/LibPlatform/PrefixFeed.h
+++ b/Libraries/LibPlatform/PrefixFeed.h
@@ -130,13 +130,16 @@
     return this->items_by_key;
   }
 
-  // Returns the revision of the newest change that the feed has.
-  uint64_t newest_revision() const { return this->newest; }
+  // Returns the revision of the newest change before which the feed has
+  // deferred no removal.
+  uint64_t newest_revision() const {
+    return std::min(this->newest, this->BeforeDeferred());
+  }
 
   // Returns the revision after which changes are requested from a peer. It is
   // not past deferred removals, so that the peer sends these too.
   uint64_t updates_from() const {
-    return std::min(this->watched_revision, this->newest);
+    return std::min(this->watched_revision, this->newest_revision());
   }
 
   // Whether all keys have been read once, from the store or a peer.
@@ -164,9 +167,13 @@
   void Apply(const StoreItem& item, FeedSource source);
   void Remove(const std::string& key, uint64_t revision, FeedSource source);
   // Removes a key that the store no longer has, during recovery only after
-  // `recovery_grace`.
-  void HandleRemoval(const std::string& key, uint64_t revision);
+  // `recovery_grace`. Changes after `before` include the removal.
+  void HandleRemoval(const std::string& key,
+                     uint64_t revision,
+                     uint64_t before);
   bool is_recovering() const;
+  // Returns the revision after which changes include all deferred removals.
+  uint64_t BeforeDeferred() const;
 
   Timers timers;
   Store& store;
@@ -186,8 +193,13 @@
   // Consecutive failed calls, and consecutive watches with changes.
   int failures = 0;
   int bursts = 0;
-  // Number of deferred removals.
-  int deferred_removals = 0;
+  // A removal that is deferred: no later than `revision`, and after `before`.
+  struct DeferredRemoval {
+    uint64_t revision = 0;
+    uint64_t before = 0;
+  };
+  // By key.
+  std::map<std::string, DeferredRemoval> deferred;
   TimePoint last_answer;
   TimePoint last_call;
   // When the store last answered again after an outage.
--- a/Tests/LibPlatform/TestPrefixFeed.cc
+++ b/Tests/LibPlatform/TestPrefixFeed.cc
@@ -286,4 +286,33 @@
   }
 }
 
+// Failure: a later change in the same answer hides a deferred removal, so that
+// it is not requested from the peers that know it.
+TEST_CASE("A deferred removal is requested from peers whatever came after it") {
+  ScriptedStore fixture;
+  fixture.AnswerRange({{"servers/a", "1", 5}}, 9);
+  fixture.feed->SetWatchTiming(std::chrono::milliseconds(1),
+                               std::chrono::milliseconds(10));
+  fixture.AnswerWatch({{"servers/a", "", 12, true}, {"servers/b", "1", 13}},
+                      13);
+  CHECK(fixture.feed->updates_from() < 12);
+  CHECK(fixture.feed->newest_revision() < 12);
+  SUBCASE("a peer sends the removal") {
+    fixture.feed->Merge({{"servers/a", "", 12, true}, {"servers/b", "1", 13}},
+                        13);
+    CHECK(fixture.changes.back() == "-servers/a");
+  }
+  SUBCASE("the key is written again") {
+    fixture.feed->Merge({{"servers/a", "1", 14}}, 0);
+    fixture.RunFor(std::chrono::milliseconds(60));
+    CHECK(fixture.changes.back() == "+servers/a");
+  }
+  SUBCASE("no peer knows it") {
+    fixture.RunFor(std::chrono::milliseconds(60));
+    CHECK(fixture.changes.back() == "-servers/a");
+  }
+  CHECK(fixture.feed->newest_revision() >= 13);
+  CHECK(fixture.feed->updates_from() >= 13);
+}
+
 }  // namespace bramleyspan::platform
