LibGateway, Measurements: Withhold for a gateway that ended what it may have left unreported

The whole share of a gateway that was killed was withheld for a window, though it had reported almost all that it repeated: with all of seven gateways killed in turn nothing was left for those that had just started, who serve most callers by then. An incarnation repeats no faster than requests fail there, so that at most the requests between its last report and its end are unreported: its successor starts, or it is still silent. What is withheld grows with that time up to the share, so that a gateway that is cut off keeps all of it.

--- a/Libraries/LibGateway/RepeatBudget.cc
+++ b/Libraries/LibGateway/RepeatBudget.cc
@@ -14,6 +14,10 @@
 // repeats that are not known: at most as much as the usable fraction leaves.
 constexpr double kUnknownFraction = 0.15;
 
+// A gateway spends its share in no less than this, in seconds, even if the
+// requests of the others are not known.
+constexpr double kShareSpentIn = 4;
+
 // A gateway without a report for this long is not heard: three heartbeats.
 constexpr Duration kHeardFor = std::chrono::milliseconds(700);
 
@@ -29,8 +33,9 @@
   double requests = 0;
   double repeats = 0;
   bool is_heard = false;
-  // Whether an incarnation may have repeated more than it reported.
-  bool may_have_more = false;
+  // How long an incarnation may have repeated more than it reported.
+  Duration unreported{};
+  bool has_record = false;
   // The latest incarnation that is known, and whether it has ended.
   TimePoint last_started;
   bool has_ended = false;
@@ -83,6 +88,7 @@
   for (const auto& [incarnation, record] : budget.others) {
     GatewaySum& sum = sums[record.gateway];
     Add(sum, record, service, now);
+    sum.has_record = true;
     if (record.started_at >= sum.last_started) {
       sum.last_started = record.started_at;
       sum.has_ended = record.is_final &&
@@ -92,8 +98,9 @@
       sum.is_heard = sum.is_heard || record.hears_us;
     } else if (!record.is_final) {
       const TimePoint end = EndOf(budget, record, now);
-      sum.may_have_more =
-          sum.may_have_more || now - end < CountedFor(budget.settings);
+      if (now - end < CountedFor(budget.settings)) {
+        sum.unreported = std::max(sum.unreported, end - record.written_at);
+      }
     }
   }
   return sums;
@@ -164,6 +171,11 @@
     use.has_repeat = own.repeats + 1 <= use.allowed;
     return use;
   }
+  double busiest = own.requests;
+  for (const auto& [gateway, sum] : sums) {
+    busiest = std::max(busiest, sum.requests);
+  }
+  const double window = std::chrono::duration<double>(settings.window).count();
   double requests = own.requests;
   double repeats = own.repeats;
   double kept_for_others = 0;
@@ -172,13 +184,18 @@
     repeats += sum.repeats;
     const bool is_own = gateway == budget.own.gateway;
     use.sharing += sum.is_heard && !is_own ? 1 : 0;
-    const bool is_running_unheard = !sum.is_heard && !is_own && !sum.has_ended;
-    if (sum.may_have_more || is_running_unheard) {
-      const double share = kUsableFraction *
-                           (settings.ratio * sum.requests +
-                            settings.slack / static_cast<double>(use.gateways));
-      kept_for_others += std::max(0.0, share - sum.repeats);
-    }
+    const double share =
+        kUsableFraction * (settings.ratio * sum.requests +
+                           settings.slack / static_cast<double>(use.gateways));
+    const bool is_unknown =
+        !sum.is_heard && !is_own && !sum.has_ended && !sum.has_record;
+    // An incarnation repeats no faster than requests fail there.
+    const double unreported =
+        std::chrono::duration<double>(sum.unreported).count() *
+        std::max(busiest / window, share / kShareSpentIn);
+    const double may_have_more = is_unknown ? share : unreported;
+    kept_for_others +=
+        std::max(0.0, std::min(share - sum.repeats, may_have_more));
   }
   use.requests = static_cast<uint32_t>(requests);
   use.repeats = static_cast<uint32_t>(repeats);
