LibGateway: Leave a gateway that does not hear this one its share

A gateway that hears another one, which does not hear it (a path that is lost one way, a first report that is under way), took for its own what the other had not sent yet; the other one uses its own share meanwhile, so that both send it.

Found in the last review of the change, by reading.

ReserveRepeat returns the use by which it decided, so that the log names just that; what is withheld has a function of its own.

--- a/Libraries/LibGateway/RepeatBudget.cc
+++ b/Libraries/LibGateway/RepeatBudget.cc
@@ -32,6 +32,8 @@
 struct GatewaySum {
   double requests = 0;
   double repeats = 0;
+  // Whether it is heard, and hears this gateway as well.
+  bool is_sharing = false;
   bool is_heard = false;
   // How long an incarnation may have repeated more than it reported.
   Duration unreported{};
@@ -95,7 +97,8 @@
                       now - record.written_at < CountedFor(budget.settings);
     }
     if (is_heard(record, now)) {
-      sum.is_heard = sum.is_heard || record.hears_us;
+      sum.is_heard = true;
+      sum.is_sharing = sum.is_sharing || record.hears_us;
     } else if (!record.is_final) {
       const TimePoint end = EndOf(budget, record, now);
       if (now - end < CountedFor(budget.settings)) {
@@ -106,6 +109,31 @@
   return sums;
 }
 
+// Returns how many repeats a gateway may send, or may have sent, beyond those
+// that are known here. `busiest` are the requests of the busiest one.
+double WithheldFor(const RepeatBudgetSettings& settings,
+                   const GatewaySum& sum,
+                   bool is_own,
+                   size_t gateways,
+                   double busiest) {
+  const double share =
+      kUsableFraction * (settings.ratio * sum.requests +
+                         settings.slack / static_cast<double>(gateways));
+  // Without a record, or while it does not hear this gateway, it uses its
+  // share.
+  const bool is_using_share = !is_own && !sum.is_sharing && !sum.has_ended &&
+                              (sum.is_heard || !sum.has_record);
+  // An incarnation repeats no faster than requests fail there.
+  const double rate =
+      std::max(busiest / std::chrono::duration<double>(settings.window).count(),
+               share / kShareSpentIn);
+  const double most =
+      is_using_share
+          ? share
+          : rate * std::chrono::duration<double>(sum.unreported).count();
+  return std::clamp(share - sum.repeats, 0.0, most);
+}
+
 RepeatHistory& OwnHistory(RepeatBudget& budget, const std::string& service) {
   RepeatHistory& history = budget.own.services[service];
   history.slice = SliceOf(budget.settings);
@@ -171,36 +199,24 @@
     use.has_repeat = own.repeats + 1 <= use.allowed;
     return use;
   }
-  double busiest = own.requests;
-  for (const auto& [gateway, sum] : sums) {
-    busiest = std::max(busiest, sum.requests);
-  }
-  const double window = std::chrono::duration<double>(settings.window).count();
   double requests = own.requests;
   double repeats = own.repeats;
-  double kept_for_others = 0;
+  double busiest = own.requests;
   for (const auto& [gateway, sum] : sums) {
     requests += sum.requests;
     repeats += sum.repeats;
+    busiest = std::max(busiest, sum.requests);
+    use.sharing += sum.is_sharing ? 1 : 0;
+  }
+  double withheld = 0;
+  for (const auto& [gateway, sum] : sums) {
     const bool is_own = gateway == budget.own.gateway;
-    use.sharing += sum.is_heard && !is_own ? 1 : 0;
-    const double share =
-        kUsableFraction * (settings.ratio * sum.requests +
-                           settings.slack / static_cast<double>(use.gateways));
-    const bool is_unknown =
-        !sum.is_heard && !is_own && !sum.has_ended && !sum.has_record;
-    // An incarnation repeats no faster than requests fail there.
-    const double unreported =
-        std::chrono::duration<double>(sum.unreported).count() *
-        std::max(busiest / window, share / kShareSpentIn);
-    const double may_have_more = is_unknown ? share : unreported;
-    kept_for_others +=
-        std::max(0.0, std::min(share - sum.repeats, may_have_more));
+    withheld += WithheldFor(settings, sum, is_own, use.gateways, busiest);
   }
   use.requests = static_cast<uint32_t>(requests);
   use.repeats = static_cast<uint32_t>(repeats);
-  use.allowed = kUsableFraction * (settings.ratio * requests + settings.slack) -
-                kept_for_others;
+  use.allowed =
+      kUsableFraction * (settings.ratio * requests + settings.slack) - withheld;
   const auto recent = budget.recent.find(service);
   double unreported = waiting;
   if (recent != budget.recent.end()) {
@@ -214,15 +230,15 @@
   return use;
 }
 
-bool ReserveRepeat(RepeatBudget& budget,
-                   const std::string& service,
-                   const std::set<std::string>& others,
-                   TimePoint now) {
-  if (!FindRepeatUse(budget, service, others, now).has_repeat) {
-    return false;
+RepeatUse ReserveRepeat(RepeatBudget& budget,
+                        const std::string& service,
+                        const std::set<std::string>& others,
+                        TimePoint now) {
+  const RepeatUse use = FindRepeatUse(budget, service, others, now);
+  if (use.has_repeat) {
+    ++budget.reserved[service];
   }
-  ++budget.reserved[service];
-  return true;
+  return use;
 }
 
 void RecordRepeatSent(RepeatBudget& budget,
--- a/Libraries/LibGateway/RepeatBudget.h
+++ b/Libraries/LibGateway/RepeatBudget.h
@@ -100,12 +100,12 @@
                         const std::set<std::string>& others,
                         TimePoint now);
 
-// Reserves a repeat. Returns false if none is left. A reserved repeat is either
-// sent or released.
-bool ReserveRepeat(RepeatBudget& budget,
-                   const std::string& service,
-                   const std::set<std::string>& others,
-                   TimePoint now);
+// Reserves a repeat if one is left: if `has_repeat` is set in the use by which
+// it was decided. A reserved repeat is either sent or released.
+RepeatUse ReserveRepeat(RepeatBudget& budget,
+                        const std::string& service,
+                        const std::set<std::string>& others,
+                        TimePoint now);
 void RecordRepeatSent(RepeatBudget& budget,
                       const std::string& service,
                       TimePoint now);
--- a/Services/bramleyspand/Gateway/Repeats.cc
+++ b/Services/bramleyspand/Gateway/Repeats.cc
@@ -126,10 +126,9 @@
                       const std::string& service,
                       std::string_view cause) {
   const TimePoint now = EventLoop::Now();
-  const gateway::RepeatUse use = this->FindUse(service);
-  const bool is_reserved =
-      use.has_repeat &&
+  const gateway::RepeatUse use =
       gateway::ReserveRepeat(this->budget, service, this->OtherGateways(), now);
+  const bool is_reserved = use.has_repeat;
   Log(is_reserved ? LogLevel::kInfo : LogLevel::kWarning, "forward",
       is_reserved ? "sent_once_more" : "no_budget",
       {{"request", request},
--- a/Tests/LibGateway/SimulatedRepeats.cc
+++ b/Tests/LibGateway/SimulatedRepeats.cc
@@ -114,12 +114,19 @@
           this->cut_off.erase(number);
         }
         return;
+      case FleetEvent::Kind::kUnheard:
+        if (this->is_now(event.at)) {
+          this->unheard.insert(number);
+        } else if (this->is_now(event.at + event.down)) {
+          this->unheard.erase(number);
+        }
+        return;
     }
   }
 
   bool is_delivered(size_t from, size_t to) {
     return this->cut_off.contains(from) == this->cut_off.contains(to) &&
-           this->Draw() >= this->settings.loss;
+           !this->unheard.contains(from) && this->Draw() >= this->settings.loss;
   }
 
   void SendHeartbeats() {
@@ -209,7 +216,8 @@
       if (is_failing && this->Draw() < this->settings.failing) {
         ++this->wanted;
         if (ReserveRepeat(gateway.budget, kService, this->OthersOf(gateway),
-                          this->now)) {
+                          this->now)
+                .has_repeat) {
           this->waiting.emplace_back(gateway.number,
                                      gateway.budget.own.incarnation);
         }
@@ -283,6 +291,7 @@
   TimePoint now;
   std::map<size_t, std::unique_ptr<Gateway>> running;
   std::set<size_t> cut_off;
+  std::set<size_t> unheard;
   // By gateway: when it was last running.
   std::map<size_t, TimePoint> last_running;
   double owed = 0;
--- a/Tests/LibGateway/SimulatedRepeats.h
+++ b/Tests/LibGateway/SimulatedRepeats.h
@@ -23,6 +23,8 @@
     kAdded,
     // No datagram passes between these and all others for `down`.
     kCutOff,
+    // Nothing that these send arrives for `down`, though they hear all others.
+    kUnheard,
   };
   Kind kind = Kind::kKilled;
   Duration at{};
--- a/Tests/LibGateway/TestEventsAndRepeats.cc
+++ b/Tests/LibGateway/TestEventsAndRepeats.cc
@@ -13,7 +13,7 @@
                 const std::string& service,
                 const std::set<std::string>& others,
                 TimePoint now) {
-  const bool is_taken = ReserveRepeat(budget, service, others, now);
+  const bool is_taken = ReserveRepeat(budget, service, others, now).has_repeat;
   if (is_taken) {
     RecordRepeatSent(budget, service, now);
   }
@@ -78,6 +78,37 @@
   CHECK(taken >= 100);
 }
 
+// Failure: a gateway hears another one, which does not hear it and sends its
+// share; the first one takes what the second has not sent yet for its own.
+TEST_CASE("What a gateway that does not hear this one may send is left to it") {
+  RepeatBudget budget{.settings = {.ratio = 0, .slack = 100}};
+  StartRepeats(budget, "a", 1, true, kStart);
+  const auto count_until_refused = [&budget](TimePoint now) {
+    int taken = 0;
+    while (TakeRepeat(budget, "s", {"b"}, now)) {
+      ++taken;
+    }
+    return taken;
+  };
+  RepeatRecord other{.gateway = "b",
+                     .incarnation = 2,
+                     .started_at = kStart,
+                     .written_at = kStart};
+  SUBCASE("it does not hear this one") {
+    MergeRepeats(budget, other, true, kStart);
+    CHECK(count_until_refused(kStart) == 40);
+  }
+  SUBCASE("it is not heard") {
+    CHECK(count_until_refused(kStart) == 40);
+  }
+  SUBCASE("both hear each other: an equal part at once, then what is left") {
+    other.hears_us = true;
+    MergeRepeats(budget, other, true, kStart);
+    CHECK(count_until_refused(kStart) == 40);
+    CHECK(count_until_refused(kStart + std::chrono::milliseconds(500)) == 20);
+  }
+}
+
 TEST_CASE("Repeats expire with their window and are counted per service") {
   RepeatBudget budget{.settings = {.ratio = 0, .slack = 5}};
   StartRepeats(budget, "0", 1, true, kStart);
--- a/Tests/LibGateway/TestRepeatsOfFleet.cc
+++ b/Tests/LibGateway/TestRepeatsOfFleet.cc
@@ -128,6 +128,21 @@
   }
 }
 
+TEST_CASE("Gateways that hear others unheard take no more than their share") {
+  for (const size_t gateways : {2, 7, 9}) {
+    for (const size_t unheard : {size_t{1}, gateways / 2}) {
+      for (const int after : {-3000, 500}) {
+        SimulatedRepeats fleet{.gateways = gateways};
+        fleet.events.push_back({.kind = Kind::kUnheard,
+                                .at = fleet.errors_from + milliseconds(after),
+                                .down = seconds(9),
+                                .gateways = Range(0, unheard)});
+        CheckKept(fleet);
+      }
+    }
+  }
+}
+
 TEST_CASE("Repeats that waited for a target count when they are sent") {
   for (const size_t gateways : {1, 7, 40}) {
     for (const int hold : {3, 7}) {
