--- a/Tests/LibGateway/TestRepeatsOfFleet.cc
+++ b/Tests/LibGateway/TestRepeatsOfFleet.cc
@@ -31,10 +31,11 @@
   }
 }
 
-// Kills all gateways at this time after the errors began, again and again.
+// Kills these gateways at each of these times after the errors began.
 std::vector<FleetEvent> KillsOf(const std::set<size_t>& gateways,
                                 const std::vector<Duration>& after) {
   std::vector<FleetEvent> events;
+  events.reserve(after.size());
   for (const Duration at : after) {
     events.push_back({.kind = Kind::kKilled,
                       .at = SimulatedRepeats{}.errors_from + at,
