--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -81,6 +81,10 @@
 struct MapWishBuilder;
 struct MapWishT;
 
+struct WaitingCount;
+
+struct GrantRate;
+
 struct PlaceProbe;
 struct PlaceProbeBuilder;
 struct PlaceProbeT;
@@ -469,6 +473,67 @@
   using type = RankRow;
 };
 
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) WaitingCount FLATBUFFERS_FINAL_CLASS {
+ private:
+  int32_t priority_;
+  uint16_t count_;
+  int16_t padding0__;
+
+ public:
+  struct Traits;
+  WaitingCount()
+      : priority_(0),
+        count_(0),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  WaitingCount(int32_t _priority, uint16_t _count)
+      : priority_(flatbuffers::EndianScalar(_priority)),
+        count_(flatbuffers::EndianScalar(_count)),
+        padding0__(0) {
+    (void)padding0__;
+  }
+  int32_t priority() const {
+    return flatbuffers::EndianScalar(priority_);
+  }
+  uint16_t count() const {
+    return flatbuffers::EndianScalar(count_);
+  }
+};
+FLATBUFFERS_STRUCT_END(WaitingCount, 8);
+
+struct WaitingCount::Traits {
+  using type = WaitingCount;
+};
+
+FLATBUFFERS_MANUALLY_ALIGNED_STRUCT(4) GrantRate FLATBUFFERS_FINAL_CLASS {
+ private:
+  int32_t priority_;
+  float per_second_;
+
+ public:
+  struct Traits;
+  GrantRate()
+      : priority_(0),
+        per_second_(0) {
+  }
+  GrantRate(int32_t _priority, float _per_second)
+      : priority_(flatbuffers::EndianScalar(_priority)),
+        per_second_(flatbuffers::EndianScalar(_per_second)) {
+  }
+  int32_t priority() const {
+    return flatbuffers::EndianScalar(priority_);
+  }
+  float per_second() const {
+    return flatbuffers::EndianScalar(per_second_);
+  }
+};
+FLATBUFFERS_STRUCT_END(GrantRate, 8);
+
+struct GrantRate::Traits {
+  using type = GrantRate;
+};
+
 struct OpenCountT : public flatbuffers::NativeTable {
   typedef OpenCount TableType;
   std::string target{};
@@ -860,6 +925,7 @@
   std::unique_ptr<bramleyspan::membership::wire::RankStatusT> rank{};
   bool hears_store = true;
   bool grants_rates = false;
+  uint64_t desired_revision = 0;
   MemberT() = default;
   MemberT(const MemberT &o);
   MemberT(MemberT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -887,7 +953,8 @@
     VT_IS_HUNGRY = 30,
     VT_RANK = 32,
     VT_HEARS_STORE = 34,
-    VT_GRANTS_RATES = 36
+    VT_GRANTS_RATES = 36,
+    VT_DESIRED_REVISION = 38
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -940,6 +1007,9 @@
   bool grants_rates() const {
     return GetField<uint8_t>(VT_GRANTS_RATES, 0) != 0;
   }
+  uint64_t desired_revision() const {
+    return GetField<uint64_t>(VT_DESIRED_REVISION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NAME) &&
@@ -966,6 +1036,7 @@
            verifier.VerifyTable(rank()) &&
            VerifyField<uint8_t>(verifier, VT_HEARS_STORE, 1) &&
            VerifyField<uint8_t>(verifier, VT_GRANTS_RATES, 1) &&
+           VerifyField<uint64_t>(verifier, VT_DESIRED_REVISION, 8) &&
            verifier.EndTable();
   }
   MemberT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1028,6 +1099,9 @@
   void add_grants_rates(bool grants_rates) {
     fbb_.AddElement<uint8_t>(Member::VT_GRANTS_RATES, static_cast<uint8_t>(grants_rates), 0);
   }
+  void add_desired_revision(uint64_t desired_revision) {
+    fbb_.AddElement<uint64_t>(Member::VT_DESIRED_REVISION, desired_revision, 0);
+  }
   explicit MemberBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1057,8 +1131,10 @@
     bool is_hungry = false,
     flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0,
     bool hears_store = true,
-    bool grants_rates = false) {
+    bool grants_rates = false,
+    uint64_t desired_revision = 0) {
   MemberBuilder builder_(_fbb);
+  builder_.add_desired_revision(desired_revision);
   builder_.add_targets_revision(targets_revision);
   builder_.add_table_version(table_version);
   builder_.add_changed(changed);
@@ -1102,7 +1178,8 @@
     bool is_hungry = false,
     flatbuffers::Offset<bramleyspan::membership::wire::RankStatus> rank = 0,
     bool hears_store = true,
-    bool grants_rates = false) {
+    bool grants_rates = false,
+    uint64_t desired_revision = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto zone__ = zone ? _fbb.CreateString(zone) : 0;
   auto ip__ = ip ? _fbb.CreateString(ip) : 0;
@@ -1126,7 +1203,8 @@
       is_hungry,
       rank,
       hears_store,
-      grants_rates);
+      grants_rates,
+      desired_revision);
 }
 
 flatbuffers::Offset<Member> CreateMember(flatbuffers::FlatBufferBuilder &_fbb, const MemberT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2805,6 +2883,11 @@
   typedef PlaceProbe TableType;
   uint64_t number = 0;
   bool is_late = false;
+  int32_t priority = -1;
+  uint32_t tokens = 0;
+  int64_t time_left_microseconds = 0;
+  uint64_t incarnation = 0;
+  std::vector<bramleyspan::membership::wire::WaitingCount> waiting{};
 };
 
 struct PlaceProbe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2813,7 +2896,12 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_NUMBER = 4,
-    VT_IS_LATE = 6
+    VT_IS_LATE = 6,
+    VT_PRIORITY = 8,
+    VT_TOKENS = 10,
+    VT_TIME_LEFT_MICROSECONDS = 12,
+    VT_INCARNATION = 14,
+    VT_WAITING = 16
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -2821,10 +2909,31 @@
   bool is_late() const {
     return GetField<uint8_t>(VT_IS_LATE, 0) != 0;
   }
+  int32_t priority() const {
+    return GetField<int32_t>(VT_PRIORITY, -1);
+  }
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
+  }
+  int64_t time_left_microseconds() const {
+    return GetField<int64_t>(VT_TIME_LEFT_MICROSECONDS, 0);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  const flatbuffers::Vector<const bramleyspan::membership::wire::WaitingCount *> *waiting() const {
+    return GetPointer<const flatbuffers::Vector<const bramleyspan::membership::wire::WaitingCount *> *>(VT_WAITING);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_LATE, 1) &&
+           VerifyField<int32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
+           VerifyField<int64_t>(verifier, VT_TIME_LEFT_MICROSECONDS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_WAITING) &&
+           verifier.VerifyVector(waiting()) &&
            verifier.EndTable();
   }
   PlaceProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2842,6 +2951,21 @@
   void add_is_late(bool is_late) {
     fbb_.AddElement<uint8_t>(PlaceProbe::VT_IS_LATE, static_cast<uint8_t>(is_late), 0);
   }
+  void add_priority(int32_t priority) {
+    fbb_.AddElement<int32_t>(PlaceProbe::VT_PRIORITY, priority, -1);
+  }
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(PlaceProbe::VT_TOKENS, tokens, 0);
+  }
+  void add_time_left_microseconds(int64_t time_left_microseconds) {
+    fbb_.AddElement<int64_t>(PlaceProbe::VT_TIME_LEFT_MICROSECONDS, time_left_microseconds, 0);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(PlaceProbe::VT_INCARNATION, incarnation, 0);
+  }
+  void add_waiting(flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::WaitingCount *>> waiting) {
+    fbb_.AddOffset(PlaceProbe::VT_WAITING, waiting);
+  }
   explicit PlaceProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2856,9 +2980,19 @@
 inline flatbuffers::Offset<PlaceProbe> CreatePlaceProbe(
     flatbuffers::FlatBufferBuilder &_fbb,
     uint64_t number = 0,
-    bool is_late = false) {
+    bool is_late = false,
+    int32_t priority = -1,
+    uint32_t tokens = 0,
+    int64_t time_left_microseconds = 0,
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::WaitingCount *>> waiting = 0) {
   PlaceProbeBuilder builder_(_fbb);
+  builder_.add_incarnation(incarnation);
+  builder_.add_time_left_microseconds(time_left_microseconds);
   builder_.add_number(number);
+  builder_.add_waiting(waiting);
+  builder_.add_tokens(tokens);
+  builder_.add_priority(priority);
   builder_.add_is_late(is_late);
   return builder_.Finish();
 }
@@ -2868,6 +3002,27 @@
   static auto constexpr Create = CreatePlaceProbe;
 };
 
+inline flatbuffers::Offset<PlaceProbe> CreatePlaceProbeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    bool is_late = false,
+    int32_t priority = -1,
+    uint32_t tokens = 0,
+    int64_t time_left_microseconds = 0,
+    uint64_t incarnation = 0,
+    const std::vector<bramleyspan::membership::wire::WaitingCount> *waiting = nullptr) {
+  auto waiting__ = waiting ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::WaitingCount>(*waiting) : 0;
+  return bramleyspan::membership::wire::CreatePlaceProbe(
+      _fbb,
+      number,
+      is_late,
+      priority,
+      tokens,
+      time_left_microseconds,
+      incarnation,
+      waiting__);
+}
+
 flatbuffers::Offset<PlaceProbe> CreatePlaceProbe(flatbuffers::FlatBufferBuilder &_fbb, const PlaceProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
 struct PlaceOfferT : public flatbuffers::NativeTable {
@@ -2879,6 +3034,8 @@
   uint32_t load = 0;
   double limit = 0.0;
   uint64_t pass_microseconds = 0;
+  std::vector<bramleyspan::membership::wire::WaitingCount> waiting{};
+  std::vector<bramleyspan::membership::wire::GrantRate> granted{};
 };
 
 struct PlaceOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2892,7 +3049,9 @@
     VT_IS_SLOW = 10,
     VT_LOAD = 12,
     VT_LIMIT = 14,
-    VT_PASS_MICROSECONDS = 16
+    VT_PASS_MICROSECONDS = 16,
+    VT_WAITING = 18,
+    VT_GRANTED = 20
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -2915,6 +3074,12 @@
   uint64_t pass_microseconds() const {
     return GetField<uint64_t>(VT_PASS_MICROSECONDS, 0);
   }
+  const flatbuffers::Vector<const bramleyspan::membership::wire::WaitingCount *> *waiting() const {
+    return GetPointer<const flatbuffers::Vector<const bramleyspan::membership::wire::WaitingCount *> *>(VT_WAITING);
+  }
+  const flatbuffers::Vector<const bramleyspan::membership::wire::GrantRate *> *granted() const {
+    return GetPointer<const flatbuffers::Vector<const bramleyspan::membership::wire::GrantRate *> *>(VT_GRANTED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -2925,6 +3090,10 @@
            VerifyField<uint32_t>(verifier, VT_LOAD, 4) &&
            VerifyField<double>(verifier, VT_LIMIT, 8) &&
            VerifyField<uint64_t>(verifier, VT_PASS_MICROSECONDS, 8) &&
+           VerifyOffset(verifier, VT_WAITING) &&
+           verifier.VerifyVector(waiting()) &&
+           VerifyOffset(verifier, VT_GRANTED) &&
+           verifier.VerifyVector(granted()) &&
            verifier.EndTable();
   }
   PlaceOfferT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2957,6 +3126,12 @@
   void add_pass_microseconds(uint64_t pass_microseconds) {
     fbb_.AddElement<uint64_t>(PlaceOffer::VT_PASS_MICROSECONDS, pass_microseconds, 0);
   }
+  void add_waiting(flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::WaitingCount *>> waiting) {
+    fbb_.AddOffset(PlaceOffer::VT_WAITING, waiting);
+  }
+  void add_granted(flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::GrantRate *>> granted) {
+    fbb_.AddOffset(PlaceOffer::VT_GRANTED, granted);
+  }
   explicit PlaceOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2976,11 +3151,15 @@
     bool is_slow = false,
     uint32_t load = 0,
     double limit = 0.0,
-    uint64_t pass_microseconds = 0) {
+    uint64_t pass_microseconds = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::WaitingCount *>> waiting = 0,
+    flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::GrantRate *>> granted = 0) {
   PlaceOfferBuilder builder_(_fbb);
   builder_.add_pass_microseconds(pass_microseconds);
   builder_.add_limit(limit);
   builder_.add_number(number);
+  builder_.add_granted(granted);
+  builder_.add_waiting(waiting);
   builder_.add_load(load);
   builder_.add_address(address);
   builder_.add_is_slow(is_slow);
@@ -3001,8 +3180,12 @@
     bool is_slow = false,
     uint32_t load = 0,
     double limit = 0.0,
-    uint64_t pass_microseconds = 0) {
+    uint64_t pass_microseconds = 0,
+    const std::vector<bramleyspan::membership::wire::WaitingCount> *waiting = nullptr,
+    const std::vector<bramleyspan::membership::wire::GrantRate> *granted = nullptr) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto waiting__ = waiting ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::WaitingCount>(*waiting) : 0;
+  auto granted__ = granted ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::GrantRate>(*granted) : 0;
   return bramleyspan::membership::wire::CreatePlaceOffer(
       _fbb,
       number,
@@ -3011,7 +3194,9 @@
       is_slow,
       load,
       limit,
-      pass_microseconds);
+      pass_microseconds,
+      waiting__,
+      granted__);
 }
 
 flatbuffers::Offset<PlaceOffer> CreatePlaceOffer(flatbuffers::FlatBufferBuilder &_fbb, const PlaceOfferT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3546,7 +3731,8 @@
         is_hungry(o.is_hungry),
         rank((o.rank) ? new bramleyspan::membership::wire::RankStatusT(*o.rank) : nullptr),
         hears_store(o.hears_store),
-        grants_rates(o.grants_rates) {
+        grants_rates(o.grants_rates),
+        desired_revision(o.desired_revision) {
   open.reserve(o.open.size());
   for (const auto &open_ : o.open) { open.emplace_back((open_) ? new bramleyspan::membership::wire::OpenCountT(*open_) : nullptr); }
 }
@@ -3569,6 +3755,7 @@
   std::swap(rank, o.rank);
   std::swap(hears_store, o.hears_store);
   std::swap(grants_rates, o.grants_rates);
+  std::swap(desired_revision, o.desired_revision);
   return *this;
 }
 
@@ -3598,6 +3785,7 @@
   { auto _e = rank(); if (_e) _o->rank = std::unique_ptr<bramleyspan::membership::wire::RankStatusT>(_e->UnPack(_resolver)); }
   { auto _e = hears_store(); _o->hears_store = _e; }
   { auto _e = grants_rates(); _o->grants_rates = _e; }
+  { auto _e = desired_revision(); _o->desired_revision = _e; }
 }
 
 inline flatbuffers::Offset<Member> Member::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3625,6 +3813,7 @@
   auto _rank = _o->rank ? CreateRankStatus(_fbb, _o->rank.get(), _rehasher) : 0;
   auto _hears_store = _o->hears_store;
   auto _grants_rates = _o->grants_rates;
+  auto _desired_revision = _o->desired_revision;
   return bramleyspan::membership::wire::CreateMember(
       _fbb,
       _name,
@@ -3643,7 +3832,8 @@
       _is_hungry,
       _rank,
       _hears_store,
-      _grants_rates);
+      _grants_rates,
+      _desired_revision);
 }
 
 inline RankPlaceT *RankPlace::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4272,6 +4462,11 @@
   (void)_resolver;
   { auto _e = number(); _o->number = _e; }
   { auto _e = is_late(); _o->is_late = _e; }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = time_left_microseconds(); _o->time_left_microseconds = _e; }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = waiting(); if (_e) { _o->waiting.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waiting[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<PlaceProbe> PlaceProbe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4284,10 +4479,20 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const PlaceProbeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _number = _o->number;
   auto _is_late = _o->is_late;
+  auto _priority = _o->priority;
+  auto _tokens = _o->tokens;
+  auto _time_left_microseconds = _o->time_left_microseconds;
+  auto _incarnation = _o->incarnation;
+  auto _waiting = _o->waiting.size() ? _fbb.CreateVectorOfStructs(_o->waiting) : 0;
   return bramleyspan::membership::wire::CreatePlaceProbe(
       _fbb,
       _number,
-      _is_late);
+      _is_late,
+      _priority,
+      _tokens,
+      _time_left_microseconds,
+      _incarnation,
+      _waiting);
 }
 
 inline PlaceOfferT *PlaceOffer::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4306,6 +4511,8 @@
   { auto _e = load(); _o->load = _e; }
   { auto _e = limit(); _o->limit = _e; }
   { auto _e = pass_microseconds(); _o->pass_microseconds = _e; }
+  { auto _e = waiting(); if (_e) { _o->waiting.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waiting[_i] = *_e->Get(_i); } } }
+  { auto _e = granted(); if (_e) { _o->granted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->granted[_i] = *_e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<PlaceOffer> PlaceOffer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceOfferT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4323,6 +4530,8 @@
   auto _load = _o->load;
   auto _limit = _o->limit;
   auto _pass_microseconds = _o->pass_microseconds;
+  auto _waiting = _o->waiting.size() ? _fbb.CreateVectorOfStructs(_o->waiting) : 0;
+  auto _granted = _o->granted.size() ? _fbb.CreateVectorOfStructs(_o->granted) : 0;
   return bramleyspan::membership::wire::CreatePlaceOffer(
       _fbb,
       _number,
@@ -4331,7 +4540,9 @@
       _is_slow,
       _load,
       _limit,
-      _pass_microseconds);
+      _pass_microseconds,
+      _waiting,
+      _granted);
 }
 
 inline PlaceTakenT *PlaceTaken::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
