LibGateway, Gateway: Send nothing to the targets of an evacuated zone

Change: the feed of the desired state also holds the evacuated zones. A target in such a zone is not usable, for first sends, repeats, resumed streams and permits that were granted before. A service that has targets in evacuated zones only is refused at once. Peers pass the zones on with the desired state: a record names the newest revision of both, and the fetch between peers returns all keys that are newer. Watchers of the build before, which pass no zones on, get substitutes.

Ruled out: a second feed for the zones, which would cost each gateway another watch; expiry of an evacuation by time, since a silent store says nothing of it.

--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -23,7 +23,10 @@
   std::string readiness_path;
   std::string directory_path;
   std::string table_key;
-  std::string table_prefix;
+  // Prefix of the keys of evacuated zones, which end with the zone's name.
+  std::string evacuations_prefix;
+  // Prefix of both.
+  std::string desired_prefix;
   std::string targets_prefix;
 
   platform::Store (*open_store)(EventLoop& loop,
--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -83,11 +83,34 @@
   return found != table.signals.end() && found->second.leaving.is_announced;
 }
 
-bool is_usable(const TargetTable& table, const TargetView& view) {
+bool is_staying(const TargetTable& table, const TargetView& view) {
   return !view.target.is_leaving && !view.is_replaced &&
          !has_announced_leaving(table, view.target.id);
 }
 
+bool is_usable(const TargetTable& table, const TargetView& view) {
+  return is_staying(table, view) &&
+         !is_evacuated(table.evacuated, view.target.zone);
+}
+
+bool has_only_evacuated_targets(const TargetTable& table,
+                                std::string_view service) {
+  if (table.evacuated.by_name.empty()) {
+    return false;
+  }
+  bool has_targets = false;
+  for (const auto& [id, view] : table.by_id) {
+    if (view.target.service != service || !is_staying(table, view)) {
+      continue;
+    }
+    if (!is_evacuated(table.evacuated, view.target.zone)) {
+      return false;
+    }
+    has_targets = true;
+  }
+  return has_targets;
+}
+
 void RemoveOldSignals(TargetTable& table, TimePoint now) {
   std::erase_if(table.signals, [&table, now](const auto& item) {
     const TimePoint last =
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -12,6 +12,7 @@
 
 #include "Kernel/Address.h"
 #include "Kernel/Time.h"
+#include "LibGateway/EvacuatedZones.h"
 #include "LibGateway/TargetSignals.h"
 
 namespace bramleyspan::gateway {
@@ -66,6 +67,7 @@
   std::map<std::string, TargetView> by_id;
   // By id of the target; kept while its record is missing.
   std::map<std::string, TargetSignals> signals;
+  EvacuatedZones evacuated;
 };
 
 // Adds or updates a target that the platform lists; the state of a known target
@@ -82,7 +84,11 @@
 
 bool has_announced_leaving(const TargetTable& table, const std::string& id);
 
-// Whether requests may be sent to the target at all.
+// Whether the target runs and does not leave.
+bool is_staying(const TargetTable& table, const TargetView& view);
+
+// Whether requests may be sent to the target at all: it stays, and its zone is
+// not evacuated.
 bool is_usable(const TargetTable& table, const TargetView& view);
 
 // Outcome of a request at a target, by which the next targets are chosen.
@@ -109,6 +115,11 @@
 // Whether any of a service's ranks is known to be in an open group.
 bool is_any_open(const TargetTable& table, std::string_view service);
 
+// Whether the service has targets that stay, and all of them are in evacuated
+// zones.
+bool has_only_evacuated_targets(const TargetTable& table,
+                                std::string_view service);
+
 // Visits the targets of a service that may be sent requests. `excluded` are the
 // ones that were tried already.
 using TargetVisitor = std::function<void(const TargetView&)>;
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -16,7 +16,7 @@
                        const platform::StoreItem& item,
                        platform::FeedSource source,
                        const OnTable& on_table) {
-  if (item.key != state.adapter.table_key || item.is_removed) {
+  if (item.is_removed) {
     return;
   }
   auto parsed = state.adapter.parse_table(item.value);
@@ -42,6 +42,25 @@
   on_table(*state.table);
 }
 
+void HandleZoneChange(GatewayState& state,
+                      const platform::StoreItem& item,
+                      platform::FeedSource source) {
+  const std::string zone =
+      item.key.substr(state.adapter.evacuations_prefix.size());
+  gateway::EvacuatedZones& zones = state.targets.evacuated;
+  const bool is_changed =
+      item.is_removed ? gateway::ApplyRestoration(zones, zone)
+                      : gateway::ApplyEvacuation(zones, zone, item.revision,
+                                                 EventLoop::Now());
+  if (is_changed) {
+    Log(LogLevel::kInfo, "feeds",
+        item.is_removed ? "zone_restored" : "zone_evacuated",
+        {{"zone", zone},
+         {"revision", std::to_string(item.revision)},
+         {"heard_from", std::string(platform::NameOf(source))}});
+  }
+}
+
 void HandleTargetChange(GatewayState& state, const platform::StoreItem& item) {
   const std::string id = item.key.substr(item.key.rfind('/') + 1);
   std::optional<gateway::Target> target;
@@ -117,25 +136,30 @@
 
 void StartFeeds(GatewayState& state,
                 OnTable on_table,
-                std::function<void()> on_target) {
+                std::function<void()> on_change) {
   state.table_feed = std::make_unique<platform::PrefixFeed>(
       TimersOf(state.loop), state.store,
-      platform::ActiveFeedSettings(state.adapter.table_prefix,
+      platform::ActiveFeedSettings(state.adapter.desired_prefix,
                                    state.fleet().notice_bound),
-      EventsOf("table", [&state, on_table = std::move(on_table)](
+      EventsOf("table", [&state, on_table = std::move(on_table), on_change](
                             const platform::StoreItem& item,
                             platform::FeedSource source) {
-        HandleTableChange(state, item, source, on_table);
+        if (item.key == state.adapter.table_key) {
+          HandleTableChange(state, item, source, on_table);
+        } else if (item.key.starts_with(state.adapter.evacuations_prefix)) {
+          HandleZoneChange(state, item, source);
+          on_change();
+        }
       }));
   state.targets_feed = std::make_unique<platform::PrefixFeed>(
       TimersOf(state.loop), state.store,
       platform::ActiveFeedSettings(state.adapter.targets_prefix,
                                    state.fleet().notice_bound),
       EventsOf("targets",
-               [&state, on_target = std::move(on_target)](
+               [&state, on_change = std::move(on_change)](
                    const platform::StoreItem& item, platform::FeedSource) {
                  HandleTargetChange(state, item);
-                 on_target();
+                 on_change();
                }));
   state.table_feed->Start();
   state.targets_feed->Start();
--- a/Services/bramleyspand/Gateway/Feeds.h
+++ b/Services/bramleyspand/Gateway/Feeds.h
@@ -1,4 +1,4 @@
-// Watches the desired state and the targets in the store.
+// Watches the desired state, the evacuated zones and the targets in the store.
 #pragma once
 
 #include "Services/bramleyspand/Gateway/GatewayState.h"
@@ -8,11 +8,11 @@
 // Called for each newer desired state.
 using OnTable = std::function<void(const gateway::RouteTable&)>;
 
-// Starts both feeds. `on_target` is called for each target that is added,
-// changed or removed.
+// Starts both feeds. `on_change` is called for each target that is added,
+// changed or removed, and each zone that is evacuated or restored.
 void StartFeeds(GatewayState& state,
                 OnTable on_table,
-                std::function<void()> on_target);
+                std::function<void()> on_change);
 
 // Sets how long the watches wait. A few gateways, the active watchers, watch
 // the store with short waits; the passive ones receive changes from them if
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -57,6 +57,10 @@
   // cause why it can be sent to no target.
   void RefuseForLackOfPermit(std::string_view cause);
 
+  // Refuses the request if all targets of its service are in evacuated zones.
+  // Returns whether it was refused.
+  bool RefuseIfEvacuated();
+
   // Refuses the request if all targets hold it back for longer than it may
   // wait. Returns whether it was refused.
   bool RefuseIfHeldBack();
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -285,7 +285,7 @@
   // A target that leaves is expected to end.
   if (!is_lost || this->parts.empty() ||
       found == this->state.targets.by_id.end() ||
-      !gateway::is_usable(this->state.targets, found->second)) {
+      !gateway::is_staying(this->state.targets, found->second)) {
     return false;
   }
   const bool is_answered = this->is_answered_by_target(EventLoop::Now());
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -92,7 +92,7 @@
         return other->service == this->service && !other->is_probing() &&
                !this->is_before(*other, now);
       });
-  if (is_first && this->TrySend()) {
+  if (this->RefuseIfEvacuated() || (is_first && this->TrySend())) {
     return;
   }
   if (now >= this->wait.ends) {
@@ -130,7 +130,7 @@
   if (this->is_probing()) {
     return false;
   }
-  if (this->EndIfQuarantined()) {
+  if (this->EndIfQuarantined() || this->RefuseIfEvacuated()) {
     return true;
   }
   if (!this->has_engine()) {
@@ -226,6 +226,10 @@
   if (this->EndIfQuarantined()) {
     return SendVerdict::kSent;
   }
+  // Its zone may have been evacuated while the permit was awaited.
+  if (!gateway::is_usable(this->state.targets, target)) {
+    return SendVerdict::kHeldBack;
+  }
   const std::string id = target.target.id;
   const TimePoint now = EventLoop::Now();
   // The target may have asked for a backoff while the permit was awaited.
@@ -284,6 +288,15 @@
                             SharingOf(this->state, now).gateways);
 }
 
+bool Forwarding::RefuseIfEvacuated() {
+  if (!gateway::has_only_evacuated_targets(this->state.targets,
+                                           this->service)) {
+    return false;
+  }
+  this->RefuseForLackOfPermit("all zones of the service are evacuated");
+  return true;
+}
+
 bool Forwarding::RefuseIfHeldBack() {
   const std::optional<TimePoint> until = this->HeldBackUntil(this->tried);
   if (!until || *until <= this->wait.ends) {
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -64,6 +64,9 @@
     "bramleyspan_live_gateways", "Gateways at work, this one among them."};
 inline constexpr MetricName kTableVersion{
     "bramleyspan_table_version", "Version of the desired state in force."};
+inline constexpr MetricName kEvacuatedZones{
+    "bramleyspan_evacuated_zones",
+    "Availability zones whose targets get no further requests."};
 inline constexpr MetricName kFeedAge{
     "bramleyspan_feed_age_seconds",
     "Time since the store last answered, by feed."};
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -202,8 +202,10 @@
     if (request.path == "/v1/news") {
       exchange->Respond(
           200, {{"content-type", "application/msgpack"}},
-          role.peers.SerializeUpdate(NumberIn(request.query, "table"),
-                                     NumberIn(request.query, "targets")));
+          role.peers.SerializeUpdate(
+              {.table_version = NumberIn(request.query, "table"),
+               .targets_revision = NumberIn(request.query, "targets"),
+               .desired_revision = FindNumber(request.query, "desired")}));
     } else if (request.path == "/v1/engine") {
       role.RespondWithEngine(http::FindQueryValue(request.query, "address"),
                              *exchange);
@@ -271,6 +273,12 @@
     exchange.Respond(404, {}, "");
   }
 
+  static std::optional<uint64_t> FindNumber(std::string_view query,
+                                            std::string_view name) {
+    const bool has_name = !http::FindQueryValue(query, name).empty();
+    return has_name ? std::optional(NumberIn(query, name)) : std::nullopt;
+  }
+
   static uint64_t NumberIn(std::string_view query, std::string_view name) {
     return std::strtoull(http::FindQueryValue(query, name).c_str(), nullptr,
                          10);
@@ -459,6 +467,9 @@
                         this->state.table == nullptr
                             ? 0
                             : static_cast<double>(this->state.table->version));
+    telemetry::SetGauge(
+        kEvacuatedZones, {},
+        static_cast<double>(this->state.targets.evacuated.by_name.size()));
     for (const auto& [name, feed] :
          {std::pair("table", this->state.table_feed.get()),
           std::pair("targets", this->state.targets_feed.get())}) {
@@ -509,6 +520,12 @@
             {"rank", view.rank->rank}};
       }
     }
+    for (const auto& [zone, evacuated] :
+         this->state.targets.evacuated.by_name) {
+      dump["evacuated_zones"][zone] = {
+          {"revision", evacuated.revision},
+          {"since_ms", (now - evacuated.since).count() / 1000}};
+    }
     const nlohmann::json repeats = this->repeats.Dump();
     if (!repeats.is_null()) {
       dump["repeats"] = repeats;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -40,6 +40,7 @@
   Settings settings;
   gateway::Adapter adapter;
   platform::Store store;
+  // The desired state with the evacuated zones.
   std::unique_ptr<platform::PrefixFeed> table_feed;
   std::unique_ptr<platform::PrefixFeed> targets_feed;
   // Whether the watches of this gateway are short enough to notice soon that
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -30,6 +30,33 @@
 constexpr size_t kMaxOpenCounts = 64;
 constexpr uint64_t kRoundsPerAgentHeartbeat = 5;
 
+// Returns the keys of the feed that changed after a revision.
+json SerializeItems(const platform::PrefixFeed& feed, uint64_t after) {
+  json items = json::array();
+  for (const auto& [key, item] : feed.items()) {
+    if (item.revision > after) {
+      items.push_back(
+          {{"key", key},
+           {"value", json::binary({item.value.begin(), item.value.end()})},
+           {"revision", item.revision},
+           {"is_removed", item.is_removed}});
+    }
+  }
+  return items;
+}
+
+std::vector<platform::StoreItem> ParseItems(const json& source) {
+  std::vector<platform::StoreItem> items;
+  for (const json& item : source) {
+    const auto& value = item.at("value").get_binary();
+    items.push_back({.key = item.at("key").get<std::string>(),
+                     .value = {value.begin(), value.end()},
+                     .revision = item.at("revision").get<uint64_t>(),
+                     .is_removed = item.at("is_removed").get<bool>()});
+  }
+  return items;
+}
+
 }  // namespace
 
 Result<void> Peers::Start() {
@@ -116,6 +143,7 @@
   self.targets_revision = own.targets_feed->newest_revision();
   self.is_hungry = !own.waiting.empty();
   self.grants_rates = true;
+  self.desired_revision = own.table_feed->newest_revision();
   self.hears_store =
       own.table_feed->is_reachable() && own.targets_feed->is_reachable();
   for (const auto& [id, view] : own.targets.by_id) {
@@ -264,6 +292,7 @@
   const uint64_t own_version = own.table == nullptr ? 0 : own.table->version;
   const bool is_behind =
       member.table_version > own_version ||
+      member.desired_revision > own.table_feed->newest_revision() ||
       member.targets_revision > own.targets_feed->newest_revision();
   const TimePoint now = EventLoop::Now();
   if (!is_behind || this->is_fetching ||
@@ -274,6 +303,7 @@
   this->last_fetch = now;
   const std::string query =
       "/v1/news?table=" + std::to_string(own_version) +
+      "&desired=" + std::to_string(own.table_feed->updates_from()) +
       "&targets=" + std::to_string(own.targets_feed->updates_from());
   http::DirectCall::Fetch(
       this->state.loop,
@@ -291,26 +321,20 @@
       });
 }
 
-std::string Peers::SerializeUpdate(uint64_t table_version,
-                                   uint64_t targets_revision) const {
+std::string Peers::SerializeUpdate(const KnownChanges& known) const {
   json update = {
-      {"targets", json::array()},
+      {"targets",
+       SerializeItems(*this->state.targets_feed, known.targets_revision)},
       {"targets_complete_to", this->state.targets_feed->complete_to()}};
-  for (const auto& [key, item] : this->state.targets_feed->items()) {
-    if (item.revision > targets_revision) {
-      update["targets"].push_back(
-          {{"key", key},
-           {"value", json::binary({item.value.begin(), item.value.end()})},
-           {"revision", item.revision},
-           {"is_removed", item.is_removed}});
-    }
-  }
+  const platform::PrefixFeed& desired = *this->state.table_feed;
   const uint64_t own_version =
       this->state.table == nullptr ? 0 : this->state.table->version;
-  if (own_version > table_version) {
-    const auto& items = this->state.table_feed->items();
-    const auto found = items.find(this->state.adapter.table_key);
-    if (found != items.end()) {
+  if (known.desired_revision) {
+    update["desired"] = SerializeItems(desired, *known.desired_revision);
+    update["desired_complete_to"] = desired.complete_to();
+  } else if (own_version > known.table_version) {
+    const auto found = desired.items().find(this->state.adapter.table_key);
+    if (found != desired.items().end()) {
       update["table"] = json::binary(
           {found->second.value.begin(), found->second.value.end()});
       update["table_revision"] = found->second.revision;
@@ -335,16 +359,13 @@
 }
 
 void Peers::ApplyUpdate(const json& update) {
-  std::vector<platform::StoreItem> items;
-  for (const json& source : update.value("targets", json::array())) {
-    const auto& value = source.at("value").get_binary();
-    items.push_back({.key = source.at("key").get<std::string>(),
-                     .value = {value.begin(), value.end()},
-                     .revision = source.at("revision").get<uint64_t>(),
-                     .is_removed = source.at("is_removed").get<bool>()});
-  }
   this->state.targets_feed->Merge(
-      items, update.value("targets_complete_to", uint64_t{0}));
+      ParseItems(update.value("targets", json::array())),
+      update.value("targets_complete_to", uint64_t{0}));
+  this->state.table_feed->Merge(
+      ParseItems(update.value("desired", json::array())),
+      update.value("desired_complete_to", uint64_t{0}));
+  // From a build that does not know evacuated zones.
   if (update.contains("table")) {
     const auto& value = update["table"].get_binary();
     this->state.table_feed->Merge(
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 
 #include "Services/bramleyspand/Gateway/GatewayState.h"
@@ -33,11 +34,18 @@
   // Sends a datagram to all live gateways.
   void SendToGateways(const std::string& bytes);
 
+  // What a peer that fetches changes has already.
+  struct KnownChanges {
+    uint64_t table_version = 0;
+    uint64_t targets_revision = 0;
+    // None if the peer's build does not know evacuated zones.
+    std::optional<uint64_t> desired_revision;
+  };
+
   // Returns the body of /v1/news, which a peer fetches that received a newer
-  // version or revision: the desired state if it is newer than `table_version`,
-  // and the targets that changed after `targets_revision`.
-  std::string SerializeUpdate(uint64_t table_version,
-                              uint64_t targets_revision) const;
+  // version or revision: the desired state, the evacuated zones and the targets
+  // that changed since.
+  std::string SerializeUpdate(const KnownChanges& known) const;
 
  private:
   void Tick();
--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -3,7 +3,10 @@
 // Its control address changes the platform's state and returns the counts:
 //
 // - PUT /config: the body becomes the desired state in the store.
-// - PUT /server?id=&state=: sets a server to ready, draining or gone.
+// - PUT /server?id=&state=&zone=: sets a server to ready, draining or gone, and
+//   its zone if one is given (a at the start).
+// - PUT /evacuate?zone=&state=: the operator evacuates a zone (on) or restores
+//   it (off).
 // - PUT /store?mode=: serving, down, silent, losing (see StoreMode) or late;
 //   forget drops the history of changes.
 // - PUT /door?mode=: serving, refusing or silent, for the store's second
@@ -64,6 +67,8 @@
   std::vector<PlainServer> plain;
   std::map<std::string, uint64_t> runs;
   std::map<std::string, uint64_t> runs_by_server;
+  // Zones by server; a if not listed.
+  std::map<std::string, std::string> zones;
   Signals signals;
   Crashes crashes;
   // By address.
@@ -73,9 +78,10 @@
 
 std::string WriteServer(const std::string& service,
                         const std::string& address,
-                        const std::string& state) {
+                        const std::string& state,
+                        const std::string& zone = "a") {
   return json{{"service", service}, {"address", address},
-              {"zone", "a"},        {"version", 1},
+              {"zone", zone},       {"version", 1},
               {"slots", 8},         {"state", state},
               {"cold_left_ms", 0},  {"seq", 1}}
       .dump();
@@ -98,7 +104,9 @@
   if (state == "gone") {
     Remove(platform.store, "servers/" + id);
   } else {
-    Put(platform.store, "servers/" + id, WriteServer(service, address, state));
+    const auto zone = platform.zones.try_emplace(id, "a").first->second;
+    Put(platform.store, "servers/" + id,
+        WriteServer(service, address, state, zone));
   }
 }
 
@@ -268,7 +276,19 @@
   }
   if (request.path == "/config") {
     Put(platform.store, "op/config", request.body);
+  } else if (request.path == "/evacuate") {
+    const std::string key =
+        "op/evacuate/" + http::FindQueryValue(request.query, "zone");
+    if (http::FindQueryValue(request.query, "state") == "on") {
+      Put(platform.store, key, "{}");
+    } else {
+      Remove(platform.store, key);
+    }
   } else if (request.path == "/server") {
+    const std::string zone = http::FindQueryValue(request.query, "zone");
+    if (!zone.empty()) {
+      platform.zones[http::FindQueryValue(request.query, "id")] = zone;
+    }
     SetServer(platform, http::FindQueryValue(request.query, "id"),
               http::FindQueryValue(request.query, "state"));
   } else if (request.path == "/store") {
--- a/Tests/LibGateway/TestTargets.cc
+++ b/Tests/LibGateway/TestTargets.cc
@@ -120,4 +120,37 @@
   }
 }
 
+// Failure: the operator evacuates a zone and its targets keep getting requests;
+// or a service that has no other targets holds its callers instead of refusing
+// them.
+TEST_CASE("Targets in an evacuated zone get no requests until it is restored") {
+  TargetTable table;
+  ApplyTarget(table, TargetOf("a", 80, 1));
+  Target other = TargetOf("b", 81, 1);
+  other.zone = "south";
+  ApplyTarget(table, other);
+  CHECK(ApplyEvacuation(table.evacuated, "north", 7, kStart));
+  CHECK_FALSE(ApplyEvacuation(table.evacuated, "north", 9, kStart));
+  CHECK(table.evacuated.by_name.at("north").revision == 9);
+  CHECK(Usable(table) == std::set<std::string>{"b"});
+  CHECK(is_staying(table, table.by_id.at("a")));
+  CHECK_FALSE(has_only_evacuated_targets(table, "invoices"));
+  SUBCASE("All zones are evacuated") {
+    ApplyEvacuation(table.evacuated, "south", 8, kStart);
+    CHECK(Usable(table).empty());
+    CHECK(has_only_evacuated_targets(table, "invoices"));
+    CHECK_FALSE(has_only_evacuated_targets(table, "unknown"));
+  }
+  SUBCASE("The other zone has only a leaving target") {
+    other.is_leaving = true;
+    ApplyTarget(table, other);
+    CHECK(has_only_evacuated_targets(table, "invoices"));
+  }
+  SUBCASE("The zone is restored") {
+    CHECK(ApplyRestoration(table.evacuated, "north"));
+    CHECK_FALSE(ApplyRestoration(table.evacuated, "north"));
+    CHECK(Usable(table) == std::set<std::string>{"a", "b"});
+  }
+}
+
 }  // namespace bramleyspan::gateway
--- a/Tests/LibMembership/TestMembers.cc
+++ b/Tests/LibMembership/TestMembers.cc
@@ -21,6 +21,7 @@
   member.ip = "10.0.0." + std::to_string(name.size());
   member.incarnation = incarnation;
   member.counter = counter;
+  member.desired_revision = 1;
   return member;
 }
 
@@ -124,6 +125,20 @@
   }
 }
 
+// Failure: during a rolling upgrade all active watchers are of the build before,
+// which does not pass evacuated zones on; the upgraded gateways, which hardly
+// ask the store, learn of an evacuation a quarter of a minute later.
+TEST_CASE("Active watchers that pass no evacuations on get substitutes") {
+  Members members{.own_name = "me"};
+  constexpr uint64_t kOwn = 50;
+  for (uint64_t other = 1; other <= kActiveWatchers; ++other) {
+    wire::MemberT older = MemberOf(std::string(other, 'a'), other, 1);
+    older.desired_revision = 0;
+    Merge(members, older, true, kStart);
+  }
+  CHECK(is_active_watcher(members, kOwn, kStart));
+}
+
 TEST_CASE("A datagram that is truncated or empty is rejected") {
   wire::HeartbeatT heartbeat;
   heartbeat.members.push_back(
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -35,6 +35,10 @@
 # the store.
 configure() { desired_state "$@" | curl -sf -X PUT "$CONTROL/config" --data-binary @- -o /dev/null; }
 set_server() { curl -sf -X PUT "$CONTROL/server?id=$1&state=$2" -o /dev/null; }
+# set_zone SERVER ZONE: moves a server to a zone. evacuate ZONE on|off: what the
+# operator writes to evacuate or restore it.
+set_zone() { curl -sf -X PUT "$CONTROL/server?id=$1&state=ready&zone=$2" -o /dev/null; }
+evacuate() { curl -sf -X PUT "$CONTROL/evacuate?zone=$1&state=$2" -o /dev/null; }
 set_store() { curl -sf -X PUT "$CONTROL/store?mode=$1" -o /dev/null; }
 # set_signals SERVER QUERY: sets what the server asks of its callers, such as
 # limit=1. arrivals_at SERVER SPAN AFTER: prints the most requests that reached
--- a/Utilities/bramleyspanctl/Commands.h
+++ b/Utilities/bramleyspanctl/Commands.h
@@ -73,4 +73,8 @@
                                    const std::string& service,
                                    const std::string& part);
 
+// Prints the availability zones that each gateway knows to be evacuated.
+// `gateways` are IP:PORT,... of their internal ports.
+Result<void> PrintZones(const std::string& gateways);
+
 }  // namespace bramleyspan
--- a/Utilities/bramleyspanctl/Main.cc
+++ b/Utilities/bramleyspanctl/Main.cc
@@ -39,11 +39,13 @@
           store,
           "",
           "IP:PORT of the platform's store (or BRAMLEYSPAN_STORE)");
-ABSL_FLAG(std::string,
-          gateways,
-          "",
-          "IP:PORT,... of gateways' internal ports, for quarantine, and for "
-          "usage that is not stored yet");
+ABSL_FLAG(
+    std::string,
+    gateways,
+    "",
+    "IP:PORT,... of gateways' internal ports, for quarantine and zones, and "
+    "for "
+    "usage that is not stored yet");
 ABSL_FLAG(bool, streams, false, "causes: print a line for each late stream");
 ABSL_FLAG(std::string,
           by,
@@ -81,6 +83,9 @@
     "--gateways\n"
     "  quarantine release SERVICE PART\n"
     "                          let requests with the part through again\n"
+    "  zones                   availability zones that gateways keep empty, "
+    "from\n"
+    "                          --gateways\n"
     "  explain REQUEST LOG...  all records about a request, from log files or "
     "directories\n";
 
@@ -191,6 +196,9 @@
     return ReleaseFromQuarantine(absl::GetFlag(FLAGS_gateways), words[2],
                                  words[3]);
   }
+  if (command == "zones" && words.size() == 1) {
+    return PrintZones(absl::GetFlag(FLAGS_gateways));
+  }
   if (command == "explain" && words.size() > 2) {
     return ExplainRequest(verb, {words.begin() + 2, words.end()});
   }
--- a/Utilities/bramleyspanctl/OperatorClient.cc
+++ b/Utilities/bramleyspanctl/OperatorClient.cc
@@ -54,6 +54,14 @@
   return entries;
 }
 
+Result<std::vector<Address>> ParseGateways(const std::string& text) {
+  if (text.empty()) {
+    return Fail(ErrorCode::kInvalidSetting, "gateways",
+                "--gateways=IP:PORT,... is missing");
+  }
+  return ParseEntries(text);
+}
+
 Result<http::Response> SendRequest(const OperatorClient& client,
                                    const std::string& method,
                                    const std::string& path,
--- a/Utilities/bramleyspanctl/OperatorClient.h
+++ b/Utilities/bramleyspanctl/OperatorClient.h
@@ -19,6 +19,10 @@
 // Parses "IP:PORT,IP:PORT". Fails with kInvalidSetting.
 Result<std::vector<Address>> ParseEntries(const std::string& text);
 
+// Parses the value of --gateways. Fails with kInvalidSetting, also if it is
+// empty.
+Result<std::vector<Address>> ParseGateways(const std::string& text);
+
 // Returns the answer of the first entry that answers. Trying the next entry
 // can't apply a change set twice, since each carries an id. Fails if no entry
 // answers.
--- a/Utilities/bramleyspanctl/QuarantineCommand.cc
+++ b/Utilities/bramleyspanctl/QuarantineCommand.cc
@@ -18,14 +18,6 @@
 constexpr int kNotFound = 404;
 constexpr double kMillisecondsPerSecond = 1000;
 
-Result<std::vector<Address>> ParseGateways(const std::string& gateways) {
-  if (gateways.empty()) {
-    return Fail(ErrorCode::kInvalidSetting, "gateways",
-                "--gateways=IP:PORT,... is missing");
-  }
-  return ParseEntries(gateways);
-}
-
 void PrintPart(const std::string& gateway, const json& part) {
   std::cout << absl::StrFormat(
       "%-21s %-11s %-16s %-24s %4d %8d  %s", gateway,
