LibGateway: Limit the requests to cold targets

Cause: a target that has just started, or whose zone comes back, takes far fewer requests than a warm one and crashes above that; gateways sent as to any other.

Change: a cold target has a rate limit besides the one that it names: its service's warm-up rate for as long as its record says that it is cold. The lower one is in force. It is granted by the allocator of the rate limits, so that all gateways together keep it; the gate, the even share without an allocator and the outlook of held-back requests are the same. Nothing changes for a service without a warm-up rate.

Ruled out: a counter of its own beside the one of rate limits; limiting permits at the agent, since gateways go round agents that freeze or die.

Result: 1 to 340 gateways in virtual time, 400 requests a second for a cold target of 26 a second: at most 44 in any second, also while the allocator dies and half of the gateways start anew.

--- a/Libraries/LibGateway/HoldOutlook.cc
+++ b/Libraries/LibGateway/HoldOutlook.cc
@@ -28,10 +28,10 @@
         std::max(RateHeldUntil(limit, now), found->second.backoff.until);
     is_any_free = is_any_free || until <= now;
     outlook.release = std::min(outlook.release, until);
-    if (!limit.per_second) {
+    if (!LimitInForce(limit, now)) {
       outlook.rate = std::nullopt;
     } else if (outlook.rate) {
-      *outlook.rate += GrantedRate(limit);
+      *outlook.rate += GrantedRate(limit, now);
     }
   });
   const bool has_targets = outlook.release != TimePoint::max();
--- a/Libraries/LibGateway/RateLimits.cc
+++ b/Libraries/LibGateway/RateLimits.cc
@@ -130,7 +130,7 @@
                     double wanted,
                     const RateSharing& sharing,
                     TimePoint now) {
-  limits::SetLimit(limit.allocator, kGrantSettings, GrantedRate(limit),
+  limits::SetLimit(limit.allocator, kGrantSettings, GrantedRate(limit, now),
                    sharing.reached, sharing.all, now);
   RateGrant grant;
   grant.granted =
@@ -161,8 +161,8 @@
                        const RateSharing& sharing,
                        TimePoint now) {
   limits::HandleGrantRequestTimeout(limit.share, kGrantSettings,
-                                    limit.per_second.value_or(0), sharing.all,
-                                    now);
+                                    LimitInForce(limit, now).value_or(0),
+                                    sharing.all, now);
 }
 
 Duration RateRequestTimeout() {
@@ -170,13 +170,37 @@
 }
 
 TimePoint RateHeldUntil(const RateLimit& limit, TimePoint now) {
-  return limit.per_second
+  return LimitInForce(limit, now)
              ? limits::HeldUntil(limit.share, kGrantSettings, 1, now)
              : now;
 }
 
-double GrantedRate(const RateLimit& limit) {
-  return std::max(limit.per_second.value_or(0), kMinRate);
+void SetWarmUp(RateLimit& limit,
+               double rate,
+               TimePoint cold_until,
+               TimePoint now) {
+  const bool was_cold = limit.warm_up_rate > 0 && now < limit.cold_until;
+  limit.warm_up_rate = rate;
+  limit.cold_until = cold_until;
+  // What was granted to a warm target is no longer spent, nor is a bucket that
+  // filled up meanwhile.
+  if (!was_cold && !limit.per_second) {
+    limit.share = {.request_number = limit.share.request_number};
+    limit.allocator = {};
+  }
+}
+
+std::optional<double> LimitInForce(const RateLimit& limit, TimePoint now) {
+  const bool is_cold = limit.warm_up_rate > 0 && now < limit.cold_until;
+  if (!is_cold) {
+    return limit.per_second;
+  }
+  return std::min(limit.per_second.value_or(limit.warm_up_rate),
+                  limit.warm_up_rate);
+}
+
+double GrantedRate(const RateLimit& limit, TimePoint now) {
+  return std::max(LimitInForce(limit, now).value_or(0), kMinRate);
 }
 
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/RateLimits.h
+++ b/Libraries/LibGateway/RateLimits.h
@@ -1,7 +1,8 @@
-// Keeps the rate limits that targets name, for all gateways together. It
-// answers load above what a target in need takes, however many gateways send
-// to it. A target whose limit is 0, or nearly so, is sent a request now and
-// then: the answer tells when the limit has ended.
+// Keeps the rate limits that targets name, and those of cold targets, for all
+// gateways together. It answers load above what a target in need takes, however
+// many gateways send to it: a target that has just started crashes if the load
+// of a warm one floods back to it. A target whose limit is 0, or nearly so, is
+// sent a request now and then: the answer tells when the limit has ended.
 //
 // One gateway, the target's allocator, grants each request that any gateway
 // sends there. A gateway that cannot reach the allocator uses an even share of
@@ -97,7 +98,18 @@
 // than `now` if one may be admitted.
 TimePoint RateHeldUntil(const RateLimit& limit, TimePoint now);
 
+// Sets until when the target is cold, and the rate that it takes until then; a
+// rate of 0 stands for no limit.
+void SetWarmUp(RateLimit& limit,
+               double rate,
+               TimePoint cold_until,
+               TimePoint now);
+
+// Returns the limit in force: the one that the target names or, while it is
+// cold, its warm-up rate if that is lower.
+std::optional<double> LimitInForce(const RateLimit& limit, TimePoint now);
+
 // The rate at which requests are granted, in requests a second.
-double GrantedRate(const RateLimit& limit);
+double GrantedRate(const RateLimit& limit, TimePoint now);
 
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/RouteTable.h
+++ b/Libraries/LibGateway/RouteTable.h
@@ -78,6 +78,9 @@
 struct Service {
   std::string name;
   uint32_t max_connections = 0;
+  // Requests a second, from all gateways together, that a cold target takes; 0
+  // for no limit.
+  double warm_up_rate = 0;
   std::optional<EngineShape> engine;
 };
 
--- a/Libraries/LibGateway/TargetSignals.h
+++ b/Libraries/LibGateway/TargetSignals.h
@@ -40,6 +40,10 @@
   // When this began to hold, and when an answer last confirmed it.
   TimePoint since;
   TimePoint confirmed_at;
+  // Until when the target is cold, and the requests a second, for all gateways
+  // together, that it takes until then.
+  TimePoint cold_until;
+  double warm_up_rate = 0;
   // This gateway's part, and what it grants to all as the target's allocator.
   limits::Share share;
   limits::Allocator allocator;
--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -66,6 +66,25 @@
   }
 }
 
+bool ApplyWarmUp(TargetTable& table,
+                 const std::string& id,
+                 double warm_up_rate,
+                 TimePoint now) {
+  const auto view = table.by_id.find(id);
+  if (view == table.by_id.end()) {
+    return false;
+  }
+  const TimePoint cold_until = view->second.target.cold_until;
+  const bool is_cold = warm_up_rate > 0 && now < cold_until;
+  if (!is_cold && !table.signals.contains(id)) {
+    return false;
+  }
+  RateLimit& limit = table.signals[id].rate_limit;
+  const bool was_cold = limit.warm_up_rate > 0 && now < limit.cold_until;
+  SetWarmUp(limit, warm_up_rate, cold_until, now);
+  return is_cold && !was_cold;
+}
+
 bool RecordLeaving(TargetTable& table, const std::string& id, TimePoint now) {
   Leaving& leaving = table.signals[id].leaving;
   if (leaving.is_announced) {
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -25,6 +25,10 @@
   Address address;
   uint32_t slots = 1;
   bool is_leaving = false;
+  // How much longer the target is cold, as of its record, and until when that
+  // is by the time at which the record was received.
+  Duration cold_for{};
+  TimePoint cold_until;
   // The store's revision of this record.
   uint64_t revision = 0;
 };
@@ -77,6 +81,13 @@
 void ApplyTarget(TargetTable& table, Target target);
 void RemoveTarget(TargetTable& table, const std::string& id);
 
+// Limits the requests to a target while it is cold. `warm_up_rate` is that of
+// its service. Returns whether it is cold and was not before.
+bool ApplyWarmUp(TargetTable& table,
+                 const std::string& id,
+                 double warm_up_rate,
+                 TimePoint now);
+
 // Records that a target says in its answers that it leaves. It gets no further
 // requests until the store has listed it as leaving or gone and then as usable.
 // Returns whether that is new.
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -12,6 +12,31 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
+std::string Milliseconds(Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
+// Limits the requests to a target if it is cold and its service says how many
+// a cold target takes.
+void LimitIfCold(GatewayState& state, const std::string& id) {
+  const auto view = state.targets.by_id.find(id);
+  if (view == state.targets.by_id.end() || state.table == nullptr) {
+    return;
+  }
+  const auto service = state.table->services.find(view->second.target.service);
+  const double rate =
+      service == state.table->services.end() ? 0 : service->second.warm_up_rate;
+  const TimePoint now = EventLoop::Now();
+  if (gateway::ApplyWarmUp(state.targets, id, rate, now)) {
+    Log(LogLevel::kInfo, "targets", "target_cold",
+        {{"target", id},
+         {"service", view->second.target.service},
+         {"per_second", std::to_string(rate)},
+         {"for_ms", Milliseconds(view->second.target.cold_until - now)}});
+  }
+}
+
 void HandleTableChange(GatewayState& state,
                        const platform::StoreItem& item,
                        platform::FeedSource source,
@@ -39,6 +64,9 @@
        {"heard_from", std::string(platform::NameOf(source))},
        {"hosts", std::to_string(state.table->hosts.size())},
        {"keys", std::to_string(state.table->tenants_by_key.size())}});
+  for (const auto& [id, view] : state.targets.by_id) {
+    LimitIfCold(state, id);
+  }
   on_table(*state.table);
 }
 
@@ -83,7 +111,9 @@
   }
   if (target) {
     target->revision = item.revision;
+    target->cold_until = EventLoop::Now() + target->cold_for;
     gateway::ApplyTarget(state.targets, *std::move(target));
+    LimitIfCold(state, id);
   } else {
     gateway::RemoveTarget(state.targets, id);
   }
@@ -101,11 +131,6 @@
 constexpr Duration kLargeFleetWait = std::chrono::milliseconds(20);
 constexpr Duration kLargeFleetPause = std::chrono::seconds(15);
 
-std::string Milliseconds(Duration duration) {
-  return std::to_string(
-      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 platform::FeedEvents EventsOf(
     const std::string& name,
     std::function<void(const platform::StoreItem&, platform::FeedSource)>
--- a/Services/bramleyspand/Gateway/RateLimiter.cc
+++ b/Services/bramleyspand/Gateway/RateLimiter.cc
@@ -63,10 +63,10 @@
 RateLimiter::Verdict RateLimiter::Admit(const std::string& target,
                                         OnReply on_reply) {
   RateLimit* limit = this->FindLimit(target);
-  if (limit == nullptr || !limit->per_second) {
+  const TimePoint now = EventLoop::Now();
+  if (limit == nullptr || !gateway::LimitInForce(*limit, now)) {
     return Verdict::kAdmitted;
   }
-  const TimePoint now = EventLoop::Now();
   RateVerdict verdict = gateway::AdmitByRate(*limit, now);
   if (verdict == RateVerdict::kAskAllocator) {
     const std::string allocator = this->AllocatorOf(target);
@@ -118,7 +118,8 @@
   membership::wire::RateGrantT reply;
   reply.number = request.number;
   reply.is_allocator = this->AllocatorOf(target) == this->state.settings.name;
-  if (limit != nullptr && limit->per_second && reply.is_allocator) {
+  if (limit != nullptr && gateway::LimitInForce(*limit, now) &&
+      reply.is_allocator) {
     const gateway::RateGrant grant =
         gateway::GrantRate(*limit, request.wanted, this->Sharing(now), now);
     reply.granted = grant.granted;
--- a/Services/bramleyspand/Gateway/SignalRecorder.cc
+++ b/Services/bramleyspand/Gateway/SignalRecorder.cc
@@ -115,7 +115,7 @@
     return;
   }
   limits::RecordSentAfterBackoff(found->second.backoff, EventLoop::Now());
-  if (found->second.rate_limit.per_second) {
+  if (gateway::LimitInForce(found->second.rate_limit, EventLoop::Now())) {
     telemetry::Count(kSentToLimited, {{"service", service}});
   }
 }
@@ -141,7 +141,8 @@
     const auto found = this->state.targets.signals.find(id);
     const bool is_known = found != this->state.targets.signals.end();
     const bool is_limited =
-        is_known && found->second.rate_limit.per_second.has_value();
+        is_known &&
+        gateway::LimitInForce(found->second.rate_limit, now).has_value();
     const bool is_backing_off = is_known && found->second.backoff.until > now;
     limited[view.target.service] += is_limited ? 1 : 0;
     backing_off[view.target.service] += is_backing_off ? 1 : 0;
@@ -180,6 +181,10 @@
          (gateway::HeldUntil(this->state.targets, target, now) - now).count() /
              1000}};
   }
+  if (limit.warm_up_rate > 0 && now < limit.cold_until) {
+    dump["cold"] = {{"per_second", limit.warm_up_rate},
+                    {"left_ms", (limit.cold_until - now).count() / 1000}};
+  }
   const limits::Backoff& backoff = found->second.backoff;
   if (backoff.until > now) {
     dump["backoff"] = {{"left_ms", (backoff.until - now).count() / 1000},
--- a/Tests/LibGateway/SimulatedGateways.cc
+++ b/Tests/LibGateway/SimulatedGateways.cc
@@ -26,7 +26,7 @@
     Gateway& gateway = this->gateways[i];
     gateway.name = "gateway-" + std::to_string(i);
     gateway.heard.assign(this->gateways.size(), kBegin);
-    RecordRateLimit(gateway.limit, {.rate_limit = load.limit}, kBegin, kBegin);
+    this->SetLimitAt(gateway);
     const double share = load.limit / static_cast<double>(load.gateways);
     gateway.even_share = {.rate = share,
                           .capacity = std::max(1.0, share / 2),
@@ -41,14 +41,22 @@
   this->events.emplace(kBegin + time, std::move(event));
 }
 
+void SimulatedGateways::SetLimitAt(Gateway& gateway) const {
+  if (this->load.is_cold) {
+    SetWarmUp(gateway.limit, this->load.limit, kBegin + this->load.run_time,
+              this->now);
+  } else {
+    MergeRateLimit(gateway.limit, this->load.limit, this->now, this->now);
+  }
+}
+
 void SimulatedGateways::Kill(size_t gateway) {
   this->gateways[gateway].is_alive = false;
 }
 
 void SimulatedGateways::Restart(size_t gateway) {
-  RateLimit& limit = this->gateways[gateway].limit;
-  limit = {};
-  MergeRateLimit(limit, this->load.limit, this->now, this->now);
+  this->gateways[gateway].limit = {};
+  this->SetLimitAt(this->gateways[gateway]);
 }
 
 void SimulatedGateways::KillAllocator() {
--- a/Tests/LibGateway/SimulatedGateways.h
+++ b/Tests/LibGateway/SimulatedGateways.h
@@ -15,6 +15,9 @@
 struct SimulatedLoad {
   size_t gateways = 6;
   double limit = 1;
+  // The target is cold and takes that many requests because of it; it names no
+  // limit.
+  bool is_cold = false;
   // Callers' requests a second, at all gateways together.
   double requests = 40;
   // Gateways that callers use; 0 for all.
@@ -70,6 +73,8 @@
     std::vector<TimePoint> heard;
   };
 
+  // Tells the gateway the limit, as an answer or the store does.
+  void SetLimitAt(Gateway& gateway) const;
   bool CanReach(size_t from, size_t to) const;
   std::vector<size_t> LiveAt(size_t gateway) const;
   size_t AllocatorAt(size_t gateway) const;
--- a/Tests/LibGateway/TestRateLimits.cc
+++ b/Tests/LibGateway/TestRateLimits.cc
@@ -249,4 +249,70 @@
                           kStart + milliseconds(800)) != nullptr);
 }
 
+// Failure: a zone is restored, or its servers come back after a crash, and the
+// load of warm servers floods back to cold ones, which crash again.
+TEST_CASE("All gateways together keep the warm-up rate of a cold target") {
+  // The users' bound: one and a half times the rate in any second, and 5.
+  constexpr double kRate = 26;
+  constexpr size_t kAllowedInOneSecond = 44;
+  for (const size_t count : {1, 6, 40, 74, 340}) {
+    CAPTURE(count);
+    const SimulatedLoad load{.gateways = count,
+                             .limit = kRate,
+                             .is_cold = true,
+                             .requests = 400,
+                             .run_time = seconds(6),
+                             .seed = count};
+    SUBCASE("while nothing fails") {
+      SimulatedGateways gateways(load);
+      gateways.Run();
+      CHECK(gateways.MostIn(seconds(1), seconds(0)) <= kAllowedInOneSecond);
+      CHECK(static_cast<double>(gateways.sent().size()) >= 0.7 * kRate * 6);
+    }
+    SUBCASE("while the allocator dies and gateways start anew") {
+      SimulatedGateways gateways(load);
+      gateways.At(seconds(2), [&gateways] { gateways.KillAllocator(); });
+      gateways.At(seconds(3), [&gateways, count] {
+        for (size_t i = 0; i < count / 2; ++i) {
+          gateways.Restart(i);
+        }
+      });
+      gateways.Run();
+      CHECK(gateways.MostIn(seconds(1), seconds(0)) <= kAllowedInOneSecond);
+    }
+  }
+}
+
+TEST_CASE("A target is limited while it is cold, and by the lower limit") {
+  RateLimit limit;
+  CHECK_FALSE(LimitInForce(limit, kStart));
+  SetWarmUp(limit, 26, kStart + seconds(3), kStart);
+  CHECK(LimitInForce(limit, kStart) == 26);
+  CHECK_FALSE(LimitInForce(limit, kStart + seconds(3)));
+  RecordRateLimit(limit, Named(2), kStart, kStart);
+  CHECK(LimitInForce(limit, kStart) == 2);
+  CHECK(LimitInForce(limit, kStart + seconds(3)) == 2);
+  SUBCASE("A record that says that it is warm ends it") {
+    SetWarmUp(limit, 26, kStart, kStart);
+    CHECK(LimitInForce(limit, kStart) == 2);
+  }
+  SUBCASE("Services without a warm-up rate are not limited") {
+    RateLimit other;
+    SetWarmUp(other, 0, kStart + seconds(3), kStart);
+    CHECK_FALSE(LimitInForce(other, kStart));
+  }
+}
+
+TEST_CASE(
+    "A listed target that is cold is limited by the rate of its service") {
+  TargetTable table;
+  ApplyTarget(table, {.id = "a", .cold_until = kStart + seconds(2)});
+  CHECK_FALSE(ApplyWarmUp(table, "a", 0, kStart));
+  CHECK(table.signals.empty());
+  CHECK(ApplyWarmUp(table, "a", 26, kStart));
+  CHECK_FALSE(ApplyWarmUp(table, "a", 26, kStart));
+  CHECK(LimitInForce(table.signals.at("a").rate_limit, kStart) == 26);
+  CHECK_FALSE(ApplyWarmUp(table, "unknown", 26, kStart));
+}
+
 }  // namespace bramleyspan::gateway
