LibGateway: Name a caller the gateways of its own zone

Cause: bytes between zones are dear, and two of three callers connected to a gateway in another zone, since the directory named all gateways, and of more than 64 always the same ones.

Change: the directory's answer is a decision of its own. In a fleet of more than 12 gateways a caller gets those of its zone, unless these are fewer than half of an even part of all; of more than 64, a random choice. Smaller fleets answer as before.

--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -22,6 +22,8 @@
   CallHeaders headers;
   std::string readiness_path;
   std::string directory_path;
+  // Parameter of the directory's query that names the caller's zone.
+  std::string caller_zone_parameter;
   std::string table_key;
   // Prefix of the keys of evacuated zones, which end with the zone's name.
   std::string evacuations_prefix;
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Kernel/Digest.h"
+#include "LibGateway/Directory.h"
 #include "LibPlatform/CountedStore.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
@@ -39,7 +40,6 @@
 // Time left of the stop bound when all open requests are ended.
 constexpr Duration kStopReserve = std::chrono::milliseconds(400);
 constexpr Duration kStatusInterval = std::chrono::seconds(5);
-constexpr size_t kMaxAddresses = 64;
 constexpr Duration kHeartbeatDelay = std::chrono::milliseconds(2);
 
 class GatewayRole : public Role {
@@ -185,7 +185,9 @@
       exchange->Respond(404, {}, "");
       return;
     }
-    const std::vector<std::string> addresses = role.AddressesForCallers();
+    const std::vector<std::string> addresses =
+        role.AddressesForCallers(http::FindQueryValue(
+            request.query, role.state.adapter.caller_zone_parameter));
     if (addresses.empty()) {
       exchange->Respond(503, {{"retry-after", "0.5"}}, "");
       return;
@@ -288,34 +290,35 @@
     return this->state.table != nullptr && !this->state.is_draining;
   }
 
-  // Returns the addresses that callers may connect to. Callers keep an answer
-  // and exclude an address that fails, so that the address of a gateway that
-  // may be down is better than none.
-  std::vector<std::string> AddressesForCallers() const {
+  // Returns the addresses that a caller in this zone may connect to. Callers
+  // keep an answer and exclude an address that fails, so that the address of a
+  // gateway that may be down is better than none.
+  std::vector<std::string> AddressesForCallers(const std::string& zone) {
     const TimePoint now = EventLoop::Now();
-    std::vector<std::string> addresses;
+    std::vector<gateway::ListedGateway> gateways;
+    const gateway::ListedGateway own{
+        .zone = this->state.settings.zone,
+        .address = Format(*this->state.fleet().callers)};
     if (this->is_ready()) {
-      addresses.push_back(Format(*this->state.fleet().callers));
+      gateways.push_back(own);
     }
     for (const auto* known :
          membership::LiveGateways(this->state.members, now)) {
-      if (addresses.size() < kMaxAddresses) {
-        addresses.push_back(known->member.caller_address);
-      }
-    }
-    if (!addresses.empty()) {
-      return addresses;
+      gateways.push_back({.zone = known->member.zone,
+                          .address = known->member.caller_address});
     }
-    for (const auto& [name, known] : this->state.members.known) {
-      if (known.member.is_entry && !known.member.is_leaving &&
-          addresses.size() < kMaxAddresses) {
-        addresses.push_back(known.member.caller_address);
+    if (gateways.empty()) {
+      for (const auto& [name, known] : this->state.members.known) {
+        if (known.member.is_entry && !known.member.is_leaving) {
+          gateways.push_back({.zone = known.member.zone,
+                              .address = known.member.caller_address});
+        }
       }
     }
-    if (addresses.empty() && this->state.table != nullptr) {
-      addresses.push_back(Format(*this->state.fleet().callers));
+    if (gateways.empty() && this->state.table != nullptr) {
+      gateways.push_back(own);
     }
-    return addresses;
+    return gateway::AddressesFor(gateways, zone, this->state.random());
   }
 
   void HandleTable(const gateway::RouteTable& table) {
