Gateway: Log the priority of a request

Cause: a tenant's priority takes the place of its route's, so that no log showed which priority a stream waits with. Change: the line accepted names it.

--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -138,6 +138,7 @@
        {"route", this->route->name},
        {"service", this->service},
        {"tenant", this->tenant},
+       {"priority", std::to_string(this->priority)},
        {"table_version", std::to_string(this->table->version)},
        {"left_ms", ToMillisecondsText(allowed)},
        {"is_returning", this->is_retry ? "true" : "false"}});
