LibGateway: Let a route's priority decide among tenants of one priority

Cause: a tenant's priority took the place of its routes'.

Change: the tenant's priority comes first, then the route's. A service has priorities if its streaming routes differ in theirs. Callers that return are not refused by forecast, since they do not come a third time.

--- a/Libraries/LibGateway/RouteTable.cc
+++ b/Libraries/LibGateway/RouteTable.cc
@@ -56,23 +56,22 @@
       }
     }
   }
-  std::set<int> of_tenants;
-  for (const auto& [key, tenant] : table.tenants_by_key) {
-    if (tenant.priority) {
-      of_tenants.insert(*tenant.priority);
-    }
-  }
   for (auto& [name, service] : table.services) {
-    std::set<int>& priorities = by_service[name];
+    const std::set<int>& priorities = by_service[name];
     if (priorities.empty()) {
       continue;
     }
-    priorities.insert(of_tenants.begin(), of_tenants.end());
     service.most_urgent = *priorities.begin();
     service.least_urgent = *priorities.rbegin();
   }
 }
 
+int CombinedPriority(std::optional<int> of_tenant, int of_route) {
+  constexpr int kRoutePriorities = 100;
+  return of_tenant.value_or(of_route) * kRoutePriorities +
+         std::clamp(of_route, 0, kRoutePriorities - 1);
+}
+
 std::shared_ptr<const Route> FindRoute(const RouteTable& table,
                                        std::string_view host,
                                        std::string_view path) {
--- a/Libraries/LibGateway/RouteTable.h
+++ b/Libraries/LibGateway/RouteTable.h
@@ -82,12 +82,11 @@
   // for no limit.
   double warm_up_rate = 0;
   std::optional<EngineShape> engine;
-  // The most and the least urgent priority of its streams, by its routes and
-  // the tenants.
+  // The most and the least urgent priority of its streaming routes.
   int most_urgent = 0;
   int least_urgent = 0;
 
-  // Whether its streams differ in priority.
+  // Whether its streams are of different priorities.
   bool has_priorities() const { return this->most_urgent < this->least_urgent; }
 };
 
@@ -120,10 +119,15 @@
 void AddRoute(RouteTable& table, Route route);
 void SortRoutes(RouteTable& table);
 
-// Sets the priorities of all services. Call it after routes, services and
-// tenants were added.
+// Sets the priorities of all services. Call it after routes and services were
+// added.
 void FindPriorities(RouteTable& table);
 
+// Returns the priority of a request among all: its tenant's, if it has one,
+// comes before its route's, which decides among requests of tenants with the
+// same priority. A lower one is more urgent.
+int CombinedPriority(std::optional<int> of_tenant, int of_route);
+
 // Returns the route of a request; null if no prefix matches.
 std::shared_ptr<const Route> FindRoute(const RouteTable& table,
                                        std::string_view host,
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -17,6 +17,16 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
 }
 
+std::string ServicesWithPriorities(const gateway::RouteTable& table) {
+  std::string names;
+  for (const auto& [name, service] : table.services) {
+    if (service.has_priorities()) {
+      names += (names.empty() ? "" : ",") + name;
+    }
+  }
+  return names;
+}
+
 // Limits the requests to a target if it is cold and its service says how many
 // a cold target takes.
 void LimitIfCold(GatewayState& state, const std::string& id) {
@@ -63,7 +73,8 @@
        {"revision", std::to_string(item.revision)},
        {"heard_from", std::string(platform::NameOf(source))},
        {"hosts", std::to_string(state.table->hosts.size())},
-       {"keys", std::to_string(state.table->tenants_by_key.size())}});
+       {"keys", std::to_string(state.table->tenants_by_key.size())},
+       {"with_priorities", ServicesWithPriorities(*state.table)}});
   for (const auto& [id, view] : state.targets.by_id) {
     LimitIfCold(state, id);
   }
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -158,7 +158,8 @@
     this->Refuse(kNotFound, "no such route", false);
     return false;
   }
-  this->priority = this->route->priority;
+  this->priority =
+      gateway::CombinedPriority(std::nullopt, this->route->priority);
   if (!this->is_allowed_by_key()) {
     this->Refuse(kUnauthorized, "no tenant has this key", false);
     return false;
@@ -172,7 +173,8 @@
   const auto found = this->table->tenants_by_key.find(std::string(key));
   if (found != this->table->tenants_by_key.end() && !key.empty()) {
     this->tenant = found->second.name;
-    this->priority = found->second.priority.value_or(this->priority);
+    this->priority = gateway::CombinedPriority(found->second.priority,
+                                               this->route->priority);
     return true;
   }
   return !this->table->has_tenants || this->route->is_public;
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -163,9 +163,10 @@
 
 bool Forwarding::RefuseIfHopeless() {
   const gateway::Service* service = this->FindServiceWithPriorities();
-  // The most urgent streams wait for as long as they can be served at all.
+  // The most urgent streams wait for as long as they can be served at all, and
+  // so does a caller that will not retry again.
   if (service == nullptr || this->sent > 0 || !this->is_streaming() ||
-      this->priority <= service->most_urgent) {
+      this->is_retry || this->route->priority <= service->most_urgent) {
     return false;
   }
   const auto forecast = this->state.forecasts.find(this->service);
--- a/Tests/LibGateway/TestRouteTable.cc
+++ b/Tests/LibGateway/TestRouteTable.cc
@@ -54,4 +54,37 @@
   CHECK(CopyTimeOf(engine) == Duration(0));
 }
 
+// Failure: all tenants have the same priority, which takes the place of those
+// of the routes, and the most urgent kind waits like any other.
+TEST_CASE("A route's priority decides among tenants of the same priority") {
+  CHECK(CombinedPriority(1, 0) < CombinedPriority(1, 2));
+  CHECK(CombinedPriority(0, 2) < CombinedPriority(1, 0));
+  CHECK(CombinedPriority(std::nullopt, 0) < CombinedPriority(std::nullopt, 1));
+  CHECK(CombinedPriority(std::nullopt, 1) == CombinedPriority(1, 1));
+}
+
+TEST_CASE("A service has priorities if its streaming routes differ in them") {
+  RouteTable table;
+  table.services["models"] = {.name = "models"};
+  table.services["plain"] = {.name = "plain"};
+  const auto add = [&table](const std::string& service, RouteKind kind,
+                            int priority) {
+    AddRoute(table, {.host = "app.test",
+                     .kind = kind,
+                     .priority = priority,
+                     .split = {{.service = service}}});
+  };
+  add("models", RouteKind::kStreaming, 1);
+  add("models", RouteKind::kIdempotent, 0);
+  add("plain", RouteKind::kIdempotent, 0);
+  add("plain", RouteKind::kIdempotent, 2);
+  FindPriorities(table);
+  CHECK_FALSE(table.services["models"].has_priorities());
+  CHECK_FALSE(table.services["plain"].has_priorities());
+  add("models", RouteKind::kStreaming, 2);
+  FindPriorities(table);
+  CHECK(table.services["models"].has_priorities());
+  CHECK(table.services["models"].most_urgent == 1);
+}
+
 }  // namespace bramleyspan::gateway
