--- a/Services/bramleyspand/Gateway/RankAgents.cc
+++ b/Services/bramleyspand/Gateway/RankAgents.cc
@@ -18,6 +18,9 @@
 // Records of other gateways per heartbeat. Each gateway sends its own; those of
 // others help if their own path to an agent is cut.
 constexpr size_t kOtherGatewaysPerHeartbeat = 1;
+// An agent that has sent nothing for longer gets no heartbeats unless its rank
+// has no other agent either: a leader represents it, and passes gateways on.
+constexpr Duration kDirectAgentLifetime = std::chrono::seconds(3);
 
 std::string FormatIp(uint32_t number) {
   const in_addr address{htonl(number)};
@@ -83,7 +86,7 @@
     return now - item.second.received_at > membership::kRemoveAfter;
   });
   std::erase_if(this->direct_agents, [now](const auto& item) {
-    return now - item.second > membership::kRemoveAfter;
+    return now - item.second > kDirectAgentLifetime;
   });
   for (auto& [id, view] : this->state.targets.by_id) {
     if (view.is_replaced) {
