--- a/Tests/LibMembership/TestMembers.cc
+++ b/Tests/LibMembership/TestMembers.cc
@@ -125,9 +125,9 @@
   }
 }
 
-// Failure: during a rolling upgrade all active watchers are of the build before,
-// which does not pass evacuated zones on; the upgraded gateways, which hardly
-// ask the store, learn of an evacuation a quarter of a minute later.
+// Failure: during a rolling upgrade all active watchers are of the build
+// before, which does not pass evacuated zones on; the upgraded gateways, which
+// hardly ask the store, learn of an evacuation a quarter of a minute later.
 TEST_CASE("Active watchers that pass no evacuations on get substitutes") {
   Members members{.own_name = "me"};
   constexpr uint64_t kOwn = 50;
