LibScheduling, LibGateway, Gateway: Mend what a review of the new parts found

Cause and change, each found by reading: - A gateway that the store refuses and that got the desired state from a peer of the build before took that revision for all that is known, and never asked for an older evacuation. Only what the store or an answer with all changes said counts now. - A stream that had waited was refused by forecast because of what waits behind it, and after the ranks of one zone alone denied it. Names and comments that a newcomer stumbled on are reworded.

--- a/Libraries/LibGateway/Directory.cc
+++ b/Libraries/LibGateway/Directory.cc
@@ -8,12 +8,12 @@
 
 namespace {
 
-// Up to this many gateways, a caller gets the addresses of all: a zone has too
-// few then to spread callers over.
+// Fleets up to this size are not divided by zone: a zone has too few gateways
+// to spread callers over.
 constexpr size_t kMaxSmallFleet = 12;
 
-// Whether the gateways of the zone are at least half of an even part of all.
-bool has_enough(size_t in_zone, size_t gateways, size_t zones) {
+// Whether the gateways of the zone are at least half of an even share of all.
+bool can_carry_zone(size_t in_zone, size_t gateways, size_t zones) {
   return 2 * in_zone * zones >= gateways;
 }
 
@@ -35,7 +35,7 @@
   }
   const bool is_zone_preferred =
       gateways.size() > kMaxSmallFleet &&
-      has_enough(in_zone.size(), all.size(), zones.size());
+      can_carry_zone(in_zone.size(), all.size(), zones.size());
   std::vector<std::string>& addresses = is_zone_preferred ? in_zone : all;
   if (addresses.size() > kMaxAddresses) {
     std::minstd_rand random(static_cast<uint32_t>(random_bits));
--- a/Libraries/LibGateway/Directory.h
+++ b/Libraries/LibGateway/Directory.h
@@ -1,6 +1,6 @@
 // Decides which gateways a caller may connect to. In a large fleet these are
 // the ones of the caller's own availability zone, as long as they are enough
-// for the callers of a zone: bytes between zones are dear.
+// for the callers of a zone: traffic between zones is charged.
 #pragma once
 
 #include <cstdint>
@@ -10,7 +10,7 @@
 
 namespace bramleyspan::gateway {
 
-// A gateway that is known to be alive, ready and not leaving.
+// A gateway that callers may be sent to.
 struct ListedGateway {
   std::string zone;
   std::string address;
--- a/Libraries/LibGateway/Offers.cc
+++ b/Libraries/LibGateway/Offers.cc
@@ -12,14 +12,17 @@
 // An agent that has sent nothing for longer is not probed.
 constexpr Duration kUnresponsiveAfter = std::chrono::milliseconds(800);
 
-// Ranks of the preferred zone for each one that is probed, at least. Among
-// fewer all gateways of the zone would probe the same ones.
+// A zone is preferred only if it has at least this many ranks for each probe.
+// With fewer, all gateways of the zone would probe the same ranks.
 constexpr size_t kMinCandidatesPerProbe = 2;
 
 // Keeps only the candidates in the zone if there are enough of them.
 void KeepZone(std::vector<const TargetView*>& candidates,
               std::string_view zone,
               size_t min_count) {
+  if (zone.empty()) {
+    return;
+  }
   const auto is_in_zone = [zone](const TargetView* view) {
     return view->target.zone == zone;
   };
--- a/Libraries/LibGateway/Offers.h
+++ b/Libraries/LibGateway/Offers.h
@@ -37,8 +37,8 @@
 // Returns up to `count` ranks of the service to probe, drawn at random and in
 // equal numbers from each group. Ranks whose group is not known yet count as
 // one group. Avoided ranks and ranks of unresponsive agents are left out. If a
-// zone is preferred, the ranks are from it, provided that it has many more of
-// them than are probed.
+// zone is preferred, the ranks are from it, provided that it has at least twice
+// as many as are probed.
 std::vector<const TargetView*> PickRanksToProbe(
     const TargetTable& targets,
     std::string_view service,
--- a/Libraries/LibGateway/RateLimits.cc
+++ b/Libraries/LibGateway/RateLimits.cc
@@ -179,12 +179,15 @@
                double rate,
                TimePoint cold_until,
                TimePoint now) {
-  const bool was_cold = limit.warm_up_rate > 0 && now < limit.cold_until;
+  const std::optional<double> before = LimitInForce(limit, now);
   limit.warm_up_rate = rate;
   limit.cold_until = cold_until;
-  // What was granted to a warm target is no longer spent, nor is a bucket that
-  // filled up meanwhile.
-  if (!was_cold && !limit.per_second) {
+  // What was granted under a higher limit is no longer spent, nor is a bucket
+  // that filled up before there was one.
+  if (is_lower(LimitInForce(limit, now), before)) {
+    limit.share.granted = 0;
+  }
+  if (!before) {
     limit.share = {.request_number = limit.share.request_number};
     limit.allocator = {};
   }
--- a/Libraries/LibGateway/RouteTable.cc
+++ b/Libraries/LibGateway/RouteTable.cc
@@ -44,7 +44,7 @@
   }
 }
 
-void FindPriorities(RouteTable& table) {
+void SetPriorityRanges(RouteTable& table) {
   std::map<std::string, std::set<int>> by_service;
   for (const auto& [host, routes] : table.hosts) {
     for (const auto& route : routes) {
@@ -61,15 +61,18 @@
     if (priorities.empty()) {
       continue;
     }
-    service.most_urgent = *priorities.begin();
-    service.least_urgent = *priorities.rbegin();
+    service.most_urgent_priority = *priorities.begin();
+    service.least_urgent_priority = *priorities.rbegin();
   }
 }
 
 int CombinedPriority(std::optional<int> of_tenant, int of_route) {
-  constexpr int kRoutePriorities = 100;
-  return of_tenant.value_or(of_route) * kRoutePriorities +
-         std::clamp(of_route, 0, kRoutePriorities - 1);
+  // Less than the least difference that a tenant's priority makes.
+  constexpr int kMaxRoutePriority = 99;
+  constexpr int kMaxTenantPriority = 1'000'000;
+  return std::clamp(of_tenant.value_or(of_route), 0, kMaxTenantPriority) *
+             (kMaxRoutePriority + 1) +
+         std::clamp(of_route, 0, kMaxRoutePriority);
 }
 
 std::shared_ptr<const Route> FindRoute(const RouteTable& table,
--- a/Libraries/LibGateway/RouteTable.h
+++ b/Libraries/LibGateway/RouteTable.h
@@ -83,11 +83,13 @@
   double warm_up_rate = 0;
   std::optional<EngineShape> engine;
   // The most and the least urgent priority of its streaming routes.
-  int most_urgent = 0;
-  int least_urgent = 0;
+  int most_urgent_priority = 0;
+  int least_urgent_priority = 0;
 
   // Whether its streams are of different priorities.
-  bool has_priorities() const { return this->most_urgent < this->least_urgent; }
+  bool has_priorities() const {
+    return this->most_urgent_priority < this->least_urgent_priority;
+  }
 };
 
 struct Tenant {
@@ -121,7 +123,7 @@
 
 // Sets the priorities of all services. Call it after routes and services were
 // added.
-void FindPriorities(RouteTable& table);
+void SetPriorityRanges(RouteTable& table);
 
 // Returns the priority of a request among all: its tenant's, if it has one,
 // comes before its route's, which decides among requests of tenants with the
--- a/Libraries/LibMembership/Members.cc
+++ b/Libraries/LibMembership/Members.cc
@@ -197,8 +197,8 @@
   for (const KnownMember* other : live) {
     if (other->member.incarnation < own_incarnation) {
       ++ahead;
-      // A gateway that reports no revision of the desired state is of a build
-      // that does not pass evacuated zones on.
+      // A gateway that reports no revision has not read the evacuated zones, or
+      // is of a build that does not pass them on.
       const bool passes_changes_on =
           other->member.hears_store && other->member.desired_revision > 0;
       ahead_that_reach_store += passes_changes_on ? 1 : 0;
--- a/Libraries/LibScheduling/FullClasses.cc
+++ b/Libraries/LibScheduling/DenialCooldowns.cc
@@ -1,16 +1,16 @@
-#include "LibScheduling/FullClasses.h"
+#include "LibScheduling/DenialCooldowns.h"
 
 #include <algorithm>
 
 namespace bramleyspan::scheduling {
 
-void RecordDenial(FullClasses& full,
+void RecordDenial(DenialCooldowns& full,
                   const StreamClass& stream_class,
                   TimePoint until) {
   full.until[stream_class] = until;
 }
 
-bool is_denied(const FullClasses& full,
+bool is_denied(const DenialCooldowns& full,
                const StreamClass& stream_class,
                TimePoint now) {
   return std::ranges::any_of(full.until, [&](const auto& item) {
--- a/Libraries/LibScheduling/FullClasses.h
+++ b/Libraries/LibScheduling/DenialCooldowns.h
@@ -9,18 +9,18 @@
 
 namespace bramleyspan::scheduling {
 
-struct FullClasses {
+struct DenialCooldowns {
   // Until when a class counts as denied.
   std::map<StreamClass, TimePoint> until;
 };
 
-void RecordDenial(FullClasses& full,
+void RecordDenial(DenialCooldowns& full,
                   const StreamClass& stream_class,
                   TimePoint until);
 
 // Whether the class was denied, or one of the same lateness that comes before
 // it.
-bool is_denied(const FullClasses& full,
+bool is_denied(const DenialCooldowns& full,
                const StreamClass& stream_class,
                TimePoint now);
 
--- a/Libraries/LibScheduling/DeniedRequests.cc
+++ b/Libraries/LibScheduling/DeniedRequests.cc
@@ -19,10 +19,12 @@
   std::erase_if(denied.recent, [now](const DeniedRequest& request) {
     return now - request.at > kLifetime;
   });
-  if (denied.recent.size() == kMaxRecords) {
-    denied.recent.pop_front();
-  }
   denied.recent.push_back({.stream_class = stream_class, .at = now});
+  // The least urgent ones go first: they hold back the fewest others.
+  if (denied.recent.size() > kMaxRecords) {
+    denied.recent.erase(std::ranges::max_element(denied.recent, {},
+                                                 &DeniedRequest::stream_class));
+  }
 }
 
 void RecordGrant(DeniedRequests& denied,
--- a/Libraries/LibScheduling/Forecast.cc
+++ b/Libraries/LibScheduling/Forecast.cc
@@ -75,10 +75,10 @@
       std::chrono::duration<double>(waiting / rate));
 }
 
-bool is_hopeless(const Forecast& forecast,
-                 const PendingStream& stream,
-                 size_t ranks,
-                 TimePoint now) {
+bool is_unservable(const Forecast& forecast,
+                   const PendingStream& stream,
+                   size_t ranks,
+                   TimePoint now) {
   const auto in_time =
       ExpectedWait(forecast, {.priority = stream.priority}, ranks, now);
   const auto late = ExpectedWait(
--- a/Libraries/LibScheduling/Forecast.h
+++ b/Libraries/LibScheduling/Forecast.h
@@ -51,10 +51,10 @@
 
 // Whether streams of this priority that can be in time wait for longer than
 // that, so that a stream gets a permit neither in time nor, behind them, late.
-bool is_hopeless(const Forecast& forecast,
-                 const PendingStream& stream,
-                 size_t ranks,
-                 TimePoint now);
+bool is_unservable(const Forecast& forecast,
+                   const PendingStream& stream,
+                   size_t ranks,
+                   TimePoint now);
 
 // Returns after what time a permit is free for a caller that is rejected now
 // and returns, which counts as late. Nothing if that is not known.
--- a/Libraries/LibScheduling/GrantRates.cc
+++ b/Libraries/LibScheduling/GrantRates.cc
@@ -28,11 +28,12 @@
   rates.recent.push_back({.stream_class = stream_class, .at = now});
 }
 
-std::vector<ClassRate> RatesOf(const GrantRates& rates, TimePoint now) {
-  std::vector<ClassRate> result;
+std::optional<std::vector<ClassRate>> RatesOf(const GrantRates& rates,
+                                              TimePoint now) {
   if (now - rates.open_since < kWindow) {
-    return result;
+    return std::nullopt;
   }
+  std::vector<ClassRate> result;
   std::map<StreamClass, int> counts;
   for (const GrantedPermit& permit : rates.recent) {
     if (now - permit.at <= kWindow) {
--- a/Libraries/LibScheduling/GrantRates.h
+++ b/Libraries/LibScheduling/GrantRates.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <deque>
+#include <optional>
 #include <vector>
 
 #include "Kernel/Time.h"
@@ -28,9 +29,10 @@
                  const StreamClass& stream_class,
                  TimePoint now);
 
-// Returns the rates of the last seconds, in the order of the classes. There are
-// none until the group has been open for that long: it first fills up, which
-// says nothing of what it can serve.
-std::vector<ClassRate> RatesOf(const GrantRates& rates, TimePoint now);
+// Returns the rates of the last seconds, in the order of the classes. Nothing
+// until the group has been open for that long: it first fills up, which says
+// nothing of what it can serve.
+std::optional<std::vector<ClassRate>> RatesOf(const GrantRates& rates,
+                                              TimePoint now);
 
 }  // namespace bramleyspan::scheduling
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -71,7 +71,7 @@
 
   // Refuses the request if no permit is expected for it in the time that it can
   // wait. Returns whether it was refused.
-  bool RefuseIfHopeless();
+  bool RefuseIfUnservable();
 
   // The class of a stream by which permits are granted.
   scheduling::StreamClass class_at(TimePoint now) const;
@@ -110,8 +110,8 @@
   bool TrySendByLocalView();
   void HandlePermitDecision(PermitRequests::Verdict verdict,
                             const PermitRequests::Permit& permit);
-  // The zone whose ranks are probed first, since bytes between zones are dear;
-  // empty if there is none.
+  // The zone whose ranks are probed first, since traffic between zones is
+  // charged; empty if there is none.
   std::string_view PreferredZone() const;
   // Agents have no permit for the stream now.
   void RecordDenial(TimePoint now);
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -27,9 +27,12 @@
 
 // Time for which agents are not probed again after none had a permit.
 constexpr Duration kFullCooldown = std::chrono::milliseconds(12);
-// Probes of one service under way at a time in a large fleet. Further ones
-// would reach the same ranks, and mostly in another zone.
-constexpr size_t kMaxProbesInLargeFleet = 2;
+// Rounds of probes of one service and class under way at a time in a large
+// fleet. Further ones would reach the same ranks, mostly in other zones.
+constexpr size_t kMaxRoundsInLargeFleet = 2;
+// A refusal that comes after this fraction of the objective, as a divisor,
+// keeps the caller from going elsewhere in time.
+constexpr int kLateRefusalDivisor = 8;
 
 }  // namespace
 
@@ -125,7 +128,7 @@
     return;
   }
   if (!this->is_probing() &&
-      (this->RefuseIfHeldBack() || this->RefuseIfHopeless())) {
+      (this->RefuseIfHeldBack() || this->RefuseIfUnservable())) {
     return;
   }
   this->Wait(false);
@@ -161,12 +164,21 @@
   return has_priorities ? &found->second : nullptr;
 }
 
-bool Forwarding::RefuseIfHopeless() {
+bool Forwarding::RefuseIfUnservable() {
   const gateway::Service* service = this->FindServiceWithPriorities();
   // The most urgent streams wait for as long as they can be served at all, and
   // so does a caller that will not retry again.
   if (service == nullptr || this->sent > 0 || !this->is_streaming() ||
-      this->is_retry || this->route->priority <= service->most_urgent) {
+      this->is_retry ||
+      this->route->priority <= service->most_urgent_priority) {
+    return false;
+  }
+  // The queue behind a stream that has waited does not concern it, until it is
+  // late and all that are in time come first.
+  const TimePoint now = EventLoop::Now();
+  const bool has_just_arrived =
+      now - this->arrived <= this->route->objective / kLateRefusalDivisor;
+  if (!has_just_arrived && !this->is_late(now)) {
     return false;
   }
   const auto forecast = this->state.forecasts.find(this->service);
@@ -175,10 +187,9 @@
       .in_time_wait = gateway::InTimeWaitOf(this->route->objective),
       .ends = this->wait.ends};
   if (forecast == this->state.forecasts.end() ||
-      !scheduling::is_hopeless(
+      !scheduling::is_unservable(
           forecast->second, stream,
-          gateway::CountUsable(this->state.targets, this->service),
-          EventLoop::Now())) {
+          gateway::CountUsable(this->state.targets, this->service), now)) {
     return false;
   }
   this->RefuseForLackOfPermit("no permit is expected in time");
@@ -203,11 +214,11 @@
   }
   const TimePoint now = EventLoop::Now();
   const scheduling::StreamClass stream_class = this->class_at(now);
-  const bool has_too_many_probes =
+  const bool has_too_many_rounds =
       membership::is_large(this->state.members) &&
-      this->state.permit_requests->CountProbes(this->service, stream_class) >=
-          kMaxProbesInLargeFleet;
-  if (has_too_many_probes ||
+      this->state.permit_requests->CountOpenRounds(
+          this->service, stream_class) >= kMaxRoundsInLargeFleet;
+  if (has_too_many_rounds ||
       scheduling::is_denied(this->state.full[this->service], stream_class,
                             now)) {
     return false;
@@ -248,12 +259,14 @@
   }
   const TimePoint now = EventLoop::Now();
   if (verdict == PermitRequests::Verdict::kFull) {
+    // Ranks of other zones may have permits.
+    const bool had_preferred_zone = !this->PreferredZone().empty();
     this->was_denied = true;
     this->RecordDenial(now);
     Log(LogLevel::kInfo, "forward", "waits",
         {{"request", this->id},
          {"waiting", std::to_string(this->state.waiting.size())}});
-    if (this->RefuseIfHopeless()) {
+    if (!had_preferred_zone && this->RefuseIfUnservable()) {
       return;
     }
   }
@@ -263,7 +276,7 @@
 }
 
 void Forwarding::RecordDenial(TimePoint now) {
-  scheduling::FullClasses& full = this->state.full[this->service];
+  scheduling::DenialCooldowns& full = this->state.full[this->service];
   const scheduling::StreamClass stream_class = this->class_at(now);
   scheduling::RecordDenial(full, stream_class, now + kFullCooldown);
   // If there is no permit for a late stream, there is none for one in time.
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -19,8 +19,8 @@
 #include "LibHTTP/Ingress.h"
 #include "LibMembership/Members.h"
 #include "LibPlatform/PrefixFeed.h"
+#include "LibScheduling/DenialCooldowns.h"
 #include "LibScheduling/Forecast.h"
-#include "LibScheduling/FullClasses.h"
 #include "Services/bramleyspand/Settings.h"
 
 namespace bramleyspan::gatewayd {
@@ -73,7 +73,7 @@
   UsageRecorder* usage = nullptr;
   // By name of the service: the classes of streams that had no permit just now,
   // and what the agents say of the queue.
-  std::map<std::string, scheduling::FullClasses> full;
+  std::map<std::string, scheduling::DenialCooldowns> full;
   std::map<std::string, scheduling::Forecast> forecasts;
   // By name of the route.
   std::map<std::string, gateway::WaitBudget> wait_budgets;
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -143,7 +143,7 @@
   self.targets_revision = own.targets_feed->newest_revision();
   self.is_hungry = !own.waiting.empty();
   self.grants_rates = true;
-  self.desired_revision = own.table_feed->newest_revision();
+  self.desired_revision = this->DesiredRevision();
   self.hears_store =
       own.table_feed->is_reachable() && own.targets_feed->is_reachable();
   for (const auto& [id, view] : own.targets.by_id) {
@@ -285,6 +285,11 @@
   }
 }
 
+uint64_t Peers::DesiredRevision() const {
+  return std::max(this->fetched_desired_revision,
+                  this->state.table_feed->updates_from());
+}
+
 // Fetches updates from a peer that knows more: the store may refuse this VM, or
 // its watch may have stopped answering.
 void Peers::FetchIfBehind(const MemberT& member) {
@@ -292,7 +297,7 @@
   const uint64_t own_version = own.table == nullptr ? 0 : own.table->version;
   const bool is_behind =
       member.table_version > own_version ||
-      member.desired_revision > own.table_feed->newest_revision() ||
+      member.desired_revision > this->DesiredRevision() ||
       member.targets_revision > own.targets_feed->newest_revision();
   const TimePoint now = EventLoop::Now();
   if (!is_behind || this->is_fetching ||
@@ -311,12 +316,12 @@
        .path = query,
        .headers = {{"host", member.ip}},
        .timeout = kFetchTimeout},
-      [this, name = member.name](http::CallEnd end,
-                                 const http::Response& response) {
+      [this, name = member.name, desired_revision = member.desired_revision](
+          http::CallEnd end, const http::Response& response) {
         this->is_fetching = false;
         if (end == http::CallEnd::kWhole && response.status == 200) {
           Log(LogLevel::kInfo, "members", "news_fetched", {{"from", name}});
-          this->HandleUpdate(response.body);
+          this->HandleUpdate(response.body, desired_revision);
         }
       });
 }
@@ -344,13 +349,17 @@
   return {bytes.begin(), bytes.end()};
 }
 
-void Peers::HandleUpdate(const std::string& text) {
+void Peers::HandleUpdate(const std::string& text, uint64_t desired_revision) {
   const json update = json::from_msgpack(text, true, false);
   if (update.is_discarded() || !update.is_object()) {
     return;
   }
   try {
     this->ApplyUpdate(update);
+    if (update.contains("desired")) {
+      this->fetched_desired_revision =
+          std::max(this->fetched_desired_revision, desired_revision);
+    }
   } catch (const json::exception& failure) {
     // Another program may answer at a former address of a peer.
     Log(LogLevel::kError, "members", "news_unreadable",
--- a/Services/bramleyspand/Gateway/Peers.h
+++ b/Services/bramleyspand/Gateway/Peers.h
@@ -59,8 +59,14 @@
                    const membership::wire::MemberQueryT& query);
   void HandleMember(const membership::wire::MemberT& member, bool is_direct);
   void UpdateLoads();
+  // Returns the revision up to which this gateway knows the desired state and
+  // the evacuated zones. An answer of an older build, which has the desired
+  // state alone, does not count.
+  uint64_t DesiredRevision() const;
   void FetchIfBehind(const membership::wire::MemberT& member);
-  void HandleUpdate(const std::string& text);
+  // Handles a peer's answer. `desired_revision` is what its record named
+  // before.
+  void HandleUpdate(const std::string& text, uint64_t desired_revision);
   void ApplyUpdate(const nlohmann::json& update);
 
   GatewayState& state;
@@ -71,6 +77,8 @@
   uint64_t round = 0;
   bool is_fetching = false;
   TimePoint last_fetch;
+  // The desired revision of the peers that answered with all changes.
+  uint64_t fetched_desired_revision = 0;
 };
 
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/PermitRequests.cc
+++ b/Services/bramleyspand/Gateway/PermitRequests.cc
@@ -82,7 +82,7 @@
   return true;
 }
 
-size_t PermitRequests::CountProbes(
+size_t PermitRequests::CountOpenRounds(
     const std::string& service,
     const scheduling::StreamClass& stream_class) const {
   return static_cast<size_t>(
--- a/Services/bramleyspand/Gateway/PermitRequests.h
+++ b/Services/bramleyspand/Gateway/PermitRequests.h
@@ -44,10 +44,10 @@
                std::string_view preferred_zone,
                OnDecided on_decided);
 
-  // Returns how many probes for streams of the service are under way that are
-  // not less urgent.
-  size_t CountProbes(const std::string& service,
-                     const scheduling::StreamClass& stream_class) const;
+  // Returns how many rounds of probes are under way for streams of the service
+  // that are not less urgent.
+  size_t CountOpenRounds(const std::string& service,
+                         const scheduling::StreamClass& stream_class) const;
 
   // Reports to the agent that the stream of the permit has started or ended.
   void Settle(const Permit& permit);
--- a/Services/bramleyspand/Gateway/RankAgents.cc
+++ b/Services/bramleyspand/Gateway/RankAgents.cc
@@ -18,8 +18,10 @@
 // Records of other gateways per heartbeat. Each gateway sends its own; those of
 // others help if their own path to an agent is cut.
 constexpr size_t kOtherGatewaysPerHeartbeat = 1;
-// An agent that has sent nothing for longer gets no heartbeats unless its rank
-// has no other agent either: a leader represents it, and passes gateways on.
+// Heartbeats to an agent stop when it has sent nothing for this long, several
+// of its own heartbeats: a leader represents it then, which passes this
+// gateway's address on. Agents whose ranks are not reported at all still get
+// heartbeats.
 constexpr Duration kDirectAgentLifetime = std::chrono::seconds(3);
 
 std::string FormatIp(uint32_t number) {
--- a/Services/bramleyspand/Gateway/RateLimiter.cc
+++ b/Services/bramleyspand/Gateway/RateLimiter.cc
@@ -118,8 +118,13 @@
   membership::wire::RateGrantT reply;
   reply.number = request.number;
   reply.is_allocator = this->AllocatorOf(target) == this->state.settings.name;
-  if (limit != nullptr && gateway::LimitInForce(*limit, now) &&
-      reply.is_allocator) {
+  const bool has_limit =
+      limit != nullptr && gateway::LimitInForce(*limit, now).has_value();
+  // The requester takes the target for cold, and this gateway does not: one of
+  // them has an older record. The requester uses its even share.
+  const bool is_named_there = request.limit->per_second >= 0;
+  reply.is_allocator = reply.is_allocator && (has_limit || is_named_there);
+  if (has_limit && reply.is_allocator) {
     const gateway::RateGrant grant =
         gateway::GrantRate(*limit, request.wanted, this->Sharing(now), now);
     reply.granted = grant.granted;
--- a/Services/bramleyspand/Rank/PermitOffers.cc
+++ b/Services/bramleyspand/Rank/PermitOffers.cc
@@ -35,8 +35,14 @@
   }
 }
 
+// Adds the rates of a rank, and one of zero for the class if it granted
+// nothing: an offer without rates says that they are not known.
 void AddRates(membership::wire::PlaceOfferT& wire,
-              const std::vector<ClassRate>& granted) {
+              std::vector<ClassRate> granted,
+              const StreamClass& stream_class) {
+  if (granted.empty()) {
+    granted.push_back({.stream_class = stream_class});
+  }
   for (const ClassRate& item : granted) {
     wire.granted.emplace_back(item.stream_class.priority,
                               static_cast<float>(item.per_second),
@@ -105,7 +111,11 @@
   // Only a gateway that has to wait needs to know what else waits.
   if (has_priority && !offer.is_admitting) {
     AddCounts(wire, scheduling::SumOf(this->queue, now));
-    AddRates(wire, scheduling::RatesOf(this->rates, now));
+    const auto rates = scheduling::RatesOf(this->rates, now);
+    if (rates) {
+      AddRates(wire, *rates,
+               {.priority = probe.priority, .is_late = probe.is_late});
+    }
   }
   this->state.datagrams->Send(gateway_ip, membership::Encode(std::move(wire)));
 }
--- a/Tests/LibGateway/TestRateLimits.cc
+++ b/Tests/LibGateway/TestRateLimits.cc
@@ -296,6 +296,16 @@
     SetWarmUp(limit, 26, kStart, kStart);
     CHECK(LimitInForce(limit, kStart) == 2);
   }
+  SUBCASE("What was granted under a higher limit is not spent") {
+    RateLimit named;
+    RecordRateLimit(named, Named(500), kStart, kStart);
+    const double wanted = StartRateRequest(named, 50, kStart);
+    HandleRateGrant(named, named.share.request_number, {.granted = wanted}, {},
+                    kStart);
+    REQUIRE(AdmitByRate(named, kStart) == RateVerdict::kAdmitted);
+    SetWarmUp(named, 26, kStart + seconds(3), kStart);
+    CHECK(AdmitByRate(named, kStart) != RateVerdict::kAdmitted);
+  }
   SUBCASE("Services without a warm-up rate are not limited") {
     RateLimit other;
     SetWarmUp(other, 0, kStart + seconds(3), kStart);
--- a/Tests/LibGateway/TestRouteTable.cc
+++ b/Tests/LibGateway/TestRouteTable.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <limits>
+
 #include "LibGateway/RouteTable.h"
 
 namespace bramleyspan::gateway {
@@ -61,6 +63,9 @@
   CHECK(CombinedPriority(0, 2) < CombinedPriority(1, 0));
   CHECK(CombinedPriority(std::nullopt, 0) < CombinedPriority(std::nullopt, 1));
   CHECK(CombinedPriority(std::nullopt, 1) == CombinedPriority(1, 1));
+  constexpr int kLargest = std::numeric_limits<int>::max();
+  CHECK(CombinedPriority(-1, -1) == 0);
+  CHECK(CombinedPriority(kLargest, kLargest) > CombinedPriority(0, kLargest));
 }
 
 TEST_CASE("A service has priorities if its streaming routes differ in them") {
@@ -78,13 +83,13 @@
   add("models", RouteKind::kIdempotent, 0);
   add("plain", RouteKind::kIdempotent, 0);
   add("plain", RouteKind::kIdempotent, 2);
-  FindPriorities(table);
+  SetPriorityRanges(table);
   CHECK_FALSE(table.services["models"].has_priorities());
   CHECK_FALSE(table.services["plain"].has_priorities());
   add("models", RouteKind::kStreaming, 2);
-  FindPriorities(table);
+  SetPriorityRanges(table);
   CHECK(table.services["models"].has_priorities());
-  CHECK(table.services["models"].most_urgent == 1);
+  CHECK(table.services["models"].most_urgent_priority == 1);
 }
 
 }  // namespace bramleyspan::gateway
--- a/Tests/LibScheduling/TestScheduling.cc
+++ b/Tests/LibScheduling/TestScheduling.cc
@@ -1,9 +1,9 @@
 #include <doctest/doctest.h>
 
+#include "LibScheduling/DenialCooldowns.h"
 #include "LibScheduling/DeniedRequests.h"
 #include "LibScheduling/FleetQueue.h"
 #include "LibScheduling/Forecast.h"
-#include "LibScheduling/FullClasses.h"
 #include "LibScheduling/GrantRates.h"
 
 namespace bramleyspan::scheduling {
@@ -55,12 +55,16 @@
   }
 }
 
-TEST_CASE("The number of denied requests that are kept is bounded") {
+// Failure: the records of the burst itself replace that of the urgent stream,
+// and nothing holds the burst back any more.
+TEST_CASE("Denied requests are bounded and the urgent ones stay") {
   DeniedRequests denied;
+  RecordDenial(denied, kUrgent, kStart);
   for (int i = 0; i < 1000; ++i) {
-    RecordDenial(denied, kUrgent, kStart);
+    RecordDenial(denied, kOther, kStart);
   }
   CHECK(denied.recent.size() == 64);
+  CHECK(is_held_back(denied, kOther, kStart));
 }
 
 TEST_CASE("The queue of the fleet is the sum of what gateways report lately") {
@@ -102,11 +106,14 @@
   for (int i = 0; i < 6; ++i) {
     RecordGrant(rates, kOther, kStart + milliseconds(1500));
   }
-  CHECK(RatesOf(rates, kStart + milliseconds(1900)).empty());
+  CHECK_FALSE(RatesOf(rates, kStart + milliseconds(1900)));
   const auto known = RatesOf(rates, kStart + milliseconds(2100));
-  REQUIRE(known.size() == 1);
-  CHECK(known[0].per_second == doctest::Approx(3));
-  CHECK(RatesOf(rates, kStart + seconds(4)).empty());
+  REQUIRE(known);
+  REQUIRE(known->size() == 1);
+  CHECK(known->front().per_second == doctest::Approx(3));
+  const auto none = RatesOf(rates, kStart + seconds(4));
+  REQUIRE(none);
+  CHECK(none->empty());
 }
 
 TEST_CASE("The expected wait is what waits by the rate of all ranks") {
@@ -120,28 +127,40 @@
   CHECK_FALSE(ExpectedWait({}, kOther, 16, kStart));
 }
 
+// Failure: ranks that granted nothing lately are left out, and the rate of the
+// others is taken for that of all.
+TEST_CASE("Ranks that granted nothing count for the rate") {
+  Forecast forecast = ForecastOf(2, 8);
+  for (int rank = 4; rank < 8; ++rank) {
+    RecordReport(forecast, {.rank = std::to_string(rank),
+                            .granted = {{.stream_class = kOther}},
+                            .at = kStart});
+  }
+  CHECK(ExpectedWait(forecast, kOther, 16, kStart) == milliseconds(500));
+}
+
 // Failure: in a burst of a less urgent kind, streams that get a permit neither
 // in time nor late wait for over a second and are refused then.
 TEST_CASE("A stream is hopeless if those in time already wait too long") {
   const PendingStream stream{.priority = 2,
                              .in_time_wait = milliseconds(500),
                              .ends = kStart + seconds(2)};
-  CHECK_FALSE(is_hopeless(ForecastOf(2, 10), stream, 16, kStart));
-  CHECK(is_hopeless(ForecastOf(2, 30), stream, 16, kStart));
-  CHECK_FALSE(is_hopeless({}, stream, 16, kStart));
+  CHECK_FALSE(is_unservable(ForecastOf(2, 10), stream, 16, kStart));
+  CHECK(is_unservable(ForecastOf(2, 30), stream, 16, kStart));
+  CHECK_FALSE(is_unservable({}, stream, 16, kStart));
   SUBCASE("but not if late ones get permits soon enough") {
     Forecast forecast = ForecastOf(2, 30);
     for (RankReport& report : forecast.reports) {
       report.granted.push_back({.stream_class = kLateOther, .per_second = 1});
     }
-    CHECK_FALSE(is_hopeless(forecast, stream, 16, kStart));
+    CHECK_FALSE(is_unservable(forecast, stream, 16, kStart));
   }
 }
 
 // Failure: an urgent stream is not tried because a less urgent one was denied a
 // permit, or a late one.
 TEST_CASE("A denial counts for what is less urgent and as late") {
-  FullClasses full;
+  DenialCooldowns full;
   RecordDenial(full, {.priority = 1}, kStart + milliseconds(12));
   CHECK(is_denied(full, {.priority = 1}, kStart));
   CHECK(is_denied(full, kOther, kStart));
--- a/Utilities/bramleyspanctl/Main.cc
+++ b/Utilities/bramleyspanctl/Main.cc
@@ -83,9 +83,8 @@
     "--gateways\n"
     "  quarantine release SERVICE PART\n"
     "                          let requests with the part through again\n"
-    "  zones                   availability zones that gateways keep empty, "
-    "from\n"
-    "                          --gateways\n"
+    "  zones                   evacuated zones that each gateway of --gateways "
+    "knows\n"
     "  explain REQUEST LOG...  all records about a request, from log files or "
     "directories\n";
 
