--- a/Libraries/LibScheduling/GrantRates.cc
+++ b/Libraries/LibScheduling/GrantRates.cc
@@ -33,13 +33,14 @@
   if (now - rates.open_since < kWindow) {
     return std::nullopt;
   }
-  std::vector<ClassRate> result;
   std::map<StreamClass, int> counts;
   for (const GrantedPermit& permit : rates.recent) {
     if (now - permit.at <= kWindow) {
       ++counts[permit.stream_class];
     }
   }
+  std::vector<ClassRate> result;
+  result.reserve(counts.size());
   const double window = std::chrono::duration<double>(kWindow).count();
   for (const auto& [stream_class, count] : counts) {
     result.push_back(
