LibScheduling: Name no rates while a group is closed

Cause: agents went on to name the rates of the last two seconds while their group was closed.

Change: rates are forgotten when the group closes, and named two seconds after it has opened. The simulated fleets judge a stream as the gateway does: on arrival and once it is late.

--- a/Libraries/LibScheduling/GrantRates.cc
+++ b/Libraries/LibScheduling/GrantRates.cc
@@ -13,7 +13,12 @@
 
 }  // namespace
 
-void Reset(GrantRates& rates, TimePoint now) {
+void HandleClosed(GrantRates& rates) {
+  rates.open_since.reset();
+  rates.recent.clear();
+}
+
+void HandleOpened(GrantRates& rates, TimePoint now) {
   rates.open_since = now;
   rates.recent.clear();
 }
@@ -30,7 +35,7 @@
 
 std::optional<std::vector<ClassRate>> RatesOf(const GrantRates& rates,
                                               TimePoint now) {
-  if (now - rates.open_since < kWindow) {
+  if (!rates.open_since || now - *rates.open_since < kWindow) {
     return std::nullopt;
   }
   std::map<StreamClass, int> counts;
--- a/Services/bramleyspand/Rank/PermitOffers.cc
+++ b/Services/bramleyspand/Rank/PermitOffers.cc
@@ -146,8 +146,12 @@
   this->offered.erase(found);
 }
 
-void PermitOffers::HandleGroupOpened(TimePoint now) {
-  scheduling::Reset(this->rates, now);
+void PermitOffers::HandleGroupChange(bool is_open, TimePoint now) {
+  if (is_open) {
+    scheduling::HandleOpened(this->rates, now);
+  } else {
+    scheduling::HandleClosed(this->rates);
+  }
 }
 
 }  // namespace bramleyspan::rankd
--- a/Services/bramleyspand/Rank/PermitOffers.h
+++ b/Services/bramleyspand/Rank/PermitOffers.h
@@ -24,8 +24,8 @@
   void HandleTaken(const std::string& gateway_ip,
                    const membership::wire::PlaceTakenT& taken);
 
-  // The rank's group has opened.
-  void HandleGroupOpened(TimePoint now);
+  // The rank's group has opened or closed.
+  void HandleGroupChange(bool is_open, TimePoint now);
 
  private:
   // An offer of a permit that its gateway may take.
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -180,11 +180,11 @@
       rank_state.desired_map.reset();
       this->update_sender.IncludeListsSoon();
     }
-    const bool has_opened =
-        status.is_open && (!rank_state.own || !rank_state.own->is_open ||
-                           rank_state.own->epoch != status.epoch);
-    if (has_opened) {
-      this->permit_offers.HandleGroupOpened(EventLoop::Now());
+    const bool is_group_change = !rank_state.own ||
+                                 rank_state.own->is_open != status.is_open ||
+                                 rank_state.own->epoch != status.epoch;
+    if (is_group_change) {
+      this->permit_offers.HandleGroupChange(status.is_open, EventLoop::Now());
     }
     rank_state.own = std::move(status);
     rank_state.own_received_at = EventLoop::Now();
--- a/Tests/LibScheduling/SimulatedFleet.cc
+++ b/Tests/LibScheduling/SimulatedFleet.cc
@@ -20,6 +20,9 @@
   Duration event_timeout;
   double late_value;
 };
+// As in Gateway/ForwardingPermits: a stream that has waited for longer is
+// refused by forecast only once it is late.
+constexpr int kLateRefusalDivisor = 8;
 constexpr std::array<Kind, kPriorities> kKinds{
     {{80.2 / 63, milliseconds(400), seconds(2), 0.34 / 3.5},
      {35.2 / 63, milliseconds(400), seconds(2), 0.46 / 1.8},
@@ -92,14 +95,19 @@
         std::max(wait.value_or(kCallerTime), gateway::kMinRetryDelay));
 }
 
-bool RefuseIfHopeless(SimulatedFleet& fleet, Caller& caller) {
+bool RefuseIfUnservable(SimulatedFleet& fleet, Caller& caller) {
   const PendingStream stream{
       .priority = ClassOf(caller, fleet.now).priority,
       .in_time_wait = gateway::InTimeWaitOf(kKinds[caller.priority].objective),
       .ends = caller.wait.ends};
+  const Duration waited = fleet.now - caller.requested_at;
+  const bool has_just_arrived =
+      waited <= kKinds[caller.priority].objective / kLateRefusalDivisor;
+  const bool is_late = ClassOf(caller, fleet.now).is_late;
   if (caller.is_retry || caller.priority == 0 ||
-      !is_hopeless(fleet.gateways[caller.gateway].forecast, stream,
-                   fleet.ranks.size(), fleet.now)) {
+      (!has_just_arrived && !is_late) ||
+      !is_unservable(fleet.gateways[caller.gateway].forecast, stream,
+                     fleet.ranks.size(), fleet.now)) {
     return false;
   }
   caller.refused_by_forecast = fleet.now;
@@ -151,7 +159,7 @@
   }
   RecordDenial(gateway.full, ClassOf(caller, fleet.now),
                fleet.now + kFullCooldown);
-  if (!RefuseIfHopeless(fleet, caller) && fleet.now >= caller.wait.ends) {
+  if (!RefuseIfUnservable(fleet, caller) && fleet.now >= caller.wait.ends) {
     Refuse(fleet, caller);
   }
 }
@@ -180,7 +188,12 @@
   } else {
     RecordDenial(rank.denied, probed, fleet.now);
     report.waiting = SumOf(rank.queue, fleet.now);
-    report.granted = RatesOf(rank.rates, fleet.now);
+    if (auto rates = RatesOf(rank.rates, fleet.now)) {
+      report.granted = *std::move(rates);
+      if (report.granted.empty()) {
+        report.granted.push_back({.stream_class = probed});
+      }
+    }
   }
   SendDatagram(fleet, [&fleet, round, offer, report]() mutable {
     if (round->is_decided) {
@@ -270,7 +283,7 @@
       })) {
     TrySend(fleet, gateway, caller);
   }
-  if (caller.is_probing || !RefuseIfHopeless(fleet, caller)) {
+  if (caller.is_probing || !RefuseIfUnservable(fleet, caller)) {
     gateway.waiting.push_back(&caller);
   }
 }
@@ -303,8 +316,12 @@
   for (size_t index = 0; index < fleet.ranks.size(); ++index) {
     SimulatedRank& rank = fleet.ranks[index];
     const admission::RankLoad& before = rank.admission.reported;
-    if (fleet.is_open && (!before.is_open || before.epoch != fleet.epoch)) {
-      Reset(rank.rates, fleet.now);
+    const bool is_change =
+        before.is_open != fleet.is_open || before.epoch != fleet.epoch;
+    if (is_change && fleet.is_open) {
+      HandleOpened(rank.rates, fleet.now);
+    } else if (is_change) {
+      HandleClosed(rank.rates);
     }
     RecordReport(
         rank.admission,
--- a/Tests/LibScheduling/SimulatedFleet.h
+++ b/Tests/LibScheduling/SimulatedFleet.h
@@ -17,10 +17,10 @@
 #include "LibAdmission/RankAdmission.h"
 #include "LibGateway/Offers.h"
 #include "LibGateway/Waiting.h"
+#include "LibScheduling/DenialCooldowns.h"
 #include "LibScheduling/DeniedRequests.h"
 #include "LibScheduling/FleetQueue.h"
 #include "LibScheduling/Forecast.h"
-#include "LibScheduling/FullClasses.h"
 #include "LibScheduling/GrantRates.h"
 
 namespace bramleyspan::scheduling {
@@ -54,7 +54,7 @@
   std::vector<Caller*> waiting;
   // Ranks of the permits taken, and when.
   std::vector<std::pair<std::string, TimePoint>> taken;
-  FullClasses full;
+  DenialCooldowns full;
   Forecast forecast;
 };
 
--- a/Tests/LibScheduling/TestScheduling.cc
+++ b/Tests/LibScheduling/TestScheduling.cc
@@ -102,7 +102,8 @@
 // what it can serve, and callers are refused that it could serve.
 TEST_CASE("There are no rates until a group has been open for a while") {
   GrantRates rates;
-  Reset(rates, kStart);
+  CHECK_FALSE(RatesOf(rates, kStart));
+  HandleOpened(rates, kStart);
   for (int i = 0; i < 6; ++i) {
     RecordGrant(rates, kOther, kStart + milliseconds(1500));
   }
@@ -114,6 +115,8 @@
   const auto none = RatesOf(rates, kStart + seconds(4));
   REQUIRE(none);
   CHECK(none->empty());
+  HandleClosed(rates);
+  CHECK_FALSE(RatesOf(rates, kStart + seconds(10)));
 }
 
 TEST_CASE("The expected wait is what waits by the rate of all ranks") {
