--- a/Tests/LibScheduling/TestScheduling.cc
+++ b/Tests/LibScheduling/TestScheduling.cc
@@ -144,7 +144,7 @@
 
 // Failure: in a burst of a less urgent kind, streams that get a permit neither
 // in time nor late wait for over a second and are refused then.
-TEST_CASE("A stream is hopeless if those in time already wait too long") {
+TEST_CASE("A stream is unservable if those in time already wait too long") {
   const PendingStream stream{.priority = 2,
                              .in_time_wait = milliseconds(500),
                              .ends = kStart + seconds(2)};
