--- a/Tests/platform/TestDocuments.cc
+++ b/Tests/platform/TestDocuments.cc
@@ -1,5 +1,7 @@
 #include <doctest/doctest.h>
 
+#include <string>
+
 #include "Kernel/Plugin.h"
 #include "LibMapSwitch/Rank.h"
 #include "platform/Documents.h"
@@ -52,6 +54,28 @@
   }
 }
 
+// Failure: a record with a cold time that makes no sense takes its server out
+// of service, or slows it down for good.
+TEST_CASE("A cold time that is not plausible is bounded") {
+  const auto cold_for = [](const std::string& value) {
+    const auto target = ParseTarget(
+        "servers/i-1",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,)"
+        R"("state":"ready","cold_left_ms":)" +
+            value + "}");
+    REQUIRE(target);
+    return target->cold_for;
+  };
+  CHECK(cold_for("2500") == std::chrono::milliseconds(2500));
+  CHECK(cold_for("0.5") == std::chrono::milliseconds(0));
+  CHECK(cold_for("-7") == std::chrono::milliseconds(0));
+  CHECK(cold_for("1e300") == std::chrono::minutes(1));
+  for (const char* other : {"\"2500\"", "null", "[]", "{}", "true"}) {
+    CAPTURE(other);
+    CHECK(cold_for(other) == std::chrono::milliseconds(0));
+  }
+}
+
 TEST_CASE(
     "A rank's report is parsed, and an order has its operation and epoch") {
   const auto make =
