--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -8,7 +8,6 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
-#include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/Repeats.h"
 #include "Services/bramleyspand/Gateway/UsageRecorder.h"
 
@@ -247,66 +246,6 @@
   this->Finish("refused", status);
 }
 
-bool Forwarding::EndIfQuarantined() {
-  const gateway::PartDecision decision =
-      this->state.quarantine->Admit(this->service, this->parts);
-  this->is_trial = decision.verdict == gateway::PartVerdict::kTrial;
-  if (decision.verdict != gateway::PartVerdict::kRejected) {
-    return false;
-  }
-  auto keep_until_return = this->shared_from_this();
-  this->SettlePermit();
-  this->state.quarantine->RecordRejected(this->service, decision.part);
-  const std::string cause =
-      "targets end under the part " + decision.part + " of the prompt";
-  if (this->has_started_answer) {
-    this->AbortAnswer(cause);
-  } else if (this->may_have_run) {
-    this->Fail(kBadGateway, cause);
-  } else {
-    this->RespondRefusal(
-        kUnavailable, cause,
-        {{"content-type", "text/plain"},
-         {"retry-after", FormatRetryAfter(decision.until - EventLoop::Now())}},
-        "not run: " + cause + "\n");
-  }
-  return true;
-}
-
-void EndRequestsWithPart(GatewayState& state, const gateway::PartKey& key) {
-  std::vector<std::shared_ptr<Forwarding>> open;
-  for (const auto& [number, forwarding] : state.open) {
-    open.push_back(forwarding->shared_from_this());
-  }
-  for (const auto& forwarding : open) {
-    forwarding->HandleQuarantine(key);
-  }
-}
-
-void Forwarding::HandleQuarantine(const gateway::PartKey& key) {
-  const bool has_part =
-      std::ranges::find(this->parts, key.part) != this->parts.end();
-  const bool is_waiting_or_sent =
-      this->call != nullptr || this->is_probing() ||
-      std::ranges::find(this->state.waiting, this->shared_from_this()) !=
-          this->state.waiting.end();
-  if (!has_part || this->service != key.service || this->is_finished ||
-      this->is_trial || !is_waiting_or_sent || this->answer_began) {
-    return;
-  }
-  // A quarantine that another gateway reports may be due for a trial.
-  const gateway::PartDecision decision =
-      this->state.quarantine->Admit(this->service, this->parts);
-  if (decision.verdict != gateway::PartVerdict::kRejected) {
-    return;
-  }
-  if (this->call != nullptr) {
-    std::exchange(this->call, nullptr)->Cancel();
-    this->ReleaseTarget(Outcome::kGood);
-  }
-  this->EndIfQuarantined();
-}
-
 Duration Forwarding::TimeLeft() const {
   if (this->deadline != TimePoint{}) {
     return this->deadline - EventLoop::Now();
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -9,7 +9,6 @@
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
-#include "Services/bramleyspand/Gateway/TargetEnds.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -33,10 +32,6 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-// A target that ends under a request does so before its answer has gone on for
-// this long.
-constexpr Duration kAnsweredAfter = std::chrono::milliseconds(500);
-
 }  // namespace
 
 bool Forwarding::is_own_answer(const http::AnswerHead& head) const {
@@ -278,76 +273,6 @@
   }
 }
 
-bool Forwarding::CheckTarget(CallEnd end) {
-  const bool is_lost = end == CallEnd::kClosed || end == CallEnd::kTruncated ||
-                       end == CallEnd::kMalformed;
-  const auto found = this->state.targets.by_id.find(this->target_id);
-  // A target that leaves is expected to end.
-  if (!is_lost || this->parts.empty() ||
-      found == this->state.targets.by_id.end() ||
-      !gateway::is_staying(this->state.targets, found->second)) {
-    return false;
-  }
-  const bool is_answered = this->is_answered_by_target(EventLoop::Now());
-  const bool is_awaited = !is_answered && this->state.quarantine->may_be_cause(
-                                              this->service, this->parts);
-  this->state.target_ends->Check(
-      this->DescribeLost(is_answered),
-      [self = this->shared_from_this(), is_awaited, end](bool) {
-        if (is_awaited) {
-          self->RepeatOrEnd(end);
-        }
-      });
-  return is_awaited;
-}
-
-bool Forwarding::CheckUnframedAnswer() {
-  const bool is_known = this->state.targets.by_id.contains(this->target_id) &&
-                        !this->is_answered_by_target(EventLoop::Now());
-  if (!is_known ||
-      !this->state.quarantine->may_be_cause(this->service, this->parts)) {
-    return false;
-  }
-  this->state.target_ends->Check(
-      this->DescribeLost(false),
-      [self = this->shared_from_this()](bool has_ended) {
-        if (!self->is_finished) {
-          self->HandleKnownEnd(has_ended ? CallEnd::kTruncated
-                                         : CallEnd::kWhole);
-        }
-      });
-  return true;
-}
-
-LostRequest Forwarding::DescribeLost(bool is_answered) const {
-  return {
-      .id = this->id,
-      .target = this->target_id,
-      .service = this->service,
-      .address = this->state.targets.by_id.at(this->target_id).target.address,
-      .parts = this->parts,
-      .is_answered = is_answered};
-}
-
-void Forwarding::RecordAnswerProgress(bool is_whole) {
-  if (this->parts.empty() || this->is_answer_recorded) {
-    return;
-  }
-  const TimePoint now = EventLoop::Now();
-  if (!this->answer_began) {
-    this->answer_began = now;
-    this->state.quarantine->RecordAnswerBegin(this->service, this->parts);
-  }
-  if (is_whole || this->is_answered_by_target(now)) {
-    this->is_answer_recorded = true;
-    this->state.quarantine->RecordAnswer(this->service, this->parts);
-  }
-}
-
-bool Forwarding::is_answered_by_target(TimePoint now) const {
-  return this->answer_began && now - *this->answer_began >= kAnsweredAfter;
-}
-
 void Forwarding::HandleStreamEnd(CallEnd end) {
   const bool is_whole =
       end == CallEnd::kWhole && !this->events.has_partial_event();
--- /dev/null
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -0,0 +1,156 @@
+// What a gateway learns from targets that end under requests, and the requests
+// that it keeps from targets because of that.
+#include <algorithm>
+#include <utility>
+
+#include "Services/bramleyspand/Gateway/Forwarding.h"
+#include "Services/bramleyspand/Gateway/ForwardingDetail.h"
+#include "Services/bramleyspand/Gateway/PartQuarantine.h"
+#include "Services/bramleyspand/Gateway/TargetEnds.h"
+
+namespace bramleyspan::gatewayd {
+
+namespace {
+
+using detail::kBadGateway;
+using detail::kUnavailable;
+using gateway::Outcome;
+using http::CallEnd;
+
+// A target that ends under a request does so before its answer has gone on for
+// this long.
+constexpr Duration kAnsweredAfter = std::chrono::milliseconds(500);
+
+}  // namespace
+
+bool Forwarding::EndIfQuarantined() {
+  const gateway::PartDecision decision =
+      this->state.quarantine->Admit(this->service, this->parts);
+  this->is_trial = decision.verdict == gateway::PartVerdict::kTrial;
+  if (decision.verdict != gateway::PartVerdict::kRejected) {
+    return false;
+  }
+  auto keep_until_return = this->shared_from_this();
+  this->SettlePermit();
+  this->state.quarantine->RecordRejected(this->service, decision.part);
+  const std::string cause =
+      "targets end under the part " + decision.part + " of the prompt";
+  if (this->has_started_answer) {
+    this->AbortAnswer(cause);
+  } else if (this->may_have_run) {
+    this->Fail(kBadGateway, cause);
+  } else {
+    this->RespondRefusal(
+        kUnavailable, cause,
+        {{"content-type", "text/plain"},
+         {"retry-after", FormatRetryAfter(decision.until - EventLoop::Now())}},
+        "not run: " + cause + "\n");
+  }
+  return true;
+}
+
+void EndRequestsWithPart(GatewayState& state, const gateway::PartKey& key) {
+  std::vector<std::shared_ptr<Forwarding>> open;
+  for (const auto& [number, forwarding] : state.open) {
+    open.push_back(forwarding->shared_from_this());
+  }
+  for (const auto& forwarding : open) {
+    forwarding->HandleQuarantine(key);
+  }
+}
+
+void Forwarding::HandleQuarantine(const gateway::PartKey& key) {
+  const bool has_part =
+      std::ranges::find(this->parts, key.part) != this->parts.end();
+  const bool is_waiting_or_sent =
+      this->call != nullptr || this->is_probing() ||
+      std::ranges::find(this->state.waiting, this->shared_from_this()) !=
+          this->state.waiting.end();
+  if (!has_part || this->service != key.service || this->is_finished ||
+      this->is_trial || !is_waiting_or_sent || this->answer_began) {
+    return;
+  }
+  // A quarantine that another gateway reports may be due for a trial.
+  const gateway::PartDecision decision =
+      this->state.quarantine->Admit(this->service, this->parts);
+  if (decision.verdict != gateway::PartVerdict::kRejected) {
+    return;
+  }
+  if (this->call != nullptr) {
+    std::exchange(this->call, nullptr)->Cancel();
+    this->ReleaseTarget(Outcome::kGood);
+  }
+  this->EndIfQuarantined();
+}
+
+bool Forwarding::CheckTarget(CallEnd end) {
+  const bool is_lost = end == CallEnd::kClosed || end == CallEnd::kTruncated ||
+                       end == CallEnd::kMalformed;
+  const auto found = this->state.targets.by_id.find(this->target_id);
+  // A target that leaves is expected to end.
+  if (!is_lost || this->parts.empty() ||
+      found == this->state.targets.by_id.end() ||
+      !gateway::is_staying(this->state.targets, found->second)) {
+    return false;
+  }
+  const bool is_answered = this->is_answered_by_target(EventLoop::Now());
+  const bool is_awaited = !is_answered && this->state.quarantine->may_be_cause(
+                                              this->service, this->parts);
+  this->state.target_ends->Check(
+      this->DescribeLost(is_answered),
+      [self = this->shared_from_this(), is_awaited, end](bool) {
+        if (is_awaited) {
+          self->RepeatOrEnd(end);
+        }
+      });
+  return is_awaited;
+}
+
+bool Forwarding::CheckUnframedAnswer() {
+  const bool is_known = this->state.targets.by_id.contains(this->target_id) &&
+                        !this->is_answered_by_target(EventLoop::Now());
+  if (!is_known ||
+      !this->state.quarantine->may_be_cause(this->service, this->parts)) {
+    return false;
+  }
+  this->state.target_ends->Check(
+      this->DescribeLost(false),
+      [self = this->shared_from_this()](bool has_ended) {
+        if (!self->is_finished) {
+          self->HandleKnownEnd(has_ended ? CallEnd::kTruncated
+                                         : CallEnd::kWhole);
+        }
+      });
+  return true;
+}
+
+LostRequest Forwarding::DescribeLost(bool is_answered) const {
+  return {
+      .id = this->id,
+      .target = this->target_id,
+      .service = this->service,
+      .address = this->state.targets.by_id.at(this->target_id).target.address,
+      .parts = this->parts,
+      .is_answered = is_answered};
+}
+
+void Forwarding::RecordAnswerProgress(bool is_whole) {
+  if (this->parts.empty() || this->is_answer_recorded) {
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  if (!this->answer_began) {
+    this->answer_began = now;
+    this->state.quarantine->RecordAnswerBegin(this->service, this->parts);
+  }
+  if (is_whole || this->is_answered_by_target(now)) {
+    this->is_answer_recorded = true;
+    this->state.quarantine->RecordAnswer(this->service, this->parts);
+  }
+}
+
+bool Forwarding::is_answered_by_target(TimePoint now) const {
+  return this->answer_began && now - *this->answer_began >= kAnsweredAfter;
+}
+
+}  // namespace bramleyspan::gatewayd
