Gateway, LibGateway: Log by which content requests were lost with their targets

Cause: no line told that two attempts carry the same request, and requests without parts of a prompt were not checked when their target closed. Change: a digest of the content in `accepted` and `lost_with_target`; the check for all lost requests. No decision changes: a request without parts still does not wait for its check.

--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "LibGateway/PromptParts.h"
+#include "LibGateway/RequestDigest.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
@@ -102,8 +103,14 @@
   this->service = gateway::PickService(
       *this->route,
       std::uniform_real_distribution<double>(0, 1)(this->state.random));
-  this->parts = gateway::ParseSharedParts(
-      FindHeader(this->request.headers, this->state.adapter.headers.parts));
+  const std::string_view parts_list =
+      FindHeader(this->request.headers, this->state.adapter.headers.parts);
+  this->parts = gateway::ParseSharedParts(parts_list);
+  this->digest = gateway::DigestOf({.tenant = this->tenant,
+                                    .method = this->request.method,
+                                    .target = this->request.target,
+                                    .parts = parts_list,
+                                    .body = this->request.body});
   const auto left = ParseNumber(
       FindHeader(this->request.headers, this->state.adapter.headers.deadline));
   Duration allowed = this->route->timeout;
@@ -137,6 +144,7 @@
        {"route", this->route->name},
        {"service", this->service},
        {"tenant", this->tenant},
+       {"digest", this->digest},
        {"priority", std::to_string(this->priority)},
        {"table_version", std::to_string(this->table->version)},
        {"left_ms", ToMillisecondsText(allowed)},
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -256,8 +256,10 @@
   Duration first_event_after{};
   Duration longest_pause{};
   TimePoint longest_pause_ended;
-  // The parts that the prompt shares with other requests.
+  // The parts that the prompt shares with other requests, and the digest by
+  // which the request is known again when its caller sends it once more.
   std::vector<std::string> parts;
+  std::string digest;
   gateway::EventReader events;
   usage::RequestMeter meter;
   bool is_finished = false;
--- a/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -88,8 +88,7 @@
                        end == CallEnd::kMalformed;
   const auto found = this->state.targets.by_id.find(this->target_id);
   // A target that leaves is expected to end.
-  if (!is_lost || this->parts.empty() ||
-      found == this->state.targets.by_id.end() ||
+  if (!is_lost || found == this->state.targets.by_id.end() ||
       !gateway::is_staying(this->state.targets, found->second)) {
     return false;
   }
@@ -131,6 +130,7 @@
       .service = this->service,
       .address = this->state.targets.by_id.at(this->target_id).target.address,
       .parts = this->parts,
+      .digest = this->digest,
       .is_answered = is_answered};
 }
 
--- a/Services/bramleyspand/Gateway/TargetEnds.cc
+++ b/Services/bramleyspand/Gateway/TargetEnds.cc
@@ -114,6 +114,7 @@
   Log(LogLevel::kInfo, "forward", "lost_with_target",
       {{"request", lost.id},
        {"target", lost.target},
+       {"digest", lost.digest},
        {"is_answered", lost.is_answered ? "true" : "false"},
        {"parts", Join({lost.parts.begin(), lost.parts.end()})}});
 }
--- a/Services/bramleyspand/Gateway/TargetEnds.h
+++ b/Services/bramleyspand/Gateway/TargetEnds.h
@@ -21,6 +21,7 @@
   Address address;
   // The parts that its prompt shares with others.
   std::vector<std::string> parts;
+  std::string digest;
   // Whether its answer had begun, and had gone on for a while.
   bool is_answered = false;
 };
