--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -19,12 +19,13 @@
 // limit.
 // - GET /arrivals?id=&span_ms=&after_ms=: the most requests that reached a
 //   server in a span that begins so long after its signals changed.
-// - PUT /crashes?part=&delay_ms=&down_ms=&renames=: from now on a server ends
-// that
-//   begins to answer a request with this part in its prompt, and is back after
-//   down_ms; with renames=1 under a new id. GET /crashes?after_ms=: the number
-//   of ends, and of requests with the part that reached servers later than
-//   after_ms past the fifth end.
+// - PUT /crashes?part=&body=&delay_ms=&down_ms=&renames=&answers=: from now on
+//   a server ends that begins to answer a request with this part in its prompt,
+//   or with a body that begins so, and is back after down_ms; with renames=1
+//   under a new id. With answers=1 streams go on until their server ends.
+//   GET /crashes?after_ms=: the number of ends, and of such requests that
+//   reached servers later than after_ms past the fifth end; and by body the
+//   ends, the arrivals and those later than that past the third end.
 // - GET /status: runs by attempt and by server, splits and switches of the
 //   group, and its held and armed ranks.
 #include <absl/flags/flag.h>
@@ -114,8 +115,9 @@
 void StopServer(Platform& platform,
                 std::string& id,
                 const std::string& address,
+                const std::string& body,
                 std::function<void()> on_return) {
-  platform.crashes.ends.push_back(EventLoop::Now());
+  RecordCrash(platform.crashes, body);
   const auto stopped = platform.listeners.extract(address);
   platform.loop.RunAfter(
       platform.crashes.down,
@@ -152,16 +154,18 @@
                 });
 }
 
-void StopPlainServer(Platform& platform, PlainServer& server) {
+void StopPlainServer(Platform& platform,
+                     PlainServer& server,
+                     const std::string& body) {
   if (platform.listeners.contains(server.address)) {
-    StopServer(platform, server.id, server.address,
+    StopServer(platform, server.id, server.address, body,
                [&platform, &server] { ListenAsPlain(platform, server); });
   }
 }
 
-void StopRank(Platform& platform, StandInRank& rank) {
+void StopRank(Platform& platform, StandInRank& rank, const std::string& body) {
   BreakGroup(platform.group, rank);
-  StopServer(platform, rank.id, rank.address, [&platform, &rank] {
+  StopServer(platform, rank.id, rank.address, body, [&platform, &rank] {
     ListenAsRank(platform, rank);
     ReturnRank(platform.group, rank);
   });
@@ -179,19 +183,20 @@
     exchange->Respond(421, {{"x-not-executed", "1"}}, "");
     return;
   }
-  const bool is_killing = has_part(platform.crashes, request);
-  if (is_killing) {
-    platform.crashes.arrivals.push_back(EventLoop::Now());
+  const bool ends_server = is_killing(platform.crashes, request);
+  if (ends_server) {
+    RecordKillingArrival(platform.crashes, request);
   }
   if (RecordArrival(signals, *exchange)) {
     return;
   }
   ++platform.runs[attempt];
   ++platform.runs_by_server[server.id];
-  if (is_killing) {
-    platform.loop.RunAfter(platform.crashes.delay, [&platform, &server] {
-      StopPlainServer(platform, server);
-    });
+  if (ends_server) {
+    platform.loop.RunAfter(platform.crashes.delay,
+                           [&platform, &server, body = request.body] {
+                             StopPlainServer(platform, server, body);
+                           });
     return;
   }
   const std::string tenant(http::FindHeader(request.headers, "x-tenant"));
@@ -249,17 +254,25 @@
   Crashes& crashes = platform.crashes;
   if (request.method == "PUT") {
     crashes.part = http::FindQueryValue(request.query, "part");
+    crashes.body = http::FindQueryValue(request.query, "body");
+    crashes.answers = !http::FindQueryValue(request.query, "answers").empty();
     crashes.delay = MillisecondsIn(request.query, "delay_ms");
     crashes.down = MillisecondsIn(request.query, "down_ms");
     crashes.renames = !http::FindQueryValue(request.query, "renames").empty();
     exchange->Respond(200, {}, "");
     return;
   }
-  const json counts = {
-      {"ends", crashes.ends.size()},
-      {"arrivals", crashes.arrivals.size()},
-      {"late",
-       CountLateArrivals(crashes, MillisecondsIn(request.query, "after_ms"))}};
+  const Duration after = MillisecondsIn(request.query, "after_ms");
+  json requests = json::object();
+  for (const auto& [body, killing] : crashes.requests) {
+    requests[body] = {{"ends_of_request", killing.ends.size()},
+                      {"arrivals_of_request", killing.arrivals.size()},
+                      {"late_of_request", CountLateArrivals(killing, after)}};
+  }
+  const json counts = {{"ends", crashes.ends.size()},
+                       {"arrivals", crashes.arrivals.size()},
+                       {"late", CountLateArrivals(crashes, after)},
+                       {"requests", requests}};
   exchange->Respond(200, {}, counts.dump() + "\n");
 }
 
@@ -409,8 +422,9 @@
   platform.group.runs = &platform.runs;
   platform.group.signals = &platform.signals;
   platform.group.crashes = &platform.crashes;
-  platform.group.stop_rank = [&platform](StandInRank& rank) {
-    StopRank(platform, rank);
+  platform.group.stop_rank = [&platform](StandInRank& rank,
+                                         const std::string& body) {
+    StopRank(platform, rank, body);
   };
   const int plain_servers = absl::GetFlag(FLAGS_plain_servers);
   for (int number = 1; number <= plain_servers; ++number) {
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -12,6 +12,8 @@
 
 constexpr Duration kCopyTime = std::chrono::milliseconds(60);
 constexpr uint64_t kEventsOfStream = 20;
+// A stream under which ranks end is longer than any rank lives under it.
+constexpr uint64_t kEventsOfKillingStream = 1000;
 // Time after which the other ranks cut their streams when a rank has ended, and
 // time that a group takes to open once all ranks are back.
 constexpr Duration kStall = std::chrono::milliseconds(500);
@@ -190,9 +192,9 @@
     return;
   }
   ServerSignals& signals = (*group.signals)[rank.id];
-  const bool is_killing = has_part(*group.crashes, request);
-  if (is_killing) {
-    group.crashes->arrivals.push_back(EventLoop::Now());
+  const bool ends_rank = is_killing(*group.crashes, request);
+  if (ends_rank) {
+    RecordKillingArrival(*group.crashes, request);
   }
   if (RecordArrival(signals, *exchange)) {
     return;
@@ -202,15 +204,16 @@
     return;
   }
   ++(*group.runs)[attempt];
-  RunningStream stream{.exchange = exchange, .attempt = attempt};
-  if (is_killing) {
+  RunningStream stream{
+      .exchange = exchange, .attempt = attempt, .body = request.body};
+  if (ends_rank) {
     stream.ends_rank_at = EventLoop::Now() + group.crashes->delay;
   }
   const std::string resumed(http::FindHeader(request.headers, "last-event-id"));
   if (!resumed.empty()) {
     stream.next_event = std::stoull(resumed) + 1;
   }
-  stream.last_event = kEventsOfStream;
+  stream.last_event = ends_rank ? kEventsOfKillingStream : kEventsOfStream;
   http::HeaderList headers = SignalHeaders(signals);
   headers.insert(headers.end(), {{"content-type", "text/event-stream"},
                                  {"x-attempt-id", attempt},
@@ -221,10 +224,10 @@
   rank.streams.emplace(number, std::move(stream));
 }
 
-void Advance(StandInRank& rank) {
+void Advance(StandInRank& rank, bool is_answering_until_end) {
   for (auto found = rank.streams.begin(); found != rank.streams.end();) {
     RunningStream& stream = found->second;
-    if (stream.ends_rank_at) {
+    if (stream.ends_rank_at && !is_answering_until_end) {
       ++found;
       continue;
     }
@@ -279,13 +282,13 @@
 void EndRanksUnderStreams(StandInGroup& group) {
   const TimePoint now = EventLoop::Now();
   for (StandInRank& rank : group.ranks) {
-    const bool is_due =
-        std::ranges::any_of(rank.streams, [now](const auto& item) {
+    const auto due =
+        std::ranges::find_if(rank.streams, [now](const auto& item) {
           const auto& ends_at = item.second.ends_rank_at;
           return ends_at && now >= *ends_at;
         });
-    if (is_due && !rank.is_down) {
-      group.stop_rank(rank);
+    if (due != rank.streams.end() && !rank.is_down) {
+      group.stop_rank(rank, std::string(due->second.body));
     }
   }
 }
@@ -321,7 +324,7 @@
   group.splits += is_split ? 1 : 0;
   for (StandInRank& rank : group.ranks) {
     CountChoices(rank);
-    Advance(rank);
+    Advance(rank, group.crashes->answers);
   }
 }
 
--- a/StandIns/UsersPlatform/Ranks.h
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -29,6 +29,7 @@
   std::string attempt;
   uint64_t next_event = 1;
   uint64_t last_event = 0;
+  std::string body;
   // When the rank ends under it.
   std::optional<TimePoint> ends_rank_at;
 };
@@ -72,8 +73,8 @@
   std::map<std::string, uint64_t>* runs = nullptr;
   Signals* signals = nullptr;
   Crashes* crashes = nullptr;
-  // Ends a rank at once.
-  std::function<void(StandInRank&)> stop_rank;
+  // Ends a rank at once, under a stream with this body.
+  std::function<void(StandInRank&, const std::string& body)> stop_rank;
 };
 
 StandInGroup MakeGroup(const std::vector<std::string>& addresses);
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -145,6 +145,49 @@
   ((late <= 3)) || fail "$late requests with a part under which servers end reached servers later than 3 s after the fifth end"
 }
 
+# end_servers_under_requests DELAY-MS DOWN-MS [QUERY]: from now on a server ends
+# that begins to answer a request whose body begins with kill-. late_of_requests
+# AFTER-MS: how often each of these reached servers later than that past the third
+# end under it, one number a line; ends_of_requests: how many ended under each.
+end_servers_under_requests() {
+  curl -sf -X PUT "$CONTROL/crashes?body=kill-&delay_ms=$1&down_ms=$2&${3:-}" -o /dev/null
+}
+of_requests() { curl -sf "$CONTROL/crashes?after_ms=$2" | grep -o "\"$1_of_request\":[0-9]*" | cut -d: -f2; }
+late_of_requests() { of_requests late "$1"; }
+ends_of_requests() { of_requests ends 0; }
+
+# send_until_answered TIMES SECONDS BODY PATH CURL-ARGUMENTS...: what an impatient
+# caller does: sends a request up to so many times in so many seconds until it is
+# answered, to another gateway each time, under a new attempt id, a stream with
+# its last event id. The statuses go to $LOGS/BODY.statuses.
+send_until_answered() {
+  local times=$1 pause body=$3 path=$4 n last event=()
+  pause=$(bc -l <<<"$2/$1")
+  shift 4
+  for n in $(seq "$times"); do
+    if request $((n % 2 + 1)) "$body-$n" "$path" -d "$body" "$@" "${event[@]}" \
+      -o "$LOGS/$body-$n" -w '%{http_code}\n' 2>/dev/null >"$LOGS/$body.status" &&
+      [ "$(cat "$LOGS/$body.status")" = 200 ]; then
+      echo 200 >>"$LOGS/$body.statuses"
+      return
+    fi
+    cat "$LOGS/$body.status" >>"$LOGS/$body.statuses"
+    last=$(grep -s '^id:' "$LOGS/$body-$n" | tail -1 | tr -dc 0-9) || true
+    [ -z "$last" ] || event=(-H "Last-Event-Id: $last")
+    sleep "$pause"
+  done
+}
+
+# expect_servers_kept_from_requests COUNT: none of so many killing requests reached
+# a server later than 0.3 s after the third end under it.
+expect_servers_kept_from_requests() {
+  local late
+  late=$(late_of_requests 300)
+  echo "servers ended under each request:" $(ends_of_requests), "later arrivals:" $late
+  [ "$(wc -l <<<"$late")" = "$1" ] || fail "not all killing requests reached a server"
+  ! grep -qv '^0$' <<<"$late" || fail "requests under which three servers had ended were sent to servers again"
+}
+
 # expect_half_served PREFIX FROM: at least half of the prompts sent in second
 # FROM or later were answered with 200.
 expect_half_served() {
