--- a/Libraries/LibGateway/Quarantine.cc
+++ b/Libraries/LibGateway/Quarantine.cc
@@ -9,97 +9,28 @@
 
 namespace {
 
-// A part is not suspected for this time after a request with it was answered.
-constexpr Duration kTrustDuration = std::chrono::seconds(30);
-// Ends within this time of the first are those of one failure, such as that of
-// an availability zone.
-constexpr Duration kSameMoment = std::chrono::milliseconds(20);
-// Reports of one target's end differ by less than this. A target that has ended
-// is back later.
-constexpr Duration kSameEnd = std::chrono::seconds(1);
 // A part is quarantined after so many ends, if their square is at least the
 // number of all ends of its service's targets since kLookBack before the first
 // of them: the more targets end, the more parts are at two of them by chance.
-// It is quarantined after kCertainEnds in any case.
+// Others that are quarantined, or single requests at two of the ends, explain
+// an end and leave it out. It is quarantined after certain_ends in any case.
 constexpr size_t kMinEnds = 2;
-constexpr size_t kCertainEnds = 4;
 constexpr Duration kLookBack = std::chrono::seconds(10);
 constexpr size_t kMaxEndsPerPart = 4;
 constexpr size_t kMaxEndsPerService = 64;
 constexpr size_t kMaxRecentAnswers = 64;
-constexpr size_t kMaxRecords = 256;
-constexpr size_t kMaxQuarantined = 128;
 constexpr size_t kMaxAnsweredParts = 4096;
-// A quarantined part is tried after kFirstHold, and after a time kHoldFactor
-// times as long with each failed trial.
-constexpr Duration kFirstHold = std::chrono::seconds(60);
-constexpr int kHoldFactor = 4;
-constexpr Duration kMaxHold = std::chrono::hours(1);
-constexpr Duration kEvidenceLifetime = std::chrono::hours(24);
 // A record without evidence is kept for this time, until others know of it.
 constexpr Duration kSettledLifetime = std::chrono::minutes(1);
 // A state that has just changed is reported several times in a row, since
-// datagrams get lost; quarantines also periodically, to new gateways.
+// datagrams get lost.
 constexpr uint32_t kReportsOfChange = 3;
-constexpr Duration kReportInterval = std::chrono::seconds(1);
 
 uint64_t HashOf(const PartKey& key) {
   return XXH64(key.part.data(), key.part.size(),
                XXH64(key.service.data(), key.service.size(), 0));
 }
 
-bool is_same_end(const TargetEnd& left, const TargetEnd& right) {
-  return left.target == right.target &&
-         std::chrono::abs(left.at - right.at) < kSameEnd;
-}
-
-// Adds an end to a list in order of time. Returns whether it is new.
-template <typename Ends>
-bool AddEnd(Ends& ends, const TargetEnd& end, size_t max_count) {
-  const bool is_known = std::ranges::any_of(
-      ends, [&end](const auto& known) { return is_same_end(known, end); });
-  const bool is_too_old = ends.size() == max_count && end.at <= ends.front().at;
-  if (is_known || is_too_old) {
-    return false;
-  }
-  ends.insert(
-      std::ranges::upper_bound(ends, end.at, std::less<>(), &TargetEnd::at),
-      end);
-  if (ends.size() > max_count) {
-    ends.erase(ends.begin());
-  }
-  return true;
-}
-
-// Returns the number of ends, those of one moment counted once.
-size_t CountMoments(const std::vector<TargetEnd>& ends) {
-  size_t count = 0;
-  std::optional<TimePoint> moment;
-  for (const TargetEnd& end : ends) {
-    if (!moment || end.at - *moment > kSameMoment) {
-      ++count;
-      moment = end.at;
-    }
-  }
-  return count;
-}
-
-// Whether the end is evidence against the part: no request with it was answered
-// afterwards or shortly before.
-bool is_evidence(const PartRecord& record, const TargetEnd& end) {
-  return !record.answered_at || end.at > *record.answered_at + kTrustDuration;
-}
-
-size_t CountEvidence(const PartRecord& record) {
-  return static_cast<size_t>(std::ranges::count_if(
-      record.ends,
-      [&record](const TargetEnd& end) { return is_evidence(record, end); }));
-}
-
-bool has_evidence(const PartRecord& record) {
-  return CountEvidence(record) > 0;
-}
-
 // Whether another part that is quarantined explains the end of a target, and
 // more ends than this part does.
 bool is_explained(const Quarantine& quarantine,
@@ -108,15 +39,30 @@
                   const TargetEnd& end) {
   return std::ranges::any_of(quarantine.records, [&](const auto& item) {
     const auto& [other, record] = item;
-    return other.service == key.service && other.part != key.part &&
-           is_quarantined(record) &&
+    return is_quarantined(record) && other.service == key.service &&
+           other.part != key.part &&
            CountEvidence(record) > CountEvidence(own) &&
-           std::ranges::any_of(record.ends, [&end](const TargetEnd& known) {
-             return is_same_end(known, end);
-           });
+           has_end(record.ends, end);
   });
 }
 
+// Whether the end is one of several under another single request. Requests that
+// end targets at the same time would hide each other if their ends counted as
+// chance.
+bool is_under_other_request(const Quarantine& quarantine,
+                            const PartKey& key,
+                            const PartRecord& own,
+                            const TargetEnd& end) {
+  return !quarantine.rules.is_shared && !has_end(own.ends, end) &&
+         std::ranges::any_of(quarantine.records, [&](const auto& item) {
+           const auto& [other, record] = item;
+           return record.ends.size() >= kMinEnds &&
+                  other.service == key.service && other.part != key.part &&
+                  CountEvidence(record) >= kMinEnds &&
+                  has_end(record.ends, end);
+         });
+}
+
 std::vector<TargetEnd> EvidenceOf(const Quarantine& quarantine,
                                   const PartKey& key,
                                   const PartRecord& record) {
@@ -147,13 +93,17 @@
 // Returns how many ends quarantine the part. Without other answers, as after a
 // loss of power, something else may be the cause. An answer that began may
 // still end its target, but speaks for the part.
-std::optional<size_t> MinEndsOf(const ServiceHistory& history,
+std::optional<size_t> MinEndsOf(const QuarantineRules& rules,
+                                const ServiceHistory& history,
                                 const std::string& part,
                                 TimePoint now) {
+  if (!rules.is_shared) {
+    return kMinEnds;
+  }
   if (!has_begun(history, part, false, now)) {
     return std::nullopt;
   }
-  return has_begun(history, part, true, now) ? kCertainEnds : kMinEnds;
+  return has_begun(history, part, true, now) ? rules.certain_ends : kMinEnds;
 }
 
 // Returns the number of ends under the part if they suffice for a quarantine,
@@ -172,24 +122,21 @@
   const std::optional<size_t> min_ends =
       history == quarantine.services.end()
           ? std::nullopt
-          : MinEndsOf(history->second, key.part, now);
+          : MinEndsOf(quarantine.rules, history->second, key.part, now);
   if (!min_ends || count < *min_ends) {
     return 0;
   }
   std::vector<TargetEnd> others;
   for (const TargetEnd& end : history->second.ends) {
     if (end.at > ends.front().at - kLookBack &&
-        !is_explained(quarantine, key, record, end)) {
+        !is_explained(quarantine, key, record, end) &&
+        !is_under_other_request(quarantine, key, record, end)) {
       others.push_back(end);
     }
   }
   const size_t all = CountMoments(others);
-  return all <= count * count || count >= kCertainEnds ? count : 0;
-}
-
-void MarkChanged(PartRecord& record, TimePoint now) {
-  record.changed_at = now;
-  record.reports = 0;
+  const bool is_certain = count >= quarantine.rules.certain_ends;
+  return all <= count * count || is_certain ? count : 0;
 }
 
 // Quarantines the parts that explain the most ends, until none is left that
@@ -209,10 +156,13 @@
         found.push_back(key);
       }
     }
-    const auto in_force = std::ranges::count_if(
+    const auto in_force = static_cast<size_t>(std::ranges::count_if(
         quarantine.records,
-        [](const auto& item) { return is_quarantined(item.second); });
-    if (found.empty() || in_force + found.size() > kMaxQuarantined) {
+        [](const auto& item) { return is_quarantined(item.second); }));
+    const size_t room = quarantine.rules.max_quarantined -
+                        std::min(in_force, quarantine.rules.max_quarantined);
+    found.resize(std::min(found.size(), room));
+    if (found.empty()) {
       return quarantined;
     }
     for (const PartKey& key : found) {
@@ -253,7 +203,7 @@
   if (found != quarantine.records.end()) {
     return &found->second;
   }
-  if (quarantine.records.size() >= kMaxRecords) {
+  if (quarantine.records.size() >= quarantine.rules.max_records) {
     auto least = quarantine.records.end();
     for (auto item = quarantine.records.begin();
          item != quarantine.records.end(); ++item) {
@@ -277,6 +227,13 @@
   return &record;
 }
 
+// Whether this gateway tells others of a change of the record. What many lost
+// requests have in common with none is told by those that saw it.
+bool is_news(const QuarantineRules& rules, const PartRecord& record) {
+  return rules.is_shared || record.has_own_end || is_quarantined(record) ||
+         !has_evidence(record);
+}
+
 template <typename Value>
 bool TakeLater(std::optional<Value>& own, const std::optional<Value>& other) {
   if (!other || (own && *own >= *other)) {
@@ -288,10 +245,6 @@
 
 }  // namespace
 
-bool is_quarantined(const PartRecord& record) {
-  return record.quarantined_at.has_value() && has_evidence(record);
-}
-
 bool is_answered_lately(const Quarantine& quarantine,
                         const PartKey& key,
                         TimePoint now) {
@@ -353,7 +306,9 @@
   std::vector<PartKey> cleared;
   for (const std::string& part : parts) {
     const PartKey key{service, part};
-    RecordAnswered(quarantine.answered, key, now);
+    if (quarantine.rules.is_shared) {
+      RecordAnswered(quarantine.answered, key, now);
+    }
     const auto found = quarantine.records.find(key);
     if (found == quarantine.records.end()) {
       continue;
@@ -369,18 +324,6 @@
   return cleared;
 }
 
-TimePoint QuarantinedUntil(const PartRecord& record) {
-  Duration hold = kFirstHold;
-  for (uint32_t trial = 0; trial < record.failed_trials && hold < kMaxHold;
-       ++trial) {
-    hold *= kHoldFactor;
-  }
-  TimePoint since = record.ends.empty() ? TimePoint{} : record.ends.back().at;
-  since = std::max(since, record.quarantined_at.value_or(since));
-  since = std::max(since, record.trial_at.value_or(since));
-  return since + std::min(hold, kMaxHold);
-}
-
 PartDecision AdmitParts(const Quarantine& quarantine,
                         const std::string& service,
                         const std::vector<std::string>& parts,
@@ -423,7 +366,14 @@
                 const std::string& service,
                 const std::vector<std::string>& parts) {
   return std::ranges::none_of(parts, [&](const std::string& part) {
-    return CountEnds(quarantine, {service, part}) >= kMinEnds;
+    const auto found = quarantine.records.find({service, part});
+    // A single request may be at several targets at once if its caller is
+    // impatient.
+    const size_t ends = found == quarantine.records.end() ? 0
+                        : quarantine.rules.is_shared
+                            ? CountEnds(quarantine, found->first)
+                            : CountEvidence(found->second);
+    return ends >= kMinEnds;
   });
 }
 
@@ -461,7 +411,13 @@
   if (result.is_changed) {
     MarkChanged(*record, now);
   }
-  result.quarantined_here = QuarantineParts(quarantine, now);
+  // Reports of many single requests arrive at once, and most change nothing here.
+  const bool may_begin = quarantine.rules.is_shared ||
+                         (result.is_changed && record->has_own_end &&
+                          record->ends.size() >= kMinEnds);
+  if (may_begin) {
+    result.quarantined_here = QuarantineParts(quarantine, now);
+  }
   const PartRecord& merged = quarantine.records.at(key);
   result.is_quarantined = !was_quarantined && is_quarantined(merged);
   result.is_released = was_quarantined && !is_quarantined(merged);
@@ -469,18 +425,34 @@
   return result;
 }
 
+bool has_unreported(const Quarantine& quarantine) {
+  return std::ranges::any_of(quarantine.records, [&](const auto& item) {
+    return item.second.reports == 0 && is_news(quarantine.rules, item.second);
+  });
+}
+
 std::vector<PartKey> TakePartReports(Quarantine& quarantine,
                                      size_t max_count,
                                      TimePoint now) {
-  std::vector<std::pair<std::pair<uint32_t, TimePoint>, PartKey>> due;
+  struct Order {
+    uint32_t reports = 0;
+    bool has_few_ends = false;
+    TimePoint reported_at;
+    auto operator<=>(const Order&) const = default;
+  };
+  std::vector<std::pair<Order, PartKey>> due;
   for (const auto& [key, record] : quarantine.records) {
-    const bool is_changed = record.reports < kReportsOfChange;
+    const bool is_changed =
+        record.reports < kReportsOfChange && is_news(quarantine.rules, record);
     const bool is_periodic =
-        is_quarantined(record) && now - record.reported_at >= kReportInterval;
+        is_quarantined(record) &&
+        now - record.reported_at >= quarantine.rules.report_interval;
     if (is_changed || is_periodic) {
-      due.emplace_back(std::pair(std::min(record.reports, kReportsOfChange),
-                                 record.reported_at),
-                       key);
+      due.emplace_back(
+          Order{.reports = std::min(record.reports, kReportsOfChange),
+                .has_few_ends = record.ends.size() < kMinEnds,
+                .reported_at = record.reported_at},
+          key);
     }
   }
   std::ranges::sort(due);
@@ -510,10 +482,11 @@
 }
 
 void RemoveOldParts(Quarantine& quarantine, TimePoint now) {
-  std::erase_if(quarantine.records, [now](const auto& item) {
+  std::erase_if(quarantine.records, [&quarantine, now](const auto& item) {
     const PartRecord& record = item.second;
-    const Duration lifetime =
-        has_evidence(record) ? kEvidenceLifetime : kSettledLifetime;
+    const Duration lifetime = has_evidence(record)
+                                  ? quarantine.rules.evidence_lifetime
+                                  : kSettledLifetime;
     return now - record.changed_at > lifetime;
   });
 }
--- a/Libraries/LibGateway/Quarantine.h
+++ b/Libraries/LibGateway/Quarantine.h
@@ -1,6 +1,8 @@
-// Finds the part of prompts under which targets end, and keeps requests with it
-// from all targets. It answers a fault that travels with requests: each target
-// that a request reaches ends, and looks like the cause itself.
+// Finds the part of prompts, or the single request, under which targets end,
+// and keeps requests with it from all targets. It answers a fault that travels
+// with requests: each target that a request reaches ends, and looks like the
+// cause itself. A single request is a part that no other request has, its
+// digest.
 //
 // Evidence are ends of targets at which a request with the part had not been
 // answered. A part that was answered lately is never suspected. Gateways merge
@@ -18,6 +20,7 @@
 #include <vector>
 
 #include "Kernel/Time.h"
+#include "LibGateway/PartRecord.h"
 
 namespace bramleyspan::gateway {
 
@@ -29,34 +32,6 @@
   auto operator<=>(const PartKey&) const = default;
 };
 
-struct TargetEnd {
-  std::string target;
-  TimePoint at;
-};
-
-// What is known of a part since a target ended under it.
-struct PartRecord {
-  // The newest ends of targets under the part, the oldest first.
-  std::vector<TargetEnd> ends;
-  // When a request with the part was last answered.
-  std::optional<TimePoint> answered_at;
-  std::optional<TimePoint> quarantined_at;
-  // When a request with the quarantined part was last let through, and how
-  // often a target ended under such a request.
-  std::optional<TimePoint> trial_at;
-  uint32_t failed_trials = 0;
-  // Known to this gateway only: whether it saw such an end itself, whether it
-  // sent the last trial and that is not decided, and how many requests with the
-  // part it rejected.
-  bool has_own_end = false;
-  bool is_trial_open = false;
-  uint64_t rejected = 0;
-  // How often the present state was reported to other gateways, and when last.
-  uint32_t reports = 0;
-  TimePoint reported_at;
-  TimePoint changed_at;
-};
-
 // An answer that began lately.
 struct RecentAnswer {
   TimePoint at;
@@ -66,10 +41,35 @@
 // What is known of all targets of a service.
 struct ServiceHistory {
   // The ends of its targets, and the answers that began, the oldest first.
-  std::deque<TargetEnd> ends;
+  std::vector<TargetEnd> ends;
   std::deque<RecentAnswer> answers;
 };
 
+// What differs between parts that requests share and single requests.
+struct QuarantineRules {
+  // Whether sound requests share the parts. Then answers speak for a part:
+  // while they begin more ends are needed, a part that is answered is trusted
+  // for a while, and none is suspected while no other request is answered.
+  bool is_shared = true;
+  // Ends after which a part is quarantined, however many targets end besides.
+  size_t certain_ends = 4;
+  size_t max_records = 256;
+  size_t max_quarantined = 128;
+  Duration evidence_lifetime = std::chrono::hours(24);
+  // Quarantines are reported again after this time, to new gateways.
+  Duration report_interval = std::chrono::seconds(1);
+};
+
+// Callers send a request again within minutes or not at all, and few of many
+// that are lost matter.
+inline constexpr QuarantineRules kRulesOfRequests{
+    .is_shared = false,
+    .certain_ends = 3,
+    .max_records = 1024,
+    .max_quarantined = 512,
+    .evidence_lifetime = std::chrono::minutes(10),
+    .report_interval = std::chrono::seconds(5)};
+
 // When parts were last answered, by hash: the newer half and the older one.
 struct AnsweredParts {
   std::unordered_map<uint64_t, TimePoint> newer;
@@ -77,6 +77,7 @@
 };
 
 struct Quarantine {
+  QuarantineRules rules;
   std::map<PartKey, PartRecord> records;
   std::map<std::string, ServiceHistory> services;
   AnsweredParts answered;
@@ -109,9 +110,6 @@
                         const PartKey& key,
                         TimePoint now);
 
-// Whether requests with the part are kept from targets.
-bool is_quarantined(const PartRecord& record);
-
 // Returns the number of ends of targets that only this part explains. Ends at
 // one moment count once.
 size_t CountEnds(const Quarantine& quarantine, const PartKey& key);
@@ -164,8 +162,12 @@
                       const PartRecord& reported,
                       TimePoint now);
 
+// Whether there is a change that was never reported.
+bool has_unreported(const Quarantine& quarantine);
+
 // Returns the parts, `max_count` at most, that are in the next message to other
-// gateways, and counts them as reported. Changed ones come first.
+// gateways, and counts them as reported. Changed ones come first, those with
+// most ends before others.
 std::vector<PartKey> TakePartReports(Quarantine& quarantine,
                                      size_t max_count,
                                      TimePoint now);
@@ -177,7 +179,4 @@
 // Forgets parts without evidence, and evidence that is too old.
 void RemoveOldParts(Quarantine& quarantine, TimePoint now);
 
-// Returns when the part is tried again.
-TimePoint QuarantinedUntil(const PartRecord& record);
-
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -1437,6 +1437,7 @@
   typedef TargetEnd TableType;
   std::string target{};
   int64_t age_microseconds = 0;
+  int64_t sent_age_microseconds = -1LL;
 };
 
 struct TargetEnd FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1445,7 +1446,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_TARGET = 4,
-    VT_AGE_MICROSECONDS = 6
+    VT_AGE_MICROSECONDS = 6,
+    VT_SENT_AGE_MICROSECONDS = 8
   };
   const flatbuffers::String *target() const {
     return GetPointer<const flatbuffers::String *>(VT_TARGET);
@@ -1453,11 +1455,15 @@
   int64_t age_microseconds() const {
     return GetField<int64_t>(VT_AGE_MICROSECONDS, 0);
   }
+  int64_t sent_age_microseconds() const {
+    return GetField<int64_t>(VT_SENT_AGE_MICROSECONDS, -1LL);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_TARGET) &&
            verifier.VerifyString(target()) &&
            VerifyField<int64_t>(verifier, VT_AGE_MICROSECONDS, 8) &&
+           VerifyField<int64_t>(verifier, VT_SENT_AGE_MICROSECONDS, 8) &&
            verifier.EndTable();
   }
   TargetEndT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1475,6 +1481,9 @@
   void add_age_microseconds(int64_t age_microseconds) {
     fbb_.AddElement<int64_t>(TargetEnd::VT_AGE_MICROSECONDS, age_microseconds, 0);
   }
+  void add_sent_age_microseconds(int64_t sent_age_microseconds) {
+    fbb_.AddElement<int64_t>(TargetEnd::VT_SENT_AGE_MICROSECONDS, sent_age_microseconds, -1LL);
+  }
   explicit TargetEndBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1489,8 +1498,10 @@
 inline flatbuffers::Offset<TargetEnd> CreateTargetEnd(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> target = 0,
-    int64_t age_microseconds = 0) {
+    int64_t age_microseconds = 0,
+    int64_t sent_age_microseconds = -1LL) {
   TargetEndBuilder builder_(_fbb);
+  builder_.add_sent_age_microseconds(sent_age_microseconds);
   builder_.add_age_microseconds(age_microseconds);
   builder_.add_target(target);
   return builder_.Finish();
@@ -1504,12 +1515,14 @@
 inline flatbuffers::Offset<TargetEnd> CreateTargetEndDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *target = nullptr,
-    int64_t age_microseconds = 0) {
+    int64_t age_microseconds = 0,
+    int64_t sent_age_microseconds = -1LL) {
   auto target__ = target ? _fbb.CreateString(target) : 0;
   return bramleyspan::membership::wire::CreateTargetEnd(
       _fbb,
       target__,
-      age_microseconds);
+      age_microseconds,
+      sent_age_microseconds);
 }
 
 flatbuffers::Offset<TargetEnd> CreateTargetEnd(flatbuffers::FlatBufferBuilder &_fbb, const TargetEndT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1972,6 +1985,7 @@
   std::vector<std::unique_ptr<bramleyspan::membership::wire::RepeatReportT>> repeats{};
   int64_t repeats_known_microseconds = -1LL;
   bool are_all_repeats = false;
+  std::vector<std::unique_ptr<bramleyspan::membership::wire::PartReportT>> requests{};
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1991,7 +2005,8 @@
     VT_PARTS = 14,
     VT_REPEATS = 16,
     VT_REPEATS_KNOWN_MICROSECONDS = 18,
-    VT_ARE_ALL_REPEATS = 20
+    VT_ARE_ALL_REPEATS = 20,
+    VT_REQUESTS = 22
   };
   const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *members() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::Member>> *>(VT_MEMBERS);
@@ -2020,6 +2035,9 @@
   bool are_all_repeats() const {
     return GetField<uint8_t>(VT_ARE_ALL_REPEATS, 0) != 0;
   }
+  const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *requests() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *>(VT_REQUESTS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MEMBERS) &&
@@ -2042,6 +2060,9 @@
            verifier.VerifyVectorOfTables(repeats()) &&
            VerifyField<int64_t>(verifier, VT_REPEATS_KNOWN_MICROSECONDS, 8) &&
            VerifyField<uint8_t>(verifier, VT_ARE_ALL_REPEATS, 1) &&
+           VerifyOffset(verifier, VT_REQUESTS) &&
+           verifier.VerifyVector(requests()) &&
+           verifier.VerifyVectorOfTables(requests()) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2080,6 +2101,9 @@
   void add_are_all_repeats(bool are_all_repeats) {
     fbb_.AddElement<uint8_t>(Heartbeat::VT_ARE_ALL_REPEATS, static_cast<uint8_t>(are_all_repeats), 0);
   }
+  void add_requests(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>> requests) {
+    fbb_.AddOffset(Heartbeat::VT_REQUESTS, requests);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2101,9 +2125,11 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>> parts = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>>> repeats = 0,
     int64_t repeats_known_microseconds = -1LL,
-    bool are_all_repeats = false) {
+    bool are_all_repeats = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>> requests = 0) {
   HeartbeatBuilder builder_(_fbb);
   builder_.add_repeats_known_microseconds(repeats_known_microseconds);
+  builder_.add_requests(requests);
   builder_.add_repeats(repeats);
   builder_.add_parts(parts);
   builder_.add_rate_limits(rate_limits);
@@ -2130,13 +2156,15 @@
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *parts = nullptr,
     const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>> *repeats = nullptr,
     int64_t repeats_known_microseconds = -1LL,
-    bool are_all_repeats = false) {
+    bool are_all_repeats = false,
+    const std::vector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> *requests = nullptr) {
   auto members__ = members ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::Member>>(*members) : 0;
   auto signs__ = signs ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::SignOfLife>(*signs) : 0;
   auto ranks__ = ranks ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RankPlace>>(*ranks) : 0;
   auto rate_limits__ = rate_limits ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RateLimitReport>>(*rate_limits) : 0;
   auto parts__ = parts ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>(*parts) : 0;
   auto repeats__ = repeats ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>>(*repeats) : 0;
+  auto requests__ = requests ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>>(*requests) : 0;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
       members__,
@@ -2147,7 +2175,8 @@
       parts__,
       repeats__,
       repeats_known_microseconds,
-      are_all_repeats);
+      are_all_repeats,
+      requests__);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3896,6 +3925,7 @@
   (void)_resolver;
   { auto _e = target(); if (_e) _o->target = _e->str(); }
   { auto _e = age_microseconds(); _o->age_microseconds = _e; }
+  { auto _e = sent_age_microseconds(); _o->sent_age_microseconds = _e; }
 }
 
 inline flatbuffers::Offset<TargetEnd> TargetEnd::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetEndT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3908,10 +3938,12 @@
   struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TargetEndT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
   auto _target = _o->target.empty() ? 0 : _fbb.CreateString(_o->target);
   auto _age_microseconds = _o->age_microseconds;
+  auto _sent_age_microseconds = _o->sent_age_microseconds;
   return bramleyspan::membership::wire::CreateTargetEnd(
       _fbb,
       _target,
-      _age_microseconds);
+      _age_microseconds,
+      _sent_age_microseconds);
 }
 
 inline PartReportT::PartReportT(const PartReportT &o)
@@ -4104,6 +4136,8 @@
   for (const auto &parts_ : o.parts) { parts.emplace_back((parts_) ? new bramleyspan::membership::wire::PartReportT(*parts_) : nullptr); }
   repeats.reserve(o.repeats.size());
   for (const auto &repeats_ : o.repeats) { repeats.emplace_back((repeats_) ? new bramleyspan::membership::wire::RepeatReportT(*repeats_) : nullptr); }
+  requests.reserve(o.requests.size());
+  for (const auto &requests_ : o.requests) { requests.emplace_back((requests_) ? new bramleyspan::membership::wire::PartReportT(*requests_) : nullptr); }
 }
 
 inline HeartbeatT &HeartbeatT::operator=(HeartbeatT o) FLATBUFFERS_NOEXCEPT {
@@ -4116,6 +4150,7 @@
   std::swap(repeats, o.repeats);
   std::swap(repeats_known_microseconds, o.repeats_known_microseconds);
   std::swap(are_all_repeats, o.are_all_repeats);
+  std::swap(requests, o.requests);
   return *this;
 }
 
@@ -4137,6 +4172,7 @@
   { auto _e = repeats(); if (_e) { _o->repeats.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->repeats[_i] = std::unique_ptr<bramleyspan::membership::wire::RepeatReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = repeats_known_microseconds(); _o->repeats_known_microseconds = _e; }
   { auto _e = are_all_repeats(); _o->are_all_repeats = _e; }
+  { auto _e = requests(); if (_e) { _o->requests.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->requests[_i] = std::unique_ptr<bramleyspan::membership::wire::PartReportT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4156,6 +4192,7 @@
   auto _repeats = _o->repeats.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::RepeatReport>> (_o->repeats.size(), [](size_t i, _VectorArgs *__va) { return CreateRepeatReport(*__va->__fbb, __va->__o->repeats[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _repeats_known_microseconds = _o->repeats_known_microseconds;
   auto _are_all_repeats = _o->are_all_repeats;
+  auto _requests = _o->requests.size() ? _fbb.CreateVector<flatbuffers::Offset<bramleyspan::membership::wire::PartReport>> (_o->requests.size(), [](size_t i, _VectorArgs *__va) { return CreatePartReport(*__va->__fbb, __va->__o->requests[i].get(), __va->__rehasher); }, &_va ) : 0;
   return bramleyspan::membership::wire::CreateHeartbeat(
       _fbb,
       _members,
@@ -4166,7 +4203,8 @@
       _parts,
       _repeats,
       _repeats_known_microseconds,
-      _are_all_repeats);
+      _are_all_repeats,
+      _requests);
 }
 
 inline MemberQueryT *MemberQuery::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -105,12 +105,13 @@
       std::uniform_real_distribution<double>(0, 1)(this->state.random));
   const std::string_view parts_list =
       FindHeader(this->request.headers, this->state.adapter.headers.parts);
-  this->parts = gateway::ParseSharedParts(parts_list);
-  this->digest = gateway::DigestOf({.tenant = this->tenant,
-                                    .method = this->request.method,
-                                    .target = this->request.target,
-                                    .parts = parts_list,
-                                    .body = this->request.body});
+  this->marks = {.service = this->service,
+                 .parts = gateway::ParseSharedParts(parts_list),
+                 .digest = gateway::DigestOf({.tenant = this->tenant,
+                                              .method = this->request.method,
+                                              .target = this->request.target,
+                                              .parts = parts_list,
+                                              .body = this->request.body})};
   const auto left = ParseNumber(
       FindHeader(this->request.headers, this->state.adapter.headers.deadline));
   Duration allowed = this->route->timeout;
@@ -144,7 +145,7 @@
        {"route", this->route->name},
        {"service", this->service},
        {"tenant", this->tenant},
-       {"digest", this->digest},
+       {"digest", this->marks.digest},
        {"priority", std::to_string(this->priority)},
        {"table_version", std::to_string(this->table->version)},
        {"left_ms", ToMillisecondsText(allowed)},
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -14,6 +14,7 @@
 #include "LibHTTP/Ingress.h"
 #include "LibUsage/RequestMeter.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
+#include "Services/bramleyspand/Gateway/LostRequest.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
 #include "Services/bramleyspand/Gateway/TargetEnds.h"
 
@@ -24,8 +25,9 @@
                   http::IngressRequest request,
                   const std::shared_ptr<http::IngressExchange>& exchange);
 
-// Ends the requests with a part that is quarantined from now on, unless their
-// targets have begun to answer: such an answer may clear the part.
+// Ends the requests that are quarantined from now on, by a part or their
+// digest, unless their targets have begun to answer: such an answer may clear
+// it.
 void EndRequestsWithPart(GatewayState& state, const gateway::PartKey& key);
 
 // Returns how many streams of the service wait, by class.
@@ -148,16 +150,16 @@
   // Repeats the request or ends it, after its target was checked.
   void RepeatOrEnd(http::CallEnd end);
   // Lets the target be checked if the request was lost there, which shows
-  // whether the target has ended. Returns whether RepeatOrEnd is called after
-  // that.
+  // whether the target has ended. Returns whether it is checked: RepeatOrEnd is
+  // called after that.
   bool CheckTarget(http::CallEnd end);
   // Lets the target be checked after an answer that ended with its connection,
   // as it does when the target ends. Returns whether HandleKnownEnd is called
   // after that.
   bool CheckUnframedAnswer();
-  LostRequest DescribeLost(bool is_answered) const;
-  // Records that the target writes an answer, and once it has gone on for a
-  // while that it has not ended under the request.
+  LostRequest DescribeLost() const;
+  // Records that the target writes an answer: once it has gone on for a while
+  // it speaks for the parts, once it is whole for the request.
   void RecordAnswerProgress(bool is_whole);
   bool is_answered_by_target(TimePoint now) const;
   // Sends the request to a further target. Returns false if the remaining time,
@@ -170,8 +172,9 @@
                       std::string_view cause,
                       const http::HeaderList& headers,
                       std::string_view text);
-  // Ends the request if a part of its prompt is quarantined. Every request
-  // passes here before it is sent to a target. Returns whether it was ended.
+  // Ends the request if it, or a part of its prompt, is quarantined. Every
+  // request passes here before it is sent to a target. Returns whether it was
+  // ended.
   bool EndIfQuarantined();
   // Returns after what time a permit is free for a stream, if that is known.
   std::optional<Duration> TimeUntilPermit() const;
@@ -256,10 +259,7 @@
   Duration first_event_after{};
   Duration longest_pause{};
   TimePoint longest_pause_ended;
-  // The parts that the prompt shares with other requests, and the digest by
-  // which the request is known again when its caller sends it once more.
-  std::vector<std::string> parts;
-  std::string digest;
+  RequestMarks marks;
   gateway::EventReader events;
   usage::RequestMeter meter;
   bool is_finished = false;
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -7,7 +7,7 @@
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
-#include "Services/bramleyspand/Gateway/PartQuarantine.h"
+#include "Services/bramleyspand/Gateway/Quarantines.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
 
 namespace bramleyspan::gatewayd {
@@ -257,9 +257,8 @@
   }
   const bool is_unreachable = end == CallEnd::kNotSent;
   const bool may_repeat =
-      is_unreachable ||
-      (this->route->is_repeatable() && !this->is_trial &&
-       this->state.quarantine->may_repeat(this->service, this->parts));
+      is_unreachable || (this->route->is_repeatable() && !this->is_trial &&
+                         this->state.quarantine->may_repeat(this->marks));
   if (may_repeat && this->TryRepeat(http::NameOf(end), !is_unreachable)) {
     return;
   }
--- a/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -5,7 +5,7 @@
 
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
-#include "Services/bramleyspand/Gateway/PartQuarantine.h"
+#include "Services/bramleyspand/Gateway/Quarantines.h"
 #include "Services/bramleyspand/Gateway/TargetEnds.h"
 
 namespace bramleyspan::gatewayd {
@@ -24,17 +24,16 @@
 }  // namespace
 
 bool Forwarding::EndIfQuarantined() {
-  const gateway::PartDecision decision =
-      this->state.quarantine->Admit(this->service, this->parts);
+  const QuarantineDecision decision =
+      this->state.quarantine->Admit(this->marks);
   this->is_trial = decision.verdict == gateway::PartVerdict::kTrial;
   if (decision.verdict != gateway::PartVerdict::kRejected) {
     return false;
   }
   auto keep_until_return = this->shared_from_this();
   this->SettlePermit();
-  this->state.quarantine->RecordRejected(this->service, decision.part);
-  const std::string cause =
-      "targets end under the part " + decision.part + " of the prompt";
+  this->state.quarantine->RecordRejected(this->marks);
+  const std::string& cause = decision.cause;
   if (this->has_started_answer) {
     this->AbortAnswer(cause);
   } else if (this->may_have_run) {
@@ -60,8 +59,9 @@
 }
 
 void Forwarding::HandleQuarantine(const gateway::PartKey& key) {
-  const bool has_part =
-      std::ranges::find(this->parts, key.part) != this->parts.end();
+  const auto& parts = this->marks.parts;
+  const bool has_part = this->marks.digest == key.part ||
+                        std::ranges::find(parts, key.part) != parts.end();
   const bool is_waiting_or_sent =
       this->call != nullptr || this->is_probing() ||
       std::ranges::find(this->state.waiting, this->shared_from_this()) !=
@@ -71,8 +71,8 @@
     return;
   }
   // A quarantine that another gateway reports may be due for a trial.
-  const gateway::PartDecision decision =
-      this->state.quarantine->Admit(this->service, this->parts);
+  const QuarantineDecision decision =
+      this->state.quarantine->Admit(this->marks);
   if (decision.verdict != gateway::PartVerdict::kRejected) {
     return;
   }
@@ -92,29 +92,18 @@
       !gateway::is_staying(this->state.targets, found->second)) {
     return false;
   }
-  const bool is_answered = this->is_answered_by_target(EventLoop::Now());
-  const bool is_awaited = !is_answered && this->state.quarantine->may_be_cause(
-                                              this->service, this->parts);
   this->state.target_ends->Check(
-      this->DescribeLost(is_answered),
-      [self = this->shared_from_this(), is_awaited, end](bool) {
-        if (is_awaited) {
-          self->RepeatOrEnd(end);
-        }
-      });
-  return is_awaited;
+      this->DescribeLost(),
+      [self = this->shared_from_this(), end](bool) { self->RepeatOrEnd(end); });
+  return true;
 }
 
 bool Forwarding::CheckUnframedAnswer() {
-  const bool is_known = this->state.targets.by_id.contains(this->target_id) &&
-                        !this->is_answered_by_target(EventLoop::Now());
-  if (!is_known ||
-      !this->state.quarantine->may_be_cause(this->service, this->parts)) {
+  if (!this->state.targets.by_id.contains(this->target_id)) {
     return false;
   }
   this->state.target_ends->Check(
-      this->DescribeLost(false),
-      [self = this->shared_from_this()](bool has_ended) {
+      this->DescribeLost(), [self = this->shared_from_this()](bool has_ended) {
         if (!self->is_finished) {
           self->HandleKnownEnd(has_ended ? CallEnd::kTruncated
                                          : CallEnd::kWhole);
@@ -123,29 +112,31 @@
   return true;
 }
 
-LostRequest Forwarding::DescribeLost(bool is_answered) const {
+LostRequest Forwarding::DescribeLost() const {
   return {
       .id = this->id,
       .target = this->target_id,
-      .service = this->service,
       .address = this->state.targets.by_id.at(this->target_id).target.address,
-      .parts = this->parts,
-      .digest = this->digest,
-      .is_answered = is_answered};
+      .marks = this->marks,
+      .sent_at = this->sent_at,
+      .is_answered = this->is_answered_by_target(EventLoop::Now())};
 }
 
 void Forwarding::RecordAnswerProgress(bool is_whole) {
-  if (this->parts.empty() || this->is_answer_recorded) {
+  if (is_whole) {
+    this->state.quarantine->RecordWholeAnswer(this->marks);
+  }
+  if (this->is_answer_recorded) {
     return;
   }
   const TimePoint now = EventLoop::Now();
   if (!this->answer_began) {
     this->answer_began = now;
-    this->state.quarantine->RecordAnswerBegin(this->service, this->parts);
+    this->state.quarantine->RecordAnswerBegin(this->marks);
   }
   if (is_whole || this->is_answered_by_target(now)) {
     this->is_answer_recorded = true;
-    this->state.quarantine->RecordAnswer(this->service, this->parts);
+    this->state.quarantine->RecordAnswer(this->marks);
   }
 }
 
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -5,7 +5,7 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
-#include "Services/bramleyspand/Gateway/PartQuarantine.h"
+#include "Services/bramleyspand/Gateway/Quarantines.h"
 #include "Services/bramleyspand/Gateway/Repeats.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
 
@@ -114,7 +114,7 @@
     ++self->sent;
     self->may_have_run = true;
     if (self->is_trial) {
-      self->state.quarantine->RecordTrial(self->id, self->service, self->parts);
+      self->state.quarantine->RecordTrial(self->id, self->marks);
     }
   };
   listeners.on_head = [self](const http::AnswerHead& head,
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -47,10 +47,13 @@
     "Requests that targets held back, by service: by=target if one was not "
     "sent to the target that was chosen, by=backoff if one came while a target "
     "backed off, by=part if one was rejected because of a quarantined part of "
-    "its prompt."};
+    "its prompt, by=request if targets had ended under it before."};
 inline constexpr MetricName kQuarantinedParts{
     "bramleyspan_quarantined_parts",
     "Parts of prompts that are kept from all targets, by service."};
+inline constexpr MetricName kQuarantinedRequests{
+    "bramleyspan_quarantined_requests",
+    "Single requests that are kept from all targets, by service."};
 inline constexpr MetricName kTargetEnds{
     "bramleyspan_target_ends_total",
     "Targets that ended while requests of this gateway were there, by "
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -13,9 +13,9 @@
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/OrderRelay.h"
-#include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/Peers.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
+#include "Services/bramleyspand/Gateway/Quarantines.h"
 #include "Services/bramleyspand/Gateway/RateLimiter.h"
 #include "Services/bramleyspand/Gateway/Repeats.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
@@ -222,8 +222,8 @@
     } else if (request.path == "/v1/quarantine/release" &&
                request.method == "POST") {
       const bool is_released = role.quarantine.Release(
-          {.service = http::FindQueryValue(request.query, "service"),
-           .part = http::FindQueryValue(request.query, "part")});
+          http::FindQueryValue(request.query, "service"),
+          http::FindQueryValue(request.query, "part"));
       exchange->Respond(is_released ? 200 : 404, {}, "");
     } else if (request.path == "/v1/dump") {
       exchange->Respond(200, {{"content-type", "application/json"}},
@@ -582,7 +582,7 @@
   RateLimiter rate_limiter;
   Repeats repeats;
   TargetEnds target_ends;
-  PartQuarantine quarantine;
+  Quarantines quarantine;
   UsageRecorder usage;
   std::unique_ptr<http::Ingress> callers;
   std::unique_ptr<http::Ingress> directory;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -26,8 +26,8 @@
 namespace bramleyspan::gatewayd {
 
 class Forwarding;
-class PartQuarantine;
 class PermitRequests;
+class Quarantines;
 class RateLimiter;
 class Repeats;
 class SignalRecorder;
@@ -68,7 +68,7 @@
   RateLimiter* rate_limiter = nullptr;
   Repeats* repeats = nullptr;
   TargetEnds* target_ends = nullptr;
-  PartQuarantine* quarantine = nullptr;
+  Quarantines* quarantine = nullptr;
   // Null until the gateway can count usage.
   UsageRecorder* usage = nullptr;
   // By name of the service: the classes of streams that had no permit just now,
--- a/Services/bramleyspand/Gateway/PartQuarantine.cc
+++ b/Services/bramleyspand/Gateway/PartQuarantine.cc
@@ -21,6 +21,9 @@
 
 // Reports in one message, so that it fits into one packet.
 constexpr size_t kReportsPerMessage = 4;
+// Messages with changes that are sent one after the other; the rest is in
+// heartbeats.
+constexpr size_t kMaxMessagesAtOnce = 4;
 // Changes within this time are sent together.
 constexpr Duration kReportDelay = std::chrono::milliseconds(2);
 constexpr Duration kMaxAge = std::chrono::hours(24);
@@ -36,9 +39,9 @@
   return now - std::min<Duration>(Duration(age_microseconds), kMaxAge);
 }
 
-std::unique_ptr<PartReportT> MakeReport(const PartKey& key,
-                                        const PartRecord& record,
-                                        TimePoint now) {
+PartReport MakeReport(const PartKey& key,
+                      const PartRecord& record,
+                      TimePoint now) {
   auto report = std::make_unique<PartReportT>();
   report->service = key.service;
   report->part = key.part;
@@ -46,6 +49,7 @@
     auto wire = std::make_unique<membership::wire::TargetEndT>();
     wire->target = end.target;
     wire->age_microseconds = AgeOf(end.at, now);
+    wire->sent_age_microseconds = AgeOf(end.sent_at, now);
     report->ends.push_back(std::move(wire));
   }
   report->answered_age_microseconds = AgeOf(record.answered_at, now);
@@ -60,7 +64,9 @@
   for (const auto& end : report.ends) {
     if (end != nullptr && end->age_microseconds >= 0) {
       record.ends.push_back(
-          {.target = end->target, .at = *TimeOf(end->age_microseconds, now)});
+          {.target = end->target,
+           .at = *TimeOf(end->age_microseconds, now),
+           .sent_at = TimeOf(end->sent_age_microseconds, now)});
     }
   }
   record.answered_at = TimeOf(report.answered_age_microseconds, now);
@@ -93,8 +99,7 @@
 }
 
 void PartQuarantine::RecordTargetEnd(const std::string& service,
-                                     const std::string& target,
-                                     TimePoint at,
+                                     const gateway::TargetEnd& end,
                                      const std::vector<std::string>& parts) {
   const TimePoint now = EventLoop::Now();
   std::vector<PartKey> tried;
@@ -105,14 +110,14 @@
       tried.push_back(found->first);
     }
   }
-  const auto begun = gateway::RecordTargetEnd(
-      this->quarantine, service, {.target = target, .at = at}, parts, now);
+  const auto begun =
+      gateway::RecordTargetEnd(this->quarantine, service, end, parts, now);
   for (const PartKey& key : tried) {
     const PartRecord& record = this->quarantine.records.at(key);
     Log(LogLevel::kWarning, "quarantine", "trial_failed",
         {{"service", service},
          {"part", key.part},
-         {"target", target},
+         {"target", end.target},
          {"failed_trials", std::to_string(record.failed_trials)},
          {"next_in_ms", Milliseconds(QuarantinedUntil(record) - now)}});
     this->documents.Write(key, record);
@@ -167,7 +172,8 @@
 void PartQuarantine::RecordRejected(const std::string& service,
                                     const std::string& part) {
   ++this->quarantine.records[{service, part}].rejected;
-  telemetry::Count(kHeldBack, {{"service", service}, {"by", "part"}});
+  telemetry::Count(
+      kHeldBack, {{"service", service}, {"by", std::string(this->kind.name)}});
 }
 
 bool PartQuarantine::may_repeat(const std::string& service,
@@ -175,12 +181,8 @@
   return gateway::may_repeat(this->quarantine, service, parts);
 }
 
-bool PartQuarantine::may_be_cause(const std::string& service,
-                                  const std::vector<std::string>& parts) const {
-  const TimePoint now = EventLoop::Now();
-  return !std::ranges::all_of(parts, [&](const std::string& part) {
-    return gateway::is_answered_lately(this->quarantine, {service, part}, now);
-  });
+std::string PartQuarantine::EventName(std::string_view event) const {
+  return std::string(this->kind.name) + "_" + std::string(event);
 }
 
 void PartQuarantine::Begin(const std::vector<PartKey>& parts) {
@@ -197,7 +199,7 @@
                                  std::string_view heard_from) {
   const TimePoint now = EventLoop::Now();
   const PartRecord& record = this->quarantine.records.at(key);
-  Log(LogLevel::kWarning, "quarantine", "part_quarantined",
+  Log(LogLevel::kWarning, "quarantine", this->EventName("quarantined"),
       {{"service", key.service},
        {"part", key.part},
        {"ends", std::to_string(gateway::CountEnds(this->quarantine, key))},
@@ -209,7 +211,7 @@
 
 void PartQuarantine::HandleRelease(const PartKey& key, std::string_view cause) {
   const PartRecord& record = this->quarantine.records.at(key);
-  Log(LogLevel::kWarning, "quarantine", "part_released",
+  Log(LogLevel::kWarning, "quarantine", this->EventName("released"),
       {{"service", key.service},
        {"part", key.part},
        {"cause", std::string(cause)},
@@ -235,6 +237,14 @@
   }
 }
 
+void PartQuarantine::HandleReports(const std::vector<PartReport>& reports) {
+  for (const PartReport& report : reports) {
+    if (report != nullptr) {
+      this->HandleReport(*report);
+    }
+  }
+}
+
 void PartQuarantine::HandleReport(const PartReportT& report) {
   if (report.part.empty() || report.service.empty()) {
     return;
@@ -244,9 +254,9 @@
               ParseReport(report, now), "peer");
 }
 
-std::vector<std::unique_ptr<PartReportT>> PartQuarantine::ReportsToSend() {
+std::vector<PartReport> PartQuarantine::ReportsToSend() {
   const TimePoint now = EventLoop::Now();
-  std::vector<std::unique_ptr<PartReportT>> reports;
+  std::vector<PartReport> reports;
   for (const PartKey& key :
        gateway::TakePartReports(this->quarantine, kReportsPerMessage, now)) {
     reports.push_back(MakeReport(key, this->quarantine.records.at(key), now));
@@ -262,14 +272,21 @@
   }
   this->state.loop.RunAfter(kReportDelay, [this] {
     this->is_report_scheduled = false;
-    membership::wire::HeartbeatT message;
-    message.parts = this->ReportsToSend();
-    if (!message.parts.empty()) {
-      this->send(membership::Encode(std::move(message)));
-    }
+    this->SendReportsNow(kMaxMessagesAtOnce);
   });
 }
 
+void PartQuarantine::SendReportsNow(size_t messages_left) {
+  auto reports = this->ReportsToSend();
+  if (reports.empty()) {
+    return;
+  }
+  this->send(std::move(reports));
+  if (messages_left > 1 && gateway::has_unreported(this->quarantine)) {
+    this->SendReportsNow(messages_left - 1);
+  }
+}
+
 bool PartQuarantine::Release(const PartKey& key) {
   if (!gateway::ReleasePart(this->quarantine, key, EventLoop::Now())) {
     return false;
@@ -293,7 +310,7 @@
     quarantined[key.service] += is_quarantined(record) ? 1 : 0;
   }
   for (const auto& [service, count] : quarantined) {
-    telemetry::SetGauge(kQuarantinedParts, {{"service", service}},
+    telemetry::SetGauge(this->kind.quarantined, {{"service", service}},
                         static_cast<double>(count));
   }
 }
@@ -303,8 +320,13 @@
   nlohmann::json parts = nlohmann::json::array();
   for (const auto& [key, record] : this->quarantine.records) {
     const bool is_in_force = is_quarantined(record);
+    // Many requests are lost with a target, once.
+    if (!this->kind.rules.is_shared && !is_in_force && record.ends.size() < 2) {
+      continue;
+    }
     nlohmann::json part = {{"service", key.service},
                            {"part", key.part},
+                           {"kind", this->kind.name},
                            {"state", is_in_force ? "quarantined" : "suspected"},
                            {"ends", gateway::CountEnds(this->quarantine, key)},
                            {"targets", DescribeEnds(record, now)},
--- a/Services/bramleyspand/Gateway/PartQuarantine.h
+++ b/Services/bramleyspand/Gateway/PartQuarantine.h
@@ -1,5 +1,6 @@
-// Keeps requests with quarantined parts from all targets, together with the
-// other gateways, and logs why.
+// One quarantine of a gateway: merges what all gateways know, keeps it in the
+// store, and logs why requests are kept from targets. A single request counts
+// as a part, its digest.
 #pragma once
 
 #include <functional>
@@ -9,26 +10,42 @@
 #include <vector>
 
 #include "LibGateway/Quarantine.h"
+#include "LibTelemetry/Metrics.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/QuarantineDocuments.h"
 
 namespace bramleyspan::gatewayd {
 
+using PartReport = std::unique_ptr<membership::wire::PartReportT>;
+
+// What one quarantine is of.
+struct QuarantineKind {
+  // Names it in logs and metrics.
+  std::string_view name;
+  gateway::QuarantineRules rules;
+  std::string_view documents_prefix;
+  // The store removes documents after this time; 0 keeps them.
+  Duration documents_lifetime{};
+  // The gauge of those that are in force.
+  telemetry::MetricName quarantined;
+};
+
 class PartQuarantine {
  public:
-  // Sends a datagram to all live gateways.
-  using SendToGateways = std::function<void(const std::string& bytes)>;
+  // Sends reports to all live gateways.
+  using SendReports = std::function<void(std::vector<PartReport>)>;
 
-  PartQuarantine(GatewayState& state, SendToGateways send)
-      : state(state), send(std::move(send)), documents(state) {}
+  PartQuarantine(GatewayState& state, QuarantineKind kind, SendReports send)
+      : state(state),
+        kind(kind),
+        send(std::move(send)),
+        quarantine{.rules = kind.rules},
+        documents(state, kind.documents_prefix, kind.documents_lifetime) {}
 
-  // Reads the quarantines that outlived the gateways. The store of the state
-  // must be open.
   void Start();
 
   void RecordTargetEnd(const std::string& service,
-                       const std::string& target,
-                       TimePoint at,
+                       const gateway::TargetEnd& end,
                        const std::vector<std::string>& parts);
   void RecordAnswerBegin(const std::string& service,
                          const std::vector<std::string>& parts);
@@ -44,16 +61,11 @@
   void RecordRejected(const std::string& service, const std::string& part);
   bool may_repeat(const std::string& service,
                   const std::vector<std::string>& parts) const;
-  // Whether a request with these parts may have ended its target: one of them
-  // was not answered lately.
-  bool may_be_cause(const std::string& service,
-                    const std::vector<std::string>& parts) const;
 
-  void HandleReport(const membership::wire::PartReportT& report);
+  void HandleReports(const std::vector<PartReport>& reports);
   // Returns the reports for the next heartbeat.
-  std::vector<std::unique_ptr<membership::wire::PartReportT>> ReportsToSend();
+  std::vector<PartReport> ReportsToSend();
 
-  // Ends a quarantine at an operator's request. Returns whether there was one.
   bool Release(const gateway::PartKey& key);
 
   void RemoveOld();
@@ -68,10 +80,15 @@
   void Merge(const gateway::PartKey& key,
              const gateway::PartRecord& reported,
              std::string_view heard_from);
+  void HandleReport(const membership::wire::PartReportT& report);
   void ScheduleReports();
+  void SendReportsNow(size_t messages_left);
+  // Returns the name of an event in logs, such as part_quarantined.
+  std::string EventName(std::string_view event) const;
 
   GatewayState& state;
-  SendToGateways send;
+  QuarantineKind kind;
+  SendReports send;
   gateway::Quarantine quarantine;
   QuarantineDocuments documents;
   bool is_report_scheduled = false;
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -9,8 +9,8 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
-#include "Services/bramleyspand/Gateway/PartQuarantine.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
+#include "Services/bramleyspand/Gateway/Quarantines.h"
 #include "Services/bramleyspand/Gateway/RateLimiter.h"
 #include "Services/bramleyspand/Gateway/Repeats.h"
 
@@ -115,7 +115,7 @@
   }
   heartbeat.signs = membership::DigestsToSend(this->state.members, now);
   heartbeat.rate_limits = this->state.rate_limiter->ReportsToSend();
-  heartbeat.parts = this->state.quarantine->ReportsToSend();
+  this->state.quarantine->AddReports(heartbeat);
   this->state.repeats->AddReport(heartbeat);
   const std::string bytes = membership::Encode(std::move(heartbeat));
   for (const std::string& ip :
@@ -206,11 +206,7 @@
       this->state.rate_limiter->HandleReport(*report);
     }
   }
-  for (const auto& report : heartbeat.parts) {
-    if (report != nullptr) {
-      this->state.quarantine->HandleReport(*report);
-    }
-  }
+  this->state.quarantine->HandleReports(heartbeat);
   this->state.repeats->HandleHeartbeat(from_ip, heartbeat);
   membership::wire::MemberQueryT query;
   query.keys = membership::ApplyDigests(this->state.members, heartbeat.signs,
--- a/Services/bramleyspand/Gateway/QuarantineDocuments.cc
+++ b/Services/bramleyspand/Gateway/QuarantineDocuments.cc
@@ -18,18 +18,10 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-constexpr std::string_view kPrefix = "bramleyspan/quarantine/";
 constexpr Duration kRetryInterval = std::chrono::seconds(1);
 // A document that no gateway has written for this time is removed.
 constexpr std::chrono::hours kRetention{24 * 7};
 
-// Part ids are callers' text; a digest keeps the keys short.
-std::string KeyOf(const PartKey& key) {
-  constexpr size_t kDigits = 32;
-  return std::string(kPrefix) +
-         Sha256Hex(key.service + "\n" + key.part).substr(0, kDigits);
-}
-
 int64_t SecondsNow() {
   return std::chrono::duration_cast<std::chrono::seconds>(
              std::chrono::system_clock::now().time_since_epoch())
@@ -69,6 +61,13 @@
 
 }  // namespace
 
+// Part ids are callers' text; a digest keeps the keys short.
+std::string QuarantineDocuments::KeyOf(const PartKey& key) const {
+  constexpr size_t kDigits = 32;
+  return this->prefix +
+         Sha256Hex(key.service + "\n" + key.part).substr(0, kDigits);
+}
+
 void QuarantineDocuments::Read(const OnRead& on_read) {
   this->ReadPage("", on_read);
 }
@@ -76,7 +75,7 @@
 void QuarantineDocuments::ReadPage(const std::string& after,
                                    const OnRead& on_read) {
   this->state.store.range(
-      {.prefix = std::string(kPrefix), .after = after},
+      {.prefix = this->prefix, .after = after},
       [this, after, on_read](const Result<platform::RangePage>& page) {
         if (page.has_error()) {
           this->state.loop.RunAfter(kRetryInterval, [this, after, on_read] {
@@ -111,11 +110,11 @@
 }
 
 void QuarantineDocuments::Write(const PartKey& key, const PartRecord& record) {
-  this->Store(KeyOf(key), Serialize(key, record));
+  this->Store(this->KeyOf(key), Serialize(key, record));
 }
 
 void QuarantineDocuments::Remove(const PartKey& key) {
-  this->Store(KeyOf(key), "");
+  this->Store(this->KeyOf(key), "");
 }
 
 void QuarantineDocuments::Store(const std::string& key, std::string value) {
@@ -136,10 +135,38 @@
         });
     return;
   }
-  this->state.store.put({.key = key, .value = found->second.value},
-                        [this, key, number](const Result<uint64_t>& written) {
-                          this->HandleDone(key, number, written.has_value());
-                        });
+  if (this->lifetime > Duration(0) && !this->has_lease()) {
+    this->SendWithLease(key, number);
+    return;
+  }
+  this->state.store.put(
+      {.key = key, .value = found->second.value, .lease = this->lease},
+      [this, key, number](const Result<uint64_t>& written) {
+        this->HandleDone(key, number, written.has_value());
+      });
+}
+
+// A lease is used for half of its time, so that a document lives for half of
+// the lifetime at least.
+bool QuarantineDocuments::has_lease() const {
+  return this->lease != 0 &&
+         EventLoop::Now() - this->leased_at < this->lifetime / 2;
+}
+
+void QuarantineDocuments::SendWithLease(const std::string& key,
+                                        uint64_t number) {
+  const TimePoint began = EventLoop::Now();
+  this->state.store.grant_lease(
+      this->lifetime,
+      [this, key, number, began](const Result<uint64_t>& granted) {
+        if (granted.has_error()) {
+          this->HandleDone(key, number, false);
+          return;
+        }
+        this->lease = granted.value();
+        this->leased_at = began;
+        this->Send(key, number);
+      });
 }
 
 void QuarantineDocuments::HandleDone(const std::string& key,
--- a/Services/bramleyspand/Gateway/QuarantineDocuments.h
+++ b/Services/bramleyspand/Gateway/QuarantineDocuments.h
@@ -1,10 +1,11 @@
-// Keeps the quarantines in the store, which outlives the gateways. One document
-// a part; requests do not wait for the writes.
+// Keeps the quarantines of one kind in the store, which outlives the gateways.
+// One document a part; requests do not wait for the writes.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 
 #include "LibGateway/Quarantine.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
@@ -16,7 +17,11 @@
   using OnRead = std::function<void(const gateway::PartKey& key,
                                     const gateway::PartRecord& record)>;
 
-  explicit QuarantineDocuments(GatewayState& state) : state(state) {}
+  // The store removes documents after `lifetime`, unless that is 0.
+  QuarantineDocuments(GatewayState& state,
+                      std::string_view prefix,
+                      Duration lifetime)
+      : state(state), prefix(prefix), lifetime(lifetime) {}
 
   // Reads all documents, repeatedly until the store answers.
   void Read(const OnRead& on_read);
@@ -33,14 +38,22 @@
     uint64_t number = 0;
   };
 
+  std::string KeyOf(const gateway::PartKey& key) const;
   void ReadPage(const std::string& after, const OnRead& on_read);
   void Store(const std::string& key, std::string value);
   void Send(const std::string& key, uint64_t number);
+  // Sends after a lease was granted that lasts for long enough.
+  void SendWithLease(const std::string& key, uint64_t number);
+  bool has_lease() const;
   void HandleDone(const std::string& key, uint64_t number, bool is_done);
 
   GatewayState& state;
   std::map<std::string, Pending> pending;
   uint64_t last_number = 0;
+  std::string prefix;
+  Duration lifetime;
+  uint64_t lease = 0;
+  TimePoint leased_at;
 };
 
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/TargetEnds.cc
+++ b/Services/bramleyspand/Gateway/TargetEnds.cc
@@ -6,7 +6,7 @@
 
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
-#include "Services/bramleyspand/Gateway/PartQuarantine.h"
+#include "Services/bramleyspand/Gateway/Quarantines.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -47,9 +47,7 @@
   TargetCheck& check = found->second;
   if (check.is_done) {
     LogLost(lost);
-    this->state.quarantine->RecordTargetEnd(
-        lost.service, target, check.began,
-        lost.is_answered ? std::vector<std::string>() : lost.parts);
+    this->state.quarantine->RecordTargetEnd({lost}, check.began);
     this->state.loop.RunAfter(
         Duration(0),
         [on_checked = std::move(on_checked)] { on_checked(true); });
@@ -92,13 +90,13 @@
   for (const LostRequest& lost : check.lost) {
     unanswered += lost.is_answered ? 0 : 1;
     if (!lost.is_answered) {
-      parts.insert(lost.parts.begin(), lost.parts.end());
+      parts.insert(lost.marks.parts.begin(), lost.marks.parts.end());
     }
   }
-  telemetry::Count(kTargetEnds, {{"service", first.service}});
+  telemetry::Count(kTargetEnds, {{"service", first.marks.service}});
   Log(LogLevel::kWarning, "targets", "target_ended",
       {{"target", first.target},
-       {"service", first.service},
+       {"service", first.marks.service},
        {"address", Format(first.address)},
        {"requests", std::to_string(check.lost.size())},
        {"unanswered", std::to_string(unanswered)},
@@ -106,17 +104,16 @@
        {"checked_after_ms",
         std::to_string((EventLoop::Now() - check.began).count() / 1000)}});
   std::ranges::for_each(check.lost, LogLost);
-  this->state.quarantine->RecordTargetEnd(
-      first.service, first.target, check.began, {parts.begin(), parts.end()});
+  this->state.quarantine->RecordTargetEnd(check.lost, check.began);
 }
 
 void TargetEnds::LogLost(const LostRequest& lost) {
   Log(LogLevel::kInfo, "forward", "lost_with_target",
       {{"request", lost.id},
        {"target", lost.target},
-       {"digest", lost.digest},
+       {"digest", lost.marks.digest},
        {"is_answered", lost.is_answered ? "true" : "false"},
-       {"parts", Join({lost.parts.begin(), lost.parts.end()})}});
+       {"parts", Join({lost.marks.parts.begin(), lost.marks.parts.end()})}});
 }
 
 void TargetEnds::RemoveOldChecks(TimePoint now) {
--- a/Services/bramleyspand/Gateway/TargetEnds.h
+++ b/Services/bramleyspand/Gateway/TargetEnds.h
@@ -10,22 +10,10 @@
 
 #include "LibHTTP/ConnectCheck.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
+#include "Services/bramleyspand/Gateway/LostRequest.h"
 
 namespace bramleyspan::gatewayd {
 
-// A request whose connection to its target ended before the whole answer.
-struct LostRequest {
-  std::string id;
-  std::string target;
-  std::string service;
-  Address address;
-  // The parts that its prompt shares with others.
-  std::vector<std::string> parts;
-  std::string digest;
-  // Whether its answer had begun, and had gone on for a while.
-  bool is_answered = false;
-};
-
 class TargetEnds {
  public:
   using OnChecked = std::function<void(bool has_ended)>;
--- a/Utilities/bramleyspanctl/QuarantineCommand.cc
+++ b/Utilities/bramleyspanctl/QuarantineCommand.cc
@@ -1,5 +1,5 @@
-// The quarantine commands: list the parts of prompts that gateways keep from
-// all targets, and release one.
+// The quarantine commands: list the parts of prompts and the requests, by their
+// digests, that gateways keep from all targets, and release one.
 #include <absl/strings/str_format.h>
 
 #include <iostream>
@@ -20,7 +20,7 @@
 
 void PrintPart(const std::string& gateway, const json& part) {
   std::cout << absl::StrFormat(
-      "%-21s %-11s %-16s %-24s %4d %8d  %s", gateway,
+      "%-21s %-11s %-16s %-32s %4d %8d  %s", gateway,
       part.at("state").get<std::string>(),
       part.at("service").get<std::string>(), part.at("part").get<std::string>(),
       part.at("ends").get<uint64_t>(), part.at("rejected").get<uint64_t>(),
@@ -38,7 +38,7 @@
 
 Result<void> PrintQuarantine(const std::string& gateways) {
   const auto addresses = TRY(ParseGateways(gateways));
-  std::cout << absl::StrFormat("%-21s %-11s %-16s %-24s %4s %8s  %s\n",
+  std::cout << absl::StrFormat("%-21s %-11s %-16s %-32s %4s %8s  %s\n",
                                "gateway", "state", "service", "part", "ends",
                                "rejected", "targets that ended");
   for (const Address& gateway : addresses) {
@@ -69,7 +69,7 @@
   }
   if (!is_released) {
     return Fail(ErrorCode::kNotFound, part,
-                "no such part of " + service + " is quarantined");
+                "no such part or request of " + service + " is quarantined");
   }
   std::cout << "released\n";
   return Succeed();
