LibHTTP: Fetch no body without end

What callers would see: a peer, an engine or a store that sends a body without end takes all memory of the process that reads it, in both stacks (the gateway's and agents' strict client, the client with persistent connections). Cause: a fetched body grew without a bound, and interim heads were read without end. Change: 16 MB a body (a watch that was away gets the store's whole history at once), 16 interim heads. Evidence: the new test runs to its time limit without the bound.

--- a/Libraries/LibHTTP/Client.cc
+++ b/Libraries/LibHTTP/Client.cc
@@ -69,13 +69,25 @@
     ClientRequest request,
     std::function<void(Result<Response>)> on_done) {
   auto response = std::make_shared<Response>();
+  auto started = std::make_shared<std::weak_ptr<ClientCall>>();
+  auto fail_as_too_large = [on_done, target = request.target] {
+    on_done(Fail(ErrorCode::kTooLarge, Format(target), "its body is too long"));
+  };
   ClientEvents events;
   events.on_head = [response](ResponseHead head) {
     response->status = head.status;
     response->headers = std::move(head.headers);
   };
-  events.on_bytes = [response](std::string_view bytes) {
+  events.on_bytes = [response, started,
+                     fail_as_too_large](std::string_view bytes) {
     response->body.append(bytes);
+    const auto call = started->lock();
+    if (response->body.size() > kMaxFetchedBytes && call != nullptr) {
+      // Cancelling destroys these callbacks.
+      const auto fail = fail_as_too_large;
+      call->Cancel();
+      fail();
+    }
   };
   events.on_end = [response,
                    on_done = std::move(on_done)](const Result<void>& outcome) {
@@ -85,7 +97,9 @@
     }
     on_done(std::move(*response));
   };
-  return this->Stream(std::move(request), std::move(events));
+  auto call = this->Stream(std::move(request), std::move(events));
+  *started = call;
+  return call;
 }
 
 void ClientCall::Start(h2o_http1client_ctx_t& context, h2o_socketpool_t* pool) {
--- a/Libraries/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/Client.h
@@ -62,7 +62,8 @@
   std::shared_ptr<ClientCall> Stream(ClientRequest request,
                                      ClientEvents events);
 
-  // Starts a request and passes the complete response to `on_done`.
+  // Starts a request and passes the complete response to `on_done`. A body of
+  // over kMaxFetchedBytes fails with kTooLarge.
   std::shared_ptr<ClientCall> Fetch(
       ClientRequest request,
       std::function<void(Result<Response>)> on_done);
--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -3,6 +3,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace bramleyspan::http {
@@ -10,6 +11,7 @@
 namespace {
 
 constexpr size_t kMaxAnswerHeadBytes = 65536;
+constexpr size_t kMaxInterimHeads = 16;
 
 }  // namespace
 
@@ -63,6 +65,8 @@
       return "truncated";
     case CallEnd::kTimeout:
       return "timeout";
+    case CallEnd::kTooLong:
+      return "too_long";
   }
   return "closed";
 }
@@ -94,6 +98,7 @@
   events.on_end = [response, on_done = std::move(on_done)](CallEnd end) {
     on_done(end, std::move(*response));
   };
+  request.max_body_bytes = std::min(request.max_body_bytes, kMaxFetchedBytes);
   return Start(loop, std::move(request), std::move(events));
 }
 
@@ -216,6 +221,10 @@
     const AnswerHead head = std::move(*parsed.value());
     this->input.erase(0, head.bytes);
     if (head.status < kFirstFinalStatus) {
+      if (++this->interim_heads > kMaxInterimHeads) {
+        this->End(CallEnd::kMalformed);
+        return;
+      }
       continue;
     }
     const auto message_framing = FramingOfAnswer(head, this->request.method);
@@ -241,6 +250,11 @@
     return;
   }
   this->input.erase(0, consumed.value());
+  this->body_bytes += body.size();
+  if (this->body_bytes > this->request.max_body_bytes) {
+    this->End(CallEnd::kTooLong);
+    return;
+  }
   if (!body.empty() && this->events.on_bytes) {
     this->events.on_bytes(body);
   }
--- a/Libraries/LibHTTP/DirectCall.h
+++ b/Libraries/LibHTTP/DirectCall.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <string>
@@ -53,6 +54,9 @@
   Duration connect_timeout = std::chrono::milliseconds(500);
   // From the start of the call to the end of the answer.
   Duration timeout = std::chrono::seconds(5);
+  // Bytes of the body after which the call ends with kTooLong. The reader of an
+  // answer that is passed on bounds it himself.
+  size_t max_body_bytes = std::numeric_limits<size_t>::max();
   // Pool that the connection is taken from and returned to. Null opens a fresh
   // connection, which closes after the answer.
   ConnectionPool* connection_pool = nullptr;
@@ -73,6 +77,8 @@
   kTruncated,
   // `timeout` expired after the connection was established.
   kTimeout,
+  // The answer is longer than its reader takes.
+  kTooLong,
 };
 
 // Returns the stable name of an end, such as "not_sent".
@@ -92,7 +98,8 @@
                                            DirectRequest request,
                                            DirectEvents events);
 
-  // Starts a call and passes the complete answer to `on_done`.
+  // Starts a call and passes the complete answer to `on_done`. A body has
+  // kMaxFetchedBytes at most.
   static std::shared_ptr<DirectCall> Fetch(
       EventLoop& loop,
       DirectRequest request,
@@ -120,6 +127,9 @@
   h2o_socket_t* socket = nullptr;
   std::string outgoing;
   std::string input;
+  size_t body_bytes = 0;
+  // Interim heads that came before the final one.
+  size_t interim_heads = 0;
   bool is_connected = false;
   bool has_head = false;
   bool is_reusable = false;
--- a/Libraries/LibHTTP/Message.h
+++ b/Libraries/LibHTTP/Message.h
@@ -1,6 +1,7 @@
 // HTTP requests and responses as values.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -27,6 +28,10 @@
   std::string body;
 };
 
+// Bytes of a body that is fetched whole. A watch that was away for the store's
+// whole history gets all of it at once.
+inline constexpr size_t kMaxFetchedBytes = size_t{16} << 20;
+
 // Returns the value of the first header with that lower-case name, or an empty
 // text if there is none.
 std::string_view FindHeader(const HeaderList& headers, std::string_view name);
--- a/Tests/LibHTTP/TestClient.cc
+++ b/Tests/LibHTTP/TestClient.cc
@@ -1,3 +1,4 @@
+#include "LibHTTP/DirectCall.h"
 #include "Tests/LibHTTP/Fixture.h"
 
 namespace bramleyspan::http {
@@ -43,4 +44,46 @@
   }
 }
 
+// Failure: a peer, an engine or a store sends a body without end, and the
+// reader keeps it until no memory is left.
+TEST_CASE("A body without end is fetched up to a bound") {
+  Fixture fixture;
+  fixture.Serve([&](const Request&, const std::shared_ptr<Exchange>& exchange) {
+    exchange->StartStream(200, {});
+    auto write = std::make_shared<std::function<void()>>();
+    *write = [&, exchange, write] {
+      constexpr size_t kBlockBytes = 1 << 18;
+      if (exchange->is_closed()) {
+        return;
+      }
+      if (exchange->pending_bytes() < kBlockBytes) {
+        exchange->Write(std::string(kBlockBytes, 'a'));
+      }
+      fixture.loop.RunAfter(Duration(0), [write] { (*write)(); });
+    };
+    (*write)();
+  });
+  SUBCASE("by the client with persistent connections") {
+    const auto outcome = fixture.Fetch({.timeout = std::chrono::seconds(60)});
+    REQUIRE(outcome.has_error());
+    CHECK(outcome.error().code == ErrorCode::kTooLarge);
+  }
+  SUBCASE("by the strict client") {
+    CallEnd ended = CallEnd::kWhole;
+    size_t received = 0;
+    DirectCall::Fetch(fixture.loop,
+                      {.target = fixture.address(),
+                       .headers = {{"host", "test"}},
+                       .timeout = std::chrono::seconds(60)},
+                      [&](CallEnd end, const Response& response) {
+                        ended = end;
+                        received = response.body.size();
+                        fixture.loop.Stop();
+                      });
+    fixture.loop.Run();
+    CHECK(ended == CallEnd::kTooLong);
+    CHECK(received <= kMaxFetchedBytes);
+  }
+}
+
 }  // namespace bramleyspan::http
