Gateway: Bound the memory of answers that are being read

What callers saw: a server that sends bytes without end took the memory of the gateway that read them until the caller's deadline, 112 to 260 MB a machine, and all requests there would have ended with it. Cause: the body of an answer and the event of a stream grew without a bound, also of answers that nobody would get. A body that is passed on to nobody is not kept and not read on after 64 KB, an event has 1 MB at most. A partial event is searched once. Ruled out: heads without end, which were bounded already (11 MB).

--- a/Libraries/LibGateway/EventReader.cc
+++ b/Libraries/LibGateway/EventReader.cc
@@ -31,11 +31,14 @@
   return id;
 }
 
-// Returns the number of bytes up to and including the first blank line; 0 if
-// there is none.
-size_t FindEventEnd(std::string_view bytes) {
-  const size_t lf = bytes.find("\n\n");
-  const size_t crlf = bytes.find("\r\n\r\n");
+constexpr std::string_view kBlankLine = "\r\n\r\n";
+
+// Returns the number of bytes up to and including the first blank line that
+// ends after the first `searched` bytes; 0 if there is none.
+size_t FindEventEnd(std::string_view bytes, size_t searched) {
+  const size_t from = searched - std::min(searched, kBlankLine.size() - 1);
+  const size_t lf = bytes.find("\n\n", from);
+  const size_t crlf = bytes.find(kBlankLine, from);
   const size_t lf_end = lf == std::string_view::npos ? bytes.npos : lf + 2;
   const size_t crlf_end =
       crlf == std::string_view::npos ? bytes.npos : crlf + 4;
@@ -50,10 +53,12 @@
     const std::function<void(const StreamEvent&)>& on_event) {
   this->partial.append(bytes);
   while (true) {
-    const size_t end = FindEventEnd(this->partial);
+    const size_t end = FindEventEnd(this->partial, this->searched);
     if (end == 0) {
+      this->searched = this->partial.size();
       return;
     }
+    this->searched = 0;
     StreamEvent event{.bytes = this->partial.substr(0, end), .id = {}};
     this->partial.erase(0, end);
     event.id = FindId(event.bytes);
--- a/Libraries/LibGateway/EventReader.h
+++ b/Libraries/LibGateway/EventReader.h
@@ -26,9 +26,12 @@
 
   // Whether bytes of an incomplete event are buffered.
   bool has_partial_event() const { return !this->partial.empty(); }
+  size_t partial_bytes() const { return this->partial.size(); }
 
  private:
   std::string partial;
+  // Bytes of it in which no event ends.
+  size_t searched = 0;
 };
 
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibGateway/Quarantine.cc
+++ b/Libraries/LibGateway/Quarantine.cc
@@ -411,10 +411,11 @@
   if (result.is_changed) {
     MarkChanged(*record, now);
   }
-  // Reports of many single requests arrive at once, and most change nothing here.
-  const bool may_begin = quarantine.rules.is_shared ||
-                         (result.is_changed && record->has_own_end &&
-                          record->ends.size() >= kMinEnds);
+  // Reports of many single requests arrive at once, and most change nothing
+  // here.
+  const bool may_begin =
+      quarantine.rules.is_shared || (result.is_changed && record->has_own_end &&
+                                     record->ends.size() >= kMinEnds);
   if (may_begin) {
     result.quarantined_here = QuarantineParts(quarantine, now);
   }
--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -128,6 +128,11 @@
           "",
           "bandwidth of this VM's network link in Mbit/s; transfers of expert "
           "maps take half of it");
+ABSL_FLAG(std::string,
+          memory_megabytes,
+          "",
+          "memory that the process may take; answers that a gateway reads take "
+          "an eighth of it");
 
 namespace bramleyspan {
 
@@ -177,6 +182,7 @@
       SettingRow{"usage-interval-seconds", &FLAGS_usage_interval_seconds, "30"},
       SettingRow{"group-fan-out", &FLAGS_group_fan_out, "12"},
       SettingRow{"link-megabits", &FLAGS_link_megabits, "100"},
+      SettingRow{"memory-megabytes", &FLAGS_memory_megabytes, "128"},
       SettingRow{"log-level", &FLAGS_log_level, "info"},
   };
   return rows;
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -90,6 +90,7 @@
 }
 
 Forwarding::~Forwarding() {
+  gateway::RecordHeldBytes(this->state.answer_memory, this->number, 0);
   this->state.open.erase(this->number);
 }
 
@@ -338,6 +339,7 @@
     return;
   }
   this->StopTimers();
+  this->DropAnswer();
   this->state.waiting.remove(this->shared_from_this());
   if (std::exchange(this->has_reserved_repeat, false)) {
     this->state.repeats->Release(this->service);
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -138,6 +138,13 @@
   // Records what the head of the target's own answer asks of its callers.
   void RecordSignals(const http::AnswerHead& head);
   void HandleBytes(std::string_view bytes);
+  // Ends the attempt because its answer takes too much memory.
+  void CutAnswer();
+  // Drops an answer that is passed on to nobody, and ends it if it goes on and
+  // on.
+  void DropBytes(std::string_view bytes);
+  // Frees what the present answer takes.
+  void DropAnswer();
   void HandleEvent(const gateway::StreamEvent& event);
   void HandleEnd(http::CallEnd end);
   // Handles the end of an answer that is either whole or known not to be.
@@ -248,6 +255,7 @@
 
   std::optional<http::AnswerHead> answer;
   std::string answer_body;
+  size_t dropped_bytes = 0;
   // Whether the answer says where it ends, and does not end with its
   // connection.
   bool is_framed = true;
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -32,6 +32,11 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
+// Bytes of an answer that is passed on to nobody after which it is not read on.
+constexpr size_t kMaxDroppedBytes = 65536;
+// A longer event would end its caller's connection, see IngressLimits.
+constexpr size_t kMaxEventBytes = size_t{1} << 20;
+
 }  // namespace
 
 bool Forwarding::is_own_answer(const http::AnswerHead& head) const {
@@ -62,13 +67,60 @@
 }
 
 void Forwarding::HandleBytes(std::string_view bytes) {
-  if (!this->is_forwarding_events) {
+  auto keep_until_return = this->shared_from_this();
+  if (this->is_forwarding_events) {
+    this->events.Read(bytes, [this](const gateway::StreamEvent& event) {
+      this->HandleEvent(event);
+    });
+  } else if (this->CheckAnswer() == Verdict::kForward) {
     this->answer_body.append(bytes);
+  } else {
+    this->DropBytes(bytes);
+  }
+  if (this->is_finished || this->call == nullptr) {
     return;
   }
-  this->events.Read(bytes, [this](const gateway::StreamEvent& event) {
-    this->HandleEvent(event);
-  });
+  const auto too_large = gateway::RecordHeldBytes(
+      this->state.answer_memory, this->number,
+      this->answer_body.size() + this->events.partial_bytes());
+  if (too_large) {
+    this->state.open.at(*too_large)->CutAnswer();
+  } else if (this->events.partial_bytes() > kMaxEventBytes) {
+    this->CutAnswer();
+  }
+}
+
+void Forwarding::DropBytes(std::string_view bytes) {
+  this->dropped_bytes += bytes.size();
+  if (this->dropped_bytes > kMaxDroppedBytes) {
+    std::exchange(this->call, nullptr)->Cancel();
+    this->state.loop.Cancel(std::exchange(this->attempt_timer, 0));
+    this->HandleKnownEnd(CallEnd::kWhole);
+  }
+}
+
+void Forwarding::CutAnswer() {
+  auto keep_until_return = this->shared_from_this();
+  Log(LogLevel::kWarning, "forward", "answer_cut",
+      {{"request", this->id},
+       {"target", this->target_id},
+       {"held_bytes", std::to_string(this->answer_body.size() +
+                                     this->events.partial_bytes())},
+       {"all_held_bytes", std::to_string(this->state.answer_memory.held)},
+       {"limit_bytes", std::to_string(this->state.answer_memory.limit)}});
+  telemetry::Count(kAnswersCut, {{"service", this->service}});
+  this->DropAnswer();
+  if (this->call != nullptr) {
+    std::exchange(this->call, nullptr)->Cancel();
+    this->HandleEnd(CallEnd::kTooLong);
+  }
+}
+
+void Forwarding::DropAnswer() {
+  gateway::RecordHeldBytes(this->state.answer_memory, this->number, 0);
+  this->answer_body = {};
+  this->events = {};
+  this->dropped_bytes = 0;
 }
 
 void Forwarding::HandleEvent(const gateway::StreamEvent& event) {
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -75,10 +75,9 @@
   usage::RecordSent(this->meter, now);
   ++this->state.targets.by_id[this->target_id].open;
   this->answer.reset();
-  this->answer_body.clear();
+  this->DropAnswer();
   this->answer_began.reset();
   this->is_answer_recorded = false;
-  this->events = {};
   this->is_forwarding_events = false;
   Log(LogLevel::kInfo, "forward", "sent",
       {{"request", this->id},
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -58,6 +58,10 @@
     "bramleyspan_target_ends_total",
     "Targets that ended while requests of this gateway were there, by "
     "service."};
+inline constexpr MetricName kAnswersCut{
+    "bramleyspan_answers_cut_total",
+    "Answers of targets that were not read on since all that were being read "
+    "took too much memory, by service."};
 inline constexpr MetricName kProbeTime{
     "bramleyspan_probe_seconds",
     "Time from asking agents for a place to the decision."};
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -11,6 +11,7 @@
 
 #include "Kernel/Digest.h"
 #include "LibGateway/Adapter.h"
+#include "LibGateway/AnswerMemory.h"
 #include "LibGateway/Availability.h"
 #include "LibGateway/Permits.h"
 #include "LibGateway/RouteTable.h"
@@ -36,7 +37,10 @@
 
 struct GatewayState {
   GatewayState(EventLoop& loop, const Settings& settings)
-      : loop(loop), settings(settings), random(RandomBits()) {}
+      : loop(loop), settings(settings), random(RandomBits()) {
+    this->answer_memory.limit =
+        gateway::AnswerMemoryOf(this->fleet().memory_bytes);
+  }
 
   EventLoop& loop;
   Settings settings;
@@ -82,6 +86,7 @@
   // Requests that have not ended, by their numbers.
   std::map<uint64_t, Forwarding*> open;
   uint64_t last_forwarding = 0;
+  gateway::AnswerMemory answer_memory;
   bool is_draining = false;
   TimePoint last_request;
 
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -185,9 +185,12 @@
       TRY(RequireMilliseconds(lookup, "notice-bound-milliseconds"));
   fleet.usage_interval = TRY(RequireSeconds(lookup, "usage-interval-seconds"));
   fleet.group_fan_out = TRY(RequireFanOut(lookup));
+  constexpr double kBytesPerMegabyte = 1 << 20;
   constexpr double kBytesPerMegabit = 125'000;
   fleet.link_bytes_per_second =
       kBytesPerMegabit * TRY(RequireNumber(lookup, "link-megabits"));
+  fleet.memory_bytes = static_cast<uint64_t>(
+      kBytesPerMegabyte * TRY(RequireNumber(lookup, "memory-megabytes")));
   if (role == "gateway" && !fleet.callers) {
     return FailFor("callers", lookup("callers"), "IP:PORT");
   }
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -48,6 +48,8 @@
   uint32_t group_fan_out = 0;
   // Bandwidth of this machine's network link.
   double link_bytes_per_second = 0;
+  // Memory that the process may take.
+  uint64_t memory_bytes = 0;
 };
 
 // Checked settings of one process.
--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -11,6 +11,9 @@
 constexpr std::string_view kReset = "/reset";
 constexpr std::string_view kInside = "/inside";
 constexpr std::string_view kEnds = "/ends";
+constexpr std::string_view kEndless = "/endless-";
+constexpr size_t kBlockBytes = 16384;
+constexpr Duration kBlockInterval = std::chrono::microseconds(500);
 
 std::string FindValue(const std::string& request, const std::string& name) {
   const size_t begin = request.find("\r\n" + name + ": ");
@@ -27,6 +30,38 @@
   return request.substr(begin, request.find(' ', begin) - begin);
 }
 
+// What an answer without end begins with, and what is sent again and again.
+struct EndlessAnswer {
+  std::string begin;
+  std::string block;
+};
+
+EndlessAnswer EndlessAnswerTo(const std::string& kind,
+                              const std::string& attempt) {
+  const std::string letters(kBlockBytes, 'a');
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string own = status + "x-attempt-id: " + attempt +
+                          "\r\nx-server-stamp: stamp-" + attempt + "\r\n";
+  if (kind == "head") {
+    std::string lines;
+    while (lines.size() < kBlockBytes) {
+      lines += "x-line: " + std::string(100, 'a') + "\r\n";
+    }
+    return {.begin = status, .block = lines};
+  }
+  if (kind == "line") {
+    return {.begin = status + "x-line: ", .block = letters};
+  }
+  if (kind == "chunks") {
+    return {.begin = own + "transfer-encoding: chunked\r\n\r\n",
+            .block = "4000\r\n" + letters + "\r\n"};
+  }
+  if (kind == "event") {
+    return {.begin = own + "\r\nid: 1\ndata: x\n\ndata: ", .block = letters};
+  }
+  return {.begin = (kind == "bare" ? status : own) + "\r\n", .block = letters};
+}
+
 std::string AnswerTo(const std::string& request) {
   const std::string attempt = FindValue(request, "x-attempt-id");
   const std::string path = PathOf(request);
@@ -45,7 +80,7 @@
 
 Result<std::unique_ptr<RawServer>> RawServer::Listen(EventLoop& loop,
                                                      const Address& address) {
-  std::unique_ptr<RawServer> server(new RawServer());
+  std::unique_ptr<RawServer> server(new RawServer(loop));
   server->listener = TRY(Listener::Listen(
       loop, address, [raw = server.get()](h2o_socket_t* socket) {
         socket->data = raw;
@@ -79,6 +114,17 @@
   if (PathOf(request).ends_with(kEnds)) {
     this->listener = nullptr;
   }
+  const std::string path = PathOf(request);
+  const size_t kind = path.rfind(kEndless);
+  if (kind != std::string::npos) {
+    const EndlessAnswer answer =
+        EndlessAnswerTo(path.substr(kind + kEndless.size()),
+                        FindValue(request, "x-attempt-id"));
+    this->answers[socket] = answer.begin + answer.block;
+    this->endless[socket] = answer.block;
+    this->SendWithoutEnd(socket);
+    return;
+  }
   std::string& answer = this->answers[socket] = AnswerTo(request);
   h2o_iovec_t bytes = h2o_iovec_init(answer.data(), answer.size());
   h2o_socket_write(socket, &bytes, 1, [](h2o_socket_t* source, const char*) {
@@ -87,4 +133,23 @@
   });
 }
 
+void RawServer::SendWithoutEnd(h2o_socket_t* socket) {
+  const std::string& answer = this->answers.at(socket);
+  h2o_iovec_t bytes = h2o_iovec_init(answer.data(), answer.size());
+  h2o_socket_write(socket, &bytes, 1,
+                   [](h2o_socket_t* source, const char* failure) {
+                     auto* server = static_cast<RawServer*>(source->data);
+                     if (failure != nullptr) {
+                       server->answers.erase(source);
+                       server->endless.erase(source);
+                       h2o_socket_close(source);
+                       return;
+                     }
+                     server->answers[source] = server->endless.at(source);
+                     server->loop.RunAfter(kBlockInterval, [server, source] {
+                       server->SendWithoutEnd(source);
+                     });
+                   });
+}
+
 }  // namespace bramleyspan::standins
--- a/StandIns/UsersPlatform/RawServer.h
+++ b/StandIns/UsersPlatform/RawServer.h
@@ -1,7 +1,10 @@
 // A server whose answers have neither a length nor chunks and end with their
 // connection. The last part of a request's path says how an answer ends: whole,
 // inside (in the middle of an event, in good order), reset, or ends (whole, and
-// the server with it).
+// the server with it). After endless-KIND bytes that are no answer come until
+// the caller closes: head (header lines), line (one header line), body (without
+// a length), chunks, event (one event of a stream), bare (a body without a
+// stamp).
 #pragma once
 
 #include <map>
@@ -23,10 +26,14 @@
   RawServer& operator=(const RawServer&) = delete;
 
  private:
-  RawServer() = default;
+  explicit RawServer(EventLoop& loop) : loop(loop) {}
   void HandleReadable(h2o_socket_t* socket, const char* failure);
+  void SendWithoutEnd(h2o_socket_t* socket);
 
+  EventLoop& loop;
   std::unique_ptr<Listener> listener;
+  // Blocks that are written until the caller closes.
+  std::map<h2o_socket_t*, std::string> endless;
   // Answers that are being written.
   std::map<h2o_socket_t*, std::string> answers;
 };
