--- a/Libraries/LibGateway/Quarantine.cc
+++ b/Libraries/LibGateway/Quarantine.cc
@@ -23,8 +23,9 @@
 // A record without evidence is kept for this time, until others know of it.
 constexpr Duration kSettledLifetime = std::chrono::minutes(1);
 // A state that has just changed is reported several times in a row, since
-// datagrams get lost.
+// datagrams get lost; quarantines also periodically, to new gateways.
 constexpr uint32_t kReportsOfChange = 3;
+constexpr Duration kReportInterval = std::chrono::seconds(1);
 
 uint64_t HashOf(const PartKey& key) {
   return XXH64(key.part.data(), key.part.size(),
@@ -46,23 +47,6 @@
   });
 }
 
-// Whether the end is one of several under another single request. Requests that
-// end targets at the same time would hide each other if their ends counted as
-// chance.
-bool is_under_other_request(const Quarantine& quarantine,
-                            const PartKey& key,
-                            const PartRecord& own,
-                            const TargetEnd& end) {
-  return !quarantine.rules.is_shared && !has_end(own.ends, end) &&
-         std::ranges::any_of(quarantine.records, [&](const auto& item) {
-           const auto& [other, record] = item;
-           return record.ends.size() >= kMinEnds &&
-                  other.service == key.service && other.part != key.part &&
-                  CountEvidence(record) >= kMinEnds &&
-                  has_end(record.ends, end);
-         });
-}
-
 std::vector<TargetEnd> EvidenceOf(const Quarantine& quarantine,
                                   const PartKey& key,
                                   const PartRecord& record) {
@@ -117,7 +101,12 @@
     return 0;
   }
   const std::vector<TargetEnd> ends = EvidenceOf(quarantine, key, record);
-  const size_t count = CountMoments(ends);
+  const size_t moments = CountMoments(ends);
+  // Copies of one request may be at several targets at once; those say more
+  // once there was a second moment.
+  const size_t count = !quarantine.rules.is_shared && moments >= kMinEnds
+                           ? ends.size()
+                           : moments;
   const auto history = quarantine.services.find(key.service);
   const std::optional<size_t> min_ends =
       history == quarantine.services.end()
@@ -129,12 +118,14 @@
   std::vector<TargetEnd> others;
   for (const TargetEnd& end : history->second.ends) {
     if (end.at > ends.front().at - kLookBack &&
-        !is_explained(quarantine, key, record, end) &&
-        !is_under_other_request(quarantine, key, record, end)) {
+        !is_explained(quarantine, key, record, end)) {
       others.push_back(end);
     }
   }
-  const size_t all = CountMoments(others);
+  // A request that is repeated at once ends up at several targets of a zone
+  // that fails.
+  const size_t all =
+      quarantine.rules.is_shared ? CountMoments(others) : others.size();
   const bool is_certain = count >= quarantine.rules.certain_ends;
   return all <= count * count || is_certain ? count : 0;
 }
@@ -446,8 +437,7 @@
     const bool is_changed =
         record.reports < kReportsOfChange && is_news(quarantine.rules, record);
     const bool is_periodic =
-        is_quarantined(record) &&
-        now - record.reported_at >= quarantine.rules.report_interval;
+        is_quarantined(record) && now - record.reported_at >= kReportInterval;
     if (is_changed || is_periodic) {
       due.emplace_back(
           Order{.reports = std::min(record.reports, kReportsOfChange),
--- a/Libraries/LibGateway/Quarantine.h
+++ b/Libraries/LibGateway/Quarantine.h
@@ -56,8 +56,6 @@
   size_t max_records = 256;
   size_t max_quarantined = 128;
   Duration evidence_lifetime = std::chrono::hours(24);
-  // Quarantines are reported again after this time, to new gateways.
-  Duration report_interval = std::chrono::seconds(1);
 };
 
 // Callers send a request again within minutes or not at all, and few of many
@@ -67,8 +65,7 @@
     .certain_ends = 3,
     .max_records = 1024,
     .max_quarantined = 512,
-    .evidence_lifetime = std::chrono::minutes(10),
-    .report_interval = std::chrono::seconds(5)};
+    .evidence_lifetime = std::chrono::minutes(10)};
 
 // When parts were last answered, by hash: the newer half and the older one.
 struct AnsweredParts {
--- a/Measurements/MeasureQuarantine.cc
+++ b/Measurements/MeasureQuarantine.cc
@@ -4,6 +4,7 @@
 #include <cstdio>
 
 #include "Tests/LibGateway/SimulatedDays.h"
+#include "Tests/LibGateway/SimulatedRequests.h"
 
 namespace bramleyspan::gateway {
 
@@ -68,11 +69,71 @@
           {.with_document = 1, .documents = 3000, .random_ends = 1});
 }
 
+void MeasureRequests(const char* name, RequestDay day, uint64_t days = kDays) {
+  RequestDayResult sum;
+  for (uint64_t seed = 1; seed <= days; ++seed) {
+    day.seed = seed;
+    const RequestDayResult result = RunRequestDay(day);
+    sum.sound += result.sound;
+    sum.sound_lost += result.sound_lost;
+    sum.sound_held += result.sound_held;
+    sum.late += result.late;
+    sum.all_ends += result.all_ends;
+    sum.messages += result.messages;
+    sum.most_ends = std::max(sum.most_ends, result.most_ends);
+    sum.most_records = std::max(sum.most_records, result.most_records);
+  }
+  const auto number = static_cast<double>(days);
+  std::printf("| %s | %zu | %zu | %.1f | %.0f | %zu | %.4f | %zu | %.0f |\n",
+              name, sum.most_ends, sum.late,
+              static_cast<double>(sum.all_ends) / number,
+              static_cast<double>(sum.sound_lost) / number, sum.sound_held,
+              100.0 * static_cast<double>(sum.sound_held) /
+                  static_cast<double>(std::max<size_t>(1, sum.sound)),
+              sum.most_records, static_cast<double>(sum.messages) / number);
+}
+
+void MeasureAllRequests() {
+  std::puts(
+      "\n| days of single requests | most ends under one | later than the "
+      "third "
+      "end | all ends | sound attempts lost | sound requests held back in 40 "
+      "days | of all, % | most records | messages a day |\n"
+      "|---|---|---|---|---|---|---|---|---|");
+  MeasureRequests("1 killing request", {.killing = 1});
+  MeasureRequests("5, three of them at once, 32 servers",
+                  {.servers = 32, .killing = 5});
+  MeasureRequests("3, servers end after 2 ms",
+                  {.killing = 3, .kills = std::chrono::milliseconds(2)});
+  MeasureRequests("3, servers end after 0.7 s",
+                  {.killing = 3, .kills = std::chrono::milliseconds(700)});
+  MeasureRequests("3, sent to two gateways at once",
+                  {.killing = 3, .is_doubled = true});
+  MeasureRequests("3, random ends 0.5 a second",
+                  {.killing = 3, .random_ends = 0.5});
+  MeasureRequests("3, gateways restarted one by one",
+                  {.killing = 3, .is_rolling = true});
+  MeasureRequests("5, 42 gateways, 64 servers, 300 requests a second",
+                  {.gateways = 42, .servers = 64, .sound = 300, .killing = 5},
+                  /*days=*/8);
+  MeasureRequests("none, random ends 0.2 a second", {.random_ends = 0.2});
+  MeasureRequests("none, random ends 1 a second", {.random_ends = 1});
+  MeasureRequests("none, 3 zone failures", {.zone_failures = 3});
+  MeasureRequests(
+      "none, 3 zone failures within 10 ms",
+      {.zone_failures = 3, .spread = std::chrono::milliseconds(10)});
+  MeasureRequests("none, 3 zone failures over 2 s",
+                  {.zone_failures = 3, .spread = std::chrono::seconds(2)});
+  MeasureRequests("none, random ends 1, 3 zones, restarts",
+                  {.random_ends = 1, .zone_failures = 3, .is_rolling = true});
+}
+
 }  // namespace
 
 }  // namespace bramleyspan::gateway
 
 int main() {
   bramleyspan::gateway::MeasureAll();
+  bramleyspan::gateway::MeasureAllRequests();
   return 0;
 }
