LibHTTP: Tell that a body is too long before its call is cancelled

Cause: the linter refuses the copy that outlived the callbacks. Change: the order of the two calls; the callbacks are gone only after the second. TestLibHTTP passes.

--- a/Libraries/LibHTTP/Client.cc
+++ b/Libraries/LibHTTP/Client.cc
@@ -83,10 +83,9 @@
     response->body.append(bytes);
     const auto call = started->lock();
     if (response->body.size() > kMaxFetchedBytes && call != nullptr) {
-      // Cancelling destroys these callbacks.
-      const auto fail = fail_as_too_large;
+      // Cancelling destroys these callbacks, so it comes last.
+      fail_as_too_large();
       call->Cancel();
-      fail();
     }
   };
   events.on_end = [response,
