--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -12,6 +12,7 @@
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
+#include "Services/bramleyspand/Gateway/GatewayStatus.h"
 #include "Services/bramleyspand/Gateway/OrderRelay.h"
 #include "Services/bramleyspand/Gateway/Peers.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
@@ -227,7 +228,7 @@
       exchange->Respond(is_released ? 200 : 404, {}, "");
     } else if (request.path == "/v1/dump") {
       exchange->Respond(200, {{"content-type", "application/json"}},
-                        role.Dump().dump(2) + "\n");
+                        Dump(role.state).dump(2) + "\n");
     } else {
       exchange->Respond(404, {}, "");
     }
@@ -241,7 +242,7 @@
       exchange->Respond(404, {}, "");
       return;
     }
-    role.UpdateGauges();
+    UpdateGauges(role.state);
     exchange->Respond(200, {{"content-type", "text/plain; version=0.0.4"}},
                       telemetry::SerializeMetrics());
   }
@@ -459,105 +460,6 @@
     telemetry::Observe(kStoreCallTime, {{"call", std::string(call)}}, took);
   }
 
-  void UpdateGauges() const {
-    const TimePoint now = EventLoop::Now();
-    telemetry::SetGauge(kWaiting, {},
-                        static_cast<double>(this->state.waiting.size()));
-    telemetry::SetGauge(
-        kLiveGateways, {},
-        static_cast<double>(SharingOf(this->state, now).gateways));
-    telemetry::SetGauge(kTableVersion, {},
-                        this->state.table == nullptr
-                            ? 0
-                            : static_cast<double>(this->state.table->version));
-    telemetry::SetGauge(
-        kEvacuatedZones, {},
-        static_cast<double>(this->state.targets.evacuated.by_name.size()));
-    for (const auto& [name, feed] :
-         {std::pair("table", this->state.table_feed.get()),
-          std::pair("targets", this->state.targets_feed.get())}) {
-      telemetry::SetGauge(
-          kFeedAge, {{"feed", name}},
-          std::chrono::duration<double>(feed->age(now)).count());
-    }
-    this->repeats.UpdateGauges();
-    this->signals.UpdateGauges();
-    this->quarantine.UpdateGauges();
-    for (const auto& [name, group] : this->state.permits.groups) {
-      telemetry::SetGauge(kGroupLimit, {{"group", name}},
-                          group.streams_per_rank);
-    }
-  }
-
-  nlohmann::json Dump() const {
-    const TimePoint now = EventLoop::Now();
-    nlohmann::json dump = {
-        {"process", this->state.settings.name},
-        {"role", "gateway"},
-        {"incarnation", this->state.incarnation},
-        {"is_draining", this->state.is_draining},
-        {"table_version",
-         this->state.table == nullptr ? 0 : this->state.table->version},
-        {"table_age_ms", this->state.table_feed->age(now).count() / 1000},
-        {"targets_revision", this->state.targets_feed->newest_revision()},
-        {"targets_age_ms", this->state.targets_feed->age(now).count() / 1000},
-        {"open", this->state.open.size()},
-        {"waiting", this->state.waiting.size()}};
-    for (const auto& [id, view] : this->state.targets.by_id) {
-      dump["targets"][id] = {{"service", view.target.service},
-                             {"address", Format(view.target.address)},
-                             {"is_leaving", view.target.is_leaving},
-                             {"open", view.open},
-                             {"open_elsewhere", view.open_elsewhere},
-                             {"failures", gateway::FailureScore(view, now)},
-                             {"group", gateway::GroupOf(view)}};
-      const nlohmann::json asked = this->signals.Dump(id);
-      if (!asked.is_null()) {
-        dump["targets"][id]["signals"] = asked;
-      }
-      if (view.rank) {
-        dump["targets"][id]["rank"] = {
-            {"agent_ip", view.rank->agent_ip},
-            {"epoch", view.rank->epoch},
-            {"heard_ms", (now - view.rank->received_at).count() / 1000},
-            {"rank", view.rank->rank}};
-      }
-    }
-    for (const auto& [zone, evacuated] :
-         this->state.targets.evacuated.by_name) {
-      dump["evacuated_zones"][zone] = {
-          {"revision", evacuated.revision},
-          {"since_ms", (now - evacuated.since).count() / 1000}};
-    }
-    const nlohmann::json repeats = this->repeats.Dump();
-    if (!repeats.is_null()) {
-      dump["repeats"] = repeats;
-    }
-    const nlohmann::json parts = this->quarantine.Dump();
-    if (!parts.empty()) {
-      dump["parts"] = parts;
-    }
-    for (const auto& [name, group] : this->state.permits.groups) {
-      dump["groups"][name] = {
-          {"per_rank", group.streams_per_rank},
-          {"usual_pause_ms", group.pause_quantile.count() / 1000}};
-    }
-    for (const auto& [name, availability] : this->state.availability) {
-      dump["services"][name] = {
-          {"is_unavailable", gateway::is_unavailable(availability, now)},
-          {"groups", gateway::Describe(availability)}};
-    }
-    for (const auto& [name, known] : this->state.members.known) {
-      dump["members"][name] = {
-          {"ip", known.member.ip},
-          {"is_ready", known.member.is_ready},
-          {"is_leaving", known.member.is_leaving},
-          {"table_version", known.member.table_version},
-          {"age_ms", (now - known.received_at).count() / 1000}};
-    }
-    return dump;
-  }
-
   void LogStatusPeriodically() {
     const TimePoint now = EventLoop::Now();
     nlohmann::json groups;
