Gateway: Cut only answers that are still being read

What callers would see: an answer without a length that was whole, and waited for the check of its target, could have been emptied for others' sake and passed on as whole. Cause: found by reading; what it held was counted until it was passed on. Change: it is counted until its call ends, and nothing else is cut. Evidence: by reading; the process test of answers without end passes as before (65 MB).

--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -100,6 +100,10 @@
 }
 
 void Forwarding::CutAnswer() {
+  if (this->call == nullptr) {
+    gateway::RecordHeldBytes(this->state.answer_memory, this->number, 0);
+    return;
+  }
   auto keep_until_return = this->shared_from_this();
   Log(LogLevel::kWarning, "forward", "answer_cut",
       {{"request", this->id},
@@ -110,10 +114,8 @@
        {"limit_bytes", std::to_string(this->state.answer_memory.limit)}});
   telemetry::Count(kAnswersCut, {{"service", this->service}});
   this->DropAnswer();
-  if (this->call != nullptr) {
-    std::exchange(this->call, nullptr)->Cancel();
-    this->HandleEnd(CallEnd::kTooLong);
-  }
+  std::exchange(this->call, nullptr)->Cancel();
+  this->HandleEnd(CallEnd::kTooLong);
 }
 
 void Forwarding::DropAnswer() {
@@ -166,6 +168,7 @@
 void Forwarding::HandleEnd(CallEnd end) {
   auto keep_until_return = this->shared_from_this();
   this->call = nullptr;
+  gateway::RecordHeldBytes(this->state.answer_memory, this->number, 0);
   this->state.loop.Cancel(std::exchange(this->attempt_timer, 0));
   if (this->is_finished) {
     return;
