Gateway, docs: Let only a suspect's repeats wait for the check of a target

What callers saw: nothing yet. Cause: each request that was lost waited for the check of its target, up to 250 ms, though a first end holds nothing back. Change: its first repeat is sent at once, as before the incident; once a target has ended under it, the next loss waits.

--- a/Libraries/LibGateway/PartRecord.cc
+++ b/Libraries/LibGateway/PartRecord.cc
@@ -48,7 +48,7 @@
   std::optional<TimePoint> moment;
   std::optional<TimePoint> last;
   for (const TargetEnd& end : ends) {
-    const bool is_sent_later = last && end.sent_at && *end.sent_at > *last;
+    const bool is_sent_later = last && end.sent_at && *end.sent_at >= *last;
     if (!moment || end.at - *moment > kSameMoment || is_sent_later) {
       ++count;
       moment = end.at;
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -157,8 +157,8 @@
   // Repeats the request or ends it, after its target was checked.
   void RepeatOrEnd(http::CallEnd end);
   // Lets the target be checked if the request was lost there, which shows
-  // whether the target has ended. Returns whether it is checked: RepeatOrEnd is
-  // called after that.
+  // whether the target has ended. Returns whether RepeatOrEnd is called after
+  // that.
   bool CheckTarget(http::CallEnd end);
   // Lets the target be checked after an answer that ended with its connection,
   // as it does when the target ends. Returns whether HandleKnownEnd is called
--- a/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -92,10 +92,17 @@
       !gateway::is_staying(this->state.targets, found->second)) {
     return false;
   }
+  LostRequest lost = this->DescribeLost();
+  const bool is_awaited =
+      this->state.quarantine->is_suspect(this->marks, lost.is_answered);
   this->state.target_ends->Check(
-      this->DescribeLost(),
-      [self = this->shared_from_this(), end](bool) { self->RepeatOrEnd(end); });
-  return true;
+      std::move(lost),
+      [self = this->shared_from_this(), is_awaited, end](bool) {
+        if (is_awaited) {
+          self->RepeatOrEnd(end);
+        }
+      });
+  return is_awaited;
 }
 
 bool Forwarding::CheckUnframedAnswer() {
--- a/Services/bramleyspand/Gateway/PartQuarantine.cc
+++ b/Services/bramleyspand/Gateway/PartQuarantine.cc
@@ -181,6 +181,21 @@
   return gateway::may_repeat(this->quarantine, service, parts);
 }
 
+bool PartQuarantine::may_be_cause(const std::string& service,
+                                  const std::vector<std::string>& parts) const {
+  const TimePoint now = EventLoop::Now();
+  return !std::ranges::all_of(parts, [&](const std::string& part) {
+    return gateway::is_answered_lately(this->quarantine, {service, part}, now);
+  });
+}
+
+bool PartQuarantine::has_ends(const std::string& service,
+                              const std::string& part) const {
+  const auto found = this->quarantine.records.find({service, part});
+  return found != this->quarantine.records.end() &&
+         gateway::has_evidence(found->second);
+}
+
 std::string PartQuarantine::EventName(std::string_view event) const {
   return std::string(this->kind.name) + "_" + std::string(event);
 }
--- a/Services/bramleyspand/Gateway/PartQuarantine.h
+++ b/Services/bramleyspand/Gateway/PartQuarantine.h
@@ -61,6 +61,12 @@
   void RecordRejected(const std::string& service, const std::string& part);
   bool may_repeat(const std::string& service,
                   const std::vector<std::string>& parts) const;
+  // Whether a request with these parts may have ended its target: one of them
+  // was not answered lately.
+  bool may_be_cause(const std::string& service,
+                    const std::vector<std::string>& parts) const;
+  // Whether targets have ended under the part.
+  bool has_ends(const std::string& service, const std::string& part) const;
 
   void HandleReports(const std::vector<PartReport>& reports);
   // Returns the reports for the next heartbeat.
--- a/Services/bramleyspand/Gateway/Quarantines.cc
+++ b/Services/bramleyspand/Gateway/Quarantines.cc
@@ -118,6 +118,13 @@
          this->requests.may_repeat(marks.service, {marks.digest});
 }
 
+bool Quarantines::is_suspect(const RequestMarks& marks,
+                             bool is_answered) const {
+  return (!is_answered &&
+          this->parts.may_be_cause(marks.service, marks.parts)) ||
+         this->requests.has_ends(marks.service, marks.digest);
+}
+
 void Quarantines::AddReports(membership::wire::HeartbeatT& heartbeat) {
   heartbeat.parts = this->parts.ReportsToSend();
   heartbeat.requests = this->requests.ReportsToSend();
--- a/Services/bramleyspand/Gateway/Quarantines.h
+++ b/Services/bramleyspand/Gateway/Quarantines.h
@@ -44,6 +44,10 @@
   // Counts a request that was rejected.
   void RecordRejected(const RequestMarks& marks);
   bool may_repeat(const RequestMarks& marks) const;
+  // Whether the end of its target, which has answered the request for a while
+  // or not, would speak against it: a shared part was not answered lately, or a
+  // target has ended under the request before.
+  bool is_suspect(const RequestMarks& marks, bool is_answered) const;
 
   // Fills the reports of a heartbeat, and handles those of one.
   void AddReports(membership::wire::HeartbeatT& heartbeat);
