--- a/Tests/LibGateway/SimulatedRequests.cc
+++ b/Tests/LibGateway/SimulatedRequests.cc
@@ -249,6 +249,7 @@
     }
     this->result.messages += this->gateways.size() - 1;
     std::vector<std::pair<PartKey, PartRecord>> reports;
+    reports.reserve(keys.size());
     for (const PartKey& key : keys) {
       reports.emplace_back(key, quarantine.records.at(key));
     }
