--- a/Libraries/LibGateway/Quarantine.cc
+++ b/Libraries/LibGateway/Quarantine.cc
@@ -12,8 +12,7 @@
 // A part is quarantined after so many ends, if their square is at least the
 // number of all ends of its service's targets since kLookBack before the first
 // of them: the more targets end, the more parts are at two of them by chance.
-// Others that are quarantined, or single requests at two of the ends, explain
-// an end and leave it out. It is quarantined after certain_ends in any case.
+// It is quarantined after certain_ends in any case.
 constexpr size_t kMinEnds = 2;
 constexpr Duration kLookBack = std::chrono::seconds(10);
 constexpr size_t kMaxEndsPerPart = 4;
@@ -218,8 +217,8 @@
   return &record;
 }
 
-// Whether this gateway tells others of a change of the record. What many lost
-// requests have in common with none is told by those that saw it.
+// Whether this gateway tells others of a change of the record. Of single
+// requests, which may be many, each gateway tells what it saw itself.
 bool is_news(const QuarantineRules& rules, const PartRecord& record) {
   return rules.is_shared || record.has_own_end || is_quarantined(record) ||
          !has_evidence(record);
@@ -358,8 +357,7 @@
                 const std::vector<std::string>& parts) {
   return std::ranges::none_of(parts, [&](const std::string& part) {
     const auto found = quarantine.records.find({service, part});
-    // A single request may be at several targets at once if its caller is
-    // impatient.
+    // Copies of a single request may be at several targets at once.
     const size_t ends = found == quarantine.records.end() ? 0
                         : quarantine.rules.is_shared
                             ? CountEnds(quarantine, found->first)
