Gateway: Let no request share a check that began before it was lost

Cause: a check takes 30 ms while its target runs, and a request that was lost meanwhile took its outcome, though the target had ended since. In the log the request was lost 16 ms after the check of the one before had begun, and was decided a millisecond later. Requests with parts shared checks so before; since requests without parts are checked it shows here. Change: a check is shared for 2 ms after it began, which the requests lost with one end need; later ones begin their own.

--- a/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -109,8 +109,12 @@
   if (!this->state.targets.by_id.contains(this->target_id)) {
     return false;
   }
+  LostRequest lost = this->DescribeLost();
+  if (!this->state.quarantine->is_suspect(this->marks, lost.is_answered)) {
+    return false;
+  }
   this->state.target_ends->Check(
-      this->DescribeLost(), [self = this->shared_from_this()](bool has_ended) {
+      std::move(lost), [self = this->shared_from_this()](bool has_ended) {
         if (!self->is_finished) {
           self->HandleKnownEnd(has_ended ? CallEnd::kTruncated
                                          : CallEnd::kWhole);
--- a/Services/bramleyspand/Gateway/TargetEnds.cc
+++ b/Services/bramleyspand/Gateway/TargetEnds.cc
@@ -18,6 +18,9 @@
 
 // Within a region a connection takes 1 to 2 ms.
 constexpr Duration kCheckTimeout = std::chrono::milliseconds(250);
+// Requests that are lost within this time after a check has begun share it. One
+// that is lost later may have lost a target that still ran when it began.
+constexpr Duration kSameLoss = std::chrono::milliseconds(2);
 // Requests that are lost within this time after a check belong to the same end
 // of the target.
 constexpr Duration kOutcomeLifetime = std::chrono::milliseconds(500);
@@ -43,40 +46,46 @@
   this->RemoveOldChecks(now);
   const std::string target = lost.target;
   const Address address = lost.address;
-  const auto [found, is_new] = this->checks.try_emplace(target);
-  TargetCheck& check = found->second;
-  if (check.is_done) {
+  auto& known = this->checks[target];
+  if (known != nullptr && known->is_done) {
     LogLost(lost);
-    this->state.quarantine->RecordTargetEnd({lost}, check.began);
+    this->state.quarantine->RecordTargetEnd({lost}, known->began);
     this->state.loop.RunAfter(
         Duration(0),
         [on_checked = std::move(on_checked)] { on_checked(true); });
     return;
   }
-  check.lost.push_back(std::move(lost));
-  check.on_checked.push_back(std::move(on_checked));
-  if (!is_new) {
-    return;
+  const bool is_new = known == nullptr || now - known->began > kSameLoss;
+  if (is_new) {
+    known = std::make_shared<TargetCheck>();
+    known->began = now;
+  }
+  known->lost.push_back(std::move(lost));
+  known->on_checked.push_back(std::move(on_checked));
+  if (is_new) {
+    http::CheckConnect(this->state.loop, address, kCheckTimeout,
+                       [this, target, check = known](ConnectOutcome outcome) {
+                         this->HandleOutcome(target, check, outcome);
+                       });
   }
-  check.began = now;
-  http::CheckConnect(this->state.loop, address, kCheckTimeout,
-                     [this, target](ConnectOutcome outcome) {
-                       this->HandleOutcome(target, outcome);
-                     });
 }
 
 void TargetEnds::HandleOutcome(const std::string& target,
+                               const std::shared_ptr<TargetCheck>& check,
                                ConnectOutcome outcome) {
   const bool has_ended = outcome == ConnectOutcome::kRefused;
   // A target that runs now may end before the next request is lost there, so
   // that only an end is remembered.
-  const TargetCheck check = std::move(this->checks.at(target));
-  this->checks.erase(target);
   if (has_ended) {
-    this->checks[target] = {.is_done = true, .began = check.began};
-    this->RecordEnd(check);
+    check->is_done = true;
+    this->checks[target] = check;
+    this->RecordEnd(*check);
+  } else if (const auto found = this->checks.find(target);
+             found != this->checks.end() && found->second == check) {
+    this->checks.erase(found);
   }
-  for (const OnChecked& on_checked : check.on_checked) {
+  check->lost.clear();
+  for (const OnChecked& on_checked : std::exchange(check->on_checked, {})) {
     on_checked(has_ended);
   }
 }
@@ -118,7 +127,7 @@
 
 void TargetEnds::RemoveOldChecks(TimePoint now) {
   std::erase_if(this->checks, [now](const auto& item) {
-    return item.second.is_done && now - item.second.began > kOutcomeLifetime;
+    return item.second->is_done && now - item.second->began > kOutcomeLifetime;
   });
 }
 
--- a/Services/bramleyspand/Gateway/TargetEnds.h
+++ b/Services/bramleyspand/Gateway/TargetEnds.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -20,9 +21,9 @@
 
   explicit TargetEnds(GatewayState& state) : state(state) {}
 
-  // Checks the target of a request that may be lost, unless a check is under
-  // way or has just shown that the target has ended. Records the request if so.
-  // `on_checked` is called later, within kCheckTimeout.
+  // Checks the target of a request that may be lost, unless a check has just
+  // begun or has just shown that the target has ended. Records the request if
+  // so. `on_checked` is called later, within kCheckTimeout.
   void Check(LostRequest lost, OnChecked on_checked);
 
  private:
@@ -35,13 +36,17 @@
     std::vector<OnChecked> on_checked;
   };
 
-  void HandleOutcome(const std::string& target, http::ConnectOutcome outcome);
+  void HandleOutcome(const std::string& target,
+                     const std::shared_ptr<TargetCheck>& check,
+                     http::ConnectOutcome outcome);
   void RecordEnd(const TargetCheck& check) const;
   static void LogLost(const LostRequest& lost);
   void RemoveOldChecks(TimePoint now);
 
   GatewayState& state;
-  std::map<std::string, TargetCheck> checks;
+  // By target: the last check that began, while it runs, or has lately shown
+  // that the target has ended.
+  std::map<std::string, std::shared_ptr<TargetCheck>> checks;
 };
 
 }  // namespace bramleyspan::gatewayd
