--- a/Libraries/LibGateway/RequestDigest.h
+++ b/Libraries/LibGateway/RequestDigest.h
@@ -20,9 +20,8 @@
   std::string_view body;
 };
 
-// Returns 32 hexadecimal digits. The hash is one for which callers cannot make
-// two requests with one digest, so that nobody can have another one's request
-// taken for his.
+// Returns 32 hexadecimal digits of a cryptographic hash, so that no caller can
+// make a request that is taken for another caller's.
 std::string DigestOf(const RequestContent& content);
 
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibHTTP/DirectCall.h
+++ b/Libraries/LibHTTP/DirectCall.h
@@ -54,8 +54,8 @@
   Duration connect_timeout = std::chrono::milliseconds(500);
   // From the start of the call to the end of the answer.
   Duration timeout = std::chrono::seconds(5);
-  // Bytes of the body after which the call ends with kTooLong. The reader of an
-  // answer that is passed on bounds it himself.
+  // Bytes of the body after which the call ends with kTooLong. Callers that
+  // pass an answer on as it comes set no bound here.
   size_t max_body_bytes = std::numeric_limits<size_t>::max();
   // Pool that the connection is taken from and returned to. Null opens a fresh
   // connection, which closes after the answer.
--- a/Services/bramleyspand/Gateway/PartQuarantine.cc
+++ b/Services/bramleyspand/Gateway/PartQuarantine.cc
@@ -335,7 +335,7 @@
   nlohmann::json parts = nlohmann::json::array();
   for (const auto& [key, record] : this->quarantine.records) {
     const bool is_in_force = is_quarantined(record);
-    // Many requests are lost with a target, once.
+    // A target that ends loses many requests; those lost once say nothing yet.
     if (!this->kind.rules.is_shared && !is_in_force && record.ends.size() < 2) {
       continue;
     }
