--- a/review/standins/BulkServer.cc
+++ b/review/standins/BulkServer.cc
@@ -1,11 +1,13 @@
 // Stand-in for a sound server of the users' platform: answers each request with
 // a body of a fixed length, the server's mark and the attempt's id, one request
 // after the other on a connection. Writes a line for each run to standard
-// output. Arguments: IP PORT ID BYTES.
+// output. With READ-RATE it reads so many bytes a second on each connection.
+// Arguments: IP PORT ID BYTES [READ-RATE].
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <string>
@@ -34,13 +36,25 @@
   return true;
 }
 
+double read_rate = 0;
+
+// Receives bytes, at the rate at which this server reads.
+ssize_t Receive(int socket, char* buffer, size_t size) {
+  const ssize_t received = recv(socket, buffer, size, 0);
+  if (received > 0 && read_rate > 0) {
+    std::this_thread::sleep_for(std::chrono::duration<double>(
+        static_cast<double>(received) / read_rate));
+  }
+  return received;
+}
+
 void Serve(int socket, const std::string& id, size_t bytes) {
   std::string input;
   char buffer[65536];
   while (true) {
     const size_t end = input.find("\r\n\r\n");
     if (end == std::string::npos) {
-      const ssize_t received = recv(socket, buffer, sizeof buffer, 0);
+      const ssize_t received = Receive(socket, buffer, sizeof buffer);
       if (received <= 0) {
         break;
       }
@@ -51,7 +65,7 @@
     const std::string length = FindValue(head, "content-length");
     const size_t whole = end + 4 + (length.empty() ? 0 : std::stoul(length));
     if (input.size() < whole) {
-      const ssize_t received = recv(socket, buffer, sizeof buffer, 0);
+      const ssize_t received = Receive(socket, buffer, sizeof buffer);
       if (received <= 0) {
         break;
       }
@@ -85,12 +99,17 @@
 }  // namespace
 
 int main(int count, char** arguments) {
-  if (count != 5) {
+  if (count != 5 && count != 6) {
     return 2;
   }
+  read_rate = count == 6 ? std::stod(arguments[5]) : 0;
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
   const int enabled = 1;
   setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+  if (read_rate > 0) {
+    const int window = 65536;
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+  }
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(std::stoi(arguments[2])));
--- a/review/standins/SlowClient.cc
+++ b/review/standins/SlowClient.cc
@@ -1,6 +1,7 @@
 // Stand-in for a client that reads slowly: sends one request, reads the answer
 // at a fixed rate and prints "STATUS READ-BYTES of ANNOUNCED-BYTES after MS
-// ms". Arguments: IP PORT PATH ATTEMPT DEADLINE-MS BYTES-PER-SECOND.
+// ms". Arguments: IP PORT PATH ATTEMPT DEADLINE-MS BYTES-PER-SECOND
+// [BODY-BYTES].
 #include <arpa/inet.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,7 +13,7 @@
 #include <thread>
 
 int main(int count, char** arguments) {
-  if (count != 7) {
+  if (count != 7 && count != 8) {
     return 2;
   }
   using Clock = std::chrono::steady_clock;
@@ -28,12 +29,21 @@
     perror("connect");
     return 2;
   }
+  const std::string body_length = count == 8 ? arguments[7] : "1";
   const std::string request =
       "POST " + std::string(arguments[3]) +
       " HTTP/1.1\r\nHost: app.test\r\nX-Attempt-Id: " + arguments[4] +
       "\r\nX-Api-Key: key-huber\r\nX-Deadline-Ms: " + arguments[5] +
-      "\r\nContent-Length: 1\r\n\r\nx";
-  send(channel, request.data(), request.size(), MSG_NOSIGNAL);
+      "\r\nContent-Length: " + body_length + "\r\n\r\n" +
+      std::string(std::stoul(body_length), 'x');
+  for (size_t at = 0; at < request.size();) {
+    const ssize_t sent =
+        send(channel, request.data() + at, request.size() - at, MSG_NOSIGNAL);
+    if (sent <= 0) {
+      break;
+    }
+    at += static_cast<size_t>(sent);
+  }
   const double rate = std::stod(arguments[6]);
   const auto begin = Clock::now();
   std::string head;
