--- a/review/lib.sh
+++ b/review/lib.sh
@@ -4,7 +4,17 @@
 # loopback addresses, and ends what it started by pid.
 set -uo pipefail
 cd "$(dirname "${BASH_SOURCE[0]}")/.."
-NET=127.${NET_NUMBER:-$NUMBER}
+# is_free N: whether nobody listens at the ports that a script uses on 127.N.
+is_free() {
+  local port
+  for port in 7000 7001 7340 8000 8220 8224 8227 9464; do
+    (exec 3<>"/dev/tcp/127.$1.1.1/$port") 2>/dev/null && return 1
+  done
+  ! (exec 3<>"/dev/tcp/127.$1.0.20/7000") 2>/dev/null
+}
+NET_NUMBER=${NET_NUMBER:-$NUMBER}
+until is_free "$NET_NUMBER"; do NET_NUMBER=$((NET_NUMBER % 250 + 1)); done
+NET=127.$NET_NUMBER
 TROUBLE=${TROUBLE:-1}
 RECORD=$CASE/record.txt
 WORK=$(mktemp -d)
--- a/review/standins/Machine.cc
+++ b/review/standins/Machine.cc
@@ -2,6 +2,7 @@
 // it takes more memory than the machine has, and starts it again half a second
 // after it ended. Writes a line for each end to standard output. SIGTERM ends
 // both. Arguments: MEGABYTES NAME COMMAND...
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -29,6 +30,7 @@
 std::string RunOnce(size_t limit, char** command, size_t& used) {
   const pid_t process = fork();
   if (process == 0) {
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
     execv(command[0], command);
     _exit(127);
   }
--- a/review/standins/SlowClient.cc
+++ b/review/standins/SlowClient.cc
@@ -4,6 +4,7 @@
 // [BODY-BYTES].
 #include <arpa/inet.h>
 #include <sys/socket.h>
+#include <sys/time.h>
 #include <unistd.h>
 
 #include <chrono>
@@ -20,6 +21,9 @@
   const int channel = socket(AF_INET, SOCK_STREAM, 0);
   const int window = 32768;
   setsockopt(channel, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
+  const timeval limit{.tv_sec = 10, .tv_usec = 0};
+  setsockopt(channel, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  setsockopt(channel, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(std::stoi(arguments[2])));
