Gateway, Rank: Log where work was when its caller left, and what stood

Our logs could not tell a server that is frozen from one in a group that stands or one whose close was lost: 'ended' with caller_left named no target, nothing said that a VM or a group had stood.

Gateways log caller_left with target, time since the last event and whether the target is silent; they probe the agent of a target that owes events for 0.3 s. Replies to probes gain the age of the report (at the end of the frame; builds before send 0). The stand-in platform can freeze a rank. The list of gateways for callers moved to a file of its own. No request is handled differently.

--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -3047,6 +3047,7 @@
   uint64_t pass_microseconds = 0;
   std::vector<bramleyspan::membership::wire::WaitingCount> waiting{};
   std::vector<bramleyspan::membership::wire::GrantRate> granted{};
+  uint32_t report_age_milliseconds = 0;
 };
 
 struct PlaceOffer FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -3062,7 +3063,8 @@
     VT_LIMIT = 14,
     VT_PASS_MICROSECONDS = 16,
     VT_WAITING = 18,
-    VT_GRANTED = 20
+    VT_GRANTED = 20,
+    VT_REPORT_AGE_MILLISECONDS = 22
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -3091,6 +3093,9 @@
   const flatbuffers::Vector<const bramleyspan::membership::wire::GrantRate *> *granted() const {
     return GetPointer<const flatbuffers::Vector<const bramleyspan::membership::wire::GrantRate *> *>(VT_GRANTED);
   }
+  uint32_t report_age_milliseconds() const {
+    return GetField<uint32_t>(VT_REPORT_AGE_MILLISECONDS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -3105,6 +3110,7 @@
            verifier.VerifyVector(waiting()) &&
            VerifyOffset(verifier, VT_GRANTED) &&
            verifier.VerifyVector(granted()) &&
+           VerifyField<uint32_t>(verifier, VT_REPORT_AGE_MILLISECONDS, 4) &&
            verifier.EndTable();
   }
   PlaceOfferT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3143,6 +3149,9 @@
   void add_granted(flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::GrantRate *>> granted) {
     fbb_.AddOffset(PlaceOffer::VT_GRANTED, granted);
   }
+  void add_report_age_milliseconds(uint32_t report_age_milliseconds) {
+    fbb_.AddElement<uint32_t>(PlaceOffer::VT_REPORT_AGE_MILLISECONDS, report_age_milliseconds, 0);
+  }
   explicit PlaceOfferBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3164,11 +3173,13 @@
     double limit = 0.0,
     uint64_t pass_microseconds = 0,
     flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::WaitingCount *>> waiting = 0,
-    flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::GrantRate *>> granted = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<const bramleyspan::membership::wire::GrantRate *>> granted = 0,
+    uint32_t report_age_milliseconds = 0) {
   PlaceOfferBuilder builder_(_fbb);
   builder_.add_pass_microseconds(pass_microseconds);
   builder_.add_limit(limit);
   builder_.add_number(number);
+  builder_.add_report_age_milliseconds(report_age_milliseconds);
   builder_.add_granted(granted);
   builder_.add_waiting(waiting);
   builder_.add_load(load);
@@ -3193,7 +3204,8 @@
     double limit = 0.0,
     uint64_t pass_microseconds = 0,
     const std::vector<bramleyspan::membership::wire::WaitingCount> *waiting = nullptr,
-    const std::vector<bramleyspan::membership::wire::GrantRate> *granted = nullptr) {
+    const std::vector<bramleyspan::membership::wire::GrantRate> *granted = nullptr,
+    uint32_t report_age_milliseconds = 0) {
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto waiting__ = waiting ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::WaitingCount>(*waiting) : 0;
   auto granted__ = granted ? _fbb.CreateVectorOfStructs<bramleyspan::membership::wire::GrantRate>(*granted) : 0;
@@ -3207,7 +3219,8 @@
       limit,
       pass_microseconds,
       waiting__,
-      granted__);
+      granted__,
+      report_age_milliseconds);
 }
 
 flatbuffers::Offset<PlaceOffer> CreatePlaceOffer(flatbuffers::FlatBufferBuilder &_fbb, const PlaceOfferT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4524,6 +4537,7 @@
   { auto _e = pass_microseconds(); _o->pass_microseconds = _e; }
   { auto _e = waiting(); if (_e) { _o->waiting.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->waiting[_i] = *_e->Get(_i); } } }
   { auto _e = granted(); if (_e) { _o->granted.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->granted[_i] = *_e->Get(_i); } } }
+  { auto _e = report_age_milliseconds(); _o->report_age_milliseconds = _e; }
 }
 
 inline flatbuffers::Offset<PlaceOffer> PlaceOffer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const PlaceOfferT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4543,6 +4557,7 @@
   auto _pass_microseconds = _o->pass_microseconds;
   auto _waiting = _o->waiting.size() ? _fbb.CreateVectorOfStructs(_o->waiting) : 0;
   auto _granted = _o->granted.size() ? _fbb.CreateVectorOfStructs(_o->granted) : 0;
+  auto _report_age_milliseconds = _o->report_age_milliseconds;
   return bramleyspan::membership::wire::CreatePlaceOffer(
       _fbb,
       _number,
@@ -4553,7 +4568,8 @@
       _limit,
       _pass_microseconds,
       _waiting,
-      _granted);
+      _granted,
+      _report_age_milliseconds);
 }
 
 inline PlaceTakenT *PlaceTaken::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -424,15 +424,6 @@
                             [&state = this->state] { ServeWaiting(state); });
 }
 
-void Forwarding::HandleCallerGone() {
-  auto keep_until_return = this->shared_from_this();
-  if (this->call != nullptr) {
-    std::exchange(this->call, nullptr)->Cancel();
-  }
-  this->ReleaseTarget(Outcome::kGood);
-  this->Finish("caller_left", 0);
-}
-
 void Forwarding::HandleDeadline() {
   this->deadline_timer = 0;
   if (this->is_finished) {
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "LibGateway/EventReader.h"
+#include "LibGateway/Liveness.h"
 #include "LibGateway/Quarantine.h"
 #include "LibHTTP/DirectCall.h"
 #include "LibHTTP/Ingress.h"
@@ -87,6 +88,13 @@
   // Ends the request if it has the part and its target has not begun to answer.
   void HandleQuarantine(const gateway::PartKey& key);
 
+  // What the target owes the caller, if the request is a stream that was sent
+  // and may be moved.
+  std::optional<gateway::OwedStream> FindOwed() const;
+
+  // The id of the present target; empty if there is none.
+  const std::string& target() const { return this->target_id; }
+
   TimePoint waits_until() const { return this->wait.ends; }
   const std::string& service_name() const { return this->service; }
   bool is_streaming() const {
@@ -203,6 +211,8 @@
   // Ends the attempt at the present target and records its outcome.
   void ReleaseTarget(gateway::Outcome outcome);
   void HandleCallerGone();
+  // Logs and counts that the caller left, and at which target its work was.
+  void LogCallerLeft() const;
   void HandleDeadline();
   void HandleAttemptTimeout();
   void ArmAttemptTimer(Duration after);
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -9,6 +9,7 @@
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/Quarantines.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
+#include "Services/bramleyspand/Gateway/SilentTargets.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -54,6 +55,7 @@
 
 void Forwarding::HandleHead(const http::AnswerHead& head) {
   this->answer = head;
+  this->state.silent_targets->RecordAnswer(this->target_id);
   this->RecordSignals(head);
   const bool has_stamp =
       !FindHeader(head.headers, this->state.adapter.headers.stamp).empty();
@@ -68,6 +70,7 @@
 
 void Forwarding::HandleBytes(std::string_view bytes) {
   auto keep_until_return = this->shared_from_this();
+  this->state.silent_targets->RecordAnswer(this->target_id);
   if (this->is_forwarding_events) {
     this->events.Read(bytes, [this](const gateway::StreamEvent& event) {
       this->HandleEvent(event);
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -82,6 +82,7 @@
   Log(LogLevel::kInfo, "forward", "sent",
       {{"request", this->id},
        {"target", this->target_id},
+       {"server", Format(target.target.address)},
        {"group", this->group},
        {"open", std::to_string(target.open)},
        {"open_elsewhere", std::to_string(target.open_elsewhere)},
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -62,6 +62,14 @@
     "bramleyspan_answers_cut_total",
     "Answers of targets that were not read on since all that were being read "
     "took too much memory, by service."};
+inline constexpr MetricName kCallersLeft{
+    "bramleyspan_callers_left_total",
+    "Callers that left before their answer ended, by service: at=gateway if "
+    "their request was at no target, at=target, at=silent_target if that "
+    "answered neither requests nor probes."};
+inline constexpr MetricName kSilentTargets{
+    "bramleyspan_targets_silent_total",
+    "Times that a target with streams answered neither them nor probes."};
 inline constexpr MetricName kProbeTime{
     "bramleyspan_probe_seconds",
     "Time from asking agents for a place to the decision."};
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -5,9 +5,9 @@
 #include <utility>
 
 #include "Kernel/Digest.h"
-#include "LibGateway/Directory.h"
 #include "LibPlatform/CountedStore.h"
 #include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Gateway/CallerAddresses.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
@@ -20,6 +20,7 @@
 #include "Services/bramleyspand/Gateway/RateLimiter.h"
 #include "Services/bramleyspand/Gateway/Repeats.h"
 #include "Services/bramleyspand/Gateway/SignalRecorder.h"
+#include "Services/bramleyspand/Gateway/SilentTargets.h"
 #include "Services/bramleyspand/Gateway/TargetEnds.h"
 #include "Services/bramleyspand/Gateway/UsageRecorder.h"
 #include "Services/bramleyspand/Role.h"
@@ -53,6 +54,10 @@
             [this](const std::string& ip, const std::string& bytes) {
               this->peers.Send(ip, bytes);
             }),
+        silent_targets(this->state,
+                       [this](const std::string& ip, const std::string& bytes) {
+                         this->peers.Send(ip, bytes);
+                       }),
         signals(this->state, [this] { this->ScheduleHeartbeats(); }),
         rate_limiter(this->state,
                      [this](const std::string& ip, const std::string& bytes) {
@@ -72,6 +77,7 @@
                      this->peers.SendToGateways(bytes);
                    }),
         usage(this->state) {
+    this->state.silent_targets = &this->silent_targets;
     this->state.signals = &this->signals;
     this->state.rate_limiter = &this->rate_limiter;
     this->state.repeats = &this->repeats;
@@ -103,6 +109,7 @@
     this->quarantine.Start();
     TRY(this->peers.Start());
     this->usage.Start();
+    this->silent_targets.Start();
     this->callers = TRY(this->Serve(*fleet.callers, HandleCaller));
     this->directory = TRY(this->Serve(fleet.directory, HandleDirectory));
     this->readiness = TRY(this->Serve(fleet.readiness, HandleReadiness));
@@ -186,9 +193,10 @@
       exchange->Respond(404, {}, "");
       return;
     }
-    const std::vector<std::string> addresses =
-        role.AddressesForCallers(http::FindQueryValue(
-            request.query, role.state.adapter.caller_zone_parameter));
+    const std::vector<std::string> addresses = AddressesForCallers(
+        role.state, role.is_ready(),
+        http::FindQueryValue(request.query,
+                             role.state.adapter.caller_zone_parameter));
     if (addresses.empty()) {
       exchange->Respond(503, {{"retry-after", "0.5"}}, "");
       return;
@@ -291,37 +299,6 @@
     return this->state.table != nullptr && !this->state.is_draining;
   }
 
-  // Returns the addresses that a caller in this zone may connect to. Callers
-  // keep an answer and exclude an address that fails, so that the address of a
-  // gateway that may be down is better than none.
-  std::vector<std::string> AddressesForCallers(const std::string& zone) {
-    const TimePoint now = EventLoop::Now();
-    std::vector<gateway::ListedGateway> gateways;
-    const gateway::ListedGateway own{
-        .zone = this->state.settings.zone,
-        .address = Format(*this->state.fleet().callers)};
-    if (this->is_ready()) {
-      gateways.push_back(own);
-    }
-    for (const auto* known :
-         membership::LiveGateways(this->state.members, now)) {
-      gateways.push_back({.zone = known->member.zone,
-                          .address = known->member.caller_address});
-    }
-    if (gateways.empty()) {
-      for (const auto& [name, known] : this->state.members.known) {
-        if (known.member.is_entry && !known.member.is_leaving) {
-          gateways.push_back({.zone = known.member.zone,
-                              .address = known.member.caller_address});
-        }
-      }
-    }
-    if (gateways.empty() && this->state.table != nullptr) {
-      gateways.push_back(own);
-    }
-    return gateway::AddressesFor(gateways, zone, this->state.random());
-  }
-
   void HandleTable(const gateway::RouteTable& table) {
     const gateway::CallerLimits& bounds = table.limits;
     this->callers->SetLimits({.max_head_bytes = bounds.header_bytes,
@@ -480,6 +457,7 @@
   GatewayState state;
   Peers peers;
   PermitRequests permit_requests;
+  SilentTargets silent_targets;
   SignalRecorder signals;
   RateLimiter rate_limiter;
   Repeats repeats;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -32,6 +32,7 @@
 class RateLimiter;
 class Repeats;
 class SignalRecorder;
+class SilentTargets;
 class TargetEnds;
 class UsageRecorder;
 
@@ -69,6 +70,7 @@
   PermitRequests* permit_requests = nullptr;
   // Null until the gateway handles callers.
   SignalRecorder* signals = nullptr;
+  SilentTargets* silent_targets = nullptr;
   RateLimiter* rate_limiter = nullptr;
   Repeats* repeats = nullptr;
   TargetEnds* target_ends = nullptr;
--- a/Services/bramleyspand/Gateway/PermitRequests.cc
+++ b/Services/bramleyspand/Gateway/PermitRequests.cc
@@ -6,6 +6,7 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+#include "Services/bramleyspand/Gateway/SilentTargets.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -113,6 +114,7 @@
 }
 
 void PermitRequests::HandleOffer(const membership::wire::PlaceOfferT& offer) {
+  this->state.silent_targets->RecordOffer(offer);
   const auto found = this->rounds.find(offer.number);
   if (found == this->rounds.end()) {
     return;
--- /dev/null
+++ b/Services/bramleyspand/Gateway/SilentTargets.cc
@@ -0,0 +1,138 @@
+#include "Services/bramleyspand/Gateway/SilentTargets.h"
+
+#include "LibGateway/Offers.h"
+#include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Gateway/Forwarding.h"
+#include "Services/bramleyspand/Gateway/GatewayMetrics.h"
+
+namespace bramleyspan::gatewayd {
+
+namespace {
+
+using gateway::Liveness;
+using gateway::OwedStep;
+using telemetry::Log;
+using telemetry::LogLevel;
+
+constexpr Duration kCheckInterval = std::chrono::milliseconds(40);
+// Agents send heartbeats more often than this, or answer probes for permits.
+constexpr Duration kHeardWithin = std::chrono::milliseconds(600);
+// Numbers of probes that ask for no permit.
+constexpr uint64_t kFirstProbe = uint64_t{1} << 63U;
+
+}  // namespace
+
+void SilentTargets::RecordAnswer(const std::string& target) {
+  gateway::RecordAnswer(this->by_target[target], EventLoop::Now());
+}
+
+void SilentTargets::RecordOffer(const membership::wire::PlaceOfferT& offer) {
+  const auto id = this->ids.find(offer.address);
+  if (id != this->ids.end()) {
+    gateway::RecordReport(
+        this->by_target[id->second],
+        std::chrono::milliseconds(offer.report_age_milliseconds),
+        EventLoop::Now());
+  }
+}
+
+Duration SilentTargets::SilentFor(const std::string& target) const {
+  const auto found = this->by_target.find(target);
+  const TimePoint now = EventLoop::Now();
+  const bool is_silent =
+      found != this->by_target.end() && gateway::is_silent(found->second, now);
+  return is_silent ? now - std::max(found->second.answered_at,
+                                    found->second.reported_at)
+                   : Duration(0);
+}
+
+void SilentTargets::CheckPeriodically() {
+  this->state.loop.RunAfter(kCheckInterval,
+                            [this] { this->CheckPeriodically(); });
+  const TimePoint now = EventLoop::Now();
+  std::set<std::string> suspects;
+  for (const auto& [number, forwarding] : this->state.open) {
+    const auto owed = forwarding->FindOwed();
+    if (!owed) {
+      continue;
+    }
+    const std::string& target = forwarding->target();
+    switch (gateway::NextStepFor(*owed, this->by_target[target],
+                                 this->is_any_other_heard(target, now), now)) {
+      case OwedStep::kWait:
+        break;
+      case OwedStep::kProbe:
+        suspects.insert(target);
+        break;
+      case OwedStep::kMove:
+        break;
+    }
+  }
+  for (const std::string& target : suspects) {
+    this->Probe(target);
+  }
+  this->LogChanges(now);
+  this->RemoveUnlisted();
+}
+
+bool SilentTargets::is_any_other_heard(const std::string& target,
+                                       TimePoint now) const {
+  return std::ranges::any_of(this->state.targets.by_id, [&](const auto& item) {
+    const auto& [id, view] = item;
+    const auto found = this->by_target.find(id);
+    const bool is_answering = found != this->by_target.end() &&
+                              now - found->second.answered_at < kHeardWithin;
+    const bool is_reported =
+        view.rank && now - view.rank->received_at < kHeardWithin;
+    return id != target && (is_answering || is_reported);
+  });
+}
+
+void SilentTargets::Probe(const std::string& target) {
+  const auto found = this->state.targets.by_id.find(target);
+  if (found == this->state.targets.by_id.end()) {
+    return;
+  }
+  this->ids[Format(found->second.target.address)] = target;
+  membership::wire::PlaceProbeT probe;
+  probe.number = kFirstProbe + ++this->last_probe;
+  probe.is_late = true;
+  this->send(gateway::AgentIpOf(found->second),
+             membership::Encode(std::move(probe)));
+  gateway::RecordProbe(this->by_target[target], EventLoop::Now());
+}
+
+void SilentTargets::LogChanges(TimePoint now) {
+  for (const auto& [target, liveness] : this->by_target) {
+    const bool is_silent = gateway::is_silent(liveness, now);
+    const auto logged = this->silent_since.find(target);
+    if (is_silent && logged == this->silent_since.end()) {
+      const TimePoint since =
+          std::max(liveness.answered_at, liveness.reported_at);
+      this->silent_since[target] = since;
+      telemetry::Count(kSilentTargets, {});
+      Log(LogLevel::kWarning, "targets", "target_silent",
+          {{"target", target},
+           {"for_ms", std::to_string((now - since).count() / 1000)}});
+    } else if (!is_silent && logged != this->silent_since.end()) {
+      Log(LogLevel::kInfo, "targets", "target_heard_again",
+          {{"target", target},
+           {"for_ms", std::to_string((now - logged->second).count() / 1000)}});
+      this->silent_since.erase(logged);
+    }
+  }
+}
+
+void SilentTargets::RemoveUnlisted() {
+  const auto is_unlisted = [this](const std::string& target) {
+    return !this->state.targets.by_id.contains(target);
+  };
+  std::erase_if(this->by_target,
+                [&](const auto& item) { return is_unlisted(item.first); });
+  std::erase_if(this->silent_since,
+                [&](const auto& item) { return is_unlisted(item.first); });
+  std::erase_if(this->ids,
+                [&](const auto& item) { return is_unlisted(item.second); });
+}
+
+}  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Main.cc
+++ b/Services/bramleyspand/Main.cc
@@ -8,6 +8,7 @@
 
 #include "Services/bramleyspand/Flags.h"
 #include "Services/bramleyspand/Role.h"
+#include "Services/bramleyspand/StandstillWatch.h"
 
 ABSL_FLAG(bool,
           check_settings,
@@ -86,6 +87,8 @@
   loop.OnStopSignal([&role] { role.value()->StartDrain(); });
   loop.OnReloadSignal([&role] { Reload(*role.value()); });
   WatchFiles(loop, *role.value(), StampOfFiles());
+  const bool has_engine = settings.fleet && settings.fleet->engine;
+  WatchStandstills(loop, has_engine ? Format(*settings.fleet->engine) : "");
   telemetry::Log(telemetry::LogLevel::kInfo, "main", "started",
                  {{"role", settings.role}, {"zone", settings.zone}});
   loop.Run();
--- a/Services/bramleyspand/Rank/PermitOffers.cc
+++ b/Services/bramleyspand/Rank/PermitOffers.cc
@@ -108,6 +108,10 @@
   wire.load = offer.load;
   wire.limit = offer.limit;
   wire.pass_microseconds = static_cast<uint64_t>(offer.pass.count());
+  const auto report_age = std::chrono::duration_cast<std::chrono::milliseconds>(
+      now - this->state.own_received_at);
+  wire.report_age_milliseconds = static_cast<uint32_t>(
+      std::clamp<int64_t>(report_age.count(), 0, UINT32_MAX));
   // Only a gateway that has to wait needs to know what else waits.
   if (has_priority && !offer.is_admitting) {
     AddCounts(wire, scheduling::SumOf(this->queue, now));
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -10,6 +10,7 @@
 #include "LibTelemetry/Log.h"
 #include "LibTelemetry/Metrics.h"
 #include "Services/bramleyspand/Rank/DesiredMaps.h"
+#include "Services/bramleyspand/Rank/GroupStandstill.h"
 #include "Services/bramleyspand/Rank/Leader.h"
 #include "Services/bramleyspand/Rank/MapOwner.h"
 #include "Services/bramleyspand/Rank/OrderSender.h"
@@ -75,7 +76,8 @@
                       [this](const Address& server, const Order& order) {
                         this->order_sender.SendRemote(server, order);
                       }),
-        permit_offers(this->state) {}
+        permit_offers(this->state),
+        group_standstill(this->state) {}
 
   Result<void> Start() {
     const FleetSettings& fleet = this->state.fleet();
@@ -215,6 +217,7 @@
     this->update_sender.SendUpdateIfDue();
     this->Act();
     this->standby_owner.HandleOwnStatus(EventLoop::Now());
+    this->group_standstill.HandleOwnStatus(EventLoop::Now());
   }
 
   void Act() {
@@ -383,11 +386,11 @@
                            {"is_owner", this->state.is_owner()}};
     if (this->state.own) {
       const RankStatus& own = *this->state.own;
-      dump["rank"] = {{"group", own.group},    {"rank", own.rank},
-                      {"epoch", own.epoch},    {"map", own.map},
-                      {"step", own.step},      {"held", own.held},
-                      {"armed", own.armed},    {"prepared", own.prepared},
-                      {"running", own.running}};
+      dump["rank"] = {{"group", own.group},       {"rank", own.rank},
+                      {"epoch", own.epoch},       {"is_open", own.is_open},
+                      {"map", own.map},           {"step", own.step},
+                      {"held", own.held},         {"armed", own.armed},
+                      {"prepared", own.prepared}, {"running", own.running}};
       dump["rank_age_ms"] =
           (EventLoop::Now() - this->state.own_received_at).count() / 1000;
     }
@@ -410,6 +413,7 @@
   OrderSender order_sender;
   StandbyOwner standby_owner;
   PermitOffers permit_offers;
+  GroupStandstill group_standstill;
   std::unique_ptr<http::Ingress> metrics;
   std::unique_ptr<http::Ingress> internal;
   uint64_t ticks = 0;
--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -15,6 +15,8 @@
 //   the last rank only); none ends it.
 // - PUT /group?state=: the group reports this state, open or broken, and runs
 //   on nevertheless.
+// - PUT /freeze?rank=&at=: the server of this rank, counted from 0, freezes at
+//   its next stream (stream) or at the next hold of the group (hold).
 // - PUT /signals?id=&limit=: from now on the answers of a server name this
 // limit.
 // - GET /arrivals?id=&span_ms=&after_ms=: the most requests that reached a
@@ -313,6 +315,11 @@
   if (request.path == "/orders") {
     platform.group.lost_order = http::FindQueryValue(request.query, "lose");
   }
+  if (request.path == "/freeze") {
+    const size_t rank = std::stoul(http::FindQueryValue(request.query, "rank"));
+    platform.group.ranks.at(rank).freezes_at =
+        http::FindQueryValue(request.query, "at");
+  }
   if (request.path == "/group") {
     platform.group.state = http::FindQueryValue(request.query, "state");
   }
@@ -323,11 +330,15 @@
   const auto armed =
       std::count_if(ranks.begin(), ranks.end(),
                     [](const StandInRank& rank) { return rank.armed != 0; });
+  const auto frozen =
+      std::count_if(ranks.begin(), ranks.end(),
+                    [](const StandInRank& rank) { return rank.is_frozen; });
   const json status = {{"runs", platform.runs},
                        {"runs_at", platform.runs_by_server},
                        {"splits", platform.group.splits},
                        {"switches", platform.group.switches},
                        {"held", held},
+                       {"frozen", frozen},
                        {"armed", armed},
                        {"step", platform.group.step}};
   exchange->Respond(200, {{"content-type", "application/json"}},
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -122,9 +122,7 @@
   return 200;
 }
 
-int ExecuteOrder(const StandInGroup& group,
-                 StandInRank& rank,
-                 const json& order) {
+int ExecuteOrder(StandInGroup& group, StandInRank& rank, const json& order) {
   if (order.value("epoch", group.epoch) != group.epoch) {
     return 409;
   }
@@ -136,7 +134,9 @@
     return Arm(group, rank, order);
   }
   if (operation == "hold") {
-    return Hold(group, rank, order);
+    const int status = Hold(group, rank, order);
+    FreezeAt(group, "hold");
+    return status;
   }
   return operation == "go" ? Go(rank, order) : 400;
 }
@@ -225,6 +225,9 @@
 }
 
 void Advance(StandInRank& rank, bool is_answering_until_end) {
+  if (rank.is_frozen) {
+    return;
+  }
   for (auto found = rank.streams.begin(); found != rank.streams.end();) {
     RunningStream& stream = found->second;
     if (stream.ends_rank_at && !is_answering_until_end) {
@@ -328,10 +331,29 @@
   }
 }
 
+void FreezeAt(StandInGroup& group, const std::string& event) {
+  for (StandInRank& rank : group.ranks) {
+    if (rank.freezes_at == event) {
+      rank.freezes_at.clear();
+      rank.is_frozen = true;
+    }
+  }
+}
+
 void HandleRankCall(StandInGroup& group,
                     StandInRank& rank,
                     const http::IngressRequest& request,
                     const ExchangePointer& exchange) {
+  const bool is_stream = request.path != "/report" &&
+                         request.path != "/picked" && request.path != "/order";
+  if (is_stream && rank.freezes_at == "stream") {
+    rank.freezes_at.clear();
+    rank.is_frozen = true;
+  }
+  if (rank.is_frozen) {
+    rank.unanswered.push_back(exchange);
+    return;
+  }
   if (request.path == "/report") {
     RespondJson(exchange, 200, Report(group, rank));
   } else if (request.path == "/picked") {
--- a/StandIns/UsersPlatform/Ranks.h
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -38,6 +38,12 @@
   std::string id;
   std::string address;
   bool is_down = false;
+  // What freezes the rank's server: "stream", the next one that it gets, or
+  // "hold", the next one of the group; empty if nothing does.
+  std::string freezes_at;
+  // A frozen server takes requests and answers none, while the group goes on.
+  bool is_frozen = false;
+  std::vector<ExchangePointer> unanswered;
   uint64_t sequence = 0;
   uint64_t map_version = 0;
   MapLists map;
@@ -92,6 +98,9 @@
 void BreakGroup(StandInGroup& group, StandInRank& rank);
 void ReturnRank(StandInGroup& group, StandInRank& rank);
 
+// Freezes the ranks that an event of this kind freezes.
+void FreezeAt(StandInGroup& group, const std::string& event);
+
 void HandleRankCall(StandInGroup& group,
                     StandInRank& rank,
                     const http::IngressRequest& request,
