Gateway: Take streams from silent targets before their callers leave

Callers saw nothing for 2 s and left; the server's VM was frozen, did not see the connection close, and worked on for them (GONE in the users' record). Cause: the time after which a stream is moved counted from its sending, the caller's patience from the caller's own; whoever had waited 0.25 s for a permit left first. Now a target that owes events for 0.3 s is probed by its agent; one that leaves probes unanswered for 0.12 s, or whose agent has no fresh report of it, loses its streams to other targets at once, unless this gateway hears nobody. 0.35 s before a caller leaves, a stream whose target sends nothing is moved or refused in any case.

--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -92,6 +92,10 @@
   // and may be moved.
   std::optional<gateway::OwedStream> FindOwed() const;
 
+  // Moves the stream to another target, or ends it, because its target owes
+  // events and sends none.
+  void MoveFromSilentTarget();
+
   // The id of the present target; empty if there is none.
   const std::string& target() const { return this->target_id; }
 
--- a/Services/bramleyspand/Gateway/ForwardingSilence.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSilence.cc
@@ -29,6 +29,25 @@
       .caller_leaves_at = heard_at + this->route->event_timeout};
 }
 
+void Forwarding::MoveFromSilentTarget() {
+  if (this->is_finished || this->call == nullptr) {
+    return;
+  }
+  auto keep_until_return = this->shared_from_this();
+  const TimePoint now = EventLoop::Now();
+  Log(LogLevel::kWarning, "forward", "target_owes_events",
+      {{"request", this->id},
+       {"target", this->target_id},
+       {"group", this->group},
+       {"silent_ms", ToMillisecondsText(this->state.silent_targets->SilentFor(
+                         this->target_id))},
+       {"sent_ms_ago", ToMillisecondsText(now - this->sent_at)}});
+  telemetry::Count(kMovedStreams, {{"service", this->service}});
+  std::exchange(this->call, nullptr)->Cancel();
+  this->state.loop.Cancel(std::exchange(this->attempt_timer, 0));
+  this->HandleFailed(http::CallEnd::kTimeout);
+}
+
 void Forwarding::LogCallerLeft() const {
   const TimePoint now = EventLoop::Now();
   const bool is_at_target = this->call != nullptr;
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -67,6 +67,9 @@
     "Callers that left before their answer ended, by service: at=gateway if "
     "their request was at no target, at=target, at=silent_target if that "
     "answered neither requests nor probes."};
+inline constexpr MetricName kMovedStreams{
+    "bramleyspan_moved_streams_total",
+    "Streams taken from a target that owed them events, by service."};
 inline constexpr MetricName kSilentTargets{
     "bramleyspan_targets_silent_total",
     "Times that a target with streams answered neither them nor probes."};
--- a/Services/bramleyspand/Gateway/SilentTargets.cc
+++ b/Services/bramleyspand/Gateway/SilentTargets.cc
@@ -1,5 +1,7 @@
 #include "Services/bramleyspand/Gateway/SilentTargets.h"
 
+#include <vector>
+
 #include "LibGateway/Offers.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
@@ -51,6 +53,7 @@
                             [this] { this->CheckPeriodically(); });
   const TimePoint now = EventLoop::Now();
   std::set<std::string> suspects;
+  std::vector<std::shared_ptr<Forwarding>> moving;
   for (const auto& [number, forwarding] : this->state.open) {
     const auto owed = forwarding->FindOwed();
     if (!owed) {
@@ -65,12 +68,16 @@
         suspects.insert(target);
         break;
       case OwedStep::kMove:
+        moving.push_back(forwarding->shared_from_this());
         break;
     }
   }
   for (const std::string& target : suspects) {
     this->Probe(target);
   }
+  for (const auto& forwarding : moving) {
+    forwarding->MoveFromSilentTarget();
+  }
   this->LogChanges(now);
   this->RemoveUnlisted();
 }
