LibAdmission: Offer no permits in a group that stands

While a group was held its ranks went on drawing streams: once the callers of a rank's streams had left, the rank had no work, hence no pass under way, and looked idle. An agent remembers that the group began no pass while its rank had work, for three of the longest pauses, until a pass begins; meanwhile it lets one stream in every 2 s, since an idle group and one that stands look the same. Ruled out: the gateways' own view (they are told of open and closed groups only). The new test failed before (permits offered at each report).

--- a/Libraries/LibAdmission/RankAdmission.cc
+++ b/Libraries/LibAdmission/RankAdmission.cc
@@ -62,6 +62,12 @@
 // A gateway decides within 6 ms, and its message takes 1 to 2 ms.
 constexpr Duration kOfferLifetime = std::chrono::milliseconds(9);
 
+// A group stands if it began no pass for this many times the longest pause.
+constexpr int kStandingPauses = 3;
+// Time between the streams that a rank of a standing group lets in. Each of
+// them may wait in vain; all ranks together try several times a second.
+constexpr Duration kTrialInterval = std::chrono::seconds(2);
+
 double SecondsOf(Duration time) {
   return std::chrono::duration<double>(time).count();
 }
@@ -123,6 +129,36 @@
   }
 }
 
+void UpdateStanding(RankAdmission& admission,
+                    const RankLoad& load,
+                    TimePoint now) {
+  const RankLoad& before = admission.reported;
+  const bool is_moving =
+      load.step != before.step || load.epoch != before.epoch || !load.is_open;
+  if (is_moving) {
+    admission.is_standing = false;
+  }
+  if (is_moving || load.running + load.queued == 0) {
+    admission.working_since.reset();
+  } else if (!admission.working_since) {
+    admission.working_since = now;
+  }
+  const bool has_begun_to_stand =
+      !admission.is_standing && admission.working_since &&
+      now - *admission.working_since >
+          admission.settings.longest_pause * kStandingPauses;
+  if (has_begun_to_stand) {
+    admission.is_standing = true;
+    admission.last_trial_at = now;
+  }
+}
+
+// Whether a stream may be let in to find out if the group still stands.
+bool is_trial_due(const RankAdmission& admission, TimePoint now) {
+  return LoadOf(admission) == 0 &&
+         now - admission.last_trial_at > kTrialInterval;
+}
+
 void UpdateSlowness(RankAdmission& admission, TimePoint now) {
   if (PassOf(admission, now) < admission.settings.longest_pause) {
     admission.slow_since.reset();
@@ -158,6 +194,7 @@
     admission.passes.clear();
   }
   ResetStartLimitOnOpen(admission, load);
+  UpdateStanding(admission, load, now);
   admission.reported = load;
   const TimePoint previous_report_at =
       std::exchange(admission.reported_at, now);
@@ -190,6 +227,7 @@
                        Reservation reservation,
                        TimePoint now) {
   admission.reservations[std::move(reservation)] = now;
+  admission.last_trial_at = now;
   ++admission.costs.new_reservations;
 }
 
@@ -262,7 +300,9 @@
   } else if (is_late) {
     offer.limit *= kLateLimitFraction;
   }
-  const bool has_permit = pass < longest_pass && load <= offer.limit;
+  const bool has_permit =
+      pass < longest_pass && load <= offer.limit &&
+      (!admission.is_standing || is_trial_due(admission, now));
   offer.is_admitting = admission.reported.is_open &&
                        now - admission.reported_at < kMaxReportAge &&
                        admission.reported.pace < kMaxPaceForPermits &&
--- a/Libraries/LibAdmission/RankAdmission.h
+++ b/Libraries/LibAdmission/RankAdmission.h
@@ -79,6 +79,13 @@
   // The time since which every pass has exceeded the longest pause; none if
   // passes are shorter.
   std::optional<TimePoint> slow_since;
+  // Since when the rank has had work in the present pass.
+  std::optional<TimePoint> working_since;
+  // Whether the group was seen to stand: it began no pass though the rank had
+  // work. Once that work is gone, an idle group and one that stands look the
+  // same, so that a stream is let in from time to time to tell them apart.
+  bool is_standing = false;
+  TimePoint last_trial_at;
 };
 
 // An agent's answer to a gateway that requests a permit.
--- a/Tests/LibAdmission/TestRankAdmission.cc
+++ b/Tests/LibAdmission/TestRankAdmission.cc
@@ -44,6 +44,34 @@
   CHECK(OfferOf(admission, false, now).is_admitting);
 }
 
+// Failure: a rank of a held group runs out of callers, looks idle and draws new
+// streams, which wait until their callers leave too.
+TEST_CASE(
+    "A rank of a group that stands draws no more streams once it is empty") {
+  TimePoint now = kStart;
+  RankAdmission admission = RankAt(4, milliseconds(30), now);
+  RankLoad load = admission.reported;
+  const auto report_for = [&](Duration time) {
+    int offers = 0;
+    for (const TimePoint end = now + time; now < end; now += milliseconds(30)) {
+      RecordReport(admission, load, now);
+      if (OfferOf(admission, false, now).is_admitting) {
+        ++offers;
+        RecordReservation(admission, {.gateway = "g", .number = 1}, now);
+      }
+    }
+    return offers;
+  };
+  report_for(milliseconds(500));
+  CHECK(report_for(std::chrono::seconds(2)) == 0);
+  load.running = 0;
+  CHECK(report_for(std::chrono::seconds(4)) <= 2);
+  ++load.step;
+  report_for(milliseconds(30));
+  CHECK(OfferOf(admission, false, now).limit > 2);
+  CHECK_FALSE(admission.is_standing);
+}
+
 // An engine counts a stream only once it runs, 0.1 s after it arrived. If
 // reservations do not count, twenty streams go to a rank with twelve slots
 // within 0.3 s.
