LibMapSwitch: Let no killed owner's map outlive its successor's

A group could stand for good: an owner is killed while its order to prepare a map is on its way; the next one has all ranks prepare another and arms them; then the old order is carried out at a rank that is not armed yet, whose version can't be armed any more. Nothing is disarmed, so the group stays held. Cause: an owner's first version was a random distance above the newest one that was reported, so that an earlier owner's could be higher. The distance is now the clock of the owner's machine since it booted, which grows from process to process; if the machine itself restarts, the group is re-formed and old orders are refused.

--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -382,9 +382,11 @@
   return map_switch.phase == SwitchPhase::kPreparing;
 }
 
-Version DrawVersionOffset(uint64_t random_bits) {
-  constexpr uint64_t kLargest = 1U << 24U;
-  return random_bits % kLargest;
+Version VersionOffsetAt(TimePoint now) {
+  return static_cast<Version>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          now.time_since_epoch())
+          .count());
 }
 
 void StartSwitch(MapSwitch& map_switch, ExpertLists map, TimePoint now) {
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -95,12 +95,15 @@
   bool is_hold_requested = false;
   // The highest version that was requested or reported.
   Version newest = 0;
-  // Random, drawn when the owner's process starts: the distance of its first
-  // version from the newest one that was reported.
+  // The distance of the owner's first version from the newest one that was
+  // reported; grows from each process beside this rank to the next.
   //
   // Failure: an owner is killed while ranks copy the map of version 7, and no
   // rank reports that version yet. The next owner would assign version 7 to
-  // another map, and the group would run with both.
+  // another map, and the group would run with both. With any other version that
+  // is not higher, the old order is carried out late at a rank that prepared
+  // the new map; it can't be armed any more, and the held group stands for
+  // good.
   Version version_offset = 0;
   // Whether this is the state of a standby owner. Its reports are old and of
   // different times, so it only completes a switch that all ranks have
@@ -127,8 +130,9 @@
 // copies were ordered for it.
 bool is_replaceable(const MapSwitch& map_switch);
 
-// Returns a random version offset for an owner that starts.
-Version DrawVersionOffset(uint64_t random_bits);
+// Returns the version offset of an owner that starts now. Its machine's clock
+// runs on while processes come and go.
+Version VersionOffsetAt(TimePoint now);
 
 // Starts a switch to `map`. Requires is_ready_for_map, needs_switch or
 // is_replaceable.
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -87,7 +87,7 @@
     this->state.adapter = make();
     this->state.incarnation = RandomBits();
     this->state.map_switch.version_offset =
-        mapswitch::DrawVersionOffset(RandomBits());
+        mapswitch::VersionOffsetAt(EventLoop::Now());
     this->state.members.own_name = this->state.settings.name;
     const std::string& ip = this->state.settings.ip;
     this->state.datagrams = TRY(
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -135,7 +135,7 @@
 
   // The owner's process dies and another one starts beside the same rank.
   void RestartOwner() {
-    this->owner = {.version_offset = DrawVersionOffset(this->random())};
+    this->owner = {.version_offset = VersionOffsetAt(this->ranks.now)};
     this->desired_maps[0].reset();
     this->last_orders.erase(0);
   }
@@ -219,6 +219,24 @@
       });
 }
 
+// Failure: a killed owner's order to prepare is carried out after its
+// successor's, and the group stands for good.
+TEST_CASE("A later owner's versions are higher than any earlier owner's") {
+  const TimePoint start{std::chrono::seconds(1000)};
+  SimulatedRanks ranks(kRanks, 1);
+  Version last = 0;
+  for (int owner = 0; owner < 100; ++owner) {
+    const TimePoint now = start + owner * std::chrono::milliseconds(50);
+    MapSwitch map_switch{.version_offset = VersionOffsetAt(now)};
+    for (uint32_t rank = 0; rank < kRanks; ++rank) {
+      HandleStatus(map_switch, ranks.status(rank), now);
+    }
+    StartSwitch(map_switch, ExpertLists(1, {{0}, {1}, {2}, {3}}), now);
+    CHECK(map_switch.desired_map.version > last);
+    last = map_switch.desired_map.version;
+  }
+}
+
 // Failure: an idle group begins no passes, so that a delayed hold or arm may
 // reach it long after the switch.
 TEST_CASE(
