LibMapSwitch: Abort a switch whose hold meets a silent rank

Callers were refused or left; what lay at the frozen machine's server was worked on without them (GONE). Cause: from the hold on a switch could only be completed, and a rank whose machine is frozen can't be armed, nor asked whether it is: a frozen machine's server takes no orders from anyone. Change: once the group is held, all agents report once more before the first arm order (phase confirming). If one does not within 120 ms, the owner's rank prepares another version of the map in force. That rank can then never be armed for this switch; no other rank is sent the step before it is; so none is or will be armed, whatever the silent one did, and the holder releases the group. If the owner's rank is armed instead, the switch completes as before. A standby owner arms the owner's rank first for the same reason. Both fields of the frames come at their end; an older agent reports within 55 ms anyway. Ruled out: giving all arms from afar (a frozen machine's kernel accepts the connection, so that it isn't known whether an order arrived); releasing without a record at a rank (a standby or restarted owner may be arming). Test: 'A rank that freezes as the group is held does not stop the group' failed before (8 s). Left: a machine that freezes within the few ms between its confirmation and its arm, or the holder's before the go. Orders of agents moved to a file of their own.

--- /dev/null
+++ b/Libraries/LibMapSwitch/Orders.cc
@@ -0,0 +1,79 @@
+// The orders that an agent gives its server to reach the desired map.
+#include "LibMapSwitch/Switch.h"
+
+namespace bramleyspan::mapswitch {
+
+std::string NameOf(const OrderBody& body) {
+  struct Namer {
+    std::string operator()(const Prepare&) const { return "prepare"; }
+    std::string operator()(const Arm&) const { return "arm"; }
+    std::string operator()(const Hold&) const { return "hold"; }
+    std::string operator()(const Go&) const { return "go"; }
+  };
+  return std::visit(Namer{}, body);
+}
+
+namespace {
+
+// The holder's order besides its own arm.
+std::optional<OrderBody> HolderOrder(const DesiredMap& desired_map,
+                                     const RankStatus& own) {
+  if (desired_map.holder != own.rank || desired_map.hold_step == 0) {
+    return std::nullopt;
+  }
+  if (desired_map.is_aborted) {
+    return own.held == desired_map.hold_step
+               ? std::optional<OrderBody>(Go{.step = own.held})
+               : std::nullopt;
+  }
+  if (desired_map.is_released) {
+    // All ranks are armed for arm_step and none for an earlier pass.
+    const bool may_go = own.held != 0 && own.held <= desired_map.arm_step;
+    return may_go ? std::optional<OrderBody>(Go{.step = own.held})
+                  : std::nullopt;
+  }
+  const bool may_hold =
+      own.held == 0 && own.armed == 0 && desired_map.arm_step == 0 &&
+      own.prepared == desired_map.version && own.step < desired_map.hold_step;
+  return may_hold
+             ? std::optional<OrderBody>(Hold{.step = desired_map.hold_step})
+             : std::nullopt;
+}
+
+}  // namespace
+
+std::optional<Order> NextOrder(const DesiredMap& desired_map,
+                               const RankStatus& own) {
+  if (desired_map.epoch != own.epoch) {
+    return std::nullopt;
+  }
+  Order order{.epoch = own.epoch, .expected_sequence = own.sequence};
+  const auto holder_order = HolderOrder(desired_map, own);
+  if (holder_order) {
+    order.body = *holder_order;
+    return order;
+  }
+  const bool is_done = own.map >= desired_map.version;
+  if (desired_map.version == 0 || is_done) {
+    return std::nullopt;
+  }
+  if (desired_map.arm_step != 0) {
+    const bool is_armed = own.armed == desired_map.version &&
+                          own.armed_step == desired_map.arm_step;
+    if (is_armed || own.prepared != desired_map.version) {
+      return std::nullopt;
+    }
+    order.body =
+        Arm{.version = desired_map.version, .step = desired_map.arm_step};
+    return order;
+  }
+  const bool may_prepare =
+      own.prepared < desired_map.version && own.armed == 0 && !own.is_busy;
+  if (!may_prepare || desired_map.map.empty()) {
+    return std::nullopt;
+  }
+  order.body = Prepare{.version = desired_map.version, .map = desired_map.map};
+  return order;
+}
+
+}  // namespace bramleyspan::mapswitch
--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -19,6 +19,8 @@
 // A switch that is not prepared in this time is aborted: a rank's agent may
 // have died, and nothing is held yet.
 constexpr Duration kPreparationTimeout = std::chrono::seconds(5);
+// A rank that has not reported for so long after the hold is silent.
+constexpr Duration kConfirmationTimeout = std::chrono::milliseconds(120);
 // Bounds of the expected time from the hold until every rank reports that it is
 // armed.
 constexpr Duration kUsualArmingTime = std::chrono::milliseconds(50);
@@ -57,9 +59,9 @@
 }
 
 void EnterPhase(MapSwitch& map_switch, SwitchPhase phase, TimePoint now) {
-  const bool is_hold_start = phase == SwitchPhase::kArmingOwner ||
-                             (phase == SwitchPhase::kArming &&
-                              map_switch.phase != SwitchPhase::kArmingOwner);
+  const bool is_hold_start = phase == SwitchPhase::kConfirming ||
+                             (phase == SwitchPhase::kArmingOwner &&
+                              map_switch.phase != SwitchPhase::kConfirming);
   if (is_hold_start) {
     map_switch.arming_since = now;
   }
@@ -140,6 +142,9 @@
   return 0;
 }
 
+void ContinueHolding(MapSwitch& map_switch, TimePoint now);
+void ContinueArmingOwner(MapSwitch& map_switch, TimePoint now);
+
 const RankStatus& StatusOf(const MapSwitch& map_switch, uint32_t rank) {
   return map_switch.ranks[rank]->status;
 }
@@ -164,6 +169,7 @@
                                       .version = own.prepared,
                                       .hold_step = held,
                                       .holder = holder,
+                                      .is_held = true,
                                       .arm_step = held};
   const bool has_all_statuses =
       is_true_for_all(map_switch, now, [](const RankStatus&) { return true; });
@@ -182,17 +188,11 @@
   }
   if (is_armed || (is_same && own.prepared != 0)) {
     map_switch.hold_requested_at = now;
-    // A standby owner may assume that the owner's rank is armed once the owner
-    // names the pass; that also holds if it finds the group held.
-    EnterPhase(map_switch,
-               map_switch.is_standby ? SwitchPhase::kArming
-                                     : SwitchPhase::kArmingOwner,
-               now);
+    EnterPhase(map_switch, SwitchPhase::kArmingOwner, now);
+    ContinueArmingOwner(map_switch, now);
   }
 }
 
-void ContinueHolding(MapSwitch& map_switch, TimePoint now);
-
 void ContinuePreparing(MapSwitch& map_switch, TimePoint now) {
   const Version version = map_switch.desired_map.version;
   if (is_losing_orders(map_switch)) {
@@ -222,8 +222,8 @@
     }
     desired_map.holder = *current_holder;
     desired_map.hold_step = StatusOf(map_switch, *current_holder).held;
-    desired_map.arm_step = desired_map.hold_step;
-    EnterPhase(map_switch, SwitchPhase::kArmingOwner, now);
+    desired_map.is_held = true;
+    EnterPhase(map_switch, SwitchPhase::kConfirming, now);
     return;
   }
   // Nothing is held yet, so nothing is armed: it is safe to abort here.
@@ -255,6 +255,50 @@
   }
 }
 
+// Whether every rank's agent has reported since the phase was entered.
+bool has_all_reports_since(const MapSwitch& map_switch, TimePoint since) {
+  return std::all_of(
+      map_switch.ranks.begin(), map_switch.ranks.end(),
+      [since](const auto& rank) { return rank && rank->received_at > since; });
+}
+
+void ContinueConfirming(MapSwitch& map_switch, TimePoint now) {
+  DesiredMap& desired_map = map_switch.desired_map;
+  const bool is_confirmed =
+      has_all_reports_since(map_switch, map_switch.since) &&
+      is_true_for_all(map_switch, now, [](const RankStatus&) { return true; });
+  // A standby owner may have begun to complete the switch.
+  const bool is_owner_armed = StatusOf(map_switch, 0).armed != 0;
+  if (is_confirmed || is_owner_armed) {
+    desired_map.arm_step = desired_map.hold_step;
+    EnterPhase(map_switch, SwitchPhase::kArmingOwner, now);
+    return;
+  }
+  if (now - map_switch.since > kConfirmationTimeout) {
+    map_switch.last_failure = "a rank is silent in the hold";
+    map_switch.abort_version = ++map_switch.newest;
+    EnterPhase(map_switch, SwitchPhase::kAborting, now);
+  }
+}
+
+void ContinueAborting(MapSwitch& map_switch, TimePoint now) {
+  DesiredMap& desired_map = map_switch.desired_map;
+  const RankStatus& own = StatusOf(map_switch, 0);
+  if (!desired_map.is_aborted && own.armed != 0) {
+    desired_map.arm_step = desired_map.hold_step;
+    EnterPhase(map_switch, SwitchPhase::kArmingOwner, now);
+    return;
+  }
+  desired_map.is_aborted =
+      desired_map.is_aborted || own.prepared >= map_switch.abort_version;
+  // A go order that was not answered may arrive until the pass has begun, so no
+  // other switch may hold that pass.
+  if (desired_map.is_aborted && own.step >= desired_map.hold_step) {
+    map_switch.cooldown_until = now + kLongestCooldown;
+    EnterPhase(map_switch, SwitchPhase::kIdle, now);
+  }
+}
+
 void ContinueArming(MapSwitch& map_switch, TimePoint now) {
   DesiredMap& desired_map = map_switch.desired_map;
   const bool is_armed =
@@ -298,16 +342,6 @@
 
 }  // namespace
 
-std::string NameOf(const OrderBody& body) {
-  struct Namer {
-    std::string operator()(const Prepare&) const { return "prepare"; }
-    std::string operator()(const Arm&) const { return "arm"; }
-    std::string operator()(const Hold&) const { return "hold"; }
-    std::string operator()(const Go&) const { return "go"; }
-  };
-  return std::visit(Namer{}, body);
-}
-
 std::string_view NameOf(SwitchPhase phase) {
   switch (phase) {
     case SwitchPhase::kIdle:
@@ -316,12 +350,16 @@
       return "preparing";
     case SwitchPhase::kHolding:
       return "holding";
+    case SwitchPhase::kConfirming:
+      return "confirming";
     case SwitchPhase::kArmingOwner:
       return "arming_owner";
     case SwitchPhase::kArming:
       return "arming";
     case SwitchPhase::kReleasing:
       return "releasing";
+    case SwitchPhase::kAborting:
+      return "aborting";
   }
   return "idle";
 }
@@ -417,6 +455,9 @@
     case SwitchPhase::kHolding:
       ContinueHolding(map_switch, now);
       return;
+    case SwitchPhase::kConfirming:
+      ContinueConfirming(map_switch, now);
+      return;
     case SwitchPhase::kArmingOwner:
       ContinueArmingOwner(map_switch, now);
       return;
@@ -426,6 +467,9 @@
     case SwitchPhase::kReleasing:
       ContinueReleasing(map_switch, now);
       return;
+    case SwitchPhase::kAborting:
+      ContinueAborting(map_switch, now);
+      return;
   }
 }
 
@@ -434,6 +478,16 @@
   if (map_switch.phase == SwitchPhase::kArmingOwner && rank != 0) {
     desired_map.arm_step = 0;
   }
+  if (map_switch.phase == SwitchPhase::kAborting && rank == 0) {
+    desired_map.version = map_switch.abort_version;
+    if (!map_switch.map_in_force.empty()) {
+      desired_map.map = map_switch.map_in_force;
+    }
+    // A holder beside the owner releases the group like any other.
+    if (!desired_map.is_aborted) {
+      desired_map.hold_step = 0;
+    }
+  }
   return desired_map;
 }
 
@@ -455,62 +509,4 @@
                      .received_at = now};
 }
 
-namespace {
-
-// The holder's order besides its own arm.
-std::optional<OrderBody> HolderOrder(const DesiredMap& desired_map,
-                                     const RankStatus& own) {
-  if (desired_map.holder != own.rank || desired_map.hold_step == 0) {
-    return std::nullopt;
-  }
-  if (desired_map.is_released) {
-    // All ranks are armed for arm_step and none for an earlier pass.
-    const bool may_go = own.held != 0 && own.held <= desired_map.arm_step;
-    return may_go ? std::optional<OrderBody>(Go{.step = own.held})
-                  : std::nullopt;
-  }
-  const bool may_hold =
-      own.held == 0 && own.armed == 0 && desired_map.arm_step == 0 &&
-      own.prepared == desired_map.version && own.step < desired_map.hold_step;
-  return may_hold
-             ? std::optional<OrderBody>(Hold{.step = desired_map.hold_step})
-             : std::nullopt;
-}
-
-}  // namespace
-
-std::optional<Order> NextOrder(const DesiredMap& desired_map,
-                               const RankStatus& own) {
-  if (desired_map.epoch != own.epoch) {
-    return std::nullopt;
-  }
-  Order order{.epoch = own.epoch, .expected_sequence = own.sequence};
-  const auto holder_order = HolderOrder(desired_map, own);
-  if (holder_order) {
-    order.body = *holder_order;
-    return order;
-  }
-  const bool is_done = own.map >= desired_map.version;
-  if (desired_map.version == 0 || is_done) {
-    return std::nullopt;
-  }
-  if (desired_map.arm_step != 0) {
-    const bool is_armed = own.armed == desired_map.version &&
-                          own.armed_step == desired_map.arm_step;
-    if (is_armed || own.prepared != desired_map.version) {
-      return std::nullopt;
-    }
-    order.body =
-        Arm{.version = desired_map.version, .step = desired_map.arm_step};
-    return order;
-  }
-  const bool may_prepare =
-      own.prepared < desired_map.version && own.armed == 0 && !own.is_busy;
-  if (!may_prepare || desired_map.map.empty()) {
-    return std::nullopt;
-  }
-  order.body = Prepare{.version = desired_map.version, .map = desired_map.map};
-  return order;
-}
-
 }  // namespace bramleyspan::mapswitch
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -4,6 +4,8 @@
 //   prepare  all ranks copy the experts of the new map
 //   hold     a rank other than the owner's, the holder, keeps the group from
 //            beginning pass S, the next pass or one a few passes ahead
+//   confirm  every rank's agent reports once more, so that none is known to be
+//            silent when the first arm order is sent
 //   arm      the owner's rank, then every other rank, is ordered to switch at
 //            the beginning of pass S
 //   go       the holder releases the group once every rank reports that it is
@@ -18,6 +20,13 @@
 // rank 0, and an order of its predecessor either fails its expected sequence or
 // equals the new owner's order.
 //
+// Failure: a rank's machine freezes as the group is held; its server can't be
+// ordered, and the group begins no pass until the machine recovers. The switch
+// is then aborted: the owner's rank prepares another version, so that it can
+// never be armed for this one. Since no other rank is sent the step before the
+// owner's is armed, no rank is or will be armed, and the holder may release the
+// group.
+//
 // Failure: the owner's machine freezes between hold and go, and its model
 // server is unreachable too; the group begins no pass until the machine
 // recovers. Therefore another rank holds the group, and the owner's rank is
@@ -39,9 +48,11 @@
   kIdle,
   kPreparing,
   kHolding,
+  kConfirming,
   kArmingOwner,
   kArming,
   kReleasing,
+  kAborting,
 };
 
 std::string_view NameOf(SwitchPhase phase);
@@ -55,10 +66,14 @@
   // prepared.
   Step hold_step = 0;
   uint32_t holder = 0;
+  // Whether the group is held, so that every agent reports at once.
+  bool is_held = false;
   // The pass from which the map is in force; 0 until the group is held.
   Step arm_step = 0;
   // Whether all ranks are armed, so that the holder may release the group.
   bool is_released = false;
+  // Whether no rank can become armed, so that the holder may release the group.
+  bool is_aborted = false;
 };
 
 // The last status received from a rank.
@@ -90,6 +105,12 @@
   // seen.
   Duration pass = std::chrono::milliseconds(50);
   TimePoint pass_began;
+  // What the owner's rank prepares to abort a switch, since it needs no copies
+  // there; the desired map if empty.
+  ExpertLists map_in_force;
+  // The version that keeps the owner's rank from being armed while a switch is
+  // aborted.
+  Version abort_version = 0;
   // Whether a hold was requested and may still arrive; from then on the switch
   // can't be aborted.
   bool is_hold_requested = false;
--- a/Libraries/LibMembership/Generated/Messages_generated.h
+++ b/Libraries/LibMembership/Generated/Messages_generated.h
@@ -2709,6 +2709,8 @@
   uint64_t arm_step = 0;
   bool is_released = false;
   std::vector<std::string> servers{};
+  bool is_held = false;
+  bool is_aborted = false;
 };
 
 struct MapWish FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2728,7 +2730,9 @@
     VT_HOLDER = 22,
     VT_ARM_STEP = 24,
     VT_IS_RELEASED = 26,
-    VT_SERVERS = 28
+    VT_SERVERS = 28,
+    VT_IS_HELD = 30,
+    VT_IS_ABORTED = 32
   };
   const flatbuffers::String *group() const {
     return GetPointer<const flatbuffers::String *>(VT_GROUP);
@@ -2769,6 +2773,12 @@
   const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *servers() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_SERVERS);
   }
+  bool is_held() const {
+    return GetField<uint8_t>(VT_IS_HELD, 0) != 0;
+  }
+  bool is_aborted() const {
+    return GetField<uint8_t>(VT_IS_ABORTED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_GROUP) &&
@@ -2791,6 +2801,8 @@
            VerifyOffset(verifier, VT_SERVERS) &&
            verifier.VerifyVector(servers()) &&
            verifier.VerifyVectorOfStrings(servers()) &&
+           VerifyField<uint8_t>(verifier, VT_IS_HELD, 1) &&
+           VerifyField<uint8_t>(verifier, VT_IS_ABORTED, 1) &&
            verifier.EndTable();
   }
   MapWishT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2841,6 +2853,12 @@
   void add_servers(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers) {
     fbb_.AddOffset(MapWish::VT_SERVERS, servers);
   }
+  void add_is_held(bool is_held) {
+    fbb_.AddElement<uint8_t>(MapWish::VT_IS_HELD, static_cast<uint8_t>(is_held), 0);
+  }
+  void add_is_aborted(bool is_aborted) {
+    fbb_.AddElement<uint8_t>(MapWish::VT_IS_ABORTED, static_cast<uint8_t>(is_aborted), 0);
+  }
   explicit MapWishBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2866,7 +2884,9 @@
     uint32_t holder = 0,
     uint64_t arm_step = 0,
     bool is_released = false,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> servers = 0,
+    bool is_held = false,
+    bool is_aborted = false) {
   MapWishBuilder builder_(_fbb);
   builder_.add_arm_step(arm_step);
   builder_.add_hold_step(hold_step);
@@ -2880,6 +2900,8 @@
   builder_.add_small_experts(small_experts);
   builder_.add_experts(experts);
   builder_.add_group(group);
+  builder_.add_is_aborted(is_aborted);
+  builder_.add_is_held(is_held);
   builder_.add_is_released(is_released);
   return builder_.Finish();
 }
@@ -2903,7 +2925,9 @@
     uint32_t holder = 0,
     uint64_t arm_step = 0,
     bool is_released = false,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr) {
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *servers = nullptr,
+    bool is_held = false,
+    bool is_aborted = false) {
   auto group__ = group ? _fbb.CreateString(group) : 0;
   auto experts__ = experts ? _fbb.CreateVector<uint16_t>(*experts) : 0;
   auto small_experts__ = small_experts ? _fbb.CreateVector<uint8_t>(*small_experts) : 0;
@@ -2924,7 +2948,9 @@
       holder,
       arm_step,
       is_released,
-      servers__);
+      servers__,
+      is_held,
+      is_aborted);
 }
 
 flatbuffers::Offset<MapWish> CreateMapWish(flatbuffers::FlatBufferBuilder &_fbb, const MapWishT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4444,6 +4470,8 @@
   { auto _e = arm_step(); _o->arm_step = _e; }
   { auto _e = is_released(); _o->is_released = _e; }
   { auto _e = servers(); if (_e) { _o->servers.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->servers[_i] = _e->Get(_i)->str(); } } }
+  { auto _e = is_held(); _o->is_held = _e; }
+  { auto _e = is_aborted(); _o->is_aborted = _e; }
 }
 
 inline flatbuffers::Offset<MapWish> MapWish::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MapWishT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4467,6 +4495,8 @@
   auto _arm_step = _o->arm_step;
   auto _is_released = _o->is_released;
   auto _servers = _o->servers.size() ? _fbb.CreateVectorOfStrings(_o->servers) : 0;
+  auto _is_held = _o->is_held;
+  auto _is_aborted = _o->is_aborted;
   return bramleyspan::membership::wire::CreateMapWish(
       _fbb,
       _group,
@@ -4481,7 +4511,9 @@
       _holder,
       _arm_step,
       _is_released,
-      _servers);
+      _servers,
+      _is_held,
+      _is_aborted);
 }
 
 inline PlaceProbeT *PlaceProbe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/Services/bramleyspand/Rank/DesiredMaps.cc
+++ b/Services/bramleyspand/Rank/DesiredMaps.cc
@@ -27,7 +27,8 @@
   }
   return known.arm_step > desired_map.arm_step ||
          known.hold_step > desired_map.hold_step ||
-         (known.is_released && !desired_map.is_released);
+         (known.is_released && !desired_map.is_released) ||
+         (known.is_aborted && !desired_map.is_aborted);
 }
 
 bool is_different(const membership::wire::MapWishT& desired_map,
@@ -35,16 +36,20 @@
   return known.version != desired_map.version ||
          known.hold_step != desired_map.hold_step ||
          known.arm_step != desired_map.arm_step ||
-         known.is_released != desired_map.is_released;
+         known.is_held != desired_map.is_held ||
+         known.is_released != desired_map.is_released ||
+         known.is_aborted != desired_map.is_aborted;
 }
 
 }  // namespace
 
 void DesiredMapSender::SendIfDue(TimePoint now) {
   const mapswitch::MapSwitch& map_switch = this->state.map_switch;
-  const bool is_new = map_switch.phase != this->sent_phase ||
-                      map_switch.desired_map.version != this->sent_version ||
-                      map_switch.desired_map.hold_step != this->sent_hold_step;
+  const bool is_new =
+      map_switch.phase != this->sent_phase ||
+      map_switch.desired_map.version != this->sent_version ||
+      map_switch.desired_map.hold_step != this->sent_hold_step ||
+      map_switch.desired_map.is_aborted != this->sent_is_aborted;
   if (!is_new && now - this->sent_at < kRepeatAfter) {
     return;
   }
@@ -52,6 +57,7 @@
   this->sent_phase = map_switch.phase;
   this->sent_version = map_switch.desired_map.version;
   this->sent_hold_step = map_switch.desired_map.hold_step;
+  this->sent_is_aborted = map_switch.desired_map.is_aborted;
   if (map_switch.phase == mapswitch::SwitchPhase::kIdle) {
     this->state.desired_map.reset();
     return;
--- a/Services/bramleyspand/Rank/DesiredMaps.h
+++ b/Services/bramleyspand/Rank/DesiredMaps.h
@@ -59,6 +59,7 @@
   mapswitch::SwitchPhase sent_phase = mapswitch::SwitchPhase::kIdle;
   mapswitch::Version sent_version = 0;
   mapswitch::Step sent_hold_step = 0;
+  bool sent_is_aborted = false;
   EncodedMap encoded;
   std::deque<QueuedMap> queue;
   size_t queued_bytes = 0;
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -161,6 +161,7 @@
   state.planned_skew = plan.skew_after;
   state.planned_at_shift = state.drift.shifts;
   mapswitch::StartSwitch(state.map_switch, std::move(plan.lists), now);
+  state.map_switch.map_in_force = *map;
   telemetry::Count(kMapSwitches, {});
   telemetry::Count(kExpertCopies, {}, plan.copies);
   Log(LogLevel::kInfo, "map", "switch_started",
--- a/Services/bramleyspand/Rank/RankMessages.cc
+++ b/Services/bramleyspand/Rank/RankMessages.cc
@@ -26,6 +26,8 @@
   wire.holder = desired_map.holder;
   wire.arm_step = desired_map.arm_step;
   wire.is_released = desired_map.is_released;
+  wire.is_held = desired_map.is_held;
+  wire.is_aborted = desired_map.is_aborted;
   return wire;
 }
 
@@ -168,8 +170,10 @@
                                .version = desired_map.version,
                                .hold_step = desired_map.hold_step,
                                .holder = desired_map.holder,
+                               .is_held = desired_map.is_held,
                                .arm_step = desired_map.arm_step,
-                               .is_released = desired_map.is_released};
+                               .is_released = desired_map.is_released,
+                               .is_aborted = desired_map.is_aborted};
   auto lists = DecodeLists(desired_map);
   if (desired_map.base_version == 0) {
     result.map = GroupBySet(std::move(lists), ranks);
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -239,8 +239,10 @@
 
   void OrderUnresponsiveRanks(TimePoint now) {
     const mapswitch::MapSwitch& map_switch = this->state.map_switch;
-    const bool is_held = map_switch.phase == mapswitch::SwitchPhase::kArming ||
-                         map_switch.phase == mapswitch::SwitchPhase::kReleasing;
+    const bool is_held =
+        map_switch.phase == mapswitch::SwitchPhase::kArming ||
+        map_switch.phase == mapswitch::SwitchPhase::kReleasing ||
+        map_switch.phase == mapswitch::SwitchPhase::kAborting;
     if (is_held && now - map_switch.since > kLongHold) {
       this->order_sender.OrderUnresponsiveRanks(now);
     }
--- a/Services/bramleyspand/Rank/StandbyOwner.cc
+++ b/Services/bramleyspand/Rank/StandbyOwner.cc
@@ -84,8 +84,12 @@
                                this->state.own->size, now);
   }
   mapswitch::Continue(this->map_switch, now);
-  if (this->map_switch.phase != mapswitch::SwitchPhase::kArming &&
-      this->map_switch.phase != mapswitch::SwitchPhase::kReleasing) {
+  const mapswitch::SwitchPhase phase = this->map_switch.phase;
+  const bool may_order = phase == mapswitch::SwitchPhase::kArming ||
+                         phase == mapswitch::SwitchPhase::kReleasing ||
+                         (phase == mapswitch::SwitchPhase::kArmingOwner &&
+                          status.value().rank == 0);
+  if (!may_order) {
     return;
   }
   const auto order =
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -45,6 +45,9 @@
   std::vector<std::optional<DesiredMap>> desired_maps;
   // Until then the owner sends and does nothing.
   TimePoint owner_frozen_until{};
+  // Until when a rank's machine is frozen: its agent does nothing, and its
+  // server takes no orders.
+  std::map<uint32_t, TimePoint> frozen_until;
   int lost_message_percent = 0;
   std::mt19937_64 random;
   int switches = 0;
@@ -74,10 +77,18 @@
     return static_cast<int>(this->random() % 100) < this->lost_message_percent;
   }
 
+  bool is_rank_frozen(uint32_t rank) const {
+    const auto found = this->frozen_until.find(rank);
+    return found != this->frozen_until.end() && this->ranks.now < found->second;
+  }
+
   void SendOnce(uint32_t rank, const Order& order) {
     constexpr Duration kRepeatPrepare = std::chrono::milliseconds(1500);
-    const std::string name = NameOf(order.body) + std::to_string(order.epoch) +
-                             "." + std::to_string(order.expected_sequence);
+    const auto* prepare = std::get_if<Prepare>(&order.body);
+    const std::string name =
+        NameOf(order.body) + std::to_string(order.epoch) + "." +
+        std::to_string(order.expected_sequence) + "." +
+        std::to_string(prepare == nullptr ? 0 : prepare->version);
     auto& [last, at] = this->last_orders[rank];
     const Duration wait =
         NameOf(order.body) == "prepare" ? kRepeatPrepare : this->repeat_after;
@@ -94,9 +105,10 @@
 
   void Tick() {
     const TimePoint now = this->ranks.now;
-    const bool is_frozen = now < this->owner_frozen_until;
+    const bool is_frozen =
+        now < this->owner_frozen_until || this->is_rank_frozen(0);
     for (uint32_t rank = 0; rank < this->ranks.size() && !is_frozen; ++rank) {
-      if (rank == 0 || !this->is_lost()) {
+      if (!this->is_rank_frozen(rank) && (rank == 0 || !this->is_lost())) {
         HandleStatus(this->owner, this->ReportOf(rank), now);
       }
     }
@@ -104,7 +116,8 @@
       this->RunOwner(now);
     }
     for (uint32_t rank = 0; rank < this->ranks.size(); ++rank) {
-      if (!this->desired_maps[rank] || (rank == 0 && is_frozen)) {
+      if (!this->desired_maps[rank] || (rank == 0 && is_frozen) ||
+          this->is_rank_frozen(rank)) {
         continue;
       }
       const auto order =
@@ -127,7 +140,7 @@
       return;
     }
     for (uint32_t rank = 0; rank < this->ranks.size(); ++rank) {
-      if (rank == 0 || !this->is_lost()) {
+      if (!this->is_rank_frozen(rank) && (rank == 0 || !this->is_lost())) {
         this->desired_maps[rank] = DesiredMapFor(this->owner, rank);
       }
     }
@@ -144,10 +157,15 @@
   void TakeOver(MapSwitch& standby) {
     standby.is_standby = true;
     for (uint32_t rank = 0; rank < this->ranks.size(); ++rank) {
+      if (this->is_rank_frozen(rank)) {
+        continue;
+      }
       HandleStatus(standby, this->ranks.status(rank), this->ranks.now);
       Continue(standby, this->ranks.now);
-      const bool may_order = standby.phase == SwitchPhase::kArming ||
-                             standby.phase == SwitchPhase::kReleasing;
+      const bool may_order =
+          standby.phase == SwitchPhase::kArming ||
+          standby.phase == SwitchPhase::kReleasing ||
+          (standby.phase == SwitchPhase::kArmingOwner && rank == 0);
       const auto order =
           NextOrder(standby.desired_map, this->ranks.status(rank));
       if (may_order && order) {
@@ -364,6 +382,74 @@
   CHECK(take_over(last_received));
 }
 
+// Failure: a rank's machine freezes as the group is held; the group begins no
+// pass until the machine wakes.
+TEST_CASE("A rank that freezes as the group is held does not stop the group") {
+  constexpr Duration kLongestStandstill = std::chrono::milliseconds(500);
+  for (uint32_t frozen = 1; frozen < kRanks; ++frozen) {
+    for (uint64_t seed = 1; seed <= 20; ++seed) {
+      CAPTURE(frozen);
+      CAPTURE(seed);
+      SimulatedRanks ranks(kRanks, seed);
+      SetVariant(ranks, seed);
+      Agents agents(ranks, seed);
+      agents.tick = std::chrono::milliseconds(5);
+      agents.repeat_after = std::chrono::milliseconds(40);
+      while (!is_any_held(ranks)) {
+        agents.Run(agents.tick);
+      }
+      if (ranks.status(frozen).held != 0) {
+        continue;
+      }
+      agents.frozen_until[frozen] = ranks.now + std::chrono::seconds(8);
+      ranks.longest_pass = {};
+      agents.Run(std::chrono::seconds(8));
+      CHECK(ranks.longest_pass < kLongestStandstill);
+      CHECK(ranks.status(0).map == 0);
+      agents.Run(std::chrono::seconds(5));
+      CHECK(ranks.status(0).map != 0);
+      CHECK_FALSE(ranks.is_split);
+    }
+  }
+}
+
+TEST_CASE("Machines that freeze at any moment never make ranks use two maps") {
+  int aborted = 0;
+  for (uint64_t seed = 1; seed <= 300; ++seed) {
+    CAPTURE(seed);
+    SimulatedRanks ranks(kRanks, seed);
+    SetVariant(ranks, seed);
+    ranks.late_order_percent = seed % 4 == 0 ? 20 : 0;
+    Agents agents(ranks, seed);
+    agents.tick = std::chrono::milliseconds(10);
+    agents.repeat_after = std::chrono::milliseconds(40);
+    agents.lost_message_percent = seed % 5 == 0 ? 20 : 0;
+    std::mt19937_64 random(seed);
+    MapSwitch standby;
+    for (int round = 0; round < 400; ++round) {
+      agents.Run(agents.tick * (1 + random() % 6));
+      if (agents.owner.phase == SwitchPhase::kAborting) {
+        ++aborted;
+      }
+      const bool is_switching = agents.owner.phase > SwitchPhase::kPreparing;
+      if (is_switching && random() % 3 == 0) {
+        agents.frozen_until[static_cast<uint32_t>(random() % kRanks)] =
+            ranks.now + std::chrono::milliseconds(random() % 3000);
+      }
+      if (is_switching && random() % 8 == 0) {
+        agents.RestartOwner();
+      }
+      if (random() % 4 == 0) {
+        agents.TakeOver(standby);
+      } else {
+        standby = {};
+      }
+    }
+    REQUIRE_FALSE(ranks.is_split);
+  }
+  CHECK(aborted > 100);
+}
+
 // Failure: while half of the orders were lost, each switch kept its group
 // waiting for half a second, one after the other, and every stream was late.
 TEST_CASE("A slow switch is followed by a cooldown") {
