--- a/Services/bramleyspand/Gateway/SilentTargets.cc
+++ b/Services/bramleyspand/Gateway/SilentTargets.cc
@@ -104,8 +104,7 @@
   membership::wire::PlaceProbeT probe;
   probe.number = kFirstProbe + ++this->last_probe;
   probe.is_late = true;
-  this->send(gateway::AgentIpOf(found->second),
-             membership::Encode(std::move(probe)));
+  this->send(gateway::AgentIpOf(found->second), membership::Encode(probe));
   gateway::RecordProbe(this->by_target[target], EventLoop::Now());
 }
 
