Gateway: Leave streams at silent agents while their group stands

Events are owed only while another target of the group sends some. A stream that has begun keeps its own timer, which runs from its last event as its caller's patience does.

--- a/Libraries/LibGateway/Liveness.cc
+++ b/Libraries/LibGateway/Liveness.cc
@@ -30,6 +30,10 @@
   }
 }
 
+bool is_working(const Liveness& liveness, TimePoint now) {
+  return now - liveness.answered_at < kSuspectAfter;
+}
+
 void RecordProbe(Liveness& liveness, TimePoint now) {
   liveness.last_probe_at = now;
   if (!liveness.probed_since) {
@@ -43,7 +47,7 @@
 
 OwedStep NextStepFor(const OwedStream& stream,
                      const Liveness& liveness,
-                     bool is_fleet_heard,
+                     bool is_group_working,
                      TimePoint now) {
   const bool is_owed = now - stream.since >= kSuspectAfter &&
                        now - liveness.answered_at >= kSuspectAfter;
@@ -54,7 +58,7 @@
     return OwedStep::kMove;
   }
   if (is_silent(liveness, now)) {
-    return is_fleet_heard ? OwedStep::kMove : OwedStep::kWait;
+    return is_group_working ? OwedStep::kMove : OwedStep::kWait;
   }
   const bool is_reported = now - liveness.reported_at < kSuspectAfter;
   return is_reported || now - liveness.last_probe_at < kProbeInterval
--- a/Libraries/LibGateway/Liveness.h
+++ b/Libraries/LibGateway/Liveness.h
@@ -30,6 +30,9 @@
 // Records that the agent answered a probe with a report of that age.
 void RecordReport(Liveness& liveness, Duration report_age, TimePoint now);
 
+// Whether the target has sent a part of an answer just now.
+bool is_working(const Liveness& liveness, TimePoint now);
+
 // Records that the agent was sent a probe.
 void RecordProbe(Liveness& liveness, TimePoint now);
 
@@ -53,11 +56,12 @@
   kMove,
 };
 
-// `is_fleet_heard` tells whether any other target or agent was heard lately; if
-// none was, this gateway may be the one that is cut off.
+// `is_group_working` tells whether another target of the group works. If none
+// does, the group stands and its targets owe nothing, or this gateway is the
+// one that is cut off.
 OwedStep NextStepFor(const OwedStream& stream,
                      const Liveness& liveness,
-                     bool is_fleet_heard,
+                     bool is_group_working,
                      TimePoint now);
 
 }  // namespace bramleyspan::gateway
--- a/Services/bramleyspand/Gateway/ForwardingSilence.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSilence.cc
@@ -24,9 +24,13 @@
   }
   const TimePoint heard_at =
       this->has_started_answer ? this->last_event_at : this->arrived;
+  // Once it has begun, the attempt's own timer runs from the last event, as the
+  // caller's patience does.
   return gateway::OwedStream{
       .since = std::max(this->sent_at, heard_at),
-      .caller_leaves_at = heard_at + this->route->event_timeout};
+      .caller_leaves_at = this->has_started_answer
+                              ? TimePoint::max()
+                              : heard_at + this->route->event_timeout};
 }
 
 void Forwarding::MoveFromSilentTarget() {
--- a/Services/bramleyspand/Gateway/PermitRequests.cc
+++ b/Services/bramleyspand/Gateway/PermitRequests.cc
@@ -114,7 +114,7 @@
 }
 
 void PermitRequests::HandleOffer(const membership::wire::PlaceOfferT& offer) {
-  this->state.silent_targets->RecordOffer(offer);
+  this->state.silent_targets->HandleOffer(offer);
   const auto found = this->rounds.find(offer.number);
   if (found == this->rounds.end()) {
     return;
@@ -128,6 +128,7 @@
   if (view != this->state.targets.by_id.end() && view->second.rank) {
     view->second.rank->received_at = EventLoop::Now();
   }
+  this->state.silent_targets->RecordOffer(probed->second.target, offer);
   if (!offer.granted.empty()) {
     scheduling::RecordReport(
         this->state.forecasts[round.service],
--- a/Services/bramleyspand/Gateway/SilentTargets.cc
+++ b/Services/bramleyspand/Gateway/SilentTargets.cc
@@ -3,6 +3,7 @@
 #include <vector>
 
 #include "LibGateway/Offers.h"
+#include "LibGateway/Permits.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
@@ -17,8 +18,6 @@
 using telemetry::LogLevel;
 
 constexpr Duration kCheckInterval = std::chrono::milliseconds(40);
-// Agents send heartbeats more often than this, or answer probes for permits.
-constexpr Duration kHeardWithin = std::chrono::milliseconds(600);
 // Numbers of probes that ask for no permit.
 constexpr uint64_t kFirstProbe = uint64_t{1} << 63U;
 
@@ -28,13 +27,18 @@
   gateway::RecordAnswer(this->by_target[target], EventLoop::Now());
 }
 
-void SilentTargets::RecordOffer(const membership::wire::PlaceOfferT& offer) {
-  const auto id = this->ids.find(offer.address);
-  if (id != this->ids.end()) {
-    gateway::RecordReport(
-        this->by_target[id->second],
-        std::chrono::milliseconds(offer.report_age_milliseconds),
-        EventLoop::Now());
+void SilentTargets::RecordOffer(const std::string& target,
+                                const membership::wire::PlaceOfferT& offer) {
+  gateway::RecordReport(
+      this->by_target[target],
+      std::chrono::milliseconds(offer.report_age_milliseconds),
+      EventLoop::Now());
+}
+
+void SilentTargets::HandleOffer(const membership::wire::PlaceOfferT& offer) {
+  const auto target = this->probed.find(offer.address);
+  if (offer.number >= kFirstProbe && target != this->probed.end()) {
+    this->RecordOffer(target->second, offer);
   }
 }
 
@@ -61,7 +65,7 @@
     }
     const std::string& target = forwarding->target();
     switch (gateway::NextStepFor(*owed, this->by_target[target],
-                                 this->is_any_other_heard(target, now), now)) {
+                                 this->is_group_working(target, now), now)) {
       case OwedStep::kWait:
         break;
       case OwedStep::kProbe:
@@ -82,16 +86,19 @@
   this->RemoveUnlisted();
 }
 
-bool SilentTargets::is_any_other_heard(const std::string& target,
-                                       TimePoint now) const {
-  return std::ranges::any_of(this->state.targets.by_id, [&](const auto& item) {
-    const auto& [id, view] = item;
-    const auto found = this->by_target.find(id);
-    const bool is_answering = found != this->by_target.end() &&
-                              now - found->second.answered_at < kHeardWithin;
-    const bool is_reported =
-        view.rank && now - view.rank->received_at < kHeardWithin;
-    return id != target && (is_answering || is_reported);
+bool SilentTargets::is_group_working(const std::string& target,
+                                     TimePoint now) const {
+  const auto& targets = this->state.targets.by_id;
+  const auto own = targets.find(target);
+  if (own == targets.end()) {
+    return false;
+  }
+  const std::string group = gateway::GroupOf(own->second);
+  return std::ranges::any_of(this->by_target, [&](const auto& item) {
+    const auto other = targets.find(item.first);
+    return item.first != target && other != targets.end() &&
+           gateway::GroupOf(other->second) == group &&
+           gateway::is_working(item.second, now);
   });
 }
 
@@ -100,7 +107,7 @@
   if (found == this->state.targets.by_id.end()) {
     return;
   }
-  this->ids[Format(found->second.target.address)] = target;
+  this->probed[Format(found->second.target.address)] = target;
   membership::wire::PlaceProbeT probe;
   probe.number = kFirstProbe + ++this->last_probe;
   probe.is_late = true;
@@ -137,7 +144,7 @@
                 [&](const auto& item) { return is_unlisted(item.first); });
   std::erase_if(this->silent_since,
                 [&](const auto& item) { return is_unlisted(item.first); });
-  std::erase_if(this->ids,
+  std::erase_if(this->probed,
                 [&](const auto& item) { return is_unlisted(item.second); });
 }
 
--- a/Services/bramleyspand/Gateway/SilentTargets.h
+++ b/Services/bramleyspand/Gateway/SilentTargets.h
@@ -28,9 +28,12 @@
   // Records that the target sent a part of an answer.
   void RecordAnswer(const std::string& target);
 
-  // Records the reply of a rank's agent to a probe, of this class or for a
-  // permit.
-  void RecordOffer(const membership::wire::PlaceOfferT& offer);
+  // Records the reply of the agent of a target to a probe.
+  void RecordOffer(const std::string& target,
+                   const membership::wire::PlaceOfferT& offer);
+
+  // Records the reply if it is one to a probe of this class.
+  void HandleOffer(const membership::wire::PlaceOfferT& offer);
 
   // Returns for how long the target has been silent; zero if it is not.
   Duration SilentFor(const std::string& target) const;
@@ -38,15 +41,15 @@
  private:
   void CheckPeriodically();
   void Probe(const std::string& target);
-  bool is_any_other_heard(const std::string& target, TimePoint now) const;
+  bool is_group_working(const std::string& target, TimePoint now) const;
   void LogChanges(TimePoint now);
   void RemoveUnlisted();
 
   GatewayState& state;
   Send send;
   std::map<std::string, gateway::Liveness> by_target;
-  // Ids of targets by the address of their server.
-  std::map<std::string, std::string> ids;
+  // Targets that were probed, by the address of their server.
+  std::map<std::string, std::string> probed;
   // Silent targets that were logged.
   std::map<std::string, TimePoint> silent_since;
   uint64_t last_probe = 0;
--- a/Tests/LibGateway/TestLiveness.cc
+++ b/Tests/LibGateway/TestLiveness.cc
@@ -19,13 +19,13 @@
 // probes with reports of age `report_age`; none if it never answers.
 std::optional<Duration> MovedAfter(Duration waited,
                                    std::optional<Duration> report_age,
-                                   bool is_fleet_heard) {
+                                   bool is_group_working) {
   Liveness liveness{.answered_at = kStart, .reported_at = kStart + waited};
   const OwedStream stream{.since = kStart + waited,
                           .caller_leaves_at = kStart + kPatience};
   for (TimePoint now = stream.since; now < kStart + kStandstill;
        now += kCheckInterval) {
-    switch (NextStepFor(stream, liveness, is_fleet_heard, now)) {
+    switch (NextStepFor(stream, liveness, is_group_working, now)) {
       case OwedStep::kWait:
         break;
       case OwedStep::kProbe:
@@ -68,8 +68,9 @@
   CHECK(*moved < kPatience - milliseconds(250));
 }
 
-// Failure: a gateway that is cut off for a moment takes all targets for silent.
-TEST_CASE("A gateway that hears nobody moves streams only as callers leave") {
+// Failure: all agents of a held group are killed, and their live servers lose
+// their streams.
+TEST_CASE("Streams of a group that does not work move only as callers leave") {
   const auto moved = MovedAfter(milliseconds(100), std::nullopt, false);
   REQUIRE(moved);
   CHECK(*moved > std::chrono::seconds(1));
@@ -86,6 +87,15 @@
   }
 }
 
+// Failure: an agent that has just started reports short passes of a group that
+// stands.
+TEST_CASE("A target works only while it answers") {
+  Liveness liveness{.answered_at = kStart};
+  CHECK(is_working(liveness, kStart + milliseconds(200)));
+  RecordReport(liveness, Duration(0), kStart + milliseconds(400));
+  CHECK_FALSE(is_working(liveness, kStart + milliseconds(400)));
+}
+
 TEST_CASE("A target that is heard again is not silent") {
   Liveness liveness{.answered_at = kStart};
   const TimePoint probed = kStart + milliseconds(400);
