LibMapSwitch, Specs: Release whichever rank holds an aborted switch

If a hold order of the same switch was carried out late at a second rank, the aborting owner went on addressing the first and the group stood. Found by reading; not seen. No rank is or can be armed then, so any hold may go.

--- a/Libraries/LibMapSwitch/Orders.cc
+++ b/Libraries/LibMapSwitch/Orders.cc
@@ -22,9 +22,10 @@
     return std::nullopt;
   }
   if (desired_map.is_aborted) {
-    return own.held == desired_map.hold_step
-               ? std::optional<OrderBody>(Go{.step = own.held})
-               : std::nullopt;
+    // No rank is armed for any pass.
+    const bool may_go = own.held != 0 && own.held <= desired_map.hold_step;
+    return may_go ? std::optional<OrderBody>(Go{.step = own.held})
+                  : std::nullopt;
   }
   if (desired_map.is_released) {
     // All ranks are armed for arm_step and none for an earlier pass.
--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -291,6 +291,10 @@
   }
   desired_map.is_aborted =
       desired_map.is_aborted || own.prepared >= map_switch.abort_version;
+  const auto current_holder = FindHolder(map_switch, now);
+  if (current_holder) {
+    desired_map.holder = *current_holder;
+  }
   // A go order that was not answered may arrive until the pass has begun, so no
   // other switch may hold that pass.
   if (desired_map.is_aborted && own.step >= desired_map.hold_step) {
--- a/Specs/MapSwitch.pml
+++ b/Specs/MapSwitch.pml
@@ -17,6 +17,8 @@
 // variant TRUST_UNTOLD a standby owner infers that rank 0 is armed without having received its arm step
 // variant RESUME_TELLING a restarted owner sends the arm step before its own rank is armed
 // variant TELL_BEFORE_OWN_ARM the owner sends the arm step before its own rank is armed
+// variant ABORT_WITHOUT_RECORD the group is released before the owner's rank can't be armed any more
+// variant STANDBY_ARMS_FIRST a standby owner arms other ranks before the owner's
 // options -DVECTORSZ=1024 -DCOLLAPSE
 
 #define RANKS 3
@@ -38,6 +40,9 @@
 #define ARMING_OWNER 3
 #define ARMING 4
 #define RELEASING 5
+#define ABORTING 6
+// The version that the owner's rank prepares to abort a switch.
+#define ABORT_VERSION LAST_VERSION
 
 #ifdef GO_ANY_HELD
 #define MAY_GO(held_step, armed_for) true
@@ -65,6 +70,17 @@
 #define SENDS_BEFORE_OWN_ARM false
 #endif
 
+#ifdef ABORT_WITHOUT_RECORD
+#define ABORTS_AT_ONCE true
+#else
+#define ABORTS_AT_ONCE false
+#endif
+#ifdef STANDBY_ARMS_FIRST
+#define STANDBY_RESUMES_AT_ARMING true
+#else
+#define STANDBY_RESUMES_AT_ARMING false
+#endif
+
 typedef RankStatus {
   byte map;
   byte newest;
@@ -79,7 +95,8 @@
   byte hold_step;
   byte holder;
   byte arm_step;
-  bool is_released
+  bool is_released;
+  bool is_aborted
 };
 
 typedef Order {
@@ -120,7 +137,8 @@
   to.hold_step = from.hold_step;
   to.holder = from.holder;
   to.arm_step = from.arm_step;
-  to.is_released = from.is_released
+  to.is_released = from.is_released;
+  to.is_aborted = from.is_aborted
 }
 
 // Values that have no meaning between two steps must not distinguish states.
@@ -133,7 +151,8 @@
   current.hold_step = 0;
   current.holder = 0;
   current.arm_step = 0;
-  current.is_released = false
+  current.is_released = false;
+  current.is_aborted = false
 }
 
 // A server executes an order or refuses it.
@@ -178,11 +197,20 @@
   order_version = current.version;
   order_step = 0;
   if
-  :: current.hold_step != 0 && current.holder == at_rank && current.is_released &&
+  :: current.hold_step != 0 && current.holder == at_rank && current.is_aborted ->
+       if
+       :: ranks[at_rank].held != 0 && ranks[at_rank].held <= current.hold_step ->
+            kind = GO;
+            order_step = ranks[at_rank].held
+       :: else -> skip
+       fi
+  :: current.hold_step != 0 && current.holder == at_rank && !current.is_aborted &&
+     current.is_released &&
      ranks[at_rank].held != 0 && MAY_GO(ranks[at_rank].held, current.arm_step) ->
        kind = GO;
        order_step = ranks[at_rank].held
-  :: current.hold_step != 0 && current.holder == at_rank && !current.is_released &&
+  :: current.hold_step != 0 && current.holder == at_rank && !current.is_aborted &&
+     !current.is_released &&
      ranks[at_rank].held == 0 && current.arm_step == 0 &&
      ranks[at_rank].armed == 0 &&
      ranks[at_rank].prepared == current.version && step < current.hold_step ->
@@ -257,6 +285,7 @@
        map_switch.desired_map.arm_step = map_switch.statuses[holder].held;
        map_switch.desired_map.holder = holder;
        map_switch.desired_map.is_released = false;
+       map_switch.desired_map.is_aborted = false;
        map_switch.desired_map.version = map_switch.statuses[0].prepared;
        is_any_armed = false;
        i = 0;
@@ -277,7 +306,8 @@
                            SAME_PREPARED(map_switch,
                                          map_switch.statuses[0].prepared)) ->
             if
-            :: is_standby || RESUMES_AT_ARMING -> map_switch.phase = ARMING
+            :: (is_standby && STANDBY_RESUMES_AT_ARMING) || RESUMES_AT_ARMING ->
+                 map_switch.phase = ARMING
             :: else -> map_switch.phase = ARMING_OWNER
             fi
        :: else -> skip
@@ -307,8 +337,28 @@
   :: map_switch.phase == HOLDING && holder < RANKS ->
        map_switch.desired_map.holder = holder;
        map_switch.desired_map.hold_step = map_switch.statuses[holder].held;
+       // A rank may be silent or not.
+       if
+       :: map_switch.desired_map.arm_step = map_switch.desired_map.hold_step;
+          map_switch.phase = ARMING_OWNER
+       :: map_switch.desired_map.version < ABORT_VERSION ->
+            map_switch.phase = ABORTING
+       fi
+  :: map_switch.phase == ABORTING && !map_switch.desired_map.is_aborted &&
+     map_switch.statuses[0].armed != 0 ->
        map_switch.desired_map.arm_step = map_switch.desired_map.hold_step;
        map_switch.phase = ARMING_OWNER
+  :: map_switch.phase == ABORTING && !map_switch.desired_map.is_aborted &&
+     map_switch.statuses[0].armed == 0 &&
+     (map_switch.statuses[0].prepared == ABORT_VERSION || ABORTS_AT_ONCE) ->
+       map_switch.desired_map.is_aborted = true
+  :: map_switch.phase == ABORTING && map_switch.desired_map.is_aborted &&
+     map_switch.received_step >= map_switch.desired_map.hold_step ->
+       map_switch.phase = IDLE
+  :: map_switch.phase == ABORTING && map_switch.desired_map.is_aborted &&
+     map_switch.received_step < map_switch.desired_map.hold_step &&
+     holder < RANKS ->
+       map_switch.desired_map.holder = holder
   :: map_switch.phase == HOLDING && holder == RANKS &&
      map_switch.desired_map.hold_step <= map_switch.received_step &&
      map_switch.received_step + 1 <= LAST_STEP ->
@@ -361,6 +411,7 @@
        map_switch.desired_map.holder = 0;
        map_switch.desired_map.arm_step = 0;
        map_switch.desired_map.is_released = false;
+       map_switch.desired_map.is_aborted = false;
        map_switch.phase = PREPARING
   :: else -> skip
   fi
@@ -378,13 +429,24 @@
      (desired_maps[at_rank].version == owner.desired_map.version &&
       (desired_maps[at_rank].arm_step > arm ||
        desired_maps[at_rank].hold_step > owner.desired_map.hold_step ||
+       (desired_maps[at_rank].is_aborted && !owner.desired_map.is_aborted) ||
        (desired_maps[at_rank].is_released && !owner.desired_map.is_released))) -> skip
   :: else ->
        desired_maps[at_rank].version = owner.desired_map.version;
        desired_maps[at_rank].hold_step = owner.desired_map.hold_step;
        desired_maps[at_rank].holder = owner.desired_map.holder;
        desired_maps[at_rank].arm_step = arm;
-       desired_maps[at_rank].is_released = owner.desired_map.is_released
+       desired_maps[at_rank].is_released = owner.desired_map.is_released;
+       desired_maps[at_rank].is_aborted = owner.desired_map.is_aborted;
+       if
+       :: owner.phase == ABORTING && at_rank == 0 ->
+            desired_maps[0].version = ABORT_VERSION;
+            if
+            :: owner.desired_map.is_aborted -> skip
+            :: else -> desired_maps[0].hold_step = 0
+            fi
+       :: else -> skip
+       fi
   fi;
   arm = 0
 }
@@ -415,6 +477,7 @@
   map_switch.desired_map.holder = 0;
   map_switch.desired_map.arm_step = 0;
   map_switch.desired_map.is_released = false;
+  map_switch.desired_map.is_aborted = false;
   map_switch.received_step = 0;
   i = 0;
   do
@@ -501,16 +564,22 @@
   :: atomic { restarts < MAX_RESTARTS -> restarts++; ClearSwitch(owner);
               desired_maps[0].version = 0; desired_maps[0].hold_step = 0;
               desired_maps[0].holder = 0; desired_maps[0].arm_step = 0;
-              desired_maps[0].is_released = false }
+              desired_maps[0].is_released = false;
+              desired_maps[0].is_aborted = false }
   // While the group is held, the standby owner polls the other ranks and sends
   // them orders.
-  :: atomic { IS_STUCK -> select(rank : 1 .. RANKS - 1);
+  :: atomic { IS_STUCK -> select(rank : 0 .. RANKS - 1);
               Copy(standby.statuses[rank], ranks[rank]);
               standby.has_status[rank] = true; rank = 0 }
   :: atomic { true -> InferOwnerArmed(); Continue(standby, true);
               holder = 0; i = 0; newest = 0; is_any_armed = false }
+  :: atomic { standby.phase == ARMING_OWNER && standby.statuses[0].armed == 0 ->
+              CopyDesiredMap(current, standby.desired_map);
+              NextOrder(0);
+              Send(kind, 0, order_version, order_step);
+              ClearOrder() }
   :: atomic { standby.phase == ARMING || standby.phase == RELEASING ->
-              select(rank : 1 .. RANKS - 1);
+              select(rank : 0 .. RANKS - 1);
               CopyDesiredMap(current, standby.desired_map);
               NextOrder(rank);
               Send(kind, rank, order_version, order_step);
