LibHTTP: Begin and end each answer once, by state

Cause, as far as this library goes: nothing kept how far an answer had got. IngressExchange::Respond wrote a whole answer whatever had been written before it, StartStream began a stream inside another one, and Write and Finish went out without a head. At the server of entries and agents the same calls end the process: h2o asserts that a generator is set once. Each caller of these functions had to remember it by itself; one of them did not.

Change: AnswerPhase (not begun, streaming, ended) and Advance, a table of five steps by three phases, which both kinds of exchange ask before they write. A step that would begin a second answer, or go on with one that has not begun, cuts the connection as Abort does; after the end all steps are ignored.

TestAnswerPhase performs any order of calls and reads what the caller gets. On the code before:

TestLibHTTP -tc="property: an ingress sends one answer or cuts it*" Falsifiable after 16 tests and 1 shrink RC_ASSERT(body == WholeBody(calls)) test cases: 1 | 0 passed | 1 failed TestLibHTTP -tc="property: a server sends one answer or cuts it*" TestLibHTTP: ./lib/core/request.c:423: h2o_send: Assertion `req->_generator != NULL' failed. test cases: 1 | 0 passed | 1 failed

Both pass now, as do the other 28 of TestLibHTTP.

--- a/Libraries/LibHTTP/Ingress.h
+++ b/Libraries/LibHTTP/Ingress.h
@@ -13,6 +13,7 @@
 #include "Kernel/EventLoop.h"
 #include "Kernel/Listener.h"
 #include "Kernel/Result.h"
+#include "LibHTTP/AnswerPhase.h"
 #include "LibHTTP/Message.h"
 #include "LibHTTP/Parser.h"
 
@@ -44,7 +45,8 @@
 class IngressConnection;
 
 // Sends the answer to one request. It may outlive its connection, in which case
-// calls have no effect.
+// calls have no effect. Calls in an order that makes up no single answer cut it
+// (AnswerPhase.h).
 class IngressExchange : public std::enable_shared_from_this<IngressExchange> {
  public:
   // Sends a complete answer.
@@ -69,9 +71,14 @@
  private:
   friend class IngressConnection;
 
+  // Whether the handler's step is to be performed.
+  bool MayPerform(AnswerStep step);
+  // Detaches the exchange from its connection, since its answer has ended.
+  std::shared_ptr<IngressConnection> Detach();
+
   IngressConnection* connection = nullptr;
   std::function<void()> disconnect_callback;
-  bool is_streaming = false;
+  AnswerPhase phase = AnswerPhase::kNotBegun;
   bool is_chunked = true;
 };
 
--- a/Libraries/LibHTTP/IngressConnection.cc
+++ b/Libraries/LibHTTP/IngressConnection.cc
@@ -340,41 +340,63 @@
   }
 }
 
+bool IngressExchange::MayPerform(AnswerStep step) {
+  if (this->is_closed()) {
+    return false;
+  }
+  const StepOutcome outcome = Advance(this->phase, step);
+  if (outcome == StepOutcome::kCut) {
+    this->disconnect_callback = nullptr;
+    // Without chunks, only a reset distinguishes a truncated answer from a
+    // complete one.
+    if (!this->is_chunked) {
+      const linger reset{.l_onoff = 1, .l_linger = 0};
+      setsockopt(h2o_socket_get_fd(this->connection->socket), SOL_SOCKET,
+                 SO_LINGER, &reset, sizeof reset);
+    }
+    this->connection->Close();
+  }
+  return outcome == StepOutcome::kPerform;
+}
+
+std::shared_ptr<IngressConnection> IngressExchange::Detach() {
+  auto channel = this->connection->shared_from_this();
+  this->disconnect_callback = nullptr;
+  this->connection = nullptr;
+  channel->exchange = nullptr;
+  channel->is_last = channel->is_last || channel->server.is_draining;
+  channel->is_answered = true;
+  return channel;
+}
+
 void IngressExchange::Respond(int status,
                               const HeaderList& headers,
                               std::string_view body) {
-  if (this->is_closed()) {
+  if (!this->MayPerform(AnswerStep::kRespond)) {
     return;
   }
-  auto keep_until_return = this->connection->shared_from_this();
-  IngressConnection& channel = *this->connection;
-  channel.is_last = channel.is_last || channel.server.is_draining;
-  this->disconnect_callback = nullptr;
-  this->connection = nullptr;
-  channel.exchange = nullptr;
-  channel.is_answered = true;
-  std::string bytes = channel.SerializeHead(
+  const auto channel = this->Detach();
+  std::string bytes = channel->SerializeHead(
       status, headers,
       "content-length: " + std::to_string(body.size()) + "\r\n");
   bytes.append(body);
-  channel.Send(bytes);
+  channel->Send(bytes);
 }
 
 void IngressExchange::StartStream(int status, const HeaderList& headers) {
-  if (this->is_closed()) {
+  if (!this->MayPerform(AnswerStep::kStartStream)) {
     return;
   }
   IngressConnection& channel = *this->connection;
   channel.is_last =
       channel.is_last || channel.server.is_draining || !this->is_chunked;
-  this->is_streaming = true;
   channel.Send(channel.SerializeHead(
       status, headers,
       this->is_chunked ? "transfer-encoding: chunked\r\n" : ""));
 }
 
 void IngressExchange::Write(std::string_view bytes) {
-  if (this->is_closed() || bytes.empty()) {
+  if (bytes.empty() || !this->MayPerform(AnswerStep::kWrite)) {
     return;
   }
   IngressConnection& channel = *this->connection;
@@ -391,36 +413,19 @@
 }
 
 void IngressExchange::Finish() {
-  if (this->is_closed()) {
+  if (!this->MayPerform(AnswerStep::kFinish)) {
     return;
   }
-  auto keep_until_return = this->connection->shared_from_this();
-  IngressConnection& channel = *this->connection;
-  this->disconnect_callback = nullptr;
-  this->connection = nullptr;
-  channel.exchange = nullptr;
-  channel.is_last = channel.is_last || channel.server.is_draining;
-  channel.is_answered = true;
+  const auto channel = this->Detach();
   if (this->is_chunked) {
-    channel.Send("0\r\n\r\n");
+    channel->Send("0\r\n\r\n");
   } else {
-    channel.EndAnswer();
+    channel->EndAnswer();
   }
 }
 
 void IngressExchange::Abort() {
-  if (this->is_closed()) {
-    return;
-  }
-  this->disconnect_callback = nullptr;
-  // Without chunks, only a reset distinguishes a truncated answer from a
-  // complete one.
-  if (!this->is_chunked) {
-    const linger reset{.l_onoff = 1, .l_linger = 0};
-    setsockopt(h2o_socket_get_fd(this->connection->socket), SOL_SOCKET,
-               SO_LINGER, &reset, sizeof reset);
-  }
-  this->connection->Close();
+  this->MayPerform(AnswerStep::kAbort);
 }
 
 }  // namespace bramleyspan::http
--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -93,19 +93,48 @@
 
 }  // namespace
 
-void Exchange::Respond(const Response& response) {
+bool Exchange::MayPerform(AnswerStep step) {
   if (this->is_closed()) {
-    return;
+    return false;
+  }
+  const StepOutcome outcome = Advance(this->phase, step);
+  if (outcome == StepOutcome::kCut) {
+    this->Cut();
+  }
+  return outcome == StepOutcome::kPerform;
+}
+
+void Exchange::Cut() {
+  const bool is_head_sent = this->request->_generator != nullptr;
+  if (is_head_sent) {
+    this->EndAs(End::kTruncated);
+  } else {
+    this->buffered_answer.reset();
+    this->SendWhole(TruncatedAnswer());
   }
+}
+
+void Exchange::SendWhole(const Response& response) {
   this->SetHead(response.status, response.headers);
   this->request->res.content_length = response.body.size();
   this->StartGenerator();
   this->pending = response.body;
-  this->Finish();
+  this->EndAs(End::kWhole);
+}
+
+void Exchange::EndAs(End kind) {
+  this->end = kind;
+  this->Flush();
+}
+
+void Exchange::Respond(const Response& response) {
+  if (this->MayPerform(AnswerStep::kRespond)) {
+    this->SendWhole(response);
+  }
 }
 
 void Exchange::StartStream(int status, const HeaderList& headers) {
-  if (this->is_closed()) {
+  if (!this->MayPerform(AnswerStep::kStartStream)) {
     return;
   }
   if (!can_show_truncation(*this->request, status)) {
@@ -122,7 +151,7 @@
 }
 
 void Exchange::Write(std::string_view bytes) {
-  if (this->is_closed() || this->end != End::kNone || bytes.empty()) {
+  if (bytes.empty() || !this->MayPerform(AnswerStep::kWrite)) {
     return;
   }
   if (this->buffered_answer) {
@@ -142,29 +171,18 @@
 }
 
 void Exchange::Finish() {
-  this->EndAs(End::kWhole);
-}
-
-void Exchange::Abort() {
-  this->EndAs(End::kTruncated);
-}
-
-void Exchange::EndAs(End kind) {
-  // The first end is final. A stream that was truncated for a slow caller, with
-  // bytes still being sent, must not be ended as complete by its source.
-  if (this->buffered_answer) {
-    this->EndBuffered(kind);
+  if (!this->MayPerform(AnswerStep::kFinish)) {
     return;
   }
-  if (this->end == End::kNone) {
-    this->end = kind;
+  if (this->buffered_answer) {
+    this->SendWhole(*std::exchange(this->buffered_answer, std::nullopt));
+  } else {
+    this->EndAs(End::kWhole);
   }
-  this->Flush();
 }
 
-void Exchange::EndBuffered(End kind) {
-  const Response whole = *std::exchange(this->buffered_answer, std::nullopt);
-  this->Respond(kind == End::kWhole ? whole : TruncatedAnswer());
+void Exchange::Abort() {
+  this->MayPerform(AnswerStep::kAbort);
 }
 
 void Exchange::OnDisconnect(std::function<void()> callback) {
@@ -253,9 +271,7 @@
   auto keep_until_return = this->shared_from_this();
   auto callback = std::exchange(this->disconnect_callback, nullptr);
   this->pending.clear();
-  const bool is_unanswered = !this->buffered_answer && !this->is_closed() &&
-                             this->request->_generator == nullptr;
-  if (is_unanswered) {
+  if (this->phase == AnswerPhase::kNotBegun) {
     this->Respond({.status = kCallerClosedRequest, .headers = {}, .body = ""});
   } else {
     this->Abort();
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -11,12 +11,14 @@
 #include "Kernel/EventLoop.h"
 #include "Kernel/Listener.h"
 #include "Kernel/Result.h"
+#include "LibHTTP/AnswerPhase.h"
 #include "LibHTTP/Message.h"
 
 namespace bramleyspan::http {
 
 // One request and its answer. It may outlive its connection, in which case
-// calls have no effect.
+// calls have no effect. Calls in an order that makes up no single answer cut it
+// (AnswerPhase.h).
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
   Exchange(h2o_req_t* request, size_t max_pending_bytes)
@@ -53,8 +55,11 @@
   friend class Server;
   enum class End { kNone, kWhole, kTruncated };
 
+  // Whether the handler's step is to be performed.
+  bool MayPerform(AnswerStep step);
+  void Cut();
+  void SendWhole(const Response& response);
   void EndAs(End kind);
-  void EndBuffered(End kind);
   void SetHead(int status, const HeaderList& headers);
   void StartGenerator();
   void Flush();
@@ -64,6 +69,7 @@
   void Abandon();
 
   h2o_req_t* request;
+  AnswerPhase phase = AnswerPhase::kNotBegun;
   // A streamed answer that is sent only when its end is known.
   std::optional<Response> buffered_answer;
   size_t max_pending_bytes;
