LibHTTP: Reset a stream without chunks however it is cut

What callers saw: a caller of HTTP/1.0 took a stream for complete that was cut because it read too slowly, or because the process stopped or died.

Cause: such a stream ends with its connection, so that only a reset shows a cut. Abort alone set that. Write closed in order past max_pending_bytes, the destructor of Ingress at the end of a stop's grace time, and so did the kernel for a process that was killed.

Change: the connection is to be reset on close from the head of such a stream on, and no longer once its last byte is written. So it holds for every way to end, also for those that run none of our code.

Ruled out: holding such an answer back until its end is known, as the server of entries does. Its caller would get its first event with its last one.

Seen to fail on the code before:

TestIngress.cc: A stream to an HTTP/1.0 caller that reads too slowly is reset CHECK_FALSE( caller.ReadAll() ) is NOT correct! values: CHECK_FALSE( true ) TestIngress.cc: A stream to an HTTP/1.0 caller that a stop cuts is reset the same, for is_finished := false and true test cases: 3 | 1 passed | 2 failed

Both pass now. A kill is not played: it takes the same way in the kernel.

--- a/Libraries/LibHTTP/IngressConnection.cc
+++ b/Libraries/LibHTTP/IngressConnection.cc
@@ -334,12 +334,22 @@
   this->phase = Phase::kLingering;
   this->since = EventLoop::Now();
   this->exchange = nullptr;
+  this->ResetOnClose(false);
   shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
   if (h2o_socket_is_reading(this->socket) == 0) {
     this->Start();
   }
 }
 
+void IngressConnection::ResetOnClose(bool is_reset) {
+  if (std::exchange(this->is_reset_on_close, is_reset) == is_reset) {
+    return;
+  }
+  const linger option{.l_onoff = is_reset ? 1 : 0, .l_linger = 0};
+  setsockopt(h2o_socket_get_fd(this->socket), SOL_SOCKET, SO_LINGER, &option,
+             sizeof option);
+}
+
 bool IngressExchange::MayPerform(AnswerStep step) {
   if (this->is_closed()) {
     return false;
@@ -347,13 +357,7 @@
   const StepOutcome outcome = Advance(this->phase, step);
   if (outcome == StepOutcome::kCut) {
     this->disconnect_callback = nullptr;
-    // Without chunks, only a reset distinguishes a truncated answer from a
-    // complete one.
-    if (!this->is_chunked) {
-      const linger reset{.l_onoff = 1, .l_linger = 0};
-      setsockopt(h2o_socket_get_fd(this->connection->socket), SOL_SOCKET,
-                 SO_LINGER, &reset, sizeof reset);
-    }
+    this->connection->ResetOnClose(!this->is_chunked);
     this->connection->Close();
   }
   return outcome == StepOutcome::kPerform;
@@ -390,6 +394,7 @@
   IngressConnection& channel = *this->connection;
   channel.is_last =
       channel.is_last || channel.server.is_draining || !this->is_chunked;
+  channel.ResetOnClose(!this->is_chunked);
   channel.Send(channel.SerializeHead(
       status, headers,
       this->is_chunked ? "transfer-encoding: chunked\r\n" : ""));
--- a/Libraries/LibHTTP/IngressConnection.h
+++ b/Libraries/LibHTTP/IngressConnection.h
@@ -39,6 +39,10 @@
   void HandleWritten(const char* failure);
   void EndAnswer();
   void Linger();
+  // From now on the connection is reset when it is closed, by whomever, until
+  // its answer is written as a whole. The caller of an answer without length or
+  // chunks takes an orderly close for its end.
+  void ResetOnClose(bool is_reset);
   std::string SerializeHead(int status,
                             const HeaderList& headers,
                             std::string_view framing) const;
@@ -54,6 +58,7 @@
   // Whether the connection closes after the current answer.
   bool is_last = false;
   bool is_answered = false;
+  bool is_reset_on_close = false;
   std::optional<RequestHead> head;
   BodyReader body_reader;
   std::string body;
--- a/Tests/LibHTTP/Fixture.h
+++ b/Tests/LibHTTP/Fixture.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <memory>
 #include <string>
@@ -94,4 +96,41 @@
   h2o_socket_t* socket = nullptr;
 };
 
+// A client that sends raw bytes and reads nothing before ReadAll, which blocks.
+class LateReader {
+ public:
+  LateReader(const Address& address, const std::string& bytes)
+      : descriptor(socket(AF_INET, SOCK_STREAM, 0)) {
+    const sockaddr_in target = ToSocketAddress(address);
+    REQUIRE(connect(this->descriptor,
+                    reinterpret_cast<const sockaddr*>(&target),
+                    sizeof target) == 0);
+    REQUIRE(send(this->descriptor, bytes.data(), bytes.size(), 0) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+  ~LateReader() { close(this->descriptor); }
+  LateReader(const LateReader&) = delete;
+  LateReader& operator=(const LateReader&) = delete;
+
+  // Ends the sending direction alone.
+  void StopSending() { shutdown(this->descriptor, SHUT_WR); }
+
+  // Reads until the connection ends. Returns whether it was closed, and not
+  // reset.
+  bool ReadAll() {
+    std::string buffer(1 << 16, 0);
+    ssize_t count = 0;
+    while ((count = recv(this->descriptor, buffer.data(), buffer.size(), 0)) >
+           0) {
+      this->received.append(buffer, 0, static_cast<size_t>(count));
+    }
+    return count == 0;
+  }
+
+  std::string received;
+
+ private:
+  int descriptor;
+};
+
 }  // namespace bramleyspan::http
--- a/Tests/LibHTTP/TestIngress.cc
+++ b/Tests/LibHTTP/TestIngress.cc
@@ -331,6 +331,49 @@
   }
 }
 
+// Failure: as above, for a caller that reads too slowly.
+TEST_CASE("A stream to an HTTP/1.0 caller that reads too slowly is reset") {
+  IngressFixture fixture;
+  fixture.Serve(
+      [&fixture](const IngressRequest&,
+                 const std::shared_ptr<IngressExchange>& exchange) {
+        exchange->OnDisconnect([&fixture] { fixture.loop.Stop(); });
+        exchange->StartStream(200, {});
+        while (!exchange->is_closed()) {
+          exchange->Write(std::string(1 << 16, 'x'));
+        }
+      },
+      {.max_pending_bytes = 1 << 17});
+  LateReader caller(fixture.address(), "GET / HTTP/1.0\r\n\r\n");
+  fixture.loop.Run();
+  CHECK_FALSE(caller.ReadAll());
+}
+
+// Failure: as above, for a stream that a stop cuts, finished or not.
+TEST_CASE("A stream to an HTTP/1.0 caller that a stop cuts is reset") {
+  for (const bool is_finished : {false, true}) {
+    CAPTURE(is_finished);
+    IngressFixture fixture;
+    fixture.Serve(
+        [&fixture, is_finished](
+            const IngressRequest&,
+            const std::shared_ptr<IngressExchange>& exchange) {
+          exchange->StartStream(200, {});
+          exchange->Write(std::string(1 << 23, 'x'));
+          if (is_finished) {
+            exchange->Finish();
+          }
+          fixture.loop.RunAfter(std::chrono::milliseconds(50),
+                                [&fixture] { fixture.loop.Stop(); });
+        },
+        {.max_pending_bytes = 1 << 24});
+    LateReader caller(fixture.address(), "GET / HTTP/1.0\r\n\r\n");
+    fixture.loop.Run();
+    fixture.ingress = nullptr;
+    CHECK_FALSE(caller.ReadAll());
+  }
+}
+
 // Guards against taking a truncated answer for a complete one: a server died
 // while it wrote an answer with status 200.
 TEST_CASE("Each kind of failed answer ends with its own outcome") {
