LibHTTP: Send no end after bytes that were dropped

What callers saw: a caller of an entry that had closed its sending direction, and still read, got a stream whose last bytes were missing and whose end was there.

Cause: Exchange::Abandon, which drops what waits for a caller that has left or reads too slowly, cleared the pending bytes; for a stream that its source had finished already it left the end as it was, "whole", and sent it.

Change: an answer of which bytes were dropped ends as truncated, also if it was finished. One that has nothing left to send keeps its end.

Seen to fail on:

TestServer.cc: a finished stream whose bytes were dropped is reported as truncated CHECK_FALSE( caller.received.ends_with("\r\n0\r\n\r\n") ) is NOT correct! test cases: 1 | 0 passed | 1 failed

--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -270,11 +270,15 @@
 void Exchange::Abandon() {
   auto keep_until_return = this->shared_from_this();
   auto callback = std::exchange(this->disconnect_callback, nullptr);
+  const bool is_complete =
+      this->phase == AnswerPhase::kEnded && this->pending.empty();
   this->pending.clear();
   if (this->phase == AnswerPhase::kNotBegun) {
     this->Respond({.status = kCallerClosedRequest, .headers = {}, .body = ""});
-  } else {
-    this->Abort();
+  } else if (!is_complete && !this->is_closed()) {
+    // Also an answer that was finished, but whose last bytes were not sent.
+    this->phase = AnswerPhase::kEnded;
+    this->Cut();
   }
   if (callback) {
     callback();
--- a/Tests/LibHTTP/TestServer.cc
+++ b/Tests/LibHTTP/TestServer.cc
@@ -1,4 +1,6 @@
+#include <atomic>
 #include <random>
+#include <thread>
 
 #include "Tests/LibHTTP/Fixture.h"
 
@@ -48,6 +50,40 @@
   }
 }
 
+// Failure: the end of an answer is sent though its last bytes were dropped,
+// since its caller has closed its sending direction.
+TEST_CASE(
+    "a finished stream whose bytes were dropped is reported as truncated") {
+  Fixture fixture;
+  fixture.Serve(
+      [&fixture](const Request&, const auto& exchange) {
+        exchange->OnDisconnect([&fixture] { fixture.loop.Stop(); });
+        exchange->StartStream(200, {});
+        fixture.loop.RunAfter(std::chrono::milliseconds(5), [exchange] {
+          exchange->Write(std::string(1 << 23, 'x'));
+          exchange->Write("last bytes");
+          exchange->Finish();
+        });
+      },
+      {.max_pending_bytes = 1 << 24,
+       .disconnect_check_interval = std::chrono::milliseconds(10)});
+  LateReader caller(fixture.address(), "GET / HTTP/1.1\r\n\r\n");
+  caller.StopSending();
+  fixture.loop.Run();
+  std::atomic<bool> has_ended = false;
+  std::thread reader([&caller, &has_ended] {
+    caller.ReadAll();
+    has_ended = true;
+  });
+  while (!has_ended) {
+    fixture.loop.RunAfter(std::chrono::milliseconds(1),
+                          [&fixture] { fixture.loop.Stop(); });
+    fixture.loop.Run();
+  }
+  reader.join();
+  CHECK_FALSE(caller.received.ends_with("\r\n0\r\n\r\n"));
+}
+
 TEST_CASE("a stream of any status arrives complete") {
   for (const int status : {200, 201, 404, 503}) {
     Fixture fixture;
