Entry: End a call whose agent's frames are no answer

Cause: HandleCallHead and HandleCallChunk took any frame of an open attempt. No agent of ours sends such frames; one of another build, or one whose attempt number is taken for another's, would end all calls of the entry.

Change: such a frame ends the attempt as unknown and cancels it at its agent: an answer that has begun is cut, another call is routed again or refused as any lost one. No test of its own: the entry has none without an agent; the exchange behind it is tested by TestAnswerPhase.

--- a/Services/bramleyspand/Entry/Calls.cc
+++ b/Services/bramleyspand/Entry/Calls.cc
@@ -152,12 +152,27 @@
               .retry_after = Duration(end.retry_after_microseconds)});
 }
 
+// Ends a call whose agent sends a second head, or a piece before the first one:
+// they are no one answer.
+void EndContradictoryAttempt(EntryState& state, uint64_t attempt) {
+  const uint64_t id = state.call_of_attempt.at(attempt);
+  CancelAtAgent(state, state.calls.at(id));
+  EndAttempt(state, id,
+             {.verdict = calls::Verdict::kUnknown,
+              .error = ErrorCode::kTargetFailed,
+              .detail = "the agent's frames are no answer",
+              .retry_after = kRetryAfter});
+}
+
 void HandleCallHead(EntryState& state, const wire::CallHeadT& head) {
   OpenCall* open = FindAttempt(state, head.call);
   if (open == nullptr) {
     return;
   }
-  open->attempt.has_head = true;
+  if (std::exchange(open->attempt.has_head, true)) {
+    EndContradictoryAttempt(state, head.call);
+    return;
+  }
   telemetry::Observe(metric_names::kFirstByteTime, {},
                      EventLoop::Now() - open->arrived_at);
   open->last_received = EventLoop::Now();
@@ -171,6 +186,10 @@
   if (open == nullptr) {
     return;
   }
+  if (!open->attempt.has_head) {
+    EndContradictoryAttempt(state, chunk.call);
+    return;
+  }
   open->last_received = EventLoop::Now();
   RecordFirstByte(state, chunk.call);
   open->exchange->Write(chunk.bytes);
