Gateway: Begin no second answer for one caller

Cause: what the caller had got was a flag, has_started_answer, that each of six ends of a request looked at by itself. The seventh, ForwardAnswer, did not. It took whatever whole answer a target gave for the answer to the caller, and a status below 500 without any other target being tried.

Change: - LibGateway/CallerAnswer knows what the caller has got, and decides alone what becomes of an event, of the end of a target's answer, and of a request that no target answers. A 200 that says it is no event stream is no stream (it looked whole if it had no unfinished event).

Why it holds: the state is asked where a step is decided, not by each way to it, and IngressExchange cuts what is asked for all the same.

The 127 cases of TestLibGateway pass.

--- a/Libraries/LibGateway/EventReader.cc
+++ b/Libraries/LibGateway/EventReader.cc
@@ -7,13 +7,19 @@
 
 namespace {
 
+// Removes and returns the first line of an event, without its line feed.
+std::string_view TakeLine(std::string_view& event) {
+  const size_t end = event.find('\n');
+  const std::string_view line = event.substr(0, end);
+  event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+  return line;
+}
+
 // Returns the number in the event's last `id` line that has one.
 std::optional<uint64_t> FindId(std::string_view event) {
   std::optional<uint64_t> id;
   while (!event.empty()) {
-    const size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
-    event.remove_prefix(end == std::string_view::npos ? event.size() : end + 1);
+    std::string_view line = TakeLine(event);
     if (!line.starts_with("id:")) {
       continue;
     }
@@ -48,6 +54,17 @@
 
 }  // namespace
 
+bool StreamEvent::is_comment() const {
+  std::string_view event = this->bytes;
+  while (!event.empty()) {
+    const std::string_view line = TakeLine(event);
+    if (!line.empty() && line != "\r" && !line.starts_with(':')) {
+      return false;
+    }
+  }
+  return true;
+}
+
 void EventReader::Read(
     std::string_view bytes,
     const std::function<void(const StreamEvent&)>& on_event) {
--- a/Libraries/LibGateway/EventReader.h
+++ b/Libraries/LibGateway/EventReader.h
@@ -15,6 +15,9 @@
 struct StreamEvent {
   std::string bytes;
   std::optional<uint64_t> id;
+
+  // Whether it has comments only, which mean nothing to a reader.
+  bool is_comment() const;
 };
 
 class EventReader {
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -192,7 +192,8 @@
 bool Forwarding::TryRepeat(std::string_view cause, bool has_reached_target) {
   const TimePoint now = EventLoop::Now();
   constexpr Duration kMinTimeLeft = std::chrono::milliseconds(20);
-  if (now + kMinTimeLeft > this->deadline || this->exchange->is_closed()) {
+  if (now + kMinTimeLeft > this->deadline || this->exchange->is_closed() ||
+      !gateway::may_go_on(this->caller)) {
     return false;
   }
   // Only targets that the request was sent to count towards the route's limit;
@@ -230,32 +231,6 @@
   return true;
 }
 
-void Forwarding::Refuse(int status,
-                        std::string_view cause,
-                        bool has_retry_after) {
-  http::HeaderList headers;
-  if (has_retry_after) {
-    headers.emplace_back("retry-after", this->RetryAfter());
-  }
-  this->RespondRefusal(status, cause, headers, "");
-}
-
-void Forwarding::RespondRefusal(int status,
-                                std::string_view cause,
-                                const http::HeaderList& headers,
-                                std::string_view text) {
-  Log(LogLevel::kWarning, "forward", "refused",
-      {{"request", this->id},
-       {"status", std::to_string(status)},
-       {"cause", std::string(cause)},
-       {"path", this->request.path},
-       {"waiting", std::to_string(this->state.waiting.size())},
-       {"table_version",
-        std::to_string(this->table == nullptr ? 0 : this->table->version)}});
-  this->exchange->Respond(status, headers, text);
-  this->Finish("refused", status);
-}
-
 Duration Forwarding::TimeLeft() const {
   if (this->deadline != TimePoint{}) {
     return this->deadline - EventLoop::Now();
@@ -265,75 +240,6 @@
   return left ? std::chrono::milliseconds(*left) : kDefaultTimeLeft;
 }
 
-gateway::RefusalReason Forwarding::FindRefusalReason() const {
-  if (this->table == nullptr) {
-    return this->state.table_feed->is_reachable()
-               ? gateway::RefusalReason::kStarting
-               : gateway::RefusalReason::kStoreUnavailable;
-  }
-  const bool is_closed =
-      this->has_engine() &&
-      !gateway::is_any_open(this->state.targets, this->service);
-  return this->sent > 0 && !is_closed ? gateway::RefusalReason::kRejected
-                                      : gateway::RefusalReason::kNoPermit;
-}
-
-std::string Forwarding::RetryAfter() const {
-  // The caller's next attempt may use all targets.
-  const std::optional<TimePoint> held_back_until =
-      this->service.empty() ? std::nullopt : this->HeldBackUntil({});
-  Duration delay =
-      held_back_until
-          ? *held_back_until - EventLoop::Now()
-          : gateway::RetryDelayFor(this->FindRefusalReason(), this->TimeLeft());
-  const auto until_permit = this->TimeUntilPermit();
-  if (!held_back_until && until_permit) {
-    delay = std::min(delay, std::max(*until_permit, gateway::kMinRetryDelay));
-  }
-  return FormatRetryAfter(delay);
-}
-
-std::optional<Duration> Forwarding::TimeUntilPermit() const {
-  const auto forecast = this->state.forecasts.find(this->service);
-  if (forecast == this->state.forecasts.end() ||
-      this->FindServiceWithPriorities() == nullptr) {
-    return std::nullopt;
-  }
-  return scheduling::TimeUntilPermit(
-      forecast->second, this->priority,
-      gateway::CountUsable(this->state.targets, this->service),
-      EventLoop::Now());
-}
-
-std::string Forwarding::FormatRetryAfter(Duration delay) {
-  const auto after = std::chrono::ceil<std::chrono::milliseconds>(
-      std::max<Duration>(delay, Duration(0)));
-  constexpr int64_t kMillisecondsPerSecond = 1000;
-  std::string fraction = std::to_string(after.count() % kMillisecondsPerSecond);
-  fraction.insert(0, 3 - fraction.size(), '0');
-  return std::to_string(after.count() / kMillisecondsPerSecond) + "." +
-         fraction;
-}
-
-void Forwarding::Fail(int status, std::string_view cause) {
-  Log(LogLevel::kWarning, "forward", "failed",
-      {{"request", this->id},
-       {"status", std::to_string(status)},
-       {"target", this->target_id},
-       {"cause", std::string(cause)}});
-  this->exchange->Respond(status, {}, "");
-  this->Finish("failed", status);
-}
-
-void Forwarding::AbortAnswer(std::string_view cause) {
-  Log(LogLevel::kWarning, "forward", "broken_off",
-      {{"request", this->id},
-       {"target", this->target_id},
-       {"cause", std::string(cause)}});
-  this->exchange->Abort();
-  this->Finish("broken_off", kBadGateway);
-}
-
 void Forwarding::Finish(std::string_view outcome, int status) {
   if (std::exchange(this->is_finished, true)) {
     return;
@@ -361,7 +267,7 @@
 }
 
 void Forwarding::LogIfLate() const {
-  if (!this->has_started_answer) {
+  if (!this->caller.has_begun) {
     return;
   }
   const bool is_first_event = this->first_event_after > this->route->objective;
@@ -430,20 +336,13 @@
     return;
   }
   auto keep_until_return = this->shared_from_this();
-  const std::string last_target = this->target_id;
   if (this->call != nullptr) {
     std::exchange(this->call, nullptr)->Cancel();
   }
   this->ReleaseTarget(Outcome::kGood);
-  if (this->has_started_answer) {
-    this->AbortAnswer("deadline exceeded");
-  } else if (this->may_have_run) {
-    this->target_id = last_target;
-    this->Fail(kGatewayTimeout, "deadline exceeded");
-    this->target_id.clear();
-  } else {
-    this->Refuse(kUnavailable, "deadline exceeded", true);
-  }
+  this->EndUnserved({.cause = "deadline exceeded",
+                     .may_have_run = this->may_have_run,
+                     .status_if_run = kGatewayTimeout});
 }
 
 void Forwarding::ArmAttemptTimer(Duration after) {
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "LibGateway/EventReader.h"
+#include "LibGateway/CallerAnswer.h"
 #include "LibGateway/Liveness.h"
 #include "LibGateway/Quarantine.h"
 #include "LibHTTP/DirectCall.h"
@@ -38,6 +38,18 @@
 // Tries to send the waiting requests and refuses those that waited too long.
 void ServeWaiting(GatewayState& state);
 
+// Why no target answers a request, and what its caller is told if it has got
+// nothing yet.
+struct Unserved {
+  std::string cause;
+  // Whether the caller is told that its request may have run, and how.
+  bool may_have_run = false;
+  int status_if_run = 502;
+  // What a refusal says; without headers, when the caller may come back.
+  http::HeaderList refusal_headers;
+  std::string refusal_text;
+};
+
 class Forwarding : public std::enable_shared_from_this<Forwarding> {
  public:
   Forwarding(GatewayState& state,
@@ -106,10 +118,6 @@
   }
 
  private:
-  // How a complete answer is treated: forwarded, taken as a rejection, or taken
-  // as a failure.
-  enum class Verdict { kForward, kRejected, kInvalid };
-
   // kSent includes a request that was ended since a part is quarantined.
   enum class SendVerdict { kSent, kHeldBack, kPending };
 
@@ -146,7 +154,7 @@
   void SendTo(const gateway::TargetView& target);
   http::HeaderList HeadersFor(const gateway::TargetView& target,
                               TimePoint now) const;
-  void HandleHead(const http::AnswerHead& head);
+  void HandleHead(const http::AnswerHead& head, http::BodyFraming framing);
   // Records what the head of the target's own answer asks of its callers.
   void RecordSignals(const http::AnswerHead& head);
   void HandleBytes(std::string_view bytes);
@@ -157,13 +165,16 @@
   void DropBytes(std::string_view bytes);
   // Frees what the present answer takes.
   void DropAnswer();
-  void HandleEvent(const gateway::StreamEvent& event);
+  void HandleEvents(std::string_view bytes);
+  // Returns whether the event can follow what the caller has got.
+  bool HandleEvent(const gateway::StreamEvent& event);
+  void RecordFirstEvent(TimePoint now);
+  void RecordPause(TimePoint now);
   void HandleEnd(http::CallEnd end);
   // Handles the end of an answer that is either whole or known not to be.
   void HandleKnownEnd(http::CallEnd end);
-  void HandleStreamEnd(http::CallEnd end);
-  Verdict CheckAnswer() const;
-  bool is_own_answer(const http::AnswerHead& head) const;
+  gateway::AnswerTerms terms() const;
+  void FinishStream();
   void HandleRejected();
   void HandleFailed(http::CallEnd end);
   // Repeats the request or ends it, after its target was checked.
@@ -184,8 +195,12 @@
   // Sends the request to a further target. Returns false if the remaining time,
   // the route or the repeat budget does not allow that.
   bool TryRepeat(std::string_view cause, bool has_reached_target);
-  void ForwardAnswer();
-  http::HeaderList AnswerHeaders() const;
+  // Passes the target's whole answer on, unless it is a failure that another
+  // target may not have, or would begin a second answer.
+  void UseWholeAnswer(gateway::EndUse use);
+  // Ends the request because no target answers it. Every such request passes
+  // here, so that what its caller has got decides how.
+  void EndUnserved(const Unserved& unserved);
   void Refuse(int status, std::string_view cause, bool has_retry_after);
   void RespondRefusal(int status,
                       std::string_view cause,
@@ -247,6 +262,8 @@
 
   std::shared_ptr<http::DirectCall> call;
   std::string target_id;
+  // The target that it was sent to last, also after that attempt has ended.
+  std::string last_target;
   std::string group;
   // When the request was sent to its last target, and when that began to
   // answer.
@@ -267,22 +284,15 @@
   // Whether a target may have run the request.
   bool may_have_run = false;
 
-  std::optional<http::AnswerHead> answer;
-  std::string answer_body;
-  size_t dropped_bytes = 0;
-  // Whether the answer says where it ends, and does not end with its
-  // connection.
-  bool is_framed = true;
-  bool is_forwarding_events = false;
-  bool has_started_answer = false;
-  std::optional<uint64_t> last_event;
+  // What the present target has answered, and what the caller has got.
+  gateway::TargetAnswer answer;
+  gateway::CallerAnswer caller;
   TimePoint last_event_at;
   // Time to the first event and longest pause between two, for the log.
   Duration first_event_after{};
   Duration longest_pause{};
   TimePoint longest_pause_ended;
   RequestMarks marks;
-  gateway::EventReader events;
   usage::RequestMeter meter;
   bool is_finished = false;
 };
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -38,31 +38,37 @@
 // A longer event would end its caller's connection, see IngressLimits.
 constexpr size_t kMaxEventBytes = size_t{1} << 20;
 
+http::HeaderList AnswerHeaders(const http::AnswerHead& head) {
+  http::HeaderList headers;
+  for (const auto& [name, value] : head.headers) {
+    if (!is_hop_by_hop(name)) {
+      headers.emplace_back(name, value);
+    }
+  }
+  return headers;
+}
+
 }  // namespace
 
-bool Forwarding::is_own_answer(const http::AnswerHead& head) const {
-  const std::string_view echoed =
-      FindHeader(head.headers, this->state.adapter.headers.attempt);
-  return echoed.empty() || echoed == this->id;
+gateway::AnswerTerms Forwarding::terms() const {
+  return {.names = this->state.adapter.headers,
+          .attempt = this->id,
+          .is_streaming = this->is_streaming()};
 }
 
 void Forwarding::RecordSignals(const http::AnswerHead& head) {
   // An answer of another server at the address says nothing of the target.
-  if (this->is_own_answer(head) && head.status != kMisdirected) {
+  if (gateway::is_own_answer(this->terms(), head) &&
+      head.status != kMisdirected) {
     this->state.signals->RecordAnswer(this->target_id, head, this->sent_at);
   }
 }
 
-void Forwarding::HandleHead(const http::AnswerHead& head) {
-  this->answer = head;
+void Forwarding::HandleHead(const http::AnswerHead& head,
+                            http::BodyFraming framing) {
+  gateway::TakeHead(this->answer, this->terms(), head, framing);
   this->state.silent_targets->RecordAnswer(this->target_id);
   this->RecordSignals(head);
-  const bool has_stamp =
-      !FindHeader(head.headers, this->state.adapter.headers.stamp).empty();
-  const bool is_encoded = !FindHeader(head.headers, "content-encoding").empty();
-  this->is_forwarding_events = this->is_streaming() && head.status == kOk &&
-                               has_stamp && !is_encoded &&
-                               this->is_own_answer(head);
   if (this->is_streaming()) {
     this->ArmAttemptTimer(kStreamEventTimeout);
   }
@@ -71,31 +77,32 @@
 void Forwarding::HandleBytes(std::string_view bytes) {
   auto keep_until_return = this->shared_from_this();
   this->state.silent_targets->RecordAnswer(this->target_id);
-  if (this->is_forwarding_events) {
-    this->events.Read(bytes, [this](const gateway::StreamEvent& event) {
-      this->HandleEvent(event);
-    });
-  } else if (this->CheckAnswer() == Verdict::kForward) {
-    this->answer_body.append(bytes);
-  } else {
-    this->DropBytes(bytes);
+  switch (this->answer.use) {
+    case gateway::BodyUse::kEvents:
+      this->HandleEvents(bytes);
+      break;
+    case gateway::BodyUse::kWhole:
+      this->answer.body.append(bytes);
+      break;
+    case gateway::BodyUse::kNone:
+      this->DropBytes(bytes);
+      break;
   }
   if (this->is_finished || this->call == nullptr) {
     return;
   }
   const auto too_large = gateway::RecordHeldBytes(
-      this->state.answer_memory, this->number,
-      this->answer_body.size() + this->events.partial_bytes());
+      this->state.answer_memory, this->number, this->answer.held_bytes());
   if (too_large) {
     this->state.open.at(*too_large)->CutAnswer();
-  } else if (this->events.partial_bytes() > kMaxEventBytes) {
+  } else if (this->answer.events.partial_bytes() > kMaxEventBytes) {
     this->CutAnswer();
   }
 }
 
 void Forwarding::DropBytes(std::string_view bytes) {
-  this->dropped_bytes += bytes.size();
-  if (this->dropped_bytes > kMaxDroppedBytes) {
+  this->answer.dropped_bytes += bytes.size();
+  if (this->answer.dropped_bytes > kMaxDroppedBytes) {
     std::exchange(this->call, nullptr)->Cancel();
     this->state.loop.Cancel(std::exchange(this->attempt_timer, 0));
     this->HandleKnownEnd(CallEnd::kWhole);
@@ -111,8 +118,7 @@
   Log(LogLevel::kWarning, "forward", "answer_cut",
       {{"request", this->id},
        {"target", this->target_id},
-       {"held_bytes", std::to_string(this->answer_body.size() +
-                                     this->events.partial_bytes())},
+       {"held_bytes", std::to_string(this->answer.held_bytes())},
        {"all_held_bytes", std::to_string(this->state.answer_memory.held)},
        {"limit_bytes", std::to_string(this->state.answer_memory.limit)}});
   telemetry::Count(kAnswersCut, {{"service", this->service}});
@@ -123,49 +129,66 @@
 
 void Forwarding::DropAnswer() {
   gateway::RecordHeldBytes(this->state.answer_memory, this->number, 0);
-  this->answer_body = {};
-  this->events = {};
-  this->dropped_bytes = 0;
+  this->answer = {};
 }
 
-void Forwarding::HandleEvent(const gateway::StreamEvent& event) {
-  if (this->is_finished) {
-    return;
+void Forwarding::HandleEvents(std::string_view bytes) {
+  bool is_foreign = false;
+  this->answer.events.Read(bytes, [&](const gateway::StreamEvent& event) {
+    if (!this->is_finished && !is_foreign) {
+      is_foreign = !this->HandleEvent(event);
+    }
+  });
+  if (is_foreign) {
+    std::exchange(this->call, nullptr)->Cancel();
+    this->HandleEnd(CallEnd::kMalformed);
   }
+}
+
+bool Forwarding::HandleEvent(const gateway::StreamEvent& event) {
   this->RecordAnswerProgress(false);
-  // A run that is resumed at another target may start with events that the
-  // caller already has.
-  if (event.id && this->last_event && *event.id <= *this->last_event) {
-    return;
-  }
   const TimePoint now = EventLoop::Now();
-  if (!std::exchange(this->has_started_answer, true)) {
-    this->exchange->StartStream(this->answer->status, this->AnswerHeaders());
-    this->first_event_after = now - this->arrived;
-    telemetry::Observe(kFirstEventTime, {{"service", this->service}},
-                       this->first_event_after);
-    Log(LogLevel::kInfo, "forward", "first_event",
-        {{"request", this->id},
-         {"target", this->target_id},
-         {"after_ms", ToMillisecondsText(this->first_event_after)}});
-  } else {
-    const Duration pause = now - this->last_event_at;
-    if (pause > this->longest_pause) {
-      this->longest_pause = pause;
-      this->longest_pause_ended = now;
-    }
-    gateway::RecordPause(this->state.permits, this->group, pause,
-                         this->route->longest_pause, now);
-    telemetry::Observe(kPauseTime, {{"service", this->service}}, pause);
+  switch (gateway::TakeEvent(this->caller, this->answer, event)) {
+    case gateway::EventUse::kBegin:
+      this->RecordFirstEvent(now);
+      this->exchange->StartStream(this->answer.head->status,
+                                  AnswerHeaders(*this->answer.head));
+      break;
+    case gateway::EventUse::kPass:
+      this->RecordPause(now);
+      break;
+    case gateway::EventUse::kLeaveOut:
+      return true;
+    case gateway::EventUse::kForeign:
+      return false;
   }
   this->SettlePermit();
   this->last_event_at = now;
   usage::RecordEvent(this->meter, this->TokensPerEvent());
-  if (event.id) {
-    this->last_event = event.id;
-  }
-  this->exchange->Write(event.bytes);
   this->ArmAttemptTimer(kStreamEventTimeout);
+  this->exchange->Write(event.bytes);
+  return true;
+}
+
+void Forwarding::RecordFirstEvent(TimePoint now) {
+  this->first_event_after = now - this->arrived;
+  telemetry::Observe(kFirstEventTime, {{"service", this->service}},
+                     this->first_event_after);
+  Log(LogLevel::kInfo, "forward", "first_event",
+      {{"request", this->id},
+       {"target", this->target_id},
+       {"after_ms", ToMillisecondsText(this->first_event_after)}});
+}
+
+void Forwarding::RecordPause(TimePoint now) {
+  const Duration pause = now - this->last_event_at;
+  if (pause > this->longest_pause) {
+    this->longest_pause = pause;
+    this->longest_pause_ended = now;
+  }
+  gateway::RecordPause(this->state.permits, this->group, pause,
+                       this->route->longest_pause, now);
+  telemetry::Observe(kPauseTime, {{"service", this->service}}, pause);
 }
 
 void Forwarding::HandleEnd(CallEnd end) {
@@ -176,100 +199,76 @@
   if (this->is_finished) {
     return;
   }
-  const bool is_doubtful = end == CallEnd::kWhole && !this->is_framed;
+  const bool is_doubtful = end == CallEnd::kWhole && !this->answer.is_framed;
   if (!is_doubtful || !this->CheckUnframedAnswer()) {
     this->HandleKnownEnd(end);
   }
 }
 
 void Forwarding::HandleKnownEnd(CallEnd end) {
-  if (this->is_forwarding_events) {
-    this->HandleStreamEnd(end);
-    return;
-  }
-  if (end != CallEnd::kWhole) {
-    this->HandleFailed(end);
-    return;
-  }
-  switch (this->CheckAnswer()) {
-    case Verdict::kForward:
-      this->ForwardAnswer();
+  const gateway::EndUse use =
+      gateway::JudgeEnd(this->caller, this->answer, this->terms(), end);
+  const bool is_stream = this->answer.use == gateway::BodyUse::kEvents;
+  switch (use) {
+    case gateway::EndUse::kFinish:
+      this->FinishStream();
+      return;
+    case gateway::EndUse::kForward:
+    case gateway::EndUse::kUnusable:
+      this->UseWholeAnswer(use);
       return;
-    case Verdict::kRejected:
+    case gateway::EndUse::kRejected:
       this->HandleRejected();
       return;
-    case Verdict::kInvalid:
-      this->HandleFailed(CallEnd::kMalformed);
+    case gateway::EndUse::kFailed:
+      this->HandleFailed(end != CallEnd::kWhole ? end
+                         : is_stream            ? CallEnd::kTruncated
+                                                : CallEnd::kMalformed);
       return;
   }
 }
 
-Forwarding::Verdict Forwarding::CheckAnswer() const {
-  const gateway::CallHeaders& names = this->state.adapter.headers;
-  const http::AnswerHead& head = *this->answer;
-  if (!this->is_own_answer(head)) {
-    return Verdict::kInvalid;
-  }
-  if (head.status == kMisdirected ||
-      !FindHeader(head.headers, names.not_run).empty()) {
-    return Verdict::kRejected;
-  }
-  const bool has_stamp = !FindHeader(head.headers, names.stamp).empty();
-  const bool is_encoded = !FindHeader(head.headers, "content-encoding").empty();
-  // A 429, 503 or 408 of a target without the not-run header may come after a
-  // run; forwarded, it would tell the caller that nothing ran.
-  const bool is_not_run_status = head.status == kTooManyRequests ||
-                                 head.status == kUnavailable ||
-                                 head.status == kRequestTimeout;
-  if (!has_stamp || is_encoded || is_not_run_status || this->is_streaming()) {
-    return head.status >= kFirstFailure && has_stamp && !is_not_run_status
-               ? Verdict::kForward
-               : Verdict::kInvalid;
-  }
-  return Verdict::kForward;
+void Forwarding::FinishStream() {
+  this->RecordAnswerProgress(true);
+  this->ReleaseTarget(Outcome::kGood);
+  this->exchange->Finish();
+  this->Finish("answered", kOk);
 }
 
-void Forwarding::ForwardAnswer() {
+void Forwarding::UseWholeAnswer(gateway::EndUse use) {
   this->RecordAnswerProgress(true);
-  const int status = this->answer->status;
+  // A further attempt begins an answer of its own.
+  const gateway::TargetAnswer whole = std::exchange(this->answer, {});
+  const int status = whole.head->status;
+  const bool is_usable = use == gateway::EndUse::kForward;
   const bool is_failure = status >= kFirstServerFailure;
+  const std::string cause = "target answered " + std::to_string(status);
   this->ReleaseTarget(is_failure ? Outcome::kFailed : Outcome::kGood);
-  if (is_failure && this->route->is_repeatable()) {
-    const auto saved_answer = this->answer;
-    const std::string saved_body = this->answer_body;
-    if (this->TryRepeat("target answered " + std::to_string(status), true)) {
-      return;
-    }
-    this->answer = saved_answer;
-    this->answer_body = saved_body;
+  if ((is_failure || !is_usable) && this->route->is_repeatable() &&
+      this->TryRepeat(cause, true)) {
+    return;
   }
-  this->exchange->Respond(status, this->AnswerHeaders(), this->answer_body);
-  this->Finish(is_failure ? "target_failed" : "answered", status);
-}
-
-http::HeaderList Forwarding::AnswerHeaders() const {
-  http::HeaderList headers;
-  for (const auto& [name, value] : this->answer->headers) {
-    if (!is_hop_by_hop(name)) {
-      headers.emplace_back(name, value);
-    }
+  if (!is_usable) {
+    this->EndUnserved({.cause = cause, .may_have_run = true});
+    return;
   }
-  return headers;
+  this->exchange->Respond(status, AnswerHeaders(*whole.head), whole.body);
+  this->Finish(is_failure ? "target_failed" : "answered", status);
 }
 
 void Forwarding::HandleRejected() {
   // The target did not run the request and never will.
   --this->sent;
-  this->may_have_run = this->sent > 0 || this->has_started_answer;
-  const bool is_misdirected = this->answer->status == kMisdirected;
+  this->may_have_run = this->sent > 0 || this->caller.has_begun;
+  const http::AnswerHead head = *this->answer.head;
+  const bool is_misdirected = head.status == kMisdirected;
   Log(LogLevel::kWarning, "forward", "rejected",
       {{"request", this->id},
        {"target", this->target_id},
-       {"status", std::to_string(this->answer->status)},
-       {"retry_after",
-        std::string(FindHeader(this->answer->headers, "retry-after"))}});
+       {"status", std::to_string(head.status)},
+       {"retry_after", std::string(FindHeader(head.headers, "retry-after"))}});
   const gateway::AnswerSignals signals = gateway::ParseSignals(
-      this->state.adapter.headers, this->answer->status, this->answer->headers);
+      this->state.adapter.headers, head.status, head.headers);
   // A backoff says when the target takes requests again, so that it is neither
   // failing nor a sign that its group is full.
   if (!is_misdirected && !signals.backoff) {
@@ -282,13 +281,8 @@
   if (this->TryRepeat("rejected", true)) {
     return;
   }
-  if (this->has_started_answer) {
-    this->AbortAnswer("rejected while resuming the stream");
-  } else if (this->may_have_run) {
-    this->Fail(kBadGateway, "rejected, but an earlier attempt may have run");
-  } else {
-    this->Refuse(kUnavailable, "rejected by the target", true);
-  }
+  this->EndUnserved(
+      {.cause = "rejected by the target", .may_have_run = this->may_have_run});
 }
 
 void Forwarding::HandleFailed(CallEnd end) {
@@ -320,27 +314,10 @@
   if (may_repeat && this->TryRepeat(http::NameOf(end), !is_unreachable)) {
     return;
   }
-  if (this->has_started_answer) {
-    this->AbortAnswer(http::NameOf(end));
-  } else if (this->may_have_run) {
-    this->Fail(end == CallEnd::kTimeout ? kGatewayTimeout : kBadGateway,
-               http::NameOf(end));
-  } else {
-    this->Refuse(kUnavailable, http::NameOf(end), true);
-  }
-}
-
-void Forwarding::HandleStreamEnd(CallEnd end) {
-  const bool is_whole =
-      end == CallEnd::kWhole && !this->events.has_partial_event();
-  if (is_whole && this->has_started_answer) {
-    this->RecordAnswerProgress(true);
-    this->ReleaseTarget(Outcome::kGood);
-    this->exchange->Finish();
-    this->Finish("answered", kOk);
-    return;
-  }
-  this->HandleFailed(end == CallEnd::kWhole ? CallEnd::kTruncated : end);
+  this->EndUnserved({.cause = std::string(http::NameOf(end)),
+                     .may_have_run = this->may_have_run,
+                     .status_if_run = end == CallEnd::kTimeout ? kGatewayTimeout
+                                                               : kBadGateway});
 }
 
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -93,7 +93,7 @@
 
 bool Forwarding::is_late(TimePoint now) const {
   return this->is_streaming() &&
-         (this->has_started_answer || now >= this->wait.late_from);
+         (this->caller.has_begun || now >= this->wait.late_from);
 }
 
 bool Forwarding::is_before(const Forwarding& other, TimePoint now) const {
@@ -431,15 +431,9 @@
 void Forwarding::RefuseForLackOfPermit(std::string_view cause) {
   auto keep_until_return = this->shared_from_this();
   this->state.waiting.remove(keep_until_return);
-  if (this->has_started_answer) {
-    this->AbortAnswer("no permit to resume the stream");
-    return;
-  }
-  if (this->may_have_run && !this->route->is_repeatable()) {
-    this->Fail(kBadGateway, "may have run, and no target is left");
-    return;
-  }
-  this->Refuse(kUnavailable, cause, true);
+  this->EndUnserved(
+      {.cause = std::string(cause),
+       .may_have_run = this->may_have_run && !this->route->is_repeatable()});
 }
 
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -33,18 +33,13 @@
   auto keep_until_return = this->shared_from_this();
   this->SettlePermit();
   this->state.quarantine->RecordRejected(this->marks);
-  const std::string& cause = decision.cause;
-  if (this->has_started_answer) {
-    this->AbortAnswer(cause);
-  } else if (this->may_have_run) {
-    this->Fail(kBadGateway, cause);
-  } else {
-    this->RespondRefusal(
-        kUnavailable, cause,
-        {{"content-type", "text/plain"},
-         {"retry-after", FormatRetryAfter(decision.until - EventLoop::Now())}},
-        "not run: " + cause + "\n");
-  }
+  this->EndUnserved(
+      {.cause = decision.cause,
+       .may_have_run = this->may_have_run,
+       .refusal_headers = {{"content-type", "text/plain"},
+                           {"retry-after", FormatRetryAfter(decision.until -
+                                                            EventLoop::Now())}},
+       .refusal_text = "not run: " + decision.cause + "\n"});
   return true;
 }
 
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -48,13 +48,14 @@
         http::has_token(connection_words, name)) {
       continue;
     }
-    if (name == names.last_event && this->last_event) {
+    if (name == names.last_event && this->caller.last_event) {
       continue;
     }
     headers.emplace_back(name, value);
   }
-  if (this->last_event) {
-    headers.emplace_back(names.last_event, std::to_string(*this->last_event));
+  if (this->caller.last_event) {
+    headers.emplace_back(names.last_event,
+                         std::to_string(*this->caller.last_event));
   }
   if (!this->tenant.empty()) {
     headers.emplace_back(names.tenant, this->tenant);
@@ -68,17 +69,16 @@
 void Forwarding::SendTo(const TargetView& target) {
   const TimePoint now = EventLoop::Now();
   this->target_id = target.target.id;
+  this->last_target = this->target_id;
   this->sent_at = now;
   this->waited = now - this->arrived;
   this->group = gateway::GroupOf(target);
   this->tried.insert(this->target_id);
   usage::RecordSent(this->meter, now);
   ++this->state.targets.by_id[this->target_id].open;
-  this->answer.reset();
   this->DropAnswer();
   this->answer_began.reset();
   this->is_answer_recorded = false;
-  this->is_forwarding_events = false;
   Log(LogLevel::kInfo, "forward", "sent",
       {{"request", this->id},
        {"target", this->target_id},
@@ -119,8 +119,7 @@
   };
   listeners.on_head = [self](const http::AnswerHead& head,
                              http::BodyFraming framing) {
-    self->is_framed = framing != http::BodyFraming::kUntilClose;
-    self->HandleHead(head);
+    self->HandleHead(head, framing);
   };
   listeners.on_bytes = [self](std::string_view bytes) {
     self->HandleBytes(bytes);
--- a/Services/bramleyspand/Gateway/ForwardingSilence.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSilence.cc
@@ -23,12 +23,12 @@
     return std::nullopt;
   }
   const TimePoint heard_at =
-      this->has_started_answer ? this->last_event_at : this->arrived;
+      this->caller.has_begun ? this->last_event_at : this->arrived;
   // Once it has begun, the attempt's own timer runs from the last event, as the
   // caller's patience does.
   return gateway::OwedStream{
       .since = std::max(this->sent_at, heard_at),
-      .caller_leaves_at = this->has_started_answer
+      .caller_leaves_at = this->caller.has_begun
                               ? TimePoint::max()
                               : heard_at + this->route->event_timeout};
 }
@@ -59,7 +59,7 @@
       is_at_target ? this->state.silent_targets->SilentFor(this->target_id)
                    : Duration(0);
   const TimePoint heard_at =
-      this->has_started_answer ? this->last_event_at : this->sent_at;
+      this->caller.has_begun ? this->last_event_at : this->sent_at;
   Log(LogLevel::kInfo, "forward", "caller_left",
       {{"request", this->id},
        {"at", is_at_target ? "target" : "gateway"},
--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -17,8 +17,9 @@
 //   on nevertheless.
 // - PUT /freeze?rank=&at=: the server of this rank, counted from 0, freezes at
 //   its next stream (stream) or at the next hold of the group (hold).
-// - PUT /signals?id=&limit=: from now on the answers of a server name this
-// limit.
+// - PUT /cut: cuts all streams that run at the ranks, once; ranks stay up.
+// - PUT /signals?id=&limit=&fails=: from now on the answers of a server name
+//   this limit, or have this status.
 // - GET /arrivals?id=&span_ms=&after_ms=: the most requests that reached a
 //   server in a span that begins so long after its signals changed.
 // - PUT /crashes?part=&body=&delay_ms=&down_ms=&renames=&answers=: from now on
@@ -208,7 +209,8 @@
         http::HeaderList headers = SignalHeaders(signals);
         headers.emplace_back("x-attempt-id", attempt);
         headers.emplace_back("x-server-stamp", "stamp-" + attempt);
-        exchange->Respond(signals.fails ? 500 : 200, headers,
+        const int failure = signals.failure_status;
+        exchange->Respond(failure != 0 ? failure : 200, headers,
                           service + " " + attempt + " " + tenant);
       });
 }
@@ -239,7 +241,8 @@
     server.limit = http::FindQueryValue(request.query, "limit");
     server.backoff = http::FindQueryValue(request.query, "backoff");
     server.is_leaving = !http::FindQueryValue(request.query, "leaving").empty();
-    server.fails = !http::FindQueryValue(request.query, "fails").empty();
+    const std::string failure = http::FindQueryValue(request.query, "fails");
+    server.failure_status = failure.empty() ? 0 : std::stoi(failure);
     server.changed_at = EventLoop::Now();
     exchange->Respond(200, {}, "");
     return;
@@ -320,6 +323,9 @@
     platform.group.ranks.at(rank).freezes_at =
         http::FindQueryValue(request.query, "at");
   }
+  if (request.path == "/cut") {
+    CutStreams(platform.group);
+  }
   if (request.path == "/group") {
     platform.group.state = http::FindQueryValue(request.query, "state");
   }
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -159,11 +159,7 @@
 void AdvanceBrokenGroup(StandInGroup& group, const MapLists& first_map) {
   const TimePoint now = EventLoop::Now();
   if (now - group.broken_at > kStall) {
-    for (StandInRank& rank : group.ranks) {
-      for (auto& [number, stream] : std::exchange(rank.streams, {})) {
-        stream.exchange->Abort();
-      }
-    }
+    CutStreams(group);
   }
   const bool is_any_down = std::ranges::any_of(
       group.ranks, [](const StandInRank& rank) { return rank.is_down; });
@@ -204,6 +200,13 @@
     return;
   }
   ++(*group.runs)[attempt];
+  http::HeaderList headers = SignalHeaders(signals);
+  headers.emplace_back("x-attempt-id", attempt);
+  headers.emplace_back("x-server-stamp", "stamp-" + attempt);
+  if (signals.failure_status != 0) {
+    exchange->Respond(signals.failure_status, headers, "failed " + attempt);
+    return;
+  }
   RunningStream stream{
       .exchange = exchange, .attempt = attempt, .body = request.body};
   if (ends_rank) {
@@ -214,10 +217,7 @@
     stream.next_event = std::stoull(resumed) + 1;
   }
   stream.last_event = ends_rank ? kEventsOfKillingStream : kEventsOfStream;
-  http::HeaderList headers = SignalHeaders(signals);
-  headers.insert(headers.end(), {{"content-type", "text/event-stream"},
-                                 {"x-attempt-id", attempt},
-                                 {"x-server-stamp", "stamp-" + attempt}});
+  headers.emplace_back("content-type", "text/event-stream");
   exchange->StartStream(200, headers);
   const uint64_t number = ++group.last_stream;
   exchange->OnDisconnect([&rank, number] { rank.streams.erase(number); });
@@ -282,6 +282,14 @@
   group.opens_at = EventLoop::Now() + kFormTime;
 }
 
+void CutStreams(StandInGroup& group) {
+  for (StandInRank& rank : group.ranks) {
+    for (auto& [number, stream] : std::exchange(rank.streams, {})) {
+      stream.exchange->Abort();
+    }
+  }
+}
+
 void EndRanksUnderStreams(StandInGroup& group) {
   const TimePoint now = EventLoop::Now();
   for (StandInRank& rank : group.ranks) {
--- a/StandIns/UsersPlatform/Ranks.h
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -98,6 +98,9 @@
 void BreakGroup(StandInGroup& group, StandInRank& rank);
 void ReturnRank(StandInGroup& group, StandInRank& rank);
 
+// Cuts all running streams in the middle of their answers.
+void CutStreams(StandInGroup& group);
+
 // Freezes the ranks that an event of this kind freezes.
 void FreezeAt(StandInGroup& group, const std::string& event);
 
--- a/StandIns/UsersPlatform/Signals.h
+++ b/StandIns/UsersPlatform/Signals.h
@@ -20,8 +20,9 @@
   std::string backoff;
   // Whether all answers have Server-Leaving.
   bool is_leaving = false;
-  // Whether it answers 500 to all requests, which it has run.
-  bool fails = false;
+  // The status with which it answers all requests, which it has run; 0 if they
+  // succeed.
+  int failure_status = 0;
   // When the signals were last changed.
   TimePoint changed_at;
   std::vector<TimePoint> arrivals;
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -45,7 +45,7 @@
 evacuate() { curl -sf -X PUT "$CONTROL/evacuate?zone=$1&state=$2" -o /dev/null; }
 set_store() { curl -sf -X PUT "$CONTROL/store?mode=$1" -o /dev/null; }
 # set_signals SERVER QUERY: sets what the server asks of its callers, such as
-# limit=1. arrivals_at SERVER SPAN AFTER: prints the most requests that reached
+# limit=1 or, as the status of all its answers, fails=500. arrivals_at SERVER SPAN AFTER: prints the most requests that reached
 # it within SPAN ms, in spans that begin AFTER ms after that or later.
 set_signals() { curl -sf -X PUT "$CONTROL/signals?id=$1&$2" -o /dev/null; }
 arrivals_at() { curl -sf "$CONTROL/arrivals?id=$1&span_ms=$2&after_ms=$3"; }
