--- a/Libraries/LibHTTP/Ingress.cc
+++ b/Libraries/LibHTTP/Ingress.cc
@@ -50,6 +50,27 @@
   }
 }
 
+IngressWork Ingress::CountWork() const {
+  IngressWork work;
+  for (const auto& [number, connection] : this->connections) {
+    switch (connection->work()) {
+      case ConnectionWork::kIdle:
+        ++work.idle;
+        break;
+      case ConnectionWork::kReading:
+        ++work.reading;
+        break;
+      case ConnectionWork::kAnswering:
+        ++work.answering;
+        break;
+      case ConnectionWork::kDelivering:
+        ++work.delivering;
+        break;
+    }
+  }
+  return work;
+}
+
 // One timer serves all connections. On a quarter of a processor core, one timer
 // for each connection would cost more than handling the requests.
 void Ingress::CheckTimeouts() {
--- a/Libraries/LibHTTP/Ingress.h
+++ b/Libraries/LibHTTP/Ingress.h
@@ -82,6 +82,26 @@
   bool is_chunked = true;
 };
 
+// What a connection is busy with.
+enum class ConnectionWork {
+  // Nothing, or with waiting for its caller to close it.
+  kIdle,
+  // A request whose head or body is still coming.
+  kReading,
+  // An answer that its handler has not ended.
+  kAnswering,
+  // An answer that has ended, of which its caller's machine has not taken all.
+  kDelivering,
+};
+
+// How many connections of an Ingress are busy with what.
+struct IngressWork {
+  size_t idle = 0;
+  size_t reading = 0;
+  size_t answering = 0;
+  size_t delivering = 0;
+};
+
 using IngressHandler =
     std::function<void(IngressRequest,
                        const std::shared_ptr<IngressExchange>&)>;
@@ -114,6 +134,8 @@
 
   size_t open_connections() const { return this->connections.size(); }
 
+  IngressWork CountWork() const;
+
  private:
   friend class IngressConnection;
   friend class IngressExchange;
--- a/Libraries/LibHTTP/IngressConnection.cc
+++ b/Libraries/LibHTTP/IngressConnection.cc
@@ -1,6 +1,8 @@
 #include "LibHTTP/IngressConnection.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -103,6 +105,36 @@
   }
 }
 
+ConnectionWork IngressConnection::work() const {
+  switch (this->phase) {
+    case Phase::kHead:
+      if (!this->input.empty()) {
+        return ConnectionWork::kReading;
+      }
+      break;
+    case Phase::kBody:
+      return ConnectionWork::kReading;
+    case Phase::kAnswer:
+      return this->is_answered ? ConnectionWork::kDelivering
+                               : ConnectionWork::kAnswering;
+    case Phase::kLingering:
+      break;
+    case Phase::kClosed:
+      return ConnectionWork::kIdle;
+  }
+  return this->unacknowledged_bytes() != 0 ? ConnectionWork::kDelivering
+                                           : ConnectionWork::kIdle;
+}
+
+size_t IngressConnection::unacknowledged_bytes() const {
+  int bytes = 0;
+  // Where the system can't tell, what it has taken counts as delivered.
+  if (ioctl(h2o_socket_get_fd(this->socket), SIOCOUTQ, &bytes) != 0) {
+    return 0;
+  }
+  return static_cast<size_t>(bytes);
+}
+
 void IngressConnection::CheckTimeout(TimePoint now) {
   const IngressLimits& limits = this->server.limits;
   switch (this->phase) {
--- a/Libraries/LibHTTP/IngressConnection.h
+++ b/Libraries/LibHTTP/IngressConnection.h
@@ -24,6 +24,9 @@
            this->outgoing.empty() && !this->is_writing;
   }
 
+  // What it is busy with.
+  ConnectionWork work() const;
+
  private:
   friend class IngressExchange;
   enum class Phase { kHead, kBody, kAnswer, kLingering, kClosed };
@@ -43,6 +46,9 @@
   // its answer is written as a whole. The caller of an answer without length or
   // chunks takes an orderly close for its end.
   void ResetOnClose(bool is_reset);
+  // Returns the bytes that the system has and the caller's machine has not
+  // acknowledged.
+  size_t unacknowledged_bytes() const;
   std::string SerializeHead(int status,
                             const HeaderList& headers,
                             std::string_view framing) const;
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -108,6 +108,9 @@
   // events and sends none.
   void MoveFromSilentTarget();
 
+  // Logs that the end of a stop that began then cuts the request.
+  void LogCutByStop(TimePoint stop_began) const;
+
   // The id of the present target; empty if there is none.
   const std::string& target() const { return this->target_id; }
 
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -13,6 +13,7 @@
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/GatewayStatus.h"
+#include "Services/bramleyspand/Gateway/GatewayStop.h"
 #include "Services/bramleyspand/Gateway/OrderRelay.h"
 #include "Services/bramleyspand/Gateway/Peers.h"
 #include "Services/bramleyspand/Gateway/PermitRequests.h"
@@ -34,13 +35,6 @@
 
 constexpr Duration kAdjustInterval = std::chrono::milliseconds(250);
 constexpr Duration kServeInterval = std::chrono::milliseconds(25);
-constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
-// Callers keep the answer of the directory, some of them three times as long as
-// its lifetime, and may connect until then.
-constexpr Duration kMinDrainTime = std::chrono::milliseconds(3500);
-constexpr Duration kQuietBeforeStop = std::chrono::milliseconds(700);
-// Time left of the stop bound when all open requests are ended.
-constexpr Duration kStopReserve = std::chrono::milliseconds(400);
 constexpr Duration kStatusInterval = std::chrono::seconds(5);
 constexpr Duration kHeartbeatDelay = std::chrono::milliseconds(2);
 
@@ -76,7 +70,8 @@
                    [this](const std::string& bytes) {
                      this->peers.SendToGateways(bytes);
                    }),
-        usage(this->state) {
+        usage(this->state),
+        stop(this->state, this->repeats, this->usage) {
     this->state.silent_targets = &this->silent_targets;
     this->state.signals = &this->signals;
     this->state.rate_limiter = &this->rate_limiter;
@@ -128,13 +123,9 @@
     if (std::exchange(this->state.is_draining, true)) {
       return;
     }
-    this->drain_began = EventLoop::Now();
-    Log(LogLevel::kInfo, "drain", "drain_started",
-        {{"open", std::to_string(this->state.open.size())}});
-    this->callers->StartDrain();
     this->directory->StartDrain();
     this->peers.SendHeartbeatsNow();
-    this->StopWhenIdle();
+    this->stop.Start(*this->callers);
   }
 
   void HandleSettings(const Settings& settings) override {
@@ -394,40 +385,6 @@
     return shortest == Duration::max() ? kDefaultLongestPause : shortest;
   }
 
-  void StopWhenIdle() {
-    const TimePoint now = EventLoop::Now();
-    const Duration since = now - this->drain_began;
-    const Duration bound = this->state.fleet().stop_bound - kStopReserve;
-    const bool is_idle = this->state.open.empty() &&
-                         now - this->state.last_request > kQuietBeforeStop;
-    const bool is_over = since > bound;
-    const bool may_stop = is_idle && since > kMinDrainTime;
-    if ((may_stop && this->is_usage_written) || is_over) {
-      Log(LogLevel::kInfo, "drain", "drain_ended",
-          {{"open", std::to_string(this->state.open.size())}});
-      this->repeats.SendFinalReport();
-      this->state.loop.Stop();
-      return;
-    }
-    if (may_stop || since > bound - kStopReserve) {
-      this->WriteUsageOnce();
-    }
-    this->state.loop.RunAfter(kDrainCheckInterval,
-                              [this] { this->StopWhenIdle(); });
-  }
-
-  // Usage counted since the last write would be missing from the bill. A store
-  // that does not answer delays the stop by kMaxLastWriteTime only.
-  void WriteUsageOnce() {
-    constexpr Duration kMaxLastWriteTime = std::chrono::milliseconds(250);
-    if (std::exchange(this->is_writing_usage, true)) {
-      return;
-    }
-    this->state.loop.RunAfter(kMaxLastWriteTime,
-                              [this] { this->is_usage_written = true; });
-    this->usage.Write([this] { this->is_usage_written = true; });
-  }
-
   void RecordStoreCall(std::string_view call,
                        std::string_view outcome,
                        Duration took) {
@@ -464,18 +421,16 @@
   TargetEnds target_ends;
   Quarantines quarantine;
   UsageRecorder usage;
+  GatewayStop stop;
   std::unique_ptr<http::Ingress> callers;
   std::unique_ptr<http::Ingress> directory;
   std::unique_ptr<http::Ingress> readiness;
   std::unique_ptr<http::Ingress> internal;
   std::unique_ptr<http::Ingress> metrics;
-  TimePoint drain_began;
   // Store calls by name since the start.
   std::map<std::string, uint64_t> store_calls;
   std::set<std::string> unavailable_services;
   bool is_heartbeat_scheduled = false;
-  bool is_writing_usage = false;
-  bool is_usage_written = false;
 };
 
 const PluginRegistration<StartRole> kRegistration("gateway",
