--- a/StandIns/GatewayCallers.cc
+++ b/StandIns/GatewayCallers.cc
@@ -33,6 +33,7 @@
 ABSL_FLAG(int, port, 8080, "its port for callers");
 ABSL_FLAG(int, callers, 12, "callers, each with one request at a time");
 ABSL_FLAG(int, plain_every, 3, "each n-th caller sends plain requests");
+ABSL_FLAG(std::string, prefix, "c", "what the ids of requests begin with");
 ABSL_FLAG(std::string, stream_path, "/draft/x", "path of streams");
 ABSL_FLAG(std::string, plain_path, "/issue/x", "path of plain requests");
 ABSL_FLAG(int, seconds, 20, "time after which no request is begun");
@@ -59,6 +60,7 @@
 // before the end of its connection.
 constexpr milliseconds kLossSlack(200);
 constexpr int kSmallBuffer = 4096;
+constexpr size_t kReadsPerSecond = 250;
 constexpr int kUnavailable = 503;
 
 const Clock::time_point g_start = Clock::now();
@@ -181,7 +183,11 @@
 void ReadAnswer(int channel, Answer& answer) {
   const int rate = absl::GetFlag(FLAGS_bytes_per_second);
   char buffer[4096];
-  const size_t most = rate == 0 ? sizeof buffer : 48;
+  const size_t most =
+      rate == 0
+          ? sizeof buffer
+          : std::clamp<size_t>(static_cast<size_t>(rate) / kReadsPerSecond, 1,
+                               sizeof buffer);
   while (!is_whole(answer)) {
     const ssize_t received = recv(channel, buffer, most, 0);
     if (received <= 0) {
@@ -220,8 +226,8 @@
     if (channel == -1) {
       return;
     }
-    const std::string id =
-        "c" + std::to_string(number) + "-" + std::to_string(n);
+    const std::string id = absl::GetFlag(FLAGS_prefix) + "-" +
+                           std::to_string(number) + "-" + std::to_string(n);
     const bool is_sent = SendRequest(channel, path, id);
     const auto sent_at = Clock::now();
     Answer answer;
--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -49,6 +49,7 @@
           40,
           "duration of a pass, in which each stream sends one event");
 ABSL_FLAG(int, work_milliseconds, 50, "duration of a plain request");
+ABSL_FLAG(int, answer_bytes, 0, "bytes that are added to plain answers");
 
 namespace bramleyspan::standins {
 
@@ -210,8 +211,10 @@
         headers.emplace_back("x-attempt-id", attempt);
         headers.emplace_back("x-server-stamp", "stamp-" + attempt);
         const int failure = signals.failure_status;
-        exchange->Respond(failure != 0 ? failure : 200, headers,
-                          service + " " + attempt + " " + tenant);
+        exchange->Respond(
+            failure != 0 ? failure : 200, headers,
+            service + " " + attempt + " " + tenant +
+                std::string(absl::GetFlag(FLAGS_answer_bytes), 'x'));
       });
 }
 
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -5,10 +5,11 @@
 
 # desired_state VERSION INVOICE-SERVICE [EXTRA-ROUTE]: prints the document that
 # an operator writes, with invoices routed to the service, and one more route.
-# The service raw has one server, whose answers end with their connection. With
+# The service raw has one server, whose answers end with their connection.
+# ROUTE_TIMEOUT holds the routes' time limit in ms (default 5000). With
 # HAS_URGENT_ROUTE=1 there are also streams at /urgent/, which come before drafts.
 desired_state() {
-  local route='{"host":"app.test","timeout_ms":5000,"max_attempts":2,"priority":1'
+  local route="{\"host\":\"app.test\",\"timeout_ms\":${ROUTE_TIMEOUT:-5000},\"max_attempts\":2,\"priority\":1"
   local extra=""
   if [ -n "${3:-}" ]; then
     extra=",$route,\"name\":\"extra\",\"path_prefix\":\"/$3/\",\"route_kind\":\"idempotent\",\"service\":\"billing\",\"target_latency_ms\":500}"
@@ -200,6 +201,48 @@
 
 status_of() { request "$@" -o /dev/null -w '%{http_code}'; }
 
+# start_callers NAME FLAGS...: starts callers that keep the address of gateway 1
+# until nobody listens there; what became of their requests goes to
+# $LOGS/NAME.callers.
+start_callers() {
+  local name=$1
+  shift
+  spawn "callers-$name" bash -c 'exec "$0" "${@:2}" >"$1"' "$BIN/StandInGatewayCallers" "$LOGS/$name.callers" \
+    --ip="$NET.1.1" --port=8080 --prefix="$name" "$@"
+}
+
+# stop_while_called GATEWAY: stops the gateway with SIGTERM and waits for it and
+# for all callers. expect_ended_well GATEWAY: it has ended by itself, before the
+# platform would have killed it.
+stop_while_called() {
+  local began name
+  STOP_STATUS=0
+  began=$(date +%s%3N)
+  stop "gateway-$1" || STOP_STATUS=$?
+  STOP_TOOK=$(($(date +%s%3N) - began))
+  echo "gateway-$1 was gone after $STOP_TOOK ms with status $STOP_STATUS"
+  for name in "${!PIDS[@]}"; do
+    [[ $name == callers-* ]] || continue
+    wait "${PIDS[$name]}" || fail "$name failed"
+    unset "PIDS[$name]"
+  done
+}
+expect_ended_well() {
+  [ "$STOP_STATUS" = 0 ] || fail "gateway-$1 ended with status $STOP_STATUS"
+  ((STOP_TOOK < 8000)) || fail "gateway-$1 took longer than its stop bound"
+}
+
+# expect_nothing_cut NAME: each request of these callers was answered as a whole,
+# or nobody has read it.
+expect_nothing_cut() {
+  local lines="$LOGS/$1.callers" id
+  echo "$1:" $(awk '{ print $2 "-" $3 }' "$lines" | sort | uniq -c)
+  ! grep -E ' (cut|dropped) ' "$lines" || fail "requests of $1 got no whole answer"
+  for id in $(awk '$3 == "crossed" { print $1 }' "$lines"); do
+    [ -z "$(runs_of "$id")" ] || fail "$id of $1 was passed on and got no answer"
+  done
+}
+
 # is_whole_stream FILE ATTEMPT: whether the file has exactly the 20 events of
 # this attempt, each once and in order.
 is_whole_stream() {
