Kernel, bramleyspand: End a role's work before what it uses is gone

Cause: the role was destroyed before the event loop. Its listeners closed the callers' connections, their requests cancelled their calls, and a cancelled call is kept until a timer runs, which none did any more. ~EventLoop destroyed that timer, with it the call and the request, whose destructor used the state of the role that was gone.

Now a role closes its addresses while its state stands, then the loop's timers go with all that they own (also those that this adds), then the role, then the loop. Signals are watched before the role starts: a SIGTERM that came while it was reading its settings killed the process. "stopped" is logged once the role is gone, so that a crash as it ends shows by its lack.

TestKernel "Removed timers are destroyed". The other roles end in the same order.

--- a/Kernel/EventLoop.cc
+++ b/Kernel/EventLoop.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <csignal>
 #include <ctime>
+#include <utility>
 
 namespace bramleyspan {
 
@@ -49,6 +50,13 @@
   this->due_times.erase(found);
 }
 
+void EventLoop::RemoveTimers() {
+  while (!this->timers.empty()) {
+    this->due_times.clear();
+    const auto removed = std::exchange(this->timers, {});
+  }
+}
+
 void EventLoop::OnStopSignal(std::function<void()> callback) {
   this->stop_callback = std::move(callback);
   this->WatchSignals({SIGTERM, SIGINT}, &this->stop_callback);
--- a/Kernel/EventLoop.h
+++ b/Kernel/EventLoop.h
@@ -48,6 +48,10 @@
   // Makes Run return after the current callback.
   void Stop() { this->is_stopped = true; }
 
+  // Destroys the timers with all that their callbacks own, also those that are
+  // added meanwhile, and runs none.
+  void RemoveTimers();
+
  private:
   bool RunDueTimers();
   void WatchSignals(const std::vector<int>& numbers,
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -105,6 +105,11 @@
     this->StopWhenIdle();
   }
 
+  void Close() override {
+    this->server.reset();
+    this->listener.reset();
+  }
+
  private:
   void AcceptConnection(h2o_socket_t* socket) {
     wire::ConnectionEvents events;
--- a/Services/bramleyspand/Entry/EntryRole.cc
+++ b/Services/bramleyspand/Entry/EntryRole.cc
@@ -60,6 +60,11 @@
     });
   }
 
+  void Close() override {
+    this->server.reset();
+    this->listener.reset();
+  }
+
  private:
   void HandleRequest(const http::Request& request,
                      const std::shared_ptr<http::Exchange>& exchange) {
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -128,6 +128,14 @@
     this->stop.Start(*this->callers);
   }
 
+  void Close() override {
+    this->callers.reset();
+    this->directory.reset();
+    this->readiness.reset();
+    this->internal.reset();
+    this->metrics.reset();
+  }
+
   void HandleSettings(const Settings& settings) override {
     const FleetSettings& fleet = *settings.fleet;
     FleetSettings& own = *this->state.settings.fleet;
--- a/Services/bramleyspand/Main.cc
+++ b/Services/bramleyspand/Main.cc
@@ -4,7 +4,9 @@
 #include <sys/stat.h>
 
 #include <iostream>
+#include <memory>
 #include <sstream>
+#include <utility>
 
 #include "Services/bramleyspand/Flags.h"
 #include "Services/bramleyspand/Role.h"
@@ -79,19 +81,26 @@
   const auto start = PluginRegistry<StartRole>::Instance().Find(settings.role);
   telemetry::StartLog(settings.name, settings.log_filter);
   EventLoop loop;
-  auto role = start.value()(loop, settings);
-  if (role.has_error()) {
-    std::cerr << Describe(role.error()) << "\n";
+  std::unique_ptr<Role> role;
+  // A signal that comes while the role starts is handled once the loop runs.
+  loop.OnStopSignal([&role] { role->StartDrain(); });
+  loop.OnReloadSignal([&role] { Reload(*role); });
+  auto started = start.value()(loop, settings);
+  if (started.has_error()) {
+    std::cerr << Describe(started.error()) << "\n";
     return kExitFailedStart;
   }
-  loop.OnStopSignal([&role] { role.value()->StartDrain(); });
-  loop.OnReloadSignal([&role] { Reload(*role.value()); });
-  WatchFiles(loop, *role.value(), StampOfFiles());
+  role = std::move(started).assume_value();
+  WatchFiles(loop, *role, StampOfFiles());
   const bool has_engine = settings.fleet && settings.fleet->engine;
   WatchStandstills(loop, has_engine ? Format(*settings.fleet->engine) : "");
   telemetry::Log(telemetry::LogLevel::kInfo, "main", "started",
                  {{"role", settings.role}, {"zone", settings.zone}});
   loop.Run();
+  // Callbacks of timers own requests, which use the role until they are gone.
+  role->Close();
+  loop.RemoveTimers();
+  role.reset();
   telemetry::Log(telemetry::LogLevel::kInfo, "main", "stopped");
   return 0;
 }
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -113,6 +113,11 @@
     this->StopWhenReleased();
   }
 
+  void Close() override {
+    this->metrics.reset();
+    this->internal.reset();
+  }
+
  private:
   Result<std::unique_ptr<http::Ingress>> Serve(const Address& address) {
     return http::Ingress::Listen(
--- a/Services/bramleyspand/Role.h
+++ b/Services/bramleyspand/Role.h
@@ -9,11 +9,15 @@
 
 namespace bramleyspan {
 
-// A started role; its destructor ends its work.
+// A started role.
 class Role {
  public:
   virtual ~Role() = default;
 
+  // Ends the role's work after the event loop was stopped: closes its addresses
+  // and the connections there. What timers own may still use the role.
+  virtual void Close() = 0;
+
   // Starts a planned stop: no new work is accepted, work in flight ends, then
   // the event loop is stopped.
   virtual void StartDrain() = 0;
--- a/Tests/Kernel/TestEventLoop.cc
+++ b/Tests/Kernel/TestEventLoop.cc
@@ -1,5 +1,6 @@
 #include <doctest/doctest.h>
 #include <sys/socket.h>
+#include <memory>
 
 #include "Kernel/EventLoop.h"
 
@@ -34,4 +35,29 @@
   h2o_socket_close(socket);
 }
 
+TEST_CASE("Removed timers are destroyed, also those that this adds, not run") {
+  struct Owner {
+    Owner(EventLoop& loop, int& destroyed, int& run)
+        : loop(loop), destroyed(destroyed), run(run) {}
+    EventLoop& loop;
+    int& destroyed;
+    int& run;
+    ~Owner() {
+      ++this->destroyed;
+      this->loop.RunAfter(Duration(0), [&count = this->run] { ++count; });
+    }
+  };
+  EventLoop loop;
+  int destroyed = 0;
+  int run = 0;
+  loop.RunAfter(
+      Duration(0),
+      [owner = std::make_shared<Owner>(loop, destroyed, run), &run] { ++run; });
+  loop.RemoveTimers();
+  CHECK(destroyed == 1);
+  loop.RunAfter(std::chrono::milliseconds(1), [&loop] { loop.Stop(); });
+  loop.Run();
+  CHECK(run == 0);
+}
+
 }  // namespace bramleyspan
