LibDrain, LibHTTP, Gateway: Count all that a stop is busy with

Cause: "idle" was that no request was open. A request counts as open from its last byte to the moment at which its answer is handed over; before and after that the stop saw nothing. Evidence: drain_ended with open 0 and reading 1 or 12, answers of 12 MB cut at 3.63 s.

LibDrain/PlannedStop decides the course of a stop without a network: serving, finishing (the address is closed), ending (the bound is near), ended. It ends once nothing is open, being read, being delivered (in our buffers or unacknowledged in the system's) or idle on a kept connection. A connection is idle for 0.3 s before it is closed, and not while bytes of a request lie unread; those that the system has accepted are served as the address closes. At the bound open requests end in the best way left (not run, 504, or a cut), each with a line, and not by the end of the process.

--- a/Kernel/Listener.cc
+++ b/Kernel/Listener.cc
@@ -34,23 +34,32 @@
   listener->socket = h2o_evloop_socket_create(loop.raw(), descriptor,
                                               H2O_SOCKET_FLAG_DONT_READ);
   listener->socket->data = listener.get();
-  h2o_socket_read_start(
-      listener->socket, [](h2o_socket_t* source, const char* failure) {
-        if (failure != nullptr) {
-          return;
-        }
-        h2o_socket_t* accepted = h2o_evloop_socket_accept(source);
-        if (accepted == nullptr) {
-          return;
-        }
-        const int no_delay = 1;
-        setsockopt(h2o_socket_get_fd(accepted), IPPROTO_TCP, TCP_NODELAY,
-                   &no_delay, sizeof no_delay);
-        static_cast<Listener*>(source->data)->on_accept(accepted);
-      });
+  h2o_socket_read_start(listener->socket,
+                        [](h2o_socket_t* source, const char* failure) {
+                          if (failure == nullptr) {
+                            static_cast<Listener*>(source->data)->AcceptOne();
+                          }
+                        });
   return listener;
 }
 
+bool Listener::AcceptOne() {
+  h2o_socket_t* accepted = h2o_evloop_socket_accept(this->socket);
+  if (accepted == nullptr) {
+    return false;
+  }
+  const int no_delay = 1;
+  setsockopt(h2o_socket_get_fd(accepted), IPPROTO_TCP, TCP_NODELAY, &no_delay,
+             sizeof no_delay);
+  this->on_accept(accepted);
+  return true;
+}
+
+void Listener::AcceptPending() {
+  while (this->AcceptOne()) {
+  }
+}
+
 uint16_t Listener::port() const {
   sockaddr_in bound{};
   socklen_t length = sizeof bound;
--- a/Kernel/Listener.h
+++ b/Kernel/Listener.h
@@ -23,11 +23,17 @@
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
 
+  // Accepts the connections that the system has taken for this address; closing
+  // it would reset them.
+  void AcceptPending();
+
   // Returns the bound port. The system chooses it if port 0 was requested.
   uint16_t port() const;
 
  private:
   Listener() = default;
+  // Returns whether there was a connection to accept.
+  bool AcceptOne();
 
   h2o_socket_t* socket = nullptr;
   OnAccept on_accept;
--- /dev/null
+++ b/Libraries/LibDrain/PlannedStop.cc
@@ -0,0 +1,82 @@
+#include "LibDrain/PlannedStop.h"
+
+namespace bramleyspan::drain {
+
+namespace {
+
+// Time before the ending at which the address is closed, whoever uses it:
+// callers whose connection is refused go elsewhere at once, others are told by
+// an answer.
+constexpr Duration kLastCall = std::chrono::seconds(1);
+// Time before the bound at which the process ends, delivered or not.
+constexpr Duration kLastMoment = std::chrono::milliseconds(100);
+
+bool may_close_address(const PlannedStop& stop,
+                       const StopWork& work,
+                       TimePoint now) {
+  if (now >= stop.ending_at() - kLastCall) {
+    return true;
+  }
+  const bool is_quiet = now - work.last_request >= stop.terms.quiet;
+  return now - stop.began >= stop.terms.notice &&
+         (is_quiet || stop.has_refused);
+}
+
+StopPhase NextPhase(const PlannedStop& stop,
+                    const StopWork& work,
+                    bool is_recorded,
+                    TimePoint now) {
+  switch (stop.phase) {
+    case StopPhase::kServing:
+      return may_close_address(stop, work, now) ? StopPhase::kFinishing
+                                                : StopPhase::kServing;
+    case StopPhase::kFinishing:
+      if (work.is_done() && is_recorded) {
+        return StopPhase::kEnded;
+      }
+      return now >= stop.ending_at() ? StopPhase::kEnding
+                                     : StopPhase::kFinishing;
+    case StopPhase::kEnding: {
+      const bool is_over = now >= stop.began + stop.terms.bound - kLastMoment;
+      return is_over || (work.is_done() && is_recorded) ? StopPhase::kEnded
+                                                        : StopPhase::kEnding;
+    }
+    case StopPhase::kEnded:
+      break;
+  }
+  return StopPhase::kEnded;
+}
+
+}  // namespace
+
+std::string_view NameOf(StopPhase phase) {
+  switch (phase) {
+    case StopPhase::kServing:
+      return "serving";
+    case StopPhase::kFinishing:
+      return "finishing";
+    case StopPhase::kEnding:
+      return "ending";
+    case StopPhase::kEnded:
+      return "ended";
+  }
+  return "ended";
+}
+
+PlannedStop Begin(const StopTerms& terms, TimePoint now) {
+  return {.terms = terms, .began = now};
+}
+
+bool can_end_in_time(const PlannedStop& stop, Duration takes, TimePoint now) {
+  return now + takes <= stop.ending_at();
+}
+
+StopPhase Advance(PlannedStop& stop,
+                  const StopWork& work,
+                  bool is_recorded,
+                  TimePoint now) {
+  stop.phase = NextPhase(stop, work, is_recorded, now);
+  return stop.phase;
+}
+
+}  // namespace bramleyspan::drain
--- a/Libraries/LibHTTP/Ingress.cc
+++ b/Libraries/LibHTTP/Ingress.cc
@@ -40,12 +40,26 @@
   }
 }
 
-void Ingress::CloseIdle() {
-  this->listener = nullptr;
+void Ingress::StopListening() {
+  if (this->listener != nullptr) {
+    this->listener->AcceptPending();
+    this->listener = nullptr;
+  }
+}
+
+void Ingress::CloseIdle(Duration idle_for) {
+  const TimePoint now = EventLoop::Now();
+  const auto open = this->connections;
+  for (const auto& [number, connection] : open) {
+    connection->CloseIfIdle(now - idle_for);
+  }
+}
+
+void Ingress::RefuseReading(int status, const HeaderList& headers) {
   const auto open = this->connections;
   for (const auto& [number, connection] : open) {
-    if (connection->is_idle()) {
-      connection->Close();
+    if (connection->work() == ConnectionWork::kReading) {
+      connection->Refuse(status, headers);
     }
   }
 }
@@ -66,6 +80,9 @@
       case ConnectionWork::kDelivering:
         ++work.delivering;
         break;
+      case ConnectionWork::kClosing:
+        ++work.closing;
+        break;
     }
   }
   return work;
--- a/Libraries/LibHTTP/Ingress.h
+++ b/Libraries/LibHTTP/Ingress.h
@@ -84,7 +84,7 @@
 
 // What a connection is busy with.
 enum class ConnectionWork {
-  // Nothing, or with waiting for its caller to close it.
+  // Nothing; a further request may come.
   kIdle,
   // A request whose head or body is still coming.
   kReading,
@@ -92,6 +92,8 @@
   kAnswering,
   // An answer that has ended, of which its caller's machine has not taken all.
   kDelivering,
+  // Nothing; its last answer is delivered, and its caller has yet to close it.
+  kClosing,
 };
 
 // How many connections of an Ingress are busy with what.
@@ -100,6 +102,7 @@
   size_t reading = 0;
   size_t answering = 0;
   size_t delivering = 0;
+  size_t closing = 0;
 };
 
 using IngressHandler =
@@ -122,12 +125,19 @@
   // Replaces the limits, also for open connections.
   void SetLimits(const IngressLimits& new_limits) { this->limits = new_limits; }
 
-  // Closes each connection after its next answer. New connections are still
-  // accepted, since callers do not know of the stop yet.
+  // Closes each connection after its next answer, whose head says so. New
+  // connections are still accepted, since callers do not know of the stop yet.
   void StartDrain() { this->is_draining = true; }
 
-  // Closes idle connections and stops listening.
-  void CloseIdle();
+  // Stops listening. Connections that the system has accepted are still served.
+  void StopListening();
+
+  // Closes the connections that have been idle for so long. A caller whose last
+  // answer has just ended may be sending its next request.
+  void CloseIdle(Duration idle_for);
+
+  // Answers the requests that are still coming without reading the rest.
+  void RefuseReading(int status, const HeaderList& headers);
 
   // Returns the bound port. The system chooses it if port 0 was requested.
   uint16_t port() const { return this->listener->port(); }
--- a/Libraries/LibHTTP/IngressConnection.cc
+++ b/Libraries/LibHTTP/IngressConnection.cc
@@ -106,24 +106,40 @@
 }
 
 ConnectionWork IngressConnection::work() const {
+  const auto unless_delivering = [this](ConnectionWork work) {
+    return this->unacknowledged_bytes() != 0 ? ConnectionWork::kDelivering
+                                             : work;
+  };
   switch (this->phase) {
     case Phase::kHead:
-      if (!this->input.empty()) {
-        return ConnectionWork::kReading;
-      }
-      break;
+      return this->input.empty() ? unless_delivering(ConnectionWork::kIdle)
+                                 : ConnectionWork::kReading;
     case Phase::kBody:
       return ConnectionWork::kReading;
     case Phase::kAnswer:
       return this->is_answered ? ConnectionWork::kDelivering
                                : ConnectionWork::kAnswering;
     case Phase::kLingering:
-      break;
+      return unless_delivering(ConnectionWork::kClosing);
     case Phase::kClosed:
-      return ConnectionWork::kIdle;
+      break;
+  }
+  return ConnectionWork::kClosing;
+}
+
+void IngressConnection::CloseIfIdle(TimePoint since) {
+  if (this->phase != Phase::kHead || !this->input.empty() ||
+      this->since > since || this->unacknowledged_bytes() != 0) {
+    return;
+  }
+  // A request that has come is read and answered. One that crosses the close
+  // is read by nobody, which its caller learns from the reset.
+  int unread = 0;
+  const bool is_known =
+      ioctl(h2o_socket_get_fd(this->socket), FIONREAD, &unread) == 0;
+  if (!is_known || unread == 0) {
+    this->Close();
   }
-  return this->unacknowledged_bytes() != 0 ? ConnectionWork::kDelivering
-                                           : ConnectionWork::kIdle;
 }
 
 size_t IngressConnection::unacknowledged_bytes() const {
@@ -144,12 +160,12 @@
         this->Close();
       } else if (!this->input.empty() &&
                  now - this->since > limits.head_timeout) {
-        this->Refuse(kRequestTimeout);
+        this->Refuse(kRequestTimeout, {});
       }
       return;
     case Phase::kBody:
       if (now - this->since > limits.head_timeout + limits.idle_timeout) {
-        this->Refuse(kRequestTimeout);
+        this->Refuse(kRequestTimeout, {});
       }
       return;
     case Phase::kLingering:
@@ -206,27 +222,27 @@
   }
   auto parsed = ParseRequestHead(this->input);
   if (parsed.has_error()) {
-    this->Refuse(kBadRequest);
+    this->Refuse(kBadRequest, {});
     return;
   }
   if (!parsed.value()) {
     if (this->input.size() > this->server.limits.max_head_bytes) {
-      this->Refuse(kHeadersTooLarge);
+      this->Refuse(kHeadersTooLarge, {});
     }
     return;
   }
   this->head = std::move(parsed.value());
   if (this->head->bytes > this->server.limits.max_head_bytes) {
-    this->Refuse(kHeadersTooLarge);
+    this->Refuse(kHeadersTooLarge, {});
     return;
   }
   const auto message_framing = FramingOfRequest(*this->head);
   if (message_framing.has_error()) {
-    this->Refuse(kBadRequest);
+    this->Refuse(kBadRequest, {});
     return;
   }
   if (message_framing.value().length > this->server.limits.max_body_bytes) {
-    this->Refuse(kPayloadTooLarge);
+    this->Refuse(kPayloadTooLarge, {});
     return;
   }
   this->input.erase(0, this->head->bytes);
@@ -243,12 +259,12 @@
 void IngressConnection::ReadBody() {
   const auto consumed = this->body_reader.Read(this->input, this->body);
   if (consumed.has_error()) {
-    this->Refuse(kBadRequest);
+    this->Refuse(kBadRequest, {});
     return;
   }
   this->input.erase(0, consumed.value());
   if (this->body.size() > this->server.limits.max_body_bytes) {
-    this->Refuse(kPayloadTooLarge);
+    this->Refuse(kPayloadTooLarge, {});
     return;
   }
   if (this->body_reader.is_whole()) {
@@ -282,12 +298,11 @@
   this->server.handler(std::move(request), open);
 }
 
-// Answers a request without reading the rest of it, and ends the connection.
-void IngressConnection::Refuse(int status) {
+void IngressConnection::Refuse(int status, const HeaderList& headers) {
   this->is_last = true;
   this->is_answered = true;
   this->phase = Phase::kAnswer;
-  this->Send(this->SerializeHead(status, {}, "content-length: 0\r\n"));
+  this->Send(this->SerializeHead(status, headers, "content-length: 0\r\n"));
   this->EndAnswer();
 }
 
@@ -400,7 +415,6 @@
   this->disconnect_callback = nullptr;
   this->connection = nullptr;
   channel->exchange = nullptr;
-  channel->is_last = channel->is_last || channel->server.is_draining;
   channel->is_answered = true;
   return channel;
 }
@@ -412,6 +426,7 @@
     return;
   }
   const auto channel = this->Detach();
+  channel->is_last = channel->is_last || channel->server.is_draining;
   std::string bytes = channel->SerializeHead(
       status, headers,
       "content-length: " + std::to_string(body.size()) + "\r\n");
--- a/Libraries/LibHTTP/IngressConnection.h
+++ b/Libraries/LibHTTP/IngressConnection.h
@@ -18,11 +18,12 @@
   void Close();
   void CheckTimeout(TimePoint now);
 
-  // Whether no request is being read and no answer is being sent.
-  bool is_idle() const {
-    return this->phase == Phase::kHead && this->input.empty() &&
-           this->outgoing.empty() && !this->is_writing;
-  }
+  // Closes the connection if it has been idle since then and no bytes of a
+  // request have come.
+  void CloseIfIdle(TimePoint since);
+
+  // Answers a request without reading the rest of it, and ends the connection.
+  void Refuse(int status, const HeaderList& headers);
 
   // What it is busy with.
   ConnectionWork work() const;
@@ -36,7 +37,6 @@
   void ReadHead();
   void ReadBody();
   void DispatchRequest();
-  void Refuse(int status);
   void Send(std::string_view bytes);
   void Flush();
   void HandleWritten(const char* failure);
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -108,8 +108,9 @@
   // events and sends none.
   void MoveFromSilentTarget();
 
-  // Logs that the end of a stop that began then cuts the request.
-  void LogCutByStop(TimePoint stop_began) const;
+  // Ends the request since the process is about to be killed: as not run if it
+  // is at no target, by a failure, or by a cut if its answer has begun.
+  void EndByStop();
 
   // The id of the present target; empty if there is none.
   const std::string& target() const { return this->target_id; }
@@ -233,6 +234,7 @@
   // Ends the attempt at the present target and records its outcome.
   void ReleaseTarget(gateway::Outcome outcome);
   void HandleCallerGone();
+  void LogCutByStop() const;
   // Logs and counts that the caller left, and at which target its work was.
   void LogCallerLeft() const;
   void HandleDeadline();
--- a/Services/bramleyspand/Gateway/ForwardingEnd.cc
+++ b/Services/bramleyspand/Gateway/ForwardingEnd.cc
@@ -5,7 +5,6 @@
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
-#include "Services/bramleyspand/Gateway/GatewayMetrics.h"
 
 namespace bramleyspan::gatewayd {
 
@@ -13,7 +12,6 @@
 
 using detail::kBadGateway;
 using detail::kUnavailable;
-using detail::ToMillisecondsText;
 using telemetry::Log;
 using telemetry::LogLevel;
 
@@ -83,26 +81,6 @@
   this->Finish("refused", status);
 }
 
-void Forwarding::LogCutByStop(TimePoint stop_began) const {
-  const TimePoint now = EventLoop::Now();
-  const bool is_at_target = this->call != nullptr;
-  const std::string_view at = this->caller.has_begun ? "answer"
-                              : is_at_target         ? "target"
-                                                     : "gateway";
-  Log(LogLevel::kWarning, "drain", "cut_by_stop",
-      {{"request", this->id},
-       {"service", this->service},
-       {"at", std::string(at)},
-       {"target", this->target_id},
-       {"group", this->group},
-       {"arrived_ms", ToMillisecondsText(this->arrived - stop_began)},
-       {"sent_ms_ago",
-        ToMillisecondsText(is_at_target ? now - this->sent_at : Duration(0))},
-       {"left_ms", ToMillisecondsText(this->deadline - now)}});
-  telemetry::Count(kCutByStop,
-                   {{"service", this->service}, {"at", std::string(at)}});
-}
-
 gateway::RefusalReason Forwarding::FindRefusalReason() const {
   if (this->table == nullptr) {
     return this->state.table_feed->is_reachable()
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -120,12 +120,12 @@
   }
 
   void StartDrain() override {
-    if (std::exchange(this->state.is_draining, true)) {
+    if (this->state.is_draining()) {
       return;
     }
+    this->stop.Start(*this->callers);
     this->directory->StartDrain();
     this->peers.SendHeartbeatsNow();
-    this->stop.Start(*this->callers);
   }
 
   void Close() override {
@@ -295,7 +295,7 @@
   }
 
   bool is_ready() const {
-    return this->state.table != nullptr && !this->state.is_draining;
+    return this->state.table != nullptr && !this->state.is_draining();
   }
 
   void HandleTable(const gateway::RouteTable& table) {
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -5,11 +5,13 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 
 #include "Kernel/Digest.h"
+#include "LibDrain/PlannedStop.h"
 #include "LibGateway/Adapter.h"
 #include "LibGateway/AnswerMemory.h"
 #include "LibGateway/Availability.h"
@@ -89,11 +91,14 @@
   std::map<uint64_t, Forwarding*> open;
   uint64_t last_forwarding = 0;
   gateway::AnswerMemory answer_memory;
-  bool is_draining = false;
+  // Set once the process was told to stop.
+  std::optional<drain::PlannedStop> stop;
   TimePoint last_request;
 
   std::mt19937_64 random;
 
+  bool is_draining() const { return this->stop.has_value(); }
+
   const FleetSettings& fleet() const { return *this->settings.fleet; }
 };
 
--- a/Services/bramleyspand/Gateway/GatewayStatus.cc
+++ b/Services/bramleyspand/Gateway/GatewayStatus.cc
@@ -41,7 +41,7 @@
       {"process", state.settings.name},
       {"role", "gateway"},
       {"incarnation", state.incarnation},
-      {"is_draining", state.is_draining},
+      {"is_draining", state.is_draining()},
       {"table_version", state.table == nullptr ? 0 : state.table->version},
       {"table_age_ms", state.table_feed->age(now).count() / 1000},
       {"targets_revision", state.targets_feed->newest_revision()},
--- a/Services/bramleyspand/Gateway/GatewayStop.cc
+++ b/Services/bramleyspand/Gateway/GatewayStop.cc
@@ -1,6 +1,8 @@
 #include "Services/bramleyspand/Gateway/GatewayStop.h"
 
+#include <memory>
 #include <utility>
+#include <vector>
 
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
@@ -10,73 +12,120 @@
 
 namespace {
 
+using detail::kUnavailable;
 using detail::ToMillisecondsText;
+using drain::StopPhase;
 using telemetry::Log;
 using telemetry::LogLevel;
 
-constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
+constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
 constexpr Duration kLogInterval = std::chrono::seconds(1);
+constexpr Duration kQuietBeforeStop = std::chrono::milliseconds(700);
+// A caller sends its next request on a kept connection within this time, or
+// may not need it for long.
+constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(300);
+
 // Callers keep the answer of the directory, some of them three times as long as
 // its lifetime, and may connect until then.
-constexpr Duration kMinDrainTime = std::chrono::milliseconds(3500);
-constexpr Duration kQuietBeforeStop = std::chrono::milliseconds(700);
-// Time left of the stop bound when all open requests are ended.
-constexpr Duration kStopReserve = std::chrono::milliseconds(400);
+Duration NoticeOf(const FleetSettings& fleet) {
+  constexpr Duration kSlack = std::chrono::milliseconds(500);
+  return fleet.directory_lifetime * 3 + kSlack;
+}
 
 }  // namespace
 
 void GatewayStop::Start(http::Ingress& ingress) {
+  const TimePoint now = EventLoop::Now();
+  const FleetSettings& fleet = this->state.fleet();
+  this->state.stop = drain::Begin({.notice = NoticeOf(fleet),
+                                   .quiet = kQuietBeforeStop,
+                                   .bound = fleet.stop_bound},
+                                  now);
   this->callers = &ingress;
-  this->began = EventLoop::Now();
-  this->logged_at = this->began;
+  this->logged_at = now;
   this->callers->StartDrain();
   this->LogWork("drain_started");
-  this->StopWhenIdle();
+  this->Check();
 }
 
-void GatewayStop::LogWork(std::string_view event) const {
+drain::StopWork GatewayStop::FindWork() const {
   const http::IngressWork work = this->callers->CountWork();
-  const TimePoint now = EventLoop::Now();
-  Log(LogLevel::kInfo, "drain", event,
-      {{"open", std::to_string(this->state.open.size())},
-       {"waiting", std::to_string(this->state.waiting.size())},
-       {"reading", std::to_string(work.reading)},
-       {"delivering", std::to_string(work.delivering)},
-       {"idle", std::to_string(work.idle)},
-       {"since_request_ms", ToMillisecondsText(now - this->state.last_request)},
-       {"for_ms", ToMillisecondsText(now - this->began)}});
+  return {.open = this->state.open.size(),
+          .reading = work.reading,
+          .delivering = work.delivering,
+          .idle = work.idle,
+          .last_request = this->state.last_request};
 }
 
-void GatewayStop::LogCut() const {
-  for (const auto& [number, forwarding] : this->state.open) {
-    forwarding->LogCutByStop(this->began);
-  }
-}
-
-void GatewayStop::StopWhenIdle() {
+void GatewayStop::Check() {
   const TimePoint now = EventLoop::Now();
-  const Duration since = now - this->began;
-  const Duration bound = this->state.fleet().stop_bound - kStopReserve;
-  const bool is_idle = this->state.open.empty() &&
-                       now - this->state.last_request > kQuietBeforeStop;
-  const bool is_over = since > bound;
-  const bool may_stop = is_idle && since > kMinDrainTime;
-  if ((may_stop && this->is_usage_written) || is_over) {
-    this->LogWork("drain_ended");
-    this->LogCut();
-    this->repeats.SendFinalReport();
+  const StopPhase before = this->stop().phase;
+  const drain::StopWork work = this->FindWork();
+  const StopPhase phase =
+      drain::Advance(this->stop(), work, this->is_usage_written, now);
+  if (phase != before) {
+    this->EnterPhase();
+  }
+  if (phase == StopPhase::kEnded) {
     this->state.loop.Stop();
     return;
   }
+  if (phase != StopPhase::kServing) {
+    this->callers->CloseIdle(phase == StopPhase::kFinishing ? kIdleBeforeClose
+                                                            : Duration(0));
+    if (work.is_done()) {
+      this->WriteUsageOnce();
+    }
+  }
   if (now - this->logged_at >= kLogInterval) {
     this->logged_at = now;
     this->LogWork("drain_waits");
   }
-  if (may_stop || since > bound - kStopReserve) {
-    this->WriteUsageOnce();
+  this->state.loop.RunAfter(kCheckInterval, [this] { this->Check(); });
+}
+
+void GatewayStop::EnterPhase() {
+  switch (this->stop().phase) {
+    case StopPhase::kServing:
+      return;
+    case StopPhase::kFinishing:
+      this->LogWork("drain_closes_address");
+      this->callers->StopListening();
+      return;
+    case StopPhase::kEnding:
+      this->LogWork("drain_bound_reached");
+      this->EndOpen();
+      this->WriteUsageOnce();
+      return;
+    case StopPhase::kEnded:
+      this->LogWork("drain_ended");
+      this->repeats.SendFinalReport();
+      return;
   }
-  this->state.loop.RunAfter(kDrainCheckInterval,
-                            [this] { this->StopWhenIdle(); });
+}
+
+void GatewayStop::EndOpen() {
+  std::vector<std::shared_ptr<Forwarding>> open;
+  for (const auto& [number, forwarding] : this->state.open) {
+    open.push_back(forwarding->shared_from_this());
+  }
+  for (const auto& forwarding : open) {
+    forwarding->EndByStop();
+  }
+  this->callers->RefuseReading(kUnavailable, {{"retry-after", "0"}});
+}
+
+void GatewayStop::LogWork(std::string_view event) const {
+  const http::IngressWork work = this->callers->CountWork();
+  const TimePoint now = EventLoop::Now();
+  Log(LogLevel::kInfo, "drain", event,
+      {{"phase", std::string(drain::NameOf(this->state.stop->phase))},
+       {"open", std::to_string(this->state.open.size())},
+       {"waiting", std::to_string(this->state.waiting.size())},
+       {"reading", std::to_string(work.reading)},
+       {"delivering", std::to_string(work.delivering)},
+       {"idle", std::to_string(work.idle)},
+       {"for_ms", ToMillisecondsText(now - this->state.stop->began)}});
 }
 
 // Usage counted since the last write would be missing from the bill. A store
--- a/Services/bramleyspand/Gateway/GatewayStop.h
+++ b/Services/bramleyspand/Gateway/GatewayStop.h
@@ -1,7 +1,7 @@
-// The planned stop of a gateway: serves the callers that still have its
-// address, waits until nothing is open, and ends the process.
+// The planned stop of a gateway. LibDrain decides its course; this performs it.
 #pragma once
 
+#include "LibDrain/PlannedStop.h"
 #include "LibHTTP/Ingress.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/Repeats.h"
@@ -18,17 +18,19 @@
   void Start(http::Ingress& callers);
 
  private:
-  void StopWhenIdle();
+  drain::PlannedStop& stop() { return *this->state.stop; }
+  drain::StopWork FindWork() const;
+  void Check();
+  void EnterPhase();
+  // Ends all that is still open, since the process is about to be killed.
+  void EndOpen();
   void LogWork(std::string_view event) const;
-  // Names what the end of the process cuts.
-  void LogCut() const;
   void WriteUsageOnce();
 
   GatewayState& state;
   Repeats& repeats;
   UsageRecorder& usage;
   http::Ingress* callers = nullptr;
-  TimePoint began;
   TimePoint logged_at;
   bool is_writing_usage = false;
   bool is_usage_written = false;
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -137,7 +137,7 @@
   self.ip = own.settings.ip;
   self.incarnation = own.incarnation;
   self.is_ready = own.table != nullptr;
-  self.is_leaving = own.is_draining;
+  self.is_leaving = own.is_draining();
   self.caller_address = Format(*own.fleet().callers);
   self.table_version = own.table == nullptr ? 0 : own.table->version;
   self.targets_revision = own.targets_feed->newest_revision();
--- a/Services/bramleyspand/Gateway/RateLimiter.cc
+++ b/Services/bramleyspand/Gateway/RateLimiter.cc
@@ -38,7 +38,7 @@
 std::string RateLimiter::AllocatorOf(const std::string& target) const {
   const TimePoint now = EventLoop::Now();
   std::vector<std::string> names;
-  if (this->state.table != nullptr && !this->state.is_draining) {
+  if (this->state.table != nullptr && !this->state.is_draining()) {
     names.push_back(this->state.settings.name);
   }
   for (const auto* known : membership::LiveGateways(this->state.members, now)) {
