LibGateway, Gateway: Take no request that can't end before the stop does

Cause: a stopping gateway took and sent requests until 0.4 s before its bound and then ended with whatever was open. Evidence: cut_by_stop names streams that came 6.9 s and more after the SIGTERM, with over 4 s of their time limit left; the earliest cut one had been sent to its target 0.76 s before the end.

Now each send of a stopping gateway asks whether the request can end before open work is ended (drain::can_end_in_time), at its arrival, while it waits and once it has a permit. How long it takes: one and a half times the longest run of its route in the last 15 to 30 s, those that are still open among them, which covers groups that stand; without 20 such runs the longest that an answer which is on time takes (the objective, for a stream and a longest pause for each further event of the tokens that it asks for). Nothing lasts longer than its time limit. What can't end is answered 503 at once, not run, Retry-After 0 while another gateway serves; the first such answer after callers had notice closes the address, so that those who keep it are refused by the system in a millisecond. A margin of a half and not of a quarter: a refused caller loses milliseconds, a cut one seconds.

--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -252,6 +252,7 @@
   }
   const Duration took = EventLoop::Now() - this->arrived;
   this->CountUsage(outcome);
+  this->RecordRun(outcome);
   this->LogIfLate();
   telemetry::Count(kRequests, {{"service", this->service},
                                {"outcome", std::string(outcome)}});
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -80,6 +80,13 @@
   // Returns whether it was refused.
   bool RefuseIfEvacuated();
 
+  // Refuses the request if the process stops and can't finish it in time.
+  // Returns whether it was refused.
+  bool RefuseIfStopping();
+
+  // Records how long the request has been at work, if it is.
+  void RecordOpenRun() const;
+
   // Refuses the request if all targets hold it back for longer than it may
   // wait. Returns whether it was refused.
   bool RefuseIfHeldBack();
@@ -122,7 +129,8 @@
   }
 
  private:
-  // kSent includes a request that was ended since a part is quarantined.
+  // kSent includes a request that was ended instead, since a part is
+  // quarantined or the process stops.
   enum class SendVerdict { kSent, kHeldBack, kPending };
 
   bool FindRouteAndTenant();
@@ -235,6 +243,11 @@
   void ReleaseTarget(gateway::Outcome outcome);
   void HandleCallerGone();
   void LogCutByStop() const;
+  // Returns how long the request is at work, at most, if its answer is on time;
+  // none if the length of its stream is not known.
+  std::optional<Duration> OnTimeRun() const;
+  // Records how long the request was at work, as it ends.
+  void RecordRun(std::string_view outcome) const;
   // Logs and counts that the caller left, and at which target its work was.
   void LogCallerLeft() const;
   void HandleDeadline();
@@ -270,6 +283,8 @@
   // The target that it was sent to last, also after that attempt has ended.
   std::string last_target;
   std::string group;
+  // When the request was sent first.
+  std::optional<TimePoint> first_sent_at;
   // When the request was sent to its last target, and when that began to
   // answer.
   TimePoint sent_at;
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -120,7 +120,8 @@
         return other->service == this->service && !other->is_probing() &&
                !this->is_before(*other, now);
       });
-  if (this->RefuseIfEvacuated() || (is_first && this->TrySend())) {
+  if (this->RefuseIfStopping() || this->RefuseIfEvacuated() ||
+      (is_first && this->TrySend())) {
     return;
   }
   if (now >= this->wait.ends) {
@@ -206,7 +207,8 @@
   if (this->is_probing()) {
     return false;
   }
-  if (this->EndIfQuarantined() || this->RefuseIfEvacuated()) {
+  if (this->EndIfQuarantined() || this->RefuseIfStopping() ||
+      this->RefuseIfEvacuated()) {
     return true;
   }
   if (!this->has_engine()) {
@@ -314,8 +316,9 @@
 
 Forwarding::SendVerdict Forwarding::SendIfAdmitted(const TargetView& target) {
   auto self = this->shared_from_this();
-  // A part may have been quarantined, or tried, while the permit was awaited.
-  if (this->EndIfQuarantined()) {
+  // A part may have been quarantined, or tried, and time has passed, while the
+  // permit was awaited.
+  if (this->EndIfQuarantined() || this->RefuseIfStopping()) {
     return SendVerdict::kSent;
   }
   // Its zone may have been evacuated while the permit was awaited.
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -71,6 +71,7 @@
   this->target_id = target.target.id;
   this->last_target = this->target_id;
   this->sent_at = now;
+  this->first_sent_at = this->first_sent_at.value_or(now);
   this->waited = now - this->arrived;
   this->group = gateway::GroupOf(target);
   this->tried.insert(this->target_id);
--- a/Services/bramleyspand/Gateway/ForwardingStop.cc
+++ b/Services/bramleyspand/Gateway/ForwardingStop.cc
@@ -1,4 +1,6 @@
 // What a planned stop of the process does to a request.
+#include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "LibTelemetry/Log.h"
@@ -12,11 +14,86 @@
 
 using detail::kGatewayTimeout;
 using detail::ToMillisecondsText;
+using http::FindHeader;
 using telemetry::Log;
 using telemetry::LogLevel;
 
+// Returns the number of tokens of the longest answer, the second number of the
+// header; none if it has none.
+std::optional<uint64_t> ParseAnswerTokens(std::string_view tokens) {
+  const size_t comma = tokens.find(',');
+  if (comma == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const char* const end = tokens.data() + tokens.size();
+  uint64_t value = 0;
+  const auto parsed = std::from_chars(tokens.data() + comma + 1, end, value);
+  const bool is_number = parsed.ec == std::errc{} && parsed.ptr == end;
+  return is_number ? std::optional(value) : std::nullopt;
+}
+
 }  // namespace
 
+bool Forwarding::RefuseIfStopping() {
+  // A stream that has begun can only go on or be cut.
+  if (!this->state.stop || this->caller.has_begun) {
+    return false;
+  }
+  const TimePoint now = EventLoop::Now();
+  const Duration expected = gateway::ExpectedRun(
+      this->state.answer_times[this->route->name],
+      {.on_time = this->OnTimeRun(), .allowed = this->deadline - now}, now);
+  if (drain::can_end_in_time(*this->state.stop, expected, now)) {
+    return false;
+  }
+  auto keep_until_return = this->shared_from_this();
+  this->state.stop->has_refused = true;
+  this->SettlePermit();
+  this->state.waiting.remove(keep_until_return);
+  telemetry::Count(kRefusedByStop, {{"service", this->service}});
+  // Another gateway can serve the caller now.
+  const bool has_others = SharingOf(this->state, now).gateways > 1;
+  this->EndUnserved(
+      {.cause = "the gateway stops before it could end",
+       .may_have_run = this->may_have_run,
+       .refusal_headers = {{"retry-after", has_others ? FormatRetryAfter({})
+                                                      : this->RetryAfter()}}});
+  return true;
+}
+
+std::optional<Duration> Forwarding::OnTimeRun() const {
+  if (!this->is_streaming()) {
+    return this->route->objective;
+  }
+  const auto tokens = ParseAnswerTokens(
+      FindHeader(this->request.headers, this->state.adapter.headers.tokens));
+  if (!tokens) {
+    return std::nullopt;
+  }
+  const uint64_t per_event = std::max<uint64_t>(1, this->TokensPerEvent());
+  const uint64_t events = (*tokens + per_event - 1) / per_event;
+  return gateway::OnTimeRun(this->route->objective, this->route->longest_pause,
+                            events);
+}
+
+void Forwarding::RecordRun(std::string_view outcome) const {
+  if (!this->first_sent_at || outcome == "caller_left" ||
+      outcome == "refused") {
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  gateway::RecordRun(this->state.answer_times[this->route->name],
+                     now - *this->first_sent_at, now);
+}
+
+void Forwarding::RecordOpenRun() const {
+  if (this->first_sent_at) {
+    const TimePoint now = EventLoop::Now();
+    gateway::RecordOpenRun(this->state.answer_times[this->route->name],
+                           now - *this->first_sent_at, now);
+  }
+}
+
 void Forwarding::EndByStop() {
   if (this->is_finished) {
     return;
--- a/Services/bramleyspand/Gateway/GatewayMetrics.h
+++ b/Services/bramleyspand/Gateway/GatewayMetrics.h
@@ -67,6 +67,10 @@
     "Callers that left before their answer ended, by service: at=gateway if "
     "their request was at no target, at=target, at=silent_target if that "
     "answered neither requests nor probes."};
+inline constexpr MetricName kRefusedByStop{
+    "bramleyspan_refused_by_stop_total",
+    "Requests that a planned stop refused since they could not end before it, "
+    "by service."};
 inline constexpr MetricName kCutByStop{
     "bramleyspan_cut_by_stop_total",
     "Requests that the end of a planned stop cuts, by service: at=gateway if "
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -304,6 +304,7 @@
                               .max_body_bytes = bounds.body_bytes,
                               .head_timeout = bounds.header_timeout,
                               .idle_timeout = bounds.idle_timeout});
+    this->RemoveUnknownRoutes();
     this->peers.SendHeartbeatsNow();
   }
 
@@ -338,6 +339,21 @@
     }
   }
 
+  // Forgets what is known of routes that the desired state no longer has.
+  void RemoveUnknownRoutes() {
+    std::set<std::string> names;
+    for (const auto& [host, routes] : this->state.table->hosts) {
+      for (const auto& route : routes) {
+        names.insert(route->name);
+      }
+    }
+    const auto is_unknown = [&names](const auto& item) {
+      return !names.contains(item.first);
+    };
+    std::erase_if(this->state.wait_budgets, is_unknown);
+    std::erase_if(this->state.answer_times, is_unknown);
+  }
+
   // Forgets the services that the desired state no longer has.
   void RemoveUnknownServices() {
     const auto& services = this->state.table->services;
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -14,6 +14,7 @@
 #include "LibDrain/PlannedStop.h"
 #include "LibGateway/Adapter.h"
 #include "LibGateway/AnswerMemory.h"
+#include "LibGateway/AnswerTimes.h"
 #include "LibGateway/Availability.h"
 #include "LibGateway/Permits.h"
 #include "LibGateway/RouteTable.h"
@@ -85,6 +86,7 @@
   std::map<std::string, scheduling::Forecast> forecasts;
   // By name of the route.
   std::map<std::string, gateway::WaitBudget> wait_budgets;
+  std::map<std::string, gateway::AnswerTimes> answer_times;
   // Requests that wait for a permit, the next one first.
   std::list<std::shared_ptr<Forwarding>> waiting;
   // Requests that have not ended, by their numbers.
--- a/Services/bramleyspand/Gateway/GatewayStop.cc
+++ b/Services/bramleyspand/Gateway/GatewayStop.cc
@@ -60,6 +60,9 @@
 void GatewayStop::Check() {
   const TimePoint now = EventLoop::Now();
   const StopPhase before = this->stop().phase;
+  for (const auto& [number, forwarding] : this->state.open) {
+    forwarding->RecordOpenRun();
+  }
   const drain::StopWork work = this->FindWork();
   const StopPhase phase =
       drain::Advance(this->stop(), work, this->is_usage_written, now);
--- a/StandIns/GatewayCallers.cc
+++ b/StandIns/GatewayCallers.cc
@@ -63,10 +63,10 @@
 constexpr size_t kReadsPerSecond = 250;
 constexpr int kUnavailable = 503;
 
-const Clock::time_point g_start = Clock::now();
+const Clock::time_point kStart = Clock::now();
 
 long long MillisecondsAt(Clock::time_point time) {
-  return std::chrono::duration_cast<milliseconds>(time - g_start).count();
+  return std::chrono::duration_cast<milliseconds>(time - kStart).count();
 }
 
 void PrintLine(const std::string& line) {
@@ -158,10 +158,10 @@
 }
 
 bool SendRequest(int channel, const std::string& path, const std::string& id) {
-  std::string head = "POST " + path +
-                     " HTTP/1.1\r\nHost: app.test\r\nX-Attempt-Id: " + id +
-                     "\r\nX-Api-Key: key-huber\r\nX-Deadline-Ms: " +
-                     std::to_string(absl::GetFlag(FLAGS_deadline_milliseconds));
+  std::string head =
+      "POST " + path + " HTTP/1.1\r\nHost: app.test\r\nX-Attempt-Id: " + id +
+      "\r\nX-Api-Key: key-huber\r\nX-Token-Counts: 40,80\r\nX-Deadline-Ms: " +
+      std::to_string(absl::GetFlag(FLAGS_deadline_milliseconds));
   const milliseconds body_time(absl::GetFlag(FLAGS_body_milliseconds));
   if (body_time.count() == 0) {
     return SendAll(channel, head + "\r\nContent-Length: 4\r\n\r\nbody");
@@ -218,8 +218,7 @@
   const bool is_plain = plain_every != 0 && number % plain_every == 0;
   const std::string path = is_plain ? absl::GetFlag(FLAGS_plain_path)
                                     : absl::GetFlag(FLAGS_stream_path);
-  const auto ends =
-      g_start + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
+  const auto ends = kStart + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
   int channel = -1;
   for (int n = 0; Clock::now() < ends; ++n) {
     channel = channel == -1 ? Connect() : channel;
@@ -263,6 +262,7 @@
 int main(int argument_count, char** arguments) {
   absl::ParseCommandLine(argument_count, arguments);
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<size_t>(absl::GetFlag(FLAGS_callers)));
   for (int i = 0; i < absl::GetFlag(FLAGS_callers); ++i) {
     callers.emplace_back(bramleyspan::standins::RunCaller, i);
   }
