--- a/Tests/LibHTTP/Fixture.h
+++ b/Tests/LibHTTP/Fixture.h
@@ -96,6 +96,17 @@
   h2o_socket_t* socket = nullptr;
 };
 
+// Whether somebody listens at the address.
+inline bool can_connect(const Address& address) {
+  const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+  const sockaddr_in target = ToSocketAddress(address);
+  const bool is_connected =
+      connect(descriptor, reinterpret_cast<const sockaddr*>(&target),
+              sizeof target) == 0;
+  close(descriptor);
+  return is_connected;
+}
+
 // A client that sends raw bytes and reads nothing before ReadAll, which blocks.
 class LateReader {
  public:
@@ -105,13 +116,17 @@
     REQUIRE(connect(this->descriptor,
                     reinterpret_cast<const sockaddr*>(&target),
                     sizeof target) == 0);
-    REQUIRE(send(this->descriptor, bytes.data(), bytes.size(), 0) ==
-            static_cast<ssize_t>(bytes.size()));
+    this->Send(bytes);
   }
   ~LateReader() { close(this->descriptor); }
   LateReader(const LateReader&) = delete;
   LateReader& operator=(const LateReader&) = delete;
 
+  void Send(const std::string& bytes) const {
+    REQUIRE(send(this->descriptor, bytes.data(), bytes.size(), 0) ==
+            static_cast<ssize_t>(bytes.size()));
+  }
+
   // Ends the sending direction alone.
   void StopSending() { shutdown(this->descriptor, SHUT_WR); }
 
