--- a/Tests/LibHTTP/TestIngressStop.cc
+++ b/Tests/LibHTTP/TestIngressStop.cc
@@ -59,7 +59,7 @@
   IngressFixture fixture;
   fixture.Serve([](const IngressRequest&,
                    const std::shared_ptr<IngressExchange>& exchange) {
-    exchange->Respond(200, {}, std::string(1 << 22, 'x'));
+    exchange->Respond(200, {}, std::string(1 << 20, 'x'));
   });
   LateReader slow(fixture.address(), std::string(kRequest));
   RunFor(fixture.loop, milliseconds(50));
