--- a/StandIns/GatewayCallers.cc
+++ b/StandIns/GatewayCallers.cc
@@ -1,25 +1,28 @@
-// Stand-in for callers of one gateway that keep its address, and their
-// connections, until nobody listens there. Each caller sends one request after
-// the other. A line for each request goes to standard output:
+// Stand-in for callers of gateways that keep an address, and their connections,
+// until nobody listens there. Each caller sends one request after the other. A
+// line for each request goes to standard output:
 //
-//   ID KIND OUTCOME STATUS SENT-MS END-MS
+//   ID KIND OUTCOME STATUS SENT-MS END-MS BEGUN-MS ADDRESS FAULT
 //
 // KIND is stream or plain. OUTCOME is whole; refused (a 503); failed (another
-// whole answer); cut (an answer that began and did not end); dropped (no answer
-// though the last byte was sent over kLossSlack before the connection ended);
-// or crossed (no answer, sent later than that). Times are milliseconds since
-// the program began; a connection that is refused ends its caller.
+// whole answer); mixed (bytes that are not the whole answer to this request;
+// FAULT says which, else it is -); cut (an answer that began and did not end);
+// dropped (no answer though the last byte was sent over kLossSlack before the
+// connection ended); crossed (no answer, sent later than that); or left (its
+// caller went away). Times are milliseconds since the program began or since
+// --clock_start: of the last byte that was sent, of the end, and of the first
+// byte. With one address, a connection that is refused ends its caller; with
+// --addresses it goes to the next one then, and after a 503.
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
 #include <algorithm>
-#include <cctype>
-#include <charconv>
 #include <chrono>
 #include <iostream>
 #include <mutex>
@@ -27,10 +30,18 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
+#include "StandIns/GatewayAnswer.h"
+
 ABSL_FLAG(std::string, ip, "127.0.1.1", "IP of the gateway");
-ABSL_FLAG(int, port, 8080, "its port for callers");
+ABSL_FLAG(int, port, 8080, "port of gateways for callers");
+ABSL_FLAG(std::string,
+          addresses,
+          "",
+          "IPs of gateways, separated by commas, in place of --ip; callers "
+          "begin at different ones");
 ABSL_FLAG(int, callers, 12, "callers, each with one request at a time");
 ABSL_FLAG(int, plain_every, 3, "each n-th caller sends plain requests");
 ABSL_FLAG(std::string, prefix, "c", "what the ids of requests begin with");
@@ -48,6 +59,16 @@
           bytes_per_second,
           0,
           "rate at which answers are read, into a small buffer; 0 for at once");
+ABSL_FLAG(int,
+          leave_milliseconds,
+          0,
+          "time after which a caller that has no whole answer closes its "
+          "connection; 0 for never");
+ABSL_FLAG(bool, old_protocol, false, "speak HTTP/1.0");
+ABSL_FLAG(int64_t,
+          clock_start,
+          0,
+          "milliseconds since 1970 from which times count; 0 for the start");
 
 namespace bramleyspan::standins {
 
@@ -63,10 +84,24 @@
 constexpr size_t kReadsPerSecond = 250;
 constexpr int kUnavailable = 503;
 
-const Clock::time_point g_start = Clock::now();
+const Clock::time_point kStart = Clock::now();
+const auto kStartTime = std::chrono::system_clock::now();
+
+// Returns how long after --clock_start the program began.
+milliseconds StartAfterClock() {
+  const int64_t clock_start = absl::GetFlag(FLAGS_clock_start);
+  if (clock_start == 0) {
+    return milliseconds(0);
+  }
+  return std::chrono::duration_cast<milliseconds>(
+             kStartTime.time_since_epoch()) -
+         milliseconds(clock_start);
+}
 
 long long MillisecondsAt(Clock::time_point time) {
-  return std::chrono::duration_cast<milliseconds>(time - g_start).count();
+  return (std::chrono::duration_cast<milliseconds>(time - kStart) +
+          StartAfterClock())
+      .count();
 }
 
 void PrintLine(const std::string& line) {
@@ -75,57 +110,8 @@
   std::cout << line << std::endl;
 }
 
-// What a caller has read of an answer.
-struct Answer {
-  int status = 0;
-  std::string input;
-  size_t head_bytes = 0;
-  bool is_chunked = false;
-  bool is_last = false;
-  size_t length = 0;
-
-  bool has_begun() const { return !this->input.empty(); }
-};
-
-std::string LowerCaseOf(std::string text) {
-  std::transform(text.begin(), text.end(), text.begin(),
-                 [](unsigned char letter) { return std::tolower(letter); });
-  return text;
-}
-
-void ReadHeadOf(Answer& answer) {
-  const size_t end = answer.input.find("\r\n\r\n");
-  if (end == std::string::npos) {
-    return;
-  }
-  answer.head_bytes = end + 4;
-  const std::string head = LowerCaseOf(answer.input.substr(0, end));
-  std::from_chars(head.data() + 9, head.data() + 12, answer.status);
-  answer.is_chunked =
-      head.find("\r\ntransfer-encoding: chunked") != std::string::npos;
-  answer.is_last = head.find("\r\nconnection: close") != std::string::npos;
-  constexpr std::string_view kLength = "\r\ncontent-length: ";
-  const size_t length = head.find(kLength);
-  if (length != std::string::npos) {
-    answer.length = std::stoul(head.substr(length + kLength.size()));
-  }
-}
-
-// Whether the answer has come as a whole.
-bool is_whole(Answer& answer) {
-  if (answer.head_bytes == 0) {
-    ReadHeadOf(answer);
-  }
-  if (answer.head_bytes == 0) {
-    return false;
-  }
-  return answer.is_chunked
-             ? answer.input.ends_with("\r\n0\r\n\r\n")
-             : answer.input.size() >= answer.head_bytes + answer.length;
-}
-
 // Returns -1 if nobody listens.
-int Connect() {
+int Connect(const std::string& ip) {
   const int channel = socket(AF_INET, SOCK_STREAM, 0);
   if (absl::GetFlag(FLAGS_bytes_per_second) != 0) {
     setsockopt(channel, SOL_SOCKET, SO_RCVBUF, &kSmallBuffer,
@@ -136,7 +122,7 @@
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_port = htons(static_cast<uint16_t>(absl::GetFlag(FLAGS_port)));
-  inet_pton(AF_INET, absl::GetFlag(FLAGS_ip).c_str(), &address.sin_addr);
+  inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
   if (connect(channel, reinterpret_cast<sockaddr*>(&address), sizeof address) !=
       0) {
     close(channel);
@@ -158,12 +144,13 @@
 }
 
 bool SendRequest(int channel, const std::string& path, const std::string& id) {
-  std::string head = "POST " + path +
-                     " HTTP/1.1\r\nHost: app.test\r\nX-Attempt-Id: " + id +
+  const bool is_old = absl::GetFlag(FLAGS_old_protocol);
+  std::string head = "POST " + path + (is_old ? " HTTP/1.0" : " HTTP/1.1") +
+                     "\r\nHost: app.test\r\nX-Attempt-Id: " + id +
                      "\r\nX-Api-Key: key-huber\r\nX-Deadline-Ms: " +
                      std::to_string(absl::GetFlag(FLAGS_deadline_milliseconds));
   const milliseconds body_time(absl::GetFlag(FLAGS_body_milliseconds));
-  if (body_time.count() == 0) {
+  if (body_time.count() == 0 || is_old) {
     return SendAll(channel, head + "\r\nContent-Length: 4\r\n\r\nbody");
   }
   constexpr int kPieces = 4;
@@ -179,9 +166,23 @@
   return SendAll(channel, "0\r\n\r\n");
 }
 
-// Reads the answer until it is whole or the connection ends.
-void ReadAnswer(int channel, Answer& answer) {
+// Waits until there is something to read. Returns false once it is time to
+// leave.
+bool WaitForBytes(int channel, Clock::time_point leaves_at) {
+  const auto left =
+      std::chrono::duration_cast<milliseconds>(leaves_at - Clock::now());
+  pollfd entry{.fd = channel, .events = POLLIN, .revents = 0};
+  return left.count() > 0 &&
+         poll(&entry, 1, static_cast<int>(left.count())) == 1;
+}
+
+// Reads the answer until it is whole, the connection ends or its caller leaves.
+// Returns whether the caller has left.
+bool ReadAnswer(int channel, Answer& answer) {
   const int rate = absl::GetFlag(FLAGS_bytes_per_second);
+  const milliseconds patience(absl::GetFlag(FLAGS_leave_milliseconds));
+  const auto leaves_at =
+      Clock::now() + (patience.count() == 0 ? std::chrono::hours(1) : patience);
   char buffer[4096];
   const size_t most =
       rate == 0
@@ -189,9 +190,13 @@
           : std::clamp<size_t>(static_cast<size_t>(rate) / kReadsPerSecond, 1,
                                sizeof buffer);
   while (!is_whole(answer)) {
+    if (!WaitForBytes(channel, leaves_at)) {
+      return true;
+    }
     const ssize_t received = recv(channel, buffer, most, 0);
     if (received <= 0) {
-      return;
+      answer.is_ended = received == 0;
+      return false;
     }
     answer.input.append(buffer, static_cast<size_t>(received));
     if (rate != 0) {
@@ -199,6 +204,7 @@
           std::chrono::microseconds(received * 1'000'000 / rate));
     }
   }
+  return false;
 }
 
 std::string OutcomeOf(Answer& answer, milliseconds waited) {
@@ -213,47 +219,147 @@
   return waited > kLossSlack ? "dropped" : "crossed";
 }
 
+// One request and what became of it.
+struct Attempt {
+  std::string id;
+  bool is_stream = false;
+  std::string ip;
+  Clock::time_point begun_at;
+  Clock::time_point sent_at;
+  Clock::time_point ended_at;
+  bool is_sent = false;
+  bool has_left = false;
+  Answer answer;
+  std::string outcome;
+  std::string fault;
+};
+
+// Whether bytes have come for which no request waits.
+bool has_unasked_bytes(int channel) {
+  char byte = 0;
+  return recv(channel, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
+void Judge(Attempt& attempt) {
+  const auto waited = std::chrono::duration_cast<milliseconds>(
+      attempt.ended_at - attempt.sent_at);
+  Answer& answer = attempt.answer;
+  const bool is_answer_whole = is_whole(answer);
+  attempt.outcome = attempt.is_sent || answer.has_begun()
+                        ? OutcomeOf(answer, waited)
+                        : "crossed";
+  if (attempt.has_left) {
+    attempt.outcome = "left";
+  }
+  if (attempt.fault.empty()) {
+    attempt.fault =
+        FindFault(answer, attempt.id, attempt.is_stream, is_answer_whole);
+  }
+  if (!attempt.fault.empty()) {
+    attempt.outcome = "mixed";
+  }
+}
+
+void PrintAttempt(const Attempt& attempt) {
+  std::ostringstream line;
+  line << attempt.id << (attempt.is_stream ? " stream " : " plain ")
+       << attempt.outcome << " " << attempt.answer.status << " "
+       << MillisecondsAt(attempt.sent_at) << " "
+       << MillisecondsAt(attempt.ended_at) << " "
+       << MillisecondsAt(attempt.begun_at) << " " << attempt.ip << " "
+       << (attempt.fault.empty() ? "-" : attempt.fault);
+  PrintLine(line.str());
+}
+
+void Perform(int channel, Attempt& attempt) {
+  attempt.begun_at = Clock::now();
+  if (has_unasked_bytes(channel)) {
+    attempt.fault = "unasked";
+  }
+  attempt.is_sent = SendRequest(
+      channel,
+      absl::GetFlag(attempt.is_stream ? FLAGS_stream_path : FLAGS_plain_path),
+      attempt.id);
+  attempt.sent_at = Clock::now();
+  attempt.has_left = ReadAnswer(channel, attempt.answer);
+  attempt.ended_at = Clock::now();
+  Judge(attempt);
+  PrintAttempt(attempt);
+}
+
+std::vector<std::string> Addresses() {
+  std::vector<std::string> addresses;
+  std::istringstream list(absl::GetFlag(FLAGS_addresses));
+  for (std::string ip; std::getline(list, ip, ',');) {
+    addresses.push_back(ip);
+  }
+  if (addresses.empty()) {
+    addresses.push_back(absl::GetFlag(FLAGS_ip));
+  }
+  return addresses;
+}
+
+// A caller's address and connection.
+struct Connection {
+  std::vector<std::string> addresses = Addresses();
+  size_t current = 0;
+  int channel = -1;
+
+  const std::string& ip() const {
+    return this->addresses[this->current % this->addresses.size()];
+  }
+  void Close() {
+    if (this->channel != -1) {
+      close(std::exchange(this->channel, -1));
+    }
+  }
+};
+
+// Connects, to the next address if nobody listens at one. Returns false if
+// there is none to turn to, or no time left.
+bool ConnectSomewhere(Connection& connection, Clock::time_point ends) {
+  constexpr milliseconds kPauseWhenRefused(50);
+  while (connection.channel == -1 && Clock::now() < ends) {
+    connection.channel = Connect(connection.ip());
+    if (connection.channel != -1) {
+      break;
+    }
+    if (connection.addresses.size() == 1) {
+      return false;
+    }
+    ++connection.current;
+    std::this_thread::sleep_for(kPauseWhenRefused);
+  }
+  return connection.channel != -1;
+}
+
 void RunCaller(int number) {
   const int plain_every = absl::GetFlag(FLAGS_plain_every);
   const bool is_plain = plain_every != 0 && number % plain_every == 0;
-  const std::string path = is_plain ? absl::GetFlag(FLAGS_plain_path)
-                                    : absl::GetFlag(FLAGS_stream_path);
-  const auto ends =
-      g_start + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
-  int channel = -1;
+  const auto ends = kStart + std::chrono::seconds(absl::GetFlag(FLAGS_seconds));
+  Connection connection{.current = static_cast<size_t>(number)};
   for (int n = 0; Clock::now() < ends; ++n) {
-    channel = channel == -1 ? Connect() : channel;
-    if (channel == -1) {
+    if (!ConnectSomewhere(connection, ends)) {
       return;
     }
-    const std::string id = absl::GetFlag(FLAGS_prefix) + "-" +
-                           std::to_string(number) + "-" + std::to_string(n);
-    const bool is_sent = SendRequest(channel, path, id);
-    const auto sent_at = Clock::now();
-    Answer answer;
-    ReadAnswer(channel, answer);
-    const auto ended_at = Clock::now();
-    const auto waited =
-        std::chrono::duration_cast<milliseconds>(ended_at - sent_at);
-    const std::string outcome =
-        is_sent || answer.has_begun() ? OutcomeOf(answer, waited) : "crossed";
-    std::ostringstream line;
-    line << id << (is_plain ? " plain " : " stream ") << outcome << " "
-         << answer.status << " " << MillisecondsAt(sent_at) << " "
-         << MillisecondsAt(ended_at);
-    PrintLine(line.str());
+    Attempt attempt{.id = absl::GetFlag(FLAGS_prefix) + "-" +
+                          std::to_string(number) + "-" + std::to_string(n),
+                    .is_stream = !is_plain,
+                    .ip = connection.ip()};
+    Perform(connection.channel, attempt);
     const bool is_kept = absl::GetFlag(FLAGS_keep_connections) &&
-                         is_whole(answer) && !answer.is_last;
-    if (!is_kept) {
-      close(channel);
-      channel = -1;
+                         !attempt.has_left && is_whole(attempt.answer) &&
+                         !attempt.answer.is_last && !attempt.answer.is_ended;
+    const bool goes_elsewhere =
+        attempt.outcome == "refused" && connection.addresses.size() > 1;
+    if (!is_kept || goes_elsewhere) {
+      connection.Close();
     }
+    connection.current += goes_elsewhere ? 1 : 0;
     std::this_thread::sleep_for(
         milliseconds(absl::GetFlag(FLAGS_pause_milliseconds)));
   }
-  if (channel != -1) {
-    close(channel);
-  }
+  connection.Close();
 }
 
 }  // namespace
@@ -263,6 +369,7 @@
 int main(int argument_count, char** arguments) {
   absl::ParseCommandLine(argument_count, arguments);
   std::vector<std::thread> callers;
+  callers.reserve(static_cast<size_t>(absl::GetFlag(FLAGS_callers)));
   for (int i = 0; i < absl::GetFlag(FLAGS_callers); ++i) {
     callers.emplace_back(bramleyspan::standins::RunCaller, i);
   }
--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -15,6 +15,7 @@
 //   the last rank only); none ends it.
 // - PUT /group?state=: the group reports this state, open or broken, and runs
 //   on nevertheless.
+// - PUT /passes?pause_ms=: the group begins no pass for so long.
 // - PUT /freeze?rank=&at=: the server of this rank, counted from 0, freezes at
 //   its next stream (stream) or at the next hold of the group (hold).
 // - PUT /cut: cuts all streams that run at the ranks, once; ranks stay up.
@@ -40,6 +41,7 @@
 
 #include "StandIns/UsersPlatform/Ranks.h"
 #include "StandIns/UsersPlatform/RawServer.h"
+#include "StandIns/UsersPlatform/RequestLog.h"
 
 ABSL_FLAG(std::string, net, "127.0", "first two numbers of all addresses");
 ABSL_FLAG(int, ranks, 2, "ranks of the group");
@@ -50,6 +52,10 @@
           "duration of a pass, in which each stream sends one event");
 ABSL_FLAG(int, work_milliseconds, 50, "duration of a plain request");
 ABSL_FLAG(int, answer_bytes, 0, "bytes that are added to plain answers");
+ABSL_FLAG(int,
+          long_answer_bytes,
+          0,
+          "bytes that are added to plain answers whose path ends in /long");
 
 namespace bramleyspan::standins {
 
@@ -184,6 +190,7 @@
   const std::string attempt(http::FindHeader(request.headers, "x-attempt-id"));
   ServerSignals& signals = platform.signals[server.id];
   if (expected != server.id) {
+    LogRejected(server.id, attempt, 421);
     exchange->Respond(421, {{"x-not-executed", "1"}}, "");
     return;
   }
@@ -196,6 +203,7 @@
   }
   ++platform.runs[attempt];
   ++platform.runs_by_server[server.id];
+  LogBegun(server.id, request);
   if (ends_server) {
     platform.loop.RunAfter(platform.crashes.delay,
                            [&platform, &server, body = request.body] {
@@ -206,15 +214,19 @@
   const std::string tenant(http::FindHeader(request.headers, "x-tenant"));
   platform.loop.RunAfter(
       std::chrono::milliseconds(absl::GetFlag(FLAGS_work_milliseconds)),
-      [exchange, attempt, tenant, &signals, service = server.service] {
+      [exchange, attempt, tenant, &signals, service = server.service,
+       id = server.id,
+       added = absl::GetFlag(request.path.ends_with("/long")
+                                 ? FLAGS_long_answer_bytes
+                                 : FLAGS_answer_bytes)] {
+        LogEnded(id, attempt, exchange->is_closed() ? "left" : "whole");
         http::HeaderList headers = SignalHeaders(signals);
         headers.emplace_back("x-attempt-id", attempt);
         headers.emplace_back("x-server-stamp", "stamp-" + attempt);
         const int failure = signals.failure_status;
-        exchange->Respond(
-            failure != 0 ? failure : 200, headers,
-            service + " " + attempt + " " + tenant +
-                std::string(absl::GetFlag(FLAGS_answer_bytes), 'x'));
+        exchange->Respond(failure != 0 ? failure : 200, headers,
+                          service + " " + attempt + " " + tenant +
+                              std::string(static_cast<size_t>(added), 'x'));
       });
 }
 
@@ -326,6 +338,10 @@
     platform.group.ranks.at(rank).freezes_at =
         http::FindQueryValue(request.query, "at");
   }
+  if (request.path == "/passes") {
+    platform.group.paused_until =
+        EventLoop::Now() + MillisecondsIn(request.query, "pause_ms");
+  }
   if (request.path == "/cut") {
     CutStreams(platform.group);
   }
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "StandIns/UsersPlatform/RequestLog.h"
+
 namespace bramleyspan::standins {
 
 namespace {
@@ -184,6 +186,7 @@
       http::FindHeader(request.headers, "x-expect-instance"));
   const std::string attempt(http::FindHeader(request.headers, "x-attempt-id"));
   if (expected != rank.id) {
+    LogRejected(rank.id, attempt, 421);
     exchange->Respond(421, {{"x-not-executed", "1"}}, "");
     return;
   }
@@ -196,10 +199,12 @@
     return;
   }
   if (is_broken(group)) {
+    LogRejected(rank.id, attempt, 503);
     exchange->Respond(503, {{"x-not-executed", "1"}}, "");
     return;
   }
   ++(*group.runs)[attempt];
+  LogBegun(rank.id, request);
   http::HeaderList headers = SignalHeaders(signals);
   headers.emplace_back("x-attempt-id", attempt);
   headers.emplace_back("x-server-stamp", "stamp-" + attempt);
@@ -220,7 +225,10 @@
   headers.emplace_back("content-type", "text/event-stream");
   exchange->StartStream(200, headers);
   const uint64_t number = ++group.last_stream;
-  exchange->OnDisconnect([&rank, number] { rank.streams.erase(number); });
+  exchange->OnDisconnect([&rank, number, attempt] {
+    LogEnded(rank.id, attempt, "left");
+    rank.streams.erase(number);
+  });
   rank.streams.emplace(number, std::move(stream));
 }
 
@@ -243,6 +251,7 @@
       ++found;
       continue;
     }
+    LogEnded(rank.id, stream.attempt, "whole");
     stream.exchange->Finish();
     found = rank.streams.erase(found);
   }
@@ -285,6 +294,7 @@
 void CutStreams(StandInGroup& group) {
   for (StandInRank& rank : group.ranks) {
     for (auto& [number, stream] : std::exchange(rank.streams, {})) {
+      LogEnded(rank.id, stream.attempt, "cut");
       stream.exchange->Abort();
     }
   }
@@ -315,7 +325,7 @@
   const bool is_held = std::any_of(
       group.ranks.begin(), group.ranks.end(),
       [&](const auto& rank) { return rank.held == group.step + 1; });
-  if (!has_work || is_held) {
+  if (!has_work || is_held || EventLoop::Now() < group.paused_until) {
     return;
   }
   ++group.step;
--- a/StandIns/UsersPlatform/Ranks.h
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -75,6 +75,8 @@
   std::string lost_order;
   // What each rank reports as the state of the group.
   std::string state = "open";
+  // No pass begins before this.
+  TimePoint paused_until;
   // How often each attempt began to run, at the ranks and at plain servers.
   std::map<std::string, uint64_t>* runs = nullptr;
   Signals* signals = nullptr;
