--- a/StandIns/Soak/Plan.cc
+++ b/StandIns/Soak/Plan.cc
@@ -15,6 +15,9 @@
 constexpr milliseconds kStopBound(8000);
 constexpr milliseconds kStartTime(600);
 constexpr milliseconds kFirstStep(2500);
+// Time from one stand of the group to the next: callers leave streams that
+// pause for two seconds.
+constexpr milliseconds kBetweenStands(3500);
 
 // Draws that are equal with every standard library.
 struct Draws {
@@ -152,10 +155,9 @@
                     .wait = draws.Between(500, 1500)});
       break;
     case 2: {
-      constexpr milliseconds kInterval(3500);
       const int count = draws.From(1, 3);
       for (int i = 0; i < count; ++i) {
-        Add(drawing, {.at = at + i * kInterval,
+        Add(drawing, {.at = at + i * kBetweenStands,
                       .act = Act::kPause,
                       .wait = draws.Between(700, 1200)});
       }
@@ -170,6 +172,22 @@
   }
 }
 
+// Removes the stands that begin too soon after another one; the steps are by
+// time.
+void SpaceStands(Plan& plan) {
+  milliseconds next = kFirstStep - kBetweenStands;
+  std::erase_if(plan.steps, [&next](const Step& step) {
+    if (step.act != Act::kPause) {
+      return false;
+    }
+    if (step.at < next) {
+      return true;
+    }
+    next = step.at + kBetweenStands;
+    return false;
+  });
+}
+
 std::string Flag(const std::string& name, int value) {
   return "--" + name + "=" + std::to_string(value);
 }
@@ -277,6 +295,7 @@
     return step.at > plan.end + kStopBound;
   });
   std::ranges::stable_sort(plan.steps, {}, &Step::at);
+  SpaceStands(plan);
   return plan;
 }
 
--- a/Tests/StandIns/TestPlan.cc
+++ b/Tests/StandIns/TestPlan.cc
@@ -40,6 +40,20 @@
   }
 }
 
+TEST_CASE("A group that stands is not paused again before it has served") {
+  for (uint64_t seed = 0; seed < kSeeds; ++seed) {
+    CAPTURE(seed);
+    milliseconds last(-kLength);
+    for (const Step& step : DrawPlan(seed, kLength).steps) {
+      if (step.act == Act::kPause) {
+        CHECK(step.wait <= milliseconds(1200));
+        CHECK(step.at - last >= milliseconds(3500));
+        last = step.at;
+      }
+    }
+  }
+}
+
 TEST_CASE("Plans draw every act, and stops of gateways that overlap") {
   std::map<Act, int> counts;
   std::set<std::string> words;
