LibHTTP: Wait for a slow reader of the last answer on its connection

Callers that read an answer slowly which was given in the stop saw the process gone before they had it: 3.6 s after SIGTERM, the answer taken 5.5 s after the request; whole only since the system went on sending.

Cause: a connection that is to end waits a second for its caller to close it and was closed then, and a closed one counts as delivered.

--- a/Libraries/LibHTTP/IngressConnection.cc
+++ b/Libraries/LibHTTP/IngressConnection.cc
@@ -19,7 +19,7 @@
 constexpr int kHeadersTooLarge = 431;
 // Bytes of further requests that are buffered while an answer is pending.
 constexpr size_t kMaxPipelinedBytes = 1 << 16;
-// How long a closing connection waits for the caller to read the answer.
+// How long a closing connection waits for its caller to close it.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
 // Callers reuse idle connections for up to four fifths of the idle timeout. If
 // the server closed one while a request is on its way, the request would fail
@@ -169,7 +169,9 @@
       }
       return;
     case Phase::kLingering:
-      if (now - this->since > kLingerTime) {
+      // A caller that reads slowly has taken no more than a part by then.
+      if (now - this->since > kLingerTime &&
+          this->unacknowledged_bytes() == 0) {
         this->Close();
       }
       return;
