LibDrain, Gateway: Be gone before the platform's kill

A stop that reached its bound logged drain_ended 7.91 to 7.99 s after SIGTERM in 10 of 10 stops with a caller that reads nothing, and the process was gone after 7.93 to 9.28 s where the platform kills at 8 s (review, load 25 to 31 on 8 cores): what a kill takes is the last lines, the last usage and answers.

Cause: the last moment was the bound less 0.1 s and was looked for every 0.1 s. And a process that had stood until the ending took one phase a look, so that it ended nothing in time.

Now the last moment is the bound less 0.25 s, the ending 0.5 s before the bound, the next look comes at such a border at the latest, and Advance goes through as many phases as are due. TestLibDrain "leaves its process the time to exit" and "though the process stood" failed before.

--- a/Libraries/LibDrain/PlannedStop.cc
+++ b/Libraries/LibDrain/PlannedStop.cc
@@ -1,5 +1,7 @@
 #include "LibDrain/PlannedStop.h"
 
+#include <algorithm>
+
 namespace bramleyspan::drain {
 
 namespace {
@@ -8,8 +10,13 @@
 // callers whose connection is refused go elsewhere at once, others are told by
 // an answer.
 constexpr Duration kLastCall = std::chrono::seconds(1);
-// Time before the bound at which the process ends, delivered or not.
-constexpr Duration kLastMoment = std::chrono::milliseconds(100);
+// Time before the bound at which the process ends, delivered or not. It has to
+// be gone before it is killed.
+constexpr Duration kLastMoment = std::chrono::milliseconds(250);
+
+TimePoint LastMomentOf(const PlannedStop& stop) {
+  return stop.began + stop.terms.bound - kLastMoment;
+}
 
 bool may_close_address(const PlannedStop& stop,
                        const StopWork& work,
@@ -37,7 +44,7 @@
       return now >= stop.ending_at() ? StopPhase::kEnding
                                      : StopPhase::kFinishing;
     case StopPhase::kEnding: {
-      const bool is_over = now >= stop.began + stop.terms.bound - kLastMoment;
+      const bool is_over = now >= LastMomentOf(stop);
       return is_over || (work.is_done() && is_recorded) ? StopPhase::kEnded
                                                         : StopPhase::kEnding;
     }
@@ -75,8 +82,23 @@
                   const StopWork& work,
                   bool is_recorded,
                   TimePoint now) {
-  stop.phase = NextPhase(stop, work, is_recorded, now);
+  StopPhase before = stop.phase;
+  do {
+    before = stop.phase;
+    stop.phase = NextPhase(stop, work, is_recorded, now);
+  } while (stop.phase != before);
   return stop.phase;
 }
 
+Duration TimeUntilCheck(const PlannedStop& stop,
+                        Duration interval,
+                        TimePoint now) {
+  for (const TimePoint border : {stop.ending_at(), LastMomentOf(stop)}) {
+    if (border > now) {
+      interval = std::min(interval, border - now);
+    }
+  }
+  return interval;
+}
+
 }  // namespace bramleyspan::drain
--- a/Libraries/LibDrain/PlannedStop.h
+++ b/Libraries/LibDrain/PlannedStop.h
@@ -33,7 +33,7 @@
   Duration bound{};
   // The last part of the bound, in which open work is ended and the ends are
   // delivered.
-  Duration reserve = std::chrono::milliseconds(400);
+  Duration reserve = std::chrono::milliseconds(500);
 };
 
 // What the process is busy with.
@@ -72,11 +72,18 @@
 // Whether work that takes so long ends before the ending.
 bool can_end_in_time(const PlannedStop& stop, Duration takes, TimePoint now);
 
-// Moves on to the phase that follows from the work. What the process has
-// counted is written last: `is_recorded` says that it is.
+// Moves on to the phase that follows from the work, several if the process
+// stood meanwhile. What the process has counted is written last: `is_recorded`
+// says that it is.
 StopPhase Advance(PlannedStop& stop,
                   const StopWork& work,
                   bool is_recorded,
                   TimePoint now);
 
+// Returns after what time to ask again: `interval`, or less if a moment comes
+// before that at which the phase changes whatever the work.
+Duration TimeUntilCheck(const PlannedStop& stop,
+                        Duration interval,
+                        TimePoint now);
+
 }  // namespace bramleyspan::drain
--- a/Services/bramleyspand/Gateway/GatewayStop.cc
+++ b/Services/bramleyspand/Gateway/GatewayStop.cc
@@ -59,24 +59,26 @@
 
 void GatewayStop::Check() {
   const TimePoint now = EventLoop::Now();
-  const StopPhase before = this->stop().phase;
   for (const auto& [number, forwarding] : this->state.open) {
-    forwarding->RecordOpenRun();
+    forwarding->RecordPartialRun();
   }
+  const StopPhase before = this->stop().phase;
   const drain::StopWork work = this->FindWork();
   const StopPhase phase =
       drain::Advance(this->stop(), work, this->is_usage_written, now);
   if (phase != before) {
-    this->EnterPhase();
+    this->LeavePhase(before, work);
   }
   if (phase == StopPhase::kEnded) {
+    this->LogWork("drain_ended");
+    this->repeats.SendFinalReport();
     this->state.loop.Stop();
     return;
   }
   if (phase != StopPhase::kServing) {
     this->callers->CloseIdle(phase == StopPhase::kFinishing ? kIdleBeforeClose
                                                             : Duration(0));
-    if (work.is_done()) {
+    if (work.is_done() || phase == StopPhase::kEnding) {
       this->WriteUsageOnce();
     }
   }
@@ -84,26 +86,23 @@
     this->logged_at = now;
     this->LogWork("drain_waits");
   }
-  this->state.loop.RunAfter(kCheckInterval, [this] { this->Check(); });
+  this->state.loop.RunAfter(
+      drain::TimeUntilCheck(this->stop(), kCheckInterval, now),
+      [this] { this->Check(); });
 }
 
-void GatewayStop::EnterPhase() {
-  switch (this->stop().phase) {
-    case StopPhase::kServing:
-      return;
-    case StopPhase::kFinishing:
-      this->LogWork("drain_closes_address");
-      this->callers->StopListening();
-      return;
-    case StopPhase::kEnding:
-      this->LogWork("drain_bound_reached");
-      this->EndOpen();
-      this->WriteUsageOnce();
-      return;
-    case StopPhase::kEnded:
-      this->LogWork("drain_ended");
-      this->repeats.SendFinalReport();
-      return;
+void GatewayStop::LeavePhase(StopPhase before, const drain::StopWork& work) {
+  const StopPhase phase = this->stop().phase;
+  if (before == StopPhase::kServing) {
+    this->LogWork("drain_closes_address");
+    this->callers->StopListening();
+  }
+  const bool is_bound_reached =
+      phase == StopPhase::kEnding ||
+      (before != StopPhase::kEnding && !work.is_done());
+  if (phase >= StopPhase::kEnding && is_bound_reached) {
+    this->LogWork("drain_bound_reached");
+    this->EndOpen();
   }
 }
 
@@ -115,7 +114,10 @@
   for (const auto& forwarding : open) {
     forwarding->EndByStop();
   }
-  this->callers->RefuseReading(kUnavailable, {{"retry-after", "0"}});
+  const bool has_others = SharingOf(this->state, EventLoop::Now()).gateways > 1;
+  this->callers->RefuseReading(
+      kUnavailable,
+      has_others ? http::HeaderList{{"retry-after", "0"}} : http::HeaderList{});
 }
 
 void GatewayStop::LogWork(std::string_view event) const {
--- a/Services/bramleyspand/Gateway/GatewayStop.h
+++ b/Services/bramleyspand/Gateway/GatewayStop.h
@@ -21,7 +21,8 @@
   drain::PlannedStop& stop() { return *this->state.stop; }
   drain::StopWork FindWork() const;
   void Check();
-  void EnterPhase();
+  // Does what follows from the end of a phase.
+  void LeavePhase(drain::StopPhase before, const drain::StopWork& work);
   // Ends all that is still open, since the process is about to be killed.
   void EndOpen();
   void LogWork(std::string_view event) const;
