LibGateway, Gateway: Judge an answer by its events, and calls by whole ones

Callers saw two faults of the first form of the refusal:

- 114 and 116 calls of 50 ms were refused from the SIGTERM on, since two calls of their route had reached their time limit of 8 s before.
Cause: a run counted however it had ended, and as a whole, so that one long stream made short ones expected to be long as well.

Now the course of a stream is recorded as its time to the first event, its mean pause without the longest one, and that longest one, by service (streams share the passes of a service's groups, whatever their routes), from streams that go on or are left as well. An answer takes the slowest first event, the slowest pause for each of its own events (X-Token-Counts), half of that as a margin always, and one more stand. Calls count by whole answers alone.

A repeat is not begun that can't end either: the answer that is there is given (a server's own 500 became our 502, by reading). The last gateway keeps its address open and names a true Retry-After.

--- a/Libraries/LibGateway/AnswerTimes.h
+++ b/Libraries/LibGateway/AnswerTimes.h
@@ -1,49 +1,61 @@
-// How long requests of a route are at work lately, by which a process that
-// stops judges what it can still finish.
+// How long answers take lately, by which a process that stops judges what it
+// can still finish.
 #pragma once
 
 #include <cstddef>
-#include <optional>
 
 #include "Kernel/Time.h"
 
 namespace bramleyspan::gateway {
 
-// The longest run of lately and how many there were, in two spans: the present
-// one, and the one before it.
+// The course of one answer. An answer that is no stream has one event.
+struct AnswerRun {
+  // From the first sending of its request to the first event.
+  Duration first{};
+  size_t events = 1;
+  // From the first event to the last.
+  Duration rest{};
+  // The longest pause between two events, such as one in which its group stood.
+  Duration longest_pause{};
+};
+
+// The longest of lately, in two spans: the present one, and the one before it.
 struct AnswerTimes {
   struct Span {
-    Duration longest{};
-    size_t count = 0;
+    Duration first{};
+    // Mean pause of an answer, without its longest one.
+    Duration pause{};
+    Duration longest_pause{};
+    size_t most_events = 0;
+    // Whole answers.
+    size_t answers = 0;
   };
   TimePoint began;
   Span present;
   Span before;
 };
 
-// Records how long a request was at work, from its first sending to the end of
-// its answer.
-void RecordRun(AnswerTimes& times, Duration took, TimePoint now);
+// Records an answer that has ended as a whole.
+void RecordWhole(AnswerTimes& times, const AnswerRun& run, TimePoint now);
 
-// Records that a request has been at work for so long and has not ended.
-void RecordOpenRun(AnswerTimes& times, Duration so_far, TimePoint now);
+// Records an answer that goes on, or whose end is not known.
+void RecordPart(AnswerTimes& times, const AnswerRun& run, TimePoint now);
 
-// What is known of a request before it runs.
-struct RunOutlook {
-  // The longest that an answer which is on time takes; none if that is unknown.
-  std::optional<Duration> on_time;
-  // The time after which it is given up, by its caller or its route.
+// What is known of an answer before it begins.
+struct AnswerOutlook {
+  // How many events it has at most; 0 if that is unknown.
+  size_t events = 1;
+  // The longest until the first event, and between two, that are on time.
+  Duration objective{};
+  Duration longest_pause{};
+  // The time after which the request is given up, by its caller or its route.
   Duration allowed{};
 };
 
-// Returns how long a request is expected to be at work, at most. Without enough
-// recent runs it is expected to be on time.
+// Returns how long the answer is expected to take, at most. Without enough
+// answers of lately it is expected to be on time, or as late as they are.
 Duration ExpectedRun(const AnswerTimes& times,
-                     const RunOutlook& outlook,
+                     const AnswerOutlook& outlook,
                      TimePoint now);
 
-// Returns the longest that a stream of so many events takes that is on time:
-// the time until its first event, and a pause before each further one.
-Duration OnTimeRun(Duration objective, Duration longest_pause, size_t events);
-
 }  // namespace bramleyspan::gateway
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -193,7 +193,7 @@
   const TimePoint now = EventLoop::Now();
   constexpr Duration kMinTimeLeft = std::chrono::milliseconds(20);
   if (now + kMinTimeLeft > this->deadline || this->exchange->is_closed() ||
-      !gateway::may_go_on(this->caller)) {
+      !gateway::may_go_on(this->caller) || !this->can_end_before_stop()) {
     return false;
   }
   // Only targets that the request was sent to count towards the route's limit;
@@ -241,9 +241,15 @@
 }
 
 void Forwarding::Finish(std::string_view outcome, int status) {
-  if (std::exchange(this->is_finished, true)) {
+  if (this->is_finished) {
     return;
   }
+  if (outcome == "answered") {
+    this->RecordWholeRun();
+  } else {
+    this->RecordPartialRun();
+  }
+  this->is_finished = true;
   this->StopTimers();
   this->DropAnswer();
   this->state.waiting.remove(this->shared_from_this());
@@ -252,7 +258,6 @@
   }
   const Duration took = EventLoop::Now() - this->arrived;
   this->CountUsage(outcome);
-  this->RecordRun(outcome);
   this->LogIfLate();
   telemetry::Count(kRequests, {{"service", this->service},
                                {"outcome", std::string(outcome)}});
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -84,8 +84,9 @@
   // Returns whether it was refused.
   bool RefuseIfStopping();
 
-  // Records how long the request has been at work, if it is.
-  void RecordOpenRun() const;
+  // Records how its target's group passes, if the request is a stream that was
+  // sent.
+  void RecordPartialRun() const;
 
   // Refuses the request if all targets hold it back for longer than it may
   // wait. Returns whether it was refused.
@@ -243,11 +244,17 @@
   void ReleaseTarget(gateway::Outcome outcome);
   void HandleCallerGone();
   void LogCutByStop() const;
-  // Returns how long the request is at work, at most, if its answer is on time;
-  // none if the length of its stream is not known.
-  std::optional<Duration> OnTimeRun() const;
-  // Records how long the request was at work, as it ends.
-  void RecordRun(std::string_view outcome) const;
+  // Whether the request, sent now, would end before a stop of the process.
+  bool can_end_before_stop() const;
+  // When a caller may come back that a stop turns away.
+  std::string RetryAfterByStop() const;
+  // Returns how many events the answer has at most; 0 if that is unknown.
+  size_t ExpectedEvents() const;
+  // How long answers like this one take lately.
+  gateway::AnswerTimes& answer_times() const;
+  gateway::AnswerRun FindRun() const;
+  // Records the course of the answer, which has ended as a whole.
+  void RecordWholeRun() const;
   // Logs and counts that the caller left, and at which target its work was.
   void LogCallerLeft() const;
   void HandleDeadline();
@@ -308,6 +315,8 @@
   gateway::TargetAnswer answer;
   gateway::CallerAnswer caller;
   TimePoint last_event_at;
+  // Events that were passed on.
+  size_t events = 0;
   // Time to the first event and longest pause between two, for the log.
   Duration first_event_after{};
   Duration longest_pause{};
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -164,6 +164,7 @@
   }
   this->SettlePermit();
   this->last_event_at = now;
+  ++this->events;
   usage::RecordEvent(this->meter, this->TokensPerEvent());
   this->ArmAttemptTimer(kStreamEventTimeout);
   this->exchange->Write(event.bytes);
--- a/Services/bramleyspand/Gateway/ForwardingStop.cc
+++ b/Services/bramleyspand/Gateway/ForwardingStop.cc
@@ -32,66 +32,97 @@
   return is_number ? std::optional(value) : std::nullopt;
 }
 
+bool has_other_gateways(const GatewayState& state) {
+  return SharingOf(state, EventLoop::Now()).gateways > 1;
+}
+
 }  // namespace
 
-bool Forwarding::RefuseIfStopping() {
+bool Forwarding::can_end_before_stop() const {
   // A stream that has begun can only go on or be cut.
   if (!this->state.stop || this->caller.has_begun) {
-    return false;
+    return true;
   }
   const TimePoint now = EventLoop::Now();
-  const Duration expected = gateway::ExpectedRun(
-      this->state.answer_times[this->route->name],
-      {.on_time = this->OnTimeRun(), .allowed = this->deadline - now}, now);
-  if (drain::can_end_in_time(*this->state.stop, expected, now)) {
+  const Duration expected =
+      gateway::ExpectedRun(this->answer_times(),
+                           {.events = this->ExpectedEvents(),
+                            .objective = this->route->objective,
+                            .longest_pause = this->route->longest_pause,
+                            .allowed = this->deadline - now},
+                           now);
+  return drain::can_end_in_time(*this->state.stop, expected, now);
+}
+
+bool Forwarding::RefuseIfStopping() {
+  if (this->can_end_before_stop()) {
     return false;
   }
   auto keep_until_return = this->shared_from_this();
-  this->state.stop->has_refused = true;
+  // Callers of the last gateway can go nowhere else.
+  this->state.stop->has_refused |= has_other_gateways(this->state);
   this->SettlePermit();
   this->state.waiting.remove(keep_until_return);
   telemetry::Count(kRefusedByStop, {{"service", this->service}});
-  // Another gateway can serve the caller now.
-  const bool has_others = SharingOf(this->state, now).gateways > 1;
   this->EndUnserved(
       {.cause = "the gateway stops before it could end",
        .may_have_run = this->may_have_run,
-       .refusal_headers = {{"retry-after", has_others ? FormatRetryAfter({})
-                                                      : this->RetryAfter()}}});
+       .refusal_headers = {{"retry-after", this->RetryAfterByStop()}}});
   return true;
 }
 
-std::optional<Duration> Forwarding::OnTimeRun() const {
+std::string Forwarding::RetryAfterByStop() const {
+  // Another gateway can serve the caller now.
+  return has_other_gateways(this->state) ? FormatRetryAfter({})
+                                         : this->RetryAfter();
+}
+
+size_t Forwarding::ExpectedEvents() const {
   if (!this->is_streaming()) {
-    return this->route->objective;
+    return 1;
   }
   const auto tokens = ParseAnswerTokens(
       FindHeader(this->request.headers, this->state.adapter.headers.tokens));
-  if (!tokens) {
-    return std::nullopt;
-  }
   const uint64_t per_event = std::max<uint64_t>(1, this->TokensPerEvent());
-  const uint64_t events = (*tokens + per_event - 1) / per_event;
-  return gateway::OnTimeRun(this->route->objective, this->route->longest_pause,
-                            events);
+  return tokens ? (*tokens + per_event - 1) / per_event : 0;
 }
 
-void Forwarding::RecordRun(std::string_view outcome) const {
-  if (!this->first_sent_at || outcome == "caller_left" ||
-      outcome == "refused") {
-    return;
-  }
+// Streams of a service take the passes of its groups, whatever their routes.
+gateway::AnswerTimes& Forwarding::answer_times() const {
+  return this->is_streaming() ? this->state.stream_times[this->service]
+                              : this->state.call_times[this->route->name];
+}
+
+gateway::AnswerRun Forwarding::FindRun() const {
   const TimePoint now = EventLoop::Now();
-  gateway::RecordRun(this->state.answer_times[this->route->name],
-                     now - *this->first_sent_at, now);
+  const TimePoint sent = *this->first_sent_at;
+  if (!this->caller.has_begun) {
+    return {.first = now - sent};
+  }
+  const TimePoint first_event = this->arrived + this->first_event_after;
+  return {.first = first_event - sent,
+          .events = this->events,
+          .rest = this->last_event_at - first_event,
+          .longest_pause = this->longest_pause};
 }
 
-void Forwarding::RecordOpenRun() const {
-  if (this->first_sent_at) {
-    const TimePoint now = EventLoop::Now();
-    gateway::RecordOpenRun(this->state.answer_times[this->route->name],
-                           now - *this->first_sent_at, now);
+void Forwarding::RecordWholeRun() const {
+  gateway::RecordWhole(this->answer_times(), this->FindRun(), EventLoop::Now());
+}
+
+void Forwarding::RecordPartialRun() const {
+  // An open call shows how long its server is silent, which says nothing of the
+  // next one; an open stream shows how its group passes.
+  if (!this->first_sent_at || this->is_finished || !this->is_streaming()) {
+    return;
+  }
+  const TimePoint now = EventLoop::Now();
+  gateway::AnswerRun run = this->FindRun();
+  if (this->caller.has_begun) {
+    run.longest_pause = std::max(run.longest_pause, now - this->last_event_at);
+    run.rest = now - (this->arrived + this->first_event_after);
   }
+  gateway::RecordPart(this->answer_times(), run, now);
 }
 
 void Forwarding::EndByStop() {
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -351,7 +351,7 @@
       return !names.contains(item.first);
     };
     std::erase_if(this->state.wait_budgets, is_unknown);
-    std::erase_if(this->state.answer_times, is_unknown);
+    std::erase_if(this->state.call_times, is_unknown);
   }
 
   // Forgets the services that the desired state no longer has.
@@ -360,6 +360,9 @@
     std::erase_if(this->state.availability, [&services](const auto& item) {
       return !services.contains(item.first);
     });
+    std::erase_if(this->state.stream_times, [&services](const auto& item) {
+      return !services.contains(item.first);
+    });
     std::erase_if(this->unavailable_services, [&services](const auto& name) {
       return !services.contains(name);
     });
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -86,7 +86,9 @@
   std::map<std::string, scheduling::Forecast> forecasts;
   // By name of the route.
   std::map<std::string, gateway::WaitBudget> wait_budgets;
-  std::map<std::string, gateway::AnswerTimes> answer_times;
+  // How long answers take lately: of calls by route, of streams by service.
+  std::map<std::string, gateway::AnswerTimes> call_times;
+  std::map<std::string, gateway::AnswerTimes> stream_times;
   // Requests that wait for a permit, the next one first.
   std::list<std::shared_ptr<Forwarding>> waiting;
   // Requests that have not ended, by their numbers.
