--- a/StandIns/Soak/Main.cc
+++ b/StandIns/Soak/Main.cc
@@ -233,6 +233,17 @@
   }
 }
 
+// Sends a further SIGTERM. If the stop has ended by now, it is the first one of
+// the process that has started since.
+void StopAgain(Soak& soak, const std::string& name, const Step& step) {
+  const Process& process = soak.fleet.processes[name];
+  if (process.record.is_asked_to_stop) {
+    SendSignal(process, SIGTERM);
+  } else {
+    StopForRestart(soak, name, step);
+  }
+}
+
 // Puts a mode or state for a while.
 void PutFor(Soak& soak,
             const Step& step,
@@ -259,7 +270,7 @@
       StopForRestart(soak, RankName(step.number), step);
       break;
     case Act::kSignalAgain:
-      SendSignal(soak.fleet.processes[GatewayName(step.number)], SIGTERM);
+      StopAgain(soak, GatewayName(step.number), step);
       break;
     case Act::kReload:
       SendSignal(soak.fleet.processes[GatewayName(step.number)], SIGHUP);
