LibDrain, Gateway: Keep the last gateway's address open while it has work

Callers saw connections refused for seconds when all gateways stop: the first refusal closes the address once callers had notice, which sends them to another gateway, and there was none.

TestLibDrain "The last process keeps its address open while it has work" failed before.

--- a/Libraries/LibDrain/PlannedStop.cc
+++ b/Libraries/LibDrain/PlannedStop.cc
@@ -25,8 +25,10 @@
     return true;
   }
   const bool is_quiet = now - work.last_request >= stop.terms.quiet;
-  return now - stop.began >= stop.terms.notice &&
-         (is_quiet || stop.has_refused);
+  // Nobody has another address than the last process's: an answer tells its
+  // callers when to come again, a refused connection does not.
+  const bool sends_on = stop.has_refused && (work.has_others || work.open == 0);
+  return now - stop.began >= stop.terms.notice && (is_quiet || sends_on);
 }
 
 StopPhase NextPhase(const PlannedStop& stop,
--- a/Libraries/LibDrain/PlannedStop.h
+++ b/Libraries/LibDrain/PlannedStop.h
@@ -46,6 +46,8 @@
   size_t delivering = 0;
   // Connections on which a further request may come.
   size_t idle = 0;
+  // Whether other processes that go on can do the work that this one refuses.
+  bool has_others = false;
   TimePoint last_request;
 
   bool is_done() const {
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -68,6 +68,10 @@
   return sharing;
 }
 
+bool has_other_gateways(const GatewayState& state, TimePoint now) {
+  return SharingOf(state, now).gateways > 1;
+}
+
 void HandleCaller(GatewayState& state,
                   http::IngressRequest request,
                   const std::shared_ptr<http::IngressExchange>& exchange) {
--- a/Services/bramleyspand/Gateway/ForwardingStop.cc
+++ b/Services/bramleyspand/Gateway/ForwardingStop.cc
@@ -32,10 +32,6 @@
   return is_number ? std::optional(value) : std::nullopt;
 }
 
-bool has_other_gateways(const GatewayState& state) {
-  return SharingOf(state, EventLoop::Now()).gateways > 1;
-}
-
 }  // namespace
 
 bool Forwarding::can_end_before_stop() const {
@@ -59,8 +55,7 @@
     return false;
   }
   auto keep_until_return = this->shared_from_this();
-  // Callers of the last gateway can go nowhere else.
-  this->state.stop->has_refused |= has_other_gateways(this->state);
+  this->state.stop->has_refused = true;
   this->SettlePermit();
   this->state.waiting.remove(keep_until_return);
   telemetry::Count(kRefusedByStop, {{"service", this->service}});
@@ -72,9 +67,13 @@
 }
 
 std::string Forwarding::RetryAfterByStop() const {
-  // Another gateway can serve the caller now.
-  return has_other_gateways(this->state) ? FormatRetryAfter({})
-                                         : this->RetryAfter();
+  // Another gateway can serve the caller now, or none before one has begun
+  // anew.
+  return FormatRetryAfter(
+      has_other_gateways(this->state, EventLoop::Now())
+          ? Duration(0)
+          : gateway::RetryDelayFor(gateway::RefusalReason::kNoPermit,
+                                   this->TimeLeft()));
 }
 
 size_t Forwarding::ExpectedEvents() const {
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -110,4 +110,7 @@
 // many of the others have waiting requests.
 gateway::Sharing SharingOf(const GatewayState& state, TimePoint now);
 
+// Whether another gateway goes on, to which callers can turn.
+bool has_other_gateways(const GatewayState& state, TimePoint now);
+
 }  // namespace bramleyspan::gatewayd
--- a/Services/bramleyspand/Gateway/GatewayStop.cc
+++ b/Services/bramleyspand/Gateway/GatewayStop.cc
@@ -54,6 +54,7 @@
           .reading = work.reading,
           .delivering = work.delivering,
           .idle = work.idle,
+          .has_others = has_other_gateways(this->state, EventLoop::Now()),
           .last_request = this->state.last_request};
 }
 
@@ -114,7 +115,7 @@
   for (const auto& forwarding : open) {
     forwarding->EndByStop();
   }
-  const bool has_others = SharingOf(this->state, EventLoop::Now()).gateways > 1;
+  const bool has_others = has_other_gateways(this->state, EventLoop::Now());
   this->callers->RefuseReading(
       kUnavailable,
       has_others ? http::HeaderList{{"retry-after", "0"}} : http::HeaderList{});
--- a/Tests/LibDrain/TestPlannedStop.cc
+++ b/Tests/LibDrain/TestPlannedStop.cc
@@ -167,6 +167,7 @@
     const TimePoint now = kStart + since;
     StopWork work = WorkWithout(quiet_for, now);
     work.open = 1;
+    work.has_others = true;
     return Advance(stop, work, true, now);
   };
   CHECK(phase_after(seconds(3), seconds(3), false) == StopPhase::kServing);
@@ -179,4 +180,18 @@
   CHECK(phase_after(seconds(7), seconds(0), false) == StopPhase::kFinishing);
 }
 
+TEST_CASE("The last process keeps its address open while it has work") {
+  const auto phase_with = [](size_t open, Duration since) {
+    PlannedStop stop = StopIn(StopPhase::kServing);
+    stop.has_refused = true;
+    const TimePoint now = kStart + since;
+    StopWork work = WorkWithout(Duration(0), now);
+    work.open = open;
+    return Advance(stop, work, true, now);
+  };
+  CHECK(phase_with(1, seconds(5)) == StopPhase::kServing);
+  CHECK(phase_with(0, seconds(5)) != StopPhase::kServing);
+  CHECK(phase_with(1, seconds(7)) == StopPhase::kFinishing);
+}
+
 }  // namespace bramleyspan::drain
