Gateway: Send a begun stream that gets no permit before it is cut

Cause, by the logs of both: the stream's first rank reset it, its second one answered 500, and the two left gave no permit for the 0.7 s of its wait, since passes were slow on the busy machine and late streams leave a quarter of the permits to others. Both ranks ran two streams of eight slots each. The wait then ended as that of a request that has nothing: "no permit in time", for this caller a cut.

Now a begun stream whose wait ends goes to the rank with the lowest load, which rejects it if it has no slot: one late pass more costs less than a cut. Repeats are bounded by their budget as before. A request that has not begun is refused as before.

--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -76,6 +76,10 @@
   // cause why it can be sent to no target.
   void RefuseForLackOfPermit(std::string_view cause);
 
+  // Ends the wait for a permit: refuses the request, or sends it to the target
+  // with the lowest load if it is a stream that has begun.
+  void EndWait();
+
   // Refuses the request if all targets of its service are in evacuated zones.
   // Returns whether it was refused.
   bool RefuseIfEvacuated();
@@ -143,6 +147,7 @@
   // Adds the request to the waiting ones, in front of them or by priority.
   void Wait(bool is_in_front);
   bool TrySendByLocalView();
+  bool TrySendWithoutPermit();
   void HandlePermitDecision(PermitRequests::Verdict verdict,
                             const PermitRequests::Permit& permit);
   // The zone whose ranks are probed first, since traffic between zones is
--- a/Services/bramleyspand/Gateway/ForwardingPermits.cc
+++ b/Services/bramleyspand/Gateway/ForwardingPermits.cc
@@ -54,7 +54,7 @@
     }
     full.insert(kind);
     if (forwarding->waits_until() <= now) {
-      forwarding->RefuseForLackOfPermit("no permit in time");
+      forwarding->EndWait();
       continue;
     }
     const auto [known, is_new] =
@@ -125,7 +125,7 @@
     return;
   }
   if (now >= this->wait.ends) {
-    this->RefuseForLackOfPermit("no permit in time");
+    this->EndWait();
     return;
   }
   if (!this->is_probing() &&
@@ -273,7 +273,7 @@
     }
   }
   if (now >= this->wait.ends && !this->is_probing()) {
-    this->RefuseForLackOfPermit("no permit in time");
+    this->EndWait();
   }
 }
 
@@ -308,7 +308,7 @@
     return;
   }
   if (EventLoop::Now() >= this->wait.ends) {
-    this->RefuseForLackOfPermit("no permit in time");
+    this->EndWait();
   } else {
     this->RefuseIfHeldBack();
   }
@@ -431,6 +431,21 @@
                                     this->state.random(), now);
 }
 
+void Forwarding::EndWait() {
+  // A begun stream without a permit is cut, which is worse than a late pass.
+  if (!this->caller.has_begun || !this->TrySendWithoutPermit()) {
+    this->RefuseForLackOfPermit("no permit in time");
+  }
+}
+
+bool Forwarding::TrySendWithoutPermit() {
+  const TargetView* target = gateway::ChooseLeastLoaded(
+      this->state.targets, this->service, this->tried,
+      this->state.settings.zone, this->state.random(), EventLoop::Now());
+  return target != nullptr &&
+         this->SendIfAdmitted(*target) != SendVerdict::kHeldBack;
+}
+
 void Forwarding::RefuseForLackOfPermit(std::string_view cause) {
   auto keep_until_return = this->shared_from_this();
   this->state.waiting.remove(keep_until_return);
