LibHTTP, Entry: Stay until requests that come are answered and answers taken

Callers of an entry that stopped lost requests whose body was still coming (the process was gone 5.0 s after SIGTERM, the body ended at 7 s), and answers that they read slowly with their next bytes sent behind: cut 2.1 s after the request.

Connections in the accept queue were reset as the address closed.

ServerConnections keeps each accepted socket and asks what it is busy with: h2o's input and FIONREAD for a request that is coming, SIOCOUTQ for an answer that is not acknowledged. From the stop on it holds a second descriptor, so that a connection outlives h2o's close until its answer is acknowledged; what follows is read and dropped. EntryStop takes LibDrain's course, as the gateway does. Its notice is the lifetime of the addresses as before; the bound no longer begins behind it. An idle connection is ended by closing its reading side, so that a request that has come meanwhile is still served. HTTP/2 hides what is coming: such a connection is closed after 2 s without a byte.

The stand-in for callers gets further headers, a body, and bytes that follow a request; its check of contents, which knows the gateways' stand-in servers only, can be left out for others. The gateways' tests use it as before.

--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -61,6 +61,17 @@
   return request.version == kHttp11 && (status == 200 || status == 206);
 }
 
+// The bytes of an answer behind which a connection ends.
+std::string SerializeLast(const Response& response) {
+  std::string text = "HTTP/1.1 " + std::to_string(response.status) + " " +
+                     ReasonOf(response.status) + "\r\n";
+  for (const auto& [name, value] : response.headers) {
+    text.append(name).append(": ").append(value).append("\r\n");
+  }
+  text.append("content-length: " + std::to_string(response.body.size()));
+  return text + "\r\nconnection: close\r\n\r\n" + response.body;
+}
+
 Response TruncatedAnswer() {
   return {.status = 502,
           .headers = {{"content-type", "application/json"}},
@@ -294,6 +305,7 @@
   ServerLimits limits;
   EventLoop* loop = nullptr;
   std::set<std::shared_ptr<Exchange>> exchanges;
+  ServerConnections connections;
 
   void StopServing() {
     this->loop->Cancel(this->disconnect_timer);
@@ -321,18 +333,24 @@
     struct DisposalHook {
       std::shared_ptr<Exchange> exchange;
       Internals* internals;
+      h2o_socket_t* socket;
     };
     auto exchange =
         std::make_shared<Exchange>(request, this->limits.max_pending_bytes);
+    h2o_socket_t* const socket =
+        request->conn->callbacks->get_socket(request->conn);
     // h2o reports no event if a connection closes before the answer has
     // started. The disposal of the request's memory pool always happens.
     new (h2o_mem_alloc_shared(
         &request->pool, sizeof(DisposalHook), [](void* memory) {
           auto* hook = static_cast<DisposalHook*>(memory);
           hook->internals->exchanges.erase(hook->exchange);
+          hook->internals->connections.EndExchange(hook->socket);
           hook->exchange->HandleDisposal();
           std::destroy_at(hook);
-        })) DisposalHook{exchange, this};
+        })) DisposalHook{exchange, this, socket};
+    constexpr int kHttp2 = 0x200;
+    this->connections.BeginExchange(socket, request->version >= kHttp2);
     this->exchanges.insert(exchange);
     this->handler(ToRequest(*request), exchange);
     return 0;
@@ -370,6 +388,7 @@
   state->accept_context.hosts = state->config.hosts;
   state->listener =
       TRY(Listener::Listen(loop, address, [state](h2o_socket_t* accepted) {
+        state->connections.Add(accepted);
         h2o_accept(&state->accept_context, accepted);
       }));
   state->CheckForDisconnects();
@@ -383,13 +402,29 @@
   static_cast<void>(this->internals.release());
 }
 
-void Server::ClosePersistentConnections() {
+void Server::StartDrain() {
   h2o_context_request_shutdown(&this->internals->context);
+  this->internals->connections.StartDrain();
+}
+
+void Server::StopListening() {
+  if (this->internals->listener != nullptr) {
+    this->internals->listener->AcceptPending();
+    this->internals->listener = nullptr;
+  }
+}
+
+void Server::CloseIdle(Duration idle_for) {
+  this->internals->connections.CloseIdle(idle_for);
+}
+
+void Server::RefuseReading(const Response& response) {
+  this->internals->connections.RefuseReading(SerializeLast(response));
 }
 
-void Server::Drain() {
-  this->internals->listener = nullptr;
-  this->ClosePersistentConnections();
+ServerWork Server::CountWork() {
+  this->internals->connections.Check();
+  return this->internals->connections.CountWork();
 }
 
 uint16_t Server::port() const {
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -13,6 +13,7 @@
 #include "Kernel/Result.h"
 #include "LibHTTP/AnswerPhase.h"
 #include "LibHTTP/Message.h"
+#include "LibHTTP/ServerConnections.h"
 
 namespace bramleyspan::http {
 
@@ -107,12 +108,17 @@
   Server& operator=(const Server&) = delete;
 
   // Closes each persistent connection after its next answer. Still accepts new
-  // connections.
-  void ClosePersistentConnections();
+  // connections. A connection then stays until its last answer is delivered.
+  void StartDrain();
 
-  // Stops listening and closes each persistent connection after its next
-  // answer.
-  void Drain();
+  // Stops listening. Connections that the system has accepted are still served.
+  void StopListening();
+
+  // Closes the connections that have been idle for so long.
+  void CloseIdle(Duration idle_for);
+
+  // Answers the requests that are still coming without reading the rest.
+  void RefuseReading(const Response& response);
 
   // Returns the bound port. The system chooses it if port 0 was requested.
   uint16_t port() const;
@@ -120,6 +126,10 @@
   // Returns the number of requests whose answer has not ended.
   size_t open_exchanges() const;
 
+  // What its connections are busy with, besides open exchanges. To be called
+  // repeatedly from StartDrain on.
+  ServerWork CountWork();
+
  private:
   struct Internals;
   explicit Server(std::unique_ptr<Internals> internals);
--- /dev/null
+++ b/Libraries/LibHTTP/ServerConnections.cc
@@ -0,0 +1,205 @@
+#include "LibHTTP/ServerConnections.h"
+
+#include <fcntl.h>
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "Kernel/EventLoop.h"
+
+namespace bramleyspan::http {
+
+namespace {
+
+// How long a closing connection waits for its caller to close it.
+constexpr Duration kLingerTime = std::chrono::seconds(1);
+// Pauses of a caller that sends the body of a request are shorter.
+constexpr Duration kHttp2IdleTime = std::chrono::seconds(2);
+constexpr unsigned kUserTimeoutMilliseconds = 10'000;
+
+// Returns 0 where the system can't tell.
+size_t Ask(int descriptor, unsigned long request) {
+  int bytes = 0;
+  return ioctl(descriptor, request, &bytes) == 0 ? static_cast<size_t>(bytes)
+                                                 : 0;
+}
+
+size_t UnacknowledgedBytes(int descriptor) {
+  return Ask(descriptor, SIOCOUTQ);
+}
+
+int DescriptorOf(const ServerConnection& connection) {
+  return connection.socket != nullptr ? h2o_socket_get_fd(connection.socket)
+                                      : connection.kept;
+}
+
+bool is_http2(const ServerConnection& connection) {
+  // h2o keeps the bytes of a request in the connection's input until its answer
+  // has ended, but not those of HTTP/2.
+  const bool has_begun_http2 = !connection.has_had_exchange &&
+                               connection.socket->bytes_read != 0 &&
+                               connection.socket->input->size == 0;
+  return connection.is_http2 || has_begun_http2;
+}
+
+// Whether a request of HTTP/1 is still coming.
+bool is_reading(const ServerConnection& connection) {
+  return connection.open == 0 && !is_http2(connection) &&
+         (connection.socket->input->size != 0 ||
+          Ask(DescriptorOf(connection), FIONREAD) != 0);
+}
+
+bool is_idle(const ServerConnection& connection) {
+  return connection.open == 0 && !is_reading(connection) &&
+         UnacknowledgedBytes(DescriptorOf(connection)) == 0;
+}
+
+void Keep(ServerConnection& connection) {
+  connection.busy_at = EventLoop::Now();
+  connection.kept = fcntl(DescriptorOf(connection), F_DUPFD_CLOEXEC, 0);
+}
+
+// Returns whether the caller has closed its side.
+bool Discard(int descriptor) {
+  std::array<char, 4096> buffer{};
+  ssize_t count = 0;
+  while ((count = recv(descriptor, buffer.data(), buffer.size(),
+                       MSG_DONTWAIT)) > 0) {
+  }
+  return count == 0 || (errno != EAGAIN && errno != EINTR);
+}
+
+// Closing a socket with unread input resets the connection, and drops what its
+// caller has not taken. So only the sending side is closed.
+void Linger(ServerConnection& connection) {
+  connection.closed_at = EventLoop::Now();
+  setsockopt(connection.kept, IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &kUserTimeoutMilliseconds, sizeof kUserTimeoutMilliseconds);
+  shutdown(connection.kept, SHUT_WR);
+}
+
+// Whether a connection that h2o has closed needs no more time.
+bool is_over(const ServerConnection& connection, TimePoint now) {
+  const bool has_left = Discard(connection.kept);
+  return UnacknowledgedBytes(connection.kept) == 0 &&
+         (has_left || now - connection.closed_at >= kLingerTime);
+}
+
+}  // namespace
+
+ServerConnection::~ServerConnection() {
+  if (this->kept != -1) {
+    close(this->kept);
+  }
+}
+
+void ServerConnections::Add(h2o_socket_t* socket) {
+  auto connection = std::make_unique<ServerConnection>(*this, socket);
+  if (this->is_draining) {
+    Keep(*connection);
+  }
+  socket->on_close.cb = [](void* closed) {
+    auto* connection = static_cast<ServerConnection*>(closed);
+    connection->owner.HandleClosed(connection->socket);
+  };
+  socket->on_close.data = connection.get();
+  this->connections.emplace(socket, std::move(connection));
+}
+
+void ServerConnections::HandleClosed(h2o_socket_t* socket) {
+  auto connection = std::move(this->connections.extract(socket).mapped());
+  connection->socket = nullptr;
+  if (connection->kept != -1 && (UnacknowledgedBytes(connection->kept) != 0 ||
+                                 Ask(connection->kept, FIONREAD) != 0)) {
+    Linger(*connection);
+    this->lingering.push_back(std::move(connection));
+  }
+}
+
+void ServerConnections::BeginExchange(h2o_socket_t* socket, bool is_http2) {
+  ServerConnection& connection = *this->connections.at(socket);
+  ++connection.open;
+  connection.has_had_exchange = true;
+  connection.is_http2 = is_http2;
+}
+
+void ServerConnections::EndExchange(h2o_socket_t* socket) {
+  ServerConnection& connection = *this->connections.at(socket);
+  --connection.open;
+  connection.busy_at = EventLoop::Now();
+}
+
+void ServerConnections::StartDrain() {
+  if (std::exchange(this->is_draining, true)) {
+    return;
+  }
+  for (const auto& [socket, connection] : this->connections) {
+    Keep(*connection);
+  }
+}
+
+ServerWork ServerConnections::CountWork() const {
+  ServerWork work;
+  for (const auto& [socket, connection] : this->connections) {
+    if (connection->open != 0) {
+      continue;
+    }
+    if (is_reading(*connection)) {
+      ++work.reading;
+    } else if (is_idle(*connection)) {
+      ++work.idle;
+    } else {
+      ++work.delivering;
+    }
+  }
+  for (const auto& connection : this->lingering) {
+    work.delivering += UnacknowledgedBytes(connection->kept) != 0 ? 1 : 0;
+  }
+  return work;
+}
+
+void ServerConnections::CloseIdle(Duration idle_for) {
+  const TimePoint now = EventLoop::Now();
+  for (const auto& [socket, connection] : this->connections) {
+    const Duration least =
+        is_http2(*connection) ? std::max(idle_for, kHttp2IdleTime) : idle_for;
+    if (is_idle(*connection) && now - connection->busy_at >= least) {
+      // h2o reads the end and closes. A request that has come meanwhile is read
+      // and answered before.
+      shutdown(DescriptorOf(*connection), SHUT_RD);
+    }
+  }
+}
+
+void ServerConnections::RefuseReading(std::string_view answer) {
+  for (const auto& [socket, connection] : this->connections) {
+    if (is_reading(*connection)) {
+      const int descriptor = DescriptorOf(*connection);
+      send(descriptor, answer.data(), answer.size(),
+           MSG_DONTWAIT | MSG_NOSIGNAL);
+      shutdown(descriptor, SHUT_RD);
+    }
+  }
+}
+
+void ServerConnections::Check() {
+  const TimePoint now = EventLoop::Now();
+  for (const auto& [socket, connection] : this->connections) {
+    const size_t before =
+        std::exchange(connection->bytes_read, socket->bytes_read);
+    if (!is_idle(*connection) || connection->bytes_read != before) {
+      connection->busy_at = now;
+    }
+  }
+  std::erase_if(this->lingering, [now](const auto& connection) {
+    return is_over(*connection, now);
+  });
+}
+
+}  // namespace bramleyspan::http
--- /dev/null
+++ b/Libraries/LibHTTP/ServerConnections.h
@@ -0,0 +1,87 @@
+// The connections of a server over h2o, which tells nothing of a request that
+// is still coming, nor of an answer that its caller has not taken.
+#pragma once
+
+#include <cstddef>
+#include <map>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "Kernel/H2o.h"
+#include "Kernel/Time.h"
+
+namespace bramleyspan::http {
+
+// How many connections of a server are busy with what. A connection with an
+// open exchange is none of these.
+struct ServerWork {
+  size_t idle = 0;
+  // A request whose head or body is still coming.
+  size_t reading = 0;
+  // An answer that has ended, of which its caller's machine has not taken all.
+  size_t delivering = 0;
+};
+
+class ServerConnections;
+
+struct ServerConnection {
+  ServerConnection(ServerConnections& owner, h2o_socket_t* socket)
+      : owner(owner), socket(socket) {}
+  ~ServerConnection();
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  ServerConnections& owner;
+  // Null once h2o has closed it.
+  h2o_socket_t* socket;
+  // A second descriptor, which keeps the connection when h2o closes its own; -1
+  // before the drain.
+  int kept = -1;
+  // Exchanges that have not ended.
+  size_t open = 0;
+  bool has_had_exchange = false;
+  bool is_http2 = false;
+  // Bytes that h2o had read at the last check.
+  size_t bytes_read = 0;
+  TimePoint busy_at;
+  TimePoint closed_at;
+};
+
+class ServerConnections {
+ public:
+  // Adds a connection before h2o gets it.
+  void Add(h2o_socket_t* socket);
+
+  // Records that an exchange begins or ends on a connection.
+  void BeginExchange(h2o_socket_t* socket, bool is_http2);
+  void EndExchange(h2o_socket_t* socket);
+
+  // From now on a connection that h2o closes stays until its caller's machine
+  // has taken its last answer.
+  void StartDrain();
+
+  ServerWork CountWork() const;
+
+  // Closes the connections that have been idle for so long; those of HTTP/2, of
+  // which more is unknown, after kHttp2IdleTime.
+  void CloseIdle(Duration idle_for);
+
+  // Answers the requests that are still coming with these bytes, without
+  // reading the rest. Those of HTTP/2 stay.
+  void RefuseReading(std::string_view answer);
+
+  // Ends connections whose last answer is delivered. To be called repeatedly
+  // from StartDrain on.
+  void Check();
+
+ private:
+  void HandleClosed(h2o_socket_t* socket);
+
+  std::map<h2o_socket_t*, std::unique_ptr<ServerConnection>> connections;
+  // Closed by h2o; they wait for their callers.
+  std::vector<std::unique_ptr<ServerConnection>> lingering;
+  bool is_draining = false;
+};
+
+}  // namespace bramleyspan::http
--- a/Services/bramleyspand/Entry/EntryRole.cc
+++ b/Services/bramleyspand/Entry/EntryRole.cc
@@ -1,7 +1,7 @@
 #include <utility>
 
-#include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Entry/EntryState.h"
+#include "Services/bramleyspand/Entry/EntryStop.h"
 #include "Services/bramleyspand/MetricsPage.h"
 #include "Services/bramleyspand/Role.h"
 
@@ -9,11 +9,7 @@
 
 namespace {
 
-using telemetry::Log;
-using telemetry::LogLevel;
-
 constexpr size_t kMaxOperatorBodyBytes = 8 << 20;
-constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
 
 class EntryRole : public Role {
  public:
@@ -44,20 +40,8 @@
     if (std::exchange(this->state.is_leaving, true)) {
       return;
     }
-    Log(LogLevel::kInfo, "drain", "drain_started",
-        {{"in_flight", std::to_string(this->server->open_exchanges())}});
     AnnounceLeaving(this->state);
-    // A request that arrives on a persistent connection just as this process
-    // exits gets no answer. The next answer of each connection therefore closes
-    // it, so that the caller reconnects in time.
-    this->server->ClosePersistentConnections();
-    this->drain_ends = EventLoop::Now() + this->state.settings.drain_bound;
-    // Callers cache addresses and may still connect here, so the entry serves
-    // until all cached answers have expired.
-    this->state.loop.RunAfter(kAddressLifetime, [this] {
-      this->server->Drain();
-      this->StopWhenIdle();
-    });
+    this->stop.Start(*this->server);
   }
 
   void Close() override {
@@ -94,24 +78,8 @@
     UpdateSharedGauges(now.feed);
   }
 
-  void StopWhenIdle() {
-    const size_t in_flight = this->server->open_exchanges();
-    if (in_flight == 0) {
-      this->state.loop.Stop();
-      return;
-    }
-    if (EventLoop::Now() >= this->drain_ends) {
-      Log(LogLevel::kWarning, "drain", "drain_bound_reached",
-          {{"cut", std::to_string(in_flight)}});
-      this->state.loop.Stop();
-      return;
-    }
-    this->state.loop.RunAfter(kDrainCheckInterval,
-                              [this] { this->StopWhenIdle(); });
-  }
-
   EntryState state;
-  TimePoint drain_ends;
+  EntryStop stop{this->state};
   std::unique_ptr<http::Server> server;
   std::unique_ptr<Listener> listener;
 };
--- /dev/null
+++ b/Services/bramleyspand/Entry/EntryStop.h
@@ -0,0 +1,32 @@
+// The planned stop of an entry. LibDrain decides its course; this performs it.
+#pragma once
+
+#include <string_view>
+
+#include "LibDrain/PlannedStop.h"
+#include "LibHTTP/Server.h"
+#include "Services/bramleyspand/Entry/EntryState.h"
+
+namespace bramleyspan::entry {
+
+class EntryStop {
+ public:
+  explicit EntryStop(EntryState& state) : state(state) {}
+
+  // Begins the stop; callers connect to `server`.
+  void Start(http::Server& server);
+
+ private:
+  drain::StopWork FindWork() const;
+  void Check();
+  // Does what follows from the end of a phase.
+  void LeavePhase(drain::StopPhase before, const drain::StopWork& work);
+  void LogWork(std::string_view event, const drain::StopWork& work) const;
+
+  EntryState& state;
+  http::Server* callers = nullptr;
+  drain::PlannedStop stop;
+  TimePoint logged_at;
+};
+
+}  // namespace bramleyspan::entry
--- a/StandIns/GatewayCallers.cc
+++ b/StandIns/GatewayCallers.cc
@@ -64,6 +64,19 @@
           0,
           "time after which a caller that has no whole answer closes its "
           "connection; 0 for never");
+ABSL_FLAG(std::string,
+          headers,
+          "",
+          "further headers of requests, separated by '|'");
+ABSL_FLAG(std::string, body, "body", "body, or each part of it in chunks");
+ABSL_FLAG(std::string,
+          followed_by,
+          "",
+          "bytes that are sent kFollowTime after each request");
+ABSL_FLAG(bool,
+          check_content,
+          true,
+          "whether answers are those of the stand-in's servers");
 ABSL_FLAG(bool, old_protocol, false, "speak HTTP/1.0");
 ABSL_FLAG(int64_t,
           clock_start,
@@ -80,6 +93,7 @@
 // A request that nobody answers is lost if its last byte was sent so long
 // before the end of its connection.
 constexpr milliseconds kLossSlack(200);
+constexpr milliseconds kFollowTime(100);
 constexpr int kSmallBuffer = 4096;
 constexpr size_t kReadsPerSecond = 250;
 constexpr int kUnavailable = 503;
@@ -143,6 +157,13 @@
   return true;
 }
 
+// Returns the chunk with these bytes.
+std::string PartOf(const std::string& bytes) {
+  std::ostringstream part;
+  part << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+  return part.str();
+}
+
 bool SendRequest(int channel, const std::string& path, const std::string& id) {
   const bool is_old = absl::GetFlag(FLAGS_old_protocol);
   std::string head = "POST " + path + (is_old ? " HTTP/1.0" : " HTTP/1.1") +
@@ -150,9 +171,16 @@
                      "\r\nX-Api-Key: key-huber\r\nX-Token-Counts: "
                      "40,80\r\nX-Deadline-Ms: " +
                      std::to_string(absl::GetFlag(FLAGS_deadline_milliseconds));
+  std::istringstream headers(absl::GetFlag(FLAGS_headers));
+  for (std::string header; std::getline(headers, header, '|');) {
+    head += "\r\n" + header;
+  }
+  const std::string body = absl::GetFlag(FLAGS_body);
   const milliseconds body_time(absl::GetFlag(FLAGS_body_milliseconds));
   if (body_time.count() == 0 || is_old) {
-    return SendAll(channel, head + "\r\nContent-Length: 4\r\n\r\nbody");
+    return SendAll(channel,
+                   head + "\r\nContent-Length: " + std::to_string(body.size()) +
+                       "\r\n\r\n" + body);
   }
   constexpr int kPieces = 4;
   if (!SendAll(channel, head + "\r\nTransfer-Encoding: chunked\r\n\r\n")) {
@@ -160,7 +188,7 @@
   }
   for (int i = 0; i < kPieces; ++i) {
     std::this_thread::sleep_for(body_time / kPieces);
-    if (!SendAll(channel, "4\r\nbody\r\n")) {
+    if (!SendAll(channel, PartOf(body))) {
       return false;
     }
   }
@@ -252,7 +280,7 @@
   if (attempt.has_left) {
     attempt.outcome = "left";
   }
-  if (attempt.fault.empty()) {
+  if (attempt.fault.empty() && absl::GetFlag(FLAGS_check_content)) {
     attempt.fault =
         FindFault(answer, attempt.id, attempt.is_stream, is_answer_whole);
   }
@@ -282,6 +310,11 @@
       absl::GetFlag(attempt.is_stream ? FLAGS_stream_path : FLAGS_plain_path),
       attempt.id);
   attempt.sent_at = Clock::now();
+  const std::string followed_by = absl::GetFlag(FLAGS_followed_by);
+  if (!followed_by.empty()) {
+    std::this_thread::sleep_for(kFollowTime);
+    SendAll(channel, followed_by);
+  }
   attempt.has_left = ReadAnswer(channel, attempt.answer);
   attempt.ended_at = Clock::now();
   Judge(attempt);
--- a/Tests/Process/Calls.sh
+++ b/Tests/Process/Calls.sh
@@ -93,3 +93,34 @@
   dump "$NET.2.5" |
     grep -q "\"entries_linked\":3.*\"revision\":$1"
 }
+
+# start_entry_callers NAME ENTRY PATH FLAGS...: starts callers that send plain
+# requests to entry 1 for a catalogue entry until nobody listens there; what
+# became of the requests goes to $LOGS/NAME.callers. Their content is not checked.
+start_entry_callers() {
+  local name=$1 entry=$2 path=$3
+  shift 3
+  spawn "callers-$name" bash -c 'exec "$0" "${@:2}" >"$1"' "$BIN/StandInGatewayCallers" "$LOGS/$name.callers" \
+    --ip="$NET.1.1" --port=8080 --prefix="$name" --plain_every=1 --plain_path="$path" --nocheck_content \
+    --headers="Authorization: Bearer studio-huber-key|Bramleyspan-Entry: $entry" "$@"
+}
+
+# stop_timed NAME: stops a process with SIGTERM and waits for it: its status and
+# the milliseconds it took are STOP_STATUS and STOP_TOOK.
+stop_timed() {
+  local began
+  STOP_STATUS=0
+  began=$(date +%s%3N)
+  stop "$1" || STOP_STATUS=$?
+  STOP_TOOK=$(($(date +%s%3N) - began))
+  echo "$1 was gone after $STOP_TOOK ms with status $STOP_STATUS"
+}
+
+# wait_for_callers NAME COUNT: waits for the callers and prints what became of
+# their requests; fails unless so many were answered with a whole 200.
+wait_for_callers() {
+  wait "${PIDS[callers-$1]}" || fail "the callers $1 failed"
+  unset "PIDS[callers-$1]"
+  echo "$1:" $(awk '{ print $2 "-" $3 }' "$LOGS/$1.callers" | sort | uniq -c)
+  [ "$(grep -c ' whole ' "$LOGS/$1.callers")" = "$2" ] || fail "not all were answered: $(cat "$LOGS/$1.callers")"
+}
