Entry: End what is open before the bound of a stop

An entry whose stop reached its bound dropped what was open without an answer, and the bound began only after the 5 s for which callers keep addresses: with a bound of 3 s the process was gone after 5.0 s, past the platform's kill.

The ending of LibDrain, 0.5 s before the bound, now ends each call: "not run" if no agent has it, "unknown" if one has, a cut if its answer has begun. Requests for keys and requests that are still coming get a 503; the latter says "unknown", since with a key they may have run elsewhere. What comes later is refused.

--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -62,9 +62,11 @@
     --vm_list="$VM_LIST" --operator_key_sha256="$OPERATOR_KEY_SHA256" "$@"
 }
 
-# start_entry N ZONE: starts the entry at $NET.1.N and lists its VM.
+# start_entry N ZONE: starts the entry at $NET.1.N and lists its VM; ENTRY_FLAGS
+# holds further flags.
 start_entry() {
-  daemon entry "entry-$1" "$NET.1.$1" "$2"
+  # shellcheck disable=SC2086
+  daemon entry "entry-$1" "$NET.1.$1" "$2" ${ENTRY_FLAGS:-}
   list_vm "entry-$1" "$NET.1.$1" "$2" entry live
 }
 
--- a/Services/bramleyspand/Entry/CallerApi.cc
+++ b/Services/bramleyspand/Entry/CallerApi.cc
@@ -100,6 +100,13 @@
                         "a request's body may have up to a mebibyte"});
     return;
   }
+  if (state.is_ending) {
+    RefuseWithoutAgent(request, exchange,
+                       {ErrorCode::kLeaving, state.settings.name,
+                        "this entry stops; use another one"},
+                       kRetryAfter);
+    return;
+  }
   // An entry without the current catalogue could admit requests by one that was
   // replaced long ago, and refuse owners that were added since.
   if (!state.is_ready) {
--- a/Services/bramleyspand/Entry/Calls.cc
+++ b/Services/bramleyspand/Entry/Calls.cc
@@ -218,6 +218,30 @@
               .retry_after = kRetryAfter});
 }
 
+void EndCallByStop(EntryState& state, uint64_t id) {
+  const OpenCall& open = state.calls.at(id);
+  if (open.target.empty()) {
+    RefuseCall(state, id, ErrorCode::kLeaving,
+               "this entry stops; use another one");
+    return;
+  }
+  CancelAtAgent(state, open);
+  const calls::Ending ending{.verdict = open.attempt.has_head
+                                            ? calls::Verdict::kTruncated
+                                            : calls::Verdict::kUnknown,
+                             .error = ErrorCode::kOutcomeUnknown,
+                             .detail = "this entry stops",
+                             .retry_after = kRetryAfter};
+  LogEnd(open, ending);
+  CountEnd(open, ending);
+  if (open.attempt.has_head) {
+    open.exchange->Abort();
+  } else {
+    open.exchange->Respond(ToResponse(open, ending));
+  }
+  CloseCall(state, id);
+}
+
 }  // namespace
 
 void Refuse(const ExchangePointer& exchange,
@@ -364,6 +388,16 @@
   HandleLostClaimAgent(state, target);
 }
 
+void EndCallsByStop(EntryState& state) {
+  std::vector<uint64_t> ids;
+  for (const auto& [id, open] : state.calls) {
+    ids.push_back(id);
+  }
+  for (const uint64_t id : ids) {
+    EndCallByStop(state, id);
+  }
+}
+
 void EndOverdueCalls(EntryState& state) {
   const TimePoint now = EventLoop::Now();
   std::vector<uint64_t> overdue;
--- a/Services/bramleyspand/Entry/Calls.h
+++ b/Services/bramleyspand/Entry/Calls.h
@@ -44,6 +44,12 @@
                 const std::string& detail,
                 Duration retry_after = kRetryAfter);
 
+// Ends all open calls, since the process is about to be killed (Calls.cc).
+void EndCallsByStop(EntryState& state);
+
+// Refuses all open requests for claim keys (Claims.cc).
+void EndClaimRequestsByStop(EntryState& state);
+
 // Sends a call to the agent that issued its claim key (Calls.cc).
 void RouteByClaim(EntryState& state, const std::string& claim, uint64_t id);
 
--- a/Services/bramleyspand/Entry/Claims.cc
+++ b/Services/bramleyspand/Entry/Claims.cc
@@ -108,4 +108,13 @@
   }
 }
 
+void EndClaimRequestsByStop(EntryState& state) {
+  while (!state.claim_requests.empty()) {
+    const OpenClaimRequest open =
+        RemoveRequest(state, state.claim_requests.begin()->first);
+    Refuse(open.exchange, ErrorCode::kLeaving, open.frame.catalogue_entry,
+           "this entry stops; use another one", kRetryAfter);
+  }
+}
+
 }  // namespace bramleyspan::entry
--- a/Services/bramleyspand/Entry/EntryState.h
+++ b/Services/bramleyspand/Entry/EntryState.h
@@ -99,6 +99,8 @@
   claims::ClosingRecords closing_records;
   uint64_t last_id = 0;
   bool is_leaving = false;
+  // The bound of a planned stop is near: nothing that comes now could end.
+  bool is_ending = false;
   StoreWatch store_watch;
   catalogue::Readiness readiness;
   // Whether this process has in force what the store and its peers had when it
--- a/Services/bramleyspand/Entry/EntryStop.cc
+++ b/Services/bramleyspand/Entry/EntryStop.cc
@@ -1,6 +1,8 @@
 #include "Services/bramleyspand/Entry/EntryStop.h"
 
 #include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/Answers.h"
+#include "Services/bramleyspand/Entry/Calls.h"
 
 namespace bramleyspan::entry {
 
@@ -79,9 +81,22 @@
       (before != StopPhase::kEnding && !work.is_done());
   if (this->stop.phase >= StopPhase::kEnding && is_bound_reached) {
     this->LogWork("drain_bound_reached", work);
+    this->EndOpen();
   }
 }
 
+void EntryStop::EndOpen() {
+  this->state.is_ending = true;
+  EndCallsByStop(this->state);
+  EndClaimRequestsByStop(this->state);
+  this->callers->RefuseReading(
+      ToResponse({.error = {ErrorCode::kLeaving, this->state.settings.name,
+                            "this entry stops; use another one"},
+                  // A request with a claim key may have run elsewhere.
+                  .run = RunState::kUnknown,
+                  .retry_after = kRetryAfter}));
+}
+
 void EntryStop::LogWork(std::string_view event,
                         const drain::StopWork& work) const {
   const auto for_time = std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Services/bramleyspand/Entry/EntryStop.h
+++ b/Services/bramleyspand/Entry/EntryStop.h
@@ -21,6 +21,8 @@
   void Check();
   // Does what follows from the end of a phase.
   void LeavePhase(drain::StopPhase before, const drain::StopWork& work);
+  // Ends all that is still open, since the process is about to be killed.
+  void EndOpen();
   void LogWork(std::string_view event, const drain::StopWork& work) const;
 
   EntryState& state;
