LibMapSwitch, Rank: Let no owner leave a group that waits for its switch

The agent that owns a group's map stopped at once unless its own rank was the holder, which another rank is whenever there is one. The held group then stood, with all its streams, until another agent missed the owner, 0.3 s and more, or until the agent was back.

may_owner_leave decides by the switch: the owner stays while the group is held or a hold may be on its way; a switch that has only ordered copies is left to the next owner. The bound of 3 s for a stop stays.

TestLeavingOwner has the decision.

--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -402,6 +402,12 @@
   return map_switch.phase == SwitchPhase::kPreparing;
 }
 
+bool may_owner_leave(const MapSwitch& map_switch, TimePoint now) {
+  const bool is_nothing_held =
+      map_switch.phase == SwitchPhase::kIdle && !FindHolder(map_switch, now);
+  return is_nothing_held || is_replaceable(map_switch);
+}
+
 Version VersionOffsetAt(TimePoint now) {
   return static_cast<Version>(
       std::chrono::duration_cast<std::chrono::milliseconds>(
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -151,6 +151,10 @@
 // copies were ordered for it.
 bool is_replaceable(const MapSwitch& map_switch);
 
+// Whether the owner may leave: nothing of the switch in progress can keep the
+// group waiting. Nobody else completes a switch before the owner is missed.
+bool may_owner_leave(const MapSwitch& map_switch, TimePoint now);
+
 // Returns the version offset of an owner that starts now. Its machine's clock
 // runs on while processes come and go.
 Version VersionOffsetAt(TimePoint now);
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -104,7 +104,8 @@
   }
 
   // No request passes through an agent, so it may stop at once, but not while
-  // its rank holds the group.
+  // its rank holds the group, nor while the group waits for a switch of which
+  // it is the owner.
   void StartDrain() override {
     if (std::exchange(this->is_draining, true)) {
       return;
@@ -139,8 +140,12 @@
 
   void StopWhenReleased() {
     constexpr Duration kLongest = std::chrono::seconds(3);
+    const TimePoint now = EventLoop::Now();
     const bool is_held = this->state.own && this->state.own->held != 0;
-    if (!is_held || EventLoop::Now() - this->drain_began > kLongest) {
+    const bool is_needed =
+        this->state.is_owner() &&
+        !mapswitch::may_owner_leave(this->state.map_switch, now);
+    if ((!is_held && !is_needed) || now - this->drain_began > kLongest) {
       this->state.loop.Stop();
       return;
     }
