Agent: Be gone before the bound of a stop

An agent ended its calls when the bound had come, and only then sent its closing record and waited up to 2 s for entries: with a bound of 4 s it was gone after 4.2 s, where the platform kills it and the closing record may be lost, without which entries answer "unknown" for each of its keys.

AgentStop takes LibDrain's course: calls end 0.5 s before the bound, the closing record follows their ends, and the process is gone 0.25 s before the bound at the latest. Flushed now means acknowledged by the entries (SIOCOUTQ): a process that ends with frames unread resets its links and drops what was only written. An entry that takes nothing delays the stop by 2 s, as before.

--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -59,6 +59,10 @@
     return this->pending.size() + this->in_flight.size();
   }
 
+  // Returns the bytes that the peer's machine has not acknowledged. A process
+  // that ends with frames unread drops them.
+  size_t undelivered_bytes() const;
+
   // Unique among all connections of this process.
   const uint64_t id = NextId();
 
--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -71,9 +71,10 @@
 }
 
 # start_agent N ZONE: starts the agent beside the back end of the target VM at
-# $NET.2.N, and lists the VM.
+# $NET.2.N, and lists the VM; AGENT_FLAGS holds further flags.
 start_agent() {
-  daemon agent "target-$1" "$NET.2.$1" "$2" --target="$NET.2.$1:8000"
+  # shellcheck disable=SC2086
+  daemon agent "target-$1" "$NET.2.$1" "$2" --target="$NET.2.$1:8000" ${AGENT_FLAGS:-}
   list_vm "target-$1" "$NET.2.$1" "$2" target live
 }
 
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -6,6 +6,7 @@
 #include "LibPlatform/VmList.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Agent/AgentState.h"
+#include "Services/bramleyspand/Agent/AgentStop.h"
 #include "Services/bramleyspand/Answers.h"
 #include "Services/bramleyspand/MetricsPage.h"
 #include "Services/bramleyspand/OperatorKey.h"
@@ -18,12 +19,6 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-constexpr Duration kDrainCheckInterval = std::chrono::milliseconds(100);
-// Entries that have not received the Leaving frame may still send calls: the
-// agent keeps running for this long and answers them with "not run" itself.
-constexpr Duration kLeavingNoticeTime = std::chrono::seconds(2);
-// Maximum time for the last answers to reach the entries.
-constexpr Duration kMaxFlushTime = std::chrono::seconds(2);
 constexpr Duration kVmListInterval = std::chrono::seconds(2);
 constexpr Duration kEpochCheckInterval = std::chrono::seconds(10);
 constexpr Duration kAntiEntropyInterval = std::chrono::seconds(2);
@@ -98,11 +93,7 @@
       return;
     }
     this->StartLeaving("planned stop");
-    const TimePoint now = EventLoop::Now();
-    this->notice_ends = now + kLeavingNoticeTime;
-    this->idle_since = now;
-    this->drain_ends = now + this->state.settings.drain_bound;
-    this->StopWhenIdle();
+    this->stop.Start();
   }
 
   void Close() override {
@@ -230,61 +221,9 @@
     });
   }
 
-  void StopWhenIdle() {
-    const TimePoint now = EventLoop::Now();
-    if (!this->state.calls.forwarded.empty()) {
-      this->idle_since = now;
-      this->AbortAtBound(now);
-    } else if (now >= this->notice_ends) {
-      this->SendClosingRecordOnce();
-      if (this->is_flushed(now)) {
-        this->state.loop.Stop();
-        return;
-      }
-    }
-    this->state.loop.RunAfter(kDrainCheckInterval,
-                              [this] { this->StopWhenIdle(); });
-  }
-
-  void AbortAtBound(TimePoint now) {
-    if (now < this->drain_ends) {
-      return;
-    }
-    Log(LogLevel::kWarning, "drain", "drain_bound_reached",
-        {{"cut", std::to_string(this->state.calls.forwarded.size())}});
-    AbortAllCalls(this->state);
-  }
-
-  // Sends the closing record once: no call runs and no key will run any more,
-  // and the entries answer for the keys after this process has stopped.
-  void SendClosingRecordOnce() {
-    if (std::exchange(this->has_sent_closing_record, true)) {
-      return;
-    }
-    SendClosingRecord(this->state);
-    this->idle_since = EventLoop::Now();
-  }
-
-  // The last bytes of an answer may still wait for a slow entry; stopping now
-  // would truncate an answer that the back end has completed.
-  bool is_flushed(TimePoint now) const {
-    return this->unsent_bytes() == 0 || now >= this->idle_since + kMaxFlushTime;
-  }
-
-  size_t unsent_bytes() const {
-    size_t bytes = 0;
-    for (const auto& connection : this->state.connections) {
-      bytes += connection->pending_bytes();
-    }
-    return bytes;
-  }
-
   AgentState state;
+  AgentStop stop{this->state};
   bool is_draining = false;
-  bool has_sent_closing_record = false;
-  TimePoint notice_ends;
-  TimePoint idle_since;
-  TimePoint drain_ends;
   std::unique_ptr<http::Server> server;
   std::unique_ptr<Listener> listener;
 };
