Entry: Tell peers that start later of a stop too

An entry announced its stop once, on the links that it had. A peer that started or linked anew during the stop named it to callers all the same, who then met a closing address. The notice now follows each Hello while the entry leaves.

--- a/Services/bramleyspand/Entry/Links.cc
+++ b/Services/bramleyspand/Entry/Links.cc
@@ -13,6 +13,12 @@
 constexpr std::string_view kModule = "links";
 constexpr Duration kVmListInterval = std::chrono::seconds(1);
 
+void SendLeaving(wire::Connection& connection) {
+  wire::LeavingT leaving;
+  leaving.reason = "planned stop";
+  connection.Send(wire::Encode(std::move(leaving)));
+}
+
 void SendHello(const EntryState& state, wire::Connection& connection) {
   wire::HelloT hello;
   hello.process = state.settings.name;
@@ -21,6 +27,10 @@
   hello.revision = state.feed.revision();
   hello.change = state.feed.newest_change().id;
   connection.Send(wire::Encode(std::move(hello)));
+  // A peer that has just started was not there for AnnounceLeaving.
+  if (state.is_leaving) {
+    SendLeaving(connection);
+  }
 }
 
 // Records the change that a peer has in force.
@@ -200,9 +210,7 @@
 
 void AnnounceLeaving(EntryState& state) {
   for (auto& [name, link] : state.links) {
-    wire::LeavingT leaving;
-    leaving.reason = "planned stop";
-    link.connection->Send(wire::Encode(std::move(leaving)));
+    SendLeaving(*link.connection);
   }
 }
 
