--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -62,16 +62,19 @@
     --vm_list="$VM_LIST" --operator_key_sha256="$OPERATOR_KEY_SHA256" "$@"
 }
 
-# start_entry N ZONE: starts the entry at $NET.1.N and lists its VM.
+# start_entry N ZONE: starts the entry at $NET.1.N and lists its VM; ENTRY_FLAGS
+# holds further flags.
 start_entry() {
-  daemon entry "entry-$1" "$NET.1.$1" "$2"
+  # shellcheck disable=SC2086
+  daemon entry "entry-$1" "$NET.1.$1" "$2" ${ENTRY_FLAGS:-}
   list_vm "entry-$1" "$NET.1.$1" "$2" entry live
 }
 
 # start_agent N ZONE: starts the agent beside the back end of the target VM at
-# $NET.2.N, and lists the VM.
+# $NET.2.N, and lists the VM; AGENT_FLAGS holds further flags.
 start_agent() {
-  daemon agent "target-$1" "$NET.2.$1" "$2" --target="$NET.2.$1:8000"
+  # shellcheck disable=SC2086
+  daemon agent "target-$1" "$NET.2.$1" "$2" --target="$NET.2.$1:8000" ${AGENT_FLAGS:-}
   list_vm "target-$1" "$NET.2.$1" "$2" target live
 }
 
