LibHTTP: Read all answers with one parser

Callers of an entry got parts of answers as whole ones: a back end that ended between two chunks, in a chunk's size or before the last blank line gave a 200 whose framing was whole (curl's exit status 0). A content-length that is no number of 64 bits ended the agent (SIGABRT).

Cause: entries, agents and bramleyspanctl read answers with h2o's client, which takes a close outside of a chunk's data, and a reset of an answer without length, for the end of the answer, and asserts on a length that it can't read. Gateways and rank agents use DirectCall, which does neither.

Now http::Client is a thin layer over DirectCall, with its checks, and its connections are kept for 4 s as before (ConnectionPool's max_idle_time).

Evidence: TestCutAnswers takes every prefix of an answer with a length and with chunks, closed and reset: 30 prefixes looked whole before (15 by each kind of connection), all through h2o's client, and the case of lengths ended by SIGABRT. test-back-ends-that-cut-answers-look-whole-to-nobody failed 3 of 3 before (chunk-size, chunks and last-chunk whole; the agent gone) and passes, one run so far. TestLibHTTP: 44 of 44 cases.

--- a/Libraries/LibHTTP/Client.h
+++ b/Libraries/LibHTTP/Client.h
@@ -1,15 +1,15 @@
-// An HTTP/1 client over h2o with persistent connections.
+// An HTTP/1 client with persistent connections. Its answers are checked as
+// those of DirectCall.
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
-#include <vector>
 
 #include "Kernel/Address.h"
 #include "Kernel/EventLoop.h"
 #include "Kernel/Result.h"
+#include "LibHTTP/DirectCall.h"
 #include "LibHTTP/Message.h"
 
 namespace bramleyspan::http {
@@ -48,13 +48,12 @@
 };
 
 // A request in progress.
-class ClientCall;
+using ClientCall = DirectCall;
 
 // Sends requests on one event loop.
 class Client {
  public:
-  explicit Client(EventLoop& loop);
-  ~Client();
+  explicit Client(EventLoop& loop) : loop(loop) {}
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
 
@@ -69,46 +68,15 @@
       std::function<void(Result<Response>)> on_done);
 
  private:
-  h2o_socketpool_t* PoolFor(const Address& address);
+  DirectRequest ToDirectRequest(ClientRequest request);
+  std::shared_ptr<ClientCall> Start(DirectRequest request, ClientEvents events);
 
-  EventLoop& loop;
-  h2o_http1client_ctx_t context{};
-  h2o_timeout_t input_timeout{};
-  std::map<Address, std::unique_ptr<h2o_socketpool_t>> pools;
-};
-
-class ClientCall : public std::enable_shared_from_this<ClientCall> {
- public:
-  // Closes the connection. No callback is called afterwards.
-  void Cancel();
+  // Servers close connections that are idle for longer, and a request that
+  // crosses such a close may have run.
+  static constexpr Duration kMaxIdleTime = std::chrono::seconds(4);
 
- private:
-  friend class Client;
-
-  void Start(h2o_http1client_ctx_t& context, h2o_socketpool_t* pool);
-  h2o_http1client_head_cb HandleConnect(const char* failure,
-                                        h2o_iovec_t** buffers,
-                                        size_t* buffer_count,
-                                        int* method_is_head);
-  h2o_http1client_body_cb HandleHead(const char* failure,
-                                     int status,
-                                     h2o_header_t* headers,
-                                     size_t header_count);
-  int HandleBody(const char* failure);
-  void End(Result<void> outcome);
-  void HandleTimeout();
-
-  EventLoop* loop = nullptr;
-  h2o_http1client_t* client = nullptr;
-  ClientRequest request;
-  ClientEvents events;
-  std::string head_bytes;
-  std::vector<h2o_iovec_t> buffers;
-  std::shared_ptr<ClientCall> self;
-  TimerId timer = 0;
-  bool is_in_callback = false;
-  bool is_sent = false;
-  bool is_ended = false;
+  EventLoop& loop;
+  ConnectionPool connections{kMaxIdleTime};
 };
 
 }  // namespace bramleyspan::http
--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -22,6 +22,7 @@
 }
 
 h2o_socket_t* ConnectionPool::Take(const Address& target) {
+  this->DropOld();
   const auto found = this->idle.find(target);
   if (found == this->idle.end()) {
     return nullptr;
@@ -33,8 +34,8 @@
 }
 
 void ConnectionPool::Add(const Address& target, h2o_socket_t* socket) {
-  auto idle_connection =
-      std::make_unique<IdleConnection>(IdleConnection{this, target, socket});
+  auto idle_connection = std::make_unique<IdleConnection>(
+      IdleConnection{this, target, socket, EventLoop::Now()});
   socket->data = idle_connection.get();
   this->idle.emplace(target, std::move(idle_connection));
   // An idle connection becomes readable only if the server closes it or sends
@@ -51,6 +52,17 @@
                 [idle](const auto& item) { return item.second.get() == idle; });
 }
 
+void ConnectionPool::DropOld() {
+  const TimePoint now = EventLoop::Now();
+  std::erase_if(this->idle, [this, now](const auto& item) {
+    const bool is_old = now - item.second->since > this->max_idle_time;
+    if (is_old) {
+      h2o_socket_close(item.second->socket);
+    }
+    return is_old;
+  });
+}
+
 std::string_view NameOf(CallEnd end) {
   switch (end) {
     case CallEnd::kWhole:
--- a/Libraries/LibHTTP/DirectCall.h
+++ b/Libraries/LibHTTP/DirectCall.h
@@ -20,7 +20,9 @@
 // that may be repeated, to servers that send exactly one answer per request.
 class ConnectionPool {
  public:
-  ConnectionPool() = default;
+  // Connections that are idle for longer than `max_idle_time` are not used.
+  explicit ConnectionPool(Duration max_idle_time = Duration::max())
+      : max_idle_time(max_idle_time) {}
   ~ConnectionPool();
   ConnectionPool(const ConnectionPool&) = delete;
   ConnectionPool& operator=(const ConnectionPool&) = delete;
@@ -37,9 +39,12 @@
     ConnectionPool* owner;
     Address target;
     h2o_socket_t* socket;
+    TimePoint since;
   };
   void Drop(IdleConnection* idle);
+  void DropOld();
 
+  Duration max_idle_time;
   std::multimap<Address, std::unique_ptr<IdleConnection>> idle;
 };
 
