Gateway: Take no answer for whole that its server did not survive

Callers got a 200 with a short body, framed as whole: a server that answers without length and chunks and ends on the way has its connection closed in good order by its system. So with plain answers and with streams that end between two events, for callers of HTTP/1.0 and 1.1.

Cause: the check that the server still accepts connections was made only for requests that were suspected of ending servers.

Answers with a length or chunks are not checked.

--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -196,10 +196,12 @@
   // whether the target has ended. Returns whether RepeatOrEnd is called after
   // that.
   bool CheckTarget(http::CallEnd end);
+  // Whether the caller would get what has come as a whole answer, though only
+  // the end of its connection says that it is one.
+  bool is_doubtful(http::CallEnd end) const;
   // Lets the target be checked after an answer that ended with its connection,
-  // as it does when the target ends. Returns whether HandleKnownEnd is called
-  // after that.
-  bool CheckUnframedAnswer();
+  // as it does when the target ends. HandleKnownEnd is called after that.
+  void CheckUnframedAnswer();
   LostRequest DescribeLost() const;
   // Records that the target writes an answer: once it has gone on for a while
   // it speaks for the parts, once it is whole for the request.
@@ -287,6 +289,7 @@
 
   std::shared_ptr<http::DirectCall> call;
   std::string target_id;
+  Address target_address;
   // The target that it was sent to last, also after that attempt has ended.
   std::string last_target;
   std::string group;
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -200,8 +200,9 @@
   if (this->is_finished) {
     return;
   }
-  const bool is_doubtful = end == CallEnd::kWhole && !this->answer.is_framed;
-  if (!is_doubtful || !this->CheckUnframedAnswer()) {
+  if (this->is_doubtful(end)) {
+    this->CheckUnframedAnswer();
+  } else {
     this->HandleKnownEnd(end);
   }
 }
--- a/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -20,6 +20,7 @@
 // A target that ends under a request does so before its answer has gone on for
 // this long.
 constexpr Duration kAnsweredAfter = std::chrono::milliseconds(500);
+constexpr Duration kLeavingCheckTimeout = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -92,7 +93,7 @@
       this->state.quarantine->is_suspect(this->marks, lost.is_answered);
   this->state.target_ends->Check(
       std::move(lost),
-      [self = this->shared_from_this(), is_awaited, end](bool) {
+      [self = this->shared_from_this(), is_awaited, end](http::ConnectOutcome) {
         if (is_awaited) {
           self->RepeatOrEnd(end);
         }
@@ -100,22 +101,42 @@
   return is_awaited;
 }
 
-bool Forwarding::CheckUnframedAnswer() {
-  if (!this->state.targets.by_id.contains(this->target_id)) {
+bool Forwarding::is_doubtful(CallEnd end) const {
+  if (end != CallEnd::kWhole || this->answer.is_framed) {
     return false;
   }
-  LostRequest lost = this->DescribeLost();
-  if (!this->state.quarantine->is_suspect(this->marks, lost.is_answered)) {
-    return false;
+  switch (gateway::JudgeEnd(this->caller, this->answer, this->terms(), end)) {
+    case gateway::EndUse::kFinish:
+    case gateway::EndUse::kForward:
+    case gateway::EndUse::kUnusable:
+      return true;
+    case gateway::EndUse::kRejected:
+    case gateway::EndUse::kFailed:
+      return this->state.quarantine->is_suspect(
+          this->marks, this->is_answered_by_target(EventLoop::Now()));
   }
-  this->state.target_ends->Check(
-      std::move(lost), [self = this->shared_from_this()](bool has_ended) {
+  return true;
+}
+
+void Forwarding::CheckUnframedAnswer() {
+  const auto judge =
+      [self = this->shared_from_this()](http::ConnectOutcome outcome) {
         if (!self->is_finished) {
-          self->HandleKnownEnd(has_ended ? CallEnd::kTruncated
-                                         : CallEnd::kWhole);
+          self->HandleKnownEnd(outcome == http::ConnectOutcome::kAccepted
+                                   ? CallEnd::kWhole
+                                   : CallEnd::kTruncated);
         }
-      });
-  return true;
+      };
+  const auto found = this->state.targets.by_id.find(this->target_id);
+  if (found != this->state.targets.by_id.end() &&
+      gateway::is_staying(this->state.targets, found->second)) {
+    this->state.target_ends->Check(this->DescribeLost(), judge);
+    return;
+  }
+  // The end of a target that leaves is no evidence against the request, but its
+  // last answer may be cut like any other.
+  http::CheckConnect(this->state.loop, this->target_address,
+                     kLeavingCheckTimeout, judge);
 }
 
 LostRequest Forwarding::DescribeLost() const {
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -69,6 +69,7 @@
 void Forwarding::SendTo(const TargetView& target) {
   const TimePoint now = EventLoop::Now();
   this->target_id = target.target.id;
+  this->target_address = target.target.address;
   this->last_target = this->target_id;
   this->sent_at = now;
   this->first_sent_at = this->first_sent_at.value_or(now);
--- a/Services/bramleyspand/Gateway/TargetEnds.cc
+++ b/Services/bramleyspand/Gateway/TargetEnds.cc
@@ -50,9 +50,10 @@
   if (known != nullptr && known->is_done) {
     LogLost(lost);
     this->state.quarantine->RecordTargetEnd({lost}, known->began);
-    this->state.loop.RunAfter(
-        Duration(0),
-        [on_checked = std::move(on_checked)] { on_checked(true); });
+    this->state.loop.RunAfter(Duration(0),
+                              [on_checked = std::move(on_checked)] {
+                                on_checked(ConnectOutcome::kRefused);
+                              });
     return;
   }
   const bool is_new = known == nullptr || now - known->began > kSameLoss;
@@ -86,7 +87,7 @@
   }
   check->lost.clear();
   for (const OnChecked& on_checked : std::exchange(check->on_checked, {})) {
-    on_checked(has_ended);
+    on_checked(outcome);
   }
 }
 
--- a/Services/bramleyspand/Gateway/TargetEnds.h
+++ b/Services/bramleyspand/Gateway/TargetEnds.h
@@ -17,7 +17,7 @@
 
 class TargetEnds {
  public:
-  using OnChecked = std::function<void(bool has_ended)>;
+  using OnChecked = std::function<void(http::ConnectOutcome outcome)>;
 
   explicit TargetEnds(GatewayState& state) : state(state) {}
 
--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -2,7 +2,10 @@
 
 #include <sys/socket.h>
 
+#include <optional>
+
 #include "LibHTTP/Parser.h"
+#include "StandIns/CutAnswers.h"
 
 namespace bramleyspan::standins {
 
@@ -11,6 +14,10 @@
 constexpr std::string_view kReset = "/reset";
 constexpr std::string_view kInside = "/inside";
 constexpr std::string_view kEnds = "/ends";
+constexpr std::string_view kRestarts = "/restarts";
+constexpr std::string_view kCut = "/cut-";
+// Time for which a server that restarts is away.
+constexpr Duration kDownTime = std::chrono::milliseconds(300);
 constexpr std::string_view kEndless = "/endless-";
 constexpr size_t kBlockBytes = 16384;
 constexpr Duration kBlockInterval = std::chrono::microseconds(500);
@@ -62,35 +69,62 @@
   return {.begin = (kind == "bare" ? status : own) + "\r\n", .block = letters};
 }
 
+// Returns the events of a whole answer.
+std::vector<std::string> EventsFor(const std::string& attempt) {
+  std::vector<std::string> events;
+  for (int id = 1; id <= 3; ++id) {
+    const std::string number = std::to_string(id);
+    events.push_back("id: " + number + "\ndata: " + attempt + "#" + number +
+                     "\n\n");
+  }
+  return events;
+}
+
 std::string AnswerTo(const std::string& request) {
   const std::string attempt = FindValue(request, "x-attempt-id");
   const std::string path = PathOf(request);
-  std::string answer =
-      "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\nx-attempt-id: " +
-      attempt + "\r\nx-server-stamp: stamp-" + attempt + "\r\n\r\n";
-  for (int id = 1; id <= 3; ++id) {
-    const std::string number = std::to_string(id);
-    answer.append("id: ").append(number).append("\ndata: ").append(attempt);
-    answer.append("#").append(number).append("\n\n");
+  const std::string header_lines =
+      "content-type: text/event-stream\r\nx-attempt-id: " + attempt +
+      "\r\nx-server-stamp: stamp-" + attempt + "\r\n";
+  std::vector<std::string> events = EventsFor(attempt);
+  const size_t cut = path.rfind(kCut);
+  if (cut != std::string::npos) {
+    const auto answer =
+        CutAnswer(path.substr(cut + kCut.size()), header_lines, events);
+    return answer.value_or("");
   }
-  return path.ends_with(kInside) ? answer + "id: 4\nda" : answer;
+  if (path.ends_with(kInside)) {
+    events.emplace_back("id: 4\nda");
+  } else if (path.ends_with(kRestarts)) {
+    events.pop_back();
+  }
+  std::string answer = "HTTP/1.1 200 OK\r\n" + header_lines + "\r\n";
+  for (const std::string& event : events) {
+    answer += event;
+  }
+  return answer;
 }
 
 }  // namespace
 
 Result<std::unique_ptr<RawServer>> RawServer::Listen(EventLoop& loop,
                                                      const Address& address) {
-  std::unique_ptr<RawServer> server(new RawServer(loop));
-  server->listener = TRY(Listener::Listen(
-      loop, address, [raw = server.get()](h2o_socket_t* socket) {
-        socket->data = raw;
+  std::unique_ptr<RawServer> server(new RawServer(loop, address));
+  TRY(server->StartListening());
+  return server;
+}
+
+Result<void> RawServer::StartListening() {
+  this->listener = TRY(
+      Listener::Listen(this->loop, this->address, [this](h2o_socket_t* socket) {
+        socket->data = this;
         h2o_socket_read_start(socket,
                               [](h2o_socket_t* source, const char* failure) {
                                 static_cast<RawServer*>(source->data)
                                     ->HandleReadable(source, failure);
                               });
       }));
-  return server;
+  return Succeed();
 }
 
 void RawServer::HandleReadable(h2o_socket_t* socket, const char* failure) {
@@ -111,9 +145,13 @@
     setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset,
                sizeof reset);
   }
-  if (PathOf(request).ends_with(kEnds)) {
+  const bool is_restarting = PathOf(request).ends_with(kRestarts);
+  if (is_restarting || PathOf(request).ends_with(kEnds)) {
     this->listener = nullptr;
   }
+  if (is_restarting) {
+    this->loop.RunAfter(kDownTime, [this] { (void)this->StartListening(); });
+  }
   const std::string path = PathOf(request);
   const size_t kind = path.rfind(kEndless);
   if (kind != std::string::npos) {
--- a/StandIns/UsersPlatform/RawServer.h
+++ b/StandIns/UsersPlatform/RawServer.h
@@ -1,10 +1,12 @@
 // A server whose answers have neither a length nor chunks and end with their
 // connection. The last part of a request's path says how an answer ends: whole,
-// inside (in the middle of an event, in good order), reset, or ends (whole, and
-// the server with it). After endless-KIND bytes that are no answer come until
-// the caller closes: head (header lines), line (one header line), body (without
-// a length), chunks, event (one event of a stream), bare (a body without a
-// stamp).
+// inside (in the middle of an event, in good order), reset, ends (whole, and
+// the server with it), or restarts (before the last event, in good order, since
+// the server ends; it is back later). After cut-PLACE an answer with a length
+// or chunks breaks off there, see CutAnswers.h. After endless-KIND bytes that
+// are no answer come until the caller closes: head (header lines), line (one
+// header line), body (without a length), chunks, event (one event of a stream),
+// bare (a body without a stamp).
 #pragma once
 
 #include <map>
@@ -26,11 +28,14 @@
   RawServer& operator=(const RawServer&) = delete;
 
  private:
-  explicit RawServer(EventLoop& loop) : loop(loop) {}
+  RawServer(EventLoop& loop, const Address& address)
+      : loop(loop), address(address) {}
+  Result<void> StartListening();
   void HandleReadable(h2o_socket_t* socket, const char* failure);
   void SendWithoutEnd(h2o_socket_t* socket);
 
   EventLoop& loop;
+  Address address;
   std::unique_ptr<Listener> listener;
   // Blocks that are written until the caller closes.
   std::map<h2o_socket_t*, std::string> endless;
