--- a/Services/bramleyspand/Entry/CatalogueChanges.cc
+++ b/Services/bramleyspand/Entry/CatalogueChanges.cc
@@ -3,6 +3,7 @@
 #include "Kernel/Digest.h"
 #include "LibCatalogue/Commit.h"
 #include "LibCatalogue/Document.h"
+#include "LibJSON/Read.h"
 #include "LibPlatform/Backoff.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Entry/EntryState.h"
@@ -225,7 +226,11 @@
 
 Result<catalogue::ChangeSet> ParseChange(const std::string& body) {
   try {
-    const json document = json::parse(body);
+    const json document = json_text::Parse(body);
+    if (document.is_discarded()) {
+      return Fail(ErrorCode::kMalformedRequest, "change",
+                  "no JSON, or nested too deeply");
+    }
     catalogue::ChangeSet change;
     change.id = document.at("id");
     change.base_revision = document.at("base_revision");
@@ -259,7 +264,7 @@
 void HandleRestore(EntryState& state,
                    const http::Request& request,
                    const ExchangePointer& exchange) {
-  const json document = json::parse(request.body, nullptr, false);
+  const json document = json_text::Parse(request.body);
   if (!document.is_object() || !document.contains("id") ||
       !document["id"].is_string()) {
     exchange->Respond(ToResponse(
--- a/Services/bramleyspand/Entry/Claims.cc
+++ b/Services/bramleyspand/Entry/Claims.cc
@@ -1,29 +1,22 @@
 #include <algorithm>
-#include <nlohmann/json.hpp>
 #include <utility>
 
 #include "Kernel/Digest.h"
+#include "LibJSON/Read.h"
 #include "Services/bramleyspand/Entry/Calls.h"
 
 namespace bramleyspan::entry {
 
 namespace {
 
-using nlohmann::json;
-
 constexpr uint32_t kMaxKeys = 64;
 // Maximum number of agents that a request for keys is sent to.
 constexpr size_t kMaxAgents = 3;
 constexpr Duration kAgentTimeout = std::chrono::milliseconds(500);
 
 uint32_t ParseCount(const std::string& body) {
-  const json document = json::parse(body, nullptr, false);
-  if (!document.is_object() || !document.contains("count") ||
-      !document["count"].is_number_unsigned()) {
-    return 1;
-  }
-  return static_cast<uint32_t>(
-      std::min<uint64_t>(document["count"].get<uint64_t>(), kMaxKeys));
+  const auto count = json_text::FindUnsigned(json_text::Parse(body), "count");
+  return static_cast<uint32_t>(std::min<uint64_t>(count.value_or(1), kMaxKeys));
 }
 
 // Removes and returns an open request. A late reply of its agent then matches
--- a/Services/bramleyspand/Entry/Probing.cc
+++ b/Services/bramleyspand/Entry/Probing.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "Kernel/Digest.h"
+#include "LibJSON/Read.h"
 #include "LibRouting/Hash.h"
 #include "Services/bramleyspand/Entry/Calls.h"
 
@@ -17,7 +18,7 @@
 
 // Returns the text of a chat request, or the whole body if it is not one.
 std::string PromptOf(const std::string& body) {
-  const json document = json::parse(body, nullptr, false);
+  const json document = json_text::Parse(body);
   if (!document.is_object() || !document.contains("messages") ||
       !document["messages"].is_array()) {
     return body;
@@ -25,8 +26,7 @@
   std::string prompt;
   for (const json& message : document["messages"]) {
     if (message.is_object() && message.contains("content")) {
-      prompt += message["content"].dump(-1, ' ', false,
-                                        json::error_handler_t::replace);
+      prompt += json_text::Write(message["content"]);
     }
   }
   return prompt;
