Gateway: Write down parts of prompts that are no text

A caller whose prompt part has bytes that are no UTF-8, and under which two servers end, ended the gateway that quarantines the part (SIGABRT); so did whoever read /v1/quarantine or /v1/dump while it was suspected.

Cause: nlohmann throws as it writes such a text, and the part's id is written to the store and to operators as it came.

Now a part's id that is no text is replaced by a digest of it where it is read, so that store, peers and operators see one name for it, which an operator can release. What is written with texts of callers in it goes through json_text::Write, which throws for no text. Between gateways of two builds such a part has two names; each build's gateways keep it by their own.

--- a/Libraries/LibGateway/PromptParts.cc
+++ b/Libraries/LibGateway/PromptParts.cc
@@ -2,6 +2,9 @@
 
 #include <algorithm>
 
+#include "Kernel/Digest.h"
+#include "LibJSON/Read.h"
+
 namespace bramleyspan::gateway {
 
 namespace {
@@ -26,6 +29,12 @@
   return lower;
 }
 
+std::string ToText(std::string id) {
+  constexpr size_t kDigits = 32;
+  return json_text::is_text(id) ? id
+                                : "bytes-" + Sha256Hex(id).substr(0, kDigits);
+}
+
 }  // namespace
 
 std::vector<std::string> ParseSharedParts(std::string_view list) {
@@ -33,11 +42,13 @@
   size_t comma = list.find(',');
   while (comma != std::string_view::npos && parts.size() < kMaxParts) {
     const std::string_view entry = list.substr(0, comma);
-    const std::string id = ToLowerCase(
+    std::string id = ToLowerCase(
         WithoutBlanks(entry.substr(0, std::min(entry.find(':'), comma))));
-    const bool is_usable = !id.empty() && id.size() <= kMaxPartIdBytes;
-    if (is_usable && std::ranges::find(parts, id) == parts.end()) {
-      parts.push_back(id);
+    if (!id.empty() && id.size() <= kMaxPartIdBytes) {
+      id = ToText(std::move(id));
+      if (std::ranges::find(parts, id) == parts.end()) {
+        parts.push_back(std::move(id));
+      }
     }
     list.remove_prefix(comma + 1);
     comma = list.find(',');
--- a/Libraries/LibGateway/PromptParts.h
+++ b/Libraries/LibGateway/PromptParts.h
@@ -9,7 +9,8 @@
 namespace bramleyspan::gateway {
 
 // Returns the ids of the parts that other requests may share: all but the last
-// of a list such as "5c1e:800,91bd:410,e440:250", each once, in lower case.
+// of a list such as "5c1e:800,91bd:410,e440:250", each once, in lower case. An
+// id that is no text is replaced by a digest of it, since ids are written down.
 // Empty ids and those over kMaxPartIdBytes are left out, as are those beyond
 // the first kMaxParts.
 std::vector<std::string> ParseSharedParts(std::string_view list);
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "Kernel/Digest.h"
+#include "LibJSON/Read.h"
 #include "LibPlatform/CountedStore.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/CallerAddresses.h"
@@ -226,7 +227,7 @@
                         role.usage.Serialize() + "\n");
     } else if (request.path == "/v1/quarantine") {
       exchange->Respond(200, {{"content-type", "application/json"}},
-                        role.quarantine.Dump().dump(2) + "\n");
+                        json_text::Write(role.quarantine.Dump(), 2) + "\n");
     } else if (request.path == "/v1/quarantine/release" &&
                request.method == "POST") {
       const bool is_released = role.quarantine.Release(
@@ -235,7 +236,7 @@
       exchange->Respond(is_released ? 200 : 404, {}, "");
     } else if (request.path == "/v1/dump") {
       exchange->Respond(200, {{"content-type", "application/json"}},
-                        Dump(role.state).dump(2) + "\n");
+                        json_text::Write(Dump(role.state), 2) + "\n");
     } else {
       exchange->Respond(404, {}, "");
     }
--- a/Services/bramleyspand/Gateway/QuarantineDocuments.cc
+++ b/Services/bramleyspand/Gateway/QuarantineDocuments.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "Kernel/Digest.h"
+#include "LibJSON/Read.h"
 #include "LibTelemetry/Log.h"
 
 namespace bramleyspan::gatewayd {
@@ -36,7 +37,7 @@
 
 // Returns nothing if the document is of another form.
 std::optional<Document> Parse(const std::string& text) {
-  const auto source = nlohmann::json::parse(text, nullptr, false);
+  const auto source = json_text::Parse(text);
   if (!source.is_object()) {
     return std::nullopt;
   }
@@ -52,11 +53,10 @@
 }
 
 std::string Serialize(const PartKey& key, const PartRecord& record) {
-  return nlohmann::json{{"service", key.service},
-                        {"part", key.part},
-                        {"failed_trials", record.failed_trials},
-                        {"written_s", SecondsNow()}}
-      .dump();
+  return json_text::Write({{"service", key.service},
+                           {"part", key.part},
+                           {"failed_trials", record.failed_trials},
+                           {"written_s", SecondsNow()}});
 }
 
 }  // namespace
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -7,6 +7,7 @@
 
 #include "Kernel/Digest.h"
 #include "LibHTTP/Ingress.h"
+#include "LibJSON/Read.h"
 #include "LibTelemetry/Log.h"
 #include "LibTelemetry/Metrics.h"
 #include "Services/bramleyspand/Rank/DesiredMaps.h"
@@ -130,7 +131,7 @@
                               telemetry::SerializeMetrics());
           } else if (request.path == "/v1/dump") {
             exchange->Respond(200, {{"content-type", "application/json"}},
-                              this->Dump().dump(2) + "\n");
+                              json_text::Write(this->Dump(), 2) + "\n");
           } else {
             exchange->Respond(404, {}, "");
           }
@@ -369,8 +370,7 @@
          .headers = {{"host", *chosen}},
          .timeout = kRemoteCallTimeout},
         [this](CallEnd end, const http::Response& response) {
-          const auto body =
-              nlohmann::json::parse(response.body, nullptr, false);
+          const auto body = json_text::Parse(response.body);
           if (end != CallEnd::kWhole || response.status != 200 ||
               !body.is_object()) {
             return;
