platform: Refuse odd documents of the store, each alone

What another writer leaves in the store:

- a desired state that is nested 200,000 levels deep ended both gateways (SIGSEGV, as it is copied), and would have ended each one that starts;
- a server's record with 2^32 slots was taken for one with 0 slots, and one with port 0 for a server.

--- a/Tests/platform/TestDocuments.cc
+++ b/Tests/platform/TestDocuments.cc
@@ -35,6 +35,18 @@
   CHECK(ParseTable("{").error().code == ErrorCode::kMalformedDocument);
 }
 
+// Failure: a document that is nested deeply ends each process that reads it.
+TEST_CASE("A document that is nested too deeply is refused") {
+  const std::string deep =
+      std::string(200'000, '[') + std::string(200'000, ']');
+  CHECK(ParseTable(R"({"version":1,"limits":{"x":)" + deep + "}}").has_error());
+  CHECK_FALSE(ParseTarget(
+      "servers/i-1",
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,)"
+      R"("state":"ready","x":)" +
+          deep + "}"));
+}
+
 TEST_CASE("Only a complete record of a server is parsed into a target") {
   const std::string good =
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,)"
@@ -45,6 +57,14 @@
         R"({"service":"s","address":7,"zone":"z","slots":6,"state":"ready"})",
         R"({"service":"s","address":"here","zone":"z","slots":6,)"
         R"("state":"ready"})",
+        R"({"service":"s","address":"10.0.0.1:65536","zone":"z","slots":6,)"
+        R"("state":"ready"})",
+        R"({"service":"s","address":"10.0.0.1:0","zone":"z","slots":6,)"
+        R"("state":"ready"})",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+        R"("slots":4294967296,"state":"ready"})",
+        R"({"service":"s","address":"10.0.0.1:80","zone":"z",)"
+        R"("slots":99999999999999999999,"state":"ready"})",
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":"6",)"
         R"("state":"ready"})",
         R"({"service":"s","address":"10.0.0.1:80","zone":"z","slots":6,)"
