--- a/Libraries/LibGateway/PromptParts.cc
+++ b/Libraries/LibGateway/PromptParts.cc
@@ -29,7 +29,7 @@
   return lower;
 }
 
-std::string ToText(std::string id) {
+std::string ToText(const std::string& id) {
   constexpr size_t kDigits = 32;
   return json_text::is_text(id) ? id
                                 : "bytes-" + Sha256Hex(id).substr(0, kDigits);
@@ -45,7 +45,7 @@
     std::string id = ToLowerCase(
         WithoutBlanks(entry.substr(0, std::min(entry.find(':'), comma))));
     if (!id.empty() && id.size() <= kMaxPartIdBytes) {
-      id = ToText(std::move(id));
+      id = ToText(id);
       if (std::ranges::find(parts, id) == parts.end()) {
         parts.push_back(std::move(id));
       }
--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -74,8 +74,9 @@
   std::vector<std::string> events;
   for (int id = 1; id <= 3; ++id) {
     const std::string number = std::to_string(id);
-    events.push_back("id: " + number + "\ndata: " + attempt + "#" + number +
-                     "\n\n");
+    std::string& event = events.emplace_back("id: ");
+    event.append(number).append("\ndata: ").append(attempt);
+    event.append("#").append(number).append("\n\n");
   }
   return events;
 }
