Gateway: Bound a caller's deadline that is too large

Cause: the milliseconds were turned into microseconds beyond 64 bits, which made them negative, and what follows a number was passed over.

--- a/Libraries/LibHTTP/HeaderValues.cc
+++ b/Libraries/LibHTTP/HeaderValues.cc
@@ -10,6 +10,7 @@
 
 // A longer time is taken for a mistake.
 constexpr double kMaxRetryAfterSeconds = 3600;
+constexpr double kMaxMilliseconds = 24.0 * 3600 * 1000;
 
 }  // namespace
 
@@ -32,4 +33,14 @@
       std::chrono::duration<double>(std::min(*seconds, kMaxRetryAfterSeconds)));
 }
 
+std::optional<Duration> ParseMilliseconds(std::string_view text) {
+  const std::optional<double> milliseconds = ParseDecimal(text);
+  if (!milliseconds) {
+    return std::nullopt;
+  }
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(
+          std::min(*milliseconds, kMaxMilliseconds)));
+}
+
 }  // namespace bramleyspan::http
--- a/Libraries/LibHTTP/HeaderValues.h
+++ b/Libraries/LibHTTP/HeaderValues.h
@@ -15,4 +15,8 @@
 // fractions. Dates are not read. More than an hour counts as an hour.
 std::optional<Duration> ParseRetryAfter(std::string_view text);
 
+// Parses a time in milliseconds, which may have fractions. More than a day
+// counts as a day.
+std::optional<Duration> ParseMilliseconds(std::string_view text);
+
 }  // namespace bramleyspan::http
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -6,6 +6,7 @@
 
 #include "LibGateway/PromptParts.h"
 #include "LibGateway/RequestDigest.h"
+#include "LibHTTP/HeaderValues.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
 #include "Services/bramleyspand/Gateway/GatewayMetrics.h"
@@ -49,9 +50,9 @@
 
 std::optional<int64_t> ParseNumber(std::string_view text) {
   int64_t value = 0;
-  const auto [stop, failure] =
-      std::from_chars(text.data(), text.data() + text.size(), value);
-  if (failure != std::errc{} || text.empty()) {
+  const char* const end = text.data() + text.size();
+  const auto [stop, failure] = std::from_chars(text.data(), end, value);
+  if (failure != std::errc{} || stop != end) {
     return std::nullopt;
   }
   return value;
@@ -113,11 +114,11 @@
                                               .target = this->request.target,
                                               .parts = parts_list,
                                               .body = this->request.body})};
-  const auto left = ParseNumber(
+  const auto left = http::ParseMilliseconds(
       FindHeader(this->request.headers, this->state.adapter.headers.deadline));
   Duration allowed = this->route->timeout;
-  if (left && *left > 0) {
-    allowed = std::min<Duration>(allowed, std::chrono::milliseconds(*left));
+  if (left && *left > Duration(0)) {
+    allowed = std::min(allowed, *left);
   }
   this->deadline = this->arrived + allowed;
   const bool is_resuming =
@@ -235,9 +236,10 @@
   if (this->deadline != TimePoint{}) {
     return this->deadline - EventLoop::Now();
   }
-  const auto left = ParseNumber(
-      FindHeader(this->request.headers, this->state.adapter.headers.deadline));
-  return left ? std::chrono::milliseconds(*left) : kDefaultTimeLeft;
+  return http::ParseMilliseconds(
+             FindHeader(this->request.headers,
+                        this->state.adapter.headers.deadline))
+      .value_or(kDefaultTimeLeft);
 }
 
 void Forwarding::Finish(std::string_view outcome, int status) {
