LibGateway: Read an event's id as a number only if all of it is one

A stream with ids such as 12-3 counted as numbered, with 12 for each of its events, so that one that is resumed elsewhere would leave out events that its caller never got.

Cause: what follows a number was passed over.

TestLibGateway "An id is a number as a whole" failed before (12x, 12-3, 1.5).

--- a/Libraries/LibGateway/EventReader.cc
+++ b/Libraries/LibGateway/EventReader.cc
@@ -27,10 +27,13 @@
     while (line.starts_with(' ')) {
       line.remove_prefix(1);
     }
+    if (line.ends_with('\r')) {
+      line.remove_suffix(1);
+    }
     uint64_t value = 0;
     const char* line_end = line.data() + line.size();
     const auto [stop, failure] = std::from_chars(line.data(), line_end, value);
-    if (failure == std::errc{} && stop != line.data()) {
+    if (failure == std::errc{} && stop == line_end) {
       id = value;
     }
   }
--- a/Tests/LibGateway/TestEventsAndRepeats.cc
+++ b/Tests/LibGateway/TestEventsAndRepeats.cc
@@ -22,6 +22,24 @@
 
 }  // namespace
 
+// Failure: ids that only begin with a number are taken for one number, and a
+// resumed stream leaves out what its caller never got.
+TEST_CASE("An id is a number as a whole") {
+  const auto id_of = [](const std::string& line) {
+    std::optional<uint64_t> id;
+    EventReader().Read(line + "\n\n",
+                       [&](const StreamEvent& event) { id = event.id; });
+    return id;
+  };
+  CHECK(id_of("id: 12") == 12);
+  CHECK(id_of("id:12\r\ndata: x\r") == 12);
+  for (const char* line : {"id: 12x", "id: 12-3", "id: -1", "id: 1.5",
+                           "id: ", "id: 18446744073709551616"}) {
+    CAPTURE(line);
+    CHECK_FALSE(id_of(line));
+  }
+}
+
 // Failure: a server crashes in the middle of an event. The caller received its
 // first half, and the run that is resumed at another target repeats the whole
 // event.
