LibGateway: Cut no IPv6 number at its last colon

A route of a bare IPv6 host took the requests of all numbers that differ in their last group, since what follows the last colon was taken for a port.

Now only what follows the one colon, or a bracket, is a port.

TestLibGateway "A port is no part of a host" failed before.

--- a/Libraries/LibGateway/RouteTable.cc
+++ b/Libraries/LibGateway/RouteTable.cc
@@ -9,8 +9,13 @@
 
 namespace {
 
+// Returns the host without its port, in lower case.
 std::string NormalizeHost(std::string_view host) {
-  std::string name(host.substr(0, host.rfind(':')));
+  const size_t colon = host.rfind(':');
+  // The colons of an IPv6 number without brackets are its own.
+  const bool has_port = colon != std::string_view::npos && colon > 0 &&
+                        (host.find(':') == colon || host[colon - 1] == ']');
+  std::string name(host.substr(0, has_port ? colon : host.size()));
   for (char& letter : name) {
     letter =
         static_cast<char>(std::tolower(static_cast<unsigned char>(letter)));
--- a/Tests/LibGateway/TestRouteTable.cc
+++ b/Tests/LibGateway/TestRouteTable.cc
@@ -30,6 +30,17 @@
   CHECK(FindRoute(table, "other.example", "/a/") == nullptr);
 }
 
+TEST_CASE("A port is no part of a host, the end of an IPv6 number is") {
+  RouteTable table;
+  AddRoute(table, {.name = "bare", .host = "FD00::1", .prefix = "/"});
+  AddRoute(table, {.name = "bracketed", .host = "[fd00::1]", .prefix = "/"});
+  CHECK(FindRoute(table, "fd00::1", "/")->name == "bare");
+  CHECK(FindRoute(table, "fd00::2", "/") == nullptr);
+  CHECK(FindRoute(table, "[fd00::1]", "/")->name == "bracketed");
+  CHECK(FindRoute(table, "[fd00::1]:8080", "/")->name == "bracketed");
+  CHECK(FindRoute(table, ":80", "/") == nullptr);
+}
+
 TEST_CASE(
     "A prefix that the path does not start with in full is not selected") {
   const RouteTable table = TableOf({"/book/"});
