--- a/Libraries/LibJSON/Read.cc
+++ b/Libraries/LibJSON/Read.cc
@@ -39,8 +39,49 @@
   return false;
 }
 
+// Reads values without keeping them, until one is nested too deeply. The reader
+// of MessagePack itself goes down by recursion.
+class DepthCheck : public nlohmann::json_sax<json> {
+ public:
+  bool null() override { return true; }
+  bool boolean(bool /*value*/) override { return true; }
+  bool number_integer(number_integer_t /*value*/) override { return true; }
+  bool number_unsigned(number_unsigned_t /*value*/) override { return true; }
+  bool number_float(number_float_t /*value*/,
+                    const string_t& /*text*/) override {
+    return true;
+  }
+  bool string(string_t& /*value*/) override { return true; }
+  bool binary(binary_t& /*value*/) override { return true; }
+  bool start_object(std::size_t /*elements*/) override {
+    return ++this->depth <= kMaxNesting;
+  }
+  bool key(string_t& /*name*/) override { return true; }
+  bool end_object() override { return this->depth-- > 0; }
+  bool start_array(std::size_t /*elements*/) override {
+    return ++this->depth <= kMaxNesting;
+  }
+  bool end_array() override { return this->depth-- > 0; }
+  bool parse_error(std::size_t /*position*/,
+                   const std::string& /*token*/,
+                   const json::exception& /*failure*/) override {
+    return false;
+  }
+
+ private:
+  size_t depth = 0;
+};
+
 }  // namespace
 
+json ParsePacked(std::string_view bytes) {
+  DepthCheck check;
+  if (!json::sax_parse(bytes, &check, json::input_format_t::msgpack)) {
+    return json(json::value_t::discarded);
+  }
+  return json::from_msgpack(bytes, /*strict=*/true, /*allow_exceptions=*/false);
+}
+
 json Parse(std::string_view text) {
   if (is_too_deep(text)) {
     return json(json::value_t::discarded);
--- a/Libraries/LibJSON/Read.h
+++ b/Libraries/LibJSON/Read.h
@@ -20,6 +20,9 @@
 // kMaxNesting.
 nlohmann::json Parse(std::string_view text);
 
+// As Parse, for the bytes of a value in MessagePack.
+nlohmann::json ParsePacked(std::string_view bytes);
+
 // Returns the member `name` of an object; null if there is none.
 const nlohmann::json* Find(const nlohmann::json& source, const char* name);
 
--- a/Services/bramleyspand/Gateway/Peers.cc
+++ b/Services/bramleyspand/Gateway/Peers.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "LibHTTP/DirectCall.h"
+#include "LibJSON/Read.h"
 #include "LibMembership/Gossip.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
@@ -346,7 +347,7 @@
 }
 
 void Peers::HandleUpdate(const std::string& text, uint64_t desired_revision) {
-  const json update = json::from_msgpack(text, true, false);
+  const json update = json_text::ParsePacked(text);
   if (update.is_discarded() || !update.is_object()) {
     return;
   }
--- a/Tests/LibJSON/TestRead.cc
+++ b/Tests/LibJSON/TestRead.cc
@@ -29,6 +29,23 @@
   CHECK(Parse(std::string(500'000, '[')).is_discarded());
 }
 
+// Failure: bytes of another program at a peer's former address end the process.
+TEST_CASE("Packed bytes are read up to a depth") {
+  constexpr char kListOfOne = '\x91';
+  const auto packed = [&](size_t levels) {
+    return std::string(levels, kListOfOne) + '\x01';
+  };
+  CHECK_FALSE(ParsePacked(packed(kMaxNesting)).is_discarded());
+  CHECK(ParsePacked(packed(kMaxNesting + 1)).is_discarded());
+  CHECK(ParsePacked(packed(10'000'000)).is_discarded());
+  CHECK(ParsePacked("\x92\x01").is_discarded());
+  CHECK(ParsePacked("").is_discarded());
+  const nlohmann::json value = {{"a", {1, "b"}}, {"c", nullptr}};
+  const auto bytes = nlohmann::json::to_msgpack(value);
+  CHECK(ParsePacked({reinterpret_cast<const char*>(bytes.data()),
+                     bytes.size()}) == value);
+}
+
 TEST_CASE("Brackets in strings are no depth") {
   const std::string brackets(1000, '[');
   CHECK(Parse("\"" + brackets + "\"") == brackets);
