LibGateway, Gateway: Count a prompt's tokens again

Operators saw no prompt tokens in the usage: 0 where 300 were asked for.

Both readers of the header now use one ParseTokenCounts, which takes one number or two and nothing else (TestTokenCounts). A stop that is told of over a million tokens forecasts nothing, so that a product of a caller's number can't overflow.

--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -1,11 +1,11 @@
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 #include "LibGateway/PromptParts.h"
 #include "LibGateway/RequestDigest.h"
+#include "LibGateway/TokenCounts.h"
 #include "LibHTTP/HeaderValues.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
@@ -48,16 +48,6 @@
                                   : usage::Ending::kFailed;
 }
 
-std::optional<int64_t> ParseNumber(std::string_view text) {
-  int64_t value = 0;
-  const char* const end = text.data() + text.size();
-  const auto [stop, failure] = std::from_chars(text.data(), end, value);
-  if (failure != std::errc{} || stop != end) {
-    return std::nullopt;
-  }
-  return value;
-}
-
 }  // namespace
 
 gateway::Sharing SharingOf(const GatewayState& state, TimePoint now) {
@@ -305,16 +295,15 @@
   if (this->state.usage == nullptr) {
     return;
   }
-  const auto tokens_in = ParseNumber(
+  const auto tokens = gateway::ParseTokenCounts(
       FindHeader(this->request.headers, this->state.adapter.headers.tokens));
   this->state.usage->Count(
       {.owner = this->tenant.empty() ? std::string(kUnknownName) : this->tenant,
        .entry = this->route == nullptr ? std::string(kUnknownName)
                                        : this->route->name,
        .service = this->service},
-      usage::FinalCounts(
-          this->meter, EndingOf(outcome),
-          static_cast<uint64_t>(std::max<int64_t>(0, tokens_in.value_or(0)))));
+      usage::FinalCounts(this->meter, EndingOf(outcome),
+                         tokens.value_or(gateway::TokenCounts{}).prompt));
 }
 
 uint64_t Forwarding::TokensPerEvent() const {
--- a/Services/bramleyspand/Gateway/ForwardingStop.cc
+++ b/Services/bramleyspand/Gateway/ForwardingStop.cc
@@ -1,8 +1,8 @@
 // What a planned stop of the process does to a request.
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
+#include "LibGateway/TokenCounts.h"
 #include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
@@ -18,19 +18,8 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-// Returns the number of tokens of the longest answer, the second number of the
-// header; none if it has none.
-std::optional<uint64_t> ParseAnswerTokens(std::string_view tokens) {
-  const size_t comma = tokens.find(',');
-  if (comma == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const char* const end = tokens.data() + tokens.size();
-  uint64_t value = 0;
-  const auto parsed = std::from_chars(tokens.data() + comma + 1, end, value);
-  const bool is_number = parsed.ec == std::errc{} && parsed.ptr == end;
-  return is_number ? std::optional(value) : std::nullopt;
-}
+// More are not worth a forecast.
+constexpr uint64_t kMostTokens = 1'000'000;
 
 }  // namespace
 
@@ -80,10 +69,13 @@
   if (!this->is_streaming()) {
     return 1;
   }
-  const auto tokens = ParseAnswerTokens(
+  const auto tokens = gateway::ParseTokenCounts(
       FindHeader(this->request.headers, this->state.adapter.headers.tokens));
   const uint64_t per_event = std::max<uint64_t>(1, this->TokensPerEvent());
-  return tokens ? (*tokens + per_event - 1) / per_event : 0;
+  if (!tokens || !tokens->answer || *tokens->answer > kMostTokens) {
+    return 0;
+  }
+  return (*tokens->answer + per_event - 1) / per_event;
 }
 
 // Streams of a service take the passes of its groups, whatever their routes.
