Kernel, LibDrain, Services: Say once what the stops share

Read over as a newcomer would: the system's counts of a socket's bytes stood three times (Kernel/SocketBytes), the intervals, the idle time, the judgement that the bound has come near and the log line of a stop twice (LibDrain, StopLog), the time of a target's check twice. Entries' lines now have "waiting" as gateways' do. Behaviour is unchanged; TestLibDrain has a case for the judgement.

--- a/Libraries/LibDrain/PlannedStop.cc
+++ b/Libraries/LibDrain/PlannedStop.cc
@@ -13,6 +13,9 @@
 // Time before the bound at which the process ends, delivered or not. It has to
 // be gone before it is killed.
 constexpr Duration kLastMoment = std::chrono::milliseconds(250);
+// A caller sends its next request on a kept connection within this time, or
+// may not need it for long.
+constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(300);
 
 TimePoint LastMomentOf(const PlannedStop& stop) {
   return stop.began + stop.terms.bound - kLastMoment;
@@ -92,9 +95,20 @@
   return stop.phase;
 }
 
-Duration TimeUntilCheck(const PlannedStop& stop,
-                        Duration interval,
-                        TimePoint now) {
+bool has_reached_bound(const PlannedStop& stop,
+                       StopPhase before,
+                       const StopWork& work) {
+  return before < StopPhase::kEnding &&
+         (stop.phase == StopPhase::kEnding ||
+          (stop.phase == StopPhase::kEnded && !work.is_done()));
+}
+
+Duration IdleBeforeClose(StopPhase phase) {
+  return phase < StopPhase::kEnding ? kIdleBeforeClose : Duration(0);
+}
+
+Duration TimeUntilCheck(const PlannedStop& stop, TimePoint now) {
+  Duration interval = kCheckInterval;
   for (const TimePoint border : {stop.ending_at(), LastMomentOf(stop)}) {
     if (border > now) {
       interval = std::min(interval, border - now);
--- a/Libraries/LibDrain/PlannedStop.h
+++ b/Libraries/LibDrain/PlannedStop.h
@@ -19,6 +19,10 @@
 
 namespace bramleyspan::drain {
 
+// How often a process asks how its stop goes on, and says so in its log.
+inline constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
+inline constexpr Duration kLogInterval = std::chrono::seconds(1);
+
 enum class StopPhase { kServing, kFinishing, kEnding, kEnded };
 
 // Returns the stable name of a phase, such as "finishing".
@@ -40,6 +44,8 @@
 struct StopWork {
   // Requests that have no whole answer yet.
   size_t open = 0;
+  // Those of them that were sent nowhere yet.
+  size_t waiting = 0;
   // Requests that are still coming.
   size_t reading = 0;
   // Answers that were not taken as a whole by their callers' machines.
@@ -82,10 +88,18 @@
                   bool is_recorded,
                   TimePoint now);
 
-// Returns after what time to ask again: `interval`, or less if a moment comes
-// before that at which the phase changes whatever the work.
-Duration TimeUntilCheck(const PlannedStop& stop,
-                        Duration interval,
-                        TimePoint now);
+// Whether open work has to be ended, since the bound has come near: to be asked
+// when a phase has ended, with the phase before.
+bool has_reached_bound(const PlannedStop& stop,
+                       StopPhase before,
+                       const StopWork& work);
+
+// Returns for how long a connection has to be idle before it is closed, once
+// the address is.
+Duration IdleBeforeClose(StopPhase phase);
+
+// Returns after what time to ask again: kCheckInterval, or less if a moment
+// comes before that at which the phase changes whatever the work.
+Duration TimeUntilCheck(const PlannedStop& stop, TimePoint now);
 
 }  // namespace bramleyspan::drain
--- a/Libraries/LibHTTP/IngressConnection.cc
+++ b/Libraries/LibHTTP/IngressConnection.cc
@@ -1,14 +1,14 @@
 #include "LibHTTP/IngressConnection.h"
 
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
 #include <charconv>
 #include <utility>
 
+#include "Kernel/SocketBytes.h"
+
 namespace bramleyspan::http {
 
 namespace {
@@ -134,21 +134,13 @@
   }
   // A request that has come is read and answered. One that crosses the close
   // is read by nobody, which its caller learns from the reset.
-  int unread = 0;
-  const bool is_known =
-      ioctl(h2o_socket_get_fd(this->socket), FIONREAD, &unread) == 0;
-  if (!is_known || unread == 0) {
+  if (UnreadBytes(h2o_socket_get_fd(this->socket)) == 0) {
     this->Close();
   }
 }
 
 size_t IngressConnection::unacknowledged_bytes() const {
-  int bytes = 0;
-  // Where the system can't tell, what it has taken counts as delivered.
-  if (ioctl(h2o_socket_get_fd(this->socket), SIOCOUTQ, &bytes) != 0) {
-    return 0;
-  }
-  return static_cast<size_t>(bytes);
+  return UnacknowledgedBytes(h2o_socket_get_fd(this->socket));
 }
 
 void IngressConnection::CheckTimeout(TimePoint now) {
--- a/Libraries/LibHTTP/ServerConnections.cc
+++ b/Libraries/LibHTTP/ServerConnections.cc
@@ -1,9 +1,7 @@
 #include "LibHTTP/ServerConnections.h"
 
 #include <fcntl.h>
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -12,6 +10,7 @@
 #include <utility>
 
 #include "Kernel/EventLoop.h"
+#include "Kernel/SocketBytes.h"
 
 namespace bramleyspan::http {
 
@@ -23,17 +22,6 @@
 constexpr Duration kHttp2IdleTime = std::chrono::seconds(2);
 constexpr unsigned kUserTimeoutMilliseconds = 10'000;
 
-// Returns 0 where the system can't tell.
-size_t Ask(int descriptor, unsigned long request) {
-  int bytes = 0;
-  return ioctl(descriptor, request, &bytes) == 0 ? static_cast<size_t>(bytes)
-                                                 : 0;
-}
-
-size_t UnacknowledgedBytes(int descriptor) {
-  return Ask(descriptor, SIOCOUTQ);
-}
-
 int DescriptorOf(const ServerConnection& connection) {
   return connection.socket != nullptr ? h2o_socket_get_fd(connection.socket)
                                       : connection.kept;
@@ -52,7 +40,7 @@
 bool is_reading(const ServerConnection& connection) {
   return connection.open == 0 && !is_http2(connection) &&
          (connection.socket->input->size != 0 ||
-          Ask(DescriptorOf(connection), FIONREAD) != 0);
+          UnreadBytes(DescriptorOf(connection)) != 0);
 }
 
 bool is_idle(const ServerConnection& connection) {
@@ -116,7 +104,7 @@
   auto connection = std::move(this->connections.extract(socket).mapped());
   connection->socket = nullptr;
   if (connection->kept != -1 && (UnacknowledgedBytes(connection->kept) != 0 ||
-                                 Ask(connection->kept, FIONREAD) != 0)) {
+                                 UnreadBytes(connection->kept) != 0)) {
     Linger(*connection);
     this->lingering.push_back(std::move(connection));
   }
--- a/Libraries/LibHTTP/ServerConnections.h
+++ b/Libraries/LibHTTP/ServerConnections.h
@@ -63,8 +63,9 @@
 
   ServerWork CountWork() const;
 
-  // Closes the connections that have been idle for so long; those of HTTP/2, of
-  // which more is unknown, after kHttp2IdleTime.
+  // Closes the connections that have been idle for so long; those of HTTP/2
+  // after two seconds at the earliest, since h2o hides the requests that come
+  // there.
   void CloseIdle(Duration idle_for);
 
   // Answers the requests that are still coming with these bytes, without
--- a/Libraries/LibWire/Connection.cc
+++ b/Libraries/LibWire/Connection.cc
@@ -1,12 +1,12 @@
 #include "LibWire/Connection.h"
 
-#include <linux/sockios.h>
 #include <netinet/tcp.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <utility>
 
+#include "Kernel/SocketBytes.h"
+
 namespace bramleyspan::wire {
 
 namespace {
@@ -107,13 +107,10 @@
 }
 
 size_t Connection::undelivered_bytes() const {
-  int unacknowledged = 0;
-  // Where the system can't tell, what it has taken counts as delivered.
-  const bool is_known =
-      this->is_connected &&
-      ioctl(h2o_socket_get_fd(this->socket), SIOCOUTQ, &unacknowledged) == 0;
   return this->pending_bytes() +
-         (is_known ? static_cast<size_t>(unacknowledged) : 0);
+         (this->is_connected
+              ? UnacknowledgedBytes(h2o_socket_get_fd(this->socket))
+              : 0);
 }
 
 void Connection::Close() {
--- a/Services/bramleyspand/Agent/AgentStop.cc
+++ b/Services/bramleyspand/Agent/AgentStop.cc
@@ -13,7 +13,6 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
 // Entries that have not received the Leaving frame may still send calls: the
 // agent keeps running for this long and answers them with "not run" itself.
 constexpr Duration kLeavingNoticeTime = std::chrono::seconds(2);
@@ -51,9 +50,8 @@
     this->state.loop.Stop();
     return;
   }
-  this->state.loop.RunAfter(
-      drain::TimeUntilCheck(this->stop, kCheckInterval, now),
-      [this] { this->Check(); });
+  this->state.loop.RunAfter(drain::TimeUntilCheck(this->stop, now),
+                            [this] { this->Check(); });
 }
 
 void AgentStop::EndOpen() {
--- a/Services/bramleyspand/Entry/EntryStop.cc
+++ b/Services/bramleyspand/Entry/EntryStop.cc
@@ -1,22 +1,16 @@
 #include "Services/bramleyspand/Entry/EntryStop.h"
 
-#include "LibTelemetry/Log.h"
+#include <algorithm>
+
 #include "Services/bramleyspand/Answers.h"
 #include "Services/bramleyspand/Entry/Calls.h"
+#include "Services/bramleyspand/StopLog.h"
 
 namespace bramleyspan::entry {
 
 namespace {
 
 using drain::StopPhase;
-using telemetry::Log;
-using telemetry::LogLevel;
-
-constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
-constexpr Duration kLogInterval = std::chrono::seconds(1);
-// A caller sends its next request on a kept connection within this time, or
-// may not need it for long.
-constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(300);
 
 }  // namespace
 
@@ -33,13 +27,17 @@
   // exits gets no answer. The next answer of each connection therefore closes
   // it, so that the caller reconnects in time.
   this->callers->StartDrain();
-  this->LogWork("drain_started", this->FindWork());
+  LogStop("drain_started", this->stop, this->FindWork());
   this->Check();
 }
 
 drain::StopWork EntryStop::FindWork() const {
   const http::ServerWork work = this->callers->CountWork();
+  const auto waiting = std::ranges::count_if(
+      this->state.calls,
+      [](const auto& call) { return call.second.target.empty(); });
   return {.open = this->callers->open_exchanges(),
+          .waiting = static_cast<size_t>(waiting),
           .reading = work.reading,
           .delivering = work.delivering,
           .idle = work.idle};
@@ -54,33 +52,28 @@
     this->LeavePhase(before, work);
   }
   if (phase == StopPhase::kEnded) {
-    this->LogWork("drain_ended", this->FindWork());
+    LogStop("drain_ended", this->stop, this->FindWork());
     this->state.loop.Stop();
     return;
   }
   if (phase != StopPhase::kServing) {
-    this->callers->CloseIdle(phase == StopPhase::kFinishing ? kIdleBeforeClose
-                                                            : Duration(0));
+    this->callers->CloseIdle(drain::IdleBeforeClose(phase));
   }
-  if (now - this->logged_at >= kLogInterval) {
+  if (now - this->logged_at >= drain::kLogInterval) {
     this->logged_at = now;
-    this->LogWork("drain_waits", work);
+    LogStop("drain_waits", this->stop, work);
   }
-  this->state.loop.RunAfter(
-      drain::TimeUntilCheck(this->stop, kCheckInterval, now),
-      [this] { this->Check(); });
+  this->state.loop.RunAfter(drain::TimeUntilCheck(this->stop, now),
+                            [this] { this->Check(); });
 }
 
 void EntryStop::LeavePhase(StopPhase before, const drain::StopWork& work) {
   if (before == StopPhase::kServing) {
-    this->LogWork("drain_closes_address", work);
+    LogStop("drain_closes_address", this->stop, work);
     this->callers->StopListening();
   }
-  const bool is_bound_reached =
-      this->stop.phase == StopPhase::kEnding ||
-      (before != StopPhase::kEnding && !work.is_done());
-  if (this->stop.phase >= StopPhase::kEnding && is_bound_reached) {
-    this->LogWork("drain_bound_reached", work);
+  if (drain::has_reached_bound(this->stop, before, work)) {
+    LogStop("drain_bound_reached", this->stop, work);
     this->EndOpen();
   }
 }
@@ -97,17 +90,4 @@
                   .retry_after = kRetryAfter}));
 }
 
-void EntryStop::LogWork(std::string_view event,
-                        const drain::StopWork& work) const {
-  const auto for_time = std::chrono::duration_cast<std::chrono::milliseconds>(
-      EventLoop::Now() - this->stop.began);
-  Log(LogLevel::kInfo, "drain", event,
-      {{"phase", std::string(drain::NameOf(this->stop.phase))},
-       {"open", std::to_string(work.open)},
-       {"reading", std::to_string(work.reading)},
-       {"delivering", std::to_string(work.delivering)},
-       {"idle", std::to_string(work.idle)},
-       {"for_ms", std::to_string(for_time.count())}});
-}
-
 }  // namespace bramleyspan::entry
--- a/Services/bramleyspand/Entry/EntryStop.h
+++ b/Services/bramleyspand/Entry/EntryStop.h
@@ -1,8 +1,6 @@
 // The planned stop of an entry. LibDrain decides its course; this performs it.
 #pragma once
 
-#include <string_view>
-
 #include "LibDrain/PlannedStop.h"
 #include "LibHTTP/Server.h"
 #include "Services/bramleyspand/Entry/EntryState.h"
@@ -23,7 +21,6 @@
   void LeavePhase(drain::StopPhase before, const drain::StopWork& work);
   // Ends all that is still open, since the process is about to be killed.
   void EndOpen();
-  void LogWork(std::string_view event, const drain::StopWork& work) const;
 
   EntryState& state;
   http::Server* callers = nullptr;
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -147,6 +147,7 @@
   // Adds the request to the waiting ones, in front of them or by priority.
   void Wait(bool is_in_front);
   bool TrySendByLocalView();
+  // Sends to the target with the lowest load, which rejects what it can't take.
   bool TrySendWithoutPermit();
   void HandlePermitDecision(PermitRequests::Verdict verdict,
                             const PermitRequests::Permit& permit);
--- a/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -20,7 +20,6 @@
 // A target that ends under a request does so before its answer has gone on for
 // this long.
 constexpr Duration kAnsweredAfter = std::chrono::milliseconds(500);
-constexpr Duration kLeavingCheckTimeout = std::chrono::milliseconds(250);
 
 }  // namespace
 
@@ -136,7 +135,7 @@
   // The end of a target that leaves is no evidence against the request, but its
   // last answer may be cut like any other.
   http::CheckConnect(this->state.loop, this->target_address,
-                     kLeavingCheckTimeout, judge);
+                     kTargetCheckTimeout, judge);
 }
 
 LostRequest Forwarding::DescribeLost() const {
--- a/Services/bramleyspand/Gateway/ForwardingStop.cc
+++ b/Services/bramleyspand/Gateway/ForwardingStop.cc
@@ -18,7 +18,8 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-// More are not worth a forecast.
+// Answers of more tokens take as long as they are allowed to, whatever the
+// pace.
 constexpr uint64_t kMostTokens = 1'000'000;
 
 }  // namespace
--- a/Services/bramleyspand/Gateway/GatewayStop.cc
+++ b/Services/bramleyspand/Gateway/GatewayStop.cc
@@ -4,26 +4,18 @@
 #include <utility>
 #include <vector>
 
-#include "LibTelemetry/Log.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
 #include "Services/bramleyspand/Gateway/ForwardingDetail.h"
+#include "Services/bramleyspand/StopLog.h"
 
 namespace bramleyspan::gatewayd {
 
 namespace {
 
 using detail::kUnavailable;
-using detail::ToMillisecondsText;
 using drain::StopPhase;
-using telemetry::Log;
-using telemetry::LogLevel;
 
-constexpr Duration kCheckInterval = std::chrono::milliseconds(100);
-constexpr Duration kLogInterval = std::chrono::seconds(1);
 constexpr Duration kQuietBeforeStop = std::chrono::milliseconds(700);
-// A caller sends its next request on a kept connection within this time, or
-// may not need it for long.
-constexpr Duration kIdleBeforeClose = std::chrono::milliseconds(300);
 
 // Callers keep the answer of the directory, some of them three times as long as
 // its lifetime, and may connect until then.
@@ -51,6 +43,7 @@
 drain::StopWork GatewayStop::FindWork() const {
   const http::IngressWork work = this->callers->CountWork();
   return {.open = this->state.open.size(),
+          .waiting = this->state.waiting.size(),
           .reading = work.reading,
           .delivering = work.delivering,
           .idle = work.idle,
@@ -77,31 +70,25 @@
     return;
   }
   if (phase != StopPhase::kServing) {
-    this->callers->CloseIdle(phase == StopPhase::kFinishing ? kIdleBeforeClose
-                                                            : Duration(0));
+    this->callers->CloseIdle(drain::IdleBeforeClose(phase));
     if (work.is_done() || phase == StopPhase::kEnding) {
       this->WriteUsageOnce();
     }
   }
-  if (now - this->logged_at >= kLogInterval) {
+  if (now - this->logged_at >= drain::kLogInterval) {
     this->logged_at = now;
     this->LogWork("drain_waits");
   }
-  this->state.loop.RunAfter(
-      drain::TimeUntilCheck(this->stop(), kCheckInterval, now),
-      [this] { this->Check(); });
+  this->state.loop.RunAfter(drain::TimeUntilCheck(this->stop(), now),
+                            [this] { this->Check(); });
 }
 
 void GatewayStop::LeavePhase(StopPhase before, const drain::StopWork& work) {
-  const StopPhase phase = this->stop().phase;
   if (before == StopPhase::kServing) {
     this->LogWork("drain_closes_address");
     this->callers->StopListening();
   }
-  const bool is_bound_reached =
-      phase == StopPhase::kEnding ||
-      (before != StopPhase::kEnding && !work.is_done());
-  if (phase >= StopPhase::kEnding && is_bound_reached) {
+  if (drain::has_reached_bound(this->stop(), before, work)) {
     this->LogWork("drain_bound_reached");
     this->EndOpen();
   }
@@ -122,16 +109,7 @@
 }
 
 void GatewayStop::LogWork(std::string_view event) const {
-  const http::IngressWork work = this->callers->CountWork();
-  const TimePoint now = EventLoop::Now();
-  Log(LogLevel::kInfo, "drain", event,
-      {{"phase", std::string(drain::NameOf(this->state.stop->phase))},
-       {"open", std::to_string(this->state.open.size())},
-       {"waiting", std::to_string(this->state.waiting.size())},
-       {"reading", std::to_string(work.reading)},
-       {"delivering", std::to_string(work.delivering)},
-       {"idle", std::to_string(work.idle)},
-       {"for_ms", ToMillisecondsText(now - this->state.stop->began)}});
+  LogStop(event, *this->state.stop, this->FindWork());
 }
 
 // Usage counted since the last write would be missing from the bill. A store
--- a/Services/bramleyspand/Gateway/TargetEnds.cc
+++ b/Services/bramleyspand/Gateway/TargetEnds.cc
@@ -16,8 +16,6 @@
 using telemetry::Log;
 using telemetry::LogLevel;
 
-// Within a region a connection takes 1 to 2 ms.
-constexpr Duration kCheckTimeout = std::chrono::milliseconds(250);
 // Requests that are lost within this time after a check has begun share it. One
 // that is lost later may have lost a target that still ran when it began.
 constexpr Duration kSameLoss = std::chrono::milliseconds(2);
@@ -64,7 +62,7 @@
   known->lost.push_back(std::move(lost));
   known->on_checked.push_back(std::move(on_checked));
   if (is_new) {
-    http::CheckConnect(this->state.loop, address, kCheckTimeout,
+    http::CheckConnect(this->state.loop, address, kTargetCheckTimeout,
                        [this, target, check = known](ConnectOutcome outcome) {
                          this->HandleOutcome(target, check, outcome);
                        });
--- a/Services/bramleyspand/Gateway/TargetEnds.h
+++ b/Services/bramleyspand/Gateway/TargetEnds.h
@@ -15,6 +15,10 @@
 
 namespace bramleyspan::gatewayd {
 
+// A target that does not answer for so long tells nothing. Within a region a
+// connection takes 1 to 2 ms.
+inline constexpr Duration kTargetCheckTimeout = std::chrono::milliseconds(250);
+
 class TargetEnds {
  public:
   using OnChecked = std::function<void(http::ConnectOutcome outcome)>;
@@ -23,7 +27,8 @@
 
   // Checks the target of a request that may be lost, unless a check has just
   // begun or has just shown that the target has ended. Records the request if
-  // so. `on_checked` is called later, within kCheckTimeout.
+  // so. `on_checked` is called later, within
+  // kTargetCheckTimeout.
   void Check(LostRequest lost, OnChecked on_checked);
 
  private:
--- a/Tests/LibDrain/TestPlannedStop.cc
+++ b/Tests/LibDrain/TestPlannedStop.cc
@@ -194,4 +194,15 @@
   CHECK(phase_with(1, seconds(7)) == StopPhase::kFinishing);
 }
 
+TEST_CASE("Open work is ended once, also by a process that stood") {
+  const auto ends_work = [](StopPhase before, StopPhase after, size_t open) {
+    return has_reached_bound(StopIn(after), before, {.open = open});
+  };
+  CHECK(ends_work(StopPhase::kFinishing, StopPhase::kEnding, 1));
+  CHECK(ends_work(StopPhase::kServing, StopPhase::kEnded, 1));
+  CHECK_FALSE(ends_work(StopPhase::kServing, StopPhase::kFinishing, 1));
+  CHECK_FALSE(ends_work(StopPhase::kFinishing, StopPhase::kEnded, 0));
+  CHECK_FALSE(ends_work(StopPhase::kEnding, StopPhase::kEnded, 1));
+}
+
 }  // namespace bramleyspan::drain
