--- a/Kernel/Digest.cc
+++ b/Kernel/Digest.cc
@@ -3,7 +3,6 @@
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
-#include <openssl/sha.h>
 #include <sys/random.h>
 
 #include <array>
@@ -43,10 +42,20 @@
 }  // namespace
 
 std::string Sha256Hex(std::string_view bytes) {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
-  SHA256(reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
-         digest.data());
-  return ToHex(digest.data(), digest.size());
+  return Sha256Hex(std::span(&bytes, 1));
+}
+
+std::string Sha256Hex(std::span<const std::string_view> parts) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
+  unsigned int length = 0;
+  EVP_MD_CTX* const context = EVP_MD_CTX_new();
+  EVP_DigestInit_ex(context, EVP_sha256(), nullptr);
+  for (const std::string_view part : parts) {
+    EVP_DigestUpdate(context, part.data(), part.size());
+  }
+  EVP_DigestFinal_ex(context, digest.data(), &length);
+  EVP_MD_CTX_free(context);
+  return ToHex(digest.data(), length);
 }
 
 std::string AuthenticationCode(std::string_view secret,
--- a/Kernel/Digest.h
+++ b/Kernel/Digest.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -12,6 +13,9 @@
 // Returns the SHA-256 of `bytes` as 64 lower-case hexadecimal digits.
 std::string Sha256Hex(std::string_view bytes);
 
+// Returns the SHA-256 of these parts, one after the other.
+std::string Sha256Hex(std::span<const std::string_view> parts);
+
 // Returns the first 128 bits of HMAC-SHA-256 as 32 hexadecimal digits.
 std::string AuthenticationCode(std::string_view secret, std::string_view bytes);
 
--- a/Kernel/Listener.cc
+++ b/Kernel/Listener.cc
@@ -13,34 +13,52 @@
 
 constexpr int kBacklog = 1024;
 
+Error LastFailure(const Address& address) {
+  return {ErrorCode::kConnectionFailed, Format(address), std::strerror(errno)};
+}
+
 }  // namespace
 
-Result<std::unique_ptr<Listener>> Listener::Listen(EventLoop& loop,
-                                                   const Address& address,
-                                                   OnAccept on_accept) {
+Result<std::unique_ptr<Listener>> Listener::Listen(
+    EventLoop& loop,
+    const Address& address,
+    OnAccept on_accept,
+    std::optional<int> receive_bytes) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (descriptor == -1) {
+    return LastFailure(address);
+  }
   const int enabled = 1;
   setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &enabled, sizeof enabled);
+  if (receive_bytes) {
+    // Connections inherit it, so that their windows are small from the start.
+    setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &*receive_bytes,
+               sizeof *receive_bytes);
+  }
   const sockaddr_in bound = ToSocketAddress(address);
   if (bind(descriptor, reinterpret_cast<const sockaddr*>(&bound),
            sizeof bound) != 0 ||
       listen(descriptor, kBacklog) != 0) {
-    const std::string reason = std::strerror(errno);
+    Error failure = LastFailure(address);
     close(descriptor);
-    return Fail(ErrorCode::kConnectionFailed, Format(address), reason);
+    return failure;
   }
   std::unique_ptr<Listener> listener(new Listener);
   listener->on_accept = std::move(on_accept);
   listener->socket = h2o_evloop_socket_create(loop.raw(), descriptor,
                                               H2O_SOCKET_FLAG_DONT_READ);
   listener->socket->data = listener.get();
-  h2o_socket_read_start(listener->socket,
+  listener->StartReading();
+  return listener;
+}
+
+void Listener::StartReading() {
+  h2o_socket_read_start(this->socket,
                         [](h2o_socket_t* source, const char* failure) {
                           if (failure == nullptr) {
                             static_cast<Listener*>(source->data)->AcceptOne();
                           }
                         });
-  return listener;
 }
 
 bool Listener::AcceptOne() {
--- a/Kernel/Listener.h
+++ b/Kernel/Listener.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "Kernel/Address.h"
 #include "Kernel/EventLoop.h"
@@ -15,10 +16,14 @@
   using OnAccept = std::function<void(h2o_socket_t*)>;
 
   // Listens at `address` and calls `on_accept` for each connection, with
-  // TCP_NODELAY set. Fails with kConnectionFailed.
-  static Result<std::unique_ptr<Listener>> Listen(EventLoop& loop,
-                                                  const Address& address,
-                                                  OnAccept on_accept);
+  // TCP_NODELAY set. `receive_bytes` bounds what the system holds of a
+  // connection that is not read; without it the system decides. Fails with
+  // kConnectionFailed.
+  static Result<std::unique_ptr<Listener>> Listen(
+      EventLoop& loop,
+      const Address& address,
+      OnAccept on_accept,
+      std::optional<int> receive_bytes = std::nullopt);
   ~Listener();
   Listener(const Listener&) = delete;
   Listener& operator=(const Listener&) = delete;
@@ -32,6 +37,7 @@
 
  private:
   Listener() = default;
+  void StartReading();
   // Returns whether there was a connection to accept.
   bool AcceptOne();
 
--- a/Kernel/SocketBytes.h
+++ b/Kernel/SocketBytes.h
@@ -2,6 +2,10 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
+
+#include "Kernel/H2o.h"
 
 namespace bramleyspan {
 
@@ -12,4 +16,15 @@
 // machine.
 size_t UnacknowledgedBytes(int descriptor);
 
+// Returns how many bytes the other side's machine has acknowledged so far.
+std::optional<uint64_t> AcknowledgedBytes(int descriptor);
+
+// Drops the first `bytes` that were read from a socket. h2o keeps a buffer as
+// large as it once was; one that is empty is freed if it is large.
+void ConsumeInput(h2o_socket_t* socket, size_t bytes);
+
+// Whether the other side has closed the connection, also where bytes that came
+// before have not been read.
+bool has_peer_closed(int descriptor);
+
 }  // namespace bramleyspan
--- a/Libraries/LibGateway/RequestDigest.cc
+++ b/Libraries/LibGateway/RequestDigest.cc
@@ -1,5 +1,7 @@
 #include "LibGateway/RequestDigest.h"
 
+#include <array>
+
 #include "Kernel/Digest.h"
 
 namespace bramleyspan::gateway {
@@ -12,8 +14,8 @@
        {content.tenant, content.method, content.target, content.parts}) {
     text.append(std::to_string(field.size())).append(":").append(field);
   }
-  text.append(content.body);
-  return Sha256Hex(text).substr(0, kDigits);
+  const std::array<std::string_view, 2> parts{text, content.body};
+  return Sha256Hex(parts).substr(0, kDigits);
 }
 
 }  // namespace bramleyspan::gateway
--- a/Libraries/LibHTTP/Client.cc
+++ b/Libraries/LibHTTP/Client.cc
@@ -46,7 +46,7 @@
   auto has_head = std::make_shared<bool>(false);
   DirectEvents direct;
   direct.on_head = [has_head, on_head = std::move(events.on_head)](
-                       const AnswerHead& head, BodyFraming) {
+                       const AnswerHead& head, const MessageFraming&) {
     *has_head = true;
     on_head({.status = head.status, .headers = head.headers});
   };
--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -4,8 +4,11 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
+#include "Kernel/SocketBytes.h"
+
 namespace bramleyspan::http {
 
 namespace {
@@ -100,7 +103,7 @@
     std::function<void(CallEnd, Response)> on_done) {
   auto response = std::make_shared<Response>();
   DirectEvents events;
-  events.on_head = [response](const AnswerHead& head, BodyFraming) {
+  events.on_head = [response](const AnswerHead& head, const MessageFraming&) {
     response->status = head.status;
     response->headers = head.headers;
   };
@@ -114,20 +117,23 @@
   return Start(loop, std::move(request), std::move(events));
 }
 
-std::string DirectCall::Serialize() const {
+const std::string& DirectCall::body() const {
+  return this->request.shared_body != nullptr ? *this->request.shared_body
+                                              : this->request.body;
+}
+
+std::string DirectCall::SerializeHead() const {
   std::string bytes =
       this->request.method + " " + this->request.path + " HTTP/1.1\r\n";
   for (const auto& [name, value] : this->request.headers) {
     bytes.append(name).append(": ").append(value).append("\r\n");
   }
-  if (!this->request.body.empty() || this->request.method != "GET") {
-    bytes +=
-        "content-length: " + std::to_string(this->request.body.size()) + "\r\n";
+  if (!this->body().empty() || this->request.method != "GET") {
+    bytes += "content-length: " + std::to_string(this->body().size()) + "\r\n";
   }
-  bytes += this->request.connection_pool == nullptr
-               ? "connection: close\r\n\r\n"
-               : "\r\n";
-  return bytes + this->request.body;
+  return bytes + (this->request.connection_pool == nullptr
+                      ? "connection: close\r\n\r\n"
+                      : "\r\n");
 }
 
 void DirectCall::Connect() {
@@ -186,12 +192,14 @@
       return;
     }
   }
-  this->outgoing = this->Serialize();
-  h2o_iovec_t buffer =
-      h2o_iovec_init(this->outgoing.data(), this->outgoing.size());
+  this->outgoing_head = this->SerializeHead();
+  std::array<h2o_iovec_t, 2> buffers{
+      h2o_iovec_init(this->outgoing_head.data(), this->outgoing_head.size()),
+      h2o_iovec_init(this->body().data(), this->body().size())};
   // A failed write also causes a failed read, which delivers any answer that
   // arrived before it. So the result of the write is ignored.
-  h2o_socket_write(this->socket, &buffer, 1, [](h2o_socket_t*, const char*) {});
+  h2o_socket_write(this->socket, buffers.data(), this->body().empty() ? 1 : 2,
+                   [](h2o_socket_t*, const char*) {});
   h2o_socket_read_start(
       this->socket, [](h2o_socket_t* source, const char* read_failure) {
         auto call = static_cast<DirectCall*>(source->data)->shared_from_this();
@@ -203,7 +211,7 @@
   h2o_buffer_t* received = this->socket->input;
   if (received->size != 0) {
     this->input.append(received->bytes, received->size);
-    h2o_buffer_consume(&this->socket->input, received->size);
+    ConsumeInput(this->socket, received->size);
     if (!this->has_head) {
       this->ReadHead();
     }
@@ -248,7 +256,7 @@
     this->is_reusable = is_persistent(head.headers, head.minor_version);
     this->reader = BodyReader(message_framing.value());
     if (this->events.on_head) {
-      this->events.on_head(head, message_framing.value().framing);
+      this->events.on_head(head, message_framing.value());
     }
     return;
   }
--- a/Libraries/LibHTTP/DirectCall.h
+++ b/Libraries/LibHTTP/DirectCall.h
@@ -56,6 +56,9 @@
   // "connection: close" are added.
   HeaderList headers;
   std::string body;
+  // Sent in place of `body` if set. Requests that are sent more than once share
+  // it.
+  std::shared_ptr<const std::string> shared_body;
   Duration connect_timeout = std::chrono::milliseconds(500);
   // From the start of the call to the end of the answer.
   Duration timeout = std::chrono::seconds(5);
@@ -91,7 +94,7 @@
 
 struct DirectEvents {
   std::function<void()> on_connected;
-  std::function<void(const AnswerHead&, BodyFraming)> on_head;
+  std::function<void(const AnswerHead&, const MessageFraming&)> on_head;
   std::function<void(std::string_view)> on_bytes;
   // Called exactly once unless the call is cancelled.
   std::function<void(CallEnd)> on_end;
@@ -124,13 +127,14 @@
   void HandleClosed(const char* failure);
   void End(CallEnd end);
   void Release();
-  std::string Serialize() const;
+  const std::string& body() const;
+  std::string SerializeHead() const;
 
   EventLoop& loop;
   DirectRequest request;
   DirectEvents events;
   h2o_socket_t* socket = nullptr;
-  std::string outgoing;
+  std::string outgoing_head;
   std::string input;
   size_t body_bytes = 0;
   // Interim heads that came before the final one.
--- a/Libraries/LibHTTP/Ingress.h
+++ b/Libraries/LibHTTP/Ingress.h
@@ -14,22 +14,12 @@
 #include "Kernel/Listener.h"
 #include "Kernel/Result.h"
 #include "LibHTTP/AnswerPhase.h"
+#include "LibHTTP/IngressLimits.h"
 #include "LibHTTP/Message.h"
 #include "LibHTTP/Parser.h"
 
 namespace bramleyspan::http {
 
-// Limits on the size and duration of requests and on buffered answers.
-struct IngressLimits {
-  size_t max_head_bytes = 16384;
-  size_t max_body_bytes = 4 << 20;
-  Duration head_timeout = std::chrono::seconds(3);
-  Duration idle_timeout = std::chrono::seconds(15);
-  // Bytes of an answer that may be buffered for a slow caller. Beyond this the
-  // connection is closed.
-  size_t max_pending_bytes = 1 << 20;
-};
-
 // One request as received, with its complete body.
 struct IngressRequest {
   std::string method;
@@ -40,6 +30,8 @@
   std::string host;
   HeaderList headers;
   std::string body;
+  // Counts the request's bytes for as long as any copy of it lives.
+  std::shared_ptr<memory::Hold> hold;
 };
 
 class IngressConnection;
@@ -49,8 +41,12 @@
 // (AnswerPhase.h).
 class IngressExchange : public std::enable_shared_from_this<IngressExchange> {
  public:
-  // Sends a complete answer.
-  void Respond(int status, const HeaderList& headers, std::string_view body);
+  // Sends a complete answer. `hold` counts the bytes of the body, if they are
+  // counted yet.
+  void Respond(int status,
+               const HeaderList& headers,
+               std::string body,
+               memory::Hold hold = {});
 
   // Sends the head of a streamed answer: in chunks for HTTP/1.1, delimited by
   // the end of the connection for HTTP/1.0.
@@ -117,7 +113,8 @@
   static Result<std::unique_ptr<Ingress>> Listen(EventLoop& loop,
                                                  const Address& address,
                                                  const IngressLimits& limits,
-                                                 IngressHandler handler);
+                                                 IngressHandler handler,
+                                                 IngressGuard guard = {});
   ~Ingress();
   Ingress(const Ingress&) = delete;
   Ingress& operator=(const Ingress&) = delete;
@@ -150,11 +147,14 @@
   friend class IngressConnection;
   friend class IngressExchange;
   explicit Ingress(EventLoop& loop) : loop(loop) {}
+  void Accept(h2o_socket_t* accepted);
   void CheckTimeouts();
+  void ReportTurnedAway(TurnedAwayCause cause, int descriptor, size_t bytes);
 
   EventLoop& loop;
   IngressLimits limits;
   IngressHandler handler;
+  IngressGuard guard;
   std::unique_ptr<Listener> listener;
   // By number: an order by address would differ between two runs.
   std::map<uint64_t, std::shared_ptr<IngressConnection>> connections;
--- a/Libraries/LibHTTP/IngressConnection.cc
+++ b/Libraries/LibHTTP/IngressConnection.cc
@@ -4,10 +4,11 @@
 #include <sys/socket.h>
 
 #include <array>
-#include <charconv>
+#include <cstdio>
 #include <utility>
 
 #include "Kernel/SocketBytes.h"
+#include "LibHTTP/AnswerText.h"
 
 namespace bramleyspan::http {
 
@@ -17,53 +18,26 @@
 constexpr int kRequestTimeout = 408;
 constexpr int kPayloadTooLarge = 413;
 constexpr int kHeadersTooLarge = 431;
-// Bytes of further requests that are buffered while an answer is pending.
-constexpr size_t kMaxPipelinedBytes = 1 << 16;
-// How long a closing connection waits for its caller to close it.
+constexpr int kUnavailable = 503;
+// How long a closing connection waits for its caller to close it, and how much
+// it reads meanwhile.
 constexpr Duration kLingerTime = std::chrono::seconds(1);
+constexpr size_t kMaxDiscardedBytes = size_t{1} << 20;
 // Callers reuse idle connections for up to four fifths of the idle timeout. If
 // the server closed one while a request is on its way, the request would fail
 // and use up an attempt.
 constexpr Duration kIdleSlack = std::chrono::milliseconds(500);
 constexpr unsigned kUserTimeoutMilliseconds = 10'000;
-
-std::string_view ReasonOf(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 401:
-      return "Unauthorized";
-    case 404:
-      return "Not Found";
-    case 408:
-      return "Request Timeout";
-    case 413:
-      return "Payload Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 502:
-      return "Bad Gateway";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
-std::string ChunkOf(std::string_view bytes) {
-  std::array<char, 20> digits{};
-  const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
-                                 bytes.size(), 16)
-                       .ptr;
-  std::string chunk(digits.data(), end);
-  chunk.append("\r\n").append(bytes).append("\r\n");
-  return chunk;
+// What each connection may hold besides what is counted; the limit on
+// connections covers it.
+constexpr size_t kUncountedHeadBytes = 2048;
+constexpr size_t kUncountedAnswerBytes = 8192;
+
+std::string FormatSeconds(Duration duration) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                std::chrono::duration<double>(duration).count());
+  return text.data();
 }
 
 }  // namespace
@@ -71,13 +45,17 @@
 IngressConnection::IngressConnection(Ingress& server,
                                      uint64_t number,
                                      h2o_socket_t* socket)
-    : server(server), number(number), socket(socket), since(EventLoop::Now()) {}
+    : server(server),
+      number(number),
+      socket(socket),
+      since(EventLoop::Now()),
+      idle_since(this->since) {}
 
 void IngressConnection::Start() {
   this->socket->data = this;
   // Limits how long the answer to an unreachable caller is held in memory.
   // Otherwise it is held for as long as the system retransmits.
-  setsockopt(h2o_socket_get_fd(this->socket), IPPROTO_TCP, TCP_USER_TIMEOUT,
+  setsockopt(this->descriptor(), IPPROTO_TCP, TCP_USER_TIMEOUT,
              &kUserTimeoutMilliseconds, sizeof kUserTimeoutMilliseconds);
   h2o_socket_read_start(
       this->socket, [](h2o_socket_t* source, const char* failure) {
@@ -95,6 +73,8 @@
   this->phase = Phase::kClosed;
   h2o_socket_read_stop(this->socket);
   h2o_socket_close(std::exchange(this->socket, nullptr));
+  this->request_hold.Release();
+  this->delivery_hold.Release();
   this->server.connections.erase(this->number);
   if (auto open = std::exchange(this->exchange, nullptr)) {
     open->connection = nullptr;
@@ -112,8 +92,9 @@
   };
   switch (this->phase) {
     case Phase::kHead:
-      return this->input.empty() ? unless_delivering(ConnectionWork::kIdle)
-                                 : ConnectionWork::kReading;
+      return this->reader.input.empty()
+                 ? unless_delivering(ConnectionWork::kIdle)
+                 : ConnectionWork::kReading;
     case Phase::kBody:
       return ConnectionWork::kReading;
     case Phase::kAnswer:
@@ -127,78 +108,131 @@
   return ConnectionWork::kClosing;
 }
 
+memory::ConnectionUse IngressConnection::use() const {
+  switch (this->work()) {
+    case ConnectionWork::kIdle:
+      return memory::ConnectionUse::kIdle;
+    case ConnectionWork::kReading:
+      return memory::ConnectionUse::kComing;
+    case ConnectionWork::kClosing:
+      return memory::ConnectionUse::kClosing;
+    case ConnectionWork::kAnswering:
+    case ConnectionWork::kDelivering:
+      break;
+  }
+  return memory::ConnectionUse::kBusy;
+}
+
 void IngressConnection::CloseIfIdle(TimePoint since) {
-  if (this->phase != Phase::kHead || !this->input.empty() ||
-      this->since > since || this->unacknowledged_bytes() != 0) {
+  if (this->phase != Phase::kHead || !this->reader.input.empty() ||
+      this->idle_since > since || this->unacknowledged_bytes() != 0) {
     return;
   }
   // A request that has come is read and answered. One that crosses the close
   // is read by nobody, which its caller learns from the reset.
-  if (UnreadBytes(h2o_socket_get_fd(this->socket)) == 0) {
+  if (UnreadBytes(this->descriptor()) == 0) {
     this->Close();
   }
 }
 
 size_t IngressConnection::unacknowledged_bytes() const {
-  return UnacknowledgedBytes(h2o_socket_get_fd(this->socket));
+  return UnacknowledgedBytes(this->descriptor());
 }
 
 void IngressConnection::CheckTimeout(TimePoint now) {
   const IngressLimits& limits = this->server.limits;
   switch (this->phase) {
     case Phase::kHead:
-      if (this->input.empty() &&
-          now - this->since > limits.idle_timeout + kIdleSlack) {
+      if (this->reader.input.empty() &&
+          now - this->idle_since > limits.idle_timeout + kIdleSlack) {
         this->Close();
-      } else if (!this->input.empty() &&
+      } else if (!this->reader.input.empty() &&
                  now - this->since > limits.head_timeout) {
+        this->TurnAway(TurnedAwayCause::kTooSlow);
         this->Refuse(kRequestTimeout, {});
       }
       return;
     case Phase::kBody:
       if (now - this->since > limits.head_timeout + limits.idle_timeout) {
+        this->TurnAway(TurnedAwayCause::kTooSlow);
         this->Refuse(kRequestTimeout, {});
       }
       return;
-    case Phase::kLingering:
-      // A caller that reads slowly has taken no more than a part by then.
-      if (now - this->since > kLingerTime &&
-          this->unacknowledged_bytes() == 0) {
+    case Phase::kAnswer:
+      if (this->is_writing &&
+          this->CheckDelivery(now) > limits.idle_timeout + kIdleSlack) {
+        this->TurnAway(TurnedAwayCause::kAnswerNotTaken);
+        this->Close();
+      } else if (h2o_socket_is_reading(this->socket) == 0 &&
+                 has_peer_closed(this->descriptor())) {
         this->Close();
       }
       return;
-    case Phase::kAnswer:
+    case Phase::kLingering:
+      this->CheckLingering(now);
+      return;
     case Phase::kClosed:
       return;
   }
 }
 
+Duration IngressConnection::CheckDelivery(TimePoint now) {
+  const auto taken = AcknowledgedBytes(this->descriptor());
+  if (taken != this->taken_bytes) {
+    this->delivery_hold.RecordProgress(
+        taken.value_or(0) -
+        std::min(this->taken_bytes.value_or(0), taken.value_or(0)));
+    this->taken_bytes = taken;
+    this->taken_at = now;
+  }
+  return now - this->taken_at;
+}
+
+void IngressConnection::CheckLingering(TimePoint now) {
+  // A caller that reads slowly has taken no more than a part by then.
+  const bool is_taken =
+      now - this->since > kLingerTime && this->unacknowledged_bytes() == 0;
+  const bool is_given_up =
+      this->CheckDelivery(now) > this->server.limits.idle_timeout + kIdleSlack;
+  if (is_taken || is_given_up) {
+    this->Close();
+  }
+}
+
 void IngressConnection::HandleReadable(const char* failure) {
   if (failure != nullptr) {
     this->Close();
     return;
   }
   h2o_buffer_t* received = this->socket->input;
+  const size_t bytes = received->size;
   if (this->phase == Phase::kLingering) {
-    h2o_buffer_consume(&this->socket->input, received->size);
+    this->Discard(bytes);
     return;
   }
-  if (this->phase == Phase::kHead && this->input.empty()) {
+  if (this->phase == Phase::kHead && this->reader.input.empty()) {
     this->since = EventLoop::Now();
   }
-  this->input.append(received->bytes, received->size);
-  h2o_buffer_consume(&this->socket->input, received->size);
+  this->reader.input.append(received->bytes, bytes);
+  ConsumeInput(this->socket, bytes);
   if (this->phase == Phase::kAnswer) {
-    if (this->input.size() > kMaxPipelinedBytes) {
-      h2o_socket_read_stop(this->socket);
-    }
+    this->HoldAhead();
     return;
   }
+  this->request_hold.RecordProgress(bytes);
   this->ReadMore();
 }
 
+void IngressConnection::Discard(size_t bytes) {
+  ConsumeInput(this->socket, bytes);
+  this->discarded_bytes += bytes;
+  if (this->discarded_bytes > kMaxDiscardedBytes) {
+    h2o_socket_read_stop(this->socket);
+  }
+}
+
 void IngressConnection::ReadMore() {
-  if (this->phase == Phase::kHead && !this->input.empty()) {
+  if (this->phase == Phase::kHead && !this->reader.input.empty()) {
     this->ReadHead();
   }
   if (this->phase == Phase::kBody) {
@@ -207,129 +241,182 @@
 }
 
 void IngressConnection::ReadHead() {
-  // RFC 9112, section 2.2: a server ignores empty lines before a request.
-  while (this->input.starts_with("\r\n")) {
-    this->input.erase(0, 2);
-  }
-  if (this->input.empty()) {
+  const ReadOutcome outcome = http::ReadHead(this->reader, this->server.limits);
+  if (outcome != ReadOutcome::kComplete &&
+      outcome != ReadOutcome::kIncomplete) {
+    this->HandleUnreadable(outcome);
     return;
   }
-  auto parsed = ParseRequestHead(this->input);
-  if (parsed.has_error()) {
-    this->Refuse(kBadRequest, {});
+  // A request for which there is no room is refused before its body is read.
+  if (!this->CountRequest()) {
+    this->RefuseForRoom(TurnedAwayCause::kNoRoom);
     return;
   }
-  if (!parsed.value()) {
-    if (this->input.size() > this->server.limits.max_head_bytes) {
-      this->Refuse(kHeadersTooLarge, {});
-    }
-    return;
-  }
-  this->head = std::move(parsed.value());
-  if (this->head->bytes > this->server.limits.max_head_bytes) {
-    this->Refuse(kHeadersTooLarge, {});
+  if (outcome == ReadOutcome::kIncomplete) {
     return;
   }
-  const auto message_framing = FramingOfRequest(*this->head);
-  if (message_framing.has_error()) {
-    this->Refuse(kBadRequest, {});
-    return;
-  }
-  if (message_framing.value().length > this->server.limits.max_body_bytes) {
-    this->Refuse(kPayloadTooLarge, {});
-    return;
-  }
-  this->input.erase(0, this->head->bytes);
-  this->body_reader = BodyReader(message_framing.value());
-  this->body.clear();
   this->phase = Phase::kBody;
   this->since = EventLoop::Now();
-  if (!this->body_reader.is_whole() && this->input.empty() &&
-      has_token(FindHeader(this->head->headers, "expect"), "100-continue")) {
+  if (this->reader.framing.framing == BodyFraming::kLength) {
+    this->reader.body.reserve(this->reader.framing.length);
+  }
+  if (!this->reader.body_reader.is_whole() && this->reader.input.empty() &&
+      has_token(FindHeader(this->reader.head->headers, "expect"),
+                "100-continue")) {
     this->Send("HTTP/1.1 100 Continue\r\n\r\n");
   }
 }
 
 void IngressConnection::ReadBody() {
-  const auto consumed = this->body_reader.Read(this->input, this->body);
-  if (consumed.has_error()) {
-    this->Refuse(kBadRequest, {});
+  const ReadOutcome outcome = http::ReadBody(this->reader, this->server.limits);
+  if (outcome != ReadOutcome::kComplete &&
+      outcome != ReadOutcome::kIncomplete) {
+    this->HandleUnreadable(outcome);
     return;
   }
-  this->input.erase(0, consumed.value());
-  if (this->body.size() > this->server.limits.max_body_bytes) {
-    this->Refuse(kPayloadTooLarge, {});
+  if (!this->CountRequest()) {
+    this->RefuseForRoom(TurnedAwayCause::kNoRoom);
     return;
   }
-  if (this->body_reader.is_whole()) {
+  if (outcome == ReadOutcome::kComplete) {
     this->DispatchRequest();
   }
 }
 
+void IngressConnection::HandleUnreadable(ReadOutcome outcome) {
+  switch (outcome) {
+    case ReadOutcome::kHeadTooLarge:
+      this->TurnAway(TurnedAwayCause::kHeadTooLarge);
+      this->Refuse(kHeadersTooLarge, {});
+      return;
+    case ReadOutcome::kBodyTooLarge:
+      this->TurnAway(TurnedAwayCause::kBodyTooLarge);
+      this->Refuse(kPayloadTooLarge, {});
+      return;
+    default:
+      this->TurnAway(TurnedAwayCause::kMalformed);
+      this->Refuse(kBadRequest, {});
+  }
+}
+
+bool IngressConnection::CountRequest() {
+  const size_t needed = BytesNeeded(this->reader);
+  if (!this->reader.head && needed <= kUncountedHeadBytes) {
+    return true;
+  }
+  if (!this->request_hold.is_counted()) {
+    this->request_hold =
+        memory::Hold(this->server.guard.holds, memory::Stage::kComing,
+                     this->CallLater(&IngressConnection::HandleRequestEnded));
+  }
+  return (needed <= this->request_hold.bytes()) ||
+         this->request_hold.Resize(needed);
+}
+
+void IngressConnection::RefuseForRoom(TurnedAwayCause cause) {
+  const Duration until =
+      this->request_hold.TimeUntilRoom(BytesNeeded(this->reader));
+  this->TurnAway(cause);
+  this->Refuse(kUnavailable, {{"retry-after", FormatSeconds(until)}});
+}
+
+void IngressConnection::HandleRequestEnded() {
+  if (!this->request_hold.is_ended()) {
+    return;
+  }
+  if (this->phase == Phase::kHead || this->phase == Phase::kBody) {
+    this->RefuseForRoom(TurnedAwayCause::kStalled);
+  } else if (this->phase == Phase::kAnswer) {
+    this->DropAhead();
+  }
+}
+
+// A caller that sends ahead of its answers gets them one after the other; no
+// more than one read of what it sends is held.
+void IngressConnection::HoldAhead() {
+  h2o_socket_read_stop(this->socket);
+  if (!this->CountRequest()) {
+    this->DropAhead();
+  }
+}
+
+// The caller learns from the end of the connection that these requests were
+// not read.
+void IngressConnection::DropAhead() {
+  this->TurnAway(TurnedAwayCause::kNoRoom);
+  this->DropRequest();
+  this->is_last = true;
+}
+
 void IngressConnection::DispatchRequest() {
   this->phase = Phase::kAnswer;
   this->since = EventLoop::Now();
   this->is_answered = false;
-  this->is_last =
-      !is_persistent(this->head->headers, this->head->minor_version);
+  RequestHead& head = *this->reader.head;
+  this->is_last = !is_persistent(head.headers, head.minor_version);
   this->exchange = std::make_shared<IngressExchange>();
   this->exchange->connection = this;
-  this->exchange->is_chunked = this->head->minor_version > 0;
+  this->exchange->is_chunked = head.minor_version > 0;
+  this->request_hold.SetStage(memory::Stage::kAtWork, nullptr);
   IngressRequest request{
-      .method = std::move(this->head->method),
-      .target = std::move(this->head->target),
-      .headers = std::move(this->head->headers),
-      .body = std::exchange(this->body, {}),
+      .method = std::move(head.method),
+      .target = std::move(head.target),
+      .headers = std::move(head.headers),
+      .body = std::exchange(this->reader.body, {}),
+      .hold = std::make_shared<memory::Hold>(std::move(this->request_hold)),
   };
-  this->head.reset();
+  this->reader.head.reset();
   const size_t question = request.target.find('?');
   request.path = request.target.substr(0, question);
   if (question != std::string::npos) {
     request.query = request.target.substr(question + 1);
   }
   request.host = std::string(FindHeader(request.headers, "host"));
+  if (!this->reader.input.empty()) {
+    this->HoldAhead();
+  }
   const auto open = this->exchange;
   this->server.handler(std::move(request), open);
 }
 
+// Assigning an empty reader would keep the memory of its texts.
+void IngressConnection::DropRequest() {
+  std::exchange(this->reader, RequestReader());
+  this->request_hold.Release();
+}
+
+void IngressConnection::TurnAway(TurnedAwayCause cause) {
+  this->server.ReportTurnedAway(cause, this->descriptor(),
+                                this->reader.input.size() +
+                                    this->reader.body.size() +
+                                    this->outgoing.bytes());
+}
+
 void IngressConnection::Refuse(int status, const HeaderList& headers) {
   this->is_last = true;
   this->is_answered = true;
   this->phase = Phase::kAnswer;
-  this->Send(this->SerializeHead(status, headers, "content-length: 0\r\n"));
+  this->DropRequest();
+  this->Send(SerializeHead(status, headers, "content-length: 0\r\n", true));
   this->EndAnswer();
 }
 
-std::string IngressConnection::SerializeHead(int status,
-                                             const HeaderList& headers,
-                                             std::string_view framing) const {
-  std::string text = "HTTP/1.1 " + std::to_string(status) + " ";
-  text.append(ReasonOf(status)).append("\r\n");
-  for (const auto& [name, value] : headers) {
-    text.append(name).append(": ").append(value).append("\r\n");
-  }
-  text.append(framing);
-  if (this->is_last) {
-    text.append("connection: close\r\n");
-  }
-  return text + "\r\n";
-}
-
-void IngressConnection::Send(std::string_view bytes) {
-  this->outgoing.append(bytes);
+void IngressConnection::Send(std::string bytes) {
+  Append(this->outgoing, std::move(bytes));
   this->Flush();
 }
 
 void IngressConnection::Flush() {
-  if (this->is_writing || this->outgoing.empty() || this->socket == nullptr) {
+  if (this->is_writing || this->outgoing.waiting.empty() ||
+      this->socket == nullptr) {
     return;
   }
-  this->in_flight = std::exchange(this->outgoing, {});
+  std::vector<h2o_iovec_t> places = TakeNext(this->outgoing);
   this->is_writing = true;
-  h2o_iovec_t buffer =
-      h2o_iovec_init(this->in_flight.data(), this->in_flight.size());
+  this->taken_at = EventLoop::Now();
   h2o_socket_write(
-      this->socket, &buffer, 1, [](h2o_socket_t* target, const char* failure) {
+      this->socket, places.data(), places.size(),
+      [](h2o_socket_t* target, const char* failure) {
         auto connection =
             static_cast<IngressConnection*>(target->data)->shared_from_this();
         connection->HandleWritten(failure);
@@ -338,17 +425,39 @@
 
 void IngressConnection::HandleWritten(const char* failure) {
   this->is_writing = false;
-  this->in_flight.clear();
+  DropWritten(this->outgoing);
   if (failure != nullptr) {
     this->Close();
     return;
   }
   this->Flush();
+  this->CountOutgoing();
   if (this->is_answered && !this->is_writing && this->phase == Phase::kAnswer) {
     this->EndAnswer();
   }
 }
 
+bool IngressConnection::CountOutgoing() {
+  const size_t pending = this->outgoing.bytes();
+  if (pending <= kUncountedAnswerBytes) {
+    this->delivery_hold.Release();
+    return true;
+  }
+  if (!this->delivery_hold.is_counted()) {
+    this->delivery_hold =
+        memory::Hold(this->server.guard.holds, memory::Stage::kDelivering,
+                     this->CallLater(&IngressConnection::HandleDeliveryEnded));
+  }
+  return this->delivery_hold.Resize(pending);
+}
+
+void IngressConnection::HandleDeliveryEnded() {
+  if (this->delivery_hold.is_ended()) {
+    this->TurnAway(TurnedAwayCause::kAnswerNotTaken);
+    this->Close();
+  }
+}
+
 // Marks the answer as complete. Once its last byte is written, continues with
 // the next request or closes the connection.
 void IngressConnection::EndAnswer() {
@@ -362,6 +471,7 @@
   }
   this->phase = Phase::kHead;
   this->since = EventLoop::Now();
+  this->idle_since = this->since;
   if (h2o_socket_is_reading(this->socket) == 0) {
     this->Start();
   }
@@ -374,9 +484,10 @@
 void IngressConnection::Linger() {
   this->phase = Phase::kLingering;
   this->since = EventLoop::Now();
+  this->taken_at = this->since;
   this->exchange = nullptr;
   this->ResetOnClose(false);
-  shutdown(h2o_socket_get_fd(this->socket), SHUT_WR);
+  shutdown(this->descriptor(), SHUT_WR);
   if (h2o_socket_is_reading(this->socket) == 0) {
     this->Start();
   }
@@ -387,91 +498,17 @@
     return;
   }
   const linger option{.l_onoff = is_reset ? 1 : 0, .l_linger = 0};
-  setsockopt(h2o_socket_get_fd(this->socket), SOL_SOCKET, SO_LINGER, &option,
-             sizeof option);
+  setsockopt(this->descriptor(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
 }
 
-bool IngressExchange::MayPerform(AnswerStep step) {
-  if (this->is_closed()) {
-    return false;
-  }
-  const StepOutcome outcome = Advance(this->phase, step);
-  if (outcome == StepOutcome::kCut) {
-    this->disconnect_callback = nullptr;
-    this->connection->ResetOnClose(!this->is_chunked);
-    this->connection->Close();
-  }
-  return outcome == StepOutcome::kPerform;
-}
-
-std::shared_ptr<IngressConnection> IngressExchange::Detach() {
-  auto channel = this->connection->shared_from_this();
-  this->disconnect_callback = nullptr;
-  this->connection = nullptr;
-  channel->exchange = nullptr;
-  channel->is_answered = true;
-  return channel;
-}
-
-void IngressExchange::Respond(int status,
-                              const HeaderList& headers,
-                              std::string_view body) {
-  if (!this->MayPerform(AnswerStep::kRespond)) {
-    return;
-  }
-  const auto channel = this->Detach();
-  channel->is_last = channel->is_last || channel->server.is_draining;
-  std::string bytes = channel->SerializeHead(
-      status, headers,
-      "content-length: " + std::to_string(body.size()) + "\r\n");
-  bytes.append(body);
-  channel->Send(bytes);
-}
-
-void IngressExchange::StartStream(int status, const HeaderList& headers) {
-  if (!this->MayPerform(AnswerStep::kStartStream)) {
-    return;
-  }
-  IngressConnection& channel = *this->connection;
-  channel.is_last =
-      channel.is_last || channel.server.is_draining || !this->is_chunked;
-  channel.ResetOnClose(!this->is_chunked);
-  channel.Send(channel.SerializeHead(
-      status, headers,
-      this->is_chunked ? "transfer-encoding: chunked\r\n" : ""));
-}
-
-void IngressExchange::Write(std::string_view bytes) {
-  if (bytes.empty() || !this->MayPerform(AnswerStep::kWrite)) {
-    return;
-  }
-  IngressConnection& channel = *this->connection;
-  if (this->is_chunked) {
-    channel.Send(ChunkOf(bytes));
-  } else {
-    channel.Send(bytes);
-  }
-  // Bounds the memory that a caller can use by reading more slowly than the
-  // back end writes. The caller's answer is truncated.
-  if (channel.outgoing.size() > channel.server.limits.max_pending_bytes) {
-    channel.Close();
-  }
-}
-
-void IngressExchange::Finish() {
-  if (!this->MayPerform(AnswerStep::kFinish)) {
-    return;
-  }
-  const auto channel = this->Detach();
-  if (this->is_chunked) {
-    channel->Send("0\r\n\r\n");
-  } else {
-    channel->EndAnswer();
-  }
-}
-
-void IngressExchange::Abort() {
-  this->MayPerform(AnswerStep::kAbort);
+std::function<void()> IngressConnection::CallLater(
+    void (IngressConnection::*method)()) {
+  return [self = this->weak_from_this(), method] {
+    const auto connection = self.lock();
+    if (connection != nullptr && connection->phase != Phase::kClosed) {
+      ((*connection).*method)();
+    }
+  };
 }
 
 }  // namespace bramleyspan::http
--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -1,12 +1,12 @@
 #include "LibHTTP/Server.h"
 
-#include <poll.h>
-
 #include <memory>
 #include <new>
 #include <set>
 #include <utility>
 
+#include "Kernel/SocketBytes.h"
+
 namespace bramleyspan::http {
 
 namespace {
@@ -269,13 +269,7 @@
   }
   h2o_conn_t* connection = this->request->conn;
   h2o_socket_t* socket = connection->callbacks->get_socket(connection);
-  if (socket == nullptr) {
-    return false;
-  }
-  pollfd entry{
-      .fd = h2o_socket_get_fd(socket), .events = POLLRDHUP, .revents = 0};
-  return poll(&entry, 1, 0) == 1 &&
-         (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  return socket != nullptr && has_peer_closed(h2o_socket_get_fd(socket));
 }
 
 void Exchange::Abandon() {
--- a/Libraries/LibWire/Connection.cc
+++ b/Libraries/LibWire/Connection.cc
@@ -150,7 +150,7 @@
     // The FlatBuffers verifier requires aligned memory, and a frame inside the
     // input buffer may be unaligned.
     const std::string bytes((*input)->bytes + kLengthPrefixBytes, length);
-    h2o_buffer_consume(input, kLengthPrefixBytes + length);
+    ConsumeInput(this->socket, kLengthPrefixBytes + length);
     MutableTotalBytes().received += kLengthPrefixBytes + length;
     auto frame = Decode(bytes);
     if (frame.has_error()) {
--- a/Services/bramleyspand/Flags.cc
+++ b/Services/bramleyspand/Flags.cc
@@ -131,8 +131,13 @@
 ABSL_FLAG(std::string,
           memory_megabytes,
           "",
-          "memory that the process may take; answers that a gateway reads take "
-          "an eighth of it");
+          "memory that the process may take; what it holds for callers and "
+          "targets takes a quarter of it");
+ABSL_FLAG(std::string,
+          max_descriptors,
+          "",
+          "descriptors that the process may have open; 0, or more than the "
+          "system allows, is what that allows");
 
 namespace bramleyspan {
 
@@ -183,6 +188,7 @@
       SettingRow{"group-fan-out", &FLAGS_group_fan_out, "12"},
       SettingRow{"link-megabits", &FLAGS_link_megabits, "100"},
       SettingRow{"memory-megabytes", &FLAGS_memory_megabytes, "128"},
+      SettingRow{"max-descriptors", &FLAGS_max_descriptors, "0"},
       SettingRow{"log-level", &FLAGS_log_level, "info"},
   };
   return rows;
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -78,6 +78,8 @@
     : state(state),
       number(++state.last_forwarding),
       request(std::move(request)),
+      body(std::make_shared<const std::string>(
+          std::exchange(this->request.body, {}))),
       exchange(std::move(exchange)),
       arrived(EventLoop::Now()) {
   this->state.open.emplace(this->number, this);
@@ -85,7 +87,6 @@
 }
 
 Forwarding::~Forwarding() {
-  gateway::RecordHeldBytes(this->state.answer_memory, this->number, 0);
   this->state.open.erase(this->number);
 }
 
@@ -107,7 +108,7 @@
                                               .method = this->request.method,
                                               .target = this->request.target,
                                               .parts = parts_list,
-                                              .body = this->request.body})};
+                                              .body = *this->body})};
   const auto left = http::ParseMilliseconds(
       FindHeader(this->request.headers, this->state.adapter.headers.deadline));
   Duration allowed = this->route->timeout;
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -173,10 +173,13 @@
   void SendTo(const gateway::TargetView& target);
   http::HeaderList HeadersFor(const gateway::TargetView& target,
                               TimePoint now) const;
-  void HandleHead(const http::AnswerHead& head, http::BodyFraming framing);
+  void HandleHead(const http::AnswerHead& head,
+                  const http::MessageFraming& framing);
   // Records what the head of the target's own answer asks of its callers.
   void RecordSignals(const http::AnswerHead& head);
   void HandleBytes(std::string_view bytes);
+  // Counts what the present answer takes, and ends it if there is no room.
+  void CountAnswer(size_t bytes);
   // Ends the attempt because its answer takes too much memory.
   void CutAnswer();
   // Drops an answer that is passed on to nobody, and ends it if it goes on and
@@ -273,6 +276,8 @@
   GatewayState& state;
   uint64_t number = 0;
   http::IngressRequest request;
+  // The body of the request, which its attempts share.
+  std::shared_ptr<const std::string> body;
   std::shared_ptr<http::IngressExchange> exchange;
   std::shared_ptr<const gateway::RouteTable> table;
   std::shared_ptr<const gateway::Route> route;
@@ -322,6 +327,7 @@
 
   // What the present target has answered, and what the caller has got.
   gateway::TargetAnswer answer;
+  memory::Hold answer_hold;
   gateway::CallerAnswer caller;
   TimePoint last_event_at;
   // Events that were passed on.
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -65,13 +65,22 @@
 }
 
 void Forwarding::HandleHead(const http::AnswerHead& head,
-                            http::BodyFraming framing) {
-  gateway::TakeHead(this->answer, this->terms(), head, framing);
+                            const http::MessageFraming& framing) {
+  gateway::TakeHead(this->answer, this->terms(), head, framing.framing);
   this->state.silent_targets->RecordAnswer(this->target_id);
   this->RecordSignals(head);
   if (this->is_streaming()) {
     this->ArmAttemptTimer(kStreamEventTimeout);
   }
+  const bool is_length_known = framing.framing == http::BodyFraming::kLength &&
+                               this->answer.use == gateway::BodyUse::kWhole;
+  if (is_length_known) {
+    this->CountAnswer(framing.length);
+    // Not if it was cut for want of room.
+    if (this->answer.head) {
+      this->answer.body.reserve(framing.length);
+    }
+  }
 }
 
 void Forwarding::HandleBytes(std::string_view bytes) {
@@ -91,11 +100,25 @@
   if (this->is_finished || this->call == nullptr) {
     return;
   }
-  const auto too_large = gateway::RecordHeldBytes(
-      this->state.answer_memory, this->number, this->answer.held_bytes());
-  if (too_large) {
-    this->state.open.at(*too_large)->CutAnswer();
-  } else if (this->answer.events.partial_bytes() > kMaxEventBytes) {
+  if (this->answer.events.partial_bytes() > kMaxEventBytes) {
+    this->CutAnswer();
+  } else if (this->answer.held_bytes() > this->answer_hold.bytes()) {
+    this->CountAnswer(this->answer.held_bytes());
+  }
+}
+
+void Forwarding::CountAnswer(size_t bytes) {
+  if (!this->answer_hold.is_counted()) {
+    this->answer_hold =
+        memory::Hold(this->state.holds, memory::Stage::kAnswerComing,
+                     [weak = this->weak_from_this()] {
+                       const auto self = weak.lock();
+                       if (self != nullptr && self->answer_hold.is_ended()) {
+                         self->CutAnswer();
+                       }
+                     });
+  }
+  if (!this->answer_hold.Resize(bytes)) {
     this->CutAnswer();
   }
 }
@@ -111,7 +134,7 @@
 
 void Forwarding::CutAnswer() {
   if (this->call == nullptr) {
-    gateway::RecordHeldBytes(this->state.answer_memory, this->number, 0);
+    this->answer_hold.Release();
     return;
   }
   auto keep_until_return = this->shared_from_this();
@@ -119,8 +142,8 @@
       {{"request", this->id},
        {"target", this->target_id},
        {"held_bytes", std::to_string(this->answer.held_bytes())},
-       {"all_held_bytes", std::to_string(this->state.answer_memory.held)},
-       {"limit_bytes", std::to_string(this->state.answer_memory.limit)}});
+       {"all_held_bytes", std::to_string(this->state.holds->account.held)},
+       {"limit_bytes", std::to_string(this->state.holds->account.limits.all)}});
   telemetry::Count(kAnswersCut, {{"service", this->service}});
   this->DropAnswer();
   std::exchange(this->call, nullptr)->Cancel();
@@ -128,8 +151,9 @@
 }
 
 void Forwarding::DropAnswer() {
-  gateway::RecordHeldBytes(this->state.answer_memory, this->number, 0);
-  this->answer = {};
+  // Assigning an empty answer would keep the memory of its body.
+  std::exchange(this->answer, {});
+  this->answer_hold.Release();
 }
 
 void Forwarding::HandleEvents(std::string_view bytes) {
@@ -195,7 +219,6 @@
 void Forwarding::HandleEnd(CallEnd end) {
   auto keep_until_return = this->shared_from_this();
   this->call = nullptr;
-  gateway::RecordHeldBytes(this->state.answer_memory, this->number, 0);
   this->state.loop.Cancel(std::exchange(this->attempt_timer, 0));
   if (this->is_finished) {
     return;
@@ -240,7 +263,8 @@
 void Forwarding::UseWholeAnswer(gateway::EndUse use) {
   this->RecordAnswerProgress(true);
   // A further attempt begins an answer of its own.
-  const gateway::TargetAnswer whole = std::exchange(this->answer, {});
+  gateway::TargetAnswer whole = std::exchange(this->answer, {});
+  memory::Hold hold = std::move(this->answer_hold);
   const int status = whole.head->status;
   const bool is_usable = use == gateway::EndUse::kForward;
   const bool is_failure = status >= kFirstServerFailure;
@@ -254,7 +278,8 @@
     this->EndUnserved({.cause = cause, .may_have_run = true});
     return;
   }
-  this->exchange->Respond(status, AnswerHeaders(*whole.head), whole.body);
+  this->exchange->Respond(status, AnswerHeaders(*whole.head),
+                          std::move(whole.body), std::move(hold));
   this->Finish(is_failure ? "target_failed" : "answered", status);
 }
 
--- a/Services/bramleyspand/Gateway/ForwardingEnd.cc
+++ b/Services/bramleyspand/Gateway/ForwardingEnd.cc
@@ -77,7 +77,7 @@
        {"waiting", std::to_string(this->state.waiting.size())},
        {"table_version",
         std::to_string(this->table == nullptr ? 0 : this->table->version)}});
-  this->exchange->Respond(status, headers, text);
+  this->exchange->Respond(status, headers, std::string(text));
   this->Finish("refused", status);
 }
 
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -107,7 +107,7 @@
       .method = this->request.method,
       .path = this->request.target,
       .headers = this->HeadersFor(target, now),
-      .body = this->request.body,
+      .shared_body = this->body,
       .connect_timeout = kConnectTimeout,
       .timeout = this->deadline - now + std::chrono::seconds(1)};
   auto self = this->shared_from_this();
@@ -120,7 +120,7 @@
     }
   };
   listeners.on_head = [self](const http::AnswerHead& head,
-                             http::BodyFraming framing) {
+                             const http::MessageFraming& framing) {
     self->HandleHead(head, framing);
   };
   listeners.on_bytes = [self](std::string_view bytes) {
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -6,8 +6,10 @@
 
 #include "Kernel/Digest.h"
 #include "LibJSON/Read.h"
+#include "LibMemory/Connections.h"
 #include "LibPlatform/CountedStore.h"
 #include "LibTelemetry/Log.h"
+#include "Services/bramleyspand/ClientGuard.h"
 #include "Services/bramleyspand/Gateway/CallerAddresses.h"
 #include "Services/bramleyspand/Gateway/Feeds.h"
 #include "Services/bramleyspand/Gateway/Forwarding.h"
@@ -38,6 +40,8 @@
 constexpr Duration kServeInterval = std::chrono::milliseconds(25);
 constexpr Duration kStatusInterval = std::chrono::seconds(5);
 constexpr Duration kHeartbeatDelay = std::chrono::milliseconds(2);
+// The internal port takes orders with the map of a whole group.
+constexpr size_t kMaxOrderBytes = size_t{1} << 20;
 
 class GatewayRole : public Role {
  public:
@@ -106,14 +110,7 @@
     TRY(this->peers.Start());
     this->usage.Start();
     this->silent_targets.Start();
-    this->callers = TRY(this->Serve(*fleet.callers, HandleCaller));
-    this->directory = TRY(this->Serve(fleet.directory, HandleDirectory));
-    this->readiness = TRY(this->Serve(fleet.readiness, HandleReadiness));
-    const std::string& ip = this->state.settings.ip;
-    this->internal =
-        TRY(this->Serve(Address{ip, fleet.peer_port}, HandleInternal));
-    this->metrics =
-        TRY(this->Serve(Address{ip, fleet.metrics_port}, HandleMetrics));
+    TRY(this->ServeAll());
     this->AdjustPeriodically();
     this->ServeWaitingPeriodically();
     this->LogStatusPeriodically();
@@ -155,26 +152,58 @@
                            const http::IngressRequest& request,
                            const std::shared_ptr<http::IngressExchange>&);
 
-  Result<std::unique_ptr<http::Ingress>> Serve(
-      const std::optional<Address>& address,
-      Handler handler) {
-    if (!address) {
+  // A port with what bounds its clients.
+  struct Port {
+    std::optional<Address> address;
+    std::string name;
+    size_t max_connections = 0;
+    size_t max_body_bytes = 0;
+  };
+
+  Result<std::unique_ptr<http::Ingress>> Serve(const Port& port,
+                                               http::IngressHandler handler) {
+    if (!port.address) {
       return std::unique_ptr<http::Ingress>();
     }
     return http::Ingress::Listen(
-        this->state.loop, *address, {},
-        [this, handler](
-            const http::IngressRequest& request,
-            const std::shared_ptr<http::IngressExchange>& exchange) {
-          handler(*this, request, exchange);
-        });
+        this->state.loop, *port.address,
+        {.max_body_bytes = port.max_body_bytes}, std::move(handler),
+        GuardClients(port.name, this->state.holds, port.max_connections));
   }
 
-  static void HandleCaller(
-      GatewayRole& role,
-      const http::IngressRequest& request,
-      const std::shared_ptr<http::IngressExchange>& exchange) {
-    gatewayd::HandleCaller(role.state, request, exchange);
+  http::IngressHandler HandledBy(Handler handler) {
+    return [this, handler](
+               const http::IngressRequest& request,
+               const std::shared_ptr<http::IngressExchange>& exchange) {
+      handler(*this, request, exchange);
+    };
+  }
+
+  Result<void> ServeAll() {
+    const FleetSettings& fleet = this->state.fleet();
+    const std::string& ip = this->state.settings.ip;
+    const memory::ConnectionShares shares =
+        memory::SharesOf(fleet.max_descriptors, fleet.memory_bytes);
+    this->callers = TRY(this->Serve(
+        {fleet.callers, "callers", shares.callers,
+         http::IngressLimits{}.max_body_bytes},
+        [this](http::IngressRequest request,
+               const std::shared_ptr<http::IngressExchange>& exchange) {
+          HandleCaller(this->state, std::move(request), exchange);
+        }));
+    this->directory = TRY(this->Serve(
+        {fleet.directory, "directory", shares.directory, kMaxQueryBodyBytes},
+        this->HandledBy(HandleDirectory)));
+    this->readiness = TRY(this->Serve(
+        {fleet.readiness, "readiness", shares.readiness, kMaxQueryBodyBytes},
+        this->HandledBy(HandleReadiness)));
+    this->internal = TRY(this->Serve({Address{ip, fleet.peer_port}, "internal",
+                                      shares.internal, kMaxOrderBytes},
+                                     this->HandledBy(HandleInternal)));
+    this->metrics = TRY(this->Serve({Address{ip, fleet.metrics_port}, "metrics",
+                                     shares.metrics, kMaxQueryBodyBytes},
+                                    this->HandledBy(HandleMetrics)));
+    return Succeed();
   }
 
   static void HandleReadiness(
@@ -251,6 +280,7 @@
       return;
     }
     UpdateGauges(role.state);
+    UpdateHeldGauges(*role.state.holds);
     exchange->Respond(200, {{"content-type", "text/plain; version=0.0.4"}},
                       telemetry::SerializeMetrics());
   }
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -13,7 +13,6 @@
 #include "Kernel/Digest.h"
 #include "LibDrain/PlannedStop.h"
 #include "LibGateway/Adapter.h"
-#include "LibGateway/AnswerMemory.h"
 #include "LibGateway/AnswerTimes.h"
 #include "LibGateway/Availability.h"
 #include "LibGateway/Permits.h"
@@ -22,6 +21,7 @@
 #include "LibGateway/Waiting.h"
 #include "LibHTTP/Ingress.h"
 #include "LibMembership/Members.h"
+#include "LibMemory/Hold.h"
 #include "LibPlatform/PrefixFeed.h"
 #include "LibScheduling/DenialCooldowns.h"
 #include "LibScheduling/Forecast.h"
@@ -41,13 +41,17 @@
 
 struct GatewayState {
   GatewayState(EventLoop& loop, const Settings& settings)
-      : loop(loop), settings(settings), random(RandomBits()) {
-    this->answer_memory.limit =
-        gateway::AnswerMemoryOf(this->fleet().memory_bytes);
-  }
+      : loop(loop),
+        settings(settings),
+        holds(memory::MakeHoldTable(
+            memory::LimitsOf(settings.fleet->memory_bytes),
+            TimersOf(loop))),
+        random(RandomBits()) {}
 
   EventLoop& loop;
   Settings settings;
+  // What is held for callers and targets.
+  std::shared_ptr<memory::HoldTable> holds;
   gateway::Adapter adapter;
   platform::Store store;
   // The desired state with the evacuated zones.
@@ -94,7 +98,6 @@
   // Requests that have not ended, by their numbers.
   std::map<uint64_t, Forwarding*> open;
   uint64_t last_forwarding = 0;
-  gateway::AnswerMemory answer_memory;
   // Set once the process was told to stop.
   std::optional<drain::PlannedStop> stop;
   TimePoint last_request;
--- a/Services/bramleyspand/Main.cc
+++ b/Services/bramleyspand/Main.cc
@@ -1,6 +1,7 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <malloc.h>
 #include <sys/stat.h>
 
 #include <iostream>
@@ -21,6 +22,7 @@
 
 namespace {
 
+constexpr int kMappedBytes = 128 * 1024;
 constexpr int kExitBadSettings = 2;
 constexpr int kExitFailedStart = 1;
 
@@ -110,6 +112,9 @@
 }  // namespace bramleyspan
 
 int main(int argument_count, char** arguments) {
+  // Long texts are given back to the system when they are freed. By default the
+  // C library keeps ever larger ones after the first one was freed.
+  mallopt(M_MMAP_THRESHOLD, bramleyspan::kMappedBytes);
   absl::SetProgramUsageMessage(bramleyspan::UsageMessage());
   absl::ParseCommandLine(argument_count, arguments);
   const auto settings = bramleyspan::ReadSettings();
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -8,8 +8,10 @@
 #include "Kernel/Digest.h"
 #include "LibHTTP/Ingress.h"
 #include "LibJSON/Read.h"
+#include "LibMemory/Connections.h"
 #include "LibTelemetry/Log.h"
 #include "LibTelemetry/Metrics.h"
+#include "Services/bramleyspand/ClientGuard.h"
 #include "Services/bramleyspand/Rank/DesiredMaps.h"
 #include "Services/bramleyspand/Rank/GroupStandstill.h"
 #include "Services/bramleyspand/Rank/Leader.h"
@@ -78,7 +80,10 @@
                         this->order_sender.SendRemote(server, order);
                       }),
         permit_offers(this->state),
-        group_standstill(this->state) {}
+        group_standstill(this->state),
+        holds(memory::MakeHoldTable(
+            memory::LimitsOf(settings.fleet->memory_bytes),
+            TimersOf(loop))) {}
 
   Result<void> Start() {
     const FleetSettings& fleet = this->state.fleet();
@@ -97,8 +102,12 @@
                                    const membership::wire::MessageT& message) {
                               this->HandleMessage(from_ip, message);
                             }));
-    this->metrics = TRY(this->Serve({ip, fleet.metrics_port}));
-    this->internal = TRY(this->Serve({ip, fleet.peer_port}));
+    const memory::ConnectionShares shares =
+        memory::SharesOf(fleet.max_descriptors, fleet.memory_bytes);
+    this->metrics =
+        TRY(this->Serve({ip, fleet.metrics_port}, "metrics", shares.metrics));
+    this->internal =
+        TRY(this->Serve({ip, fleet.peer_port}, "internal", shares.internal));
     this->Tick();
     this->RequestShape();
     return Succeed();
@@ -121,12 +130,15 @@
   }
 
  private:
-  Result<std::unique_ptr<http::Ingress>> Serve(const Address& address) {
+  Result<std::unique_ptr<http::Ingress>> Serve(const Address& address,
+                                               const std::string& port,
+                                               size_t max_connections) {
     return http::Ingress::Listen(
-        this->state.loop, address, {},
+        this->state.loop, address, {.max_body_bytes = kMaxQueryBodyBytes},
         [this](const http::IngressRequest& request,
                const std::shared_ptr<http::IngressExchange>& exchange) {
           if (request.path == "/metrics") {
+            UpdateHeldGauges(*this->holds);
             exchange->Respond(200,
                               {{"content-type", "text/plain; version=0.0.4"}},
                               telemetry::SerializeMetrics());
@@ -136,7 +148,8 @@
           } else {
             exchange->Respond(404, {}, "");
           }
-        });
+        },
+        GuardClients(port, this->holds, max_connections));
   }
 
   void StopWhenReleased() {
@@ -426,6 +439,8 @@
   StandbyOwner standby_owner;
   PermitOffers permit_offers;
   GroupStandstill group_standstill;
+  // What is held for clients of the agent's ports.
+  std::shared_ptr<memory::HoldTable> holds;
   std::unique_ptr<http::Ingress> metrics;
   std::unique_ptr<http::Ingress> internal;
   uint64_t ticks = 0;
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -1,5 +1,8 @@
 #include "Services/bramleyspand/Settings.h"
 
+#include <sys/resource.h>
+
+#include <algorithm>
 #include <charconv>
 #include <sstream>
 
@@ -162,6 +165,16 @@
   return static_cast<uint32_t>(fan_out);
 }
 
+// The system's limit holds whatever the setting says.
+Result<uint64_t> FindMaxDescriptors(const SettingLookup& lookup) {
+  const auto given =
+      static_cast<uint64_t>(TRY(RequireNumber(lookup, "max-descriptors")));
+  rlimit allowed{};
+  getrlimit(RLIMIT_NOFILE, &allowed);
+  return given == 0 ? allowed.rlim_cur
+                    : std::min<uint64_t>(given, allowed.rlim_cur);
+}
+
 Result<FleetSettings> ParseFleetSettings(const SettingLookup& lookup,
                                          const std::string& role) {
   FleetSettings fleet;
@@ -191,6 +204,7 @@
       kBytesPerMegabit * TRY(RequireNumber(lookup, "link-megabits"));
   fleet.memory_bytes = static_cast<uint64_t>(
       kBytesPerMegabyte * TRY(RequireNumber(lookup, "memory-megabytes")));
+  fleet.max_descriptors = TRY(FindMaxDescriptors(lookup));
   if (role == "gateway" && !fleet.callers) {
     return FailFor("callers", lookup("callers"), "IP:PORT");
   }
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -50,6 +50,8 @@
   double link_bytes_per_second = 0;
   // Memory that the process may take.
   uint64_t memory_bytes = 0;
+  // Descriptors that the process may have open.
+  uint64_t max_descriptors = 0;
 };
 
 // Checked settings of one process.
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -6,7 +6,8 @@
 # desired_state VERSION INVOICE-SERVICE [EXTRA-ROUTE]: prints the document that
 # an operator writes, with invoices routed to the service, and one more route.
 # The service raw has one server, whose answers end with their connection.
-# ROUTE_TIMEOUT holds the routes' time limit in ms (default 5000). With
+# ROUTE_TIMEOUT holds the routes' time limit in ms (default 5000), MAX_BODY_BYTES
+# the longest body of a request. With
 # HAS_URGENT_ROUTE=1 there are also streams at /urgent/, which come before drafts.
 desired_state() {
   local route="{\"host\":\"app.test\",\"timeout_ms\":${ROUTE_TIMEOUT:-5000},\"max_attempts\":2,\"priority\":1"
@@ -31,7 +32,7 @@
  "services":[{"name":"billing"},{"name":"archive"},{"name":"raw"},
   {"name":"chat","engine":{"slots":8,"stride":4,"step_ms":5,"per_seq_ms":1,"read_per_s":60000,
    "sets":2,"experts":8,"placements":6,"spare":4,"expert_mb":10,"link_mbps":1000}}],
- "limits":{"max_header_bytes":8192,"max_body_bytes":65536,"header_timeout_ms":3000,"idle_timeout_ms":10000},
+ "limits":{"max_header_bytes":8192,"max_body_bytes":${MAX_BODY_BYTES:-65536},"header_timeout_ms":3000,"idle_timeout_ms":10000},
  "tenants":[{"name":"huber","api_keys":["key-huber"]}]}
 JSON
 }
