LibMemory, LibHTTP, Kernel: Share out descriptors, close idle connections for others

What callers saw: while 1,400 silent connections fill a gateway's 400 descriptors, an ordinary request gets no answer, whichever port they come to.

Cause: nothing bounded the connections of a port. At the limit accept() fails, callers wait in the system's queue behind the silent ones, and the store, peers and targets get no descriptor either. The listener stays readable meanwhile, so that the loop does nothing but fail.

At its share a port closes those that are used for least: whose last answer has ended, idle ones, the longest first, then requests that have been coming for over a second; those at work never. A sixteenth goes at once, so that a flood costs few searches. A newcomer that finds none to close gets a 503.

--- a/Kernel/Listener.cc
+++ b/Kernel/Listener.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int kBacklog = 1024;
+constexpr Duration kPauseTime = std::chrono::milliseconds(50);
 
 Error LastFailure(const Address& address) {
   return {ErrorCode::kConnectionFailed, Format(address), std::strerror(errno)};
@@ -43,7 +44,7 @@
     close(descriptor);
     return failure;
   }
-  std::unique_ptr<Listener> listener(new Listener);
+  std::unique_ptr<Listener> listener(new Listener(loop));
   listener->on_accept = std::move(on_accept);
   listener->socket = h2o_evloop_socket_create(loop.raw(), descriptor,
                                               H2O_SOCKET_FLAG_DONT_READ);
@@ -64,6 +65,9 @@
 bool Listener::AcceptOne() {
   h2o_socket_t* accepted = h2o_evloop_socket_accept(this->socket);
   if (accepted == nullptr) {
+    if (errno == EMFILE || errno == ENFILE) {
+      this->Pause();
+    }
     return false;
   }
   const int no_delay = 1;
@@ -73,6 +77,16 @@
   return true;
 }
 
+// Without a descriptor the connection stays in the system's queue, and the
+// listener stays readable: the loop would do nothing else.
+void Listener::Pause() {
+  h2o_socket_read_stop(this->socket);
+  this->pause_timer = this->loop.RunAfter(kPauseTime, [this] {
+    this->pause_timer = 0;
+    this->StartReading();
+  });
+}
+
 void Listener::AcceptPending() {
   while (this->AcceptOne()) {
   }
@@ -87,6 +101,7 @@
 }
 
 Listener::~Listener() {
+  this->loop.Cancel(this->pause_timer);
   if (this->socket != nullptr) {
     h2o_socket_read_stop(this->socket);
     h2o_socket_close(this->socket);
--- a/Kernel/Listener.h
+++ b/Kernel/Listener.h
@@ -36,12 +36,16 @@
   uint16_t port() const;
 
  private:
-  Listener() = default;
+  explicit Listener(EventLoop& loop) : loop(loop) {}
   void StartReading();
   // Returns whether there was a connection to accept.
   bool AcceptOne();
+  // Accepts nothing for a short time.
+  void Pause();
 
+  EventLoop& loop;
   h2o_socket_t* socket = nullptr;
+  TimerId pause_timer = 0;
   OnAccept on_accept;
 };
 
--- a/Libraries/LibHTTP/Ingress.cc
+++ b/Libraries/LibHTTP/Ingress.cc
@@ -6,7 +6,9 @@
 #include <array>
 #include <utility>
 
+#include "LibHTTP/AnswerText.h"
 #include "LibHTTP/IngressConnection.h"
+#include "LibMemory/Connections.h"
 
 namespace bramleyspan::http {
 
@@ -16,6 +18,9 @@
 // What the system may hold of a connection that is not read. It counts towards
 // the process's memory, and the system doubles it.
 constexpr int kReceiveBytes = 32768;
+// The part of a port's connections that is closed at once for others.
+constexpr size_t kClosedDivisor = 16;
+constexpr int kUnavailable = 503;
 
 // Returns an empty text if the system can't tell.
 std::string PeerIpOf(int descriptor) {
@@ -29,6 +34,13 @@
   return inet_ntop(AF_INET, &peer.sin_addr, text.data(), text.size());
 }
 
+// Answers a connection that is closed without being served.
+void SendUnavailable(int descriptor) {
+  const std::string answer = SerializeHead(kUnavailable, {{"retry-after", "1"}},
+                                           "content-length: 0\r\n", true);
+  send(descriptor, answer.data(), answer.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+}
+
 }  // namespace
 
 std::string_view NameOf(TurnedAwayCause cause) {
@@ -72,6 +84,16 @@
 }
 
 void Ingress::Accept(h2o_socket_t* accepted) {
+  if (this->connections.size() >= this->guard.max_connections) {
+    this->CloseForOthers();
+  }
+  if (this->connections.size() >= this->guard.max_connections) {
+    const int descriptor = h2o_socket_get_fd(accepted);
+    this->ReportTurnedAway(TurnedAwayCause::kTooManyConnections, descriptor, 0);
+    SendUnavailable(descriptor);
+    h2o_socket_close(accepted);
+    return;
+  }
   const uint64_t number = ++this->last_connection;
   auto connection =
       std::make_shared<IngressConnection>(*this, number, accepted);
@@ -79,6 +101,26 @@
   connection->Start();
 }
 
+void Ingress::CloseForOthers() {
+  std::vector<memory::ConnectionView> views;
+  for (const auto& [number, connection] : this->connections) {
+    views.push_back({.number = number,
+                     .use = connection->use(),
+                     .since = connection->used_since()});
+  }
+  const size_t most =
+      std::max<size_t>(1, this->guard.max_connections / kClosedDivisor);
+  for (const uint64_t number :
+       memory::ChooseClosed(std::move(views), most, EventLoop::Now())) {
+    const auto connection = this->connections.at(number);
+    if (connection->use() == memory::ConnectionUse::kComing) {
+      SendUnavailable(connection->descriptor());
+    }
+    connection->TurnAway(TurnedAwayCause::kTooManyConnections);
+    connection->Close();
+  }
+}
+
 void Ingress::ReportTurnedAway(TurnedAwayCause cause,
                                int descriptor,
                                size_t bytes) {
--- a/Libraries/LibHTTP/Ingress.h
+++ b/Libraries/LibHTTP/Ingress.h
@@ -148,6 +148,9 @@
   friend class IngressExchange;
   explicit Ingress(EventLoop& loop) : loop(loop) {}
   void Accept(h2o_socket_t* accepted);
+  // Closes connections that are used for little, if the port has all that it
+  // may have.
+  void CloseForOthers();
   void CheckTimeouts();
   void ReportTurnedAway(TurnedAwayCause cause, int descriptor, size_t bytes);
 
