LibHTTP, LibWire, Entry, Agent: Bound what the ports of entries and agents hold

What callers saw: clients whose bodies or frames do not end, at an entry's or an agent's ports, take its memory; silent connections take its descriptors, so that calls get no answer.

Change: one account a process as at gateways. What h2o has read of a connection is looked at every 20 ms, since it tells nothing of requests that come; a head that announces its length takes its room at once. No room: 503 with run=not_run, before any agent has heard of it. Bodies of HTTP/2 count as what was read and used by no request. Answers that wait count, as do frames over 64 KB. A port closes what is used for least when it has its share. CallerGuard is what Ingress and Server share.

Not covered: calls that an agent holds for many entries.

--- a/Libraries/LibHTTP/Ingress.h
+++ b/Libraries/LibHTTP/Ingress.h
@@ -14,6 +14,7 @@
 #include "Kernel/Listener.h"
 #include "Kernel/Result.h"
 #include "LibHTTP/AnswerPhase.h"
+#include "LibHTTP/CallerGuard.h"
 #include "LibHTTP/IngressLimits.h"
 #include "LibHTTP/Message.h"
 #include "LibHTTP/Parser.h"
@@ -114,7 +115,7 @@
                                                  const Address& address,
                                                  const IngressLimits& limits,
                                                  IngressHandler handler,
-                                                 IngressGuard guard = {});
+                                                 CallerGuard guard = {});
   ~Ingress();
   Ingress(const Ingress&) = delete;
   Ingress& operator=(const Ingress&) = delete;
@@ -152,12 +153,11 @@
   // may have.
   void CloseForOthers();
   void CheckTimeouts();
-  void ReportTurnedAway(TurnedAwayCause cause, int descriptor, size_t bytes);
 
   EventLoop& loop;
   IngressLimits limits;
   IngressHandler handler;
-  IngressGuard guard;
+  CallerGuard guard;
   std::unique_ptr<Listener> listener;
   // By number: an order by address would differ between two runs.
   std::map<uint64_t, std::shared_ptr<IngressConnection>> connections;
--- a/Libraries/LibHTTP/IngressConnection.cc
+++ b/Libraries/LibHTTP/IngressConnection.cc
@@ -386,10 +386,9 @@
 }
 
 void IngressConnection::TurnAway(TurnedAwayCause cause) {
-  this->server.ReportTurnedAway(cause, this->descriptor(),
-                                this->reader.input.size() +
-                                    this->reader.body.size() +
-                                    this->outgoing.bytes());
+  ReportTurnedAway(this->server.guard, cause, this->descriptor(),
+                   this->reader.input.size() + this->reader.body.size() +
+                       this->outgoing.bytes());
 }
 
 void IngressConnection::Refuse(int status, const HeaderList& headers) {
--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -13,6 +13,11 @@
 
 // Status for a request whose caller disconnected, as nginx uses it in its logs.
 constexpr int kCallerClosedRequest = 499;
+constexpr Duration kHeldCheckInterval = std::chrono::milliseconds(20);
+// A request is held by h2o and as a copy, with its head.
+constexpr size_t kHeadBytes = 4096;
+// What each exchange may hold besides what is counted.
+constexpr size_t kUncountedAnswerBytes = 8192;
 
 // Allocated in the memory pool of a request. Keeps the exchange alive until h2o
 // frees the request.
@@ -130,7 +135,13 @@
   this->request->res.content_length = response.body.size();
   this->StartGenerator();
   this->pending = response.body;
-  this->EndAs(End::kWhole);
+  if (this->CountAnswer()) {
+    this->EndAs(End::kWhole);
+  } else {
+    // Its room can't be had: the answer is cut.
+    this->pending.clear();
+    this->EndAs(End::kTruncated);
+  }
 }
 
 void Exchange::EndAs(End kind) {
@@ -176,11 +187,37 @@
   this->Flush();
   // Bounds the memory that a caller can use by reading more slowly than the
   // back end writes. The caller's answer is truncated.
-  if (this->pending.size() > this->max_pending_bytes) {
+  if (this->pending.size() > this->max_pending_bytes || !this->CountAnswer()) {
     this->Abandon();
   }
 }
 
+bool Exchange::CountRequest(size_t bytes) {
+  this->request_hold =
+      memory::Hold(this->holds, memory::Stage::kAtWork, nullptr);
+  return this->request_hold.Resize(bytes);
+}
+
+bool Exchange::CountAnswer() {
+  const size_t waiting = this->pending.size() + this->in_flight.size();
+  if (waiting <= kUncountedAnswerBytes) {
+    this->answer_hold.Release();
+    return true;
+  }
+  if (!this->answer_hold.is_counted()) {
+    this->answer_hold =
+        memory::Hold(this->holds, memory::Stage::kDelivering,
+                     [weak = this->weak_from_this()] {
+                       const auto exchange = weak.lock();
+                       if (exchange != nullptr && exchange->close &&
+                           exchange->answer_hold.is_ended()) {
+                         exchange->close();
+                       }
+                     });
+  }
+  return this->answer_hold.Resize(waiting);
+}
+
 void Exchange::Finish() {
   if (!this->MayPerform(AnswerStep::kFinish)) {
     return;
@@ -253,11 +290,16 @@
 
 void Exchange::HandleProceed() {
   this->is_sending = false;
+  std::exchange(this->in_flight, {});
   this->Flush();
+  this->CountAnswer();
 }
 
 void Exchange::HandleDisposal() {
   this->request = nullptr;
+  this->close = nullptr;
+  this->request_hold.Release();
+  this->answer_hold.Release();
   if (this->disconnect_callback) {
     std::exchange(this->disconnect_callback, nullptr)();
   }
@@ -303,6 +345,7 @@
 
   void StopServing() {
     this->loop->Cancel(this->disconnect_timer);
+    this->loop->Cancel(this->held_timer);
     this->listener = nullptr;
   }
 
@@ -321,7 +364,29 @@
                              [this] { this->CheckForDisconnects(); });
   }
 
+  // h2o tells nothing of a request that is still coming, so that what it holds
+  // is looked at.
+  void CheckHeld() {
+    this->connections.CheckHeld();
+    this->held_timer =
+        this->loop->RunAfter(kHeldCheckInterval, [this] { this->CheckHeld(); });
+  }
+
+  void Accept(h2o_socket_t* accepted) {
+    if (!this->connections.MakePlace()) {
+      const int descriptor = h2o_socket_get_fd(accepted);
+      ReportTurnedAway(this->limits.guard, TurnedAwayCause::kTooManyConnections,
+                       descriptor, 0);
+      SendUnavailable(descriptor);
+      h2o_socket_close(accepted);
+      return;
+    }
+    this->connections.Add(accepted);
+    h2o_accept(&this->accept_context, accepted);
+  }
+
   TimerId disconnect_timer = 0;
+  TimerId held_timer = 0;
 
   int HandleRequest(h2o_req_t* request) {
     struct DisposalHook {
@@ -329,10 +394,13 @@
       Internals* internals;
       h2o_socket_t* socket;
     };
-    auto exchange =
-        std::make_shared<Exchange>(request, this->limits.max_pending_bytes);
     h2o_socket_t* const socket =
         request->conn->callbacks->get_socket(request->conn);
+    auto exchange = std::make_shared<Exchange>(
+        request, this->limits.max_pending_bytes, this->limits.guard.holds,
+        [this, socket] {
+          this->connections.Close(socket, TurnedAwayCause::kAnswerNotTaken);
+        });
     // h2o reports no event if a connection closes before the answer has
     // started. The disposal of the request's memory pool always happens.
     new (h2o_mem_alloc_shared(
@@ -344,8 +412,16 @@
           std::destroy_at(hook);
         })) DisposalHook{exchange, this, socket};
     constexpr int kHttp2 = 0x200;
-    this->connections.BeginExchange(socket, request->version >= kHttp2);
+    const size_t body_bytes = request->entity.len;
+    this->connections.BeginExchange(socket, request->version >= kHttp2,
+                                    body_bytes);
     this->exchanges.insert(exchange);
+    if (!exchange->CountRequest(body_bytes + kHeadBytes)) {
+      ReportTurnedAway(this->limits.guard, TurnedAwayCause::kNoRoom,
+                       h2o_socket_get_fd(socket), body_bytes);
+      exchange->Respond(this->limits.refusal);
+      return 0;
+    }
     this->handler(ToRequest(*request), exchange);
     return 0;
   }
@@ -380,12 +456,14 @@
   h2o_context_init(&state->context, loop.raw(), &state->config);
   state->accept_context.ctx = &state->context;
   state->accept_context.hosts = state->config.hosts;
-  state->listener =
-      TRY(Listener::Listen(loop, address, [state](h2o_socket_t* accepted) {
-        state->connections.Add(accepted);
-        h2o_accept(&state->accept_context, accepted);
-      }));
+  state->listener = TRY(Listener::Listen(
+      loop, address,
+      [state](h2o_socket_t* accepted) { state->Accept(accepted); },
+      kReceiveBytes));
+  state->connections.guard = limits.guard;
+  state->connections.refusal = SerializeLast(limits.refusal);
   state->CheckForDisconnects();
+  state->CheckHeld();
   return std::unique_ptr<Server>(new Server(std::move(internals)));
 }
 
--- a/Libraries/LibHTTP/Server.h
+++ b/Libraries/LibHTTP/Server.h
@@ -12,6 +12,7 @@
 #include "Kernel/Listener.h"
 #include "Kernel/Result.h"
 #include "LibHTTP/AnswerPhase.h"
+#include "LibHTTP/CallerGuard.h"
 #include "LibHTTP/Message.h"
 #include "LibHTTP/ServerConnections.h"
 
@@ -22,8 +23,15 @@
 // (AnswerPhase.h).
 class Exchange : public std::enable_shared_from_this<Exchange> {
  public:
-  Exchange(h2o_req_t* request, size_t max_pending_bytes)
-      : request(request), max_pending_bytes(max_pending_bytes) {}
+  // `close` closes the connection.
+  Exchange(h2o_req_t* request,
+           size_t max_pending_bytes,
+           std::shared_ptr<memory::HoldTable> holds,
+           std::function<void()> close)
+      : request(request),
+        max_pending_bytes(max_pending_bytes),
+        holds(std::move(holds)),
+        close(std::move(close)) {}
 
   // Sends a complete answer.
   void Respond(const Response& response);
@@ -68,12 +76,21 @@
   void HandleDisposal();
   bool has_caller_disconnected() const;
   void Abandon();
+  // Counts the bytes of the request, until the exchange is gone. Returns
+  // whether there is room.
+  bool CountRequest(size_t bytes);
+  // Counts what waits for the caller. Returns whether there is room.
+  bool CountAnswer();
 
   h2o_req_t* request;
   AnswerPhase phase = AnswerPhase::kNotBegun;
   // A streamed answer that is sent only when its end is known.
   std::optional<Response> buffered_answer;
   size_t max_pending_bytes;
+  std::shared_ptr<memory::HoldTable> holds;
+  std::function<void()> close;
+  memory::Hold request_hold;
+  memory::Hold answer_hold;
   std::string pending;
   std::string in_flight;
   std::function<void()> disconnect_callback;
@@ -90,6 +107,10 @@
   size_t max_pending_bytes = 4 << 20;
   // Interval of the check for callers that have disconnected.
   std::chrono::milliseconds disconnect_check_interval{250};
+  // What bounds all callers together.
+  CallerGuard guard;
+  // The answer to a request for which there is no room.
+  Response refusal{.status = 503};
 };
 
 // Passes all requests at one address to one handler.
--- a/Libraries/LibHTTP/ServerConnections.h
+++ b/Libraries/LibHTTP/ServerConnections.h
@@ -5,11 +5,14 @@
 #include <cstddef>
 #include <map>
 #include <memory>
+#include <optional>
+#include <string>
 #include <string_view>
 #include <vector>
 
 #include "Kernel/H2o.h"
 #include "Kernel/Time.h"
+#include "LibHTTP/CallerGuard.h"
 
 namespace bramleyspan::http {
 
@@ -44,6 +47,15 @@
   bool is_http2 = false;
   // Bytes that h2o had read at the last check.
   size_t bytes_read = 0;
+  // Counts what h2o holds of requests that are coming.
+  memory::Hold hold;
+  size_t bytes_read_by_hold = 0;
+  // What is announced of the request that is coming, once its head has come.
+  std::optional<size_t> announced_bytes;
+  // Bytes of HTTP/2 that requests have used.
+  size_t used_bytes = 0;
+  // Whether it was shut down and h2o has yet to close it.
+  bool is_shut = false;
   TimePoint busy_at;
   TimePoint closed_at;
 };
@@ -54,7 +66,7 @@
   void Add(h2o_socket_t* socket);
 
   // Records that an exchange begins or ends on a connection.
-  void BeginExchange(h2o_socket_t* socket, bool is_http2);
+  void BeginExchange(h2o_socket_t* socket, bool is_http2, size_t body_bytes);
   void EndExchange(h2o_socket_t* socket);
 
   // From now on a connection that h2o closes stays until its caller's machine
@@ -72,12 +84,31 @@
   // reading the rest. Those of HTTP/2 stay.
   void RefuseReading(std::string_view answer);
 
+  // Closes connections that are used for little, if there are as many as there
+  // may be. Returns whether another one may be added.
+  bool MakePlace();
+
+  // Counts what is held of the requests that are coming, and refuses those for
+  // which there is no room. To be called repeatedly.
+  void CheckHeld();
+
+  // Closes a connection whatever is open on it.
+  void Close(h2o_socket_t* socket, TurnedAwayCause cause);
+
+  // What bounds all callers together, and the answer to those that are refused.
+  CallerGuard guard;
+  std::string refusal;
+
   // Ends connections whose last answer is delivered. To be called repeatedly
   // from StartDrain on.
   void Check();
 
  private:
   void HandleClosed(h2o_socket_t* socket);
+  void CheckHeld(ServerConnection& connection);
+  // Answers the request that is coming without reading the rest.
+  void Refuse(ServerConnection& connection, TurnedAwayCause cause);
+  void HandleEnded(h2o_socket_t* socket);
 
   std::map<h2o_socket_t*, std::unique_ptr<ServerConnection>> connections;
   // Closed by h2o; they wait for their callers.
--- a/Libraries/LibWire/Connection.cc
+++ b/Libraries/LibWire/Connection.cc
@@ -20,6 +20,9 @@
   return static_cast<Connection*>(socket->data)->shared_from_this();
 }
 
+// Shorter frames are covered by the number of connections.
+constexpr size_t kUncountedFrameBytes = 65536;
+
 size_t ReadLength(const char* bytes) {
   size_t length = 0;
   for (size_t i = 0; i < kLengthPrefixBytes; ++i) {
@@ -102,10 +105,36 @@
   // is only shut down here, and `on_closed` follows from the event loop, since
   // callers of Send may be iterating over their connections.
   if (this->is_connected && this->pending.size() > kMaxPendingBytes) {
+    this->ShutDown();
+  }
+}
+
+void Connection::ShutDown() {
+  if (this->socket != nullptr) {
     ::shutdown(h2o_socket_get_fd(this->socket), SHUT_RDWR);
   }
 }
 
+bool Connection::CountFrame(size_t length) {
+  if (length <= kUncountedFrameBytes) {
+    return true;
+  }
+  if (!this->frame_hold.is_counted()) {
+    this->frame_hold =
+        memory::Hold(this->events.holds, memory::Stage::kComing,
+                     [weak = this->weak_from_this()] {
+                       const auto self = weak.lock();
+                       if (self != nullptr && self->frame_hold.is_ended()) {
+                         self->ShutDown();
+                       }
+                     });
+  }
+  this->frame_hold.RecordProgress(
+      this->socket->bytes_read -
+      std::exchange(this->bytes_read, this->socket->bytes_read));
+  return length <= this->frame_hold.bytes() || this->frame_hold.Resize(length);
+}
+
 size_t Connection::undelivered_bytes() const {
   return this->pending_bytes() +
          (this->is_connected
@@ -145,12 +174,17 @@
       return;
     }
     if ((*input)->size < kLengthPrefixBytes + length) {
+      if (!this->CountFrame(length)) {
+        this->CloseWith(Error{ErrorCode::kUnavailable, "frame", "no room"});
+      }
       return;
     }
     // The FlatBuffers verifier requires aligned memory, and a frame inside the
     // input buffer may be unaligned.
     const std::string bytes((*input)->bytes + kLengthPrefixBytes, length);
     ConsumeInput(this->socket, kLengthPrefixBytes + length);
+    this->frame_hold.Release();
+    this->has_received_frame = true;
     MutableTotalBytes().received += kLengthPrefixBytes + length;
     auto frame = Decode(bytes);
     if (frame.has_error()) {
--- a/Libraries/LibWire/Connection.h
+++ b/Libraries/LibWire/Connection.h
@@ -7,6 +7,7 @@
 
 #include "Kernel/Address.h"
 #include "Kernel/EventLoop.h"
+#include "LibMemory/Hold.h"
 #include "LibWire/Codec.h"
 
 namespace bramleyspan::wire {
@@ -27,6 +28,8 @@
 
 // Callbacks of a connection. `on_closed` is called once, as the last one.
 struct ConnectionEvents {
+  // Counts long frames that are coming. Null counts nothing.
+  std::shared_ptr<memory::HoldTable> holds;
   std::function<void(Connection&)> on_open;
   std::function<void(Connection&, FrameT)> on_frame;
   std::function<void(Connection&, Error)> on_closed;
@@ -52,6 +55,12 @@
   // Closes the connection without calling `on_closed`.
   void Close();
 
+  // Closes the connection from the event loop, which calls `on_closed`.
+  void ShutDown();
+
+  // Whether a whole frame has come.
+  bool has_received() const { return this->has_received_frame; }
+
   bool is_open() const { return this->is_connected; }
 
   // Returns the bytes that are not yet written to the socket.
@@ -72,8 +81,13 @@
   void HandleInput();
   void Flush();
   void CloseWith(Error error);
+  // Whether a frame of this length may come.
+  bool CountFrame(size_t length);
 
   h2o_socket_t* socket = nullptr;
+  memory::Hold frame_hold;
+  size_t bytes_read = 0;
+  bool has_received_frame = false;
   ConnectionEvents events;
   std::string pending;
   std::string in_flight;
--- a/Services/bramleyspand/Agent/AgentRole.cc
+++ b/Services/bramleyspand/Agent/AgentRole.cc
@@ -8,6 +8,8 @@
 #include "Services/bramleyspand/Agent/AgentState.h"
 #include "Services/bramleyspand/Agent/AgentStop.h"
 #include "Services/bramleyspand/Answers.h"
+#include "Services/bramleyspand/ClientGuard.h"
+#include "Services/bramleyspand/LinkDoor.h"
 #include "Services/bramleyspand/MetricsPage.h"
 #include "Services/bramleyspand/OperatorKey.h"
 #include "Services/bramleyspand/Role.h"
@@ -61,7 +63,7 @@
 class AgentRole : public Role {
  public:
   AgentRole(EventLoop& loop, const Settings& settings)
-      : state(loop, settings) {}
+      : state(loop, settings), holds(MakeHolds(settings, loop)) {}
 
   Result<void> Start() {
     const Settings& settings = this->state.settings;
@@ -72,14 +74,18 @@
     claims.secret = RandomHex(kSecretBytes);
     claims.started = EventLoop::Now();
     this->server = TRY(http::Server::Listen(
-        this->state.loop, {settings.ip, settings.caller_port}, {},
+        this->state.loop, {settings.ip, settings.caller_port},
+        {.guard =
+             GuardClients("operators", this->holds, SharesOf(settings).callers),
+         .refusal = RefusalForRoom()},
         [this](const http::Request& request,
                const std::shared_ptr<http::Exchange>& exchange) {
           this->HandleRequest(request, exchange);
         }));
-    this->listener = TRY(Listener::Listen(
-        this->state.loop, {settings.ip, settings.link_port},
-        [this](h2o_socket_t* socket) { this->AcceptConnection(socket); }));
+    this->door = TRY(LinkDoor::Open(this->state.loop, settings,
+                                    [this](h2o_socket_t* socket) {
+                                      return this->AcceptConnection(socket);
+                                    }));
     this->state.feed.on_in_force = [this] { this->SendRevision(); };
     this->RemoveExpiredEpochsPeriodically();
     CheckDeadlinesPeriodically(this->state);
@@ -98,12 +104,13 @@
 
   void Close() override {
     this->server.reset();
-    this->listener.reset();
+    this->door.reset();
   }
 
  private:
-  void AcceptConnection(h2o_socket_t* socket) {
+  std::shared_ptr<wire::Connection> AcceptConnection(h2o_socket_t* socket) {
     wire::ConnectionEvents events;
+    events.holds = this->holds;
     events.on_frame = [this](wire::Connection& connection,
                              const wire::FrameT& frame) {
       HandleEntryFrame(this->state, connection, frame);
@@ -124,7 +131,8 @@
     if (this->state.is_leaving) {
       SendLeaving(*connection, "planned stop");
     }
-    this->state.connections.insert(std::move(connection));
+    this->state.connections.insert(connection);
+    return connection;
   }
 
   // Makes the agent itself refuse new calls, whether or not the entries have
@@ -212,6 +220,7 @@
     telemetry::SetGauge(kRememberedClaims, {},
                         static_cast<double>(now.calls.claims.record_count));
     UpdateSharedGauges(now.feed);
+    UpdateHeldGauges(*this->holds);
   }
 
   void RemoveExpiredEpochsPeriodically() {
@@ -222,10 +231,12 @@
   }
 
   AgentState state;
+  // What is held for clients of the agent's ports.
+  std::shared_ptr<memory::HoldTable> holds;
   AgentStop stop{this->state};
   bool is_draining = false;
   std::unique_ptr<http::Server> server;
-  std::unique_ptr<Listener> listener;
+  std::unique_ptr<LinkDoor> door;
 };
 
 const PluginRegistration<StartRole> kRegistration("agent",
--- a/Services/bramleyspand/ClientGuard.cc
+++ b/Services/bramleyspand/ClientGuard.cc
@@ -4,6 +4,7 @@
 
 #include "LibTelemetry/Log.h"
 #include "LibTelemetry/Metrics.h"
+#include "Services/bramleyspand/Answers.h"
 
 namespace bramleyspan {
 
@@ -25,9 +26,19 @@
 
 }  // namespace
 
-http::IngressGuard GuardClients(const std::string& port,
-                                std::shared_ptr<memory::HoldTable> holds,
-                                size_t max_connections) {
+std::shared_ptr<memory::HoldTable> MakeHolds(const Settings& settings,
+                                             EventLoop& loop) {
+  return memory::MakeHoldTable(memory::LimitsOf(settings.memory_bytes),
+                               TimersOf(loop));
+}
+
+memory::ConnectionShares SharesOf(const Settings& settings) {
+  return memory::SharesOf(settings.max_descriptors, settings.memory_bytes);
+}
+
+http::CallerGuard GuardClients(const std::string& port,
+                               std::shared_ptr<memory::HoldTable> holds,
+                               size_t max_connections) {
   const memory::Account& account = holds->account;
   auto report = [port, &account](const http::TurnedAway& client) {
     telemetry::Count(
@@ -46,6 +57,13 @@
           .on_turned_away = std::move(report)};
 }
 
+http::Response RefusalForRoom() {
+  return ToResponse(
+      {.error = {ErrorCode::kUnavailable, "request", "no room for it"},
+       .run = RunState::kNotRun,
+       .retry_after = memory::kStallTime});
+}
+
 void UpdateHeldGauges(const memory::HoldTable& holds) {
   const memory::Account& account = holds.account;
   telemetry::SetGauge(kHeldBytes, {{"of", "all"}},
--- a/Services/bramleyspand/Entry/EntryRole.cc
+++ b/Services/bramleyspand/Entry/EntryRole.cc
@@ -1,7 +1,9 @@
 #include <utility>
 
+#include "Services/bramleyspand/ClientGuard.h"
 #include "Services/bramleyspand/Entry/EntryState.h"
 #include "Services/bramleyspand/Entry/EntryStop.h"
+#include "Services/bramleyspand/LinkDoor.h"
 #include "Services/bramleyspand/MetricsPage.h"
 #include "Services/bramleyspand/Role.h"
 
@@ -20,16 +22,21 @@
     const Settings& settings = this->state.settings;
     // An operator sends a complete catalogue: 1,500 owners take more than a
     // megabyte.
-    const http::ServerLimits limits{.max_body_bytes = kMaxOperatorBodyBytes};
+    const http::ServerLimits limits{
+        .max_body_bytes = kMaxOperatorBodyBytes,
+        .guard = GuardClients("callers", this->state.holds,
+                              SharesOf(settings).callers),
+        .refusal = RefusalForRoom()};
     this->server = TRY(http::Server::Listen(
         this->state.loop, {settings.ip, settings.caller_port}, limits,
         [this](const http::Request& request,
                const std::shared_ptr<http::Exchange>& exchange) {
           this->HandleRequest(request, exchange);
         }));
-    this->listener = TRY(Listener::Listen(
-        this->state.loop, {settings.ip, settings.link_port},
-        [this](h2o_socket_t* socket) { AcceptLink(this->state, socket); }));
+    this->door = TRY(LinkDoor::Open(this->state.loop, settings,
+                                    [this](h2o_socket_t* socket) {
+                                      return AcceptLink(this->state, socket);
+                                    }));
     StartCatalogueSource(this->state);
     StartLinks(this->state);
     EndOverdueCalls(this->state);
@@ -46,7 +53,7 @@
 
   void Close() override {
     this->server.reset();
-    this->listener.reset();
+    this->door.reset();
   }
 
  private:
@@ -76,12 +83,13 @@
     telemetry::SetGauge(kKeyValueCalls, {},
                         static_cast<double>(now.key_value.calls));
     UpdateSharedGauges(now.feed);
+    UpdateHeldGauges(*now.holds);
   }
 
   EntryState state;
   EntryStop stop{this->state};
   std::unique_ptr<http::Server> server;
-  std::unique_ptr<Listener> listener;
+  std::unique_ptr<LinkDoor> door;
 };
 
 const PluginRegistration<StartRole> kRegistration("entry",
--- a/Services/bramleyspand/Entry/EntryState.h
+++ b/Services/bramleyspand/Entry/EntryState.h
@@ -19,6 +19,7 @@
 #include "LibRouting/Routing.h"
 #include "Services/bramleyspand/Answers.h"
 #include "Services/bramleyspand/CatalogueFeed.h"
+#include "Services/bramleyspand/ClientGuard.h"
 #include "Services/bramleyspand/Link.h"
 #include "Services/bramleyspand/Settings.h"
 
@@ -75,11 +76,14 @@
   EntryState(EventLoop& loop, const Settings& settings)
       : loop(loop),
         settings(settings),
+        holds(MakeHolds(settings, loop)),
         client(loop),
         key_value(client, {.address = settings.key_value_service}) {}
 
   EventLoop& loop;
   Settings settings;
+  // What is held for callers and on links.
+  std::shared_ptr<memory::HoldTable> holds;
   http::Client client;
   platform::KeyValueClient key_value;
   CatalogueFeed feed;
@@ -117,7 +121,8 @@
 
 // Links.cc: keeps links to all agents and entries of the VM list.
 void StartLinks(EntryState& state);
-void AcceptLink(EntryState& state, h2o_socket_t* socket);
+std::shared_ptr<wire::Connection> AcceptLink(EntryState& state,
+                                             h2o_socket_t* socket);
 void AnnounceCatalogue(EntryState& state);
 void SendInForce(EntryState& state);
 void AnnounceLeaving(EntryState& state);
--- a/Services/bramleyspand/Entry/Links.cc
+++ b/Services/bramleyspand/Entry/Links.cc
@@ -156,10 +156,12 @@
   PollVmList(state);
 }
 
-void AcceptLink(EntryState& state, h2o_socket_t* socket) {
+std::shared_ptr<wire::Connection> AcceptLink(EntryState& state,
+                                             h2o_socket_t* socket) {
   // A link is registered only after the Hello frame with the peer's name.
   auto peer = std::make_shared<std::string>();
   wire::ConnectionEvents events;
+  events.holds = state.holds;
   events.on_frame = [&state, peer](wire::Connection& connection,
                                    const wire::FrameT& frame) {
     const auto* hello = frame.body.AsHello();
@@ -177,14 +179,8 @@
                                     const Error& error) {
     HandleClosed(state, *peer, connection, error);
   };
-  // From Hello on the link owns the connection; until then the timer below owns
-  // it.
-  auto connection = wire::Connection::Accept(socket, std::move(events));
-  state.loop.RunAfter(std::chrono::seconds(5), [connection, peer] {
-    if (peer->empty()) {
-      connection->Close();
-    }
-  });
+  // From Hello on the link owns the connection; until then its LinkDoor does.
+  return wire::Connection::Accept(socket, std::move(events));
 }
 
 void AnnounceCatalogue(EntryState& state) {
--- a/Services/bramleyspand/Gateway/GatewayRole.cc
+++ b/Services/bramleyspand/Gateway/GatewayRole.cc
@@ -182,8 +182,7 @@
   Result<void> ServeAll() {
     const FleetSettings& fleet = this->state.fleet();
     const std::string& ip = this->state.settings.ip;
-    const memory::ConnectionShares shares =
-        memory::SharesOf(fleet.max_descriptors, fleet.memory_bytes);
+    const memory::ConnectionShares shares = SharesOf(this->state.settings);
     this->callers = TRY(this->Serve(
         {fleet.callers, "callers", shares.callers,
          http::IngressLimits{}.max_body_bytes},
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -25,6 +25,7 @@
 #include "LibPlatform/PrefixFeed.h"
 #include "LibScheduling/DenialCooldowns.h"
 #include "LibScheduling/Forecast.h"
+#include "Services/bramleyspand/ClientGuard.h"
 #include "Services/bramleyspand/Settings.h"
 
 namespace bramleyspan::gatewayd {
@@ -43,9 +44,7 @@
   GatewayState(EventLoop& loop, const Settings& settings)
       : loop(loop),
         settings(settings),
-        holds(memory::MakeHoldTable(
-            memory::LimitsOf(settings.fleet->memory_bytes),
-            TimersOf(loop))),
+        holds(MakeHolds(settings, loop)),
         random(RandomBits()) {}
 
   EventLoop& loop;
--- a/Services/bramleyspand/Rank/RankRole.cc
+++ b/Services/bramleyspand/Rank/RankRole.cc
@@ -81,9 +81,7 @@
                       }),
         permit_offers(this->state),
         group_standstill(this->state),
-        holds(memory::MakeHoldTable(
-            memory::LimitsOf(settings.fleet->memory_bytes),
-            TimersOf(loop))) {}
+        holds(MakeHolds(settings, loop)) {}
 
   Result<void> Start() {
     const FleetSettings& fleet = this->state.fleet();
@@ -102,8 +100,7 @@
                                    const membership::wire::MessageT& message) {
                               this->HandleMessage(from_ip, message);
                             }));
-    const memory::ConnectionShares shares =
-        memory::SharesOf(fleet.max_descriptors, fleet.memory_bytes);
+    const memory::ConnectionShares shares = SharesOf(this->state.settings);
     this->metrics =
         TRY(this->Serve({ip, fleet.metrics_port}, "metrics", shares.metrics));
     this->internal =
--- a/Services/bramleyspand/Settings.cc
+++ b/Services/bramleyspand/Settings.cc
@@ -198,13 +198,9 @@
       TRY(RequireMilliseconds(lookup, "notice-bound-milliseconds"));
   fleet.usage_interval = TRY(RequireSeconds(lookup, "usage-interval-seconds"));
   fleet.group_fan_out = TRY(RequireFanOut(lookup));
-  constexpr double kBytesPerMegabyte = 1 << 20;
   constexpr double kBytesPerMegabit = 125'000;
   fleet.link_bytes_per_second =
       kBytesPerMegabit * TRY(RequireNumber(lookup, "link-megabits"));
-  fleet.memory_bytes = static_cast<uint64_t>(
-      kBytesPerMegabyte * TRY(RequireNumber(lookup, "memory-megabytes")));
-  fleet.max_descriptors = TRY(FindMaxDescriptors(lookup));
   if (role == "gateway" && !fleet.callers) {
     return FailFor("callers", lookup("callers"), "IP:PORT");
   }
@@ -238,6 +234,10 @@
     return FailFor("ip", own_ip, "an IPv4 number");
   }
   settings.log_filter = TRY(RequireLogFilter(lookup));
+  constexpr double kBytesPerMegabyte = 1 << 20;
+  settings.memory_bytes = static_cast<uint64_t>(
+      kBytesPerMegabyte * TRY(RequireNumber(lookup, "memory-megabytes")));
+  settings.max_descriptors = TRY(FindMaxDescriptors(lookup));
   if (settings.role == "gateway" || settings.role == "rank") {
     settings.fleet = TRY(ParseFleetSettings(lookup, settings.role));
     return settings;
--- a/Services/bramleyspand/Settings.h
+++ b/Services/bramleyspand/Settings.h
@@ -48,10 +48,6 @@
   uint32_t group_fan_out = 0;
   // Bandwidth of this machine's network link.
   double link_bytes_per_second = 0;
-  // Memory that the process may take.
-  uint64_t memory_bytes = 0;
-  // Descriptors that the process may have open.
-  uint64_t max_descriptors = 0;
 };
 
 // Checked settings of one process.
@@ -73,6 +69,9 @@
   // SHA-256 of the key that operators present, in hexadecimal.
   std::string operator_key_sha256;
   telemetry::LogFilter log_filter;
+  // Memory that the process may take, and descriptors that it may have open.
+  uint64_t memory_bytes = 0;
+  uint64_t max_descriptors = 0;
   // Set for the roles gateway and rank only.
   std::optional<FleetSettings> fleet;
 };
--- a/StandIns/Crowd.cc
+++ b/StandIns/Crowd.cc
@@ -7,6 +7,8 @@
 //   --bytes are sent.
 // - ahead: --requests requests, one after the other, without waiting.
 // - head: header lines of --piece_bytes, --bytes in all, that do not end.
+// - frame: a frame of the system's own links whose length is announced as
+//   --announced_bytes, of which --bytes are sent.
 // - silent: nothing.
 //
 // Answers are read and counted unless --is_reading=false. A connection that is
@@ -133,6 +135,14 @@
     client.is_done = true;
     return absl::GetFlag(FLAGS_is_ended) ? bytes + "0\r\n\r\n" : bytes;
   }
+  if (kind == "frame") {
+    const auto announced =
+        static_cast<uint32_t>(absl::GetFlag(FLAGS_announced_bytes));
+    for (unsigned byte = 0; is_first && byte < sizeof announced; ++byte) {
+      bytes += static_cast<char>((announced >> (8 * byte)) & 0xFF);
+    }
+    return bytes + std::string(piece, 'f');
+  }
   if (kind == "sized") {
     const auto announced = std::max(absl::GetFlag(FLAGS_announced_bytes),
                                     absl::GetFlag(FLAGS_bytes));
