LibHTTP: Bound a head by its bytes, not by its headers

What callers saw: a request with over 100 headers inside max_header_bytes was answered 400, an answer with as many 502.

Cause: the parser had room for 100 headers. It gets room for all lines of a head that has more; the limits of heads are in bytes.

--- a/Libraries/LibHTTP/Parser.cc
+++ b/Libraries/LibHTTP/Parser.cc
@@ -3,7 +3,6 @@
 #include <sys/types.h>
 
 #include <algorithm>
-#include <array>
 #include <cctype>
 #include <charconv>
 #include <vector>
@@ -53,10 +52,33 @@
 
 namespace {
 
-constexpr size_t kMaxHeaders = 100;
+// Heads with more headers are parsed once more, with room for all of them:
+// bounds belong to the bytes of a head.
+constexpr size_t kUsualHeaders = 100;
+constexpr size_t kMaxHeaders = 16384;
 constexpr int kIncomplete = -2;
 
-using RawHeaders = std::array<phr_header, kMaxHeaders>;
+using RawHeaders = std::vector<phr_header>;
+
+// Calls `parse` with room for the headers of `bytes`. Returns what it returns.
+template <typename Parse>
+int ParseWithRoom(std::string_view bytes,
+                  RawHeaders& raw,
+                  size_t& count,
+                  const Parse& parse) {
+  raw.resize(kUsualHeaders);
+  count = raw.size();
+  const int parsed = parse(raw, count);
+  const bool is_full = parsed < 0 && count == raw.size();
+  if (!is_full) {
+    return parsed;
+  }
+  const auto lines =
+      static_cast<size_t>(std::count(bytes.begin(), bytes.end(), '\n'));
+  raw.resize(std::clamp(lines, kUsualHeaders, kMaxHeaders));
+  count = raw.size();
+  return parse(raw, count);
+}
 
 bool is_equal_ignoring_case(std::string_view left, std::string_view right) {
   return left.size() == right.size() &&
@@ -155,15 +177,19 @@
 
 Result<std::optional<RequestHead>> ParseRequestHead(std::string_view bytes) {
   RawHeaders raw;
-  size_t count = raw.size();
+  size_t count = 0;
   RequestHead head;
   const char* method = nullptr;
   size_t method_length = 0;
   const char* target = nullptr;
   size_t target_length = 0;
-  const int parsed = phr_parse_request(
-      bytes.data(), bytes.size(), &method, &method_length, &target,
-      &target_length, &head.minor_version, raw.data(), &count, 0);
+  const int parsed = ParseWithRoom(
+      bytes, raw, count, [&](RawHeaders& headers, size_t& header_count) {
+        return phr_parse_request(bytes.data(), bytes.size(), &method,
+                                 &method_length, &target, &target_length,
+                                 &head.minor_version, headers.data(),
+                                 &header_count, 0);
+      });
   if (parsed == kIncomplete) {
     return std::optional<RequestHead>();
   }
@@ -183,13 +209,16 @@
 
 Result<std::optional<AnswerHead>> ParseAnswerHead(std::string_view bytes) {
   RawHeaders raw;
-  size_t count = raw.size();
+  size_t count = 0;
   AnswerHead head;
   const char* reason = nullptr;
   size_t reason_length = 0;
-  const int parsed = phr_parse_response(
-      bytes.data(), bytes.size(), &head.minor_version, &head.status, &reason,
-      &reason_length, raw.data(), &count, 0);
+  const int parsed = ParseWithRoom(
+      bytes, raw, count, [&](RawHeaders& headers, size_t& header_count) {
+        return phr_parse_response(
+            bytes.data(), bytes.size(), &head.minor_version, &head.status,
+            &reason, &reason_length, headers.data(), &header_count, 0);
+      });
   if (parsed == kIncomplete) {
     return std::optional<AnswerHead>();
   }
--- a/StandIns/Crowd.cc
+++ b/StandIns/Crowd.cc
@@ -158,6 +158,15 @@
                    : bytes;
 }
 
+void HandleClosed(Client& client, Totals& totals) {
+  close(client.descriptor);
+  client.descriptor = -1;
+  client.opens_at = absl::GetFlag(FLAGS_is_returning)
+                        ? Clock::now() + kReturnPause
+                        : Clock::time_point::max();
+  ++totals.closed;
+}
+
 void Open(Client& client, Totals& totals, const sockaddr_in& server) {
   client = Client{.opened = Clock::now()};
   client.descriptor = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
@@ -166,18 +175,14 @@
     setsockopt(client.descriptor, SOL_SOCKET, SO_RCVBUF, &kSmallBuffer,
                sizeof kSmallBuffer);
   }
-  connect(client.descriptor, reinterpret_cast<const sockaddr*>(&server),
-          sizeof server);
   ++totals.opened;
-}
-
-void HandleClosed(Client& client, Totals& totals) {
-  close(client.descriptor);
-  client.descriptor = -1;
-  client.opens_at = absl::GetFlag(FLAGS_is_returning)
-                        ? Clock::now() + kReturnPause
-                        : Clock::time_point::max();
-  ++totals.closed;
+  const bool is_failed =
+      connect(client.descriptor, reinterpret_cast<const sockaddr*>(&server),
+              sizeof server) != 0 &&
+      errno != EINPROGRESS;
+  if (is_failed) {
+    HandleClosed(client, totals);
+  }
 }
 
 // Returns whether the connection is still open.
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -78,6 +78,16 @@
     --peer_ports=7340,7355 --seeds="$NET.1.1:1,$NET.1.2:1" --group_fan_out="${FAN_OUT:-12}"
 }
 
+# kill_gateways: kills both gateways and waits for their ends, so that their
+# addresses are free.
+kill_gateways() {
+  local n
+  for n in 1 2; do
+    kill -KILL "${PIDS[gateway-$n]}"
+    wait "${PIDS[gateway-$n]}" 2>/dev/null || true
+  done
+}
+
 is_ready() { curl -sf -m 1 -o /dev/null "http://$NET.1.$1:8082/readiness"; }
 
 # Starts the platform, two gateways and the agents of RANKS ranks (default 2),
