Gateway, LibHTTP: Let an answer wait for its room before it is read

Cause: an answer without room was cut, as one without end has to be.

Change: an answer whose head names a length that can fit is not read until it has its room; its target can't send on meanwhile. It holds nothing while it waits, so that no two wait for each other, and its caller's deadline bounds the wait.

--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -15,6 +15,7 @@
 
 constexpr size_t kMaxAnswerHeadBytes = 65536;
 constexpr size_t kMaxInterimHeads = 16;
+constexpr int kPausedReceiveBytes = 32768;
 
 }  // namespace
 
@@ -200,6 +201,10 @@
   // arrived before it. So the result of the write is ignored.
   h2o_socket_write(this->socket, buffers.data(), this->body().empty() ? 1 : 2,
                    [](h2o_socket_t*, const char*) {});
+  this->StartReading();
+}
+
+void DirectCall::StartReading() {
   h2o_socket_read_start(
       this->socket, [](h2o_socket_t* source, const char* read_failure) {
         auto call = static_cast<DirectCall*>(source->data)->shared_from_this();
@@ -207,6 +212,25 @@
       });
 }
 
+void DirectCall::Pause() {
+  if (this->is_ended || std::exchange(this->is_paused, true)) {
+    return;
+  }
+  // The system goes on to receive for a connection that is not read.
+  setsockopt(h2o_socket_get_fd(this->socket), SOL_SOCKET, SO_RCVBUF,
+             &kPausedReceiveBytes, sizeof kPausedReceiveBytes);
+  h2o_socket_read_stop(this->socket);
+}
+
+void DirectCall::Resume() {
+  if (this->is_ended || !std::exchange(this->is_paused, false)) {
+    return;
+  }
+  auto keep_until_return = this->shared_from_this();
+  this->StartReading();
+  this->ReadBody();
+}
+
 void DirectCall::HandleReadable(const char* failure) {
   h2o_buffer_t* received = this->socket->input;
   if (received->size != 0) {
@@ -215,7 +239,7 @@
     if (!this->has_head) {
       this->ReadHead();
     }
-    if (this->has_head && !this->is_ended) {
+    if (this->has_head && !this->is_ended && !this->is_paused) {
       this->ReadBody();
     }
   }
--- a/Libraries/LibHTTP/DirectCall.h
+++ b/Libraries/LibHTTP/DirectCall.h
@@ -116,11 +116,17 @@
   // Closes the connection. No callback is called afterwards.
   void Cancel();
 
+  // Reads nothing of the answer until Resume, so that its server can't send on.
+  // Resume is not to be called from a callback of this call.
+  void Pause();
+  void Resume();
+
  private:
   explicit DirectCall(EventLoop& loop) : loop(loop) {}
 
   void Connect();
   void HandleConnected(const char* failure);
+  void StartReading();
   void HandleReadable(const char* failure);
   void ReadHead();
   void ReadBody();
@@ -143,6 +149,7 @@
   bool has_head = false;
   bool is_reusable = false;
   bool is_ended = false;
+  bool is_paused = false;
   BodyReader reader;
   TimerId timer = 0;
   TimerId connect_timer = 0;
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -178,8 +178,11 @@
   // Records what the head of the target's own answer asks of its callers.
   void RecordSignals(const http::AnswerHead& head);
   void HandleBytes(std::string_view bytes);
-  // Counts what the present answer takes, and ends it if there is no room.
-  void CountAnswer(size_t bytes);
+  // Counts what the present answer takes. Returns whether there is room.
+  bool CountAnswer(size_t bytes);
+  // Takes the room of an answer whose length is known before it is read, or
+  // reads nothing of it until there is room.
+  void AwaitRoom(size_t bytes);
   // Ends the attempt because its answer takes too much memory.
   void CutAnswer();
   // Drops an answer that is passed on to nobody, and ends it if it goes on and
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -37,6 +37,8 @@
 constexpr size_t kMaxDroppedBytes = 65536;
 // A longer event would end its caller's connection, see IngressLimits.
 constexpr size_t kMaxEventBytes = size_t{1} << 20;
+// How often an answer without room asks again.
+constexpr Duration kRoomInterval = std::chrono::milliseconds(25);
 
 http::HeaderList AnswerHeaders(const http::AnswerHead& head) {
   http::HeaderList headers;
@@ -75,11 +77,7 @@
   const bool is_length_known = framing.framing == http::BodyFraming::kLength &&
                                this->answer.use == gateway::BodyUse::kWhole;
   if (is_length_known) {
-    this->CountAnswer(framing.length);
-    // Not if it was cut for want of room.
-    if (this->answer.head) {
-      this->answer.body.reserve(framing.length);
-    }
+    this->AwaitRoom(framing.length);
   }
 }
 
@@ -102,12 +100,12 @@
   }
   if (this->answer.events.partial_bytes() > kMaxEventBytes) {
     this->CutAnswer();
-  } else if (this->answer.held_bytes() > this->answer_hold.bytes()) {
-    this->CountAnswer(this->answer.held_bytes());
+  } else if (!this->CountAnswer(this->answer.held_bytes())) {
+    this->CutAnswer();
   }
 }
 
-void Forwarding::CountAnswer(size_t bytes) {
+bool Forwarding::CountAnswer(size_t bytes) {
   if (!this->answer_hold.is_counted()) {
     this->answer_hold =
         memory::Hold(this->state.holds, memory::Stage::kAnswerComing,
@@ -118,9 +116,33 @@
                        }
                      });
   }
-  if (!this->answer_hold.Resize(bytes)) {
+  return (bytes <= this->answer_hold.bytes()) ||
+         this->answer_hold.Resize(bytes);
+}
+
+void Forwarding::AwaitRoom(size_t bytes) {
+  const memory::AccountLimits& limits = this->state.holds->account.limits;
+  if (this->CountAnswer(bytes)) {
+    this->answer.body.reserve(bytes);
+    this->call->Resume();
+    return;
+  }
+  if (bytes > limits.all - limits.reserve) {
     this->CutAnswer();
+    return;
   }
+  // Its target has answered in time; the caller's deadline bounds the wait.
+  this->state.loop.Cancel(std::exchange(this->attempt_timer, 0));
+  this->call->Pause();
+  this->state.loop.RunAfter(kRoomInterval,
+                            [weak = this->weak_from_this(), bytes,
+                             paused = std::weak_ptr(this->call)] {
+                              const auto self = weak.lock();
+                              if (self != nullptr && self->call != nullptr &&
+                                  self->call == paused.lock()) {
+                                self->AwaitRoom(bytes);
+                              }
+                            });
 }
 
 void Forwarding::DropBytes(std::string_view bytes) {
--- a/Tests/LibHTTP/TestIngressMemory.cc
+++ b/Tests/LibHTTP/TestIngressMemory.cc
@@ -1,6 +1,8 @@
 #include <doctest/doctest.h>
 
 #include "IngressFixture.h"
+#include "LibHTTP/DirectCall.h"
+#include "RawServer.h"
 
 namespace bramleyspan::http {
 
@@ -163,4 +165,34 @@
   CHECK(fixture.ingress->open_connections() <= 2);
 }
 
+TEST_CASE("A call that is paused passes nothing on until it is resumed") {
+  EventLoop loop;
+  RawServer server(loop, "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello",
+                   true, false);
+  std::shared_ptr<DirectCall> call;
+  std::string body;
+  CallEnd outcome = CallEnd::kNotSent;
+  call = DirectCall::Start(
+      loop,
+      {.target = {"127.0.0.1", server.listener->port()},
+       .headers = {{"host", "x"}}},
+      {.on_head =
+           [&](const AnswerHead&, const MessageFraming&) {
+             call->Pause();
+             loop.RunAfter(std::chrono::milliseconds(100), [&] {
+               CHECK(body.empty());
+               call->Resume();
+             });
+           },
+       .on_bytes = [&](std::string_view bytes) { body.append(bytes); },
+       .on_end =
+           [&](CallEnd end) {
+             outcome = end;
+             loop.Stop();
+           }});
+  loop.Run();
+  CHECK(outcome == CallEnd::kWhole);
+  CHECK(body == "hello");
+}
+
 }  // namespace bramleyspan::http
