LibHTTP: End no request of HTTP/2 whose body is coming as its entry stops

Cause: told to shut down, h2o announces the end of each connection of HTTP/2 and ends the requests that are coming a second later.

Change: h2o is told of the end of HTTP/2 apart from HTTP/1, once it has no request that it has not passed on; what it has is asked of it (foreach_request), so that the stop counts such requests as being read as well.

--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -341,6 +341,9 @@
   ServerLimits limits;
   EventLoop* loop = nullptr;
   std::set<std::shared_ptr<Exchange>> exchanges;
+  // The requests that have come whole, until h2o frees them.
+  std::set<const h2o_req_t*> whole_requests;
+  bool has_announced_http2_end = false;
   ServerConnections connections;
 
   void StopServing() {
@@ -372,6 +375,43 @@
         this->loop->RunAfter(kHeldCheckInterval, [this] { this->CheckHeld(); });
   }
 
+  // Returns how many requests of HTTP/2 are coming: those that h2o has and has
+  // not passed on.
+  size_t CountComingHttp2() {
+    struct Count {
+      const Internals* internals;
+      size_t coming;
+    } count{this, 0};
+    this->config.http2.callbacks.foreach_request(
+        &this->context,
+        [](h2o_req_t* request, void* data) {
+          auto* found = static_cast<Count*>(data);
+          found->coming +=
+              found->internals->whole_requests.contains(request) ? 0 : 1;
+          return 0;
+        },
+        &count);
+    return count.coming;
+  }
+
+  // h2o announces the end of a connection of HTTP/2 and ends the requests that
+  // are coming a second later, so that it is told once none is.
+  void AnnounceHttp2End() {
+    if (!this->has_announced_http2_end && this->CountComingHttp2() == 0) {
+      this->has_announced_http2_end = true;
+      this->config.http2.callbacks.request_shutdown(&this->context);
+    }
+  }
+
+  void StartDrain() {
+    this->context.shutdown_requested = 1;
+    if (this->config.http1.callbacks.request_shutdown != nullptr) {
+      this->config.http1.callbacks.request_shutdown(&this->context);
+    }
+    this->AnnounceHttp2End();
+    this->connections.StartDrain();
+  }
+
   void Accept(h2o_socket_t* accepted) {
     if (!this->connections.MakePlace()) {
       const int descriptor = h2o_socket_get_fd(accepted);
@@ -390,6 +430,7 @@
 
   int HandleRequest(h2o_req_t* request) {
     struct DisposalHook {
+      h2o_req_t* request;
       std::shared_ptr<Exchange> exchange;
       Internals* internals;
       h2o_socket_t* socket;
@@ -407,10 +448,12 @@
         &request->pool, sizeof(DisposalHook), [](void* memory) {
           auto* hook = static_cast<DisposalHook*>(memory);
           hook->internals->exchanges.erase(hook->exchange);
+          hook->internals->whole_requests.erase(hook->request);
           hook->internals->connections.EndExchange(hook->socket);
           hook->exchange->HandleDisposal();
           std::destroy_at(hook);
-        })) DisposalHook{exchange, this, socket};
+        })) DisposalHook{request, exchange, this, socket};
+    this->whole_requests.insert(request);
     constexpr int kHttp2 = 0x200;
     const size_t body_bytes = request->entity.len;
     this->connections.BeginExchange(socket, request->version >= kHttp2,
@@ -475,8 +518,7 @@
 }
 
 void Server::StartDrain() {
-  h2o_context_request_shutdown(&this->internals->context);
-  this->internals->connections.StartDrain();
+  this->internals->StartDrain();
 }
 
 void Server::StopListening() {
@@ -496,7 +538,12 @@
 
 ServerWork Server::CountWork() {
   this->internals->connections.Check();
-  return this->internals->connections.CountWork();
+  if (this->internals->context.shutdown_requested != 0) {
+    this->internals->AnnounceHttp2End();
+  }
+  ServerWork work = this->internals->connections.CountWork();
+  work.reading += this->internals->CountComingHttp2();
+  return work;
 }
 
 uint16_t Server::port() const {
