--- a/Services/bramleyspand/Main.cc
+++ b/Services/bramleyspand/Main.cc
@@ -96,8 +96,12 @@
   WatchFiles(loop, *role, StampOfFiles());
   const bool has_engine = settings.fleet && settings.fleet->engine;
   WatchStandstills(loop, has_engine ? Format(*settings.fleet->engine) : "");
-  telemetry::Log(telemetry::LogLevel::kInfo, "main", "started",
-                 {{"role", settings.role}, {"zone", settings.zone}});
+  telemetry::Log(
+      telemetry::LogLevel::kInfo, "main", "started",
+      {{"role", settings.role},
+       {"zone", settings.zone},
+       {"memory_bytes", std::to_string(settings.memory_bytes)},
+       {"max_descriptors", std::to_string(settings.max_descriptors)}});
   loop.Run();
   // Callbacks of timers own requests, which use the role until they are gone.
   role->Close();
