--- a/Libraries/LibHTTP/AnswerText.cc
+++ b/Libraries/LibHTTP/AnswerText.cc
@@ -5,9 +5,7 @@
 
 namespace bramleyspan::http {
 
-namespace {
-
-std::string_view ReasonOf(int status) {
+const char* ReasonOf(int status) {
   switch (status) {
     case 200:
       return "OK";
@@ -15,10 +13,14 @@
       return "Bad Request";
     case 401:
       return "Unauthorized";
+    case 403:
+      return "Forbidden";
     case 404:
       return "Not Found";
     case 408:
       return "Request Timeout";
+    case 409:
+      return "Conflict";
     case 413:
       return "Payload Too Large";
     case 429:
@@ -36,8 +38,6 @@
   }
 }
 
-}  // namespace
-
 std::string SerializeHead(int status,
                           const HeaderList& headers,
                           std::string_view framing,
--- a/Libraries/LibHTTP/AnswerText.h
+++ b/Libraries/LibHTTP/AnswerText.h
@@ -8,6 +8,9 @@
 
 namespace bramleyspan::http {
 
+// Returns the reason phrase of a status.
+const char* ReasonOf(int status);
+
 // Returns the status line and headers. `framing` is the line that says where
 // the body ends; the last answer of a connection says that it closes.
 std::string SerializeHead(int status,
--- a/Libraries/LibHTTP/IngressConnection.h
+++ b/Libraries/LibHTTP/IngressConnection.h
@@ -72,6 +72,7 @@
   // Returns for how long the caller has taken nothing of what waits for it.
   Duration CheckDelivery(TimePoint now);
   void CheckLingering(TimePoint now);
+  Duration longest_idle_time() const;
 
   void EndAnswer();
   void Linger();
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -98,9 +98,9 @@
   if (this->is_finished || this->call == nullptr) {
     return;
   }
-  if (this->answer.events.partial_bytes() > kMaxEventBytes) {
-    this->CutAnswer();
-  } else if (!this->CountAnswer(this->answer.held_bytes())) {
+  const bool is_event_too_long =
+      this->answer.events.partial_bytes() > kMaxEventBytes;
+  if (is_event_too_long || !this->CountAnswer(this->answer.held_bytes())) {
     this->CutAnswer();
   }
 }
