LibMemory: Let a single large request have room beyond the share of large ones

What callers would see: where a desired state allows bodies over three sixteenths of the machine's memory (21 MB of 112), a single one of that size is refused for ever, in calm as well.

Cause: large ones together may have three quarters of the account, whatever one of them needs.

Change: one large holder may have half of the machine's memory while there is no other; what it has beyond the share is not counted against small ones.

--- a/Libraries/LibMemory/Account.cc
+++ b/Libraries/LibMemory/Account.cc
@@ -8,6 +8,7 @@
 
 constexpr size_t kShareDivisor = 4;
 constexpr size_t kReserveDivisor = 4;
+constexpr size_t kSingleDivisor = 2;
 // The span in which freed bytes are counted.
 constexpr Duration kFreedSpan = std::chrono::seconds(2);
 constexpr Duration kMinRetryTime = std::chrono::milliseconds(100);
@@ -32,11 +33,22 @@
                            LargePart(account, after)};
 }
 
+size_t LimitOfLarge(const AccountLimits& limits) {
+  return limits.all - limits.reserve;
+}
+
 bool is_within(const Account& account, const Totals& totals, size_t wanted) {
   const AccountLimits& limits = account.limits;
-  return totals.held <= limits.all &&
-         (!is_large(account, wanted) ||
-          totals.held_by_large <= limits.all - limits.reserve);
+  // What a single large holder has beyond the limit is no loss of small ones.
+  const size_t counted = totals.held - totals.held_by_large +
+                         std::min(totals.held_by_large, LimitOfLarge(limits));
+  if (counted > limits.all) {
+    return false;
+  }
+  const bool is_single =
+      totals.held_by_large == wanted && wanted <= limits.single;
+  return !is_large(account, wanted) || is_single ||
+         totals.held_by_large <= LimitOfLarge(limits);
 }
 
 bool is_stalled(const Holder& holder, TimePoint now) {
@@ -118,7 +130,13 @@
 
 AccountLimits LimitsOf(uint64_t process_bytes) {
   const auto all = static_cast<size_t>(process_bytes / kShareDivisor);
-  return {.all = all, .reserve = all / kReserveDivisor};
+  return {.all = all,
+          .reserve = all / kReserveDivisor,
+          .single = static_cast<size_t>(process_bytes / kSingleDivisor)};
+}
+
+bool can_ever_fit(const AccountLimits& limits, size_t bytes) {
+  return bytes <= std::max(LimitOfLarge(limits), limits.single);
 }
 
 HolderId AddHolder(Account& account, Stage stage, TimePoint now) {
@@ -184,9 +202,8 @@
 }
 
 Duration TimeUntilRoom(const Account& account, size_t bytes, TimePoint now) {
-  const size_t limit = is_large(account, bytes)
-                           ? account.limits.all - account.limits.reserve
-                           : account.limits.all;
+  const size_t limit = is_large(account, bytes) ? LimitOfLarge(account.limits)
+                                                : account.limits.all;
   const size_t held =
       is_large(account, bytes) ? account.held_by_large : account.held;
   const size_t lacking = held + bytes > limit ? held + bytes - limit : 0;
--- a/Libraries/LibMemory/Account.h
+++ b/Libraries/LibMemory/Account.h
@@ -44,8 +44,14 @@
   size_t reserve = 0;
   // A holder with more bytes is large.
   size_t small = 65536;
+  // What one large holder may have while there is no other, even if that is
+  // more than large ones may have together: a limit on requests may allow it.
+  size_t single = 0;
 };
 
+// Whether a holder can have so many bytes when there is no other.
+bool can_ever_fit(const AccountLimits& limits, size_t bytes);
+
 // Returns the limits for a process that may take so much memory in all. What
 // it holds takes more than its bytes while buffers grow and are copied, and the
 // system holds as much again that the process has not read.
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -121,13 +121,12 @@
 }
 
 void Forwarding::AwaitRoom(size_t bytes) {
-  const memory::AccountLimits& limits = this->state.holds->account.limits;
   if (this->CountAnswer(bytes)) {
     this->answer.body.reserve(bytes);
     this->call->Resume();
     return;
   }
-  if (bytes > limits.all - limits.reserve) {
+  if (!memory::can_ever_fit(this->state.holds->account.limits, bytes)) {
     this->CutAnswer();
     return;
   }
