LibHTTP: End no request at work at an entry for others

What callers would see: while an entry is short of room, a call with a body over 8 KB that has run for over a second loses its connection to another caller's request.

Cause: what h2o holds of a connection stayed counted as coming, and so without progress, once its request was at work.

Change: a connection's count is at work from the moment its request is passed on, and begins anew after its answer.

--- a/Libraries/LibHTTP/ServerConnections.cc
+++ b/Libraries/LibHTTP/ServerConnections.cc
@@ -160,6 +160,8 @@
   ServerConnection& connection = *this->connections.at(socket);
   ++connection.open;
   connection.announced_bytes.reset();
+  // From now on it is not ended for others.
+  connection.hold.SetStage(memory::Stage::kAtWork, nullptr);
   connection.used_bytes =
       std::min(connection.used_bytes + body_bytes + kFramingOfRequest,
                socket->bytes_read);
@@ -171,6 +173,10 @@
   ServerConnection& connection = *this->connections.at(socket);
   --connection.open;
   connection.busy_at = EventLoop::Now();
+  if (connection.open == 0) {
+    // What comes next is counted anew.
+    connection.hold.Release();
+  }
 }
 
 void ServerConnections::StartDrain() {
@@ -271,7 +277,8 @@
   }
   if (!connection.hold.is_counted()) {
     connection.hold = memory::Hold(
-        this->guard.holds, memory::Stage::kComing,
+        this->guard.holds,
+        connection.open == 0 ? memory::Stage::kComing : memory::Stage::kAtWork,
         [this, socket = connection.socket] { this->HandleEnded(socket); });
   }
   connection.hold.RecordProgress(connection.bytes_read_by_hold - before);
