Kernel, LibHTTP, LibMemory: Say what three comments meant

SocketBytes.h also has what h2o holds, kHeadBytes is no copy, and the rest of a process's memory was described as if the system held it twice. Comments only.

--- a/Kernel/SocketBytes.h
+++ b/Kernel/SocketBytes.h
@@ -1,4 +1,4 @@
-// What the system holds of a connection. Where it can't tell, nothing.
+// What the system and h2o hold of a connection, and whether it is still open.
 #pragma once
 
 #include <cstddef>
--- a/Libraries/LibHTTP/Server.cc
+++ b/Libraries/LibHTTP/Server.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr Duration kHeldCheckInterval = std::chrono::milliseconds(20);
-// A request is held by h2o and as a copy, with its head.
+// Bytes that a request is counted with besides its body.
 constexpr size_t kHeadBytes = 4096;
 
 // An h2o handler with a pointer to its server.
--- a/Libraries/LibMemory/Account.h
+++ b/Libraries/LibMemory/Account.h
@@ -52,9 +52,9 @@
 // Whether a holder can have so many bytes when there is no other.
 bool can_ever_fit(const AccountLimits& limits, size_t bytes);
 
-// Returns the limits for a process that may take so much memory in all. What
-// it holds takes more than its bytes while buffers grow and are copied, and the
-// system holds as much again that the process has not read.
+// Returns the limits for a process that may take so much memory in all. The
+// rest is for the process itself, for buffers that are copied as they grow, and
+// for what has come on its connections and was not read yet.
 AccountLimits LimitsOf(uint64_t process_bytes);
 
 struct Account {
