--- a/review/standins-2/Platform.cc
+++ b/review/standins-2/Platform.cc
@@ -875,6 +875,7 @@
   Lists first(kSets, std::vector<std::vector<int>>(
                          static_cast<size_t>(rank_count)));
   for (auto& set : first) {
+    if (rank_count == 0) break;
     for (int e = 0; e < kExperts; ++e) {
       set[static_cast<size_t>(e % rank_count)].push_back(e);
     }
