--- a/review/standins-2/Clients.cc
+++ b/review/standins-2/Clients.cc
@@ -1,7 +1,8 @@
 // Clients of a gateway: sends requests at a steady rate to one or more
 // gateways, each on a channel of its own, and writes one line for each to the
 // standard output: when it was sent, its attempt id, its path, the status, what
-// became of it (whole, cut, closed, refused, late, foreign) and how long it took.
+// became of it (whole, cut, closed, refused, late, foreign) and how long it
+// took.
 //
 //   Clients --to=IP:PORT[,IP:PORT] --path=/draft/x --prefix=a --per_second=N
 //           --seconds=N [--method=POST] [--key=KEY] [--deadline_ms=N]
@@ -33,8 +34,11 @@
   std::string what;
 };
 
-Outcome Ask(const std::string& ip, int port, const std::string& request,
-            const std::string& attempt, int deadline_ms) {
+Outcome Ask(const std::string& ip,
+            int port,
+            const std::string& request,
+            const std::string& attempt,
+            int deadline_ms) {
   const int fd = socket(AF_INET, SOCK_STREAM, 0);
   const auto until = Clock::now() + milliseconds(deadline_ms);
   sockaddr_in address{};
@@ -63,7 +67,8 @@
     setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &time, sizeof time);
     char buffer[65536];
     const ssize_t n = recv(fd, buffer, sizeof buffer, 0);
-    if (n == 0) break;
+    if (n == 0)
+      break;
     if (n < 0) {
       if (errno == EAGAIN || errno == EWOULDBLOCK) {
         is_late = true;
@@ -74,19 +79,22 @@
     }
     input.append(buffer, static_cast<size_t>(n));
     const size_t head = input.find("\r\n\r\n");
-    if (head == std::string::npos) continue;
+    if (head == std::string::npos)
+      continue;
     const size_t length = input.find("ontent-length: ");
     if (length != std::string::npos && length < head) {
       const size_t bytes =
           std::strtoul(input.c_str() + length + 15, nullptr, 10);
-      if (input.size() >= head + 4 + bytes) break;
+      if (input.size() >= head + 4 + bytes)
+        break;
     } else if (input.ends_with("0\r\n\r\n")) {
       break;
     }
   }
   close(fd);
   const size_t head = input.find("\r\n\r\n");
-  if (head != std::string::npos) outcome.status = std::atoi(input.c_str() + 9);
+  if (head != std::string::npos)
+    outcome.status = std::atoi(input.c_str() + 9);
   const bool is_chunked =
       input.substr(0, head).find("hunked") != std::string::npos;
   if (is_late) {
@@ -128,18 +136,27 @@
     const size_t equals = word.find('=');
     const std::string name = word.substr(0, equals);
     const std::string value = word.substr(equals + 1);
-    if (name == "--to") to = value;
-    if (name == "--path") path = value;
-    if (name == "--prefix") prefix = value;
-    if (name == "--method") method = value;
-    if (name == "--key") key = value;
-    if (name == "--per_second") per_second = std::stod(value);
-    if (name == "--seconds") seconds = std::stoi(value);
-    if (name == "--deadline_ms") deadline_ms = std::stoi(value);
+    if (name == "--to")
+      to = value;
+    if (name == "--path")
+      path = value;
+    if (name == "--prefix")
+      prefix = value;
+    if (name == "--method")
+      method = value;
+    if (name == "--key")
+      key = value;
+    if (name == "--per_second")
+      per_second = std::stod(value);
+    if (name == "--seconds")
+      seconds = std::stoi(value);
+    if (name == "--deadline_ms")
+      deadline_ms = std::stoi(value);
   }
   std::vector<std::string> gateways;
   std::istringstream list(to);
-  for (std::string one; std::getline(list, one, ',');) gateways.push_back(one);
+  for (std::string one; std::getline(list, one, ',');)
+    gateways.push_back(one);
   const auto begin = Clock::now();
   std::vector<std::thread> threads;
   const int total = static_cast<int>(per_second * seconds);
@@ -152,24 +169,29 @@
       const size_t colon = gateway.find(':');
       const std::string attempt = prefix + "-" + std::to_string(n);
       const std::string body = method == "GET" ? "" : "prompt";
-      const std::string request =
-          method + " " + path + " HTTP/1.1\r\nHost: app.test\r\nX-Attempt-Id: " +
-          attempt + "\r\nX-Api-Key: " + key + "\r\nX-Deadline-Ms: " +
-          std::to_string(deadline_ms) + "\r\nContent-Length: " +
-          std::to_string(body.size()) + "\r\n\r\n" + body;
+      std::string request = method;
+      request.append(" ").append(path).append(" HTTP/1.1\r\nHost: app.test");
+      request.append("\r\nX-Attempt-Id: ").append(attempt);
+      request.append("\r\nX-Api-Key: ").append(key);
+      request.append("\r\nX-Deadline-Ms: ");
+      request.append(std::to_string(deadline_ms));
+      request.append("\r\nContent-Length: ");
+      request.append(std::to_string(body.size()));
+      request.append("\r\n\r\n").append(body);
       const auto wall = std::chrono::duration_cast<milliseconds>(
           std::chrono::system_clock::now().time_since_epoch());
       const auto sent = Clock::now();
       const Outcome outcome =
           Ask(gateway.substr(0, colon), std::atoi(gateway.c_str() + colon + 1),
               request, attempt, deadline_ms);
-      const auto took = std::chrono::duration_cast<milliseconds>(
-          Clock::now() - sent);
+      const auto took =
+          std::chrono::duration_cast<milliseconds>(Clock::now() - sent);
       const std::lock_guard guard(output);
       std::cout << wall.count() << " " << attempt << " " << path << " "
                 << outcome.status << " " << outcome.what << " " << took.count()
                 << "ms" << std::endl;
     });
   }
-  for (auto& thread : threads) thread.join();
+  for (auto& thread : threads)
+    thread.join();
 }
--- a/review/standins-2/Crowd.cc
+++ b/review/standins-2/Crowd.cc
@@ -25,15 +25,20 @@
     const size_t equals = word.find('=');
     const std::string name = word.substr(0, equals);
     const std::string value = word.substr(equals + 1);
-    if (name == "--to") to = value;
-    if (name == "--count") clients = std::stoi(value);
-    if (name == "--head_bytes") head_bytes = std::stoul(value);
-    if (name == "--seconds") seconds = std::stoi(value);
+    if (name == "--to")
+      to = value;
+    if (name == "--count")
+      clients = std::stoi(value);
+    if (name == "--head_bytes")
+      head_bytes = std::stoul(value);
+    if (name == "--seconds")
+      seconds = std::stoi(value);
   }
   std::string request =
       "POST /issue/x HTTP/1.1\r\nHost: app.test\r\nX-Api-Key: key-huber\r\n"
       "X-Deadline-Ms: 8000\r\nContent-Length: 100\r\n";
-  while (request.size() + 6 <= head_bytes) request += "a:\r\n";
+  while (request.size() + 6 <= head_bytes)
+    request += "a:\r\n";
   request += "\r\n" + std::string(99, 'x');
   const size_t colon = to.find(':');
   sockaddr_in address{};
@@ -56,7 +61,8 @@
   sleep(static_cast<unsigned>(seconds));
   poll(channels.data(), channels.size(), 0);
   size_t ended = 0;
-  for (const pollfd& channel : channels) ended += channel.revents != 0 ? 1 : 0;
-  std::cout << channels.size() << " opened, " << ended
-            << " answered or closed" << std::endl;
+  for (const pollfd& channel : channels)
+    ended += channel.revents != 0 ? 1 : 0;
+  std::cout << channels.size() << " opened, " << ended << " answered or closed"
+            << std::endl;
 }
--- a/review/standins-2/Platform.cc
+++ b/review/standins-2/Platform.cc
@@ -75,7 +75,8 @@
   while (sent < bytes.size()) {
     const ssize_t n =
         send(fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
-    if (n <= 0) return false;
+    if (n <= 0)
+      return false;
     sent += static_cast<size_t>(n);
   }
   return true;
@@ -87,7 +88,8 @@
   bool Fill() {
     char buffer[65536];
     const ssize_t n = recv(fd, buffer, sizeof buffer, 0);
-    if (n <= 0) return false;
+    if (n <= 0)
+      return false;
     input.append(buffer, static_cast<size_t>(n));
     return true;
   }
@@ -100,7 +102,8 @@
   bool Read(Request& request) {
     size_t end;
     while ((end = input.find("\r\n\r\n")) == std::string::npos) {
-      if (!Fill()) return false;
+      if (!Fill())
+        return false;
     }
     std::istringstream head(input.substr(0, end));
     std::string line, version;
@@ -112,26 +115,32 @@
     request.query =
         mark == std::string::npos ? "" : request.target.substr(mark + 1);
     while (std::getline(head, line)) {
-      if (!line.empty() && line.back() == '\r') line.pop_back();
+      if (!line.empty() && line.back() == '\r')
+        line.pop_back();
       const size_t colon = line.find(':');
-      if (colon == std::string::npos) continue;
+      if (colon == std::string::npos)
+        continue;
       std::string name = line.substr(0, colon);
-      for (char& c : name) c = static_cast<char>(tolower(c));
+      for (char& c : name)
+        c = static_cast<char>(tolower(c));
       size_t at = colon + 1;
-      while (at < line.size() && line[at] == ' ') ++at;
+      while (at < line.size() && line[at] == ' ')
+        ++at;
       request.headers[name] = line.substr(at);
     }
     input.erase(0, end + 4);
     const size_t length =
         std::strtoul(request.header("content-length").c_str(), nullptr, 10);
     while (input.size() < length) {
-      if (!Fill()) return false;
+      if (!Fill())
+        return false;
     }
     request.body = input.substr(0, length);
     input.erase(0, length);
     return true;
   }
-  bool Answer(int status, const std::string& body,
+  bool Answer(int status,
+              const std::string& body,
               const std::string& headers = "") {
     return SendAll(fd, "HTTP/1.1 " + std::to_string(status) + " S\r\n" +
                            headers + "Content-Length: " +
@@ -185,21 +194,25 @@
   return fd;
 }
 
-void Serve(const std::string& ip, int port, Handler handler) {
+void Serve(const std::string& ip, int port, const Handler& handler) {
   const int listener = OpenListener(ip, port);
   std::thread([listener, handler] {
     while (true) {
       const int fd = accept(listener, nullptr, nullptr);
-      if (fd < 0) continue;
+      if (fd < 0)
+        continue;
       const int on = 1;
       setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
       std::thread([fd, handler] {
         Connection connection{fd, ""};
         while (true) {
           Request request;
-          if (!connection.Read(request)) break;
-          if (!handler(connection, request)) break;
-          if (request.header("connection") == "close") break;
+          if (!connection.Read(request))
+            break;
+          if (!handler(connection, request))
+            break;
+          if (request.header("connection") == "close")
+            break;
         }
         close(fd);
       }).detach();
@@ -231,7 +244,8 @@
   int bits = 0;
   for (const char c : text) {
     const char* at = std::strchr(kDigits, c);
-    if (c == '=' || at == nullptr) continue;
+    if (c == '=' || at == nullptr)
+      continue;
     v = v << 6 | static_cast<uint32_t>(at - kDigits);
     bits += 6;
     if (bits >= 8) {
@@ -268,17 +282,21 @@
           {"created", item.created},
           {"lease", item.lease}};
 }
-void PutItem(const std::string& key, const std::string& value, uint64_t lease,
+void PutItem(const std::string& key,
+             const std::string& value,
+             uint64_t lease,
              uint64_t at) {
   Item& item = items[key];
-  if (item.created == 0) item.created = at;
+  if (item.created == 0)
+    item.created = at;
   item.value = value;
   item.revision = at;
   item.lease = lease;
   history.push_back({key, at, false, item});
 }
 void RemoveItem(const std::string& key, uint64_t at) {
-  if (items.erase(key) != 0) history.push_back({key, at, true, {}});
+  if (items.erase(key) != 0)
+    history.push_back({key, at, true, {}});
 }
 void WriteAsOperator(const std::string& key, const std::string& value) {
   PutItem(key, value, 0, ++revision);
@@ -292,10 +310,12 @@
     }
     std::vector<std::string> keys;
     for (const auto& [key, item] : items) {
-      if (item.lease == at->first) keys.push_back(key);
+      if (item.lease == at->first)
+        keys.push_back(key);
     }
     ++revision;
-    for (const auto& key : keys) RemoveItem(key, revision);
+    for (const auto& key : keys)
+      RemoveItem(key, revision);
     at = leases.erase(at);
     changed.notify_all();
   }
@@ -303,7 +323,8 @@
 
 bool HandleStore(Connection& connection, const Request& request) {
   Lock lock(lock_of_all);
-  while (store_mode == "silent") changed.wait_for(lock, milliseconds(50));
+  while (store_mode == "silent")
+    changed.wait_for(lock, milliseconds(50));
   if (store_mode == "down") {
     lock.unlock();
     return connection.AnswerJson(503, json::object());
@@ -314,7 +335,8 @@
     json list = json::array();
     bool has_more = false;
     for (const auto& [key, item] : items) {
-      if (key.rfind(prefix, 0) != 0 || key <= after) continue;
+      if (key.rfind(prefix, 0) != 0 || key <= after)
+        continue;
       if (list.size() >= 50) {
         has_more = true;
         break;
@@ -344,13 +366,13 @@
         if (change.revision <= after || change.key.rfind(prefix, 0) != 0) {
           continue;
         }
-        events.push_back(change.removed
-                             ? json{{"key", change.key},
-                                    {"revision", change.revision},
-                                    {"removed", true}}
-                             : ToJson(change.key, change.item));
+        events.push_back(change.removed ? json{{"key", change.key},
+                                               {"revision", change.revision},
+                                               {"removed", true}}
+                                        : ToJson(change.key, change.item));
       }
-      if (!events.empty() || NowMs() >= until || connection.is_closed()) break;
+      if (!events.empty() || NowMs() >= until || connection.is_closed())
+        break;
       changed.wait_for(lock, milliseconds(50));
     }
     const json body = {{"events", events}, {"current_rev", revision}};
@@ -401,7 +423,8 @@
   if (request.path.rfind("/kv-keep/", 0) == 0) {
     const auto found = leases.find(std::stoull(request.path.substr(9)));
     const bool is_found = found != leases.end();
-    if (is_found) found->second.ends = NowMs() + found->second.ttl;
+    if (is_found)
+      found->second.ends = NowMs() + found->second.ttl;
     lock.unlock();
     return connection.AnswerJson(is_found ? 200 : 404, json::object());
   }
@@ -469,28 +492,34 @@
   const std::string op = order.at("op").get<std::string>();
   if (op == "prepare") {
     const uint64_t version = order.at("version").get<uint64_t>();
-    if (version == rank.prepared || version == rank.preparing) return 200;
+    if (version == rank.prepared || version == rank.preparing)
+      return 200;
     if (version <= rank.newest || rank.armed != 0 || rank.preparing != 0) {
       return 409;
     }
     const Lists map = order.at("map").get<Lists>();
-    if (map.size() != kSets) return 400;
+    if (map.size() != kSets)
+      return 400;
     int64_t copies = 0;
     for (size_t set = 0; set < map.size(); ++set) {
       std::set<int> all;
-      if (map[set].size() != ranks.size()) return 400;
+      if (map[set].size() != ranks.size())
+        return 400;
       for (const auto& list : map[set]) {
-        if (list.size() > kPlaces) return 400;
+        if (list.size() > kPlaces)
+          return 400;
         all.insert(list.begin(), list.end());
       }
-      if (all.size() != kExperts) return 400;
+      if (all.size() != kExperts)
+        return 400;
       const auto& own = rank.lists[set][static_cast<size_t>(number)];
       const std::set<int> old(own.begin(), own.end());
       int fresh = 0;
       for (const int expert : map[set][static_cast<size_t>(number)]) {
         fresh += old.contains(expert) ? 0 : 1;
       }
-      if (fresh > kSpare) return 409;
+      if (fresh > kSpare)
+        return 409;
       copies += fresh;
     }
     rank.newest = rank.preparing = version;
@@ -504,28 +533,32 @@
   const uint64_t at = order.value("step", uint64_t{0});
   if (op == "arm") {
     const uint64_t version = order.at("version").get<uint64_t>();
-    if (rank.armed == version && rank.armed_step == at) return 200;
-    if (version != rank.prepared || rank.armed != 0 || at <= step) return 409;
+    if (rank.armed == version && rank.armed_step == at)
+      return 200;
+    if (version != rank.prepared || rank.armed != 0 || at <= step)
+      return 409;
     rank.armed = version;
     rank.armed_step = at;
     ++rank.seq;
     return 202;
   }
   if (op == "hold") {
-    if (rank.held == at && at > step) return 200;
-    if (rank.held != 0 || at <= step) return 409;
+    if (rank.held == at && at > step)
+      return 200;
+    if (rank.held != 0 || at <= step)
+      return 409;
     rank.held = at;
     ++rank.seq;
-    Record("hold rank=" + std::to_string(number) + " step=" +
-           std::to_string(at));
+    Record("hold rank=" + std::to_string(number) +
+           " step=" + std::to_string(at));
     return 202;
   }
   if (op == "go") {
-    if (rank.held != at) return at <= step ? 200 : 409;
+    if (rank.held != at)
+      return at <= step ? 200 : 409;
     rank.held = 0;
     ++rank.seq;
-    Record("go rank=" + std::to_string(number) + " step=" +
-           std::to_string(at));
+    Record("go rank=" + std::to_string(number) + " step=" + std::to_string(at));
     return 202;
   }
   return 400;
@@ -538,55 +571,58 @@
   for (const auto& stream : rank.streams) {
     (stream->running ? running : queued) += 1;
   }
-  return {{"stage", "both"},
-          {"models", json::array()},
-          {"busy", rank.preparing != 0},
-          {"seq", rank.seq},
-          {"queued", queued},
-          {"running", running},
-          {"kv_used", 0},
-          {"kv_total", 280000},
-          {"pace", 1.0},
-          {"born", 1700000000000},
-          {"group",
-           {{"name", "g"},
-            {"epoch", epoch},
-            {"rank", number},
-            {"state", "open"}}},
-          {"size", ranks.size()},
-          {"step", step},
-          {"map", rank.map},
-          {"prepared", rank.prepared},
-          {"armed", {{"version", rank.armed}, {"step", rank.armed_step}}},
-          {"held", rank.held}};
+  return {
+      {"stage", "both"},
+      {"models", json::array()},
+      {"busy", rank.preparing != 0},
+      {"seq", rank.seq},
+      {"queued", queued},
+      {"running", running},
+      {"kv_used", 0},
+      {"kv_total", 280000},
+      {"pace", 1.0},
+      {"born", 1700000000000},
+      {"group",
+       {{"name", "g"}, {"epoch", epoch}, {"rank", number}, {"state", "open"}}},
+      {"size", ranks.size()},
+      {"step", step},
+      {"map", rank.map},
+      {"prepared", rank.prepared},
+      {"armed", {{"version", rank.armed}, {"step", rank.armed_step}}},
+      {"held", rank.held}};
 }
 
 // The agent of a rank stands still for a while. Requires the lock.
 void FreezeAgent(int number, int for_ms) {
   const pid_t pid = agent_pids[number];
-  if (pid > 0) kill(pid, SIGSTOP);
+  if (pid > 0)
+    kill(pid, SIGSTOP);
   Record("freeze rank=" + std::to_string(number));
   std::thread([number, pid, for_ms] {
     std::this_thread::sleep_for(milliseconds(for_ms));
     Lock inner(lock_of_all);
-    if (pid > 0 && agent_pids[number] == pid) kill(pid, SIGCONT);
+    if (pid > 0 && agent_pids[number] == pid)
+      kill(pid, SIGCONT);
     Record("thaw rank=" + std::to_string(number));
     changed.notify_all();
   }).detach();
 }
 
-bool RunStream(Connection& connection, const Request& request, int number,
+bool RunStream(Connection& connection,
+               const Request& request,
+               int number,
                Lock& lock) {
   Rank& rank = ranks[static_cast<size_t>(number)];
   const std::string attempt = request.header("x-attempt-id");
   const int64_t deadline =
-      NowMs() + std::max<int64_t>(
-                    1, std::strtoll(request.header("x-deadline-ms").c_str(),
-                                    nullptr, 10));
+      NowMs() +
+      std::max<int64_t>(1, std::strtoll(request.header("x-deadline-ms").c_str(),
+                                        nullptr, 10));
   auto stream = std::make_shared<Stream>();
   stream->attempt = attempt;
   const std::string resumed = request.header("last-event-id");
-  if (!resumed.empty()) stream->next = std::stoi(resumed) + 1;
+  if (!resumed.empty())
+    stream->next = std::stoi(resumed) + 1;
   rank.streams.push_back(stream);
   bool has_head = false;
   const auto leave = [&] {
@@ -596,30 +632,33 @@
   };
   while (true) {
     changed.wait_for(lock, milliseconds(20));
-    if (connection.is_closed()) return leave();
+    if (connection.is_closed())
+      return leave();
     if (NowMs() >= deadline) {
       const bool has_run = stream->running;
       std::erase(rank.streams, stream);
       lock.unlock();
       if (!has_run) {
-        connection.Answer(503, "",
-                          "X-Attempt-Id: " + attempt +
-                              "\r\nX-Not-Executed: 1\r\n");
+        connection.Answer(
+            503, "", "X-Attempt-Id: " + attempt + "\r\nX-Not-Executed: 1\r\n");
       }
       return false;
     }
-    if (stream->pending.empty()) continue;
+    if (stream->pending.empty())
+      continue;
     std::string out;
     if (!has_head) {
       has_head = true;
-      out = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            "Transfer-Encoding: chunked\r\nX-Attempt-Id: " +
-            attempt + "\r\nX-Server-Stamp: stamp-" + attempt + "\r\n\r\n";
+      out =
+          "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+          "Transfer-Encoding: chunked\r\nX-Attempt-Id: " +
+          attempt + "\r\nX-Server-Stamp: stamp-" + attempt + "\r\n\r\n";
     }
     char size[32];
     std::snprintf(size, sizeof size, "%zx\r\n", stream->pending.size());
-    out += size + std::exchange(stream->pending, "") + "\r\n";
-    if (stream->ended) out += "0\r\n\r\n";
+    out.append(size).append(std::exchange(stream->pending, "")).append("\r\n");
+    if (stream->ended)
+      out += "0\r\n\r\n";
     const bool is_ended = stream->ended;
     lock.unlock();
     if (!SendAll(connection.fd, out)) {
@@ -659,38 +698,39 @@
   }
   if (request.path == "/order") {
     const json order = json::parse(request.body);
-    if (std::uniform_real_distribution<double>(0, 1)(randomness) <
-        late_share) {
-      const int after = std::uniform_int_distribution<int>(2000, 12000)(
-          randomness);
+    if (std::uniform_real_distribution<double>(0, 1)(randomness) < late_share) {
+      const int after =
+          std::uniform_int_distribution<int>(2000, 12000)(randomness);
       std::thread([order, number, after] {
         std::this_thread::sleep_for(milliseconds(after));
         Lock inner(lock_of_all);
         const int status = Execute(number, order);
-        Record("late order=" + order.at("op").get<std::string>() +
-               " rank=" + std::to_string(number) +
-               " status=" + std::to_string(status));
+        Record("late order=" + order.at("op").get<std::string>() + " rank=" +
+               std::to_string(number) + " status=" + std::to_string(status));
         changed.notify_all();
       }).detach();
-      while (!connection.is_closed()) changed.wait_for(lock, milliseconds(20));
+      while (!connection.is_closed())
+        changed.wait_for(lock, milliseconds(20));
       return false;
     }
     const bool is_hold = order.value("op", "") == "hold";
     if (is_hold && freeze_ms > 0) {
       FreezeAgent(freeze_rank, std::exchange(freeze_ms, 0));
     }
-    const bool is_held = std::any_of(
-        ranks.begin(), ranks.end(), [](const Rank& r) { return r.held != 0; });
+    const bool is_held = std::any_of(ranks.begin(), ranks.end(),
+                                     [](const Rank& r) { return r.held != 0; });
     const int status = Execute(number, order);
     const bool is_kill = order.value("op", "") == kill_after &&
                          (kill_rank == -1 || kill_rank == number) &&
                          (is_held || !is_kill_in_hold) && status == 202;
     changed.notify_all();
-    if (!is_kill) lock.unlock();
+    if (!is_kill)
+      lock.unlock();
     const bool is_sent = connection.AnswerJson(status, json::object());
     if (is_kill) {
       kill_after.clear();
-      for (const pid_t pid : processes) kill(pid, SIGKILL);
+      for (const pid_t pid : processes)
+        kill(pid, SIGKILL);
       Record("SIGKILL to " + std::to_string(processes.size()) +
              " processes, right after the ack of " + order.value("op", "") +
              " at rank " + std::to_string(number));
@@ -700,10 +740,10 @@
   const std::string attempt = request.header("x-attempt-id");
   if (request.header("x-expect-instance") != rank.id) {
     lock.unlock();
-    return connection.Answer(421, "",
-                             "X-Attempt-Id: " + attempt +
-                                 "\r\nX-Not-Executed: 1\r\nAt-Server: " +
-                                 rank.id + "\r\n");
+    return connection.Answer(
+        421, "",
+        "X-Attempt-Id: " + attempt +
+            "\r\nX-Not-Executed: 1\r\nAt-Server: " + rank.id + "\r\n");
   }
   if (rank.streams.size() >= static_cast<size_t>(slots) * 2) {
     lock.unlock();
@@ -718,16 +758,19 @@
   for (Rank& rank : ranks) {
     Settle(rank);
     has_work = has_work || !rank.streams.empty();
-    if (rank.held == step + 1) return;
+    if (rank.held == step + 1)
+      return;
   }
-  if (!has_work) return;
+  if (!has_work)
+    return;
   ++step;
   for (Rank& rank : ranks) {
     if (rank.armed != 0 && rank.armed_step == step) {
       rank.map = rank.armed;
       rank.lists = rank.next_lists;
       rank.armed = rank.armed_step = rank.prepared = 0;
-      if (&rank == &ranks.front()) ++switches;
+      if (&rank == &ranks.front())
+        ++switches;
     }
   }
   for (const Rank& rank : ranks) {
@@ -746,7 +789,8 @@
         stream->running = true;
         Record("run attempt=" + stream->attempt + " server=" + rank.id);
       }
-      if (!stream->running || stream->ended) continue;
+      if (!stream->running || stream->ended)
+        continue;
       ++running;
       stream->pending += "id: " + std::to_string(stream->next) +
                          "\ndata: " + stream->attempt + "#" +
@@ -768,7 +812,8 @@
 int work_ms = 50;
 std::map<std::string, int> runs;
 
-bool HandlePlain(Connection& connection, const Request& request,
+bool HandlePlain(Connection& connection,
+                 const Request& request,
                  const std::string& id) {
   const std::string attempt = request.header("x-attempt-id");
   const std::string echo = "X-Attempt-Id: " + attempt + "\r\n";
@@ -778,12 +823,13 @@
   {
     Lock lock(lock_of_all);
     ++runs[attempt];
-    Record("run attempt=" + attempt + " server=" + id + " path=" +
-           request.target + " tenant=" + request.header("x-tenant"));
+    Record("run attempt=" + attempt + " server=" + id +
+           " path=" + request.target + " tenant=" + request.header("x-tenant"));
   }
   const int64_t until = NowMs() + work_ms;
   while (NowMs() < until) {
-    if (connection.is_closed()) return false;
+    if (connection.is_closed())
+      return false;
     std::this_thread::sleep_for(milliseconds(5));
   }
   return connection.Answer(200, "done " + attempt,
@@ -792,17 +838,19 @@
 
 // ---------------------------------------------------------------- control
 
-std::string ServerEntry(const std::string& service, const std::string& address,
+std::string ServerEntry(const std::string& service,
+                        const std::string& address,
                         int server_slots) {
-  return json{{"service", service}, {"address", address},
-              {"zone", "a"},        {"version", 1},
+  return json{{"service", service},    {"address", address},
+              {"zone", "a"},           {"version", 1},
               {"slots", server_slots}, {"state", "ready"},
-              {"cold_left_ms", 0},  {"seq", 1}}
+              {"cold_left_ms", 0},     {"seq", 1}}
       .dump();
 }
 
 // Commands: put KEY VALUE; remove KEY; store MODE; freeze-at-hold RANK MS;
-// kill-after-ack KIND RANK IN-HOLD; processes PID...; late SHARE; agent RANK PID; status.
+// kill-after-ack KIND RANK IN-HOLD; processes PID...; late SHARE; agent RANK
+// PID; status.
 std::string Control(const std::string& line) {
   Lock lock(lock_of_all);
   std::istringstream words(line);
@@ -826,7 +874,8 @@
     words >> kill_after >> kill_rank >> is_kill_in_hold;
   } else if (command == "processes") {
     processes.clear();
-    for (pid_t pid = 0; words >> pid;) processes.push_back(pid);
+    for (pid_t pid = 0; words >> pid;)
+      processes.push_back(pid);
   } else if (command == "late") {
     words >> late_share;
   } else if (command == "agent") {
@@ -835,10 +884,13 @@
     agent_pids[number] = pid;
   }
   Record("control " + line.substr(0, 60));
-  json body = {{"step", step},         {"splits", splits},
-               {"switches", switches}, {"held", 0},
+  json body = {{"step", step},
+               {"splits", splits},
+               {"switches", switches},
+               {"held", 0},
                {"armed", 0},
-               {"streams", 0},      {"killed", !processes.empty() && kill_after.empty() ? 1 : 0}};
+               {"streams", 0},
+               {"killed", !processes.empty() && kill_after.empty() ? 1 : 0}};
   json prepared = json::array();
   for (Rank& rank : ranks) {
     Settle(rank);
@@ -863,19 +915,27 @@
     const size_t equals = word.find('=');
     const std::string name = word.substr(0, equals);
     const std::string value = word.substr(equals + 1);
-    if (name == "--net") net = value;
-    if (name == "--ranks") rank_count = std::stoi(value);
-    if (name == "--plain") plain_count = std::stoi(value);
-    if (name == "--pass_ms") pass_ms = std::stoll(value);
-    if (name == "--shift_ms") shift_ms = std::stoll(value);
-    if (name == "--seed") randomness.seed(std::stoull(value));
-    if (name == "--log") log = value;
+    if (name == "--net")
+      net = value;
+    if (name == "--ranks")
+      rank_count = std::stoi(value);
+    if (name == "--plain")
+      plain_count = std::stoi(value);
+    if (name == "--pass_ms")
+      pass_ms = std::stoll(value);
+    if (name == "--shift_ms")
+      shift_ms = std::stoll(value);
+    if (name == "--seed")
+      randomness.seed(std::stoull(value));
+    if (name == "--log")
+      log = value;
   }
   record.open(log);
-  Lists first(kSets, std::vector<std::vector<int>>(
-                         static_cast<size_t>(rank_count)));
+  Lists first(kSets,
+              std::vector<std::vector<int>>(static_cast<size_t>(rank_count)));
   for (auto& set : first) {
-    if (rank_count == 0) break;
+    if (rank_count == 0)
+      break;
     for (int e = 0; e < kExperts; ++e) {
       set[static_cast<size_t>(e % rank_count)].push_back(e);
     }
@@ -911,10 +971,12 @@
   std::thread([control] {
     while (true) {
       const int fd = accept(control, nullptr, nullptr);
-      if (fd < 0) continue;
+      if (fd < 0)
+        continue;
       std::string line;
       char byte;
-      while (recv(fd, &byte, 1, 0) == 1 && byte != '\n') line += byte;
+      while (recv(fd, &byte, 1, 0) == 1 && byte != '\n')
+        line += byte;
       SendAll(fd, Control(line) + "\n");
       close(fd);
     }
--- a/review/standins-2/Server.cc
+++ b/review/standins-2/Server.cc
@@ -1,7 +1,7 @@
 // A server of a plain service, in a process of its own, so that a test can kill
-// it. Its answers have no length and end with their channel: one half is sent at
-// once, the other one after --work_ms. Writes what it began to run, and what it
-// has written whole, to --log.
+// it. Its answers have no length and end with their channel: one half is sent
+// at once, the other one after --work_ms. Writes what it began to run, and what
+// it has written whole, to --log.
 //
 //   Server --ip=IP --id=ID --work_ms=T --log=FILE
 #include <arpa/inet.h>
@@ -35,7 +35,8 @@
 
 std::string HeaderOf(const std::string& head, const std::string& name) {
   size_t at = head.find("\r\n" + name + ": ");
-  if (at == std::string::npos) return "";
+  if (at == std::string::npos)
+    return "";
   at += name.size() + 4;
   return head.substr(at, head.find("\r\n", at) - at);
 }
@@ -54,13 +55,15 @@
   }
   std::string head = input.substr(0, end + 2);
   for (char& letter : head) {
-    if (letter >= 'A' && letter <= 'Z') letter = static_cast<char>(letter + 32);
+    if (letter >= 'A' && letter <= 'Z')
+      letter = static_cast<char>(letter + 32);
   }
   const size_t length =
       std::strtoul(HeaderOf(head, "content-length").c_str(), nullptr, 10);
   while (input.size() < end + 4 + length) {
     const ssize_t n = recv(fd, buffer, sizeof buffer, 0);
-    if (n <= 0) break;
+    if (n <= 0)
+      break;
     input.append(buffer, static_cast<size_t>(n));
   }
   const std::string attempt = HeaderOf(head, "x-attempt-id");
@@ -79,7 +82,8 @@
            "\r\nX-Server-Stamp: stamp-" + attempt +
            "\r\nConnection: close\r\n\r\nfirst half of " + attempt + ", ");
   std::this_thread::sleep_for(std::chrono::milliseconds(work_ms));
-  if (send_all("done " + attempt)) Record("whole attempt=" + attempt);
+  if (send_all("done " + attempt))
+    Record("whole attempt=" + attempt);
   shutdown(fd, SHUT_WR);
   close(fd);
 }
@@ -94,10 +98,14 @@
     const size_t equals = word.find('=');
     const std::string name = word.substr(0, equals);
     const std::string value = word.substr(equals + 1);
-    if (name == "--ip") ip = value;
-    if (name == "--id") id = value;
-    if (name == "--work_ms") work_ms = std::stoi(value);
-    if (name == "--log") log = value;
+    if (name == "--ip")
+      ip = value;
+    if (name == "--id")
+      id = value;
+    if (name == "--work_ms")
+      work_ms = std::stoi(value);
+    if (name == "--log")
+      log = value;
   }
   record.open(log, std::ios::app);
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
@@ -116,7 +124,8 @@
   Record("server " + id + " started");
   while (true) {
     const int fd = accept(listener, nullptr, nullptr);
-    if (fd < 0) continue;
+    if (fd < 0)
+      continue;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     std::thread(Handle, fd).detach();
   }
