--- a/review/standins-2/Platform.cc
+++ b/review/standins-2/Platform.cc
@@ -651,8 +651,9 @@
       has_head = true;
       out =
           "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-          "Transfer-Encoding: chunked\r\nX-Attempt-Id: " +
-          attempt + "\r\nX-Server-Stamp: stamp-" + attempt + "\r\n\r\n";
+          "Transfer-Encoding: chunked\r\nX-Attempt-Id: ";
+      out.append(attempt).append("\r\nX-Server-Stamp: stamp-");
+      out.append(attempt).append("\r\n\r\n");
     }
     char size[32];
     std::snprintf(size, sizeof size, "%zx\r\n", stream->pending.size());
