--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -57,7 +57,7 @@
 settings() {
   local front= directory= ready= memory=128 link=20
   if [ -z "${3:-}" ]; then
-    front=$2:8080 directory=$2:8081 ready=$2:8082 memory=260 link=1000
+    front=$2:8080 directory=$2:8081 ready=$2:8082 memory=${MEMORY_MB:-260} link=1000
   fi
   sed -e "s/{{node}}/$1/; s/{{zone}}/a/; s/{{ip}}/$2/; s/{{app}}/${3:-}/" \
     -e "s/{{platform.address}}/$NET.0.20:7000/; s/{{listen.front}}/$front/" \
@@ -75,7 +75,7 @@
 start_gateway() {
   settings "gateway-$1" "$NET.1.$1"
   (cd "$TOP" && exec "$DAEMON" --role=gateway --flagfile="$FILES/gateway-$1.flags" \
-    --max_descriptors=4200) >>"$FILES/gateway-$1.log" 2>&1 &
+    --max_descriptors="${DESCRIPTORS:-4200}") >>"$FILES/gateway-$1.log" 2>&1 &
   PIDS[gateway-$1]=$!
 }
 start_rank() {
