LibMapSwitch, Rank: Let a held group go whatever its owner has forgotten

Cause: only another switch could release such a group, and a switch wants running requests, a plan, the demand and fresh reports of all ranks. In a held group requests wait and none runs; demand shows in passes only, and it makes none; a frozen rank reports nothing.

Change: the release is a decision of its own. An owner that finds a hold which it did not order, and whose own rank is not armed, lets its rank prepare a version that was never used, then lets the holder go. It needs the reports of its own rank and of the holder, and a map that keeps rank 0's lists. needs_switch and forced switches are gone. The same for a hold that is carried out late while the next map is copied, and for an owner whose rank got another map by a late order while it resumed a switch. A standby owner and ManageMap count what waits.

Why it is safe: no rank is armed before the owner's, which stays armed until the pass begins; a rank that has prepared a newer version can't be armed for an older one.

The stand-in reports streams without a pass as queued now, and can stop an agent at a hold.

--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -142,6 +142,12 @@
   return 0;
 }
 
+// Returns a version that no owner has used.
+Version NextVersion(MapSwitch& map_switch) {
+  map_switch.newest += std::exchange(map_switch.version_offset, 0);
+  return ++map_switch.newest;
+}
+
 void ContinueHolding(MapSwitch& map_switch, TimePoint now);
 void ContinueArmingOwner(MapSwitch& map_switch, TimePoint now);
 
@@ -149,6 +155,31 @@
   return map_switch.ranks[rank]->status;
 }
 
+// Lets a group go that is held without a switch of this owner.
+void AbortUnknownSwitch(MapSwitch& map_switch,
+                        uint32_t holder,
+                        std::string reason,
+                        TimePoint now) {
+  map_switch.abort_version = NextVersion(map_switch);
+  map_switch.abort_map.clear();
+  map_switch.is_unknown_switch = true;
+  map_switch.desired_map =
+      DesiredMap{.epoch = StatusOf(map_switch, 0).epoch,
+                 .version = map_switch.abort_version,
+                 .hold_step = StatusOf(map_switch, holder).held,
+                 .holder = holder,
+                 .is_held = true};
+  map_switch.last_failure = std::move(reason);
+  EnterPhase(map_switch, SwitchPhase::kAborting, now);
+}
+
+// Whether the owner's rank shows that no rank is armed for the held pass: none
+// is armed before the owner's, which stays armed until the pass begins.
+bool is_no_rank_armed(const MapSwitch& map_switch, uint32_t holder) {
+  const RankStatus& own = StatusOf(map_switch, 0);
+  return own.armed == 0 && own.step < StatusOf(map_switch, holder).held;
+}
+
 // Resumes the switch of a held group, as a restarted owner or a standby owner
 // finds it. Arm orders are sent only while every rank has the same map
 // prepared, so that
@@ -156,8 +187,8 @@
 //   - if a rank is armed for the held pass, its map is the one to complete;
 //   - if all have the same map prepared, arm orders may still arrive: complete
 //     the switch to it;
-//   - if they differ, a later switch had begun before the hold was carried out,
-//     so that nothing was armed for it: see needs_switch.
+//   - if they differ, or a rank is silent, and the owner's rank is not armed,
+//     the owner aborts the switch. A standby owner can't.
 //
 // No agent releases a pass for which not all ranks are armed for the same map.
 // A go order that is carried out late is therefore harmless, even to a hold of
@@ -173,7 +204,16 @@
                                       .arm_step = held};
   const bool has_all_statuses =
       is_true_for_all(map_switch, now, [](const RankStatus&) { return true; });
+  if (!map_switch.held_found_at) {
+    map_switch.held_found_at = now;
+  }
+  const bool may_abort =
+      !map_switch.is_standby && is_no_rank_armed(map_switch, holder);
   if (!has_all_statuses) {
+    if (may_abort && now - *map_switch.held_found_at > kConfirmationTimeout) {
+      AbortUnknownSwitch(map_switch, holder,
+                         "held without a switch, and a rank is silent", now);
+    }
     return;
   }
   const bool is_same = is_true_for_all(
@@ -190,11 +230,21 @@
     map_switch.hold_requested_at = now;
     EnterPhase(map_switch, SwitchPhase::kArmingOwner, now);
     ContinueArmingOwner(map_switch, now);
+  } else if (may_abort) {
+    AbortUnknownSwitch(map_switch, holder, "held without a switch", now);
   }
 }
 
 void ContinuePreparing(MapSwitch& map_switch, TimePoint now) {
   const Version version = map_switch.desired_map.version;
+  // A hold of an earlier switch was carried out late; the group would wait for
+  // the copies.
+  const auto late_holder = FindHolder(map_switch, now);
+  if (late_holder && is_no_rank_armed(map_switch, *late_holder)) {
+    AbortUnknownSwitch(map_switch, *late_holder,
+                       "held by an order that came late", now);
+    return;
+  }
   if (is_losing_orders(map_switch)) {
     Abort(map_switch, "ranks lose orders", now);
     return;
@@ -252,6 +302,17 @@
   if (own.armed == desired_map.version &&
       own.armed_step == desired_map.arm_step) {
     EnterPhase(map_switch, SwitchPhase::kArming, now);
+    return;
+  }
+  // A killed owner's order to prepare was carried out late, so that the owner's
+  // rank can't be armed.
+  const auto holder = FindHolder(map_switch, now);
+  const bool is_armable =
+      own.prepared == desired_map.version || own.armed == desired_map.version;
+  if (!map_switch.is_standby && !is_armable && holder &&
+      is_no_rank_armed(map_switch, *holder)) {
+    AbortUnknownSwitch(map_switch, *holder,
+                       "the owner's rank has another map prepared", now);
   }
 }
 
@@ -276,7 +337,7 @@
   }
   if (now - map_switch.since > kConfirmationTimeout) {
     map_switch.last_failure = "a rank is silent in the hold";
-    map_switch.abort_version = ++map_switch.newest;
+    map_switch.abort_version = NextVersion(map_switch);
     EnterPhase(map_switch, SwitchPhase::kAborting, now);
   }
 }
@@ -285,6 +346,7 @@
   DesiredMap& desired_map = map_switch.desired_map;
   const RankStatus& own = StatusOf(map_switch, 0);
   if (!desired_map.is_aborted && own.armed != 0) {
+    desired_map.version = own.armed;
     desired_map.arm_step = desired_map.hold_step;
     EnterPhase(map_switch, SwitchPhase::kArmingOwner, now);
     return;
@@ -386,16 +448,9 @@
       });
 }
 
-bool needs_switch(const MapSwitch& map_switch, TimePoint now) {
-  if (map_switch.phase != SwitchPhase::kIdle || map_switch.is_standby ||
-      !FindHolder(map_switch, now)) {
-    return false;
-  }
-  return std::all_of(map_switch.ranks.begin(), map_switch.ranks.end(),
-                     [&](const auto& rank) {
-                       return is_fresh(rank, now) && rank->status.is_open &&
-                              rank->status.armed == 0;
-                     });
+bool lacks_abort_map(const MapSwitch& map_switch) {
+  return map_switch.phase == SwitchPhase::kAborting &&
+         map_switch.abort_map.empty() && map_switch.desired_map.map.empty();
 }
 
 bool is_replaceable(const MapSwitch& map_switch) {
@@ -416,12 +471,12 @@
 }
 
 void StartSwitch(MapSwitch& map_switch, ExpertLists map, TimePoint now) {
-  map_switch.newest += std::exchange(map_switch.version_offset, 0);
   map_switch.desired_map =
       DesiredMap{.epoch = map_switch.ranks.front()->status.epoch,
-                 .version = ++map_switch.newest,
+                 .version = NextVersion(map_switch),
                  .map = std::move(map)};
   map_switch.is_hold_requested = false;
+  map_switch.is_unknown_switch = false;
   EnterPhase(map_switch, SwitchPhase::kPreparing, now);
 }
 
@@ -434,6 +489,8 @@
       const auto holder = FindHolder(map_switch, now);
       if (holder) {
         Resume(map_switch, *holder, now);
+      } else {
+        map_switch.held_found_at.reset();
       }
       return;
     }
@@ -466,15 +523,24 @@
   if (map_switch.phase == SwitchPhase::kArmingOwner && rank != 0) {
     desired_map.arm_step = 0;
   }
-  if (map_switch.phase == SwitchPhase::kAborting && rank == 0) {
+  if (map_switch.phase != SwitchPhase::kAborting) {
+    return desired_map;
+  }
+  if (rank == 0) {
     desired_map.version = map_switch.abort_version;
-    if (!map_switch.map_in_force.empty()) {
-      desired_map.map = map_switch.map_in_force;
+    if (!map_switch.abort_map.empty()) {
+      desired_map.map = map_switch.abort_map;
     }
     // A holder beside the owner releases the group like any other.
     if (!desired_map.is_aborted) {
       desired_map.hold_step = 0;
     }
+  } else if (map_switch.is_unknown_switch && !desired_map.is_aborted) {
+    // The owner's rank may still become armed for the switch that is to be
+    // aborted. An agent that had received the higher version would take no
+    // order to arm for that switch any more.
+    desired_map.version = 0;
+    desired_map.hold_step = 0;
   }
   return desired_map;
 }
--- a/Libraries/LibMapSwitch/Switch.h
+++ b/Libraries/LibMapSwitch/Switch.h
@@ -27,6 +27,13 @@
 // owner's is armed, no rank is or will be armed, and the holder may release the
 // group.
 //
+// Failure: an owner is killed while it aborts a switch, or an order to hold is
+// carried out after its switch. The group is held, no rank is armed, and no
+// process knows why. As no rank is armed before the owner's, an owner whose own
+// rank is not armed lets such a group go in the same way: it needs the reports
+// of its own rank and of the holder, but neither the reports of the other
+// ranks, nor a plan, nor the demand, which only passes would show.
+//
 // Failure: the owner's machine freezes between hold and go, and its model
 // server is unreachable too; the group begins no pass until the machine
 // recovers. Therefore another rank holds the group, and the owner's rank is
@@ -105,12 +112,17 @@
   // seen.
   Duration pass = std::chrono::milliseconds(50);
   TimePoint pass_began;
-  // What the owner's rank prepares to abort a switch, since it needs no copies
-  // there; the desired map if empty.
-  ExpertLists map_in_force;
+  // What the owner's rank prepares to abort a switch; the desired map if empty.
+  // The list of the owner's rank is the one in use, so that nothing is copied.
+  ExpertLists abort_map;
   // The version that keeps the owner's rank from being armed while a switch is
   // aborted.
   Version abort_version = 0;
+  // Whether the switch that is aborted was not started by this owner, which
+  // knows nothing of it but the hold.
+  bool is_unknown_switch = false;
+  // When the group was first found to be held without a switch of this owner.
+  std::optional<TimePoint> held_found_at;
   // Whether a hold was requested and may still arrive; from then on the switch
   // can't be aborted.
   bool is_hold_requested = false;
@@ -143,9 +155,15 @@
 // progress.
 bool is_ready_for_map(const MapSwitch& map_switch, TimePoint now);
 
-// Whether the group is held while no rank is armed or can become armed, so that
-// only a new switch, to any map, can release it.
-bool needs_switch(const MapSwitch& map_switch, TimePoint now);
+// Whether the owner's rank can't prepare what aborts the switch, because
+// abort_map is not known yet.
+bool lacks_abort_map(const MapSwitch& map_switch);
+
+// Returns a map for abort_map: the owner's rank, rank 0, keeps `own_lists`, by
+// set, and the other experts of each set are dealt to the other ranks in turn.
+ExpertLists MakeAbortMap(const std::vector<std::vector<uint16_t>>& own_lists,
+                         uint32_t ranks,
+                         uint32_t experts);
 
 // Whether the switch in progress can be replaced by one to another map: only
 // copies were ordered for it.
@@ -159,8 +177,7 @@
 // runs on while processes come and go.
 Version VersionOffsetAt(TimePoint now);
 
-// Starts a switch to `map`. Requires is_ready_for_map, needs_switch or
-// is_replaceable.
+// Starts a switch to `map`. Requires is_ready_for_map or is_replaceable.
 void StartSwitch(MapSwitch& map_switch, ExpertLists map, TimePoint now);
 
 // Advances the switch by what the ranks reported; updates the desired map.
--- a/Services/bramleyspand/Rank/GroupStandstill.cc
+++ b/Services/bramleyspand/Rank/GroupStandstill.cc
@@ -12,9 +12,24 @@
     "Times for which the group of this rank began no pass though the rank had "
     "work, of over 0.4 s each, by cause."};
 
+constexpr telemetry::MetricName kGroupStandingSeconds{
+    "bramleyspan_group_standing_seconds",
+    "For how long the group of this rank has now begun no pass though the rank "
+    "has work; 0 up to 0.4 s. A group that never goes on again shows here "
+    "only."};
+
 constexpr Duration kShortestStandstill = std::chrono::milliseconds(400);
 constexpr Duration kUnresponsiveAfter = std::chrono::milliseconds(300);
 
+// What keeps the owner from letting the group go.
+std::string FindCauseWhileAborting(const mapswitch::MapSwitch& map_switch) {
+  if (mapswitch::lacks_abort_map(map_switch)) {
+    return "abort_lacks_map";
+  }
+  return map_switch.desired_map.is_aborted ? "holder_keeps_hold"
+                                           : "abort_not_recorded";
+}
+
 }  // namespace
 
 void GroupStandstill::HandleOwnStatus(TimePoint now) {
@@ -36,6 +51,9 @@
   if (is_moving || (!has_work && !this->is_standing)) {
     this->since = now;
   }
+  const Duration standing = this->is_standing ? now - this->since : Duration(0);
+  telemetry::SetGauge(kGroupStandingSeconds, {},
+                      std::chrono::duration<double>(standing).count());
   this->step = own.step;
   this->epoch = own.epoch;
 }
@@ -52,7 +70,11 @@
   if (!this->state.is_owner()) {
     return "held";
   }
-  for (const auto& rank : this->state.map_switch.ranks) {
+  const mapswitch::MapSwitch& map_switch = this->state.map_switch;
+  if (map_switch.phase == mapswitch::SwitchPhase::kAborting) {
+    return FindCauseWhileAborting(map_switch);
+  }
+  for (const auto& rank : map_switch.ranks) {
     if (!rank || now - rank->received_at > kUnresponsiveAfter) {
       return "rank_silent_in_switch";
     }
--- a/Services/bramleyspand/Rank/MapOwner.cc
+++ b/Services/bramleyspand/Rank/MapOwner.cc
@@ -25,6 +25,11 @@
 constexpr telemetry::MetricName kExpertCopies{
     "bramleyspan_expert_copies_total", "Copies of experts that were ordered."};
 
+constexpr telemetry::MetricName kMapSwitchesAborted{
+    "bramleyspan_map_switches_aborted_total",
+    "Held groups that were let go without a switch, by what the owner knew of "
+    "it (known=own: its own switch; known=no: only the hold)."};
+
 // A map in preparation is replaced if its present skew exceeds the planned skew
 // by this much.
 constexpr double kOutdatedSkewMargin = 0.35;
@@ -129,8 +134,8 @@
          std::abs(last->skew - skew) < kSameSkew && last->gain < least_gain;
 }
 
-// Plans all sets and starts a switch if it gains enough or is forced.
-void StartSwitchIfWorthwhile(RankState& state, bool is_forced, TimePoint now) {
+// Plans all sets and starts a switch if it gains enough.
+void StartSwitchIfWorthwhile(RankState& state, TimePoint now) {
   const auto map = MapInForce(state);
   if (!map || state.drift.present.size() != map->size()) {
     return;
@@ -139,7 +144,7 @@
       state.map_switch.pass, state.rank_admission.settings.longest_pause);
   const double skew = placement::MeanSkew(*map, state.drift, PacesOf(state));
   telemetry::SetGauge(kSkew, {}, skew);
-  if (!is_forced && is_rejected_again(state, skew, least_gain)) {
+  if (is_rejected_again(state, skew, least_gain)) {
     return;
   }
   placement::SwitchPlan plan = placement::PlanSwitch(
@@ -151,7 +156,7 @@
        .paces = PacesOf(state)});
   const bool is_worthwhile =
       plan.copies > 0 && plan.skew_before - plan.skew_after >= least_gain;
-  if (!is_worthwhile && !is_forced) {
+  if (!is_worthwhile) {
     state.rejected_plan = {.map = state.own->map,
                            .shifts = state.drift.shifts,
                            .skew = skew,
@@ -161,7 +166,7 @@
   state.planned_skew = plan.skew_after;
   state.planned_at_shift = state.drift.shifts;
   mapswitch::StartSwitch(state.map_switch, std::move(plan.lists), now);
-  state.map_switch.map_in_force = *map;
+  state.map_switch.abort_map = *map;
   telemetry::Count(kMapSwitches, {});
   telemetry::Count(kExpertCopies, {}, plan.copies);
   Log(LogLevel::kInfo, "map", "switch_started",
@@ -173,6 +178,18 @@
        {"skew_planned", Rounded(plan.skew_after)}});
 }
 
+// Provides what the owner's rank prepares to let go a held group of which this
+// process knows nothing else.
+void ProvideAbortMap(RankState& state) {
+  const auto& own_held = state.own_held;
+  if (!state.shape || own_held.version != state.own->map ||
+      own_held.sets.size() != state.shape->sets) {
+    return;
+  }
+  state.map_switch.abort_map = mapswitch::MakeAbortMap(
+      own_held.sets, state.own->size, state.shape->experts);
+}
+
 // Logs one line for each group and interval, so that a late stream can be
 // compared with its group's passes, load and skew at that time.
 void LogGroup(RankState& state, TimePoint now) {
@@ -311,15 +328,24 @@
          {"step", std::to_string(state.own->step)},
          {"failure", map_switch.last_failure}});
     map_switch.last_failure.clear();
+    if (map_switch.phase == SwitchPhase::kAborting) {
+      telemetry::Count(
+          kMapSwitchesAborted,
+          {{"known", map_switch.is_unknown_switch ? "no" : "own"}});
+    }
+  }
+  if (mapswitch::lacks_abort_map(map_switch)) {
+    ProvideAbortMap(state);
   }
+  // While a group is held, its requests wait and none runs.
   const bool has_work = std::any_of(
-      map_switch.ranks.begin(), map_switch.ranks.end(),
-      [](const auto& rank) { return rank && rank->status.running > 0; });
-  const bool is_forced = mapswitch::needs_switch(map_switch, now);
-  const bool may_start = mapswitch::is_ready_for_map(map_switch, now) ||
-                         is_outdated(state) || is_forced;
+      map_switch.ranks.begin(), map_switch.ranks.end(), [](const auto& rank) {
+        return rank && rank->status.running + rank->status.queued > 0;
+      });
+  const bool may_start =
+      mapswitch::is_ready_for_map(map_switch, now) || is_outdated(state);
   if (has_work && state.shape && may_start) {
-    StartSwitchIfWorthwhile(state, is_forced, now);
+    StartSwitchIfWorthwhile(state, now);
   }
   if (has_work && state.shape) {
     LogGroup(state, now);
--- a/Services/bramleyspand/Rank/StandbyOwner.cc
+++ b/Services/bramleyspand/Rank/StandbyOwner.cc
@@ -23,7 +23,9 @@
 
 bool StandbyOwner::is_needed(TimePoint now) {
   const mapswitch::RankStatus& own = *this->state.own;
-  if (own.step != this->last_step || own.running == 0) {
+  // In a held group requests wait and none runs.
+  const bool has_work = own.running + own.queued > 0;
+  if (own.step != this->last_step || !has_work) {
     this->last_step = own.step;
     this->step_changed = now;
     return false;
--- a/Specs/MapSwitch.pml
+++ b/Specs/MapSwitch.pml
@@ -9,7 +9,8 @@
 // owner is dead or running again, and cannot reach rank 0. Copies take no time,
 // since only their order matters. A re-formed group refuses all earlier orders
 // and is not modelled. Two restarts and a third version take more states than a
-// check should; Tests/LibMapSwitch covers them with random seeds.
+// check should; Tests/LibMapSwitch covers them with random seeds. That a held
+// group goes on is no property here, but there ("A held group goes on").
 //
 // variant GO_BEFORE_ALL_ARMED the group is released while a rank is not armed
 // variant ARM_BEFORE_HOLD ranks are armed for a pass that nothing holds
@@ -43,6 +44,11 @@
 #define ABORTING 6
 // The version that the owner's rank prepares to abort a switch.
 #define ABORT_VERSION LAST_VERSION
+// The version that a later owner's rank prepares to abort a switch of which its
+// owner knows nothing; higher than any that was used.
+#define ABORT_UNKNOWN_VERSION (LAST_VERSION + 1)
+#define ABORT_VERSION_OF(map_switch) \
+  (map_switch.is_unknown -> ABORT_UNKNOWN_VERSION : ABORT_VERSION)
 
 #ifdef GO_ANY_HELD
 #define MAY_GO(held_step, armed_for) true
@@ -111,6 +117,7 @@
   DesiredMap desired_map;
   RankStatus statuses[RANKS];
   bool has_status[RANKS];
+  bool is_unknown;  // whether the switch to abort was found held
   byte received_step  // the last pass begun, as reported by rank 0
 };
 
@@ -316,6 +323,23 @@
   fi
 }
 
+// AbortUnknownSwitch, if the owner's rank shows that no rank is armed.
+inline AbortUnknownSwitch(map_switch) {
+  if
+  :: map_switch.has_status[0] && map_switch.statuses[0].armed == 0 &&
+     map_switch.received_step < map_switch.statuses[holder].held ->
+       map_switch.desired_map.version = ABORT_UNKNOWN_VERSION;
+       map_switch.desired_map.hold_step = map_switch.statuses[holder].held;
+       map_switch.desired_map.holder = holder;
+       map_switch.desired_map.arm_step = 0;
+       map_switch.desired_map.is_released = false;
+       map_switch.desired_map.is_aborted = false;
+       map_switch.is_unknown = true;
+       map_switch.phase = ABORTING
+  :: else -> skip
+  fi
+}
+
 // Continue, and StartSwitch where a switch may start.
 inline Continue(map_switch, is_standby) {
   FindHolder(map_switch);
@@ -323,11 +347,16 @@
   :: map_switch.phase == IDLE && holder < RANKS ->
        Resume(map_switch, is_standby);
        if
-       :: !is_standby && map_switch.phase == IDLE && HAS_ALL_STATUSES(map_switch) &&
-          NONE_ARMED(map_switch) && map_switch.statuses[0].newest < LAST_VERSION ->
-            Start(map_switch)
+       :: !is_standby && map_switch.phase == IDLE ->
+            AbortUnknownSwitch(map_switch)
        :: else -> skip
        fi
+  :: map_switch.phase == PREPARING && holder < RANKS ->
+       AbortUnknownSwitch(map_switch)
+  :: map_switch.phase == ARMING_OWNER && !is_standby && holder < RANKS &&
+     map_switch.statuses[0].armed == 0 &&
+     map_switch.statuses[0].prepared != map_switch.desired_map.version ->
+       AbortUnknownSwitch(map_switch)
   :: map_switch.phase == IDLE && holder == RANKS && !is_standby &&
      HAS_ALL_STATUSES(map_switch) && NONE_ARMED(map_switch) ->
        Start(map_switch)
@@ -346,11 +375,13 @@
        fi
   :: map_switch.phase == ABORTING && !map_switch.desired_map.is_aborted &&
      map_switch.statuses[0].armed != 0 ->
+       map_switch.desired_map.version = map_switch.statuses[0].armed;
        map_switch.desired_map.arm_step = map_switch.desired_map.hold_step;
        map_switch.phase = ARMING_OWNER
   :: map_switch.phase == ABORTING && !map_switch.desired_map.is_aborted &&
      map_switch.statuses[0].armed == 0 &&
-     (map_switch.statuses[0].prepared == ABORT_VERSION || ABORTS_AT_ONCE) ->
+     (map_switch.statuses[0].prepared == ABORT_VERSION_OF(map_switch) ||
+      ABORTS_AT_ONCE) ->
        map_switch.desired_map.is_aborted = true
   :: map_switch.phase == ABORTING && map_switch.desired_map.is_aborted &&
      map_switch.received_step >= map_switch.desired_map.hold_step ->
@@ -412,6 +443,7 @@
        map_switch.desired_map.arm_step = 0;
        map_switch.desired_map.is_released = false;
        map_switch.desired_map.is_aborted = false;
+       map_switch.is_unknown = false;
        map_switch.phase = PREPARING
   :: else -> skip
   fi
@@ -425,6 +457,11 @@
   :: else -> skip
   fi;
   if
+  // Others hear of it once the owner's rank can't be armed any more.
+  :: owner.phase == ABORTING && owner.is_unknown && at_rank != 0 &&
+     !owner.desired_map.is_aborted -> skip
+  :: else ->
+  if
   :: desired_maps[at_rank].version > owner.desired_map.version ||
      (desired_maps[at_rank].version == owner.desired_map.version &&
       (desired_maps[at_rank].arm_step > arm ||
@@ -440,13 +477,14 @@
        desired_maps[at_rank].is_aborted = owner.desired_map.is_aborted;
        if
        :: owner.phase == ABORTING && at_rank == 0 ->
-            desired_maps[0].version = ABORT_VERSION;
+            desired_maps[0].version = ABORT_VERSION_OF(owner);
             if
             :: owner.desired_map.is_aborted -> skip
             :: else -> desired_maps[0].hold_step = 0
             fi
        :: else -> skip
        fi
+  fi
   fi;
   arm = 0
 }
@@ -472,6 +510,7 @@
 
 inline ClearSwitch(map_switch) {
   map_switch.phase = IDLE;
+  map_switch.is_unknown = false;
   map_switch.desired_map.version = 0;
   map_switch.desired_map.hold_step = 0;
   map_switch.desired_map.holder = 0;
--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -18,6 +18,9 @@
 // - PUT /passes?pause_ms=: the group begins no pass for so long.
 // - PUT /freeze?rank=&at=: the server of this rank, counted from 0, freezes at
 //   its next stream (stream) or at the next hold of the group (hold).
+// - PUT /freeze?rank=&agent=: the process of this number, the agent of the
+// rank,
+//   is stopped by the next hold of the group; its server runs on.
 // - PUT /cut: cuts all streams that run at the ranks, once; ranks stay up.
 // - PUT /signals?id=&limit=&fails=: from now on the answers of a server name
 //   this limit, or have this status.
@@ -334,9 +337,12 @@
     platform.group.lost_order = http::FindQueryValue(request.query, "lose");
   }
   if (request.path == "/freeze") {
-    const size_t rank = std::stoul(http::FindQueryValue(request.query, "rank"));
-    platform.group.ranks.at(rank).freezes_at =
-        http::FindQueryValue(request.query, "at");
+    const size_t number =
+        std::stoul(http::FindQueryValue(request.query, "rank"));
+    StandInRank& rank = platform.group.ranks.at(number);
+    rank.freezes_at = http::FindQueryValue(request.query, "at");
+    const std::string agent = http::FindQueryValue(request.query, "agent");
+    rank.stops_at_hold = agent.empty() ? 0 : std::stoi(agent);
   }
   if (request.path == "/passes") {
     platform.group.paused_until =
@@ -358,7 +364,11 @@
   const auto frozen =
       std::count_if(ranks.begin(), ranks.end(),
                     [](const StandInRank& rank) { return rank.is_frozen; });
+  const auto behind_owner = std::count_if(
+      ranks.begin() + 1, ranks.end(),
+      [&](const auto& rank) { return rank.prepared < ranks.front().prepared; });
   const json status = {{"runs", platform.runs},
+                       {"behind_owner", behind_owner},
                        {"runs_at", platform.runs_by_server},
                        {"splits", platform.group.splits},
                        {"switches", platform.group.switches},
--- a/StandIns/UsersPlatform/Ranks.cc
+++ b/StandIns/UsersPlatform/Ranks.cc
@@ -1,5 +1,7 @@
 #include "StandIns/UsersPlatform/Ranks.h"
 
+#include <csignal>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -41,11 +43,13 @@
 }
 
 json Report(const StandInGroup& group, const StandInRank& rank) {
+  const auto running = std::ranges::count_if(
+      rank.streams, [](const auto& item) { return item.second.is_running; });
   json report = {{"stage", "both"},
                  {"busy", false},
                  {"seq", rank.sequence},
-                 {"queued", 0},
-                 {"running", rank.streams.size()},
+                 {"queued", rank.streams.size() - static_cast<size_t>(running)},
+                 {"running", running},
                  {"pace", 1.0},
                  {"group",
                   {{"name", "g"},
@@ -124,6 +128,15 @@
   return 200;
 }
 
+void StopAgentsAtHold(StandInGroup& group) {
+  for (StandInRank& rank : group.ranks) {
+    const int process = std::exchange(rank.stops_at_hold, 0);
+    if (process != 0) {
+      kill(process, SIGSTOP);
+    }
+  }
+}
+
 int ExecuteOrder(StandInGroup& group, StandInRank& rank, const json& order) {
   if (order.value("epoch", group.epoch) != group.epoch) {
     return 409;
@@ -138,6 +151,7 @@
   if (operation == "hold") {
     const int status = Hold(group, rank, order);
     FreezeAt(group, "hold");
+    StopAgentsAtHold(group);
     return status;
   }
   return operation == "go" ? Go(rank, order) : 400;
@@ -238,6 +252,7 @@
   }
   for (auto found = rank.streams.begin(); found != rank.streams.end();) {
     RunningStream& stream = found->second;
+    stream.is_running = true;
     if (stream.ends_rank_at && !is_answering_until_end) {
       ++found;
       continue;
--- a/StandIns/UsersPlatform/Ranks.h
+++ b/StandIns/UsersPlatform/Ranks.h
@@ -30,6 +30,8 @@
   uint64_t next_event = 1;
   uint64_t last_event = 0;
   std::string body;
+  // Whether a pass has begun with it; until then it is queued.
+  bool is_running = false;
   // When the rank ends under it.
   std::optional<TimePoint> ends_rank_at;
 };
@@ -44,6 +46,9 @@
   // A frozen server takes requests and answers none, while the group goes on.
   bool is_frozen = false;
   std::vector<ExchangePointer> unanswered;
+  // The process of the rank's agent that is stopped by the next hold of the
+  // group, as if its machine froze; 0 for none.
+  int stops_at_hold = 0;
   uint64_t sequence = 0;
   uint64_t map_version = 0;
   MapLists map;
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -51,6 +51,9 @@
   int lost_message_percent = 0;
   std::mt19937_64 random;
   int switches = 0;
+  // The pass at which the owner's process began: it knows the demand, and plans
+  // a map, once it has seen another one.
+  std::optional<Step> step_at_start;
   std::map<uint32_t, std::pair<std::string, TimePoint>> last_orders;
 
   Duration tick = kTick;
@@ -130,7 +133,11 @@
 
   void RunOwner(TimePoint now) {
     Continue(this->owner, now);
-    if (is_ready_for_map(this->owner, now) || needs_switch(this->owner, now)) {
+    if (lacks_abort_map(this->owner)) {
+      this->owner.abort_map = ExpertLists(1, {{0}, {1}, {2}, {3}});
+    }
+    const bool is_demand_known = this->ranks.step != this->step_at_start;
+    if (is_ready_for_map(this->owner, now) && is_demand_known) {
       ++this->switches;
       // Each plan is a different map.
       const auto plan = static_cast<uint16_t>(this->switches);
@@ -151,6 +158,7 @@
     this->owner = {.version_offset = VersionOffsetAt(this->ranks.now)};
     this->desired_maps[0].reset();
     this->last_orders.erase(0);
+    this->step_at_start = this->ranks.step;
   }
 
   // The agent of another rank polls all ranks and completes the switch.
@@ -414,6 +422,109 @@
   }
 }
 
+// Failure: an owner is killed at any moment of a switch, most often while it
+// aborts one; its orders are carried out late, and a rank's machine is frozen
+// as well. Its successor knows neither the switch nor the demand, and the group
+// stood for good: what waits in a held group does not run, and shows no demand.
+TEST_CASE("A held group goes on whatever its owner has forgotten") {
+  constexpr Duration kLongestStandstill = std::chrono::seconds(1);
+  int held = 0;
+  for (uint64_t seed = 1; seed <= 600; ++seed) {
+    CAPTURE(seed);
+    SimulatedRanks ranks(kRanks, seed);
+    SetVariant(ranks, seed);
+    ranks.late_order_percent = seed % 2 == 0 ? 30 : 0;
+    Agents agents(ranks, seed);
+    agents.tick = std::chrono::milliseconds(5);
+    agents.repeat_after = std::chrono::milliseconds(40);
+    std::mt19937_64 random(seed);
+    while (!is_any_held(ranks)) {
+      agents.Run(agents.tick);
+    }
+    const uint32_t frozen = 1 + static_cast<uint32_t>(random() % (kRanks - 1));
+    if (ranks.status(frozen).held == 0) {
+      agents.frozen_until[frozen] = ranks.now + std::chrono::seconds(8);
+    }
+    for (uint64_t kill = 0; kill <= seed % 3; ++kill) {
+      agents.Run(std::chrono::milliseconds(random() % 250));
+      agents.RestartOwner();
+    }
+    held += is_any_held(ranks) ? 1 : 0;
+    ranks.late_order_percent = 0;
+    if (ranks.status(0).armed != 0) {
+      // Only the frozen rank's own machine can have it armed.
+      agents.frozen_until.clear();
+    }
+    const Step before = ranks.step;
+    agents.Run(kLongestStandstill);
+    CHECK(ranks.step > before);
+    // Late orders are carried out within 4 s.
+    agents.Run(std::chrono::seconds(5));
+    const Step later = ranks.step;
+    agents.Run(kLongestStandstill);
+    CHECK(ranks.step > later);
+    CHECK_FALSE(ranks.is_split);
+  }
+  MESSAGE("held when the last owner began ", held);
+  CHECK(held > 100);
+}
+
+// Failure: as above, by the least that an owner may know: a fresh report of its
+// own rank and one of the holder, while all others are silent and the group is
+// idle or all its requests wait.
+TEST_CASE("An owner lets a held group go by two ranks' reports") {
+  TimePoint now{std::chrono::seconds(1000)};
+  MapSwitch owner{.version_offset = VersionOffsetAt(now)};
+  RankStatus own{.group = "g",
+                 .epoch = 3,
+                 .size = kRanks,
+                 .is_open = true,
+                 .step = 40,
+                 .map = 6,
+                 .prepared = 8};
+  RankStatus holder = own;
+  holder.rank = 2;
+  holder.prepared = 7;
+  holder.held = 41;
+  const auto report = [&] {
+    now += std::chrono::milliseconds(30);
+    HandleStatus(owner, own, now);
+    HandleStatus(owner, holder, now);
+    Continue(owner, now);
+  };
+  for (int round = 0; round < 10 && !lacks_abort_map(owner); ++round) {
+    report();
+  }
+  REQUIRE(lacks_abort_map(owner));
+  owner.abort_map = MakeAbortMap({{0, 1}}, kRanks, 6);
+  const auto order = NextOrder(DesiredMapFor(owner, 0), own);
+  REQUIRE(order);
+  const auto* prepare = std::get_if<Prepare>(&order->body);
+  REQUIRE(prepare != nullptr);
+  CHECK(prepare->version > 8);
+  CHECK(prepare->map == ExpertLists{{{0, 1}, {2, 5}, {3}, {4}}});
+  SUBCASE("The holder lets go once the owner's rank can't be armed") {
+    CHECK_FALSE(NextOrder(DesiredMapFor(owner, 2), holder));
+    own.prepared = prepare->version;
+    report();
+    const auto release = NextOrder(DesiredMapFor(owner, 2), holder);
+    REQUIRE(release);
+    const auto* go = std::get_if<Go>(&release->body);
+    REQUIRE(go != nullptr);
+    CHECK(go->step == 41);
+  }
+  SUBCASE("An order to arm that came first is completed") {
+    own.armed = 8;
+    own.armed_step = 41;
+    report();
+    report();
+    CHECK(owner.phase == SwitchPhase::kArming);
+    CHECK(DesiredMapFor(owner, 2).version == 8);
+    CHECK(DesiredMapFor(owner, 2).arm_step == 41);
+    CHECK_FALSE(DesiredMapFor(owner, 2).is_aborted);
+  }
+}
+
 TEST_CASE("Machines that freeze at any moment never make ranks use two maps") {
   int aborted = 0;
   for (uint64_t seed = 1; seed <= 300; ++seed) {
