LibHTTP: Take no status that is none for an interim answer

Cause: DirectCall::ReadHead() took every status under 200 for an interim head and read on, also through the bytes of its body; the parser bounded no status.

Change: the parser refuses statuses below 100 and above 599; an interim head that has a length or a coding is malformed, and so is 101, since no call of ours asks to switch protocols. All calls of the system use this parser: gateways to servers and peers, agents to their servers, the store, the relay of orders, the own interface's client. Callers get 502 at once, which promises nothing.

An interim head of 100, 103 or 199 without a body is still read over. Not changed: an entry passes on the status in its agent's frames, which comes from this parser.

--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -249,7 +249,6 @@
 }
 
 void DirectCall::ReadHead() {
-  constexpr int kFirstFinalStatus = 200;
   while (true) {
     auto parsed = ParseAnswerHead(this->input);
     if (parsed.has_error()) {
@@ -264,8 +263,9 @@
     }
     const AnswerHead head = std::move(*parsed.value());
     this->input.erase(0, head.bytes);
-    if (head.status < kFirstFinalStatus) {
-      if (++this->interim_heads > kMaxInterimHeads) {
+    if (is_interim(head)) {
+      const bool is_too_many = ++this->interim_heads > kMaxInterimHeads;
+      if (is_too_many || !is_possible_interim(head)) {
         this->End(CallEnd::kMalformed);
         return;
       }
--- a/Libraries/LibHTTP/Parser.cc
+++ b/Libraries/LibHTTP/Parser.cc
@@ -57,6 +57,9 @@
 constexpr size_t kUsualHeaders = 100;
 constexpr size_t kMaxHeaders = 16384;
 constexpr int kIncomplete = -2;
+constexpr int kFirstStatus = 100;
+constexpr int kFirstFinalStatus = 200;
+constexpr int kLastStatus = 599;
 
 using RawHeaders = std::vector<phr_header>;
 
@@ -229,6 +232,10 @@
   if (!headers) {
     return Fail(ErrorCode::kMalformedFrame, "head", "a line is folded");
   }
+  // A status of another range is none (RFC 9110, section 15).
+  if (head.status < kFirstStatus || head.status > kLastStatus) {
+    return Fail(ErrorCode::kMalformedFrame, "head", "its status is none");
+  }
   head.headers = *std::move(headers);
   head.bytes = static_cast<size_t>(parsed);
   return std::optional<AnswerHead>(std::move(head));
@@ -278,6 +285,17 @@
   return MessageFraming{.framing = BodyFraming::kUntilClose};
 }
 
+bool is_interim(const AnswerHead& head) {
+  return head.status < kFirstFinalStatus;
+}
+
+bool is_possible_interim(const AnswerHead& head) {
+  constexpr int kSwitchingProtocols = 101;
+  const LengthHeaders length = FindLength(head.headers);
+  return head.status != kSwitchingProtocols && length.is_valid &&
+         length.length == 0 && !FindTransferCoding(head.headers).is_present;
+}
+
 bool is_persistent(const HeaderList& headers, int minor_version) {
   bool is_closed = minor_version == 0;
   for (const auto& [name, value] : headers) {
--- a/Libraries/LibHTTP/Parser.h
+++ b/Libraries/LibHTTP/Parser.h
@@ -34,9 +34,20 @@
 Result<std::optional<RequestHead>> ParseRequestHead(std::string_view bytes);
 
 // Returns the answer head at the start of `bytes`, or nullopt if it is
-// incomplete. Fails with kMalformedFrame.
+// incomplete. Fails with kMalformedFrame, also if the status is not one of 100
+// to 599.
 Result<std::optional<AnswerHead>> ParseAnswerHead(std::string_view bytes);
 
+// Whether another head follows this one.
+bool is_interim(const AnswerHead& head);
+
+// Whether an interim answer may be one: it has no body, and no request of ours
+// asks to switch protocols.
+//
+// Failure: a server sends an interim head with a body, and the body is the text
+// of an answer; the caller gets what the server sent as content.
+bool is_possible_interim(const AnswerHead& head);
+
 // How a receiver finds the end of a body.
 enum class BodyFraming { kNone, kLength, kChunked, kUntilClose };
 
--- a/Tests/LibHTTP/TestIngress.cc
+++ b/Tests/LibHTTP/TestIngress.cc
@@ -307,6 +307,34 @@
   CHECK(EndOf("HTTP/1.1 200", false) == CallEnd::kTimeout);
 }
 
+// Failure: a server in trouble answers with a status that is none, 000. It was
+// taken for an interim answer: its caller waited for the whole time limit, and
+// an answer that lay in its body went to the caller as the server's own.
+TEST_CASE("An answer whose status is none is malformed at once") {
+  const std::string inner = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+  const std::string rest =
+      " X\r\ncontent-length: " + std::to_string(inner.size()) + "\r\n\r\n" +
+      inner;
+  for (const char* status : {"000", "001", "042", "099", "600", "777", "999"}) {
+    CAPTURE(status);
+    const std::string line = "HTTP/1.1 " + std::string(status);
+    CHECK(EndOf(line + rest, false) == CallEnd::kMalformed);
+    CHECK(EndOf(line + " X\r\n\r\n" + inner, false) == CallEnd::kMalformed);
+  }
+  // Nobody asked to switch protocols, and an interim answer has no body.
+  CHECK(EndOf("HTTP/1.1 101 X\r\n\r\n" + inner, false) == CallEnd::kMalformed);
+  for (const char* status : {"100", "103", "199"}) {
+    CAPTURE(status);
+    const std::string line = "HTTP/1.1 " + std::string(status);
+    CHECK(EndOf(line + rest, false) == CallEnd::kMalformed);
+    CHECK(EndOf(line + " X\r\ntransfer-encoding: chunked\r\n\r\n" + inner,
+                false) == CallEnd::kMalformed);
+    CHECK(EndOf(line + " X\r\n\r\n" + inner, false) == CallEnd::kWhole);
+  }
+  CHECK(EndOf("HTTP/1.1 599 X\r\ncontent-length: 0\r\n\r\n", false) ==
+        CallEnd::kWhole);
+}
+
 TEST_CASE("A call that never connected ends as kNotSent") {
   EventLoop loop;
   CallEnd outcome = CallEnd::kWhole;
