Tests: Crowds of answers that are none, calls that come late in a planned stop

Two reports of other operators: a machine that keeps bytes that are no answer runs out of memory; calls that come late in a planned stop's grace are cut with no answer. What stood: gateway-answers-without-end-take-no-memory (ten at a time at each gateway; heads, lines, bodies, chunks, events) and the stop tests, whose callers kept their address for 2 to 5 s at servers of 50 ms.

New: 60 callers at once before a server of seven kinds of bytes without end, with interim heads, chunk extensions and trailers, at two gateways of 112 MB; callers that send through the whole grace time to servers that take 4.5 of 6 s, and to servers that turn from 50 ms to 5.9 s in the stop, calls that may not be repeated.

The stand-in's one process is the bound of that crowd: the gateways got no more than it could send.

--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -15,6 +15,7 @@
 //   the last rank only); none ends it.
 // - PUT /group?state=: the group reports this state, open or broken, and runs
 //   on nevertheless.
+// - PUT /work?ms=: plain requests that arrive from now on take so long.
 // - PUT /passes?pause_ms=: the group begins no pass for so long.
 // - PUT /freeze?rank=&at=: the server of this rank, counted from 0, freezes at
 //   its next stream (stream) or at the next hold of the group (hold).
@@ -85,6 +86,9 @@
   std::map<std::string, std::string> zones;
   Signals signals;
   Crashes crashes;
+  // Duration of a plain request.
+  Duration work =
+      std::chrono::milliseconds(absl::GetFlag(FLAGS_work_milliseconds));
   // By address.
   std::map<std::string, std::unique_ptr<http::Ingress>> listeners;
   std::unique_ptr<RawServer> raw;
@@ -216,12 +220,11 @@
   }
   const std::string tenant(http::FindHeader(request.headers, "x-tenant"));
   platform.loop.RunAfter(
-      std::chrono::milliseconds(absl::GetFlag(FLAGS_work_milliseconds)),
-      [exchange, attempt, tenant, &signals, service = server.service,
-       id = server.id,
-       added = absl::GetFlag(request.path.ends_with("/long")
-                                 ? FLAGS_long_answer_bytes
-                                 : FLAGS_answer_bytes)] {
+      platform.work, [exchange, attempt, tenant, &signals,
+                      service = server.service, id = server.id,
+                      added = absl::GetFlag(request.path.ends_with("/long")
+                                                ? FLAGS_long_answer_bytes
+                                                : FLAGS_answer_bytes)] {
         LogEnded(id, attempt, exchange->is_closed() ? "left" : "whole");
         http::HeaderList headers = SignalHeaders(signals);
         headers.emplace_back("x-attempt-id", attempt);
@@ -344,6 +347,9 @@
     const std::string agent = http::FindQueryValue(request.query, "agent");
     rank.stops_at_hold = agent.empty() ? 0 : std::stoi(agent);
   }
+  if (request.path == "/work") {
+    platform.work = MillisecondsIn(request.query, "ms");
+  }
   if (request.path == "/passes") {
     platform.group.paused_until =
         EventLoop::Now() + MillisecondsIn(request.query, "pause_ms");
--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -63,6 +63,18 @@
     return {.begin = own + "transfer-encoding: chunked\r\n\r\n",
             .block = "4000\r\n" + letters + "\r\n"};
   }
+  if (kind == "interim") {
+    return {
+        .begin = "",
+        .block = "HTTP/1.1 103 Early Hints\r\nx-line: " + letters + "\r\n\r\n"};
+  }
+  const std::string chunked = own + "transfer-encoding: chunked\r\n\r\n";
+  if (kind == "extension") {
+    return {.begin = chunked + "4;", .block = letters};
+  }
+  if (kind == "trailer") {
+    return {.begin = chunked + "1\r\nx\r\n0\r\nx-line: ", .block = letters};
+  }
   if (kind == "event") {
     return {.begin = own + "\r\nid: 1\ndata: x\n\ndata: ", .block = letters};
   }
--- a/StandIns/UsersPlatform/RawServer.h
+++ b/StandIns/UsersPlatform/RawServer.h
@@ -5,7 +5,8 @@
 // the server ends; it is back later). After cut-PLACE an answer with a length
 // or chunks breaks off there, see CutAnswers.h. After endless-KIND bytes that
 // are no answer come until the caller closes: head (header lines), line (one
-// header line), body (without a length), chunks, event (one event of a stream),
+// header line), interim (interim heads), body (without a length), chunks,
+// extension (of one chunk), trailer (one line), event (one event of a stream),
 // bare (a body without a stamp).
 #pragma once
 
