LibGateway: Let no target of an unknown service replace another

Cause: ApplyTarget() took the record with the newest revision for the one that has the address, whatever its service; the mark stayed on the real server, and a process that began anew did not even add the older record.

Change: which targets are replaced is found out anew, by address, whenever a record, the services of the desired state or a misdirection change. A target of a service that no desired state names replaces none; before one is known all do. A target that a server's 421 has refuted replaces none either, so that two records of known services at one address end with one request to the wrong one. All records are kept.

--- a/Libraries/LibGateway/Targets.cc
+++ b/Libraries/LibGateway/Targets.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <utility>
+#include <vector>
 
 #include "LibGateway/RateLimits.h"
 
@@ -31,19 +32,33 @@
   return static_cast<double>(mixed % 1024) / 1024;
 }
 
+// Whether the target, if it is the newest at its address, replaces the others.
+bool may_replace(const TargetTable& table, const TargetView& view) {
+  return !view.is_misdirected &&
+         (!table.services || table.services->contains(view.target.service));
+}
+
+// Finds out anew which targets at this address are replaced.
+void UpdateReplaced(TargetTable& table, const Address& address) {
+  std::vector<TargetView*> views;
+  uint64_t newest = 0;
+  for (auto& [id, view] : table.by_id) {
+    if (view.target.address == address) {
+      views.push_back(&view);
+      if (may_replace(table, view)) {
+        newest = std::max(newest, view.target.revision);
+      }
+    }
+  }
+  for (TargetView* view : views) {
+    view->is_replaced = view->is_misdirected || view->target.revision < newest;
+  }
+}
+
 }  // namespace
 
 void ApplyTarget(TargetTable& table, Target target) {
   const std::string id = target.id;
-  for (auto& [other_id, other] : table.by_id) {
-    if (other_id == id || other.target.address != target.address) {
-      continue;
-    }
-    if (other.target.revision > target.revision) {
-      return;
-    }
-    other.is_replaced = true;
-  }
   const auto signals = table.signals.find(id);
   if (signals != table.signals.end()) {
     Leaving& leaving = signals->second.leaving;
@@ -54,12 +69,36 @@
     }
   }
   TargetView& view = table.by_id[id];
-  view.is_replaced = false;
+  const Address last_address = view.target.address;
+  view.is_misdirected = false;
   view.target = std::move(target);
+  UpdateReplaced(table, view.target.address);
+  if (last_address != view.target.address) {
+    UpdateReplaced(table, last_address);
+  }
+}
+
+void ApplyServices(TargetTable& table, std::set<std::string> services) {
+  if (table.services == services) {
+    return;
+  }
+  table.services = std::move(services);
+  std::set<Address> addresses;
+  for (const auto& [id, view] : table.by_id) {
+    addresses.insert(view.target.address);
+  }
+  for (const Address& address : addresses) {
+    UpdateReplaced(table, address);
+  }
 }
 
 void RemoveTarget(TargetTable& table, const std::string& id) {
-  table.by_id.erase(id);
+  const auto found = table.by_id.find(id);
+  if (found != table.by_id.end()) {
+    const Address address = found->second.target.address;
+    table.by_id.erase(found);
+    UpdateReplaced(table, address);
+  }
   const auto signals = table.signals.find(id);
   if (signals != table.signals.end()) {
     signals->second.leaving.is_listed = true;
@@ -169,7 +208,8 @@
     case Outcome::kBackedOff:
       return;
     case Outcome::kMisdirected:
-      view.is_replaced = true;
+      view.is_misdirected = true;
+      UpdateReplaced(table, view.target.address);
       return;
     case Outcome::kUnreachable:
       view.failures += 1;
--- a/Libraries/LibGateway/Targets.h
+++ b/Libraries/LibGateway/Targets.h
@@ -55,9 +55,11 @@
   // Number of recent failures as of `failures_at`; it decays over time.
   double failures = 0;
   TimePoint failures_at;
-  // The target no longer runs at this address: a newer target is listed there,
-  // or the server answered that it is another one. Nothing is sent there until
-  // the platform lists the target again.
+  // The server at this address answered that it is another one. Nothing is sent
+  // there until the platform lists the target again.
+  bool is_misdirected = false;
+  // The target no longer runs at this address: it is misdirected, or a newer
+  // target is listed there. Nothing is sent there.
   bool is_replaced = false;
   // A connection was refused or timed out: the target is used only as a last
   // resort until then.
@@ -72,13 +74,23 @@
   // By id of the target; kept while its record is missing.
   std::map<std::string, TargetSignals> signals;
   EvacuatedZones evacuated;
+  // The services that the desired state names; nothing until one is known.
+  std::optional<std::set<std::string>> services;
 };
 
 // Adds or updates a target that the platform lists; the state of a known target
-// is kept. Older targets at the same address are marked as replaced: after a
-// power outage all servers of a site run again at their old addresses under new
-// names, while the old names stay listed for seconds.
+// is kept. Older targets at the same address are replaced: after a power outage
+// all servers of a site run again at their old addresses under new names, while
+// the old names stay listed for seconds.
+//
+// Failure: another writer lists a service that no desired state names at the
+// addresses of a service's servers, and all of them are taken for replaced. A
+// target of such a service therefore replaces none, and neither does one that
+// is misdirected.
 void ApplyTarget(TargetTable& table, Target target);
+
+// Takes over which services the desired state names.
+void ApplyServices(TargetTable& table, std::set<std::string> services);
 void RemoveTarget(TargetTable& table, const std::string& id);
 
 // Limits the requests to a target while it is cold. `warm_up_rate` is that of
--- a/Services/bramleyspand/Gateway/Feeds.cc
+++ b/Services/bramleyspand/Gateway/Feeds.cc
@@ -78,6 +78,11 @@
   for (const auto& [id, view] : state.targets.by_id) {
     LimitIfCold(state, id);
   }
+  std::set<std::string> services;
+  for (const auto& [name, service] : state.table->services) {
+    services.insert(name);
+  }
+  gateway::ApplyServices(state.targets, std::move(services));
   on_table(*state.table);
 }
 
--- a/Tests/LibGateway/TestTargets.cc
+++ b/Tests/LibGateway/TestTargets.cc
@@ -42,6 +42,54 @@
   }
 }
 
+// Failure: records of a service that no desired state names take the addresses
+// of a service's servers from them, and all its requests are refused for as
+// long as these records are there.
+TEST_CASE("A target of a service that nobody knows replaces none") {
+  Target stranger = TargetOf("stranger", 80, 9);
+  stranger.service = "inventory";
+  TargetTable table;
+  SUBCASE("The desired state was known before") {
+    ApplyServices(table, {"invoices"});
+    ApplyTarget(table, TargetOf("a", 80, 5));
+    ApplyTarget(table, stranger);
+  }
+  SUBCASE("A process that begins anew reads the records first") {
+    ApplyTarget(table, stranger);
+    ApplyTarget(table, TargetOf("a", 80, 5));
+    ApplyServices(table, {"invoices"});
+  }
+  CHECK(Usable(table) == std::set<std::string>{"a"});
+  // Once the service is named, its target is the newest one there.
+  ApplyServices(table, {"inventory", "invoices"});
+  CHECK(Usable(table).empty());
+  RemoveTarget(table, "stranger");
+  CHECK(Usable(table) == std::set<std::string>{"a"});
+}
+
+// Failure: a record of a known service names the address of another service's
+// server. The server answers there that it is not the one, and gets no requests
+// under its own record either.
+TEST_CASE("A target that is misdirected replaces none") {
+  TargetTable table;
+  ApplyServices(table, {"invoices", "archive"});
+  Target stranger = TargetOf("stranger", 80, 9);
+  stranger.service = "archive";
+  ApplyTarget(table, TargetOf("a", 80, 5));
+  ApplyTarget(table, stranger);
+  CHECK(Usable(table).empty());
+  RecordOutcome(table, "stranger", Outcome::kMisdirected, kStart);
+  CHECK(Usable(table) == std::set<std::string>{"a"});
+}
+
+TEST_CASE("A target that moves replaces no longer at its old address") {
+  TargetTable table;
+  ApplyTarget(table, TargetOf("a", 80, 5));
+  ApplyTarget(table, TargetOf("b", 80, 6));
+  ApplyTarget(table, TargetOf("b", 81, 7));
+  CHECK(Usable(table) == std::set<std::string>{"a", "b"});
+}
+
 // Failure: a server answers that it is another target, because its address was
 // reassigned while its record remained. It keeps getting requests.
 TEST_CASE("A misdirected target gets no requests until it is listed again") {
