LibHTTP, Gateway: Ask the process that gave an answer whether it outlived it

Cause: an answer without a length ends with its connection, and a process that dies closes it like one that has finished. The gateway then asked whether the address accepts a connection, which a process that has begun anew does too.

Change: LibHTTP/Witness, a second connection to the target that is opened beside the request's, and a request on it after the end. A process that died has no open connection, whoever has its address since. Opened with the request where a quarter of a service's recent answers or more have no length, else with the head; where it is refused, the check of before decides.

--- a/Libraries/LibGateway/Adapter.h
+++ b/Libraries/LibGateway/Adapter.h
@@ -22,6 +22,8 @@
   CallHeaders headers;
   std::string readiness_path;
   std::string directory_path;
+  // Path that a target answers at once, whatever it answers.
+  std::string liveness_path;
   // Parameter of the directory's query that names the caller's zone.
   std::string caller_zone_parameter;
   std::string table_key;
--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -193,6 +193,22 @@
       return;
     }
   }
+  if (!this->request.is_sent_later) {
+    this->WriteRequest();
+  }
+  this->StartReading();
+}
+
+void DirectCall::Send() {
+  if (this->is_ended || !std::exchange(this->request.is_sent_later, false)) {
+    return;
+  }
+  if (this->is_connected) {
+    this->WriteRequest();
+  }
+}
+
+void DirectCall::WriteRequest() {
   this->outgoing_head = this->SerializeHead();
   std::array<h2o_iovec_t, 2> buffers{
       h2o_iovec_init(this->outgoing_head.data(), this->outgoing_head.size()),
@@ -201,7 +217,6 @@
   // arrived before it. So the result of the write is ignored.
   h2o_socket_write(this->socket, buffers.data(), this->body().empty() ? 1 : 2,
                    [](h2o_socket_t*, const char*) {});
-  this->StartReading();
 }
 
 void DirectCall::StartReading() {
--- a/Libraries/LibHTTP/DirectCall.h
+++ b/Libraries/LibHTTP/DirectCall.h
@@ -68,6 +68,8 @@
   // Pool that the connection is taken from and returned to. Null opens a fresh
   // connection, which closes after the answer.
   ConnectionPool* connection_pool = nullptr;
+  // Whether the connection is opened, and the request sent by Send.
+  bool is_sent_later = false;
 };
 
 // How a call ended.
@@ -113,6 +115,9 @@
       DirectRequest request,
       std::function<void(CallEnd, Response)> on_done);
 
+  // Sends the request of a call that is sent later, once it is connected.
+  void Send();
+
   // Closes the connection. No callback is called afterwards.
   void Cancel();
 
@@ -126,6 +131,7 @@
 
   void Connect();
   void HandleConnected(const char* failure);
+  void WriteRequest();
   void StartReading();
   void HandleReadable(const char* failure);
   void ReadHead();
--- a/Services/bramleyspand/Gateway/Forwarding.cc
+++ b/Services/bramleyspand/Gateway/Forwarding.cc
@@ -248,6 +248,7 @@
   }
   this->is_finished = true;
   this->StopTimers();
+  this->witness = nullptr;
   this->DropAnswer();
   this->state.waiting.remove(this->shared_from_this());
   if (std::exchange(this->has_reserved_repeat, false)) {
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -13,6 +13,7 @@
 #include "LibGateway/Quarantine.h"
 #include "LibHTTP/DirectCall.h"
 #include "LibHTTP/Ingress.h"
+#include "LibHTTP/Witness.h"
 #include "LibUsage/RequestMeter.h"
 #include "Services/bramleyspand/Gateway/GatewayState.h"
 #include "Services/bramleyspand/Gateway/LostRequest.h"
@@ -214,6 +215,8 @@
   // Lets the target be checked after an answer that ended with its connection,
   // as it does when the target ends. HandleKnownEnd is called after that.
   void CheckUnframedAnswer();
+  void CheckByConnection();
+  void OpenWitness();
   LostRequest DescribeLost() const;
   // Records that the target writes an answer: once it has gone on for a while
   // it speaks for the parts, once it is whole for the request.
@@ -302,6 +305,8 @@
   TimerId attempt_timer = 0;
 
   std::shared_ptr<http::DirectCall> call;
+  // Tells whether the target outlived an answer without a length.
+  std::shared_ptr<http::Witness> witness;
   std::string target_id;
   Address target_address;
   // The target that it was sent to last, also after that attempt has ended.
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -50,6 +50,9 @@
   return headers;
 }
 
+// Weight of one answer in the share of answers without a length.
+constexpr double kUnframedShareWeight = 0.1;
+
 }  // namespace
 
 gateway::AnswerTerms Forwarding::terms() const {
@@ -71,6 +74,12 @@
   gateway::TakeHead(this->answer, this->terms(), head, framing.framing);
   this->state.silent_targets->RecordAnswer(this->target_id);
   this->RecordSignals(head);
+  double& unframed_share = this->state.unframed_share[this->service];
+  const double is_unframed = this->answer.is_framed ? 0 : 1;
+  unframed_share += kUnframedShareWeight * (is_unframed - unframed_share);
+  if (!this->answer.is_framed && this->witness == nullptr) {
+    this->OpenWitness();
+  }
   if (this->is_streaming()) {
     this->ArmAttemptTimer(kStreamEventTimeout);
   }
--- a/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -117,7 +117,35 @@
   return true;
 }
 
+void Forwarding::OpenWitness() {
+  this->witness = http::Witness::Open(this->state.loop, this->target_address,
+                                      this->state.adapter.liveness_path,
+                                      kTargetCheckTimeout);
+}
+
 void Forwarding::CheckUnframedAnswer() {
+  if (this->witness == nullptr) {
+    this->CheckByConnection();
+    return;
+  }
+  this->witness->Ask(kTargetCheckTimeout, [self = this->shared_from_this()](
+                                              http::WitnessVerdict verdict) {
+    self->witness = nullptr;
+    if (self->is_finished) {
+      return;
+    }
+    if (verdict == http::WitnessVerdict::kNone) {
+      self->CheckByConnection();
+      return;
+    }
+    self->HandleKnownEnd(verdict == http::WitnessVerdict::kRuns
+                             ? CallEnd::kWhole
+                             : CallEnd::kTruncated);
+  });
+}
+
+// Shows less: the target may have ended and begun anew.
+void Forwarding::CheckByConnection() {
   const auto judge =
       [self = this->shared_from_this()](http::ConnectOutcome outcome) {
         if (!self->is_finished) {
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -25,6 +25,11 @@
 // Within a region a connection takes 1 to 2 ms.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 
+// Where so many answers have no length, a witness is opened with the request.
+// One that is opened with the head of an answer misses a target that ends in
+// between, and costs nothing where answers have a length.
+constexpr double kMostlyUnframed = 0.25;
+
 }  // namespace
 
 http::HeaderList Forwarding::HeadersFor(const TargetView& target,
@@ -129,6 +134,10 @@
   listeners.on_end = [self](CallEnd end) { self->HandleEnd(end); };
   this->call = http::DirectCall::Start(this->state.loop, std::move(outgoing),
                                        std::move(listeners));
+  this->witness = nullptr;
+  if (this->state.unframed_share[this->service] > kMostlyUnframed) {
+    this->OpenWitness();
+  }
   if (this->is_streaming()) {
     this->ArmAttemptTimer(kStreamEventTimeout);
   } else if (this->route->kind == RouteKind::kIdempotent) {
--- a/Services/bramleyspand/Gateway/GatewayState.h
+++ b/Services/bramleyspand/Gateway/GatewayState.h
@@ -92,6 +92,8 @@
   // How long answers take lately: of calls by route, of streams by service.
   std::map<std::string, gateway::AnswerTimes> call_times;
   std::map<std::string, gateway::AnswerTimes> stream_times;
+  // By name of the service: the share of recent answers without a length.
+  std::map<std::string, double> unframed_share;
   // Requests that wait for a permit, the next one first.
   std::list<std::shared_ptr<Forwarding>> waiting;
   // Requests that have not ended, by their numbers.
--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <optional>
+#include <utility>
 
 #include "LibHTTP/Parser.h"
 #include "StandIns/CutAnswers.h"
@@ -15,6 +16,9 @@
 constexpr std::string_view kInside = "/inside";
 constexpr std::string_view kEnds = "/ends";
 constexpr std::string_view kRestarts = "/restarts";
+constexpr std::string_view kReborn = "/reborn";
+// Time after which a server that is reborn ends.
+constexpr Duration kLifeTime = std::chrono::milliseconds(50);
 constexpr std::string_view kCut = "/cut-";
 // Time for which a server that restarts is away.
 constexpr Duration kDownTime = std::chrono::milliseconds(300);
@@ -108,7 +112,7 @@
   }
   if (path.ends_with(kInside)) {
     events.emplace_back("id: 4\nda");
-  } else if (path.ends_with(kRestarts)) {
+  } else if (path.ends_with(kRestarts) || path.ends_with(kReborn)) {
     events.pop_back();
   }
   std::string answer = "HTTP/1.1 200 OK\r\n" + header_lines + "\r\n";
@@ -131,6 +135,7 @@
   this->listener = TRY(
       Listener::Listen(this->loop, this->address, [this](h2o_socket_t* socket) {
         socket->data = this;
+        this->idle.insert(socket);
         h2o_socket_read_start(socket,
                               [](h2o_socket_t* source, const char* failure) {
                                 static_cast<RawServer*>(source->data)
@@ -142,17 +147,25 @@
 
 void RawServer::HandleReadable(h2o_socket_t* socket, const char* failure) {
   if (failure != nullptr) {
+    this->idle.erase(socket);
     h2o_socket_close(socket);
     return;
   }
   const std::string request(socket->input->bytes, socket->input->size);
+  const bool is_check =
+      request.starts_with("GET /report ") && request.ends_with("\r\n\r\n");
   // Requests have a short body; all of it must be read, or the close is a
   // reset.
-  if (!request.ends_with("\r\n\r\nx")) {
+  if (!is_check && !request.ends_with("\r\n\r\nx")) {
     return;
   }
   h2o_buffer_consume(&socket->input, socket->input->size);
   h2o_socket_read_stop(socket);
+  this->idle.erase(socket);
+  if (is_check) {
+    this->Write(socket, "HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n");
+    return;
+  }
   if (PathOf(request).ends_with(kReset)) {
     const linger reset{.l_onoff = 1, .l_linger = 0};
     setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_LINGER, &reset,
@@ -161,6 +174,7 @@
   const bool is_restarting = PathOf(request).ends_with(kRestarts);
   if (is_restarting || PathOf(request).ends_with(kEnds)) {
     this->listener = nullptr;
+    this->CloseIdle();
   }
   if (is_restarting) {
     this->loop.RunAfter(kDownTime, [this] { (void)this->StartListening(); });
@@ -176,7 +190,35 @@
     this->SendWithoutEnd(socket);
     return;
   }
-  std::string& answer = this->answers[socket] = AnswerTo(request);
+  if (path.ends_with(kReborn)) {
+    this->EndAndBeginAnew(socket, AnswerTo(request));
+    return;
+  }
+  this->Write(socket, AnswerTo(request));
+}
+
+void RawServer::CloseIdle() {
+  for (h2o_socket_t* other : std::exchange(this->idle, {})) {
+    h2o_socket_close(other);
+  }
+}
+
+// The new process listens before the gateway has seen the end of the old one.
+void RawServer::EndAndBeginAnew(h2o_socket_t* socket, std::string half) {
+  std::string& answer = this->answers[socket] = std::move(half);
+  h2o_iovec_t bytes = h2o_iovec_init(answer.data(), answer.size());
+  h2o_socket_write(socket, &bytes, 1, [](h2o_socket_t* source, const char*) {
+    auto* server = static_cast<RawServer*>(source->data);
+    server->loop.RunAfter(kLifeTime, [server, source] {
+      server->answers.erase(source);
+      server->CloseIdle();
+      h2o_socket_close(source);
+    });
+  });
+}
+
+void RawServer::Write(h2o_socket_t* socket, std::string bytes_of_answer) {
+  std::string& answer = this->answers[socket] = std::move(bytes_of_answer);
   h2o_iovec_t bytes = h2o_iovec_init(answer.data(), answer.size());
   h2o_socket_write(socket, &bytes, 1, [](h2o_socket_t* source, const char*) {
     static_cast<RawServer*>(source->data)->answers.erase(source);
--- a/StandIns/UsersPlatform/RawServer.h
+++ b/StandIns/UsersPlatform/RawServer.h
@@ -2,16 +2,18 @@
 // connection. The last part of a request's path says how an answer ends: whole,
 // inside (in the middle of an event, in good order), reset, ends (whole, and
 // the server with it), or restarts (before the last event, in good order, since
-// the server ends; it is back later). After cut-PLACE an answer with a length
+// the server ends; it is back later) or reborn (as restarts, but its next
+// process listens at once). After cut-PLACE an answer with a length
 // or chunks breaks off there, see CutAnswers.h. After endless-KIND bytes that
 // are no answer come until the caller closes: head (header lines), line (one
 // header line), interim (interim heads), body (without a length), chunks,
 // extension (of one chunk), trailer (one line), event (one event of a stream),
-// bare (a body without a stamp).
+// bare (a body without a stamp). GET /report is answered 404.
 #pragma once
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "Kernel/Address.h"
@@ -33,11 +35,17 @@
       : loop(loop), address(address) {}
   Result<void> StartListening();
   void HandleReadable(h2o_socket_t* socket, const char* failure);
+  // Writes the answer, then closes the connection.
+  void Write(h2o_socket_t* socket, std::string bytes_of_answer);
+  void CloseIdle();
+  void EndAndBeginAnew(h2o_socket_t* socket, std::string half);
   void SendWithoutEnd(h2o_socket_t* socket);
 
   EventLoop& loop;
   Address address;
   std::unique_ptr<Listener> listener;
+  // Connections on which no request has come.
+  std::set<h2o_socket_t*> idle;
   // Blocks that are written until the caller closes.
   std::map<h2o_socket_t*, std::string> endless;
   // Answers that are being written.
