LibHTTP: Count a head of many short lines as what it takes

Cause: a head counted as twice its bytes, 32 KB; taken apart, a line of 4 bytes is a pair of strings of 64, and the list grew by doubling: 270 KB. The account of LibMemory was far from its limit, so that nothing was refused.

Change: the list counts, twice, as a request that is sent on has a second one, and it is made in its size.

--- a/Libraries/LibHTTP/Message.cc
+++ b/Libraries/LibHTTP/Message.cc
@@ -2,6 +2,10 @@
 
 namespace bramleyspan::http {
 
+size_t ListBytes(const HeaderList& headers) {
+  return headers.capacity() * sizeof(HeaderList::value_type);
+}
+
 std::string_view FindHeader(const HeaderList& headers, std::string_view name) {
   for (const auto& [key, value] : headers) {
     if (key == name) {
--- a/Libraries/LibHTTP/Message.h
+++ b/Libraries/LibHTTP/Message.h
@@ -32,6 +32,9 @@
 // whole history gets all of it at once.
 inline constexpr size_t kMaxFetchedBytes = size_t{16} << 20;
 
+// Returns the memory that the list takes, without the characters of long texts.
+size_t ListBytes(const HeaderList& headers);
+
 // Returns the value of the first header with that lower-case name, or an empty
 // text if there is none.
 std::string_view FindHeader(const HeaderList& headers, std::string_view name);
--- a/Libraries/LibHTTP/Parser.cc
+++ b/Libraries/LibHTTP/Parser.cc
@@ -95,6 +95,7 @@
 // join such lines (RFC 9112, section 5.2).
 std::optional<HeaderList> ToHeaderList(const RawHeaders& raw, size_t count) {
   HeaderList headers;
+  headers.reserve(count);
   for (size_t i = 0; i < count; ++i) {
     if (raw[i].name == nullptr) {
       return std::nullopt;
--- a/Libraries/LibHTTP/RequestReader.cc
+++ b/Libraries/LibHTTP/RequestReader.cc
@@ -11,7 +11,8 @@
 constexpr size_t kFramingOfOneByte = 20;
 // A body without announced length is counted in steps of this size.
 constexpr size_t kBodyStep = 16384;
-// A head is held as text and as the lines that it was taken apart into.
+// A head is held as the lines that it was taken apart into, and a second time,
+// as text or as the lines that are sent on.
 constexpr size_t kCopiesOfHead = 2;
 
 // Whether chunk extensions and trailers, which are no body, take more than a
@@ -83,7 +84,9 @@
     return reader.input.size();
   }
   const size_t steps = (reader.body.size() + kBodyStep - 1) / kBodyStep;
-  return kCopiesOfHead * reader.head->bytes +
+  // A line of a few characters takes many times its length.
+  const size_t of_head = reader.head->bytes + ListBytes(reader.head->headers);
+  return kCopiesOfHead * of_head +
          (reader.framing.framing == BodyFraming::kChunked
               ? steps * kBodyStep
               : static_cast<size_t>(reader.framing.length));
--- a/Tests/LibHTTP/TestIngressMemory.cc
+++ b/Tests/LibHTTP/TestIngressMemory.cc
@@ -48,6 +48,39 @@
   CHECK(fixture.holds->account.held == 0);
 }
 
+// Failure: clients send heads of thousands of lines of a few bytes and not the
+// whole body. Each head takes twenty times the memory that is counted for it,
+// and the process ends by its memory long before a request is refused.
+TEST_CASE("A head of many short lines counts as much as it takes") {
+  constexpr size_t kLines = 3000;
+  BoundedFixture fixture;
+  std::string bytes = "POST / HTTP/1.1\r\ncontent-length: 9\r\n";
+  for (size_t line = 0; line < kLines; ++line) {
+    bytes += "a:\r\n";
+  }
+  bytes += "\r\n";
+  const size_t taken = kLines * sizeof(HeaderList::value_type);
+  REQUIRE(taken > 10 * bytes.size());
+  SUBCASE("Without room it is refused before its body is read") {
+    fixture.ServeWithin(taken, NeverCalled, {.max_head_bytes = 16384});
+    CHECK(fixture.Exchange(bytes).starts_with("HTTP/1.1 503"));
+    CHECK(fixture.turned_away == std::vector{TurnedAwayCause::kNoRoom});
+  }
+  SUBCASE("With room it is served") {
+    size_t held = 0;
+    fixture.ServeWithin(4 * taken,
+                        [&](const IngressRequest& request,
+                            const std::shared_ptr<IngressExchange>& exchange) {
+                          held = fixture.holds->account.held;
+                          CHECK(request.headers.size() == kLines + 1);
+                          exchange->Respond(200, {{"connection", "close"}}, "");
+                        },
+                        {.max_head_bytes = 16384});
+    CHECK(fixture.Exchange(bytes + "123456789").starts_with("HTTP/1.1 200"));
+    CHECK(held >= taken);
+  }
+}
+
 TEST_CASE("A chunked request that outgrows what is free is refused") {
   BoundedFixture fixture;
   fixture.ServeWithin(10'000, NeverCalled);
