--- a/Tests/LibHTTP/TestIngress.cc
+++ b/Tests/LibHTTP/TestIngress.cc
@@ -312,24 +312,27 @@
 // an answer that lay in its body went to the caller as the server's own.
 TEST_CASE("An answer whose status is none is malformed at once") {
   const std::string inner = "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
-  const std::string rest =
-      " X\r\ncontent-length: " + std::to_string(inner.size()) + "\r\n\r\n" +
-      inner;
+  // Returns how an answer with this status ends whose content is the inner one.
+  const auto end_of = [&inner](const char* status, const std::string& headers) {
+    std::string answer = "HTTP/1.1 ";
+    answer.append(status).append(" X\r\n").append(headers).append("\r\n");
+    return EndOf(answer + inner, false);
+  };
+  const std::string length =
+      "content-length: " + std::to_string(inner.size()) + "\r\n";
   for (const char* status : {"000", "001", "042", "099", "600", "777", "999"}) {
     CAPTURE(status);
-    const std::string line = "HTTP/1.1 " + std::string(status);
-    CHECK(EndOf(line + rest, false) == CallEnd::kMalformed);
-    CHECK(EndOf(line + " X\r\n\r\n" + inner, false) == CallEnd::kMalformed);
+    CHECK(end_of(status, length) == CallEnd::kMalformed);
+    CHECK(end_of(status, "") == CallEnd::kMalformed);
   }
   // Nobody asked to switch protocols, and an interim answer has no body.
-  CHECK(EndOf("HTTP/1.1 101 X\r\n\r\n" + inner, false) == CallEnd::kMalformed);
+  CHECK(end_of("101", "") == CallEnd::kMalformed);
   for (const char* status : {"100", "103", "199"}) {
     CAPTURE(status);
-    const std::string line = "HTTP/1.1 " + std::string(status);
-    CHECK(EndOf(line + rest, false) == CallEnd::kMalformed);
-    CHECK(EndOf(line + " X\r\ntransfer-encoding: chunked\r\n\r\n" + inner,
-                false) == CallEnd::kMalformed);
-    CHECK(EndOf(line + " X\r\n\r\n" + inner, false) == CallEnd::kWhole);
+    CHECK(end_of(status, length) == CallEnd::kMalformed);
+    CHECK(end_of(status, "transfer-encoding: chunked\r\n") ==
+          CallEnd::kMalformed);
+    CHECK(end_of(status, "") == CallEnd::kWhole);
   }
   CHECK(EndOf("HTTP/1.1 599 X\r\ncontent-length: 0\r\n\r\n", false) ==
         CallEnd::kWhole);
