LibMapSwitch: Keep what ranks are told with their orders

What the owner lets each rank know stands beside the orders that follow from it now, and what aborts a switch in a file of its own.

--- a/Libraries/LibMapSwitch/AbortMap.cc
+++ b/Libraries/LibMapSwitch/AbortMap.cc
@@ -5,6 +5,11 @@
 
 namespace bramleyspan::mapswitch {
 
+bool lacks_abort_map(const MapSwitch& map_switch) {
+  return map_switch.phase == SwitchPhase::kAborting &&
+         map_switch.abort_map.empty() && map_switch.desired_map.map.empty();
+}
+
 ExpertLists MakeAbortMap(const std::vector<std::vector<uint16_t>>& own_lists,
                          uint32_t ranks,
                          uint32_t experts) {
--- a/Libraries/LibMapSwitch/Orders.cc
+++ b/Libraries/LibMapSwitch/Orders.cc
@@ -1,4 +1,5 @@
-// The orders that an agent gives its server to reach the desired map.
+// What the owner lets each rank know of the switch, and the orders that an
+// agent gives its server to reach the desired map.
 #include "LibMapSwitch/Switch.h"
 
 namespace bramleyspan::mapswitch {
@@ -33,6 +34,33 @@
 
 }  // namespace
 
+DesiredMap DesiredMapFor(const MapSwitch& map_switch, uint32_t rank) {
+  DesiredMap desired_map = map_switch.desired_map;
+  if (map_switch.phase == SwitchPhase::kArmingOwner && rank != 0) {
+    desired_map.arm_step = 0;
+  }
+  if (map_switch.phase != SwitchPhase::kAborting) {
+    return desired_map;
+  }
+  if (rank == 0) {
+    desired_map.version = map_switch.abort_version;
+    if (!map_switch.abort_map.empty()) {
+      desired_map.map = map_switch.abort_map;
+    }
+    // A holder beside the owner releases the group like any other.
+    if (!desired_map.is_aborted) {
+      desired_map.hold_step = 0;
+    }
+  } else if (map_switch.is_unknown_switch && !desired_map.is_aborted) {
+    // The owner's rank may still become armed for the switch that is to be
+    // aborted. An agent that had received the higher version would take no
+    // order to arm for that switch any more.
+    desired_map.version = 0;
+    desired_map.hold_step = 0;
+  }
+  return desired_map;
+}
+
 std::optional<Order> NextOrder(const DesiredMap& desired_map,
                                const RankStatus& own) {
   if (desired_map.epoch != own.epoch) {
--- a/Libraries/LibMapSwitch/Switch.cc
+++ b/Libraries/LibMapSwitch/Switch.cc
@@ -448,11 +448,6 @@
       });
 }
 
-bool lacks_abort_map(const MapSwitch& map_switch) {
-  return map_switch.phase == SwitchPhase::kAborting &&
-         map_switch.abort_map.empty() && map_switch.desired_map.map.empty();
-}
-
 bool is_replaceable(const MapSwitch& map_switch) {
   return map_switch.phase == SwitchPhase::kPreparing;
 }
@@ -518,33 +513,6 @@
   }
 }
 
-DesiredMap DesiredMapFor(const MapSwitch& map_switch, uint32_t rank) {
-  DesiredMap desired_map = map_switch.desired_map;
-  if (map_switch.phase == SwitchPhase::kArmingOwner && rank != 0) {
-    desired_map.arm_step = 0;
-  }
-  if (map_switch.phase != SwitchPhase::kAborting) {
-    return desired_map;
-  }
-  if (rank == 0) {
-    desired_map.version = map_switch.abort_version;
-    if (!map_switch.abort_map.empty()) {
-      desired_map.map = map_switch.abort_map;
-    }
-    // A holder beside the owner releases the group like any other.
-    if (!desired_map.is_aborted) {
-      desired_map.hold_step = 0;
-    }
-  } else if (map_switch.is_unknown_switch && !desired_map.is_aborted) {
-    // The owner's rank may still become armed for the switch that is to be
-    // aborted. An agent that had received the higher version would take no
-    // order to arm for that switch any more.
-    desired_map.version = 0;
-    desired_map.hold_step = 0;
-  }
-  return desired_map;
-}
-
 void InferOwnerArmed(MapSwitch& map_switch,
                      const DesiredMap& last_received,
                      uint32_t size,
