Tests: A status that is none, seen by callers of a gateway

The unit test of the parser showed the ends of calls; this one shows what callers get, by plain calls and streams. No code of the product is changed.

--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -19,6 +19,7 @@
 constexpr std::string_view kReborn = "/reborn";
 // Time after which a server that is reborn ends.
 constexpr Duration kLifeTime = std::chrono::milliseconds(50);
+constexpr std::string_view kStatus = "/status-";
 constexpr std::string_view kCut = "/cut-";
 // Time for which a server that restarts is away.
 constexpr Duration kDownTime = std::chrono::milliseconds(300);
@@ -103,6 +104,14 @@
   const std::string header_lines =
       "content-type: text/event-stream\r\nx-attempt-id: " + attempt +
       "\r\nx-server-stamp: stamp-" + attempt + "\r\n";
+  const size_t status = path.rfind(kStatus);
+  if (status != std::string::npos) {
+    const std::string inner =
+        "HTTP/1.1 200 OK\r\n" + header_lines + "content-length: 2\r\n\r\nok";
+    return "HTTP/1.1 " + path.substr(status + kStatus.size()) + " Any\r\n" +
+           header_lines + "content-length: " + std::to_string(inner.size()) +
+           "\r\n\r\n" + inner;
+  }
   std::vector<std::string> events = EventsFor(attempt);
   const size_t cut = path.rfind(kCut);
   if (cut != std::string::npos) {
--- a/StandIns/UsersPlatform/RawServer.h
+++ b/StandIns/UsersPlatform/RawServer.h
@@ -3,10 +3,11 @@
 // inside (in the middle of an event, in good order), reset, ends (whole, and
 // the server with it), or restarts (before the last event, in good order, since
 // the server ends; it is back later) or reborn (as restarts, but its next
-// process listens at once). After cut-PLACE an answer with a length
-// or chunks breaks off there, see CutAnswers.h. After endless-KIND bytes that
-// are no answer come until the caller closes: head (header lines), line (one
-// header line), interim (interim heads), body (without a length), chunks,
+// process listens at once). After status-NUMBER an answer with that status has
+// the text of an answer 200 as its body. After cut-PLACE an answer with a
+// length or chunks breaks off there, see CutAnswers.h. After endless-KIND bytes
+// that are no answer come until the caller closes: head (header lines), line
+// (one header line), interim (interim heads), body (without a length), chunks,
 // extension (of one chunk), trailer (one line), event (one event of a stream),
 // bare (a body without a stamp). GET /report is answered 404.
 #pragma once
