bramleyspanctl: Show what refused a change

Cause: the entry that refuses has read the newer revision in the store and may not have applied it yet; the command then compared the file with the older one in force there ("from revision 1 to the file", after "revision 2 is in force").

Change: after a conflict the command waits until something newer than its base is in force at that entry, 3 s at most, and compares with that.

The window was not made wide by a test.

--- a/Utilities/bramleyspanctl/CatalogueCommands.cc
+++ b/Utilities/bramleyspanctl/CatalogueCommands.cc
@@ -1,7 +1,9 @@
+#include <chrono>
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
 #include <sstream>
+#include <thread>
 
 #include "Kernel/Digest.h"
 #include "LibCatalogue/Diff.h"
@@ -45,6 +47,21 @@
   return in_force;
 }
 
+// Returns what is in force once that is newer than `base`, or what is in force
+// then. An entry that refuses a change has read a newer revision in the store,
+// and may take a moment to apply it; compared with the older one, the edit of
+// the other operator would not be shown.
+Result<InForce> AwaitNewerThan(uint64_t base) {
+  constexpr int kTries = 30;
+  constexpr auto kPause = std::chrono::milliseconds(100);
+  InForce in_force = TRY(FetchInForce());
+  for (int tries = 1; tries < kTries && in_force.revision <= base; ++tries) {
+    std::this_thread::sleep_for(kPause);
+    in_force = TRY(FetchInForce());
+  }
+  return in_force;
+}
+
 void PrintDifference(std::ostream& out,
                      const InForce& in_force,
                      const catalogue::Catalogue& file) {
@@ -129,7 +146,8 @@
                       std::to_string(options.base_revision) + " " + path);
   } else if (answer.error().code == ErrorCode::kConflict) {
     // The other operator's edit appears as what this file would revert.
-    const InForce in_force = TRY(FetchInForce());
+    const InForce in_force =
+        TRY(AwaitNewerThan(static_cast<uint64_t>(options.base_revision)));
     PrintDifference(std::cerr, in_force, parsed);
   }
   return boost::outcome_v2::failure(answer.error());
