Meta: Wait for the ends of a fleet that is killed

A test failed once beside much load ("timed out waiting for the agents at gateway-1"): its rank-1 found its address in use, since the test before had killed its own agent there and ended without waiting for it. Now it waits. No check is changed.

--- a/Meta/fleet.sh
+++ b/Meta/fleet.sh
@@ -147,4 +147,6 @@
 kill_fleet() {
   local name
   for name in "${!PIDS[@]}"; do kill -KILL "${PIDS[$name]}" 2>/dev/null || true; done
+  # The next fleet uses the same addresses.
+  ((${#PIDS[@]} == 0)) || wait "${PIDS[@]}" 2>/dev/null || true
 }
