--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -280,7 +280,7 @@
     this->input.erase(0, head.bytes);
     if (is_interim(head)) {
       const bool is_too_many = ++this->interim_heads > kMaxInterimHeads;
-      if (is_too_many || !is_possible_interim(head)) {
+      if (is_too_many || !is_valid_interim(head)) {
         this->End(CallEnd::kMalformed);
         return;
       }
--- a/Libraries/LibHTTP/DirectCall.h
+++ b/Libraries/LibHTTP/DirectCall.h
@@ -68,7 +68,8 @@
   // Pool that the connection is taken from and returned to. Null opens a fresh
   // connection, which closes after the answer.
   ConnectionPool* connection_pool = nullptr;
-  // Whether the connection is opened, and the request sent by Send.
+  // Whether the connection is opened at once, but the request sent by Send
+  // only.
   bool is_sent_later = false;
 };
 
@@ -115,7 +116,8 @@
       DirectRequest request,
       std::function<void(CallEnd, Response)> on_done);
 
-  // Sends the request of a call that is sent later, once it is connected.
+  // Sends the request of a call with `is_sent_later`, as soon as it is
+  // connected.
   void Send();
 
   // Closes the connection. No callback is called afterwards.
--- a/Libraries/LibHTTP/Message.h
+++ b/Libraries/LibHTTP/Message.h
@@ -32,7 +32,8 @@
 // whole history gets all of it at once.
 inline constexpr size_t kMaxFetchedBytes = size_t{16} << 20;
 
-// Returns the memory that the list takes, without the characters of long texts.
+// Returns the memory that the list itself takes, without texts that are too
+// long to lie in it.
 size_t ListBytes(const HeaderList& headers);
 
 // Returns the value of the first header with that lower-case name, or an empty
--- a/Libraries/LibHTTP/Parser.cc
+++ b/Libraries/LibHTTP/Parser.cc
@@ -290,7 +290,7 @@
   return head.status < kFirstFinalStatus;
 }
 
-bool is_possible_interim(const AnswerHead& head) {
+bool is_valid_interim(const AnswerHead& head) {
   constexpr int kSwitchingProtocols = 101;
   const LengthHeaders length = FindLength(head.headers);
   return head.status != kSwitchingProtocols && length.is_valid &&
--- a/Libraries/LibHTTP/Parser.h
+++ b/Libraries/LibHTTP/Parser.h
@@ -41,12 +41,12 @@
 // Whether another head follows this one.
 bool is_interim(const AnswerHead& head);
 
-// Whether an interim answer may be one: it has no body, and no request of ours
-// asks to switch protocols.
+// Whether an interim head is valid: it announces no body, and does not switch
+// protocols, which no request of ours asks for.
 //
 // Failure: a server sends an interim head with a body, and the body is the text
 // of an answer; the caller gets what the server sent as content.
-bool is_possible_interim(const AnswerHead& head);
+bool is_valid_interim(const AnswerHead& head);
 
 // How a receiver finds the end of a body.
 enum class BodyFraming { kNone, kLength, kChunked, kUntilClose };
--- a/Services/bramleyspand/Gateway/Forwarding.h
+++ b/Services/bramleyspand/Gateway/Forwarding.h
@@ -215,8 +215,12 @@
   // Lets the target be checked after an answer that ended with its connection,
   // as it does when the target ends. HandleKnownEnd is called after that.
   void CheckUnframedAnswer();
+  // The same without a witness. It shows less: a process that has begun anew
+  // accepts connections too.
   void CheckByConnection();
   void OpenWitness();
+  // Records whether the answer has a length; opens a witness if it has none.
+  void RecordFraming();
   LostRequest DescribeLost() const;
   // Records that the target writes an answer: once it has gone on for a while
   // it speaks for the parts, once it is whole for the request.
--- a/Services/bramleyspand/Gateway/ForwardingAnswers.cc
+++ b/Services/bramleyspand/Gateway/ForwardingAnswers.cc
@@ -74,12 +74,7 @@
   gateway::TakeHead(this->answer, this->terms(), head, framing.framing);
   this->state.silent_targets->RecordAnswer(this->target_id);
   this->RecordSignals(head);
-  double& unframed_share = this->state.unframed_share[this->service];
-  const double is_unframed = this->answer.is_framed ? 0 : 1;
-  unframed_share += kUnframedShareWeight * (is_unframed - unframed_share);
-  if (!this->answer.is_framed && this->witness == nullptr) {
-    this->OpenWitness();
-  }
+  this->RecordFraming();
   if (this->is_streaming()) {
     this->ArmAttemptTimer(kStreamEventTimeout);
   }
@@ -90,6 +85,15 @@
   }
 }
 
+void Forwarding::RecordFraming() {
+  double& share = this->state.unframed_share[this->service];
+  const double sample = this->answer.is_framed ? 0 : 1;
+  share += kUnframedShareWeight * (sample - share);
+  if (!this->answer.is_framed && this->witness == nullptr) {
+    this->OpenWitness();
+  }
+}
+
 void Forwarding::HandleBytes(std::string_view bytes) {
   auto keep_until_return = this->shared_from_this();
   this->state.silent_targets->RecordAnswer(this->target_id);
--- a/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
+++ b/Services/bramleyspand/Gateway/ForwardingQuarantine.cc
@@ -144,7 +144,6 @@
   });
 }
 
-// Shows less: the target may have ended and begun anew.
 void Forwarding::CheckByConnection() {
   const auto judge =
       [self = this->shared_from_this()](http::ConnectOutcome outcome) {
--- a/Services/bramleyspand/Gateway/ForwardingSending.cc
+++ b/Services/bramleyspand/Gateway/ForwardingSending.cc
@@ -25,10 +25,11 @@
 // Within a region a connection takes 1 to 2 ms.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(250);
 
-// Where so many answers have no length, a witness is opened with the request.
-// One that is opened with the head of an answer misses a target that ends in
-// between, and costs nothing where answers have a length.
-constexpr double kMostlyUnframed = 0.25;
+// From this share of a service's answers without a length on, a witness is
+// opened with each request; below it, with the head of such an answer only,
+// which costs other requests nothing but does not notice a target that ends
+// before its head has come.
+constexpr double kMinUnframedShare = 0.25;
 
 }  // namespace
 
@@ -135,7 +136,7 @@
   this->call = http::DirectCall::Start(this->state.loop, std::move(outgoing),
                                        std::move(listeners));
   this->witness = nullptr;
-  if (this->state.unframed_share[this->service] > kMostlyUnframed) {
+  if (this->state.unframed_share[this->service] >= kMinUnframedShare) {
     this->OpenWitness();
   }
   if (this->is_streaming()) {
--- a/Specs/MapSwitch.pml
+++ b/Specs/MapSwitch.pml
@@ -461,30 +461,30 @@
   :: owner.phase == ABORTING && owner.is_unknown && at_rank != 0 &&
      !owner.desired_map.is_aborted -> skip
   :: else ->
-  if
-  :: desired_maps[at_rank].version > owner.desired_map.version ||
-     (desired_maps[at_rank].version == owner.desired_map.version &&
-      (desired_maps[at_rank].arm_step > arm ||
-       desired_maps[at_rank].hold_step > owner.desired_map.hold_step ||
-       (desired_maps[at_rank].is_aborted && !owner.desired_map.is_aborted) ||
-       (desired_maps[at_rank].is_released && !owner.desired_map.is_released))) -> skip
-  :: else ->
-       desired_maps[at_rank].version = owner.desired_map.version;
-       desired_maps[at_rank].hold_step = owner.desired_map.hold_step;
-       desired_maps[at_rank].holder = owner.desired_map.holder;
-       desired_maps[at_rank].arm_step = arm;
-       desired_maps[at_rank].is_released = owner.desired_map.is_released;
-       desired_maps[at_rank].is_aborted = owner.desired_map.is_aborted;
        if
-       :: owner.phase == ABORTING && at_rank == 0 ->
-            desired_maps[0].version = ABORT_VERSION_OF(owner);
+       :: desired_maps[at_rank].version > owner.desired_map.version ||
+          (desired_maps[at_rank].version == owner.desired_map.version &&
+           (desired_maps[at_rank].arm_step > arm ||
+            desired_maps[at_rank].hold_step > owner.desired_map.hold_step ||
+            (desired_maps[at_rank].is_aborted && !owner.desired_map.is_aborted) ||
+            (desired_maps[at_rank].is_released && !owner.desired_map.is_released))) -> skip
+       :: else ->
+            desired_maps[at_rank].version = owner.desired_map.version;
+            desired_maps[at_rank].hold_step = owner.desired_map.hold_step;
+            desired_maps[at_rank].holder = owner.desired_map.holder;
+            desired_maps[at_rank].arm_step = arm;
+            desired_maps[at_rank].is_released = owner.desired_map.is_released;
+            desired_maps[at_rank].is_aborted = owner.desired_map.is_aborted;
             if
-            :: owner.desired_map.is_aborted -> skip
-            :: else -> desired_maps[0].hold_step = 0
+            :: owner.phase == ABORTING && at_rank == 0 ->
+                 desired_maps[0].version = ABORT_VERSION_OF(owner);
+                 if
+                 :: owner.desired_map.is_aborted -> skip
+                 :: else -> desired_maps[0].hold_step = 0
+                 fi
+            :: else -> skip
             fi
-       :: else -> skip
        fi
-  fi
   fi;
   arm = 0
 }
--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -19,8 +19,7 @@
 // - PUT /passes?pause_ms=: the group begins no pass for so long.
 // - PUT /freeze?rank=&at=: the server of this rank, counted from 0, freezes at
 //   its next stream (stream) or at the next hold of the group (hold).
-// - PUT /freeze?rank=&agent=: the process of this number, the agent of the
-// rank,
+// - PUT /freeze?rank=&agent=: the process with this number, the rank's agent,
 //   is stopped by the next hold of the group; its server runs on.
 // - PUT /cut: cuts all streams that run at the ranks, once; ranks stay up.
 // - PUT /signals?id=&limit=&fails=: from now on the answers of a server name
--- a/Tests/LibHTTP/TestWitness.cc
+++ b/Tests/LibHTTP/TestWitness.cc
@@ -79,9 +79,9 @@
   CHECK(server.Ask(*witness) == WitnessVerdict::kNone);
 }
 
-// Failure: a witness that a partition holds up is accepted late, by the process
-// that began anew.
-TEST_CASE("A process that does not answer in time has ended") {
+// Failure: the target is cut off, or hangs, and the end of its answer waits for
+// it without bound.
+TEST_CASE("A process that does not answer in time counts as ended") {
   EventLoop loop;
   auto silent =
       Ingress::Listen(loop, {"127.0.0.1", 0}, {}, [](const auto&, const auto&) {
--- a/Tests/LibMapSwitch/TestSwitch.cc
+++ b/Tests/LibMapSwitch/TestSwitch.cc
@@ -452,7 +452,8 @@
     held += is_any_held(ranks) ? 1 : 0;
     ranks.late_order_percent = 0;
     if (ranks.status(0).armed != 0) {
-      // Only the frozen rank's own machine can have it armed.
+      // Such a switch can only be completed, and the frozen rank can be armed
+      // by its own machine alone: the group stands until that wakes.
       agents.frozen_until.clear();
     }
     const Step before = ranks.step;
