LibHTTP: Count no end as that of an answer before its request is written

They got the part as a complete answer, on every kind of route.

Cause: DirectCall::WriteRequest() ignored the result of the write, since "a failed write also causes a failed read". The system reports a reset once. A write that is under way gets it; the read that follows finds what had come and then an end that looks orderly, which ends an answer without a length.

Change: the end of such an answer is judged in one place (LibHTTP/UnframedEnd): it counts if reading ended in order, no write has failed and the request is written as a whole. While it is still written, the end is judged again every 2 ms. A connection on which a write failed is not kept either. All calls of the system go through DirectCall: gateways to servers, peers and the relay of orders, agents and entries, the store, bramleyspanctl. Frames between processes have lengths and an end of their own, and requests of callers never end with their connection, so neither has this cause.

Ruled out: the witness (the server lives, it proves nothing here); asking the system again after the read (the reset has been reported). A request whose write fails on a kept connection was and is "may have run"; the test is kept.

A server that ends its answer early and takes the upload is still passed on as a whole.

--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "Kernel/SocketBytes.h"
+#include "LibHTTP/UnframedEnd.h"
 
 namespace bramleyspan::http {
 
@@ -16,6 +17,9 @@
 constexpr size_t kMaxAnswerHeadBytes = 65536;
 constexpr size_t kMaxInterimHeads = 16;
 constexpr int kPausedReceiveBytes = 32768;
+// How often an end that can't be judged yet is judged again; within a region
+// a server's machine acknowledges bytes in 1 to 2 ms.
+constexpr Duration kEndCheckInterval = std::chrono::milliseconds(2);
 
 }  // namespace
 
@@ -213,10 +217,16 @@
   std::array<h2o_iovec_t, 2> buffers{
       h2o_iovec_init(this->outgoing_head.data(), this->outgoing_head.size()),
       h2o_iovec_init(this->body().data(), this->body().size())};
-  // A failed write also causes a failed read, which delivers any answer that
-  // arrived before it. So the result of the write is ignored.
-  h2o_socket_write(this->socket, buffers.data(), this->body().empty() ? 1 : 2,
-                   [](h2o_socket_t*, const char*) {});
+  h2o_socket_write(
+      this->socket, buffers.data(), this->body().empty() ? 1 : 2,
+      [](h2o_socket_t* target, const char* failure) {
+        static_cast<DirectCall*>(target->data)->HandleWritten(failure);
+      });
+}
+
+// A write that fails does not end the call: the answer may have come before.
+void DirectCall::HandleWritten(const char* failure) {
+  this->has_write_failed = failure != nullptr;
 }
 
 void DirectCall::StartReading() {
@@ -330,12 +340,35 @@
     this->End(this->input.empty() ? CallEnd::kClosed : CallEnd::kMalformed);
     return;
   }
-  // An answer without a length ends when the server closes the connection. A
-  // reset is reported as a different failure and means that it is incomplete.
-  const bool is_orderly = failure == h2o_socket_error_closed;
-  const bool is_whole =
-      is_orderly && this->reader.framing() == BodyFraming::kUntilClose;
-  this->End(is_whole ? CallEnd::kWhole : CallEnd::kTruncated);
+  if (this->reader.framing() != BodyFraming::kUntilClose) {
+    this->End(CallEnd::kTruncated);
+    return;
+  }
+  h2o_socket_read_stop(this->socket);
+  // A reset is reported as a different failure.
+  this->is_read_in_order = failure == h2o_socket_error_closed;
+  this->EndUnframedAnswer();
+}
+
+void DirectCall::EndUnframedAnswer() {
+  const UnframedVerdict verdict = JudgeUnframedEnd(
+      {.is_read_in_order = this->is_read_in_order,
+       .has_write_failed = this->has_write_failed,
+       .is_writing = h2o_socket_is_writing(this->socket) != 0});
+  switch (verdict) {
+    case UnframedVerdict::kWhole:
+      this->End(CallEnd::kWhole);
+      return;
+    case UnframedVerdict::kCut:
+      this->End(CallEnd::kTruncated);
+      return;
+    case UnframedVerdict::kUndecided:
+      this->end_timer = this->loop.RunAfter(kEndCheckInterval, [this] {
+        auto keep_until_return = this->shared_from_this();
+        this->EndUnframedAnswer();
+      });
+      return;
+  }
 }
 
 void DirectCall::End(CallEnd end) {
@@ -343,10 +376,10 @@
     return;
   }
   auto on_end = std::move(this->events.on_end);
-  const bool may_reuse = end == CallEnd::kWhole && this->is_reusable &&
-                         this->input.empty() &&
-                         this->request.connection_pool != nullptr &&
-                         h2o_socket_is_writing(this->socket) == 0;
+  const bool may_reuse =
+      end == CallEnd::kWhole && this->is_reusable && this->input.empty() &&
+      this->request.connection_pool != nullptr && !this->has_write_failed &&
+      h2o_socket_is_writing(this->socket) == 0;
   if (may_reuse) {
     h2o_socket_read_stop(this->socket);
     this->request.connection_pool->Add(this->request.target,
@@ -368,6 +401,7 @@
   this->is_ended = true;
   this->loop.Cancel(this->timer);
   this->loop.Cancel(this->connect_timer);
+  this->loop.Cancel(this->end_timer);
   if (this->socket != nullptr) {
     h2o_socket_close(std::exchange(this->socket, nullptr));
   }
--- a/Libraries/LibHTTP/DirectCall.h
+++ b/Libraries/LibHTTP/DirectCall.h
@@ -134,11 +134,13 @@
   void Connect();
   void HandleConnected(const char* failure);
   void WriteRequest();
+  void HandleWritten(const char* failure);
   void StartReading();
   void HandleReadable(const char* failure);
   void ReadHead();
   void ReadBody();
   void HandleClosed(const char* failure);
+  void EndUnframedAnswer();
   void End(CallEnd end);
   void Release();
   const std::string& body() const;
@@ -158,9 +160,14 @@
   bool is_reusable = false;
   bool is_ended = false;
   bool is_paused = false;
+  bool has_write_failed = false;
+  // Whether the server closed the connection in order, as far as reading tells.
+  bool is_read_in_order = false;
   BodyReader reader;
   TimerId timer = 0;
   TimerId connect_timer = 0;
+  // Runs until the end of an answer without a length can be judged.
+  TimerId end_timer = 0;
   std::shared_ptr<DirectCall> self;
 };
 
--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -7,6 +7,7 @@
 
 #include "LibHTTP/Parser.h"
 #include "StandIns/CutAnswers.h"
+#include "StandIns/EarlyAnswers.h"
 
 namespace bramleyspan::standins {
 
@@ -21,6 +22,7 @@
 constexpr Duration kLifeTime = std::chrono::milliseconds(50);
 constexpr std::string_view kStatus = "/status-";
 constexpr std::string_view kCut = "/cut-";
+constexpr std::string_view kEarly = "/early-";
 // Time for which a server that restarts is away.
 constexpr Duration kDownTime = std::chrono::milliseconds(300);
 constexpr std::string_view kEndless = "/endless-";
@@ -121,7 +123,8 @@
   }
   if (path.ends_with(kInside)) {
     events.emplace_back("id: 4\nda");
-  } else if (path.ends_with(kRestarts) || path.ends_with(kReborn)) {
+  } else if (path.ends_with(kRestarts) || path.ends_with(kReborn) ||
+             path.rfind(kEarly) != std::string::npos) {
     events.pop_back();
   }
   std::string answer = "HTTP/1.1 200 OK\r\n" + header_lines + "\r\n";
@@ -161,6 +164,9 @@
     return;
   }
   const std::string request(socket->input->bytes, socket->input->size);
+  if (this->is_answered_early(socket, request)) {
+    return;
+  }
   const bool is_check =
       request.starts_with("GET /report ") && request.ends_with("\r\n\r\n");
   // Requests have a short body; all of it must be read, or the close is a
@@ -206,6 +212,23 @@
   this->Write(socket, AnswerTo(request));
 }
 
+bool RawServer::is_answered_early(h2o_socket_t* socket,
+                                  const std::string& request) {
+  const std::string path = PathOf(request);
+  const size_t name = path.rfind(kEarly);
+  if (name == std::string::npos ||
+      request.find("\r\n\r\n") == std::string::npos) {
+    return false;
+  }
+  const auto after = ParseAfterAnswer(path.substr(name + kEarly.size()));
+  if (!after) {
+    return false;
+  }
+  this->idle.erase(socket);
+  AnswerEarly(this->loop, socket, AnswerTo(request), *after);
+  return true;
+}
+
 void RawServer::CloseIdle() {
   for (h2o_socket_t* other : std::exchange(this->idle, {})) {
     h2o_socket_close(other);
--- a/StandIns/UsersPlatform/RawServer.h
+++ b/StandIns/UsersPlatform/RawServer.h
@@ -5,7 +5,9 @@
 // the server ends; it is back later) or reborn (as restarts, but its next
 // process listens at once). After status-NUMBER an answer with that status has
 // the text of an answer 200 as its body. After cut-PLACE an answer with a
-// length or chunks breaks off there, see CutAnswers.h. After endless-KIND bytes
+// length or chunks breaks off there, see CutAnswers.h. After early-NAME two of
+// three events come once the request's head has come, whatever its length, and
+// the name says what follows, see EarlyAnswers.h. After endless-KIND bytes
 // that are no answer come until the caller closes: head (header lines), line
 // (one header line), interim (interim heads), body (without a length), chunks,
 // extension (of one chunk), trailer (one line), event (one event of a stream),
@@ -38,6 +40,8 @@
   void HandleReadable(h2o_socket_t* socket, const char* failure);
   // Writes the answer, then closes the connection.
   void Write(h2o_socket_t* socket, std::string bytes_of_answer);
+  // Answers a request whose head has come, if its path asks for that.
+  bool is_answered_early(h2o_socket_t* socket, const std::string& request);
   void CloseIdle();
   void EndAndBeginAnew(h2o_socket_t* socket, std::string half);
   void SendWithoutEnd(h2o_socket_t* socket);
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -6,11 +6,12 @@
 # desired_state VERSION INVOICE-SERVICE [EXTRA-ROUTE]: prints the document that
 # an operator writes, with invoices routed to the service, and one more route.
 # The service raw has one server, whose answers end with their connection.
-# ROUTE_TIMEOUT holds the routes' time limit in ms (default 5000), MAX_BODY_BYTES
-# the longest body of a request. With
+# ROUTE_TIMEOUT holds the routes' time limit in ms (default 5000), MAX_ATTEMPTS
+# how many servers a request may reach (default 2), MAX_BODY_BYTES the longest
+# body of a request. With
 # HAS_URGENT_ROUTE=1 there are also streams at /urgent/, which come before drafts.
 desired_state() {
-  local route="{\"host\":\"app.test\",\"timeout_ms\":${ROUTE_TIMEOUT:-5000},\"max_attempts\":2,\"priority\":1"
+  local route="{\"host\":\"app.test\",\"timeout_ms\":${ROUTE_TIMEOUT:-5000},\"max_attempts\":${MAX_ATTEMPTS:-2},\"priority\":1"
   local extra=""
   if [ -n "${3:-}" ]; then
     extra=",$route,\"name\":\"extra\",\"path_prefix\":\"/$3/\",\"route_kind\":\"idempotent\",\"service\":\"billing\",\"target_latency_ms\":500}"
