LibHTTP: Count no end as that of an answer before its request is taken

Callers would see: a server's process dies in the middle of an answer without a length, while it waits for more of a long upload, and they get the part as a complete answer.

Cause: a process that dies with nothing unread closes its connection in order; its system resets it when the next bytes come. By then the system at this end holds the whole upload, so that no write meets the reset, and the end in order counted.

Change: an end counts only once the server's machine has acknowledged the whole request (SIOCOUTQ). So a server that ends its answer and resets later has answered as a whole if all of its request had come to its machine, and not before: a process that dies with bytes unread resets at once, with no end in order.

Ruled out: to take every end before the last byte was written as a cut, which would cut servers that answer early and take the upload (they stay whole, in both tests). To wait for a reset after ends that are known, which can't be bounded.

--- a/Kernel/SocketBytes.cc
+++ b/Kernel/SocketBytes.cc
@@ -19,6 +19,12 @@
                                                  : 0;
 }
 
+// Returns which ends of a connection the system reports.
+unsigned PollEvents(int descriptor) {
+  pollfd entry{.fd = descriptor, .events = POLLRDHUP, .revents = 0};
+  return poll(&entry, 1, 0) == 1 ? static_cast<unsigned>(entry.revents) : 0;
+}
+
 }  // namespace
 
 size_t UnreadBytes(int descriptor) {
@@ -50,9 +56,11 @@
 }
 
 bool has_peer_closed(int descriptor) {
-  pollfd entry{.fd = descriptor, .events = POLLRDHUP, .revents = 0};
-  return poll(&entry, 1, 0) == 1 &&
-         (entry.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  return (PollEvents(descriptor) & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+bool has_connection_failed(int descriptor) {
+  return (PollEvents(descriptor) & (POLLHUP | POLLERR)) != 0;
 }
 
 }  // namespace bramleyspan
--- a/Kernel/SocketBytes.h
+++ b/Kernel/SocketBytes.h
@@ -27,4 +27,9 @@
 // before have not been read.
 bool has_peer_closed(int descriptor);
 
+// Whether the system has given the connection up, as after a reset. It tells so
+// as long as the connection is not closed here, also if a read or a write has
+// reported the failure.
+bool has_connection_failed(int descriptor);
+
 }  // namespace bramleyspan
--- a/Libraries/LibHTTP/DirectCall.cc
+++ b/Libraries/LibHTTP/DirectCall.cc
@@ -351,10 +351,13 @@
 }
 
 void DirectCall::EndUnframedAnswer() {
-  const UnframedVerdict verdict = JudgeUnframedEnd(
-      {.is_read_in_order = this->is_read_in_order,
-       .has_write_failed = this->has_write_failed,
-       .is_writing = h2o_socket_is_writing(this->socket) != 0});
+  const int descriptor = h2o_socket_get_fd(this->socket);
+  const UnframedVerdict verdict =
+      JudgeUnframedEnd({.is_read_in_order = this->is_read_in_order,
+                        .has_write_failed = this->has_write_failed,
+                        .is_writing = h2o_socket_is_writing(this->socket) != 0,
+                        .unacknowledged_bytes = UnacknowledgedBytes(descriptor),
+                        .has_failed = has_connection_failed(descriptor)});
   switch (verdict) {
     case UnframedVerdict::kWhole:
       this->End(CallEnd::kWhole);
--- a/StandIns/EarlyAnswers.cc
+++ b/StandIns/EarlyAnswers.cc
@@ -15,11 +15,12 @@
 // What is a little later.
 constexpr Duration kResetDelay = std::chrono::milliseconds(20);
 
-constexpr std::array<std::pair<std::string_view, AfterAnswer>, 6> kNames{{
+constexpr std::array<std::pair<std::string_view, AfterAnswer>, 7> kNames{{
     {"reset", AfterAnswer::kReset},
     {"reset-later", AfterAnswer::kResetLater},
     {"end-then-reset", AfterAnswer::kEndThenReset},
     {"end-then-take", AfterAnswer::kEndThenTake},
+    {"end-then-keep", AfterAnswer::kEndThenKeep},
     {"close", AfterAnswer::kClose},
     {"keep", AfterAnswer::kKeep},
 }};
@@ -71,6 +72,9 @@
       shutdown(descriptor, SHUT_WR);
       h2o_socket_read_start(socket, TakeUpload);
       return;
+    case AfterAnswer::kEndThenKeep:
+      shutdown(descriptor, SHUT_WR);
+      return;
     case AfterAnswer::kClose:
       h2o_socket_close(socket);
       return;
--- a/StandIns/EarlyAnswers.h
+++ b/StandIns/EarlyAnswers.h
@@ -19,6 +19,8 @@
   kEndThenReset,
   // Closes its sending side, takes the upload, and closes the connection.
   kEndThenTake,
+  // Closes its sending side, and neither reads nor closes the connection.
+  kEndThenKeep,
   // Closes the connection, which resets it if there are unread bytes, or as
   // soon as further ones come.
   kClose,
@@ -27,7 +29,7 @@
 };
 
 // Returns what "reset", "reset-later", "end-then-reset", "end-then-take",
-// "close" or "keep" stand for; nullopt for other names.
+// "end-then-keep", "close" or "keep" stand for; nullopt for other names.
 std::optional<AfterAnswer> ParseAfterAnswer(std::string_view name);
 
 // Sends an answer of a few KB on a connection whose request is still coming,
--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -27,6 +27,9 @@
 constexpr Duration kDownTime = std::chrono::milliseconds(300);
 constexpr std::string_view kEndless = "/endless-";
 constexpr size_t kBlockBytes = 16384;
+// What the system takes of a request that is not read, so that long uploads are
+// still being sent when their early answer has ended.
+constexpr int kReceiveBytes = 32768;
 constexpr Duration kBlockInterval = std::chrono::microseconds(500);
 
 std::string FindValue(const std::string& request, const std::string& name) {
@@ -147,6 +150,8 @@
   this->listener = TRY(
       Listener::Listen(this->loop, this->address, [this](h2o_socket_t* socket) {
         socket->data = this;
+        setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_RCVBUF,
+                   &kReceiveBytes, sizeof kReceiveBytes);
         this->idle.insert(socket);
         h2o_socket_read_start(socket,
                               [](h2o_socket_t* source, const char* failure) {
--- a/Tests/LibHTTP/TestAnswersDuringUploads.cc
+++ b/Tests/LibHTTP/TestAnswersDuringUploads.cc
@@ -13,6 +13,9 @@
 
 // More than the system holds for a connection, in both directions.
 constexpr size_t kLongUpload = size_t{16} << 20;
+// More than the system takes of a connection that its server does not read, and
+// less than it holds for the client.
+constexpr size_t kHeldUpload = size_t{1} << 20;
 // The system takes all of it at once.
 constexpr size_t kShortUpload = 1000;
 const std::string kHead = "HTTP/1.1 200 OK\r\n";
@@ -26,10 +29,11 @@
 std::optional<std::string> Upload(Caller caller,
                                   size_t bytes,
                                   const std::string& answer,
-                                  AfterAnswer after) {
+                                  AfterAnswer after,
+                                  AnswerTime time = AnswerTime::kFirstBytes) {
   EventLoop loop;
   Client client(loop);
-  UploadServer server(loop, answer, after);
+  UploadServer server(loop, answer, after, time);
   std::optional<std::string> body;
   if (caller == Caller::kDirect) {
     DirectCall::Fetch(loop,
@@ -62,21 +66,29 @@
 
 }  // namespace
 
-TEST_CASE("An end in order is whole only behind a written request") {
+TEST_CASE("An end in order is whole only behind a request that was taken") {
   for (const bool has_write_failed : {false, true}) {
     for (const bool is_writing : {false, true}) {
-      CHECK(JudgeUnframedEnd({.is_read_in_order = false,
-                              .has_write_failed = has_write_failed,
-                              .is_writing = is_writing}) ==
-            UnframedVerdict::kCut);
+      for (const size_t unacknowledged_bytes : {0, 1}) {
+        for (const bool has_failed : {false, true}) {
+          UnframedEnd end{.is_read_in_order = false,
+                          .has_write_failed = has_write_failed,
+                          .is_writing = is_writing,
+                          .unacknowledged_bytes = unacknowledged_bytes,
+                          .has_failed = has_failed};
+          CHECK(JudgeUnframedEnd(end) == UnframedVerdict::kCut);
+          end.is_read_in_order = true;
+          const bool is_taken = !is_writing && unacknowledged_bytes == 0;
+          const UnframedVerdict expected =
+              has_write_failed ? UnframedVerdict::kCut
+              : is_taken       ? UnframedVerdict::kWhole
+              : has_failed     ? UnframedVerdict::kCut
+                               : UnframedVerdict::kUndecided;
+          CHECK(JudgeUnframedEnd(end) == expected);
+        }
+      }
     }
   }
-  CHECK(JudgeUnframedEnd({.is_read_in_order = true}) ==
-        UnframedVerdict::kWhole);
-  CHECK(JudgeUnframedEnd({.is_read_in_order = true, .is_writing = true}) ==
-        UnframedVerdict::kUndecided);
-  CHECK(JudgeUnframedEnd({.is_read_in_order = true,
-                          .has_write_failed = true}) == UnframedVerdict::kCut);
 }
 
 // Failure: a server answers a long upload at once, sends a part of a body that
@@ -94,6 +106,42 @@
   }
 }
 
+// Failure: a server's process dies while it waits for more of the upload. Its
+// system closes the connection in order, and resets it as the next bytes come.
+// The upload lies with the client's system, so that no write meets the reset.
+TEST_CASE("An end in order before the request is taken is not whole") {
+  for (const Caller caller : kAllCallers) {
+    CAPTURE(caller);
+    for (const size_t bytes : {kHeldUpload, kLongUpload}) {
+      CAPTURE(bytes);
+      CHECK_FALSE(Upload(caller, bytes, kPart, AfterAnswer::kClose,
+                         AnswerTime::kAccept));
+      CHECK_FALSE(Upload(caller, bytes, kPart, AfterAnswer::kEndThenReset,
+                         AnswerTime::kAccept));
+    }
+    CHECK_FALSE(Upload(caller, kLongUpload, kPart, AfterAnswer::kClose));
+  }
+}
+
+// Failure: as above, but the server's machine is silent in place of a reset.
+TEST_CASE("An answer whose request is never taken ends with its time limit") {
+  EventLoop loop;
+  UploadServer server(loop, kPart, AfterAnswer::kEndThenKeep,
+                      AnswerTime::kAccept);
+  CallEnd outcome = CallEnd::kNotSent;
+  DirectCall::Fetch(loop,
+                    {.target = server.address(),
+                     .method = "POST",
+                     .body = std::string(kHeldUpload, 'x'),
+                     .timeout = std::chrono::milliseconds(200)},
+                    [&](CallEnd end, const Response&) {
+                      outcome = end;
+                      loop.Stop();
+                    });
+  loop.Run();
+  CHECK(outcome == CallEnd::kTimeout);
+}
+
 TEST_CASE("An answer that ends early is whole once its request is taken") {
   for (const Caller caller : kAllCallers) {
     CAPTURE(caller);
--- a/Tests/LibHTTP/UploadServer.h
+++ b/Tests/LibHTTP/UploadServer.h
@@ -15,14 +15,26 @@
 
 using standins::AfterAnswer;
 
-// Answers the first bytes that come on a connection, on the loop of its client,
-// which meets the answer and the reset at once.
+// When a server answers: behind the first bytes of a request, or before it
+// reads anything.
+enum class AnswerTime { kFirstBytes, kAccept };
+
+// Runs on the loop of its client, which meets the answer and what follows at
+// once.
 struct UploadServer {
-  UploadServer(EventLoop& loop, std::string answer, AfterAnswer after)
+  UploadServer(EventLoop& loop,
+               std::string answer,
+               AfterAnswer after,
+               AnswerTime time = AnswerTime::kFirstBytes)
       : loop(loop), answer(std::move(answer)), after(after) {
-    auto listening =
-        Listener::Listen(loop, {"127.0.0.1", 0}, [this](h2o_socket_t* socket) {
+    auto listening = Listener::Listen(
+        loop, {"127.0.0.1", 0}, [this, time](h2o_socket_t* socket) {
           socket->data = this;
+          if (time == AnswerTime::kAccept) {
+            standins::AnswerEarly(this->loop, socket, this->answer,
+                                  this->after);
+            return;
+          }
           h2o_socket_read_start(socket,
                                 [](h2o_socket_t* source, const char* failure) {
                                   static_cast<UploadServer*>(source->data)
