--- a/StandIns/UsersPlatform/Main.cc
+++ b/StandIns/UsersPlatform/Main.cc
@@ -4,7 +4,8 @@
 //
 // - PUT /config: the body becomes the desired state in the store.
 // - PUT /server?id=&state=&zone=: sets a server to ready, draining or gone, and
-//   its zone if one is given (a at the start).
+//   its zone if one is given (a at the start). With &service=&address= it is a
+//   server of another program.
 // - PUT /evacuate?zone=&state=: the operator evacuates a zone (on) or restores
 //   it (off).
 // - PUT /store?mode=: serving, down, silent, losing (see StoreMode) or late;
@@ -79,6 +80,8 @@
   std::string second_address_mode = "serving";
   StandInGroup group;
   std::vector<PlainServer> plain;
+  // Servers that other programs run.
+  std::vector<PlainServer> others;
   std::map<std::string, uint64_t> runs;
   std::map<std::string, uint64_t> runs_by_server;
   // Zones by server; a if not listed.
@@ -112,10 +115,12 @@
   for (const StandInRank& rank : platform.group.ranks) {
     address = rank.id == id ? rank.address : address;
   }
-  for (const PlainServer& server : platform.plain) {
-    if (server.id == id) {
-      service = server.service;
-      address = server.address;
+  for (const auto* servers : {&platform.plain, &platform.others}) {
+    for (const PlainServer& server : *servers) {
+      if (server.id == id) {
+        service = server.service;
+        address = server.address;
+      }
     }
   }
   if (state == "gone") {
@@ -327,6 +332,12 @@
     if (!zone.empty()) {
       platform.zones[http::FindQueryValue(request.query, "id")] = zone;
     }
+    const std::string address = http::FindQueryValue(request.query, "address");
+    if (!address.empty()) {
+      platform.others.push_back({http::FindQueryValue(request.query, "id"),
+                                 http::FindQueryValue(request.query, "service"),
+                                 address});
+    }
     SetServer(platform, http::FindQueryValue(request.query, "id"),
               http::FindQueryValue(request.query, "state"));
   } else if (request.path == "/store") {
--- a/StandIns/UsersPlatform/RawServer.cc
+++ b/StandIns/UsersPlatform/RawServer.cc
@@ -147,18 +147,18 @@
 }
 
 Result<void> RawServer::StartListening() {
-  this->listener = TRY(
-      Listener::Listen(this->loop, this->address, [this](h2o_socket_t* socket) {
+  this->listener = TRY(Listener::Listen(
+      this->loop, this->address,
+      [this](h2o_socket_t* socket) {
         socket->data = this;
-        setsockopt(h2o_socket_get_fd(socket), SOL_SOCKET, SO_RCVBUF,
-                   &kReceiveBytes, sizeof kReceiveBytes);
         this->idle.insert(socket);
         h2o_socket_read_start(socket,
                               [](h2o_socket_t* source, const char* failure) {
                                 static_cast<RawServer*>(source->data)
                                     ->HandleReadable(source, failure);
                               });
-      }));
+      },
+      kReceiveBytes));
   return Succeed();
 }
 
--- a/Tests/Process/UsersPlatform.sh
+++ b/Tests/Process/UsersPlatform.sh
@@ -5,7 +5,8 @@
 
 # desired_state VERSION INVOICE-SERVICE [EXTRA-ROUTE]: prints the document that
 # an operator writes, with invoices routed to the service, and one more route.
-# The service raw has one server, whose answers end with their connection.
+# The service raw has one server, whose answers end with their connection;
+# RAW_SERVICE is another service for its routes.
 # ROUTE_TIMEOUT holds the routes' time limit in ms (default 5000), MAX_ATTEMPTS
 # how many servers a request may reach (default 2), MAX_BODY_BYTES the longest
 # body of a request. With
@@ -25,12 +26,12 @@
   $route,"name":"draft","path_prefix":"/draft/","route_kind":"streaming","resumable":true,
    "service":"chat","target_latency_ms":500,"target_gap_ms":120},
   $route,"name":"raw","path_prefix":"/raw/","route_kind":"idempotent",
-   "service":"raw","target_latency_ms":500},
+   "service":"${RAW_SERVICE:-raw}","target_latency_ms":500},
   $route,"name":"raw-stream","path_prefix":"/raw-stream/","route_kind":"streaming","resumable":false,
-   "service":"raw","target_latency_ms":500,"target_gap_ms":120},
+   "service":"${RAW_SERVICE:-raw}","target_latency_ms":500,"target_gap_ms":120},
   $route,"name":"issue","path_prefix":"/issue/","route_kind":"non_idempotent",
    "service":"$2","target_latency_ms":500}$extra],
- "services":[{"name":"billing"},{"name":"archive"},{"name":"raw"},
+ "services":[{"name":"billing"},{"name":"archive"},{"name":"${RAW_SERVICE:-raw}"},
   {"name":"chat","engine":{"slots":8,"stride":4,"step_ms":5,"per_seq_ms":1,"read_per_s":60000,
    "sets":2,"experts":8,"placements":6,"spare":4,"expert_mb":10,"link_mbps":1000}}],
  "limits":{"max_header_bytes":8192,"max_body_bytes":${MAX_BODY_BYTES:-65536},"header_timeout_ms":3000,"idle_timeout_ms":10000},
