Kernel: Handle the writes of timers before h2o polls again

What callers saw: an entry was aborted while clients crowded at its port, and everything that it had in hand broke off.

Cause: callbacks of timers ran outside of h2o's run. What they wrote stayed in h2o's list of pending sockets, and their sockets, whose reading had begun or ended as well, were polled for writing meanwhile. h2o takes 256 events at a time; with more sockets ready the event of that poll came a turn after the end of the write had been told, and h2o's assertion `sock->super._cb.write != NULL` in write_pending ended the process. All roles have this loop.

TestKernel "A write from a timer's callback is safe beside 300 ready sockets" aborted with the same assertion before, 3 of 3, and not with 200 sockets.

Why it works: the timers run as a timeout of h2o, behind which h2o handles what is pending before it looks at its sockets again, as behind its own timeouts. The loop's second run, which was there for these writes, is not needed.

--- a/Kernel/EventLoop.cc
+++ b/Kernel/EventLoop.cc
@@ -19,6 +19,11 @@
   // A write to a socket that the peer has closed must fail with an error. By
   // default SIGPIPE ends the process.
   std::signal(SIGPIPE, SIG_IGN);
+  h2o_timeout_init(this->loop, &this->h2o_timeout, 0);
+  this->h2o_entry.owner = this;
+  this->h2o_entry.super.cb = [](h2o_timeout_entry_t* entry) {
+    reinterpret_cast<TimerEntry*>(entry)->owner->RunDueTimers();
+  };
 }
 
 EventLoop::~EventLoop() = default;
@@ -88,31 +93,28 @@
   this->is_stopped = false;
   while (!this->is_stopped) {
     h2o_evloop_run(this->loop, this->MillisecondsToNextTimer());
-    // A write from a timer's callback only adds the socket to h2o's list of
-    // pending sockets, which h2o handles after it has waited for events.
-    // Without this second run, such writes complete up to kMaxWaitMilliseconds
-    // late.
-    if (this->RunDueTimers() && !this->is_stopped) {
-      h2o_evloop_run(this->loop, 0);
-    }
+    // As a timeout of h2o, because h2o then handles the writes of the callbacks
+    // before it looks at its sockets again. A write from outside stays in its
+    // list until it has waited for events: it completes late, and h2o, which
+    // takes 256 events at a time, may meet the event of a write that is over,
+    // and aborts.
+    h2o_timeout_link(this->loop, &this->h2o_timeout, &this->h2o_entry.super);
+    h2o_timeout_run(this->loop, &this->h2o_timeout, h2o_now(this->loop));
   }
 }
 
-bool EventLoop::RunDueTimers() {
+void EventLoop::RunDueTimers() {
   const TimePoint now = Now();
-  bool has_run = false;
   while (!this->is_stopped && !this->timers.empty()) {
     const auto first = this->timers.begin();
     if (first->first.first > now) {
       break;
     }
-    has_run = true;
     std::function<void()> callback = std::move(first->second);
     this->due_times.erase(first->first.second);
     this->timers.erase(first);
     callback();
   }
-  return has_run;
 }
 
 int32_t EventLoop::MillisecondsToNextTimer() const {
--- a/Kernel/EventLoop.h
+++ b/Kernel/EventLoop.h
@@ -53,12 +53,21 @@
   void RemoveTimers();
 
  private:
-  bool RunDueTimers();
+  // An entry of h2o's timeouts with a pointer to its loop.
+  struct TimerEntry {
+    h2o_timeout_entry_t super;
+    EventLoop* owner;
+  };
+
+  void RunDueTimers();
   void WatchSignals(const std::vector<int>& numbers,
                     std::function<void()>* callback);
   int32_t MillisecondsToNextTimer() const;
 
   h2o_loop_t* loop = nullptr;
+  // Due at once; the timers below run from it.
+  h2o_timeout_t h2o_timeout{};
+  TimerEntry h2o_entry{};
   std::map<std::pair<TimePoint, TimerId>, std::function<void()>> timers;
   std::map<TimerId, TimePoint> due_times;
   std::function<void()> stop_callback;
--- a/Tests/Kernel/TestEventLoop.cc
+++ b/Tests/Kernel/TestEventLoop.cc
@@ -1,6 +1,9 @@
 #include <doctest/doctest.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
+#include <unistd.h>
 #include <memory>
+#include <vector>
 
 #include "Kernel/EventLoop.h"
 
@@ -35,6 +38,42 @@
   h2o_socket_close(socket);
 }
 
+// Guards against processes that end under a crowd. h2o takes 256 events at a
+// time: the event of a socket that it polled for a write from a timer came
+// after the end of that write, and h2o aborted.
+TEST_CASE("A write from a timer's callback is safe beside 300 ready sockets") {
+  constexpr int kReady = 300;
+  EventLoop loop;
+  std::vector<h2o_socket_t*> ready;
+  for (int i = 0; i < kReady; ++i) {
+    const int descriptor = eventfd(1, EFD_NONBLOCK | EFD_CLOEXEC);
+    REQUIRE(descriptor != -1);
+    ready.push_back(h2o_evloop_socket_create(loop.raw(), descriptor,
+                                             H2O_SOCKET_FLAG_DONT_READ));
+    h2o_socket_read_start(ready.back(), [](h2o_socket_t*, const char*) {});
+  }
+  int ends[2];
+  REQUIRE(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, ends) == 0);
+  h2o_socket_t* socket = h2o_evloop_socket_create(loop.raw(), ends[0], 0);
+  bool is_written = false;
+  socket->data = &is_written;
+  loop.RunAfter(std::chrono::milliseconds(20), [socket] {
+    h2o_iovec_t bytes = h2o_iovec_init(H2O_STRLIT("x"));
+    h2o_socket_write(socket, &bytes, 1, [](h2o_socket_t* source, const char*) {
+      *static_cast<bool*>(source->data) = true;
+    });
+    h2o_socket_read_start(socket, [](h2o_socket_t*, const char*) {});
+  });
+  loop.RunAfter(std::chrono::milliseconds(100), [&loop] { loop.Stop(); });
+  loop.Run();
+  CHECK(is_written);
+  h2o_socket_close(socket);
+  close(ends[1]);
+  for (h2o_socket_t* const one : ready) {
+    h2o_socket_close(one);
+  }
+}
+
 TEST_CASE("Removed timers are destroyed, also those that this adds, not run") {
   struct Owner {
     Owner(EventLoop& loop, int& destroyed, int& run)
