--- a/Kernel/EventLoop.cc
+++ b/Kernel/EventLoop.cc
@@ -93,11 +93,11 @@
   this->is_stopped = false;
   while (!this->is_stopped) {
     h2o_evloop_run(this->loop, this->MillisecondsToNextTimer());
-    // As a timeout of h2o, because h2o then handles the writes of the callbacks
-    // before it looks at its sockets again. A write from outside stays in its
-    // list until it has waited for events: it completes late, and h2o, which
-    // takes 256 events at a time, may meet the event of a write that is over,
-    // and aborts.
+    // The due timers run as a timeout of h2o, which handles what they have
+    // written before it polls again. A write from outside of h2o stays pending
+    // over the next poll. It ends up to kMaxWaitMilliseconds late; and as h2o
+    // takes 256 events at a time, the event that shows its socket as writable
+    // may come after the write has ended, at which h2o aborts.
     h2o_timeout_link(this->loop, &this->h2o_timeout, &this->h2o_entry.super);
     h2o_timeout_run(this->loop, &this->h2o_timeout, h2o_now(this->loop));
   }
--- a/Kernel/EventLoop.h
+++ b/Kernel/EventLoop.h
@@ -65,7 +65,7 @@
   int32_t MillisecondsToNextTimer() const;
 
   h2o_loop_t* loop = nullptr;
-  // Due at once; the timers below run from it.
+  // A timeout of h2o that is due at once. It runs the timers below.
   h2o_timeout_t h2o_timeout{};
   TimerEntry h2o_entry{};
   std::map<std::pair<TimePoint, TimerId>, std::function<void()>> timers;
--- a/Tests/Kernel/TestEventLoop.cc
+++ b/Tests/Kernel/TestEventLoop.cc
@@ -38,9 +38,9 @@
   h2o_socket_close(socket);
 }
 
-// Guards against processes that end under a crowd. h2o takes 256 events at a
-// time: the event of a socket that it polled for a write from a timer came
-// after the end of that write, and h2o aborted.
+// Guards against processes that abort under a crowd. h2o polled a socket for a
+// write from a timer and took 256 events, of other sockets. The event of this
+// one came at the next poll, after the write had ended, and h2o aborted.
 TEST_CASE("A write from a timer's callback is safe beside 300 ready sockets") {
   constexpr int kReady = 300;
   EventLoop loop;
@@ -62,6 +62,7 @@
     h2o_socket_write(socket, &bytes, 1, [](h2o_socket_t* source, const char*) {
       *static_cast<bool*>(source->data) = true;
     });
+    // Makes h2o choose anew what it polls the socket for.
     h2o_socket_read_start(socket, [](h2o_socket_t*, const char*) {});
   });
   loop.RunAfter(std::chrono::milliseconds(100), [&loop] { loop.Stop(); });
